Lay out the workspace, the core types and the design's first page

Cause: an empty repository; parts have to be built side by side, so their borders come first. Change: workspace manifest, core crate (ids, time, codes, events, table and platform traits, state charts), document types, a crate skeleton for each part, first page of the design. Conclusion: parts can start; nothing runs yet.

--- /dev/null
+++ b/crates/fescuewell_budget/src/lib.rs
@@ -0,0 +1,1 @@
+//! Prepaid budgets: allowances, holds and settlement, as a pure state machine.
--- /dev/null
+++ b/crates/fescuewell_console/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' console of forms and the config command.
--- /dev/null
+++ b/crates/fescuewell_core/src/code.rs
@@ -0,0 +1,165 @@
+//! Numbered result codes and the refusals that carry them; `docs/CODES.md` has the table.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+crate::data! {
+    /// Whether the work of a refused request ran.
+    #[derive(Copy)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Run {
+        /// It did not and will not run.
+        NotRun,
+        /// It may have run.
+        Unknown,
+        /// It ran.
+        Ran,
+    }
+}
+
+macro_rules! codes {
+    ($($(#[$meta:meta])* $name:ident = $number:literal, $status:literal, $run:ident, $text:literal;)*) => {
+        crate::data! {
+            /// A result code. Numbers are stable: a code that is given up is never given out again.
+            #[derive(Copy, Hash, PartialOrd, Ord)]
+            pub enum Code {
+                $(
+                    #[doc = $text]
+                    $name = $number,
+                )*
+            }
+        }
+
+        impl Code {
+            /// Every code, in the order of the table.
+            pub const ALL: &'static [Code] = &[$(Code::$name),*];
+
+            /// The stable number.
+            pub fn number(self) -> u16 {
+                self as u16
+            }
+
+            /// The HTTP status that goes with it.
+            pub fn status(self) -> u16 {
+                match self {
+                    $(Code::$name => $status,)*
+                }
+            }
+
+            /// Whether the request ran, as far as the code alone tells.
+            pub fn run(self) -> Run {
+                match self {
+                    $(Code::$name => Run::$run,)*
+                }
+            }
+
+            /// One sentence for people.
+            pub fn text(self) -> &'static str {
+                match self {
+                    $(Code::$name => $text,)*
+                }
+            }
+
+            /// The code's name, as it stands in the table.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Code::$name => stringify!($name),)*
+                }
+            }
+        }
+    };
+}
+
+codes! {
+    Unauthorized = 1001, 401, NotRun, "The key is missing or not known.";
+    Forbidden = 1002, 403, NotRun, "The key does not open this.";
+    NoSuchPath = 1003, 404, NotRun, "There is nothing at this path.";
+    MethodNotAllowed = 1004, 405, NotRun, "The path does not take this method.";
+    MalformedRequest = 1005, 400, NotRun, "The request could not be read.";
+    BodyTooLarge = 1006, 413, NotRun, "The body is larger than the listener takes.";
+    HeadTooLarge = 1007, 431, NotRun, "The request's head is larger than the listener takes.";
+    TooDeep = 1008, 400, NotRun, "The JSON is nested too deeply.";
+    RequestTimeout = 1009, 408, NotRun, "The request did not arrive in time.";
+    TooManyConnections = 1010, 503, NotRun, "The listener has no room for another connection.";
+    UnknownModel = 1011, 404, NotRun, "No backend server that the group may reach serves this model.";
+    UnknownService = 1012, 404, NotRun, "No such service or call.";
+    UnknownKind = 1013, 400, NotRun, "The document has no such kind of request.";
+    InvalidField = 1014, 400, NotRun, "A field of the request has a value that is not allowed.";
+    TooLong = 1015, 400, NotRun, "Prompt and output limit together exceed what the model takes.";
+
+    BudgetExhausted = 2001, 402, NotRun, "The group's prepaid budget is spent.";
+    BudgetInUse = 2002, 429, NotRun, "What is left of the budget is held by requests under way.";
+    BudgetUnknown = 2003, 503, NotRun, "The budget could not be consulted and what is at hand here is used up.";
+
+    Conflict = 3001, 409, NotRun, "The request id was used before with another body.";
+    InProgress = 3002, 409, Unknown, "A request of this id is under way.";
+    AlreadyRan = 3003, 409, Ran, "The request ran before and its answer is no longer kept.";
+    NoClaim = 3004, 503, NotRun, "A call that may not be repeated could not be recorded, so it was not sent.";
+    OutcomeUnknown = 3005, 502, Unknown, "The call was sent and its outcome could not be learned.";
+    NoSuchStream = 3006, 404, Unknown, "No answer of this id can be taken up again here.";
+
+    QueueFull = 4001, 429, NotRun, "Too much is waiting already.";
+    DeadlineTooNear = 4002, 503, NotRun, "The request could not start before its deadline.";
+    DeadlinePassed = 4003, 504, NotRun, "The deadline passed before the request started.";
+    NoServer = 4004, 503, NotRun, "No backend server can take the request now.";
+    Draining = 4005, 503, NotRun, "This instance is shutting down; use another address.";
+    NotReady = 4006, 503, NotRun, "This instance is not ready.";
+    Isolated = 4007, 503, NotRun, "This instance has been cut off and may hold an outdated document.";
+    Overloaded = 4008, 503, NotRun, "This instance is over its limits.";
+    RetryBudgetSpent = 4009, 502, Unknown, "The request failed and no more retries are allowed now.";
+    ServerFailed = 4010, 502, Unknown, "The backend server failed after it was given the request.";
+    DeadlineCut = 4011, 504, Ran, "The deadline passed while the answer was under way.";
+    Cancelled = 4012, 499, Unknown, "The caller went away.";
+
+    DocumentInvalid = 5001, 422, NotRun, "The document does not pass its checks.";
+    DocumentRaced = 5002, 409, NotRun, "The document was changed by somebody else meanwhile.";
+    PrepaidBelowDrawn = 5003, 409, NotRun, "The prepaid total would fall below what is already allowed out.";
+    DocumentUnreadable = 5004, 409, NotRun, "A live instance cannot read this document.";
+    StoreUnavailable = 5005, 503, Unknown, "The platform's store gave no answer; the change may have been accepted.";
+    SignInRequired = 5006, 401, NotRun, "Sign in as an operator.";
+
+    Internal = 9001, 500, Unknown, "Something went wrong here.";
+}
+
+/// A truthful refusal of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// The numbered code.
+    pub code: Code,
+    /// Whether the request ran.
+    pub run: Run,
+    /// What was wrong, for people.
+    pub message: Arc<str>,
+    /// When it makes sense to ask again.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal with the code's own text.
+    pub fn new(code: Code) -> Self {
+        Self {
+            code,
+            run: code.run(),
+            message: code.text().into(),
+            retry_after: None,
+        }
+    }
+
+    /// Adds what exactly was wrong.
+    pub fn with_detail(mut self, detail: impl AsRef<str>) -> Self {
+        self.message = format!("{} {}", self.code.text(), detail.as_ref()).into();
+        self
+    }
+
+    /// Adds when to ask again.
+    pub fn with_retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// States whether the request ran, where more is known than the code tells.
+    pub fn with_run(mut self, run: Run) -> Self {
+        self.run = run;
+        self
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_core/src/event.rs
@@ -0,0 +1,119 @@
+//! Numbered log events; `docs/EVENTS.md` is the catalogue.
+//!
+//! A log line is `E2001 route.chosen key=value ...`. Use [`log_event!`](crate::log_event):
+//!
+//! ```
+//! use fescuewell_core::prelude::*;
+//! fescuewell_core::log_event!(Event::RouteChosen, "request={} server={}", "a/1", "engine-1");
+//! ```
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $title:literal, $text:literal;)*) => {
+        crate::data! {
+            /// A kind of log line. Numbers are stable.
+            #[derive(Copy)]
+            pub enum Event {
+                $(
+                    #[doc = $text]
+                    $name = $number,
+                )*
+            }
+        }
+
+        impl Event {
+            /// Every event, in the order of the catalogue.
+            pub const ALL: &'static [Event] = &[$(Event::$name),*];
+
+            /// The stable number.
+            pub fn number(self) -> u16 {
+                self as u16
+            }
+
+            /// The level it is logged at.
+            pub fn level(self) -> log::Level {
+                match self {
+                    $(Event::$name => log::Level::$level,)*
+                }
+            }
+
+            /// Its short title.
+            pub fn title(self) -> &'static str {
+                match self {
+                    $(Event::$name => $title,)*
+                }
+            }
+
+            /// What it means.
+            pub fn text(self) -> &'static str {
+                match self {
+                    $(Event::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    Started = 1001, Info, "process.started", "The process has read its settings and listens.";
+    Ready = 1002, Info, "process.ready", "The instance takes requests.";
+    DrainStarted = 1003, Info, "drain.started", "The instance was asked to stop and hands over.";
+    DrainFinished = 1004, Info, "drain.finished", "Nothing is left open; the process ends.";
+    Isolated = 1005, Warn, "process.isolated", "Neither the store nor a peer answered for too long; requests are refused.";
+    StateChanged = 1006, Info, "state.changed", "A state chart took a step.";
+
+    RouteChosen = 2001, Info, "route.chosen", "A backend server was chosen for a request, and why.";
+    RouteRefused = 2002, Info, "route.refused", "A request was refused, with its result code.";
+    RouteRetried = 2003, Info, "route.retried", "An attempt failed and another one is made.";
+    RequestDone = 2004, Info, "request.done", "A request ended, with its tokens and times.";
+    StreamResumed = 2005, Info, "stream.resumed", "A broken stream was taken up again at an offset.";
+    ServerEjected = 2006, Warn, "server.ejected", "A backend server stalled or failed and gets no more work for a while.";
+    ServerReturned = 2007, Info, "server.returned", "An ejected backend server gets work again, a little at first.";
+    ServerLeaving = 2008, Info, "server.leaving", "A backend server is leaving and gets no new work.";
+
+    AllowanceDrawn = 3001, Info, "allowance.drawn", "Allowances were drawn from prepaid budgets.";
+    AllowanceReturned = 3002, Info, "allowance.returned", "Unused allowances were returned.";
+    AllowanceReclaimed = 3003, Info, "allowance.reclaimed", "Allowances of a terminated instance were returned after its streams were settled.";
+    BillsCommitted = 3004, Info, "bills.committed", "Bills became durable.";
+    BillAbsorbed = 3005, Warn, "bill.absorbed", "A second bill for a request was dropped.";
+    BillInDoubt = 3006, Warn, "bill.in_doubt", "The cost of a request could not be learned; its hold was charged.";
+
+    SlotTaken = 4001, Info, "slot.taken", "This instance now arbitrates a slot of request ids.";
+    SlotReleased = 4002, Info, "slot.released", "This instance handed a slot back.";
+    SlotLost = 4003, Warn, "slot.lost", "Another instance took over a slot while this one was away.";
+    ClaimAbandoned = 4004, Info, "claim.abandoned", "A claim was dropped because its call was never sent.";
+
+    PeerJoined = 5001, Info, "peer.joined", "An instance appeared in the membership.";
+    PeerLost = 5002, Warn, "peer.lost", "An instance's heartbeats stopped.";
+    TableDown = 5003, Warn, "table.down", "The table service stopped answering.";
+    TableUp = 5004, Info, "table.up", "The table service answers again.";
+    SweepStarted = 5005, Info, "sweep.started", "The streams of a terminated instance are being settled.";
+    SweepFinished = 5006, Info, "sweep.finished", "All streams of a terminated instance are settled.";
+
+    DocumentAccepted = 6001, Info, "document.accepted", "A configuration document was accepted.";
+    DocumentInForce = 6002, Info, "document.in_force", "This instance now acts by a newer document.";
+    DocumentRefused = 6003, Warn, "document.refused", "A document did not pass, with its result code.";
+
+    OrderPlaced = 7001, Info, "order.placed", "A backend server was ordered to load, unload or change role, and why.";
+    OrderRefused = 7002, Warn, "order.refused", "A backend server refused an order, for instance for its fencing number.";
+    OrderRepaired = 7003, Warn, "order.repaired", "A read-back differed from what was ordered and was put right.";
+
+    ConnectionRefused = 8001, Warn, "listener.refused", "A listener turned a connection or a request away.";
+    AcceptFailed = 8002, Error, "listener.accept_failed", "Accepting a connection failed; the listener goes on.";
+    InternalFault = 9001, Error, "internal.fault", "Something that should not happen did.";
+}
+
+/// Logs one numbered event with `key=value` text.
+#[macro_export]
+macro_rules! log_event {
+    ($event:expr, $($arg:tt)+) => {{
+        let event: $crate::event::Event = $event;
+        ::log::log!(
+            target: "fescuewell",
+            event.level(),
+            "E{} {} {}",
+            event.number(),
+            event.title(),
+            format_args!($($arg)+)
+        );
+    }};
+}
--- /dev/null
+++ b/crates/fescuewell_core/src/lib.rs
@@ -0,0 +1,30 @@
+//! Shared vocabulary of fescuewell: identifiers, token amounts, time, result codes, log events and
+//! the traits behind which the platform stands.
+//!
+//! Every other crate depends on this one and it depends on none of them. Nothing here opens a
+//! socket; the only thread is that of the [`timer`] service.
+
+pub mod chart;
+pub mod code;
+pub mod derive;
+pub mod event;
+pub mod id;
+pub mod intern;
+pub mod platform;
+pub mod table;
+pub mod time;
+pub mod timer;
+pub mod tokens;
+
+/// The names that nearly every module of the workspace uses.
+pub mod prelude {
+    pub use crate::code::{Code, Refusal, Run};
+    pub use crate::event::Event;
+    pub use crate::id::{
+        AccountKey, Digest, Epoch, GroupKey, Incarnation, InstanceKey, KindKey, RequestId,
+        RequestKey, ServerKey, SlotKey, StreamId, Version, ZoneKey,
+    };
+    pub use crate::intern::Interner;
+    pub use crate::time::{Clock, Instant};
+    pub use crate::tokens::Tokens;
+}
--- /dev/null
+++ b/crates/fescuewell_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between instances over quinn, with certificates from settings.
--- /dev/null
+++ b/crates/fescuewell_router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router daemon: threads, rings and adapters around the decisions.
--- /dev/null
+++ b/crates/fescuewell_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the outside systems: platform services, model engine, plain service.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `fescuewell` program.
+
+fn main() {}
