Read and check configuration documents and settings files

Cause: the document had types only; nothing could read one, refuse a bad one or say where it is wrong.

--- /dev/null
+++ b/crates/fescuewell_document/src/parse.rs
@@ -0,0 +1,186 @@
+//! Reading JSON with comments, with errors that name line, column, field and what is allowed.
+//!
+//! The same machinery reads configuration documents ([`read_document`]) and, through
+//! [`settings`](crate::settings), the daemons' settings files. Comments and trailing commas are
+//! accepted; the other liberties of JSON5 are not. Size and nesting depth are bounded.
+
+mod deserialize;
+
+use std::sync::Arc;
+
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use serde::de::DeserializeOwned;
+
+use crate::check;
+use crate::fault::Fault;
+use crate::model::Document;
+
+/// Largest text that is read, in bytes: 22,000 groups with long lists need about 20 MB.
+pub const LARGEST_TEXT: usize = 32 << 20;
+
+/// Deepest nesting of arrays and objects that is read.
+pub const DEEPEST_NESTING: usize = 32;
+
+fescuewell_core::data! {
+    /// A place in a text; both numbers start at 1, columns count characters.
+    #[derive(Copy)]
+    pub struct Position {
+        /// Line.
+        pub line: u32,
+        /// Column.
+        pub column: u32,
+    }
+}
+
+impl Position {
+    /// The position of the byte at `offset`.
+    pub fn of(text: &str, offset: usize) -> Self {
+        let mut end = offset.min(text.len());
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        let before = &text[..end];
+        let line_start = before.rfind('\n').map_or(0, |at| at + 1);
+        Self {
+            line: 1 + before.bytes().filter(|byte| *byte == b'\n').count() as u32,
+            column: 1 + before[line_start..].chars().count() as u32,
+        }
+    }
+}
+
+/// Reads a document and runs every check on it.
+///
+/// # Errors
+///
+/// All faults that [`check::check`] finds, with line and column; or the one fault that keeps the text
+/// from being read at all.
+pub fn read_document(text: &str) -> Result<Document, Vec<Fault>> {
+    let value = parse_value(text).map_err(|fault| vec![fault])?;
+    let document: Document = from_value(text, &value).map_err(|fault| vec![fault])?;
+    let faults = check::check(&document);
+    if faults.is_empty() {
+        return Ok(document);
+    }
+    let mut located = Vec::with_capacity(faults.len());
+    for fault in faults {
+        let offset = offset_of(&value, &fault.path);
+        located.push(fault.with_position(Position::of(text, offset)));
+    }
+    Err(located)
+}
+
+/// Reads any value from JSON with comments, without checks beyond its type's own.
+///
+/// # Errors
+///
+/// The first fault that was met.
+pub fn read<T>(text: &str) -> Result<T, Fault>
+where
+    T: DeserializeOwned,
+{
+    let value = parse_value(text)?;
+    from_value(text, &value)
+}
+
+fn from_value<T>(text: &str, value: &Value<'_>) -> Result<T, Fault>
+where
+    T: DeserializeOwned,
+{
+    T::deserialize(deserialize::Node(value)).map_err(|error| error.into_fault(text))
+}
+
+fn parse_value(text: &str) -> Result<Value<'_>, Fault> {
+    if text.len() > LARGEST_TEXT {
+        let message = format!(
+            "the text has {} bytes; at most {LARGEST_TEXT} are read",
+            text.len()
+        );
+        return Err(Fault::new("", message));
+    }
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    };
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &options).map_err(|error| {
+        let message = format!("not JSON with comments: {}", error.kind());
+        Fault::new("", message).with_position(Position::of(text, error.range().start))
+    })?;
+    let Some(value) = parsed.value else {
+        return Err(Fault::new("", "the text is empty").with_suggestion("expected `{ ... }`"));
+    };
+    match too_deep(&value, DEEPEST_NESTING) {
+        None => Ok(value),
+        Some(offset) => {
+            let message = format!("nested deeper than {DEEPEST_NESTING} levels");
+            Err(Fault::new("", message).with_position(Position::of(text, offset)))
+        }
+    }
+}
+
+/// Offset of the first value below the allowed depth. The parser bounds its own recursion, so this
+/// recursion is bounded too.
+fn too_deep(value: &Value<'_>, left: usize) -> Option<usize> {
+    let children: Vec<&Value<'_>> = match value {
+        Value::Object(object) => object.properties.iter().map(|p| &p.value).collect(),
+        Value::Array(array) => array.elements.iter().collect(),
+        _ => return None,
+    };
+    if left == 0 {
+        return Some(value.range().start);
+    }
+    children
+        .into_iter()
+        .find_map(|child| too_deep(child, left - 1))
+}
+
+/// Offset of the value at a path such as `groups[3].reach[0]`, or of the deepest part that exists.
+fn offset_of(root: &Value<'_>, path: &str) -> usize {
+    let mut at = root;
+    for step in path.split(['.', '[']).filter(|step| !step.is_empty()) {
+        let next = match at {
+            Value::Object(object) => object.get(step).map(|property| &property.value),
+            Value::Array(array) => step
+                .trim_end_matches(']')
+                .parse::<usize>()
+                .ok()
+                .and_then(|index| array.elements.get(index)),
+            _ => None,
+        };
+        let Some(next) = next else { break };
+        at = next;
+    }
+    at.range().start
+}
+
+/// Joins the steps from the root to a value into a path.
+fn join_path(steps: &[Step]) -> Arc<str> {
+    let mut path = String::new();
+    for step in steps {
+        match step {
+            Step::Index(index) => path.push_str(&format!("[{index}]")),
+            Step::Field(name) => {
+                if !path.is_empty() {
+                    path.push('.');
+                }
+                path.push_str(name);
+            }
+        }
+    }
+    path.into()
+}
+
+/// One step from a value to a value inside it.
+enum Step {
+    Field(String),
+    Index(usize),
+}
