Add the platform's clients and their in-memory versions

Cause: every part needs a table, an object store and an instance list to run against. Change: memory::{Table, Objects, Instances} with fault controls and counters, clients for the etcd v3 JSON gateway, path-style objects and HTTP service discovery, settings with secrets by reference, a worker thread between a ring of table work and a table; event 5007 for entries of the instance list that cannot be read. The three HTTP clients compile and are not exercised yet. Conclusion: parts can be built against the in-memory versions; the clients need a server to prove them.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -88,6 +88,7 @@
     TableUp = 5004, Info, "table.up", "The table service answers again.";
     SweepStarted = 5005, Info, "sweep.started", "The streams of a terminated instance are being settled.";
     SweepFinished = 5006, Info, "sweep.finished", "All streams of a terminated instance are settled.";
+    ListingSkipped = 5007, Warn, "listing.skipped", "Entries of the instance list could not be read and were passed over.";
 
     DocumentAccepted = 6001, Info, "document.accepted", "A configuration document was accepted.";
     DocumentInForce = 6002, Info, "document.in_force", "This instance now acts by a newer document.";
--- /dev/null
+++ b/crates/fescuewell_platform/src/http.rs
@@ -0,0 +1,123 @@
+//! What the three clients share: one HTTP exchange with limits on time and size.
+
+use std::io::{ErrorKind as IoErrorKind, Read};
+use std::sync::Arc;
+use std::time::Duration;
+
+use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Session};
+
+use crate::settings::{Endpoint, Error};
+
+/// Largest reply that is read. A reply beyond it is a failure, not a reason to run out of memory.
+const REPLY_LIMIT: u64 = 64 * 1024 * 1024;
+
+/// A service's base address and the session to reach it with.
+pub(crate) struct Client {
+    base: Arc<str>,
+    session: Session,
+}
+
+/// A whole reply.
+pub(crate) struct Exchange {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
+/// Why there was no whole reply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// The connection was refused, so no byte of the request left.
+    Refused(Arc<str>),
+    /// Some of the request may have been received and acted upon.
+    Lost(Arc<str>),
+}
+
+impl Client {
+    pub(crate) fn new(endpoint: &Endpoint) -> Result<Self, Error> {
+        let address = endpoint.address.clone();
+        if endpoint.connect_timeout_ms == 0 || endpoint.timeout_ms == 0 {
+            return Err(Error::Timeout { address });
+        }
+        if !is_address(&address) {
+            return Err(Error::Address { address });
+        }
+        let timeout = Duration::from_millis(endpoint.timeout_ms.into());
+        let mut session = Session::new();
+        session.connect_timeout(Duration::from_millis(endpoint.connect_timeout_ms.into()));
+        session.read_timeout(timeout);
+        // The read timeout alone bounds each read, not the reply: a server that sends a byte now and
+        // then would hold the caller for ever. This bounds the whole exchange.
+        session.timeout(timeout);
+        // By default a proxy named in the environment would be used. The platform's traffic, with its
+        // token, would leave through it, and an outage of the proxy would look like one of the platform.
+        session.proxy_settings(ProxySettings::builder().build());
+        // A redirected write could be applied by the first server and refused by the second,
+        // and would then be reported as "not written".
+        session.follow_redirects(false);
+        if let Some(token) = &endpoint.token {
+            session.header("Authorization", format!("Bearer {}", token.read()?));
+        }
+        let base = address.trim_end_matches('/').into();
+        Ok(Self { base, session })
+    }
+
+    pub(crate) fn post(&self, path: &str, body: Vec<u8>) -> Result<Exchange, Failure> {
+        let request = self.session.post(format!("{}{path}", self.base));
+        exchange(
+            request
+                .bytes(body)
+                .header("Content-Type", "application/json"),
+        )
+    }
+
+    pub(crate) fn put(&self, path: &str, body: &[u8]) -> Result<Exchange, Failure> {
+        let request = self.session.put(format!("{}{path}", self.base));
+        exchange(request.bytes(body))
+    }
+
+    pub(crate) fn get(&self, path: &str) -> Result<Exchange, Failure> {
+        exchange(self.session.get(format!("{}{path}", self.base)))
+    }
+}
+
+fn is_address(address: &str) -> bool {
+    let Some(rest) = address.strip_prefix("http://") else {
+        return false;
+    };
+    let host = rest.split('/').next().unwrap_or_default();
+    let plain = rest.bytes().all(|byte| byte.is_ascii_graphic());
+    !host.is_empty() && plain && !rest.contains(['@', '?', '#', '"', '<', '>', '\\'])
+}
+
+fn exchange<Body>(request: RequestBuilder<Body>) -> Result<Exchange, Failure>
+where
+    Body: attohttpc::body::Body,
+{
+    let response = request.send().map_err(|error| classify(&error))?;
+    let (status, _, reader) = response.split();
+    let mut body = Vec::new();
+    let read = reader.take(REPLY_LIMIT + 1).read_to_end(&mut body);
+    if let Err(error) = read {
+        return Err(Failure::Lost(error.to_string().into()));
+    }
+    if body.len() as u64 > REPLY_LIMIT {
+        return Err(Failure::Lost("the reply is too large".into()));
+    }
+    let status = status.as_u16();
+    Ok(Exchange { status, body })
+}
+
+/// Tells a refused connection from everything else.
+///
+/// Taking a lost reply for "nothing was written" would draw or bill twice. Other failures to connect
+/// (a timeout, no route) share their error kinds with failures of an open connection, and the
+/// library does not say which it was, so they count as lost: the price is one read-back.
+fn classify(error: &attohttpc::Error) -> Failure {
+    let reason: Arc<str> = error.to_string().into();
+    match error.kind() {
+        ErrorKind::Io(source) if source.kind() == IoErrorKind::ConnectionRefused => {
+            Failure::Refused(reason)
+        }
+        _ => Failure::Lost(reason),
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_platform/src/memory/table.rs
@@ -0,0 +1,159 @@
+//! The in-memory table service.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use fescuewell_core::table::{self, Compare, Error, Outcome, Range, Row, Transaction, Write};
+
+use super::fault::{Fate, Fault};
+
+/// A table that lives in memory and is shared by its clones.
+#[derive(Clone, Default)]
+pub struct Table {
+    content: Arc<Mutex<Content>>,
+    fault: Fault,
+}
+
+#[derive(Default)]
+struct Content {
+    rows: BTreeMap<Arc<str>, Row>,
+    revision: u64,
+}
+
+impl Table {
+    /// The controls of this table's faults.
+    pub fn fault(&self) -> &Fault {
+        &self.fault
+    }
+
+    /// Every row in key order, whatever the faults, uncounted: for checks at the end of a test.
+    pub fn rows(&self) -> Vec<Row> {
+        self.lock().rows.values().cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Content> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn apply(&self, transaction: &Transaction) -> Outcome {
+        let outcome = self.lock().apply(transaction);
+        if matches!(outcome, Outcome::Committed { .. }) {
+            self.fault.wrote(transaction.writes.len());
+        }
+        outcome
+    }
+
+    fn check_read(&self) -> Result<(), Error> {
+        match self.fault.on_read() {
+            Fate::Answered => Ok(()),
+            Fate::Busy => Err(Error::Busy),
+            Fate::Down => Err(unreachable()),
+            Fate::ReplyLost | Fate::RequestLost => Err(unknown()),
+        }
+    }
+}
+
+fn unreachable() -> Error {
+    let reason = "switched off".into();
+    Error::Unreachable { reason }
+}
+
+fn unknown() -> Error {
+    let reason = "no reply".into();
+    Error::Unknown { reason }
+}
+
+impl Content {
+    fn apply(&mut self, transaction: &Transaction) -> Outcome {
+        let holds = |compare: &Compare| self.revision_of(&compare.key) == compare.revision;
+        if !transaction.compares.iter().all(holds) {
+            let rows = self.compared_rows(&transaction.compares);
+            return Outcome::Conflict { rows };
+        }
+        if !transaction.writes.is_empty() {
+            self.revision += 1;
+        }
+        for write in &transaction.writes {
+            self.write(write);
+        }
+        Outcome::Committed {
+            revision: self.revision,
+        }
+    }
+
+    fn revision_of(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |row| row.revision)
+    }
+
+    fn compared_rows(&self, compares: &[Compare]) -> Vec<Row> {
+        let mut rows = BTreeMap::new();
+        for compare in compares {
+            let Some(row) = self.rows.get(&compare.key) else {
+                continue;
+            };
+            rows.insert(row.key.clone(), row.clone());
+        }
+        rows.into_values().collect()
+    }
+
+    fn write(&mut self, write: &Write) {
+        match write {
+            Write::Delete { key } => {
+                self.rows.remove(key);
+            }
+            Write::Put { key, value } => {
+                let row = Row {
+                    key: key.clone(),
+                    value: value.clone(),
+                    revision: self.revision,
+                };
+                self.rows.insert(key.clone(), row);
+            }
+        }
+    }
+
+    fn scan(&self, range: &Range) -> Vec<Row> {
+        let start = match &range.after {
+            Some(after) if **after >= *range.prefix => Bound::Excluded(after.clone()),
+            _ => Bound::Included(range.prefix.clone()),
+        };
+        let limit = match range.limit {
+            0 => usize::MAX,
+            limit => limit as usize,
+        };
+        let mut rows = Vec::new();
+        for (key, row) in self.rows.range::<Arc<str>, _>((start, Bound::Unbounded)) {
+            if rows.len() == limit || !key.starts_with(&*range.prefix) {
+                break;
+            }
+            rows.push(row.clone());
+        }
+        rows
+    }
+}
+
+impl table::Table for Table {
+    fn commit(&self, transaction: &Transaction) -> Result<Outcome, Error> {
+        match self.fault.on_transaction(transaction.writes.len()) {
+            Fate::Answered => Ok(self.apply(transaction)),
+            Fate::ReplyLost => {
+                self.apply(transaction);
+                Err(unknown())
+            }
+            Fate::RequestLost => Err(unknown()),
+            Fate::Down => Err(unreachable()),
+            Fate::Busy => Err(Error::Busy),
+        }
+    }
+
+    fn read(&self, key: &str) -> Result<Option<Row>, Error> {
+        self.check_read()?;
+        Ok(self.lock().rows.get(key).cloned())
+    }
+
+    fn scan(&self, range: &Range) -> Result<Vec<Row>, Error> {
+        self.check_read()?;
+        Ok(self.lock().scan(range))
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_platform/src/settings.rs
@@ -0,0 +1,156 @@
+//! Where the platform's services are and how long to wait for them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+/// Settings of the three clients.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The table service.
+    pub table: Endpoint,
+    /// The object store.
+    pub objects: Bucket,
+    /// The instance list; its address is that of the list itself.
+    pub instances: Endpoint,
+}
+
+/// One HTTP service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Endpoint {
+    /// Base address, `http://host:port` with an optional path.
+    pub address: Arc<str>,
+    /// Where to find the bearer token, if the service wants one.
+    #[serde(default)]
+    pub token: Option<Secret>,
+    /// Longest wait for a connection, in milliseconds.
+    #[serde(default = "default_connect_timeout")]
+    pub connect_timeout_ms: u32,
+    /// Longest wait for a whole reply, in milliseconds.
+    #[serde(default = "default_timeout")]
+    pub timeout_ms: u32,
+}
+
+/// The object store and the bucket to use in it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bucket {
+    /// The service.
+    pub endpoint: Endpoint,
+    /// Name of the bucket.
+    pub bucket: Arc<str>,
+}
+
+/// A reference to a secret, so that settings themselves hold none.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Secret {
+    /// The content of a file, without white space at its ends.
+    File(Arc<str>),
+    /// The value of an environment variable.
+    Environment(Arc<str>),
+}
+
+/// Why a client could not be built.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The address cannot be used.
+    #[snafu(display("address {address:?} is not of the form http://host:port"))]
+    Address {
+        /// The address as set.
+        address: Arc<str>,
+    },
+    /// A time limit is zero.
+    #[snafu(display("the time limits of {address:?} must be at least 1 ms"))]
+    Timeout {
+        /// The address as set.
+        address: Arc<str>,
+    },
+    /// The bucket's name would not survive in a path.
+    #[snafu(display("bucket {bucket:?} may only have a-z, 0-9, '.' and '-' in its name"))]
+    Bucket {
+        /// The name as set.
+        bucket: Arc<str>,
+    },
+    /// The file of a secret could not be read.
+    #[snafu(display("the secret's file {file:?} could not be read"))]
+    SecretFile {
+        /// The file's path.
+        file: Arc<str>,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The variable of a secret is not set.
+    #[snafu(display("the secret's environment variable {variable:?} is not set"))]
+    SecretVariable {
+        /// The variable's name.
+        variable: Arc<str>,
+    },
+    /// The secret is empty or holds characters that a header cannot carry.
+    #[snafu(display("the secret is empty or not printable ASCII"))]
+    SecretContent,
+}
+
+const DEFAULT_CONNECT_TIMEOUT_MS: u32 = 1_000;
+const DEFAULT_TIMEOUT_MS: u32 = 2_000;
+
+fn default_connect_timeout() -> u32 {
+    DEFAULT_CONNECT_TIMEOUT_MS
+}
+
+fn default_timeout() -> u32 {
+    DEFAULT_TIMEOUT_MS
+}
+
+impl Endpoint {
+    /// An endpoint without a token and with the default time limits.
+    pub fn new(address: impl Into<Arc<str>>) -> Self {
+        Self {
+            address: address.into(),
+            token: None,
+            connect_timeout_ms: DEFAULT_CONNECT_TIMEOUT_MS,
+            timeout_ms: DEFAULT_TIMEOUT_MS,
+        }
+    }
+
+    /// Sets where to find the bearer token.
+    pub fn with_token(mut self, token: Secret) -> Self {
+        self.token = Some(token);
+        self
+    }
+
+    /// Sets the longest wait for a whole reply.
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout_ms = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+        self
+    }
+}
+
+impl Secret {
+    /// Reads the secret.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be found, is empty, or is not printable ASCII. The error never quotes it.
+    pub fn read(&self) -> Result<Arc<str>, Error> {
+        let text = match self {
+            Self::File(file) => {
+                std::fs::read_to_string(&**file).context(SecretFileSnafu { file: file.clone() })?
+            }
+            Self::Environment(variable) => {
+                std::env::var(&**variable).map_err(|_| Error::SecretVariable {
+                    variable: variable.clone(),
+                })?
+            }
+        };
+        let text = text.trim();
+        if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(Error::SecretContent);
+        }
+        Ok(text.into())
+    }
+}
