--- a/crates/fescuewell_membership/src/lib.rs
+++ b/crates/fescuewell_membership/src/lib.rs
@@ -1,1 +1,23 @@
-//! Membership: heartbeats, slot assignment, address answers, document propagation and drain, as pure state machines.
+//! Membership: heartbeats, slot assignment, address answers, document propagation and drain, as pure
+//! state machines.
+//!
+//! Nothing here opens a socket, starts a thread or reads a clock. [`member::Members`] asks for table
+//! work as [`fescuewell_core::table::Step`]s and is told the replies; [`gossip::Gossip`] produces the
+//! messages that instances exchange; the other modules decide on the resulting [`view::View`].
+
+pub mod listing;
+pub mod member;
+pub mod news;
+pub mod own;
+pub mod row;
+pub mod settings;
+pub mod sighting;
+pub mod view;
+
+/// The names that users of this crate need.
+pub mod prelude {
+    pub use crate::member::{Me, Members};
+    pub use crate::row::Row;
+    pub use crate::settings::Settings;
+    pub use crate::view::{Peer, View};
+}
--- /dev/null
+++ b/crates/fescuewell_membership/src/row.rs
@@ -0,0 +1,126 @@
+//! The row `member/{instance}` that each instance writes about itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fescuewell_core::prelude::*;
+use snafu::Snafu;
+
+/// Start of the keys of all member rows.
+pub const PREFIX: &str = "member/";
+
+fescuewell_core::data! {
+    /// How far an incarnation is in its life. It only ever advances.
+    #[derive(Copy, PartialOrd, Ord, Default)]
+    #[serde(rename_all = "snake_case")]
+    pub enum State {
+        /// It has no document in force yet.
+        #[default]
+        Starting,
+        /// It takes requests.
+        Ready,
+        /// It is shutting down; addresses must not name it.
+        Draining,
+        /// Farewell: everything was handed over and the process spends nothing any more.
+        Gone,
+    }
+
+    /// What an instance says about its load.
+    #[derive(Copy, Default)]
+    pub struct Load {
+        /// Open streams.
+        pub streams: u32,
+        /// Use of its tightest limit, in thousandths; may exceed 1000 while it is over its limits.
+        pub permille: u16,
+    }
+
+    /// An incarnation that the same instance had before.
+    #[derive(Copy)]
+    pub struct Earlier {
+        /// Which one.
+        pub incarnation: Incarnation,
+        /// Whether it said farewell, or the present incarnation proved that it has ended.
+        pub ended: bool,
+    }
+
+    /// Content of a member row, stored as JSON.
+    pub struct Row {
+        /// Which start of the instance wrote it.
+        pub incarnation: Incarnation,
+        /// Rises with each heartbeat of this incarnation.
+        pub beat: u64,
+        /// Where callers connect.
+        pub caller_address: SocketAddr,
+        /// Where peers connect.
+        pub peer_address: SocketAddr,
+        /// Where operators connect.
+        pub operator_address: SocketAddr,
+        /// Its availability zone.
+        pub zone: Arc<str>,
+        /// How far it is in its life.
+        pub state: State,
+        /// Version of the document that it has in force; 0 for none.
+        pub version: Version,
+        /// Highest document format that its program reads.
+        pub formats: u32,
+        /// Its load.
+        #[serde(default)]
+        pub load: Load,
+        /// Incarnations before this one that may still be charged with something.
+        #[serde(default)]
+        pub earlier: Vec<Earlier>,
+    }
+}
+
+/// The row's content is not a member row that this program can read.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("not a member row: {reason}"))]
+pub struct Error {
+    /// What the JSON reader said.
+    pub reason: Arc<str>,
+}
+
+impl Row {
+    /// The bytes to store.
+    pub fn encode(&self) -> Arc<[u8]> {
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
+
+    /// Reads stored bytes. Unknown fields are ignored, since newer programs may add some.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are no member row.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        serde_json::from_slice(bytes).map_err(|error| Error {
+            reason: error.to_string().into(),
+        })
+    }
+
+    /// Whether this was written after `other`, a row of the same instance.
+    pub fn is_newer(&self, other: &Self) -> bool {
+        (self.incarnation, self.beat) > (other.incarnation, other.beat)
+    }
+}
+
+/// Key of the row of `instance`.
+pub fn key(instance: &str) -> Arc<str> {
+    format!("{PREFIX}{instance}").into()
+}
+
+/// The instance that a row's key belongs to.
+pub fn instance(key: &str) -> Option<&str> {
+    key.strip_prefix(PREFIX)
+}
+
+/// The name under which one incarnation holds slots and allowances: `instance.incarnation`.
+pub fn holder(instance: &str, incarnation: Incarnation) -> Arc<str> {
+    format!("{instance}.{:x}", incarnation.0).into()
+}
+
+/// Splits a holder into instance and incarnation; `None` when it is not one.
+pub fn parse_holder(holder: &str) -> Option<(&str, Incarnation)> {
+    let (instance, incarnation) = holder.rsplit_once('.')?;
+    let incarnation = u64::from_str_radix(incarnation, 16).ok()?;
+    Some((instance, Incarnation(incarnation)))
+}
--- /dev/null
+++ b/crates/fescuewell_membership/src/sighting.rs
@@ -0,0 +1,118 @@
+//! What this instance itself has observed of one other member.
+
+use std::time::Duration;
+
+use fescuewell_core::prelude::*;
+
+use crate::row::Row;
+
+/// The newest known row of a member and how long its heartbeat has stood still.
+#[derive(Debug, Clone)]
+pub struct Sighting {
+    row: Row,
+    revision: u64,
+    first_seen: Instant,
+    changed_at: Instant,
+    last_fresh: Option<Instant>,
+    unchanged: Duration,
+    suspected: bool,
+    lapsed: bool,
+}
+
+impl Sighting {
+    /// A member seen for the first time. `revision` is 0 when the news came from a peer.
+    pub fn new(now: Instant, row: Row, revision: u64) -> Self {
+        Self {
+            row,
+            revision,
+            first_seen: now,
+            changed_at: now,
+            last_fresh: None,
+            unchanged: Duration::ZERO,
+            suspected: false,
+            lapsed: false,
+        }
+    }
+
+    /// Takes a row from wherever it comes; an older one than the known changes nothing.
+    /// Returns whether it was newer.
+    pub fn learn(&mut self, now: Instant, row: Row, revision: u64) -> bool {
+        if !row.is_newer(&self.row) {
+            return false;
+        }
+        if row.incarnation != self.row.incarnation {
+            self.first_seen = now;
+        }
+        self.row = row;
+        self.revision = revision.max(self.revision);
+        self.changed_at = now;
+        self.last_fresh = None;
+        self.unchanged = Duration::ZERO;
+        self.suspected = false;
+        self.lapsed = false;
+        true
+    }
+
+    /// Counts a reading, asked for at `asked` and proved to be fresh, after its row was learned.
+    ///
+    /// Only the time between two such readings counts. `most_gap` bounds what one step adds: an
+    /// observer that was itself paused (SIGSTOP, a long stop of its machine) would otherwise take its
+    /// own absence, during which the table may have been down, for the other's silence. One would
+    /// notice by live members that lapse at the moment at which the observer wakes.
+    pub fn observe(&mut self, asked: Instant, most_gap: Duration, lease: Duration) {
+        let gap = self.last_fresh.map(|last| asked.since(last));
+        match gap {
+            Some(gap) if gap <= most_gap => self.unchanged += gap,
+            Some(_) => self.unchanged = Duration::ZERO,
+            None => {}
+        }
+        self.last_fresh = Some(asked);
+        if self.unchanged >= lease {
+            self.lapsed = true;
+        }
+    }
+
+    /// Starts the count anew because the table failed: the member could not write either.
+    ///
+    /// Without this, the first reading after an outage longer than the lease would lapse everybody at
+    /// once and all slots would change hands.
+    pub fn interrupt(&mut self) {
+        self.unchanged = Duration::ZERO;
+        self.last_fresh = None;
+    }
+
+    /// Marks the member as probably dead until a newer heartbeat is seen.
+    pub fn suspect(&mut self) {
+        self.suspected = true;
+    }
+
+    /// The newest known row.
+    pub fn row(&self) -> &Row {
+        &self.row
+    }
+
+    /// Revision of the newest row read from the table; 0 when none was.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// When the present incarnation was first seen.
+    pub fn first_seen(&self) -> Instant {
+        self.first_seen
+    }
+
+    /// When a newer heartbeat was last seen.
+    pub fn changed_at(&self) -> Instant {
+        self.changed_at
+    }
+
+    /// Whether its heartbeat stood still for a whole lease while the table worked.
+    pub fn is_lapsed(&self) -> bool {
+        self.lapsed
+    }
+
+    /// Whether somebody, perhaps this instance, has reason to think it dead.
+    pub fn is_suspected(&self) -> bool {
+        self.suspected || self.lapsed
+    }
+}
