--- /dev/null
+++ b/crates/fescuewell_http/src/listener/accept.rs
@@ -0,0 +1,158 @@
+//! The accept loop and the connection cap.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fescuewell_core::prelude::*;
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{Arrival, Shared, Stage, connection};
+
+/// Connections that the operating system completes before they are accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// While accepting keeps failing, every so many failures are logged once.
+const FAILURES_PER_LOG: u64 = 100;
+
+/// Connections beyond the cap that may be told so at the same time; more are closed without a word,
+/// since each one costs a descriptor.
+const REFUSALS_AT_ONCE: usize = 64;
+
+/// One connection's share of the cap, given back when dropped.
+pub(super) struct Place {
+    shared: Arc<Shared>,
+}
+
+impl Place {
+    fn take(shared: &Arc<Shared>) -> Option<Self> {
+        let taken = shared.connections.fetch_add(1, Ordering::Relaxed);
+        let place = Self {
+            shared: shared.clone(),
+        };
+        (taken < shared.settings.max_connections).then_some(place)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.shared.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Binds a listening socket that a tokio runtime can take over.
+pub(super) fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+/// Accepts connections and deals them out in turn until the listener stops accepting.
+pub(super) async fn run(
+    socket: std::net::TcpListener,
+    workers: Vec<flume::Sender<Arrival>>,
+    shared: Arc<Shared>,
+) {
+    let listener = match TcpListener::from_std(socket) {
+        Ok(listener) => listener,
+        Err(error) => {
+            fescuewell_core::log_event!(Event::InternalFault, "part=listener error={error}");
+            return;
+        }
+    };
+    let mut stage = shared.stage.subscribe();
+    let mut failures = 0u64;
+    for turn in 0usize.. {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stage.wait_for(|stage| *stage >= Stage::Closed) => return,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                survive(&error, failures).await;
+                failures += 1;
+                continue;
+            }
+        };
+        failures = 0;
+        let worker = &workers[turn % workers.len()];
+        admit(stream, peer, worker, &shared).await;
+    }
+}
+
+/// An accept error, for instance for want of descriptors, must never end the loop: the process would
+/// go on with its open connections and refuse every later one, unnoticed by its own checks. A pause
+/// keeps the loop from spinning while the cause lasts; a connection that was merely
+/// gone before it was accepted needs none.
+async fn survive(error: &io::Error, failures: u64) {
+    if failures.is_multiple_of(FAILURES_PER_LOG) {
+        fescuewell_core::log_event!(Event::AcceptFailed, "error={error} failures={failures}");
+    }
+    let only_this_one = matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted | io::ErrorKind::ConnectionReset
+    );
+    if !only_this_one {
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
+async fn admit(
+    stream: TcpStream,
+    peer: SocketAddr,
+    worker: &flume::Sender<Arrival>,
+    shared: &Arc<Shared>,
+) {
+    let Some(place) = Place::take(shared) else {
+        turn_away(stream, peer, shared);
+        return;
+    };
+    // The stream is registered with the accepting thread's runtime; the thread that serves it
+    // registers it anew, so that its readiness wakes the right thread.
+    let Ok(stream) = stream.into_std() else {
+        return;
+    };
+    let arrival = Arrival {
+        stream,
+        peer,
+        place,
+    };
+    let _ = worker.send_async(arrival).await;
+}
+
+fn turn_away(stream: TcpStream, peer: SocketAddr, shared: &Arc<Shared>) {
+    let refusals = shared.refusals.fetch_add(1, Ordering::Relaxed);
+    let encrypted = shared.acceptor.is_some();
+    if refusals >= REFUSALS_AT_ONCE || encrypted {
+        shared.refusals.fetch_sub(1, Ordering::Relaxed);
+        return;
+    }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        let refusal = Refusal::new(Code::TooManyConnections).with_retry_after(RETRY_AFTER);
+        fescuewell_core::log_event!(
+            Event::ConnectionRefused,
+            "peer={peer} code={}",
+            refusal.code.number()
+        );
+        connection::refuse(stream, &refusal).await;
+        shared.refusals.fetch_sub(1, Ordering::Relaxed);
+    });
+}
+
+/// When a caller that met the cap should come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/fescuewell_http/src/sse.rs
@@ -0,0 +1,228 @@
+//! Server-Sent Events, as in the WHATWG HTML standard, section 9.2: an incremental splitter and a
+//! writer.
+//!
+//! ```
+//! use fescuewell_http::sse::{Event, Splitter};
+//! let mut splitter = Splitter::new(1024);
+//! let mut events = Vec::new();
+//! splitter.push(b"id: 7\nda", &mut events).unwrap();
+//! splitter.push(b"ta: hello\n\n", &mut events).unwrap();
+//! assert_eq!(events, vec![Event::data("hello").with_id("7")]);
+//! ```
+
+use std::sync::Arc;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use snafu::Snafu;
+
+/// One event.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Event {
+    /// The `id` field, if this event carried one.
+    pub id: Option<Arc<str>>,
+    /// The `event` field, if any.
+    pub name: Option<Arc<str>>,
+    /// The `data` lines, joined by line feeds.
+    pub data: Bytes,
+}
+
+impl Event {
+    /// An event that carries data only.
+    pub fn data(data: impl Into<Bytes>) -> Self {
+        Self {
+            data: data.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Adds an id. Line breaks and NUL cannot stand in an id; an id with any of them is left out when written.
+    pub fn with_id(mut self, id: impl Into<Arc<str>>) -> Self {
+        self.id = Some(id.into());
+        self
+    }
+
+    /// Adds a name.
+    pub fn with_name(mut self, name: impl Into<Arc<str>>) -> Self {
+        self.name = Some(name.into());
+        self
+    }
+
+    /// Appends the event's text form to `out`.
+    pub fn write(&self, out: &mut BytesMut) {
+        out.reserve(self.data.len() + 32);
+        put_field(out, b"id: ", self.id.as_deref());
+        put_field(out, b"event: ", self.name.as_deref());
+        for line in lines(&self.data) {
+            out.put_slice(b"data: ");
+            out.put_slice(line);
+            out.put_u8(b'\n');
+        }
+        out.put_u8(b'\n');
+    }
+
+    /// The event's text form.
+    pub fn to_bytes(&self) -> Bytes {
+        let mut out = BytesMut::new();
+        self.write(&mut out);
+        out.freeze()
+    }
+}
+
+fn put_field(out: &mut BytesMut, name: &[u8], value: Option<&str>) {
+    let Some(value) = value else {
+        return;
+    };
+    // A line break inside a field would let its text forge further fields or whole events.
+    if value.contains(['\r', '\n', '\0']) {
+        return;
+    }
+    out.put_slice(name);
+    out.put_slice(value.as_bytes());
+    out.put_u8(b'\n');
+}
+
+/// The lines of a data field, at each of the three line endings that a reader of events knows.
+fn lines(data: &[u8]) -> Vec<&[u8]> {
+    let mut found = Vec::new();
+    let mut rest = data;
+    while let Some(end) = rest.iter().position(is_line_end) {
+        found.push(&rest[..end]);
+        let pair = rest[end..].starts_with(b"\r\n");
+        rest = &rest[end + 1 + usize::from(pair)..];
+    }
+    found.push(rest);
+    found
+}
+
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
+/// Why a stream of events cannot be read further.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// One event is larger than the bound.
+    #[snafu(display("an event of the stream is larger than {max} bytes"))]
+    TooLarge {
+        /// The bound.
+        max: usize,
+    },
+}
+
+/// Splits a stream of bytes, in chunks of any size, into events.
+#[derive(Debug, Clone)]
+pub struct Splitter {
+    max: usize,
+    line: Vec<u8>,
+    pending: Event,
+    data: Vec<u8>,
+    has_data: bool,
+    after_return: bool,
+    started: bool,
+}
+
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
+impl Splitter {
+    /// A splitter for events of at most `max` bytes, field names included.
+    pub fn new(max: usize) -> Self {
+        Self {
+            max,
+            line: Vec::new(),
+            pending: Event::default(),
+            data: Vec::new(),
+            has_data: false,
+            after_return: false,
+            started: false,
+        }
+    }
+
+    /// Takes the next chunk and appends the events that it completes to `out`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::TooLarge`]; the splitter is of no further use then. Without the bound, a server that never
+    /// ends its event would fill the memory.
+    pub fn push(&mut self, chunk: &[u8], out: &mut Vec<Event>) -> Result<(), Error> {
+        let mut rest = chunk;
+        while !rest.is_empty() {
+            if std::mem::take(&mut self.after_return) && rest[0] == b'\n' {
+                rest = &rest[1..];
+                continue;
+            }
+            let Some(end) = rest.iter().position(is_line_end) else {
+                return self.extend_line(rest);
+            };
+            self.extend_line(&rest[..end])?;
+            self.after_return = rest[end] == b'\r';
+            rest = &rest[end + 1..];
+            self.end_line(out);
+        }
+        Ok(())
+    }
+
+    /// Whether nothing of a further event has come yet: the stream may end here without loss.
+    pub fn is_between_events(&self) -> bool {
+        let empty = self.line.is_empty() && !self.has_data;
+        empty && self.pending == Event::default()
+    }
+
+    fn extend_line(&mut self, part: &[u8]) -> Result<(), Error> {
+        if self.line.len() + self.data.len() + part.len() > self.max {
+            return Err(Error::TooLarge { max: self.max });
+        }
+        self.line.extend_from_slice(part);
+        Ok(())
+    }
+
+    fn end_line(&mut self, out: &mut Vec<Event>) {
+        let mut line = std::mem::take(&mut self.line);
+        if !std::mem::replace(&mut self.started, true) && line.starts_with(BYTE_ORDER_MARK) {
+            line.drain(..BYTE_ORDER_MARK.len());
+        }
+        match line.is_empty() {
+            true => self.end_event(out),
+            false => self.take_field(&line),
+        }
+        // The buffer is used again for the next line.
+        line.clear();
+        self.line = line;
+    }
+
+    fn end_event(&mut self, out: &mut Vec<Event>) {
+        let mut event = std::mem::take(&mut self.pending);
+        if !std::mem::take(&mut self.has_data) {
+            return;
+        }
+        event.data = Bytes::copy_from_slice(&self.data);
+        self.data.clear();
+        out.push(event);
+    }
+
+    fn take_field(&mut self, line: &[u8]) {
+        let colon = line.iter().position(|byte| *byte == b':');
+        let (name, value) = match colon {
+            Some(at) => (&line[..at], &line[at + 1..]),
+            None => (line, &[][..]),
+        };
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        match name {
+            b"data" => self.take_data(value),
+            b"id" if !value.contains(&0) => self.pending.id = Some(text(value)),
+            b"event" => self.pending.name = Some(text(value)),
+            // A comment (empty name), `retry`, or a field that this reader does not know.
+            _ => {}
+        }
+    }
+
+    fn take_data(&mut self, value: &[u8]) {
+        if std::mem::replace(&mut self.has_data, true) {
+            self.data.push(b'\n');
+        }
+        self.data.extend_from_slice(value);
+    }
+}
+
+fn text(value: &[u8]) -> Arc<str> {
+    String::from_utf8_lossy(value).into()
+}
