--- a/crates/fescuewell_platform/src/sd.rs
+++ b/crates/fescuewell_platform/src/sd.rs
@@ -103,6 +103,18 @@
 }
 
 impl Group {
+    /// The listings of this group, one for each target.
+    ///
+    /// # Errors
+    ///
+    /// When a label is missing or unknown, or a target is not `ip:port`.
+    pub fn listings(&self) -> Result<Vec<Listing>, Malformed> {
+        self.targets
+            .iter()
+            .map(|target| self.listing(target))
+            .collect()
+    }
+
     fn listing(&self, target: &Arc<str>) -> Result<Listing, Malformed> {
         let role = self.label("role")?;
         let state = self.label("state")?;
@@ -138,14 +150,19 @@
     }
 }
 
-fn parse_state(value: &Arc<str>) -> Result<State, Malformed> {
-    match &**value {
+/// Reads the value of a `state` label.
+///
+/// # Errors
+///
+/// When it is none of the three states.
+pub fn parse_state(value: &str) -> Result<State, Malformed> {
+    match value {
         "live" => Ok(State::Live),
         "leaving" => Ok(State::Leaving),
         "terminated" => Ok(State::Terminated),
         _ => Err(Malformed::Value {
             label: "state",
-            value: value.clone(),
+            value: value.into(),
         }),
     }
 }
--- a/crates/fescuewell_standin/src/lib.rs
+++ b/crates/fescuewell_standin/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the outside systems: platform services, model engine, plain service.
+
+pub mod platform;
