Adapt how much one instance runs on one backend server

Cause: a fixed share neither yields to a server that answers busy or crawls, nor keeps room for urgent work beside long bulk streams. Change: additive increase by rounds, multiplicative cuts on busy answers and on tokens slower than a multiple of their least time, return to the share 30 s after the last cut, and a reserve that follows the urgent work of late (mean and two deviations over 30 s) while bulk keeps its part.

--- /dev/null
+++ b/crates/fescuewell_queue/tests/limit.rs
@@ -0,0 +1,146 @@
+//! Adaptive limits, by short sequences.
+
+use std::time::Duration;
+
+use fescuewell_core::prelude::*;
+use fescuewell_queue::limit::{Class, Limit, Outcome, Settings};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn done(millis: u64) -> Outcome {
+    Outcome::Done {
+        per_token: Some(Duration::from_millis(millis)),
+    }
+}
+
+/// Fills the limit and ends everything once a second, each time with the outcome.
+fn rounds(limit: &mut Limit, from_second: u64, count: u64, outcome: Outcome) {
+    for second in from_second..from_second + count {
+        let mut started = 0;
+        while limit.try_start(at(second * 1_000), Class::Urgent) {
+            started += 1;
+        }
+        for _ in 0..started {
+            limit.finished(at(second * 1_000 + 900), Class::Urgent, outcome);
+        }
+    }
+}
+
+#[test]
+fn busy_answers_shrink_the_limit_and_success_regains_it() {
+    let mut limit = Limit::new(Settings::default(), 20.0);
+    rounds(&mut limit, 0, 3, Outcome::Busy);
+    let shrunk = limit.places();
+
+    rounds(&mut limit, 3, 10, done(20));
+
+    assert!((5..=8).contains(&shrunk), "{shrunk}");
+    assert_eq!(limit.places(), 20);
+}
+
+#[test]
+fn one_burst_of_busy_answers_is_one_cut() {
+    let mut limit = Limit::new(Settings::default(), 20.0);
+
+    rounds(&mut limit, 0, 1, Outcome::Busy);
+
+    assert_eq!(limit.places(), 14);
+}
+
+#[test]
+fn slow_tokens_shrink_the_limit() {
+    // Symptom: a server that never answers "busy" took all its share while its streams crawled.
+    // Sequence: tokens take 20 ms, then 200 ms under a load from elsewhere.
+    // Cause: only explicit answers counted.
+    let mut limit = Limit::new(Settings::default(), 20.0);
+    rounds(&mut limit, 0, 5, done(20));
+
+    rounds(&mut limit, 5, 10, done(200));
+
+    assert!(limit.places() <= 4, "{}", limit.places());
+}
+
+#[test]
+fn a_quiet_limit_returns_to_its_share() {
+    // Symptom: a server that was overloaded once got hardly any work for the rest of the day.
+    // Sequence: cuts down to one, then a few requests a minute.
+    // Cause: the limit grew by use only, and the low limit kept the use low.
+    let mut limit = Limit::new(Settings::default(), 20.0);
+    rounds(&mut limit, 0, 20, Outcome::Busy);
+    let shrunk = limit.places();
+
+    limit.try_start(at(60_000), Class::Urgent);
+
+    assert_eq!(shrunk, 1);
+    assert_eq!(limit.places(), 20);
+}
+
+#[test]
+fn urgent_work_finds_room_while_bulk_work_fills_its_part() {
+    let mut limit = Limit::new(Settings::default(), 50.0);
+
+    let bulk = (0..100).filter(|_| limit.try_start(at(0), Class::Bulk));
+
+    assert_eq!(bulk.count(), 40);
+    assert!(limit.has_place(at(0), Class::Urgent));
+}
+
+#[test]
+fn the_reserve_follows_urgent_work_but_leaves_bulk_its_part() {
+    // Symptom: with much urgent work, each urgent request waited for a bulk stream to end.
+    // Sequence: urgent work needs 30 of 50 places for minutes, bulk work takes each place that comes free.
+    // Cause: a reserve of fixed size.
+    let mut limit = Limit::new(Settings::default(), 50.0);
+    for _ in 0..30 {
+        limit.try_start(at(0), Class::Urgent);
+    }
+
+    let usual = limit.bulk_places(at(120_000));
+    for _ in 0..20 {
+        limit.try_start(at(120_000), Class::Urgent);
+    }
+    let crowded = limit.bulk_places(at(600_000));
+
+    assert!((10..=20).contains(&usual), "{usual}");
+    assert_eq!(crowded, 5);
+}
+
+#[test]
+fn bulk_work_takes_any_place_within_its_part() {
+    // Symptom: bulk work owed its floor could not start although it had fewer places than its part.
+    // Sequence: urgent work fills all places; one comes free.
+    // Cause: the bound on bulk counted urgent requests too.
+    let mut limit = Limit::new(Settings::default(), 10.0);
+    for _ in 0..10 {
+        assert!(limit.try_start(at(0), Class::Urgent));
+    }
+
+    limit.finished(at(1), Class::Urgent, done(20));
+
+    assert!(limit.try_start(at(1), Class::Bulk));
+}
+
+#[test]
+fn a_share_below_one_spaces_requests() {
+    let mut limit = Limit::new(Settings::default(), 0.25);
+    assert!(limit.try_start(at(0), Class::Bulk));
+    assert!(!limit.has_place(at(1), Class::Urgent));
+
+    limit.finished(at(1_000), Class::Bulk, done(20));
+
+    assert!(!limit.has_place(at(3_900), Class::Urgent));
+    assert!(limit.has_place(at(4_000), Class::Urgent));
+}
+
+#[test]
+fn the_limit_follows_its_share() {
+    let mut limit = Limit::new(Settings::default(), 10.0);
+    limit.set_share(5.0);
+    let fewer = limit.places();
+    limit.set_share(30.0);
+
+    assert_eq!(fewer, 5);
+    assert_eq!(limit.places(), 30);
+}
