--- /dev/null
+++ b/crates/fescuewell_claims/src/arbiter/take.rs
@@ -0,0 +1,264 @@
+//! Taking slots, reading their logs, and removing log rows that a checkpoint has made superfluous.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use fescuewell_core::prelude::*;
+use fescuewell_core::table::{self, Outcome, Range, Row, Step, Transaction};
+use rand::Rng;
+
+use super::held::Held;
+use super::row::{
+    SLOT_PREFIX, SlotRow, base_key, encode, log_key, log_prefix, parse_log_key, parse_slot_key,
+    slot_key,
+};
+use super::{Arbiter, Outstanding};
+use crate::ledger::{Ledger, Snapshot};
+use crate::note::Note;
+use crate::record::Batch;
+
+/// Most slots taken in one transaction.
+const TAKE_LIMIT: usize = 32;
+
+/// Log rows read at once.
+const PAGE: u32 = 64;
+
+/// Log rows removed at once.
+const TRIM_LIMIT: u64 = 64;
+
+/// A slot that was taken and whose log is being read.
+#[derive(Debug)]
+pub(super) struct Loading {
+    row: SlotRow,
+    revision: u64,
+    ledger: Ledger,
+    is_base_read: bool,
+    after: Option<Arc<str>>,
+    /// Number of the last log row applied.
+    applied: u64,
+    first_row: Option<u64>,
+}
+
+impl Arbiter {
+    pub(super) fn next_take_step(&mut self, now: Instant) -> Option<(Outstanding, Step)> {
+        if let Some(step) = self.take_step() {
+            return Some(step);
+        }
+        if now < self.next_poll {
+            return None;
+        }
+        let is_missing = self.wanted.iter().any(|slot| !self.held.contains_key(slot));
+        let interval = match is_missing || !self.writable {
+            true => self.settings.poll_interval,
+            false => self.settings.lease,
+        };
+        // Spread out, so that instances that start together do not read together for ever.
+        self.next_poll = now + interval.mul_f64(self.rng.random_range(0.75..1.25));
+        Some((Outstanding::Poll, Step::Scan(Range::prefix(SLOT_PREFIX))))
+    }
+
+    fn take_step(&mut self) -> Option<(Outstanding, Step)> {
+        let seen = self.seen.take()?;
+        let mut transaction = Transaction::default();
+        let mut slots = Vec::new();
+        for &slot in &self.wanted {
+            if slots.len() == TAKE_LIMIT {
+                break;
+            }
+            let known = seen.get(&slot);
+            let is_ours = self.held.contains_key(&slot) || self.loading.contains_key(&slot);
+            if is_ours || !self.is_free(known) {
+                continue;
+            }
+            let (row, revision) = known.cloned().unwrap_or_default();
+            let row = SlotRow {
+                epoch: row.epoch.next(),
+                holder: Some(self.holder.clone()),
+                commit: self.rng.random(),
+                ..row
+            };
+            transaction = transaction
+                .with_compare(slot_key(slot), revision)
+                .with_put(slot_key(slot), encode(&row));
+            slots.push((slot, row));
+        }
+        if slots.is_empty() {
+            return None;
+        }
+        self.seen = Some(seen);
+        Some((Outstanding::Take(slots), Step::Commit(transaction)))
+    }
+
+    /// Nobody's, a lapsed instance's, or this instance's own from a take whose reply was lost.
+    fn is_free(&self, known: Option<&(SlotRow, u64)>) -> bool {
+        let Some((row, _)) = known else {
+            return true;
+        };
+        let Some(holder) = &row.holder else {
+            return true;
+        };
+        *holder == self.holder || self.lapsed.contains(holder)
+    }
+
+    pub(super) fn polled(&mut self, now: Instant, rows: &[Row]) {
+        let mut seen = BTreeMap::new();
+        for row in rows {
+            let Some(slot) = parse_slot_key(&row.key) else {
+                continue;
+            };
+            let Ok(content) = postcard::from_bytes::<SlotRow>(&row.value) else {
+                let reason: Arc<str> = "the slot's row is unreadable".into();
+                self.notes.push(Note::SlotDamaged { slot, reason });
+                // Neither taken nor overwritten: somebody may still be able to read it.
+                self.wanted.remove(&slot);
+                continue;
+            };
+            seen.insert(slot, (content, row.revision));
+        }
+        let held: Vec<SlotKey> = self.held.keys().copied().collect();
+        for slot in held {
+            let is_ours = seen
+                .get(&slot)
+                .is_some_and(|(_, revision)| *revision == self.held[&slot].revision);
+            if !is_ours && self.flight.is_none() {
+                self.lose(slot);
+                self.next_poll = now;
+            }
+        }
+        self.seen = Some(seen);
+    }
+
+    pub(super) fn taken(
+        &mut self,
+        now: Instant,
+        slots: Vec<(SlotKey, SlotRow)>,
+        outcome: &Outcome,
+    ) {
+        let Outcome::Committed { revision } = outcome else {
+            // Somebody else was faster in at least one of them.
+            self.seen = None;
+            self.next_poll = now;
+            return;
+        };
+        for (slot, row) in slots {
+            let loading = Loading {
+                applied: row.base,
+                row,
+                revision: *revision,
+                ledger: Ledger::default(),
+                is_base_read: false,
+                after: None,
+                first_row: None,
+            };
+            self.loading.insert(slot, loading);
+        }
+    }
+
+    pub(super) fn next_load_step(&mut self) -> Option<(Outstanding, Step)> {
+        let (&slot, loading) = self.loading.first_key_value()?;
+        if !loading.is_base_read {
+            let keys = vec![base_key(slot)];
+            return Some((Outstanding::LoadBase(slot), Step::Read { keys }));
+        }
+        let range = Range {
+            prefix: log_prefix(slot),
+            after: loading.after.clone(),
+            limit: PAGE,
+        };
+        Some((Outstanding::LoadTail(slot), Step::Scan(range)))
+    }
+
+    pub(super) fn base_loaded(&mut self, now: Instant, slot: SlotKey, rows: &[Row]) {
+        let Some(loading) = self.loading.get_mut(&slot) else {
+            return;
+        };
+        loading.is_base_read = true;
+        let Some(row) = rows.first() else {
+            if loading.row.base > 0 {
+                self.damaged(slot, "the checkpoint is missing");
+            }
+            return;
+        };
+        match Snapshot::decode(&row.value) {
+            Ok(snapshot) => loading.ledger = Ledger::restore(now, snapshot),
+            Err(_) => self.damaged(slot, "the checkpoint is unreadable"),
+        }
+    }
+
+    pub(super) fn tail_loaded(&mut self, now: Instant, slot: SlotKey, rows: &[Row]) {
+        let Some(loading) = self.loading.get_mut(&slot) else {
+            return;
+        };
+        for row in rows {
+            let Some(number) = parse_log_key(&row.key) else {
+                continue;
+            };
+            loading.first_row.get_or_insert(number);
+            loading.after = Some(row.key.clone());
+            if number <= loading.row.base {
+                continue;
+            }
+            // The log is read after the slot was taken, so that no former holder can add to it.
+            let batch = postcard::from_bytes::<Batch>(&row.value);
+            let is_next = number == loading.applied + 1;
+            let (true, Ok(batch)) = (is_next, batch) else {
+                self.damaged(slot, "a log row is missing or unreadable");
+                return;
+            };
+            loading.applied = number;
+            for record in &batch.records {
+                loading.ledger.apply(now, record);
+            }
+        }
+        if rows.len() < PAGE as usize {
+            self.loaded(slot);
+        }
+    }
+
+    fn loaded(&mut self, slot: SlotKey) {
+        let Some(loading) = self.loading.remove(&slot) else {
+            return;
+        };
+        if loading.applied != loading.row.last {
+            self.damaged(slot, "the end of the log is missing");
+            return;
+        }
+        let entries = loading.ledger.len();
+        self.entries += entries;
+        let epoch = loading.row.epoch;
+        let trim_from = loading.first_row.unwrap_or(loading.row.last + 1);
+        let held = Held::new(loading.row, loading.revision, loading.ledger, trim_from);
+        self.held.insert(slot, held);
+        self.notes.push(Note::SlotTaken {
+            slot,
+            epoch,
+            entries,
+        });
+    }
+
+    /// Gives up a slot whose rows do not make sense. Answering from half a log could grant a call a
+    /// second time.
+    fn damaged(&mut self, slot: SlotKey, reason: &str) {
+        self.loading.remove(&slot);
+        self.wanted.remove(&slot);
+        let reason = reason.into();
+        self.notes.push(Note::SlotDamaged { slot, reason });
+    }
+
+    pub(super) fn next_trim_step(&mut self) -> Option<(Outstanding, Step)> {
+        for (&slot, held) in &self.held {
+            if held.trim_from > held.row.base {
+                continue;
+            }
+            let upto = held.row.base.min(held.trim_from + TRIM_LIMIT - 1);
+            let mut transaction = Transaction::default();
+            for number in held.trim_from..=upto {
+                let key = log_key(slot, number);
+                transaction.writes.push(table::Write::Delete { key });
+            }
+            // No compare: rows that a committed checkpoint covers are superfluous whoever holds the slot.
+            return Some((Outstanding::Trim { slot, upto }, Step::Commit(transaction)));
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_claims/src/ledger/bill.rs
@@ -0,0 +1,267 @@
+//! Bills, from routers and from the sweep. The first bill of a request is charged, whoever sends it.
+
+use std::sync::Arc;
+
+use fescuewell_core::prelude::*;
+
+use super::entry::{Status, short, stamp};
+use super::{Decision, Entry, Ledger, View};
+use crate::message::{Answer, Bill, Evidence, Owner, Reply, Settlement};
+use crate::note::Note;
+use crate::record::{Record, Run};
+
+/// What is put on record of a run that is billed first.
+struct Charge<'a> {
+    request: Digest,
+    fingerprint: u64,
+    group: &'a Arc<str>,
+    owner: &'a Owner,
+    charged: Tokens,
+    complete: bool,
+    repeatable: bool,
+    in_doubt: bool,
+    answer: Option<&'a Answer>,
+}
+
+impl Ledger {
+    pub(super) fn bill(&mut self, bill: &Bill) -> Decision {
+        let run = self.run(&bill.owner);
+        if let Some(entry) = self.entries.get(&bill.request).copied()
+            && entry.billed
+        {
+            return self.bill_again(bill, run, &entry);
+        }
+        // The entry was dropped after this bill had been answered: an old copy of the message.
+        let is_known = self.entries.contains_key(&bill.request);
+        if !is_known && run.is_some_and(|run| self.is_settled(run)) {
+            return Decision::after_commit(Reply::Billed {
+                charged: Tokens::ZERO,
+            });
+        }
+        self.charge(&Charge {
+            request: bill.request,
+            fingerprint: short(bill.fingerprint),
+            group: &bill.group,
+            owner: &bill.owner,
+            // The stream is cut at the hold, so a higher figure is a fault of the router's; the budget only
+            // covers the hold.
+            charged: bill.cost.min(bill.hold),
+            complete: bill.complete,
+            repeatable: bill.repeatable,
+            in_doubt: false,
+            answer: bill.answer.as_ref(),
+        })
+    }
+
+    /// The request has its bill: the same run is told again what it was charged, another one nothing.
+    fn bill_again(&mut self, bill: &Bill, run: Option<Run>, entry: &Entry) -> Decision {
+        if run == Some(entry.biller) {
+            return Decision::after_commit(Reply::Billed {
+                charged: entry.charged,
+            });
+        }
+        let mut records = Vec::new();
+        if bill.complete && !entry.complete {
+            let holder = self.name(&mut records, &bill.owner.holder);
+            let attempt = bill.owner.attempt;
+            let run = Run { holder, attempt };
+            let request = bill.request;
+            records.push(Record::Complete { request, run });
+        }
+        let note = Note::BillAbsorbed {
+            request: bill.request,
+            owner: bill.owner.clone(),
+        };
+        let charged = Tokens::ZERO;
+        Decision::after_commit(Reply::Billed { charged })
+            .with_records(records)
+            .with_note(note)
+    }
+
+    pub(super) fn settle(&mut self, view: &View<'_>, settlement: &Settlement) -> Decision {
+        let request = settlement.request;
+        let run = self.run(&settlement.owner);
+        let nothing = Decision::after_commit(Reply::Billed {
+            charged: Tokens::ZERO,
+        });
+        let entry = self.entries.get(&request).copied();
+        if let Some(entry) = entry.filter(|entry| entry.billed) {
+            return self.settle_billed(request, run, &entry);
+        }
+        match &settlement.evidence {
+            Evidence::InDoubt => self.settle_in_doubt(request, &settlement.owner, nothing),
+            Evidence::Stream {
+                cost,
+                complete,
+                answer,
+            } => {
+                let is_settled = run.is_some_and(|run| self.is_settled(run));
+                if entry.is_none() && is_settled {
+                    return nothing;
+                }
+                // A cut-off run whose request a living router has taken over: that router's bill is the
+                // one that counts.
+                let is_taken_over = entry.is_some_and(|entry| {
+                    entry.status == Status::Open
+                        && Some(entry.owner) != run
+                        && !self.is_gone(view, entry.owner.holder)
+                });
+                if is_taken_over && !complete {
+                    return nothing;
+                }
+                self.charge(&Charge {
+                    request,
+                    fingerprint: entry.map_or(0, |entry| entry.fingerprint),
+                    group: &settlement.group,
+                    owner: &settlement.owner,
+                    charged: (*cost).min(settlement.hold),
+                    complete: *complete,
+                    repeatable: entry.is_none_or(|entry| entry.repeatable),
+                    in_doubt: false,
+                    answer: answer.as_ref(),
+                })
+            }
+        }
+    }
+
+    /// A claim that went on after an earlier run had been billed ends here without another charge.
+    fn settle_billed(&self, request: Digest, run: Option<Run>, entry: &Entry) -> Decision {
+        let is_same = run == Some(entry.biller);
+        let charged = if is_same { entry.charged } else { Tokens::ZERO };
+        let decision = Decision::after_commit(Reply::Billed { charged });
+        match run {
+            Some(run) if entry.status == Status::Open && entry.owner == run => {
+                decision.with_records(vec![Record::Release { request, run }])
+            }
+            _ => decision,
+        }
+    }
+
+    /// Charges the hold of a claim that is still open and still belongs to the closed router; a claim that
+    /// has passed to another router meanwhile is that router's to bill.
+    fn settle_in_doubt(&mut self, request: Digest, owner: &Owner, nothing: Decision) -> Decision {
+        let run = self.run(owner);
+        let entry = self.entries.get(&request).copied();
+        let entry = entry.filter(|entry| entry.status == Status::Open && Some(entry.owner) == run);
+        let Some(entry) = entry else {
+            return nothing;
+        };
+        let group = self.names.name(entry.group).clone();
+        self.charge(&Charge {
+            request,
+            fingerprint: entry.fingerprint,
+            group: &group,
+            owner,
+            charged: entry.hold,
+            complete: false,
+            repeatable: entry.repeatable,
+            in_doubt: true,
+            answer: None,
+        })
+    }
+
+    fn charge(&mut self, charge: &Charge<'_>) -> Decision {
+        let mut records = Vec::with_capacity(3);
+        let group = self.name(&mut records, charge.group);
+        let holder = self.name(&mut records, &charge.owner.holder);
+        // What was allowed to this router has been returned to the budget by now. The request keeps its
+        // one bill, but there is no allowance left from which to charge it.
+        let is_too_late = self.is_finished(holder);
+        let charged = if is_too_late {
+            Tokens::ZERO
+        } else {
+            charge.charged
+        };
+        let attempt = charge.owner.attempt;
+        records.push(Record::Bill {
+            request: charge.request,
+            fingerprint: charge.fingerprint,
+            group,
+            run: Run { holder, attempt },
+            charged,
+            complete: charge.complete,
+            repeatable: charge.repeatable,
+            in_doubt: charge.in_doubt,
+            answer: charge.answer.cloned(),
+        });
+        let request = charge.request;
+        let owner = charge.owner.clone();
+        let decision = Decision::after_commit(Reply::Billed { charged }).with_records(records);
+        if is_too_late {
+            return decision.with_note(Note::BillAbsorbed { request, owner });
+        }
+        if charge.in_doubt {
+            return decision.with_note(Note::BillInDoubt {
+                request,
+                owner,
+                charged,
+            });
+        }
+        decision
+    }
+
+    pub(super) fn apply_bill(&mut self, now: Instant, request: Digest, record: &Record) {
+        let Record::Bill {
+            fingerprint,
+            group,
+            run,
+            charged,
+            complete,
+            repeatable,
+            in_doubt,
+            answer,
+            ..
+        } = record
+        else {
+            return;
+        };
+        let mut entry = self
+            .entries
+            .get(&request)
+            .copied()
+            .unwrap_or_else(|| Entry::unclaimed(*run, Status::Done, now));
+        if entry.fingerprint == 0 {
+            entry.fingerprint = *fingerprint;
+        }
+        if entry.owner != *run {
+            entry.server = super::entry::NO_SERVER;
+        }
+        entry.charged = *charged;
+        entry.biller = *run;
+        entry.billed = true;
+        entry.in_doubt = *in_doubt;
+        entry.complete = *complete;
+        entry.repeatable = *repeatable;
+        entry.touched = stamp(now);
+        // A part of an answer was billed while another router runs the request: its claim goes on.
+        let goes_on = entry.status == Status::Open && entry.owner != *run && !complete;
+        if !goes_on {
+            entry.owner = *run;
+            entry.group = *group;
+            entry.status = Status::Done;
+        }
+        self.entries.insert(request, entry);
+        let total = self.totals.entry((run.holder, *group)).or_default();
+        *total += *charged;
+        if let Some(answer) = answer {
+            self.answers.insert(request, answer.clone());
+        }
+        if !goes_on {
+            self.finished(now, request);
+        }
+    }
+
+    pub(super) fn apply_complete(&mut self, now: Instant, request: Digest, run: Run) {
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return;
+        };
+        if entry.owner != run {
+            entry.server = super::entry::NO_SERVER;
+        }
+        entry.owner = run;
+        entry.complete = true;
+        entry.in_doubt = false;
+        entry.status = Status::Done;
+        self.finished(now, request);
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_claims/src/ledger/claim.rs
@@ -0,0 +1,211 @@
+//! Claims, assignments and releases.
+
+use fescuewell_core::prelude::*;
+
+use super::entry::{NO_SERVER, Status, short};
+use super::{Decision, Entry, Ledger, View};
+use crate::message::{Assignment, Claim, Known, Owner, Reply};
+use crate::note::Note;
+use crate::record::{NameKey, Record, Run};
+use crate::stream;
+
+impl Ledger {
+    pub(super) fn claim(&mut self, view: &View<'_>, claim: &Claim) -> Decision {
+        // A claim of a closed router can only be an old message. Granting it would leave a claim
+        // that nobody will ever bill or release.
+        if self.is_closed(&claim.owner.holder) {
+            return Decision::now(Reply::Unavailable);
+        }
+        let run = self.run(&claim.owner);
+        let Some(entry) = self.entries.get(&claim.request).copied() else {
+            if run.is_some_and(|run| self.is_settled(run)) {
+                return Decision::now(Reply::Unavailable);
+            }
+            return self.grant(view, claim);
+        };
+        if run == Some(entry.owner) {
+            return self.claim_again(claim, &entry);
+        }
+        if entry.status == Status::Released {
+            return self.grant(view, claim);
+        }
+        if entry.fingerprint != 0 && entry.fingerprint != short(claim.fingerprint) {
+            return Decision::now(Reply::Known(Known::Conflict));
+        }
+        if self.may_run_again(view, claim, &entry) {
+            return self.grant(view, claim);
+        }
+        Decision::now(Reply::Known(self.known(claim.request, &entry)))
+    }
+
+    /// The same run asks again, because its answer was lost or late.
+    fn claim_again(&self, claim: &Claim, entry: &Entry) -> Decision {
+        let granted = Reply::Granted {
+            attempt: entry.owner.attempt,
+            durable: !entry.repeatable,
+        };
+        match entry.status {
+            Status::Open if entry.repeatable => Decision::now(granted),
+            Status::Open => Decision::after_commit(granted),
+            // The router gave this run up, or was told that it was not recorded. A late copy of the
+            // claim must not bring it back: no bill or release would ever follow.
+            Status::Released => Decision::now(Reply::Unavailable),
+            Status::Done => Decision::now(Reply::Known(self.known(claim.request, entry))),
+        }
+    }
+
+    /// Whether a claimed or billed request is given to another router.
+    ///
+    /// Only a repeatable one ever is, and not while its router lives: that router may be retrying
+    /// it elsewhere at this moment. When the router is gone and its backend server is known, the
+    /// caller is first sent to that stream; only when the server has no record of it (`lost`) does
+    /// the request run anew. Whichever run is billed first is the only one charged.
+    fn may_run_again(&self, view: &View<'_>, claim: &Claim, entry: &Entry) -> bool {
+        if !entry.repeatable || !claim.repeatable {
+            return false;
+        }
+        match entry.status {
+            Status::Released => true,
+            Status::Done => !entry.complete,
+            Status::Open if !self.is_gone(view, entry.owner.holder) => false,
+            Status::Open => {
+                let lost = claim.lost.as_ref().and_then(|owner| self.run(owner));
+                entry.server == NO_SERVER || lost == Some(entry.owner)
+            }
+        }
+    }
+
+    fn grant(&mut self, view: &View<'_>, claim: &Claim) -> Decision {
+        // No table, no claim: what may not be repeated is refused at once rather than left to wait
+        // for a commit that may be an hour away.
+        if !claim.repeatable && !view.writable {
+            return Decision::now(Reply::Unavailable);
+        }
+        let mut records = Vec::with_capacity(3);
+        let group = self.name(&mut records, &claim.group);
+        let holder = self.name(&mut records, &claim.owner.holder);
+        let attempt = claim.owner.attempt;
+        records.push(Record::Claim {
+            request: claim.request,
+            fingerprint: short(claim.fingerprint),
+            group,
+            run: Run { holder, attempt },
+            hold: claim.hold,
+            repeatable: claim.repeatable,
+        });
+        let durable = !claim.repeatable;
+        Decision {
+            reply: Reply::Granted { attempt, durable },
+            records,
+            after_commit: durable,
+            new_claim: true,
+            note: None,
+        }
+    }
+
+    pub(super) fn assign(
+        &mut self,
+        request: Digest,
+        owner: &Owner,
+        assignment: &Assignment,
+    ) -> Decision {
+        let run = self.run(owner);
+        let entry = self.entries.get(&request);
+        let is_owner =
+            entry.is_some_and(|entry| entry.status == Status::Open && Some(entry.owner) == run);
+        // A claim that vanished with a former holder of the slot cannot be assigned; the sweep finds such
+        // a run by its stream.
+        if !is_owner {
+            return Decision::now(Reply::Assigned);
+        }
+        let mut records = Vec::with_capacity(2);
+        let server = self.name(&mut records, &assignment.server);
+        let derived = stream::id(owner, request);
+        let stream = (derived != assignment.stream).then(|| assignment.stream.clone());
+        records.push(Record::Assign {
+            request,
+            server,
+            stream,
+        });
+        Decision::now(Reply::Assigned).with_records(records)
+    }
+
+    pub(super) fn apply_assign(
+        &mut self,
+        request: Digest,
+        server: NameKey,
+        stream: Option<&StreamId>,
+    ) {
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return;
+        };
+        entry.server = server;
+        match stream {
+            Some(stream) => self.streams.insert(request, stream.clone()),
+            None => self.streams.remove(&request),
+        };
+    }
+
+    pub(super) fn release(&mut self, request: Digest, owner: &Owner) -> Decision {
+        let run = self.run(owner);
+        let entry = self.entries.get(&request);
+        let is_due = match (entry, run) {
+            (None, Some(run)) => !self.is_settled(run),
+            (None, None) => true,
+            (Some(entry), Some(run)) => entry.status == Status::Open && entry.owner == run,
+            (Some(_), None) => false,
+        };
+        if !is_due {
+            return Decision::after_commit(Reply::Released);
+        }
+        let mut records = Vec::with_capacity(2);
+        let holder = self.name(&mut records, &owner.holder);
+        let attempt = owner.attempt;
+        let run = Run { holder, attempt };
+        records.push(Record::Release { request, run });
+        let note = Note::ClaimAbandoned {
+            request,
+            owner: owner.clone(),
+        };
+        Decision::after_commit(Reply::Released)
+            .with_records(records)
+            .with_note(note)
+    }
+
+    /// A release without a known claim leaves an entry too: the claim itself may still be under way
+    /// on another connection, and would otherwise be granted to a router that has given up.
+    pub(super) fn apply_release(&mut self, now: Instant, request: Digest, run: Run) {
+        let entry = self
+            .entries
+            .entry(request)
+            .or_insert_with(|| Entry::unclaimed(run, Status::Released, now));
+        entry.status = match entry.billed {
+            true => Status::Done,
+            false => Status::Released,
+        };
+        self.finished(now, request);
+    }
+
+    pub(super) fn known(&self, request: Digest, entry: &Entry) -> Known {
+        let assignment = self.assignment(request, entry);
+        if entry.status == Status::Open {
+            let owner = self.owner(entry.owner);
+            return Known::InProgress { owner, assignment };
+        }
+        Known::Done {
+            assignment,
+            answer: self.answers.get(&request).cloned(),
+            in_doubt: entry.in_doubt || !entry.complete,
+        }
+    }
+
+    pub(super) fn assignment(&self, request: Digest, entry: &Entry) -> Option<Assignment> {
+        if entry.server == NO_SERVER {
+            return None;
+        }
+        let server = self.names.name(entry.server).clone();
+        let odd = self.streams.get(&request).cloned();
+        let stream = odd.unwrap_or_else(|| stream::id(&self.owner(entry.owner), request));
+        Some(Assignment { server, stream })
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_claims/src/ledger/close.rs
@@ -0,0 +1,78 @@
+//! Closing a terminated router, in two steps.
+//!
+//! `Freeze` lists what the router left open and stops new claims in its name, while bills are still
+//! charged: those that a peer took over from it, and those of the sweep. `Finish` fixes the totals:
+//! the budget takes back what was allowed to the router less these totals, so anything charged to it
+//! afterwards would be spent twice. Both may be repeated, by the same sweep or by another instance
+//! that does it over after the first one died.
+
+use std::sync::Arc;
+
+use super::entry::Status;
+use super::{Closed, Decision, Ledger};
+use crate::message::{Open, Phase, Reply};
+use crate::record::{NameKey, Record};
+
+impl Ledger {
+    pub(super) fn close(&mut self, holder: &Arc<str>, phase: Phase) -> Decision {
+        let mut records = Vec::new();
+        let key = self.name(&mut records, holder);
+        let finish = phase == Phase::Finish;
+        let is_recorded = match self.closed.get(&key) {
+            None => false,
+            Some(closed) => closed.finished || !finish,
+        };
+        if !is_recorded {
+            let holder = key;
+            records.push(Record::Close { holder, finish });
+        }
+        let totals = self.totals(holder);
+        let open = self.open_of(key);
+        Decision::after_commit(Reply::Closed { totals, open }).with_records(records)
+    }
+
+    pub(super) fn apply_close(&mut self, holder: NameKey, finish: bool) {
+        let closed = self
+            .closed
+            .entry(holder)
+            .or_insert(Closed { finished: false });
+        closed.finished |= finish;
+    }
+
+    /// The mark that the router is closed stays, so that an old message cannot open it again.
+    pub(super) fn forget(&mut self, holder: &Arc<str>) -> Decision {
+        let decision = Decision::after_commit(Reply::Forgotten);
+        let Some(holder) = self.names.get(holder) else {
+            return decision;
+        };
+        // Totals of a router that is not closed are still needed by the sweep to come.
+        let has_totals = self.of_holder(holder).next().is_some();
+        if !has_totals || !self.is_finished(holder) {
+            return decision;
+        }
+        decision.with_records(vec![Record::Forget { holder }])
+    }
+
+    pub(super) fn apply_forget(&mut self, holder: NameKey) {
+        self.totals.retain(|&(owner, _), _| owner != holder);
+    }
+
+    fn open_of(&self, holder: NameKey) -> Vec<Open> {
+        let mut open = Vec::new();
+        for (&request, entry) in &self.entries {
+            if entry.status != Status::Open || entry.owner.holder != holder {
+                continue;
+            }
+            open.push(Open {
+                request,
+                attempt: entry.owner.attempt,
+                group: self.names.name(entry.group).clone(),
+                hold: entry.hold,
+                assignment: self.assignment(request, entry),
+                repeatable: entry.repeatable,
+            });
+        }
+        open.sort_by_key(|open| open.request);
+        open
+    }
+}
--- a/crates/fescuewell_claims/src/message.rs
+++ b/crates/fescuewell_claims/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between the router that asks and the instance that holds a slot.
 //!
 //! All of them are plain data, sent with postcard. A request is named by the digest of its
-//! [`RequestKey`](fescuewell_core::id::RequestKey): 16 bytes instead of two texts, which also keeps
+//! [`RequestKey`]: 16 bytes instead of two texts, which also keeps
 //! callers' ids out of the log.
 
 use std::sync::Arc;
@@ -250,3 +250,18 @@
         Unavailable,
     }
 }
+
+impl Request {
+    /// The request that this is about; `None` for messages about a router.
+    pub fn subject(&self) -> Option<Digest> {
+        match self {
+            Self::Claim(claim) => Some(claim.request),
+            Self::Bill(bill) => Some(bill.request),
+            Self::Settle(settlement) => Some(settlement.request),
+            Self::Assign { request, .. }
+            | Self::Release { request, .. }
+            | Self::Lookup { request } => Some(*request),
+            Self::Close { .. } | Self::Forget { .. } => None,
+        }
+    }
+}
--- a/crates/fescuewell_claims/src/stream.rs
+++ b/crates/fescuewell_claims/src/stream.rs
@@ -9,7 +9,7 @@
 const PREFIX: &str = "fw.";
 
 /// The stream id of one run of a request; the same text as
-/// [`RequestKey::stream_id`](fescuewell_core::id::RequestKey::stream_id) makes.
+/// [`RequestKey::stream_id`] makes.
 pub fn id(owner: &Owner, request: Digest) -> StreamId {
     format!("{PREFIX}{}.{}.{request}", owner.holder, owner.attempt).into()
 }
--- /dev/null
+++ b/crates/fescuewell_claims/src/sweep/steps.rs
@@ -0,0 +1,171 @@
+//! How the sweep passes from step to step.
+
+use fescuewell_core::prelude::*;
+
+use super::{Action, Evidence, Question, Request, Server, Settlement, Sweep, slot_of};
+use crate::message::{Owner, Phase};
+
+impl Sweep {
+    pub(super) fn list_servers(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let retry = self.settings.retry;
+        for (name, server) in &mut self.servers {
+            let is_due = match *server {
+                Server::Ask { at } => at <= now,
+                Server::Asked { sent } => now.since(sent) >= retry,
+                Server::Settled => false,
+            };
+            if !is_due || actions.len() >= self.settings.burst {
+                continue;
+            }
+            *server = Server::Asked { sent: now };
+            let server = name.clone();
+            actions.push(Action::ListStreams { server });
+        }
+    }
+
+    pub(super) fn ask_slots(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let slots: Vec<SlotKey> = self.asking.keys().copied().collect();
+        for slot in slots {
+            if actions.len() >= self.settings.burst {
+                return;
+            }
+            let last = self.asking[&slot];
+            if last.is_some_and(|last| now.since(last.sent) < self.settings.retry) {
+                continue;
+            }
+            let Some(request) = self.question(slot) else {
+                continue;
+            };
+            let correlation = self.next_correlation;
+            self.next_correlation += 1;
+            let sent = now;
+            self.asking
+                .insert(slot, Some(Question { correlation, sent }));
+            actions.push(Action::Ask {
+                slot,
+                correlation,
+                request,
+            });
+        }
+    }
+
+    fn question(&self, slot: SlotKey) -> Option<Request> {
+        let holder = self.holder.clone();
+        let phase = match self.step() {
+            "freezing" => Phase::Freeze,
+            "finishing" => Phase::Finish,
+            "forgetting" => return Some(Request::Forget { holder }),
+            _ => {
+                let bill = self.bills.get(&slot)?.front()?;
+                return Some(Request::Settle(bill.clone()));
+            }
+        };
+        Some(Request::Close { holder, phase })
+    }
+
+    pub(super) fn ask_all_slots(&mut self) {
+        for slot in 0..self.settings.slots {
+            self.asking.insert(SlotKey(slot), None);
+        }
+    }
+
+    /// Keeps the better of two records of one attempt. A router that sent it to a second backend server after the
+    /// first one failed leaves one at each; only one of them is charged.
+    pub(super) fn add_stream(&mut self, settlement: Settlement) {
+        let key = (settlement.request, settlement.owner.attempt);
+        let is_better = match self.streams.get(&key) {
+            None => true,
+            Some(known) => weight(&settlement) > weight(known),
+        };
+        if is_better {
+            self.streams.insert(key, settlement);
+        }
+    }
+
+    pub(super) fn bill_answered(&mut self, slot: SlotKey) {
+        let Some(bills) = self.bills.get_mut(&slot) else {
+            return;
+        };
+        bills.pop_front();
+        match bills.is_empty() {
+            true => self.asking.remove(&slot),
+            false => self.asking.insert(slot, None),
+        };
+        self.advance();
+    }
+
+    /// Passes to the next step when this one has nothing left to ask.
+    pub(super) fn advance(&mut self) {
+        let are_servers_settled = self
+            .servers
+            .values()
+            .all(|server| *server == Server::Settled);
+        let signal = match self.step() {
+            "freezing" if self.asking.is_empty() => "slots_frozen",
+            "listing" if are_servers_settled => "servers_settled",
+            "settling" if self.asking.is_empty() => "streams_billed",
+            "doubting" if self.asking.is_empty() => "doubts_billed",
+            "finishing" if self.asking.is_empty() => "slots_finished",
+            "forgetting" if self.asking.is_empty() => "slots_forgot",
+            _ => return,
+        };
+        self.enter(signal);
+        self.advance();
+    }
+
+    pub(super) fn enter(&mut self, signal: &str) {
+        // Every signal is raised in the state that takes it.
+        let step = self.chart.step(&mut self.state, signal);
+        debug_assert!(step.is_ok(), "{step:?}");
+        match self.step() {
+            "settling" => self.queue_streams(),
+            "doubting" => self.queue_doubts(),
+            "finishing" | "forgetting" => self.ask_all_slots(),
+            _ => {}
+        }
+    }
+
+    fn queue_streams(&mut self) {
+        let mut settlements: Vec<Settlement> = self.streams.values().cloned().collect();
+        // Whole answers first: of two attempts at one request the one that the caller got is to be charged.
+        settlements.sort_by_key(|settlement| std::cmp::Reverse(weight(settlement)));
+        self.queue(settlements);
+    }
+
+    fn queue_doubts(&mut self) {
+        let mut settlements = Vec::new();
+        for (key, open) in &self.open {
+            if self.streams.contains_key(key) {
+                continue;
+            }
+            settlements.push(Settlement {
+                request: open.request,
+                group: open.group.clone(),
+                owner: Owner {
+                    holder: self.holder.clone(),
+                    attempt: open.attempt,
+                },
+                hold: open.hold,
+                evidence: Evidence::InDoubt,
+            });
+        }
+        self.queue(settlements);
+    }
+
+    fn queue(&mut self, settlements: Vec<Settlement>) {
+        self.bills.clear();
+        for settlement in settlements {
+            let slot = slot_of(settlement.request, self.settings.slots);
+            self.asking.insert(slot, None);
+            let bills = self.bills.entry(slot).or_default();
+            bills.push_back(settlement);
+        }
+    }
+}
+
+fn weight(settlement: &Settlement) -> (bool, Tokens) {
+    match &settlement.evidence {
+        Evidence::Stream { cost, complete, .. } => (*complete, *cost),
+        Evidence::InDoubt => (false, Tokens::ZERO),
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_claims/tests/arbiter.rs
@@ -0,0 +1,191 @@
+//! The holder of a slot: what it answers, when, and what survives it.
+
+mod support;
+
+use fescuewell_claims::message::{Answer, Claim, Known, Reply, Request};
+use fescuewell_claims::note::Note;
+use fescuewell_core::prelude::*;
+
+use support::*;
+
+#[test]
+fn a_repeatable_claim_is_granted_at_once_and_logged_in_the_next_commit() {
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+
+    let reply = node.at_once(now, &Request::Claim(claim("x", "r.1", 1)));
+    node.run(&mut now, &mut table, 100);
+    let mut successor = Node::new("b.1", settings());
+    successor.take(&mut now, &mut table, &["a.1"]);
+    let known = successor.at_once(now, &lookup("x"));
+
+    assert_eq!(
+        reply,
+        Reply::Granted {
+            attempt: 1,
+            durable: false
+        }
+    );
+    let owner = owner("r.1", 1);
+    assert_eq!(
+        known,
+        Reply::Known(Known::InProgress {
+            owner,
+            assignment: None
+        })
+    );
+}
+
+#[test]
+fn a_single_claim_is_granted_only_after_its_commit() {
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+    node.run(&mut now, &mut table, 100);
+
+    let ticket = node.ask(now, &Request::Claim(single("x", "r.1", 1)));
+    let before = node.answers.get(&ticket).cloned();
+    node.turn(now, &mut table);
+
+    assert_eq!(before, None);
+    assert_eq!(
+        node.answers[&ticket],
+        Reply::Granted {
+            attempt: 1,
+            durable: true
+        }
+    );
+}
+
+#[test]
+fn a_repeat_at_a_second_router_is_told_that_the_first_is_under_way() {
+    // Symptom: one request runs at two routers.
+    // Events: a caller sends it to r, loses patience and sends it to s at the same moment.
+    // Cause: nobody arbitrates between the two.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+
+    node.at_once(now, &Request::Claim(claim("x", "r.1", 1)));
+    let second = node.at_once(now, &Request::Claim(claim("x", "s.1", 9)));
+
+    let owner = owner("r.1", 1);
+    assert_eq!(
+        second,
+        Reply::Known(Known::InProgress {
+            owner,
+            assignment: None
+        })
+    );
+}
+
+#[test]
+fn another_body_under_the_same_id_is_refused() {
+    // Symptom: a caller gets the answer to an earlier question.
+    // Events: it reuses a request id for another body.
+    // Cause: the id alone is taken for the request.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+    let other = Claim {
+        fingerprint: Digest::of(b"another body"),
+        ..claim("x", "s.1", 1)
+    };
+
+    node.at_once(now, &Request::Claim(claim("x", "r.1", 1)));
+    let under_way = node.at_once(now, &Request::Claim(other.clone()));
+    node.after_commit(
+        &mut now,
+        &mut table,
+        &Request::Bill(bill("x", "r.1", 1, 70)),
+    );
+    let afterwards = node.at_once(now, &Request::Claim(other));
+
+    assert_eq!(under_way, Reply::Known(Known::Conflict));
+    assert_eq!(afterwards, Reply::Known(Known::Conflict));
+}
+
+#[test]
+fn a_bill_counts_once_whoever_sends_it() {
+    // Symptom: a group is charged twice for one answer.
+    // Events: two routers serve one request id, and one of them sends its bill again because the answer was lost.
+    // Cause: bills are added up without a look at what they are for.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+
+    let first = node.after_commit(
+        &mut now,
+        &mut table,
+        &Request::Bill(bill("x", "r.1", 1, 70)),
+    );
+    let again = node.after_commit(
+        &mut now,
+        &mut table,
+        &Request::Bill(bill("x", "r.1", 1, 70)),
+    );
+    let other = node.after_commit(
+        &mut now,
+        &mut table,
+        &Request::Bill(bill("x", "s.1", 4, 90)),
+    );
+
+    assert_eq!((first, again, other), (billed(70), billed(70), billed(0)));
+    let is_absorbed = |note: &Note| matches!(note, Note::BillAbsorbed { .. });
+    assert!(node.notes.iter().any(is_absorbed));
+}
+
+#[test]
+fn a_bill_is_never_above_its_hold() {
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+
+    let reply = node.after_commit(
+        &mut now,
+        &mut table,
+        &Request::Bill(bill("x", "r.1", 1, 501)),
+    );
+
+    assert_eq!(reply, billed(500));
+}
+
+#[test]
+fn a_repeat_of_a_single_call_gets_the_kept_answer_from_the_next_holder() {
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+    let answer = Answer {
+        status: 201,
+        content_type: "application/json".into(),
+        body: b"{\"booked\":true}"[..].into(),
+    };
+    let mut paid = bill("x", "r.1", 1, 5);
+    paid.answer = Some(answer.clone());
+    paid.repeatable = false;
+
+    node.after_commit(&mut now, &mut table, &Request::Claim(single("x", "r.1", 1)));
+    node.after_commit(&mut now, &mut table, &Request::Bill(paid));
+    let mut successor = Node::new("b.1", settings());
+    successor.take(&mut now, &mut table, &["a.1"]);
+    let reply = successor.at_once(now, &Request::Claim(single("x", "s.1", 1)));
+
+    let done = Known::Done {
+        assignment: None,
+        answer: Some(answer),
+        in_doubt: false,
+    };
+    assert_eq!(reply, Reply::Known(done));
+}
+
+#[test]
+fn a_slot_that_is_not_wanted_is_flushed_and_handed_back() {
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+
+    node.at_once(now, &Request::Claim(claim("x", "r.1", 1)));
+    node.arbiter.want(now, &[]);
+    let refused = node.at_once(now, &Request::Claim(claim("y", "r.1", 2)));
+    node.run(&mut now, &mut table, 200);
+    let mut successor = Node::new("b.1", settings());
+    successor.take(&mut now, &mut table, &[]);
+    let known = successor.at_once(now, &lookup("x"));
+
+    assert_eq!(refused, Reply::NotHolder);
+    assert!(node.arbiter.is_idle());
+    assert!(matches!(known, Reply::Known(Known::InProgress { .. })));
+}
--- /dev/null
+++ b/crates/fescuewell_claims/tests/support/mod.rs
@@ -0,0 +1,326 @@
+//! Fixtures: an in-memory table with faults, and an instance that drives one arbiter against it.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell_claims::arbiter::{Arbiter, Settings};
+use fescuewell_claims::message::{Bill, Claim, Owner, Reply, Request};
+use fescuewell_claims::note::Note;
+use fescuewell_core::prelude::*;
+use fescuewell_core::table::{self, Error, Outcome, Range, Row, Step, Transaction, Write};
+
+/// The only slot of most tests.
+pub const SLOT: SlotKey = SlotKey(0);
+
+/// How the table behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// No byte reaches it.
+    Down,
+    /// Everything takes effect and every reply is lost.
+    LosesReplies,
+    /// Nothing takes effect at first, every reply is lost, and a write arrives when the fault is over.
+    Delays,
+    /// Answers that it takes no more.
+    Busy,
+}
+
+/// A transactional table in memory.
+#[derive(Debug)]
+pub struct Table {
+    pub rows: BTreeMap<Arc<str>, Row>,
+    pub revision: u64,
+    pub commits: u64,
+    pub writes: u64,
+    pub fault: Fault,
+    pub delayed: Vec<Transaction>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            revision: 0,
+            commits: 0,
+            writes: 0,
+            fault: Fault::None,
+            delayed: Vec::new(),
+        }
+    }
+}
+
+impl Table {
+    /// Carries out a step as the present fault lets it.
+    pub fn carry_out(&mut self, step: &Step) -> table::Reply {
+        let reason: Arc<str> = "fault".into();
+        match self.fault {
+            Fault::None => self.answer(step),
+            Fault::Down => table::Reply::Failed(Error::Unreachable { reason }),
+            Fault::Busy => table::Reply::Failed(Error::Busy),
+            Fault::LosesReplies => {
+                self.answer(step);
+                table::Reply::Failed(Error::Unknown { reason })
+            }
+            Fault::Delays => {
+                if let Step::Commit(transaction) = step {
+                    self.delayed.push(transaction.clone());
+                }
+                table::Reply::Failed(Error::Unknown { reason })
+            }
+        }
+    }
+
+    /// Lets the writes that were held up arrive.
+    pub fn deliver_delayed(&mut self) {
+        for transaction in std::mem::take(&mut self.delayed) {
+            self.commit(&transaction);
+        }
+    }
+
+    fn answer(&mut self, step: &Step) -> table::Reply {
+        match step {
+            Step::Read { keys } => {
+                let rows = keys.iter().filter_map(|key| self.rows.get(key)).cloned();
+                table::Reply::Rows(rows.collect())
+            }
+            Step::Scan(range) => table::Reply::Rows(self.scan(range)),
+            Step::Commit(transaction) => table::Reply::Outcome(self.commit(transaction)),
+        }
+    }
+
+    fn scan(&self, range: &Range) -> Vec<Row> {
+        let mut rows = Vec::new();
+        for row in self.rows.values() {
+            let is_after = range.after.as_ref().is_none_or(|after| row.key > *after);
+            if !row.key.starts_with(&*range.prefix) || !is_after {
+                continue;
+            }
+            rows.push(row.clone());
+            if rows.len() as u32 == range.limit {
+                break;
+            }
+        }
+        rows
+    }
+
+    fn commit(&mut self, transaction: &Transaction) -> Outcome {
+        let mut holds = true;
+        let mut current = Vec::new();
+        for compare in &transaction.compares {
+            let row = self.rows.get(&compare.key);
+            holds &= row.map_or(0, |row| row.revision) == compare.revision;
+            current.extend(row.cloned());
+        }
+        if !holds {
+            return Outcome::Conflict { rows: current };
+        }
+        self.commits += 1;
+        self.revision += 1;
+        self.writes += transaction.writes.len() as u64;
+        for write in &transaction.writes {
+            self.write(write);
+        }
+        Outcome::Committed {
+            revision: self.revision,
+        }
+    }
+
+    fn write(&mut self, write: &Write) {
+        match write {
+            Write::Put { key, value } => {
+                let row = Row {
+                    key: key.clone(),
+                    value: value.clone(),
+                    revision: self.revision,
+                };
+                self.rows.insert(key.clone(), row);
+            }
+            Write::Delete { key } => {
+                self.rows.remove(key);
+            }
+        }
+    }
+}
+
+/// One instance with an arbiter.
+pub struct Node {
+    pub arbiter: Arbiter,
+    pub answers: BTreeMap<u64, Reply>,
+    pub notes: Vec<Note>,
+    next_ticket: u64,
+}
+
+impl Node {
+    pub fn new(name: &str, settings: Settings) -> Self {
+        Self {
+            arbiter: Arbiter::new(settings, name, 7),
+            answers: BTreeMap::new(),
+            notes: Vec::new(),
+            next_ticket: 1,
+        }
+    }
+
+    /// An instance that holds the only slot.
+    pub fn holding(name: &str, now: &mut Instant, table: &mut Table) -> Self {
+        let mut node = Self::new(name, settings());
+        node.take(now, table, &[]);
+        node
+    }
+
+    /// Takes the only slot, from the holders in `lapsed` if need be.
+    pub fn take(&mut self, now: &mut Instant, table: &mut Table, lapsed: &[&str]) {
+        self.arbiter.want(*now, &[SLOT]);
+        self.arbiter.set_lapsed(*now, names(lapsed));
+        for _ in 0..100 {
+            if self.arbiter.holds(SLOT) {
+                return;
+            }
+            self.run(now, table, 10);
+        }
+        panic!("the slot was not taken: {:?}", self.notes);
+    }
+
+    /// Lets `millis` pass, carrying out table steps.
+    pub fn run(&mut self, now: &mut Instant, table: &mut Table, millis: u64) {
+        let step = Duration::from_millis(5);
+        for _ in 0..millis.div_ceil(5) {
+            *now = *now + step;
+            self.turn(*now, table);
+        }
+    }
+
+    /// Carries out all table steps that are due.
+    pub fn turn(&mut self, now: Instant, table: &mut Table) {
+        while let Some(step) = self.arbiter.next_step(now) {
+            let reply = table.carry_out(&step);
+            self.arbiter.reply(now, reply);
+        }
+        self.collect();
+    }
+
+    pub fn collect(&mut self) {
+        self.answers.extend(self.arbiter.take_answers());
+        self.notes.extend(self.arbiter.take_notes());
+    }
+
+    /// Passes a request in and returns its ticket.
+    pub fn ask(&mut self, now: Instant, request: &Request) -> u64 {
+        self.ask_slot(now, SLOT, request)
+    }
+
+    pub fn ask_slot(&mut self, now: Instant, slot: SlotKey, request: &Request) -> u64 {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.arbiter.request(now, ticket, slot, request);
+        self.collect();
+        ticket
+    }
+
+    /// The answer, which must be there already.
+    pub fn at_once(&mut self, now: Instant, request: &Request) -> Reply {
+        let ticket = self.ask(now, request);
+        self.answers
+            .remove(&ticket)
+            .expect("the answer needs no commit")
+    }
+
+    /// The answer after a commit.
+    pub fn after_commit(
+        &mut self,
+        now: &mut Instant,
+        table: &mut Table,
+        request: &Request,
+    ) -> Reply {
+        let ticket = self.ask(*now, request);
+        self.run(now, table, 300);
+        self.answers
+            .remove(&ticket)
+            .expect("the answer is there after a commit")
+    }
+}
+
+/// Settings with one slot.
+pub fn settings() -> Settings {
+    Settings {
+        slots: 1,
+        commit_interval: Duration::from_millis(50),
+        poll_interval: Duration::from_millis(100),
+        lease: Duration::from_secs(1),
+        ..Settings::default()
+    }
+}
+
+pub fn names(list: &[&str]) -> BTreeSet<Arc<str>> {
+    list.iter().map(|&name| name.into()).collect()
+}
+
+pub fn digest(id: &str) -> Digest {
+    RequestKey::new("clinic", id).digest()
+}
+
+pub fn owner(holder: &str, attempt: u32) -> Owner {
+    Owner {
+        holder: holder.into(),
+        attempt,
+    }
+}
+
+/// A claim of a repeatable request with a hold of 500.
+pub fn claim(id: &str, holder: &str, attempt: u32) -> Claim {
+    Claim {
+        request: digest(id),
+        fingerprint: Digest::of(b"body"),
+        group: "signwise".into(),
+        owner: owner(holder, attempt),
+        hold: Tokens(500),
+        repeatable: true,
+        lost: None,
+        oldest: 0,
+    }
+}
+
+/// A claim of a call that may not be repeated.
+pub fn single(id: &str, holder: &str, attempt: u32) -> Claim {
+    Claim {
+        repeatable: false,
+        ..claim(id, holder, attempt)
+    }
+}
+
+/// A bill of `cost` tokens.
+pub fn bill(id: &str, holder: &str, attempt: u32, cost: u64) -> Bill {
+    Bill {
+        request: digest(id),
+        fingerprint: Digest::of(b"body"),
+        group: "signwise".into(),
+        owner: owner(holder, attempt),
+        hold: Tokens(500),
+        cost: Tokens(cost),
+        complete: true,
+        repeatable: true,
+        answer: None,
+        oldest: 0,
+    }
+}
+
+pub fn release(id: &str, holder: &str, attempt: u32) -> Request {
+    Request::Release {
+        request: digest(id),
+        owner: owner(holder, attempt),
+    }
+}
+
+pub fn lookup(id: &str) -> Request {
+    Request::Lookup {
+        request: digest(id),
+    }
+}
+
+pub fn billed(charged: u64) -> Reply {
+    Reply::Billed {
+        charged: Tokens(charged),
+    }
+}
