Add slots, address answers, gossip, document propagation and drain

Slots: rendezvous hash bounded by an equal share, over zones and then over instances, with hysteresis for members that flap; a restart under the same name keeps its slots. Propagation: versions only rise, objects from peers that have the document, the store after a random wait that grows with the fleet.

--- a/crates/fescuewell_membership/src/lib.rs
+++ b/crates/fescuewell_membership/src/lib.rs
@@ -5,13 +5,19 @@
 //! work as [`fescuewell_core::table::Step`]s and is told the replies; [`gossip::Gossip`] produces the
 //! messages that instances exchange; the other modules decide on the resulting [`view::View`].
 
+pub mod address;
+pub mod drain;
+pub mod gossip;
 pub mod listing;
 pub mod member;
 pub mod news;
 pub mod own;
+pub mod pacing;
+pub mod propagate;
 pub mod row;
 pub mod settings;
 pub mod sighting;
+pub mod slots;
 pub mod view;
 
 /// The names that users of this crate need.
--- /dev/null
+++ b/crates/fescuewell_membership/src/slots.rs
@@ -0,0 +1,278 @@
+//! Which instance should arbitrate which slot of request ids.
+//!
+//! Every instance computes the same wish from the same members; the epoch in the row `slot/{nn}`
+//! decides who really holds a slot, so that instances whose views differ for a while only disagree
+//! about wishes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell_core::prelude::*;
+
+use crate::row::State;
+use crate::view::{Peer, View};
+
+/// Members after the owner, by score, that watch the owner of a slot.
+const SUCCESSORS: usize = 2;
+/// Flaps after which the settling time no longer doubles.
+const MOST_FLAPS: u32 = 4;
+/// Time without a flap after which one is forgiven, in settling times.
+const FORGIVEN_AFTER: u32 = 40;
+
+fescuewell_core::data! {
+    /// An instance that may hold slots.
+    #[derive(PartialOrd, Ord)]
+    pub struct Candidate {
+        /// Name of the instance.
+        pub instance: Arc<str>,
+        /// Its availability zone.
+        pub zone: Arc<str>,
+    }
+
+    /// The wanted owner of each slot, by slot number; none while there is no candidate.
+    #[derive(Default)]
+    pub struct Assignment {
+        owners: Vec<Option<Arc<str>>>,
+    }
+}
+
+impl Assignment {
+    /// The wanted owner of `slot`.
+    pub fn owner(&self, slot: SlotKey) -> Option<&Arc<str>> {
+        self.owners.get(slot.0 as usize)?.as_ref()
+    }
+
+    /// The slots that `instance` should hold.
+    pub fn of(&self, instance: &str) -> Vec<SlotKey> {
+        let owned = self.owners.iter().enumerate();
+        let owned = owned.filter(|(_, owner)| owner.as_deref() == Some(instance));
+        owned.map(|(slot, _)| SlotKey(slot as u16)).collect()
+    }
+}
+
+/// Distributes `slots` over the candidates.
+///
+/// First over the zones in proportion to their candidates, then over the instances within each; in both
+/// steps the pair with the highest hash goes first and nobody takes more than an equal share, rounded
+/// up. The hash keeps most slots where they are when a candidate comes or goes; the share keeps a
+/// single instance, or a zone, from holding many more than the others. The order of the candidates
+/// does not matter.
+pub fn assign(slots: u16, candidates: &[Candidate]) -> Assignment {
+    let mut zones: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for candidate in candidates {
+        let instances = zones.entry(&candidate.zone).or_default();
+        instances.push(&candidate.instance);
+    }
+    let mut owners = vec![None; slots as usize];
+    if candidates.is_empty() {
+        return Assignment { owners };
+    }
+    let all: Vec<u16> = (0..slots).collect();
+    let share = |count: usize| (slots as usize * count).div_ceil(candidates.len());
+    let zone_bins: Vec<(&str, usize)> = zones
+        .iter()
+        .map(|(zone, instances)| (*zone, share(instances.len())))
+        .collect();
+    for (zone, slots_of_zone) in spread("zone", &all, &zone_bins) {
+        let instances = &zones[zone];
+        let most = slots_of_zone.len().div_ceil(instances.len());
+        let bins: Vec<(&str, usize)> = instances.iter().map(|name| (*name, most)).collect();
+        for (instance, slots_of_instance) in spread("instance", &slots_of_zone, &bins) {
+            let shared: Arc<str> = instance.into();
+            for slot in slots_of_instance {
+                owners[slot as usize] = Some(shared.clone());
+            }
+        }
+    }
+    Assignment { owners }
+}
+
+/// Gives each slot to a bin, none more than its limit; pairs of the highest score first.
+fn spread<'a>(salt: &str, slots: &[u16], bins: &[(&'a str, usize)]) -> BTreeMap<&'a str, Vec<u16>> {
+    let mut pairs = Vec::with_capacity(slots.len() * bins.len());
+    for &slot in slots {
+        for (index, (name, _)) in bins.iter().enumerate() {
+            pairs.push((score(salt, slot, name), slot, index));
+        }
+    }
+    pairs.sort_unstable_by(|a, b| b.cmp(a));
+    let mut placed = BTreeSet::new();
+    let mut result: BTreeMap<&str, Vec<u16>> = BTreeMap::new();
+    for (_, slot, index) in pairs {
+        let (name, most) = bins[index];
+        let held = result.entry(name).or_default();
+        if placed.contains(&slot) || held.len() >= most {
+            continue;
+        }
+        held.push(slot);
+        placed.insert(slot);
+    }
+    result
+}
+
+fn score(salt: &str, slot: u16, name: &str) -> u128 {
+    Digest::of(format!("{salt}/{slot}/{name}").as_bytes()).0
+}
+
+/// How steady a member has been.
+#[derive(Debug, Clone)]
+struct Standing {
+    present_since: Option<Instant>,
+    left_at: Option<Instant>,
+    flaps: u32,
+    admitted: bool,
+    zone: Arc<str>,
+}
+
+/// Keeps the assignment, with hysteresis.
+///
+/// ```
+/// use fescuewell_core::prelude::*;
+/// use fescuewell_membership::{slots::Keeper, view::View};
+/// let mut keeper = Keeper::new("entry-1".into(), 16, std::time::Duration::from_secs(3));
+/// keeper.update(Instant::from_millis(0), &View::default());
+/// assert!(keeper.mine().is_empty());
+/// ```
+#[derive(Debug, Clone)]
+pub struct Keeper {
+    instance: Arc<str>,
+    slots: u16,
+    settle: Duration,
+    standings: BTreeMap<Arc<str>, Standing>,
+    candidates: Vec<Candidate>,
+    assignment: Assignment,
+    watch: BTreeSet<Arc<str>>,
+}
+
+impl Keeper {
+    /// A keeper for `instance`. A member counts once it has been ready for `settle`; for each time
+    /// that it came and went lately, twice as long.
+    pub fn new(instance: Arc<str>, slots: u16, settle: Duration) -> Self {
+        Self {
+            instance,
+            slots,
+            settle,
+            standings: BTreeMap::new(),
+            candidates: Vec::new(),
+            assignment: Assignment::default(),
+            watch: BTreeSet::new(),
+        }
+    }
+
+    /// Takes the present view. Returns whether the assignment changed.
+    pub fn update(&mut self, now: Instant, view: &View) -> bool {
+        // Before the first round through the rows is over, the few members known would seem to have to
+        // hold everything, and slots would move twice at every start.
+        if !view.complete {
+            return false;
+        }
+        self.note_present(now, &view.live);
+        self.note_absent(now, &view.live);
+        let candidates = self.admitted();
+        if candidates == self.candidates {
+            return false;
+        }
+        self.assignment = assign(self.slots, &candidates);
+        self.candidates = candidates;
+        self.watch = self.find_watch();
+        true
+    }
+
+    /// The slots that this instance should hold.
+    pub fn mine(&self) -> Vec<SlotKey> {
+        self.assignment.of(&self.instance)
+    }
+
+    /// The wanted owner of each slot.
+    pub fn assignment(&self) -> &Assignment {
+        &self.assignment
+    }
+
+    /// Owners that this instance would probably succeed, to be watched closely.
+    pub fn watch(&self) -> &BTreeSet<Arc<str>> {
+        &self.watch
+    }
+
+    fn note_present(&mut self, now: Instant, live: &[Peer]) {
+        for peer in live {
+            if peer.state != State::Ready {
+                continue;
+            }
+            let known = self.standings.entry(peer.instance.clone());
+            let standing = known.or_insert_with(|| Standing {
+                present_since: None,
+                left_at: None,
+                flaps: 0,
+                admitted: false,
+                zone: peer.zone.clone(),
+            });
+            standing.zone = peer.zone.clone();
+            let since = *standing.present_since.get_or_insert(now);
+            if now.since(since) >= self.settle * FORGIVEN_AFTER {
+                standing.flaps = 0;
+            }
+            let wait = self.settle * 2u32.pow(standing.flaps.min(MOST_FLAPS));
+            standing.admitted |= now.since(since) >= wait;
+        }
+    }
+
+    /// Members that lapsed, drain or are gone lose their slots at once. One that restarted under its
+    /// name, and is about to be ready again, keeps them for a settling time: its new incarnation
+    /// takes them over from the old one, which moves them once in place of twice.
+    fn note_absent(&mut self, now: Instant, live: &[Peer]) {
+        let states: BTreeMap<&str, State> = live
+            .iter()
+            .map(|peer| (&*peer.instance, peer.state))
+            .collect();
+        for (instance, standing) in &mut self.standings {
+            let state = states.get(&**instance);
+            if state == Some(&State::Ready) {
+                standing.left_at = None;
+                continue;
+            }
+            let left_at = *standing.left_at.get_or_insert(now);
+            let restarting = state == Some(&State::Starting) && now.since(left_at) < self.settle;
+            if restarting {
+                continue;
+            }
+            if standing.present_since.take().is_some() {
+                standing.flaps += 1;
+            }
+            standing.admitted = false;
+        }
+        let memory = self.settle * FORGIVEN_AFTER;
+        self.standings
+            .retain(|_, standing| standing.left_at.is_none_or(|at| now.since(at) < memory));
+    }
+
+    fn admitted(&self) -> Vec<Candidate> {
+        let admitted = self
+            .standings
+            .iter()
+            .filter(|(_, standing)| standing.admitted);
+        admitted
+            .map(|(instance, standing)| Candidate {
+                instance: instance.clone(),
+                zone: standing.zone.clone(),
+            })
+            .collect()
+    }
+
+    fn find_watch(&self) -> BTreeSet<Arc<str>> {
+        let mut watch = BTreeSet::new();
+        for slot in 0..self.slots {
+            let Some(owner) = self.assignment.owner(SlotKey(slot)) else {
+                continue;
+            };
+            let own = score("instance", slot, &self.instance);
+            let before_me = self.candidates.iter().filter(|candidate| {
+                candidate.instance != *owner && score("instance", slot, &candidate.instance) > own
+            });
+            if *owner != self.instance && before_me.take(SUCCESSORS).count() < SUCCESSORS {
+                watch.insert(owner.clone());
+            }
+        }
+        watch
+    }
+}
--- a/crates/fescuewell_membership/tests/common/mod.rs
+++ b/crates/fescuewell_membership/tests/common/mod.rs
@@ -256,3 +256,4 @@
         state,
     }
 }
+pub mod network;
--- /dev/null
+++ b/crates/fescuewell_membership/tests/common/network.rs
@@ -0,0 +1,373 @@
+//! Instances that poll, gossip and fetch over links with seeded delays, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell_core::prelude::*;
+use fescuewell_core::table::{Reply, Row, Step, Transaction};
+use fescuewell_membership::gossip::{self, Gossip, Message};
+use fescuewell_membership::prelude::*;
+use fescuewell_membership::propagate::{self, Assembler, Head, Propagation, Rejection, Source};
+use fescuewell_membership::row::State;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::{Fault, Store, instance, me};
+
+/// Objects of every document: a root, a directory and a leaf, each known only from the one before.
+const OBJECTS: [(&str, usize); 3] = [("root", 350), ("directory", 700), ("leaf", 2_000)];
+
+/// A stand-in for the document's assembly, with objects that are named after their version.
+#[derive(Debug, Default)]
+pub struct Shelf {
+    pub objects: BTreeSet<Arc<str>>,
+    version: u128,
+    pub unreadable: BTreeSet<u128>,
+}
+
+pub fn object(version: u128, part: usize) -> Arc<str> {
+    format!("{version}-{}", OBJECTS[part].0).into()
+}
+
+fn bytes(name: &str) -> Vec<u8> {
+    let part = OBJECTS.iter().find(|(part, _)| name.ends_with(part));
+    vec![0; part.map_or(0, |(_, size)| *size)]
+}
+
+impl Assembler for Shelf {
+    fn head(&self, row: &Row) -> Result<Head, Rejection> {
+        let text = std::str::from_utf8(&row.value).map_err(|_| Rejection::Unreadable)?;
+        let version: u64 = text.parse().map_err(|_| Rejection::Unreadable)?;
+        Ok(head(version))
+    }
+
+    fn start(&mut self, root: Digest) -> Result<(), Rejection> {
+        self.version = root.0;
+        Ok(())
+    }
+
+    fn missing(&self) -> Vec<Arc<str>> {
+        let parts = (0..OBJECTS.len()).map(|part| object(self.version, part));
+        parts
+            .filter(|name| !self.objects.contains(name))
+            .take(1)
+            .collect()
+    }
+
+    fn supply(&mut self, name: &str, content: &[u8]) -> Result<(), Rejection> {
+        if content != bytes(name) {
+            return Err(Rejection::Corrupt);
+        }
+        if self.unreadable.contains(&self.version) {
+            return Err(Rejection::Unreadable);
+        }
+        self.objects.insert(name.into());
+        Ok(())
+    }
+}
+
+pub fn head(version: u64) -> Head {
+    Head {
+        version: Version(version),
+        root: Digest(u128::from(version)),
+    }
+}
+
+/// One instance without its router.
+pub struct Node {
+    pub members: Members,
+    pub gossip: Gossip,
+    pub propagation: Propagation,
+    pub shelf: Shelf,
+    pub region: usize,
+    pub sent: u64,
+    pub received: u64,
+    pub applied: Vec<Version>,
+}
+
+enum Event {
+    Wake,
+    Message {
+        from: usize,
+        message: Message,
+    },
+    TableReply {
+        head: bool,
+        reply: Reply,
+    },
+    Object {
+        name: Arc<str>,
+        content: Option<Vec<u8>>,
+        from: Source,
+    },
+}
+
+/// Which links and services work.
+pub struct Faults {
+    /// Whether this instance reaches the table and the object store.
+    pub store: Box<dyn Fn(usize) -> bool>,
+    /// Whether these two reach each other.
+    pub peers: Box<dyn Fn(usize, usize) -> bool>,
+    /// How much of what the table answers is stale, in percent.
+    pub stale_percent: u32,
+}
+
+pub struct Network {
+    pub now: Instant,
+    pub nodes: Vec<Node>,
+    pub store: Store,
+    pub faults: Faults,
+    pub objects: BTreeSet<Arc<str>>,
+    pub object_reads: u64,
+    index: BTreeMap<Arc<str>, usize>,
+    events: BinaryHeap<Reverse<(Instant, u64, usize)>>,
+    payloads: BTreeMap<u64, Event>,
+    sequence: u64,
+    rng: SmallRng,
+}
+
+const WAKE: Duration = Duration::from_millis(50);
+/// Bytes around a message: UDP and IP headers, QUIC header and tag.
+pub const PACKET_BYTES: usize = 60;
+
+impl Network {
+    pub fn new(count: usize, regions: usize, seed: u64) -> Self {
+        let size = count as u32;
+        let node = |index: usize| {
+            let mut own = me(index, 1);
+            let region = index % regions;
+            own.zone = format!("{region}{}", ["a", "b", "c"][index / regions % 3]).into();
+            let seed = seed + index as u64 * 3;
+            let settings = gossip::Settings::sized(size);
+            Node {
+                gossip: Gossip::new(settings, own.instance.clone(), own.zone.clone(), seed),
+                members: Members::new(Settings::sized(size), own, seed + 1),
+                propagation: Propagation::new(propagate::Settings::sized(size), seed + 2),
+                shelf: Shelf::default(),
+                region,
+                sent: 0,
+                received: 0,
+                applied: Vec::new(),
+            }
+        };
+        let mut network = Self {
+            now: Instant::default(),
+            nodes: (0..count).map(node).collect(),
+            store: Store::default(),
+            faults: Faults {
+                store: Box::new(|_| true),
+                peers: Box::new(|_, _| true),
+                stale_percent: 0,
+            },
+            objects: BTreeSet::new(),
+            object_reads: 0,
+            index: (0..count).map(|index| (instance(index), index)).collect(),
+            events: BinaryHeap::new(),
+            payloads: BTreeMap::new(),
+            sequence: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        for index in 0..count {
+            let offset = network.rng.random_range(0..50);
+            network.schedule(Duration::from_millis(offset), index, Event::Wake);
+        }
+        network
+    }
+
+    /// Accepts a document: stores its objects, then writes the row `head`.
+    pub fn accept(&mut self, version: u64) {
+        let names = (0..OBJECTS.len()).map(|part| object(u128::from(version), part));
+        self.objects.extend(names);
+        let value: Arc<[u8]> = version.to_string().into_bytes().into();
+        let transaction = Transaction::default().with_put(propagate::HEAD_KEY, value);
+        self.store.commit(&transaction);
+    }
+
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        self.run_while(end, |_| true);
+    }
+
+    /// Runs until `end`, or until `going` is no longer so; looks after each event.
+    pub fn run_while<Going>(&mut self, end: Instant, going: Going)
+    where
+        Going: Fn(&Self) -> bool,
+    {
+        while going(self) {
+            let Some(Reverse((at, ..))) = self.events.peek() else {
+                return;
+            };
+            if *at > end {
+                break;
+            }
+            self.step();
+        }
+        if going(self) {
+            self.now = end;
+        }
+    }
+
+    fn step(&mut self) {
+        let Some(Reverse((at, sequence, index))) = self.events.pop() else {
+            return;
+        };
+        self.now = at;
+        match self.payloads.remove(&sequence) {
+            Some(Event::Wake) => self.schedule(WAKE, index, Event::Wake),
+            Some(Event::Message { from, message }) => self.take_message(index, from, message),
+            Some(Event::TableReply { head, reply }) => self.take_reply(index, head, reply),
+            Some(Event::Object {
+                name,
+                content,
+                from,
+            }) => {
+                let node = &mut self.nodes[index];
+                let content = content.as_deref();
+                node.propagation
+                    .supply(at, &name, content, from, &mut node.shelf);
+            }
+            None => {}
+        }
+        self.act(index);
+    }
+
+    fn take_message(&mut self, index: usize, from: usize, message: Message) {
+        let now = self.now;
+        let from = instance(from);
+        let node = &mut self.nodes[index];
+        node.members.peer_answered(now, &from);
+        let heard = node.gossip.receive(now, &from, message);
+        if let Some(head) = heard.head {
+            node.propagation.hear(now, &from, head, &mut node.shelf);
+        }
+        for news in heard.news {
+            node.members.hear(now, news);
+        }
+    }
+
+    fn take_reply(&mut self, index: usize, head: bool, reply: Reply) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        match head {
+            true => node.propagation.reply(now, reply, &mut node.shelf),
+            false => node.members.reply(now, reply),
+        }
+    }
+
+    fn act(&mut self, index: usize) {
+        let now = self.now;
+        if let Some(step) = self.nodes[index].members.next_step(now) {
+            self.ask_table(index, false, &step);
+        }
+        if let Some(step) = self.nodes[index].propagation.next_step(now) {
+            self.ask_table(index, true, &step);
+        }
+        let node = &mut self.nodes[index];
+        if let Some(head) = node.propagation.take_complete() {
+            node.propagation.applied(now, head, &mut node.shelf);
+            node.applied.push(head.version);
+            node.gossip.set_head(head);
+            node.members.set_version(head.version);
+            node.members.set_state(now, State::Ready);
+        }
+        let wants = node.propagation.wants(now, &mut node.shelf);
+        let news = node.members.take_news();
+        node.gossip.spread(now, news);
+        let outgoing = node.gossip.take_outgoing(now, node.members.view());
+        for want in wants {
+            self.fetch(index, want.name, want.from);
+        }
+        for outgoing in outgoing {
+            self.send(index, &outgoing.to, outgoing.message);
+        }
+    }
+
+    fn ask_table(&mut self, index: usize, head: bool, step: &Step) {
+        let stale = self.rng.random_range(0..100) < self.faults.stale_percent;
+        let fault = match ((self.faults.store)(index), stale) {
+            (false, _) => Fault::Unreachable,
+            (true, true) => Fault::StaleRead,
+            (true, false) => Fault::None,
+        };
+        let before = self.store.bytes;
+        let reply = self.store.carry_out(step, fault);
+        self.nodes[index].received += self.store.bytes - before;
+        let delay = Duration::from_micros(self.rng.random_range(3_000..12_000));
+        self.schedule(delay, index, Event::TableReply { head, reply });
+    }
+
+    fn fetch(&mut self, index: usize, name: Arc<str>, from: Source) {
+        let (content, delay) = match &from {
+            Source::Store => {
+                self.object_reads += 1;
+                let there = (self.faults.store)(index) && self.objects.contains(&name);
+                let delay = Duration::from_micros(self.rng.random_range(10_000..40_000));
+                (there.then(|| bytes(&name)), delay)
+            }
+            Source::Peer(peer) => {
+                let peer = self.index[peer];
+                let there = self.nodes[peer].shelf.objects.contains(&name);
+                let reached = (self.faults.peers)(index, peer);
+                (
+                    (there && reached).then(|| bytes(&name)),
+                    self.delay(index, peer) * 2,
+                )
+            }
+        };
+        self.schedule(
+            delay,
+            index,
+            Event::Object {
+                name,
+                content,
+                from,
+            },
+        );
+    }
+
+    fn send(&mut self, index: usize, to: &Arc<str>, message: Message) {
+        let size = encoded(&message) + PACKET_BYTES;
+        self.nodes[index].sent += size as u64;
+        let to = self.index[to];
+        if !(self.faults.peers)(index, to) {
+            return;
+        }
+        self.nodes[to].received += size as u64;
+        let delay = self.delay(index, to);
+        let event = Event::Message {
+            from: index,
+            message,
+        };
+        self.schedule(delay, to, event);
+    }
+
+    /// One way: 0.3 to 1.5 ms within a region, 30 to 90 ms between regions.
+    fn delay(&mut self, from: usize, to: usize) -> Duration {
+        let near = self.nodes[from].region == self.nodes[to].region;
+        let range = if near { 300..1_500 } else { 30_000..90_000 };
+        Duration::from_micros(self.rng.random_range(range))
+    }
+
+    fn schedule(&mut self, delay: Duration, index: usize, event: Event) {
+        self.sequence += 1;
+        self.payloads.insert(self.sequence, event);
+        self.events
+            .push(Reverse((self.now + delay, self.sequence, index)));
+    }
+
+    /// Whether every instance has this version or a newer one in force.
+    pub fn all_have(&self, version: u64) -> bool {
+        let has = |node: &Node| {
+            node.propagation
+                .in_force()
+                .is_some_and(|head| head.version.0 >= version)
+        };
+        self.nodes.iter().all(has)
+    }
+}
+
+pub fn encoded(message: &Message) -> usize {
+    postcard::to_allocvec(message).unwrap().len()
+}
--- /dev/null
+++ b/crates/fescuewell_membership/tests/propagate.rs
@@ -0,0 +1,228 @@
+//! Documents reach every instance through faults and never revert.
+
+mod common;
+
+use std::time::Duration;
+
+use common::network::{Network, Shelf, encoded, head};
+use common::{instance, me};
+use fescuewell_core::prelude::*;
+use fescuewell_membership::gossip::{
+    Gossip, MESSAGE_BYTES, Message, NEWS_BYTES, Settings as GossipSettings,
+};
+use fescuewell_membership::member::Members;
+use fescuewell_membership::news::News;
+use fescuewell_membership::propagate::{Propagation, Settings, Source};
+use fescuewell_membership::row::State;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn started(count: usize, seed: u64) -> Network {
+    let mut network = Network::new(count, 1, seed);
+    network.accept(1);
+    network.run(seconds(10));
+    assert!(network.all_have(1));
+    network
+}
+
+fn assert_never_back(network: &Network) {
+    for node in &network.nodes {
+        assert!(node.applied.is_sorted(), "{:?}", node.applied);
+    }
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_within_two_seconds() {
+    let mut network = started(9, 1);
+    network.accept(2);
+    let end = network.now + seconds(2);
+
+    network.run_while(end, |network| !network.all_have(2));
+
+    assert!(network.all_have(2));
+}
+
+#[test]
+fn an_instance_without_the_store_learns_from_peers() {
+    // Symptom: an instance keeps an old document. Sequence: it is cut off from table and store, a
+    // document is accepted. Cause: it waits for its own reading of the head.
+    let mut network = started(9, 2);
+    network.faults.store = Box::new(|index| index != 4);
+    network.accept(2);
+
+    network.run(seconds(3));
+
+    assert!(network.all_have(2));
+}
+
+#[test]
+fn an_instance_without_peers_learns_from_the_store() {
+    let mut network = started(9, 3);
+    network.faults.peers = Box::new(|a, b| a != 4 && b != 4);
+    network.accept(2);
+
+    network.run(seconds(5));
+
+    assert!(network.all_have(2));
+}
+
+#[test]
+fn random_faults_never_turn_a_version_back() {
+    // Symptom: a withdrawn document is in force again. Sequence: lagging replicas and instances that
+    // were cut off come back with old heads while new ones are accepted. Cause: the last word won.
+    let config = Config {
+        cases: 12,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let faults = prop::collection::vec((0u32..512, 0u32..512, 0u32..60), 8);
+    let checked = runner.run(&(any::<u16>(), faults), |(seed, faults)| {
+        let mut network = started(9, u64::from(seed));
+        for (version, (cut, without, stale)) in (2..).zip(faults) {
+            network.faults.store = Box::new(move |index| without >> index & 1 == 0);
+            network.faults.peers = Box::new(move |a, b| (cut >> a ^ cut >> b) & 1 == 0);
+            network.faults.stale_percent = stale;
+            network.accept(version);
+            network.run(seconds(2));
+        }
+        network.faults.store = Box::new(|_| true);
+        network.faults.peers = Box::new(|_, _| true);
+        network.faults.stale_percent = 0;
+        network.run(seconds(5));
+        prop_assert!(network.all_have(9));
+        assert_never_back(&network);
+        Ok(())
+    });
+    checked.unwrap();
+}
+
+#[test]
+fn an_unreadable_document_stops_readiness_until_a_readable_one_comes() {
+    // Symptom: half a document is in force. Sequence: a newer program writes a document of a format
+    // that this one cannot read. Cause: what could be read was used.
+    let mut network = started(3, 4);
+    network.nodes[0].shelf.unreadable.insert(2);
+    network.accept(2);
+    network.run(seconds(4));
+    let propagation = &network.nodes[0].propagation;
+    assert!(!propagation.is_ready());
+    assert_eq!(propagation.in_force(), Some(head(1)));
+
+    network.accept(3);
+    network.run(seconds(4));
+
+    assert!(network.nodes[0].propagation.is_ready());
+    assert_eq!(network.nodes[0].applied, vec![Version(1), Version(3)]);
+}
+
+#[test]
+fn a_store_that_fails_is_not_asked_without_pause() {
+    // Symptom: a store in trouble gets thousands of requests a second. Sequence: a fetch fails at
+    // once, again and again. Cause: it is repeated without a wait.
+    let mut propagation = Propagation::new(Settings::default(), 1);
+    let mut shelf = Shelf::default();
+    let mut asked = 0;
+
+    propagation.hear(Instant::default(), "entry-9", head(5), &mut shelf);
+    for milli in 0..20_000 {
+        let now = Instant::from_millis(milli);
+        for want in propagation.wants(now, &mut shelf) {
+            asked += u32::from(want.from == Source::Store);
+            propagation.supply(now, &want.name, None, want.from, &mut shelf);
+        }
+    }
+
+    assert!((10..=50).contains(&asked), "{asked}");
+}
+
+#[test]
+fn corrupt_bytes_are_fetched_elsewhere() {
+    let mut propagation = Propagation::new(Settings::default(), 1);
+    let mut shelf = Shelf::default();
+    let now = Instant::from_millis(10);
+    propagation.hear(now, "entry-9", head(5), &mut shelf);
+
+    let first = propagation.wants(now, &mut shelf).remove(0);
+    propagation.supply(
+        now,
+        &first.name,
+        Some(b"forged"),
+        first.from.clone(),
+        &mut shelf,
+    );
+    let second = propagation.wants(now, &mut shelf).remove(0);
+
+    assert_eq!(first.from, Source::Peer("entry-9".into()));
+    assert_eq!((second.name, second.from), (first.name, Source::Store));
+}
+
+#[test]
+fn changes_reach_everybody_without_the_table() {
+    let mut network = started(9, 5);
+    network.faults.store = Box::new(|_| false);
+    let now = network.now;
+    network.nodes[3].members.set_state(now, State::Draining);
+
+    network.run(seconds(2));
+
+    for node in &network.nodes {
+        let view = node.members.view();
+        assert_eq!(view.peer(&instance(3)).unwrap().state, State::Draining);
+        assert!(!view.isolated);
+    }
+}
+
+#[test]
+fn a_message_stays_within_the_sizes_that_the_rate_is_computed_with() {
+    let members = Members::new(common::settings(), me(849, u64::MAX), 1);
+    let row = members.own_row().clone();
+    let news = News::Member {
+        instance: "handsign-entry-southeast-849".into(),
+        row,
+    };
+    let settings = GossipSettings::sized(850);
+    let empty = Message {
+        head: Some(head(u64::MAX)),
+        news: Vec::new(),
+    };
+    let full = Message {
+        news: vec![news; settings.most_news],
+        ..empty.clone()
+    };
+
+    assert!(encoded(&empty) + common::network::PACKET_BYTES <= MESSAGE_BYTES);
+    let most = MESSAGE_BYTES + settings.most_news * NEWS_BYTES;
+    assert!(encoded(&full) + common::network::PACKET_BYTES <= most);
+}
+
+#[test]
+fn a_storm_of_changes_stays_within_the_byte_rate() {
+    let settings = GossipSettings::sized(850);
+    let rate = settings.bytes_per_second as usize;
+    let mut gossip = Gossip::new(settings, instance(0), "a".into(), 1);
+    let network = started(9, 6);
+    let view = network.nodes[0].members.view();
+    let row = network.nodes[1].members.own_row().clone();
+    let mut sent = 0;
+
+    for second in 0..600 {
+        let now = Instant::from_millis(second * 1_000);
+        let storm = (0..20).map(|_| News::Member {
+            instance: instance(1),
+            row: row.clone(),
+        });
+        gossip.spread(now, storm.collect());
+        for outgoing in gossip.take_outgoing(now, view) {
+            sent += encoded(&outgoing.message) + common::network::PACKET_BYTES;
+        }
+    }
+
+    assert!(sent <= 600 * rate + 20_000, "{sent}");
+    assert!(sent > 600 * 10, "something is sent at all");
+}
--- /dev/null
+++ b/crates/fescuewell_membership/tests/slots.rs
@@ -0,0 +1,193 @@
+//! Slot assignment: balance, few moves, no flapping, one wanted owner in the end.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::*;
+use fescuewell_core::prelude::*;
+use fescuewell_membership::slots::{Assignment, Candidate, Keeper, assign};
+use rand::Rng;
+
+const SLOTS: u16 = 64;
+
+fn candidates(count: usize) -> Vec<Candidate> {
+    let candidate = |index: usize| Candidate {
+        instance: instance(index),
+        zone: ["a", "b", "c"][index % 3].into(),
+    };
+    (0..count).map(candidate).collect()
+}
+
+fn counts(assignment: &Assignment) -> BTreeMap<Arc<str>, usize> {
+    let mut counts = BTreeMap::new();
+    for slot in 0..SLOTS {
+        let owner = assignment
+            .owner(SlotKey(slot))
+            .expect("each slot has an owner");
+        *counts.entry(owner.clone()).or_default() += 1;
+    }
+    counts
+}
+
+fn moved(before: &Assignment, after: &Assignment) -> usize {
+    let differs = |slot: &u16| before.owner(SlotKey(*slot)) != after.owner(SlotKey(*slot));
+    (0..SLOTS).filter(differs).count()
+}
+
+#[test]
+fn slots_are_balanced_over_instances_and_zones() {
+    for count in [1, 2, 3, 6, 7, 9, 30, 64, 850] {
+        let candidates = candidates(count);
+
+        let counts = counts(&assign(SLOTS, &candidates));
+
+        let most = (SLOTS as usize).div_ceil(count) + 1;
+        assert!(
+            counts.values().all(|held| *held <= most),
+            "{count}: {counts:?}"
+        );
+        for zone in ["a", "b", "c"] {
+            let of_zone: Vec<_> = candidates.iter().filter(|c| &*c.zone == zone).collect();
+            let held: usize = of_zone.iter().filter_map(|c| counts.get(&c.instance)).sum();
+            assert!(held <= (SLOTS as usize * of_zone.len()).div_ceil(count));
+        }
+    }
+}
+
+#[test]
+fn a_member_that_goes_moves_little_more_than_its_own_slots() {
+    let all = candidates(9);
+    let before = assign(SLOTS, &all);
+    for gone in 0..9 {
+        let mut rest = all.clone();
+        rest.remove(gone);
+
+        let after = assign(SLOTS, &rest);
+
+        let own = before.of(&instance(gone)).len();
+        assert!(moved(&before, &after) <= 3 * own, "{gone}");
+    }
+}
+
+#[test]
+fn the_order_of_the_candidates_does_not_matter() {
+    let mut reversed = candidates(9);
+    reversed.reverse();
+
+    assert_eq!(assign(SLOTS, &reversed), assign(SLOTS, &candidates(9)));
+}
+
+fn keepers(count: usize) -> Vec<Keeper> {
+    let settle = Duration::from_secs(3);
+    let keeper = |index| Keeper::new(instance(index), SLOTS, settle);
+    (0..count).map(keeper).collect()
+}
+
+fn turn(fleet: &mut Fleet, keepers: &mut [Keeper]) {
+    fleet.turn();
+    for (index, keeper) in keepers.iter_mut().enumerate() {
+        if fleet.stopped[index] {
+            continue;
+        }
+        let now = fleet.now;
+        keeper.update(now, fleet.members[index].view());
+        fleet.members[index].set_watch(keeper.watch().clone());
+    }
+}
+
+#[test]
+fn wishes_converge_to_one_owner_for_each_slot_after_any_faults() {
+    let mut fleet = Fleet::new(9, &settings());
+    let mut keepers = keepers(9);
+    fleet.fault = Box::new(|_, rng| match rng.random_range(0..10) {
+        0 => Fault::Unreachable,
+        1 => Fault::LostReply,
+        2 => Fault::StaleRead,
+        _ => Fault::None,
+    });
+    for round in 0..20 {
+        fleet.stopped[round % 9] = true;
+        fleet.stopped[(round * 5 + 2) % 9] = false;
+        for _ in 0..60 {
+            turn(&mut fleet, &mut keepers);
+        }
+    }
+
+    fleet.fault = Box::new(|_, _| Fault::None);
+    for _ in 0..900 {
+        turn(&mut fleet, &mut keepers);
+    }
+
+    let running: Vec<usize> = (0..9).filter(|index| !fleet.stopped[*index]).collect();
+    assert!(running.len() < 9, "somebody is stopped for good");
+    for slot in (0..SLOTS).map(SlotKey) {
+        let wanting = running
+            .iter()
+            .filter(|index| keepers[**index].mine().contains(&slot));
+        assert_eq!(wanting.count(), 1, "{slot:?}");
+    }
+}
+
+#[test]
+fn a_flapping_member_moves_slots_ever_less_often() {
+    // Symptom: slots change hands every few seconds. Sequence: a member is stopped for longer than its
+    // lease and goes on, again and again. Cause: it gets its slots back as soon as it is seen.
+    let mut fleet = Fleet::new(6, &settings());
+    let mut keepers = keepers(6);
+    for _ in 0..100 {
+        turn(&mut fleet, &mut keepers);
+    }
+    let mut changes = 0;
+    let mut last = keepers[0].assignment().clone();
+
+    for flap in 0..24 {
+        fleet.stopped[5] = flap % 2 == 0;
+        for _ in 0..120 {
+            turn(&mut fleet, &mut keepers);
+            changes += usize::from(*keepers[0].assignment() != last);
+            last.clone_from(keepers[0].assignment());
+        }
+    }
+
+    assert!(changes <= 5, "12 flaps made {changes} changes");
+}
+
+#[test]
+fn a_restart_under_the_same_name_keeps_its_slots() {
+    let mut fleet = Fleet::new(6, &settings());
+    let mut keepers = keepers(6);
+    for _ in 0..100 {
+        turn(&mut fleet, &mut keepers);
+    }
+    let before = keepers[0].assignment().clone();
+
+    fleet.members[5] = fescuewell_membership::member::Members::new(settings(), me(5, 2), 50);
+    for _ in 0..20 {
+        turn(&mut fleet, &mut keepers);
+    }
+    let now = fleet.now;
+    fleet.members[5].set_state(now, fescuewell_membership::row::State::Ready);
+    for _ in 0..100 {
+        turn(&mut fleet, &mut keepers);
+        assert_eq!(*keepers[0].assignment(), before);
+    }
+}
+
+#[test]
+fn owners_are_watched_by_those_that_would_follow() {
+    let mut fleet = Fleet::new(9, &settings());
+    let mut keepers = keepers(9);
+
+    for _ in 0..100 {
+        turn(&mut fleet, &mut keepers);
+    }
+
+    for owner in 0..9 {
+        let watched = |keeper: &&Keeper| keeper.watch().contains(&instance(owner));
+        assert!(keepers.iter().filter(watched).count() >= 2);
+        assert!(!keepers[owner].watch().contains(&instance(owner)));
+    }
+}
