Add the transport between instances: QUIC with mutual TLS

Cause: instances have to ask each other for claims and pass on documents and membership. Change: fescuewell_peer with one stream a message, bounded rings, connections that are made again with backoff, reload of keys and authorities, counters of messages and UDP bytes, and an authority for demo and tests. Each outgoing connection has a socket of its own: what lies between two instances may lose track of a flow for good, and a new connection from the same port would be the same flow. Conclusion: ready for the protocols above; throughput and bytes are not measured yet.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -89,6 +89,9 @@
     SweepStarted = 5005, Info, "sweep.started", "The streams of a terminated instance are being settled.";
     SweepFinished = 5006, Info, "sweep.finished", "All streams of a terminated instance are settled.";
     ListingSkipped = 5007, Warn, "listing.skipped", "Entries of the instance list could not be read and were passed over.";
+    LinkFailed = 5008, Warn, "link.failed", "An instance could not be connected to; messages to it are dropped until the next try.";
+    LinkSilent = 5009, Warn, "link.silent", "A connection to an instance stopped acknowledging messages and is replaced.";
+    KeysReloaded = 5010, Info, "keys.reloaded", "Certificate, key and authority were read again and are in use.";
 
     DocumentAccepted = 6001, Info, "document.accepted", "A configuration document was accepted.";
     DocumentInForce = 6002, Info, "document.in_force", "This instance now acts by a newer document.";
--- /dev/null
+++ b/crates/fescuewell_peer/tests/transport.rs
@@ -0,0 +1,319 @@
+//! Messages between instances, and what happens when peers or the network misbehave.
+
+mod common;
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use common::{Node, eventually, loopback, node, stranger_client};
+use fescuewell_peer::frame::MESSAGE_LIMIT;
+use fescuewell_peer::{Error, Transport, testing};
+
+#[test]
+fn messages_go_both_ways_under_proven_names() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+
+    let to_b = a.deliver(&b, b"question");
+    let to_a = b.deliver(&a, b"answer");
+
+    assert_eq!(
+        (&*to_b.from, &*to_b.payload),
+        ("instance-a", &b"question"[..])
+    );
+    assert_eq!(
+        (&*to_a.from, &*to_a.payload),
+        ("instance-b", &b"answer"[..])
+    );
+    eventually(|| a.transport.traffic().sent > 0);
+    assert_eq!(a.transport.traffic().sent_bytes, 8);
+    assert_eq!(b.transport.traffic().received_bytes, 8);
+}
+
+#[test]
+fn the_largest_message_arrives_and_a_larger_one_is_refused() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+    let largest = vec![7; MESSAGE_LIMIT];
+
+    let refused = a.transport.send(b.address(), vec![7; MESSAGE_LIMIT + 1]);
+    let received = a.deliver(&b, &largest);
+
+    assert!(!refused);
+    assert_eq!(received.payload, largest);
+}
+
+// Symptom: messages under a name that is not the sender's. Sequence: a process with a certificate of
+// another authority connects. Cause: only the fleet's authority may say who is a peer.
+#[test]
+fn a_stranger_is_refused_and_peers_are_not_disturbed() {
+    let authority = testing::authority();
+    let stranger = node(&testing::authority(), "instance-a");
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+
+    // The stranger trusts only its own authority; it does not even show its certificate.
+    assert!(stranger.transport.send(b.address(), b"forged".to_vec()));
+    eventually(|| stranger.transport.traffic().dropped > 0);
+    let genuine = a.deliver(&b, b"genuine");
+
+    assert_eq!(&*genuine.payload, b"genuine");
+    assert!(b.inbox.is_empty());
+    assert!(b.transport.traffic().refused > 0);
+}
+
+// Symptom: as above. Sequence: the stranger trusts our authority, so its side of the handshake
+// succeeds, and sends at once. Cause: the certificate is checked by the receiver, not by the sender.
+#[test]
+fn a_stranger_that_trusts_us_is_refused_too() {
+    let ours = testing::authority();
+    let theirs = testing::authority();
+    let b = node(&ours, "instance-b");
+    let mut settings = theirs.settings("instance-a", loopback()).unwrap();
+    settings.authority = ours.certificate();
+    let stranger = Node::start(settings);
+
+    for _ in 0..20 {
+        stranger.transport.send(b.address(), b"forged".to_vec());
+    }
+    eventually(|| {
+        let traffic = stranger.transport.traffic();
+        traffic.lost + traffic.dropped == 20
+    });
+
+    assert!(b.inbox.is_empty());
+    assert!(b.transport.traffic().refused > 0);
+    assert_eq!(stranger.transport.traffic().sent, 0);
+}
+
+// Symptom: a message meant for one instance is read by another. Sequence: an address is given out again
+// after a replacement. Cause: an address does not say who listens there.
+#[test]
+fn a_message_goes_only_to_the_instance_it_names() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+    let mut address = b.address();
+    address.instance = "instance-c".into();
+
+    assert!(a.transport.send(address, b"for c".to_vec()));
+    eventually(|| a.transport.traffic().dropped > 0);
+
+    assert!(b.inbox.is_empty());
+}
+
+// Symptom: the listener ends. Sequence: something sends datagrams that are no QUIC at all.
+// Cause: anybody can send to an open port.
+#[test]
+fn stray_datagrams_do_not_disturb_the_listener() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+    let socket = UdpSocket::bind(loopback()).unwrap();
+
+    for length in [0, 1, 20, 1_200, 1_400] {
+        for first in [0x00, 0x40, 0xc0, 0xff] {
+            let datagram = vec![first; length];
+            socket.send_to(&datagram, b.transport.address()).unwrap();
+        }
+    }
+
+    assert_eq!(&*a.deliver(&b, b"still here").payload, b"still here");
+}
+
+// Symptom: a peer's rubbish is taken for a message, or eats the memory. Sequence: a process with a
+// good certificate sends an unknown format, an empty stream, and a message without end.
+// Cause: a newer or a broken program.
+#[test]
+fn malformed_messages_close_the_connection_and_nothing_else() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+
+    for frame in [vec![], vec![9, 1, 2], vec![1; MESSAGE_LIMIT + 2]] {
+        let refused = b.transport.traffic().refused;
+        stranger_client(&authority, "instance-x", &b, &frame);
+        eventually(|| b.transport.traffic().refused > refused);
+    }
+
+    assert!(b.inbox.is_empty());
+    assert_eq!(&*a.deliver(&b, b"still here").payload, b"still here");
+}
+
+#[test]
+fn a_full_inbox_drops_messages_and_goes_on() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+    let capacity = common::INBOX as u64;
+
+    for _ in 0..capacity + 10 {
+        assert!(a.transport.send(b.address(), b"x".to_vec()));
+    }
+    eventually(|| {
+        let traffic = b.transport.traffic();
+        traffic.received + traffic.overflowed == capacity + 10
+    });
+
+    assert_eq!(b.transport.traffic().overflowed, 10);
+    assert_eq!(b.inbox.drain().count() as u64, capacity);
+    assert_eq!(&*a.deliver(&b, b"after").payload, b"after");
+}
+
+// Symptom: an instance is silent for its peers after a restart. Sequence: it ends without a word and
+// comes back at the same address. Cause: the old connection is unknown to the new process.
+#[test]
+fn a_restarted_peer_is_found_again() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+    a.deliver(&b, b"before");
+    let address = b.transport.address();
+    b.transport.close(Duration::ZERO);
+
+    let b = Node::start(authority.settings("instance-b", address).unwrap());
+
+    assert_eq!(&*a.deliver(&b, b"after").payload, b"after");
+}
+
+#[test]
+fn a_graceful_close_sends_what_was_handed_over() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+
+    for number in 0..50u8 {
+        assert!(a.transport.send(b.address(), vec![number]));
+    }
+    a.transport.close(Duration::from_secs(10));
+
+    let mut received: Vec<u8> = Vec::new();
+    for _ in 0..50 {
+        let message = b.inbox.recv_timeout(common::PATIENCE).unwrap();
+        received.extend(message.payload);
+    }
+    received.sort_unstable();
+    assert!(received.into_iter().eq(0..50));
+}
+
+// Symptom: two instances never talk again although both run. Sequence: something between them drops
+// every datagram of a flow from one moment on, while new flows work. Cause: it lost track of the flow.
+#[test]
+fn a_flow_that_goes_silent_for_good_is_replaced() {
+    let authority = testing::authority();
+    let mut settings = authority.settings("instance-a", loopback()).unwrap();
+    settings.limits.acknowledge_ms = 200;
+    let a = Node::start(settings);
+    let b = node(&authority, "instance-b");
+    let relay = common::Relay::start(b.transport.address());
+    let mut address = b.address();
+    address.address = relay.address;
+    a.deliver_to(&address, &b, b"before");
+
+    relay.silence_present_flows();
+    let after = a.deliver_to(&address, &b, b"after");
+
+    assert_eq!(&*after.payload, b"after");
+    assert_eq!(a.transport.traffic().dialled, 2);
+    assert!(a.transport.traffic().lost > 0);
+}
+
+// Symptom: after a rotation either nobody can talk, or whoever holds an old key still can. Sequence:
+// both authorities are trusted for a while, then only the new one. Cause: rotation without a restart.
+#[test]
+fn keys_and_authorities_rotate_by_reload() {
+    let (old, new) = (testing::authority(), testing::authority());
+    let a = node(&old, "instance-a");
+    let b = node(&old, "instance-b");
+    let straggler = node(&old, "instance-c");
+    a.deliver(&b, b"old keys");
+    straggler.deliver(&b, b"old keys");
+
+    let both: &str = &format!("{}{}", old.certificate(), new.certificate());
+    for authority in [both, &*new.certificate()] {
+        for node in [&a, &b] {
+            let instance = node.transport.instance();
+            let mut settings = new.settings(&instance, loopback()).unwrap();
+            settings.authority = authority.into();
+            node.transport.reload(&settings).unwrap();
+        }
+        assert_eq!(&*a.deliver(&b, b"new keys").payload, b"new keys");
+        assert_eq!(&*b.deliver(&a, b"new keys").payload, b"new keys");
+    }
+
+    let sent = straggler.transport.traffic().sent;
+    b.inbox.drain();
+    straggler.transport.send(b.address(), b"old keys".to_vec());
+    eventually(|| {
+        let traffic = straggler.transport.traffic();
+        traffic.lost + traffic.dropped > 0
+    });
+    assert_eq!(straggler.transport.traffic().sent, sent);
+    assert!(b.inbox.is_empty());
+}
+
+#[test]
+fn a_reload_that_cannot_be_used_changes_nothing() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let b = node(&authority, "instance-b");
+    let renamed = authority.settings("instance-z", loopback()).unwrap();
+    let mut broken = authority.settings("instance-a", loopback()).unwrap();
+    broken.key = "/nonexistent/key.pem".into();
+
+    assert!(matches!(
+        a.transport.reload(&renamed),
+        Err(Error::Fixed { .. })
+    ));
+    let message = a.transport.reload(&broken).unwrap_err().to_string();
+
+    assert!(message.contains("setting key"), "{message}");
+    assert_eq!(&*a.deliver(&b, b"as before").payload, b"as before");
+}
+
+#[test]
+fn a_certificate_names_exactly_one_instance() {
+    let authority = testing::authority();
+    for names in [
+        vec![],
+        vec!["a".to_owned(), "b".to_owned()],
+        vec!["*.a".to_owned()],
+    ] {
+        let issued = authority.issue_for(names.clone()).unwrap();
+        let mut settings = authority.settings("x", loopback()).unwrap();
+        settings.certificate = issued.certificate;
+        settings.key = issued.key;
+        let (inbox, _) = flume::bounded(1);
+
+        let message = Transport::start(settings, inbox)
+            .err()
+            .map(|error| error.to_string());
+
+        let message = message.unwrap_or_else(|| panic!("{names:?} was accepted"));
+        assert!(message.contains("setting certificate"), "{message}");
+    }
+}
+
+#[test]
+fn sending_to_nobody_drops_and_does_not_block() {
+    let authority = testing::authority();
+    let a = node(&authority, "instance-a");
+    let unused: SocketAddr = {
+        let socket = UdpSocket::bind(loopback()).unwrap();
+        socket.local_addr().unwrap()
+    };
+    let mut settings = authority.settings("instance-q", loopback()).unwrap();
+    settings.limits.handshake_ms = 50;
+    let q = Node::start(settings);
+    let mut address = a.address();
+    address.address = unused;
+
+    for _ in 0..5 {
+        assert!(q.transport.send(address.clone(), b"x".to_vec()));
+    }
+    eventually(|| q.transport.traffic().dropped == 5);
+
+    assert_eq!(&*q.deliver(&a, b"elsewhere").payload, b"elsewhere");
+}
