Test the slot holder against table faults; compact names at checkpoints

Cause: names of past instances stayed in every checkpoint; one lost reply refused calls that were on record. Change: names are renumbered and long-closed routers dropped right before a checkpoint; a first lost reply is read back before anybody who waits is refused.

--- a/crates/fescuewell_claims/src/arbiter/commit.rs
+++ b/crates/fescuewell_claims/src/arbiter/commit.rs
@@ -149,6 +149,7 @@
         // nothing decided is left over.
         if is_drained && rows_logged >= self.settings.checkpoint_every {
             row.base = row.last;
+            held.ledger.compact(now, &self.settings.retention);
             let snapshot = held.ledger.snapshot(now).encode();
             push_put(transaction, base_key(slot), snapshot.into());
         } else {
@@ -285,9 +286,16 @@
         self.failures += 1;
         self.retry_at = now + self.retry_wait();
         let is_commit = matches!(outstanding, Outstanding::Commit);
-        if is_commit && matches!(error, table::Error::Unknown { .. }) {
+        let is_unknown = matches!(error, table::Error::Unknown { .. });
+        if is_commit && is_unknown {
             self.flight_unknown();
         }
+        // One lost reply is no outage: the read-back follows at once, and those who wait are only refused when
+        // it fails too.
+        if is_commit && is_unknown && self.failures == 1 {
+            self.retry_at = now;
+            return;
+        }
         if matches!(error, table::Error::Busy) && self.failures < BUSY_LIMIT {
             return;
         }
--- a/crates/fescuewell_claims/src/ledger.rs
+++ b/crates/fescuewell_claims/src/ledger.rs
@@ -28,6 +28,7 @@
 mod bill;
 mod claim;
 mod close;
+mod compaction;
 mod entry;
 mod retention;
 mod snapshot;
@@ -119,6 +120,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 struct Closed {
     finished: bool,
+    /// Time stamp of the last step, in seconds.
+    since: u32,
 }
 
 /// The state of one slot.
@@ -182,7 +185,7 @@
             Record::Bill { request, .. } => self.apply_bill(now, *request, record),
             Record::Complete { request, run } => self.apply_complete(now, *request, *run),
             Record::Release { request, run } => self.apply_release(now, *request, *run),
-            Record::Close { holder, finish } => self.apply_close(*holder, *finish),
+            Record::Close { holder, finish } => self.apply_close(now, *holder, *finish),
             Record::Forget { holder } => self.apply_forget(*holder),
         }
     }
--- a/crates/fescuewell_claims/src/ledger/close.rs
+++ b/crates/fescuewell_claims/src/ledger/close.rs
@@ -8,7 +8,9 @@
 
 use std::sync::Arc;
 
-use super::entry::Status;
+use fescuewell_core::time::Instant;
+
+use super::entry::{Status, stamp};
 use super::{Closed, Decision, Ledger};
 use crate::message::{Open, Phase, Reply};
 use crate::record::{NameKey, Record};
@@ -31,12 +33,15 @@
         Decision::after_commit(Reply::Closed { totals, open }).with_records(records)
     }
 
-    pub(super) fn apply_close(&mut self, holder: NameKey, finish: bool) {
+    pub(super) fn apply_close(&mut self, now: Instant, holder: NameKey, finish: bool) {
+        let since = stamp(now);
+        let finished = false;
         let closed = self
             .closed
             .entry(holder)
-            .or_insert(Closed { finished: false });
+            .or_insert(Closed { finished, since });
         closed.finished |= finish;
+        closed.since = since;
     }
 
     /// The mark that the router is closed stays, so that an old message cannot open it again.
--- a/crates/fescuewell_claims/src/ledger/snapshot.rs
+++ b/crates/fescuewell_claims/src/ledger/snapshot.rs
@@ -60,11 +60,7 @@
             names: self.all_names(),
             entries,
             totals: flatten(&self.totals),
-            closed: self
-                .closed
-                .iter()
-                .map(|(&key, &value)| (key, value))
-                .collect(),
+            closed: self.closed_by_age(stamp),
             oldest: self
                 .oldest
                 .iter()
@@ -97,11 +93,24 @@
         for (holder, group, charged) in snapshot.totals {
             ledger.totals.insert((holder, group), charged);
         }
-        ledger.closed = snapshot.closed.into_iter().collect();
+        for (holder, mut closed) in snapshot.closed {
+            closed.since = stamp.saturating_sub(closed.since);
+            ledger.closed.insert(holder, closed);
+        }
         ledger.oldest = snapshot.oldest.into_iter().collect();
         ledger
     }
 
+    fn closed_by_age(&self, stamp: u32) -> Vec<(NameKey, Closed)> {
+        let mut rows = Vec::with_capacity(self.closed.len());
+        for (&holder, closed) in &self.closed {
+            let mut closed = *closed;
+            closed.since = stamp.saturating_sub(closed.since);
+            rows.push((holder, closed));
+        }
+        rows
+    }
+
     fn all_names(&self) -> Vec<Arc<str>> {
         let mut names = Vec::with_capacity(self.names.len());
         for index in 0..self.names.len() as u32 {
--- /dev/null
+++ b/crates/fescuewell_claims/tests/table_faults.rs
@@ -0,0 +1,371 @@
+//! The holder of a slot when the table fails, loses replies, or was taken over by another instance.
+
+mod support;
+
+use std::time::Duration;
+
+use fescuewell_claims::arbiter::Settings;
+use fescuewell_claims::ledger::Retention;
+use fescuewell_claims::message::{Bill, Known, Phase, Reply, Request};
+use fescuewell_claims::note::Note;
+use fescuewell_core::prelude::*;
+
+use support::*;
+
+fn totals(node: &mut Node, now: &mut Instant, table: &mut Table, holder: &str) -> Vec<u64> {
+    let holder = holder.into();
+    let phase = Phase::Freeze;
+    let reply = node.after_commit(now, table, &Request::Close { holder, phase });
+    let Reply::Closed { totals, .. } = reply else {
+        panic!("closed, not {reply:?}");
+    };
+    totals.into_iter().map(|(_, charged)| charged.0).collect()
+}
+
+#[test]
+fn a_lost_reply_neither_refuses_nor_logs_twice() {
+    // Symptom: a call is refused although its claim is on record, or its record stands in the log twice.
+    // Events: the table commits, its reply is lost, the next read works.
+    // Cause: the writer takes a lost reply for a failed write.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+    node.run(&mut now, &mut table, 100);
+    let commits = table.commits;
+
+    let ticket = node.ask(now, &Request::Claim(single("x", "r.1", 1)));
+    table.fault = Fault::LosesReplies;
+    let step = node.arbiter.next_step(now).expect("a commit is due");
+    let lost = table.carry_out(&step);
+    node.arbiter.reply(now, lost);
+    table.fault = Fault::None;
+    node.run(&mut now, &mut table, 300);
+
+    let granted = Reply::Granted {
+        attempt: 1,
+        durable: true,
+    };
+    assert_eq!(node.answers.get(&ticket), Some(&granted));
+    assert_eq!(table.commits, commits + 1);
+}
+
+#[test]
+fn a_write_that_arrives_after_its_repetition_changes_nothing() {
+    // Symptom: a bill is charged twice, or the holder believes that it lost its slot.
+    // Events: a commit is held up, the reading back finds nothing, the commit is sent again, then both arrive.
+    // Cause: the repetition is a new write rather than the same one.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+    node.run(&mut now, &mut table, 100);
+
+    let ticket = node.ask(now, &Request::Bill(bill("x", "r.1", 1, 70)));
+    table.fault = Fault::Delays;
+    let step = node.arbiter.next_step(now).expect("a commit is due");
+    let lost = table.carry_out(&step);
+    node.arbiter.reply(now, lost);
+    table.fault = Fault::None;
+    let read_back = node.arbiter.next_step(now).expect("the row is read back");
+    let rows = table.carry_out(&read_back);
+    table.deliver_delayed();
+    node.arbiter.reply(now, rows);
+    node.run(&mut now, &mut table, 300);
+
+    assert_eq!(node.answers.get(&ticket), Some(&billed(70)));
+    assert!(node.arbiter.holds(SLOT));
+    assert_eq!(totals(&mut node, &mut now, &mut table, "r.1"), [70]);
+}
+
+#[test]
+fn an_outage_refuses_single_calls_and_serves_the_others_from_memory() {
+    // Symptom: calls hang for the length of an outage, or a booking goes out without a record.
+    // Events: the table is down; both kinds of calls arrive.
+    // Cause: a claim that must be durable waits for a table that does not answer.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+    table.fault = Fault::Down;
+    node.at_once(now, &Request::Claim(claim("w", "r.1", 1)));
+    node.run(&mut now, &mut table, 200);
+
+    let refused = node.at_once(now, &Request::Claim(single("x", "r.1", 2)));
+    let served = node.at_once(now, &Request::Claim(claim("y", "r.1", 3)));
+    let kept = node.at_once(now, &Request::Bill(bill("y", "r.1", 3, 70)));
+    let repeat = node.at_once(now, &Request::Claim(claim("y", "s.1", 1)));
+    node.run(&mut now, &mut table, 3_600_000);
+    table.fault = Fault::None;
+    node.run(&mut now, &mut table, 10_000);
+    let durable = node.at_once(now, &Request::Bill(bill("y", "r.1", 3, 70)));
+
+    assert_eq!(refused, Reply::Unavailable);
+    assert_eq!(
+        served,
+        Reply::Granted {
+            attempt: 3,
+            durable: false
+        }
+    );
+    assert_eq!(kept, Reply::Unavailable);
+    assert!(matches!(repeat, Reply::Known(Known::Done { .. })));
+    assert_eq!(durable, billed(70));
+}
+
+#[test]
+fn a_claim_refused_in_an_outage_does_not_block_the_retry() {
+    // Symptom: a caller's retry of a refused booking is told for ever that it is under way.
+    // Events: the claim's commit takes effect, all replies are lost, the router refuses the call.
+    // Cause: the record of the claim outlives the refusal.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+    node.run(&mut now, &mut table, 100);
+
+    table.fault = Fault::LosesReplies;
+    let refused = node.ask(now, &Request::Claim(single("x", "r.1", 1)));
+    node.run(&mut now, &mut table, 300);
+    table.fault = Fault::None;
+    node.run(&mut now, &mut table, 1_000);
+    let late_copy = node.at_once(now, &Request::Claim(single("x", "r.1", 1)));
+    let retry = single("x", "s.1", 1);
+    let retried = node.after_commit(&mut now, &mut table, &Request::Claim(retry));
+
+    assert_eq!(node.answers[&refused], Reply::Unavailable);
+    assert_eq!(late_copy, Reply::Unavailable);
+    assert_eq!(
+        retried,
+        Reply::Granted {
+            attempt: 1,
+            durable: true
+        }
+    );
+}
+
+#[test]
+fn a_paused_holder_grants_nothing_durable_after_it_was_replaced() {
+    // Symptom: a booking runs twice.
+    // Events: a holder takes a claim, pauses past its lease, another instance takes the slot and grants the same
+    // request, the first one wakes and commits.
+    // Cause: the lease was checked before the pause, not by the table.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut paused = Node::holding("a.1", &mut now, &mut table);
+    paused.run(&mut now, &mut table, 100);
+
+    let ticket = paused.ask(now, &Request::Claim(single("x", "r.1", 1)));
+    let mut successor = Node::new("b.1", settings());
+    successor.take(&mut now, &mut table, &["a.1"]);
+    let other = single("x", "s.1", 1);
+    let granted = successor.after_commit(&mut now, &mut table, &Request::Claim(other));
+    paused.run(&mut now, &mut table, 300);
+
+    assert_eq!(
+        granted,
+        Reply::Granted {
+            attempt: 1,
+            durable: true
+        }
+    );
+    assert_eq!(paused.answers[&ticket], Reply::NotHolder);
+    let is_lost = |note: &Note| matches!(note, Note::SlotLost { dropped: 3, .. });
+    assert!(paused.notes.iter().any(is_lost), "{:?}", paused.notes);
+}
+
+#[test]
+fn an_idle_holder_learns_that_it_was_replaced() {
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut paused = Node::holding("a.1", &mut now, &mut table);
+    paused.run(&mut now, &mut table, 100);
+
+    let mut successor = Node::new("b.1", settings());
+    successor.take(&mut now, &mut table, &["a.1"]);
+    paused.run(&mut now, &mut table, 2_000);
+
+    assert!(!paused.arbiter.holds(SLOT));
+}
+
+#[test]
+fn a_bill_lost_with_a_paused_holder_is_charged_by_the_next_one() {
+    // Symptom: an answered request is never billed.
+    // Events: a holder decides a bill and is replaced before the commit; the router sends the bill again.
+    // Cause: the bill is taken as settled before it is durable.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut paused = Node::holding("a.1", &mut now, &mut table);
+    paused.run(&mut now, &mut table, 100);
+
+    let unanswered = paused.ask(now, &Request::Bill(bill("x", "r.1", 1, 70)));
+    let mut successor = Node::new("b.1", settings());
+    successor.take(&mut now, &mut table, &["a.1"]);
+    paused.run(&mut now, &mut table, 300);
+    let bill = Request::Bill(bill("x", "r.1", 1, 70));
+    let again = successor.after_commit(&mut now, &mut table, &bill);
+
+    assert_eq!(paused.answers[&unanswered], Reply::NotHolder);
+    assert_eq!(again, billed(70));
+}
+
+#[test]
+fn what_waits_for_the_table_is_bounded() {
+    // Symptom: memory grows through an outage until the process is killed, and every bill with it.
+    // Events: the table is down and requests keep coming.
+    // Cause: no limit on what waits.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let settings = Settings {
+        pending_limit: 20,
+        ..settings()
+    };
+    let mut node = Node::new("a.1", settings);
+    node.take(&mut now, &mut table, &[]);
+    table.fault = Fault::Down;
+
+    let mut replies = Vec::new();
+    for attempt in 1..=100 {
+        let claim = claim(&format!("x{attempt}"), "r.1", attempt);
+        replies.push(node.at_once(now, &Request::Claim(claim)));
+    }
+
+    assert!(node.arbiter.pending() <= 22);
+    assert_eq!(replies.last(), Some(&Reply::Unavailable));
+}
+
+#[test]
+fn a_busy_table_is_tried_again_before_anybody_is_refused() {
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+    node.run(&mut now, &mut table, 100);
+
+    let ticket = node.ask(now, &Request::Claim(single("x", "r.1", 1)));
+    table.fault = Fault::Busy;
+    node.turn(now, &mut table);
+    table.fault = Fault::None;
+    node.run(&mut now, &mut table, 500);
+
+    assert_eq!(
+        node.answers[&ticket],
+        Reply::Granted {
+            attempt: 1,
+            durable: true
+        }
+    );
+}
+
+#[test]
+fn a_checkpoint_replaces_the_log_and_loses_nothing() {
+    // Symptom: after a hand-over a bill is charged again, or the log grows without end.
+    // Events: many commits, checkpoints, removal of log rows, then another instance takes the slot.
+    // Cause: a row is removed that no checkpoint covers, or names are numbered differently.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let settings = Settings {
+        checkpoint_every: 4,
+        ..settings()
+    };
+    let mut node = Node::new("a.1", settings);
+    node.take(&mut now, &mut table, &[]);
+
+    for attempt in 1..=30 {
+        let id = format!("x{attempt}");
+        let holder = format!("r{}.1", attempt % 7);
+        let bill = Request::Bill(bill(&id, &holder, attempt, 10));
+        node.after_commit(&mut now, &mut table, &bill);
+    }
+    let log_rows = table
+        .rows
+        .keys()
+        .filter(|key| key.starts_with("slotlog/"))
+        .count();
+    let mut successor = Node::new("b.1", support::settings());
+    successor.take(&mut now, &mut table, &["a.1"]);
+
+    assert!(log_rows <= 5, "{log_rows} log rows are left");
+    let again = Request::Bill(bill("x1", "r1.1", 1, 10));
+    let other = Request::Bill(bill("x30", "s.1", 1, 10));
+    assert_eq!(successor.at_once(now, &again), billed(10));
+    assert_eq!(successor.at_once(now, &other), billed(0));
+    // Attempts 1, 8, 15, 22 and 29.
+    assert_eq!(totals(&mut successor, &mut now, &mut table, "r1.1"), [50]);
+}
+
+#[test]
+fn an_old_copy_of_a_bill_is_not_charged_after_its_entry_was_dropped() {
+    // Symptom: a group is charged twice for one request, minutes apart.
+    // Events: a bill is answered, its entry is dropped when its time is up, and a copy of the bill that was held up
+    // on the way, or the backend server's record of the stream, turns up.
+    // Cause: the slot has forgotten that there was a bill.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let retention = Retention {
+        repeatable: Duration::from_secs(1),
+        ..Retention::default()
+    };
+    let mut node = Node::new(
+        "a.1",
+        Settings {
+            retention,
+            ..settings()
+        },
+    );
+    node.take(&mut now, &mut table, &[]);
+    let first = Request::Bill(Bill {
+        oldest: 1,
+        ..bill("x", "r.1", 1, 70)
+    });
+    let second = Request::Bill(Bill {
+        oldest: 2,
+        ..bill("y", "r.1", 2, 30)
+    });
+
+    node.after_commit(&mut now, &mut table, &first);
+    node.run(&mut now, &mut table, 5_000);
+    let kept = node.at_once(now, &lookup("x"));
+    node.after_commit(&mut now, &mut table, &second);
+    node.run(&mut now, &mut table, 60_000);
+    let dropped = node.at_once(now, &lookup("x"));
+    let late_copy = node.after_commit(&mut now, &mut table, &first);
+
+    assert!(
+        matches!(kept, Reply::Known(Known::Done { .. })),
+        "the router may still send it again"
+    );
+    assert_eq!(dropped, Reply::Known(Known::Absent));
+    assert_eq!(late_copy, billed(0));
+}
+
+#[test]
+fn a_release_that_overtakes_its_claim_still_counts() {
+    // Symptom: a request stays under way for ever at a router that has given it up.
+    // Events: the claim times out at its router, the release arrives first, then the claim.
+    // Cause: the release of an unknown claim leaves no trace.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+
+    let released = node.after_commit(&mut now, &mut table, &release("x", "r.1", 1));
+    let late = node.at_once(now, &Request::Claim(single("x", "r.1", 1)));
+    let retry = single("x", "r.1", 2);
+    let retried = node.after_commit(&mut now, &mut table, &Request::Claim(retry));
+
+    assert_eq!(released, Reply::Released);
+    assert_eq!(late, Reply::Unavailable);
+    assert_eq!(
+        retried,
+        Reply::Granted {
+            attempt: 2,
+            durable: true
+        }
+    );
+}
+
+#[test]
+fn a_slot_with_a_missing_log_row_is_not_served() {
+    // Symptom: a booking runs twice after a hand-over.
+    // Events: a log row that the slot's row counts is missing when the next holder reads the log.
+    // Cause: the holder answers from half a log.
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let mut node = Node::holding("a.1", &mut now, &mut table);
+    for attempt in 1..=3 {
+        let claim = single(&format!("x{attempt}"), "r.1", attempt);
+        node.after_commit(&mut now, &mut table, &Request::Claim(claim));
+    }
+    table.rows.remove("slotlog/0000/0000000000000002");
+
+    let mut successor = Node::new("b.1", settings());
+    successor.arbiter.want(now, &[SLOT]);
+    successor.arbiter.set_lapsed(now, names(&["a.1"]));
+    successor.run(&mut now, &mut table, 1_000);
+
+    assert!(!successor.arbiter.holds(SLOT));
+    let is_damaged = |note: &Note| matches!(note, Note::SlotDamaged { .. });
+    assert!(successor.notes.iter().any(is_damaged));
+}
