--- a/crates/fescuewell_claims/src/courier/item.rs
+++ b/crates/fescuewell_claims/src/courier/item.rs
@@ -122,18 +122,10 @@
         let wait = self.settings.reply_timeout.saturating_mul(1 << doublings);
         let wait = self.jitter(wait.min(self.settings.retry_limit));
         self.reschedule(id, now + wait);
-        let oldest = self.items[&id]
-            .owner
-            .as_ref()
-            .map(|owner| self.oldest(owner));
         let item = self.items.get_mut(&id)?;
         item.tries += 1;
-        let mut request = item.request.clone();
-        match (&mut request, oldest) {
-            (Request::Claim(claim), Some(oldest)) => claim.oldest = oldest,
-            (Request::Bill(bill), Some(oldest)) => bill.oldest = oldest,
-            _ => {}
-        }
+        let request = item.request.clone();
+        let request = self.with_oldest(request);
         Some(Outgoing {
             slot,
             instance,
