--- a/crates/fescuewell_http/src/listener/connection.rs
+++ b/crates/fescuewell_http/src/listener/connection.rs
@@ -1,6 +1,5 @@
 //! One connection: TLS, requests in turn, and the refusals that hyper knows nothing of.
 
-use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -22,7 +21,7 @@
 use tokio::time::{Instant, Sleep, timeout};
 
 use super::guard::{Expiry, Guard, Watch};
-use super::reply::{self, Body};
+use super::reply::{self, Body, BrokenOff};
 use super::{Arrival, Request, Shared, Stage};
 use crate::refusal::refusal_response;
 
@@ -232,7 +231,7 @@
     peer: SocketAddr,
     shared: Arc<Shared>,
     watch: Arc<Watch>,
-) -> Result<http::Response<Body>, Infallible> {
+) -> Result<http::Response<Body>, BrokenOff> {
     let arrived = std::time::Instant::now();
     let (parts, body) = request.into_parts();
     let body = match read_body(body, &shared).await {
@@ -264,7 +263,7 @@
         fescuewell_core::log_event!(Event::InternalFault, "part=handler peer={peer}");
     }
     drop(shared);
-    let response = reply::wait(answer, closer, watch).await;
+    let response = reply::wait(answer, closer, watch).await?;
     let unread = reply::is_unread(&method, response.status());
     Ok(response.map(|body| body.with_unread(unread)))
 }
--- a/crates/fescuewell_http/src/listener/reply.rs
+++ b/crates/fescuewell_http/src/listener/reply.rs
@@ -88,14 +88,17 @@
     }
 }
 
+/// What a handler decided: an answer, or to break the connection off without one.
+pub(super) type Answer = Option<(Response<()>, Content)>;
+
 /// The right to answer one request, once.
 pub struct Reply {
-    answer: oneshot::Sender<(Response<()>, Content)>,
+    answer: oneshot::Sender<Answer>,
     closed: Closed,
 }
 
 /// Makes a reply and what the connection needs to wait for it.
-pub(super) fn pair() -> (Reply, oneshot::Receiver<(Response<()>, Content)>, Closer) {
+pub(super) fn pair() -> (Reply, oneshot::Receiver<Answer>, Closer) {
     let (answer, receiver) = oneshot::channel();
     let (told, closed) = watch::channel(None);
     let closed = Closed(closed);
@@ -105,9 +108,13 @@
 impl Reply {
     /// Answers with a whole body.
     pub fn whole(self, status: StatusCode, headers: HeaderMap, body: Bytes) {
-        let _ = self
-            .answer
-            .send((head(status, headers), Content::Whole(body)));
+        let content = Content::Whole(body);
+        let _ = self.answer.send(Some((head(status, headers), content)));
+    }
+
+    /// Closes the connection without an answer, so that the caller cannot know what became of its request.
+    pub fn abort(self) {
+        let _ = self.answer.send(None);
     }
 
     /// Answers with a refusal.
@@ -124,7 +131,7 @@
             chunks: receiver,
             finished: finished.clone(),
         };
-        let _ = self.answer.send((head(status, headers), content));
+        let _ = self.answer.send(Some((head(status, headers), content)));
         Sink {
             chunks,
             finished,
@@ -210,6 +217,7 @@
     content: Content,
     ended: bool,
     unread: bool,
+    breaking: bool,
     watch: Arc<Watch>,
     closer: Closer,
 }
@@ -221,6 +229,7 @@
             content,
             ended,
             unread: false,
+            breaking: false,
             watch,
             closer,
         }
@@ -257,6 +266,13 @@
                     body.ended = true;
                     Poll::Ready(None)
                 }
+                Poll::Ready(None) if !body.breaking => {
+                    // hyper drops what it has not yet written when the body fails. One round
+                    // without a chunk makes it write the last ones first.
+                    body.breaking = true;
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
                 Poll::Ready(None) => Poll::Ready(Some(Err(BrokenOff))),
             },
         }
@@ -286,16 +302,17 @@
 /// Completes with the handler's answer, or a refusal when the handler dropped its [`Reply`]. Dropped
 /// before that, its [`Closer`] tells that the caller is gone.
 pub(super) async fn wait(
-    answer: oneshot::Receiver<(Response<()>, Content)>,
+    answer: oneshot::Receiver<Answer>,
     closer: Closer,
     watch: Arc<Watch>,
-) -> Response<Body> {
-    let (head, content) = answer.await.unwrap_or_else(|_| {
+) -> Result<Response<Body>, BrokenOff> {
+    let answer = answer.await.unwrap_or_else(|_| {
         let refusal = Refusal::new(Code::Internal);
         let (parts, body) = refusal_response(&refusal).into_parts();
-        (Response::from_parts(parts, ()), Content::Whole(body))
+        Some((Response::from_parts(parts, ()), Content::Whole(body)))
     });
-    head.map(|()| Body::new(content, watch, closer))
+    let (head, content) = answer.ok_or(BrokenOff)?;
+    Ok(head.map(|()| Body::new(content, watch, closer)))
 }
 
 /// Whether hyper leaves the body of such an answer unread.
--- a/crates/fescuewell_http/tests/listener.rs
+++ b/crates/fescuewell_http/tests/listener.rs
@@ -371,3 +371,13 @@
 
     eventually("no exchange is open", || listener.open_exchanges() == 0);
 }
+
+#[test]
+fn an_aborted_reply_ends_the_connection_without_a_byte() {
+    let handler = Answer(|_: Request, reply: Reply| reply.abort());
+    let listener = listen(local(), Arc::new(handler));
+
+    let answer = talk(listener.address(), post("/", "").as_bytes());
+
+    assert_eq!(answer, "");
+}
--- a/crates/fescuewell_standin/src/lib.rs
+++ b/crates/fescuewell_standin/src/lib.rs
@@ -1,3 +1,5 @@
 //! Stand-ins for the outside systems: platform services, model engine, plain service.
 
+pub mod engine;
 pub mod platform;
+pub mod service;
