--- a/crates/fescuewell_document/src/difference.rs
+++ b/crates/fescuewell_document/src/difference.rs
@@ -20,7 +20,7 @@
 
 use serde_json::Value;
 
-pub use merge::{Clash, merge};
+pub use merge::{Clash, merge, merge_preferring_mine};
 
 use crate::for_each_section;
 use crate::item::{Item, Section};
--- a/crates/fescuewell_document/src/difference/merge.rs
+++ b/crates/fescuewell_document/src/difference/merge.rs
@@ -61,15 +61,26 @@
 ///
 /// Every field that both sides changed, differently.
 pub fn merge(base: &Document, mine: &Document, theirs: &Document) -> Result<Document, Vec<Clash>> {
-    let mut merged = theirs.clone();
-    let mut clashes = Vec::new();
-    for_each_section!(T => merge_section::<T>([base, mine, theirs], &mut merged, &mut clashes));
+    let (merged, clashes) = merge_preferring_mine(base, mine, theirs);
     match clashes.is_empty() {
         true => Ok(merged),
         false => Err(clashes),
     }
 }
 
+/// Joins two edits of `base`, keeping `mine` wherever they clash: what to show an operator again, so that
+/// nothing that was typed is lost, together with the clashes that are to be decided.
+pub fn merge_preferring_mine(
+    base: &Document,
+    mine: &Document,
+    theirs: &Document,
+) -> (Document, Vec<Clash>) {
+    let mut merged = theirs.clone();
+    let mut clashes = Vec::new();
+    for_each_section!(T => merge_section::<T>([base, mine, theirs], &mut merged, &mut clashes));
+    (merged, clashes)
+}
+
 /// Applies to `merged`, which starts as `theirs`, what `mine` changed since `base`.
 fn merge_section<T>(sides: [&Document; 3], merged: &mut Document, clashes: &mut Vec<Clash>)
 where
@@ -91,10 +102,7 @@
             put(list, position, my.cloned());
             continue;
         }
-        match merge_item(name, versions, clashes) {
-            Some(item) => put(list, position, Some(item)),
-            None => continue,
-        }
+        put(list, position, merge_item(name, versions, clashes));
     }
 }
 
@@ -163,7 +171,7 @@
             _ => {
                 let sides = [was, my, their].map(|side| side.map(|v| v.to_string().into()));
                 self.clashes.push((path.to_owned(), sides));
-                their.cloned()
+                my.cloned()
             }
         }
     }
--- a/crates/fescuewell_document/src/item.rs
+++ b/crates/fescuewell_document/src/item.rs
@@ -152,6 +152,39 @@
     }};
 }
 
+/// Evaluates `$body` with `$item` standing for the type of the items of one section.
+#[macro_export]
+macro_rules! with_section {
+    ($section:expr, $item:ident => $body:expr) => {
+        match $section {
+            $crate::item::Section::Kinds => {
+                type $item = $crate::model::Kind;
+                $body
+            }
+            $crate::item::Section::Groups => {
+                type $item = $crate::model::Group;
+                $body
+            }
+            $crate::item::Section::Accounts => {
+                type $item = $crate::model::Account;
+                $body
+            }
+            $crate::item::Section::Models => {
+                type $item = $crate::model::Model;
+                $body
+            }
+            $crate::item::Section::Servers => {
+                type $item = $crate::model::Server;
+                $body
+            }
+            $crate::item::Section::Services => {
+                type $item = $crate::model::Service;
+                $body
+            }
+        }
+    };
+}
+
 /// Sorts every section by name: the order of items has no meaning, and a stored document has this one.
 pub fn sort(document: &mut Document) {
     for_each_section!(T => T::list_mut(document).sort_by(|a, b| a.name().cmp(b.name())));
--- a/crates/fescuewell_document/tests/difference.rs
+++ b/crates/fescuewell_document/tests/difference.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use fescuewell_core::prelude::*;
-use fescuewell_document::difference::{Action, Clash, compare, merge};
+use fescuewell_document::difference::{Action, Clash, compare, merge, merge_preferring_mine};
 use fescuewell_document::prelude::*;
 
 fn edited(edit: fn(&mut Document)) -> Document {
@@ -92,6 +92,28 @@
     assert_eq!(shown, ["10000", "15000", "12000"]);
 }
 
+#[test]
+fn what_was_typed_is_kept_where_edits_clash() {
+    // Symptom: an operator types a long form, is told that somebody was faster, and starts over.
+    // Cause: showing the accepted values instead of the typed ones after a race.
+    let mine = edited(|d| {
+        d.groups[0].prepaid = Tokens(15_000);
+        d.groups.remove(1);
+    });
+    let theirs = edited(|d| {
+        d.groups[0].prepaid = Tokens(12_000);
+        d.groups[0].weight = 4;
+        d.groups[1].weight = 2;
+    });
+    let (kept, clashes) = merge_preferring_mine(&fixture::document(), &mine, &theirs);
+    assert_eq!(clashes.len(), 2);
+    assert_eq!(kept.groups.len(), 1);
+    assert_eq!(
+        (kept.groups[0].prepaid, kept.groups[0].weight),
+        (Tokens(15_000), 4)
+    );
+}
+
 #[test]
 fn the_same_edit_twice_is_no_clash() {
     let mine = edited(|d| d.groups[0].prepaid = Tokens(15_000));
