--- a/crates/fescuewell_http/tests/upstream.rs
+++ b/crates/fescuewell_http/tests/upstream.rs
@@ -206,33 +206,57 @@
     assert_eq!(server.connections(), 2);
 }
 
+/// Calls `attempt` with longer and longer times until its request got as far as the server in time: on a busy
+/// machine a short one may pass before that, which is not what is tested.
+async fn with_time<Attempt, Answer, Begun>(attempt: Attempt, begun: Begun) -> Answer
+where
+    Attempt: AsyncFn(Duration) -> Answer,
+    Begun: Fn(&Answer) -> bool,
+{
+    let mut time = SHORT;
+    loop {
+        let answer = attempt(time).await;
+        if begun(&answer) || time > PATIENCE {
+            return answer;
+        }
+        time *= 2;
+    }
+}
+
 #[tokio::test]
 async fn a_late_answer_is_never_taken_for_that_of_the_next_request() {
     // Symptom: a caller gets somebody else's answer. Sequence: the first request times out; its answer comes
     // later, on the same connection; a second request is sent. Cause: using that connection again.
-    let (release, released) = flume::bounded::<()>(1);
+    let (release, released) = flume::bounded::<()>(0);
     let server = Server::start(move |number, mut stream| {
         let path = read_request(&mut stream).unwrap_or_default();
-        if number == 0 {
-            released.recv_timeout(PATIENCE).unwrap();
+        if path == "/first" {
+            // Until the other half is dropped.
+            let _ = released.recv_timeout(PATIENCE);
         }
         answer(&mut stream, &path);
         echo(number, stream);
     });
     let client = Client::default();
     let target = Target::new(server.address);
-    let hasty = Timeouts {
-        first_byte: SHORT,
-        ..patient()
-    };
 
-    let first = fetch(&client, &target, "/first", hasty).await;
-    release.send(()).unwrap();
+    let first = with_time(
+        async |first_byte| {
+            let hasty = Timeouts {
+                first_byte,
+                ..patient()
+            };
+            fetch(&client, &target, "/first", hasty).await
+        },
+        |first| !matches!(first, Err(Error::NotSent { .. })),
+    );
+    let first = first.await;
+    drop(release);
     let second = fetch(&client, &target, "/second", patient()).await;
 
     assert!(matches!(first, Err(Error::Unknown { .. })), "{first:?}");
     assert_eq!(second.unwrap(), "/second");
-    assert_eq!(server.connections(), 2);
+    assert!(server.connections() >= 2);
 }
 
 /// Sends the head of a chunked answer and one chunk, then does as `then` says.
@@ -276,9 +300,15 @@
 async fn a_deadline_within_an_answer_says_nothing_against_the_server() {
     let server = begin(wait_closed);
     let client = Client::default();
-    let target = Target::new(server.address).with_deadline(Instant::now() + SHORT);
 
-    let late = fetch(&client, &target, "/", patient()).await;
+    let late = with_time(
+        async |time| {
+            let target = Target::new(server.address).with_deadline(Instant::now() + time);
+            fetch(&client, &target, "/", patient()).await
+        },
+        |late| !matches!(late, Err(Error::NotSent { .. } | Error::Unknown { .. })),
+    );
+    let late = late.await;
 
     assert_eq!(late, Err(Error::DeadlinePassed));
 }
