--- a/crates/fescuewell_peer/src/credentials.rs
+++ b/crates/fescuewell_peer/src/credentials.rs
@@ -149,6 +149,8 @@
     config.stream_receive_window((FRAME_LIMIT as u32).into());
     config.receive_window(CONNECTION_WINDOW.into());
     config.send_window(CONNECTION_WINDOW.into());
+    // Searching for larger packets costs a new connection more bytes than its messages, which are small.
+    config.mtu_discovery_config(None);
     config.initial_rtt(INITIAL_ROUND_TRIP);
     config
 }
--- a/crates/fescuewell_peer/src/settings.rs
+++ b/crates/fescuewell_peer/src/settings.rs
@@ -41,6 +41,9 @@
     pub idle_ms: u32,
     /// A connection over which nothing was sent for so long is closed, in milliseconds.
     pub unused_ms: u32,
+    /// A connection is replaced at this age, in milliseconds, since certificates are only looked at when it
+    /// is made: one that has run out since would otherwise serve for ever.
+    pub renew_ms: u32,
     /// Most connections taken from peers at once.
     pub max_incoming: u32,
     /// Most connections made to peers at once.
@@ -59,6 +62,7 @@
             keep_alive_ms: 5_000,
             idle_ms: 15_000,
             unused_ms: 60_000,
+            renew_ms: 3_600_000,
             max_incoming: 1_024,
             max_outgoing: 256,
             max_streams: 64,
@@ -76,6 +80,10 @@
         millis(self.handshake_ms)
     }
 
+    pub(crate) fn renew(&self) -> Duration {
+        millis(self.renew_ms)
+    }
+
     pub(crate) fn unused(&self) -> Duration {
         millis(self.unused_ms)
     }
--- a/crates/fescuewell_peer/src/transport.rs
+++ b/crates/fescuewell_peer/src/transport.rs
@@ -27,6 +27,9 @@
 /// How long the last packets of a closed transport may take.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Messages passed on to links before the links get their turn.
+const MESSAGES_PER_TURN: u32 = 32;
+
 /// Whom to send a message to.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Address {
@@ -227,6 +230,7 @@
         ("keep_alive_ms", limits.keep_alive_ms),
         ("idle_ms", limits.idle_ms),
         ("unused_ms", limits.unused_ms),
+        ("renew_ms", limits.renew_ms),
         ("max_incoming", limits.max_incoming),
         ("max_outgoing", limits.max_outgoing),
         ("max_streams", limits.max_streams),
@@ -287,7 +291,14 @@
         messages: &flume::Receiver<Outgoing>,
         closes: &flume::Receiver<Close>,
     ) -> Duration {
+        let mut passed_on = 0u32;
         loop {
+            // Messages that arrive as fast as they are passed on would keep this loop busy for ever,
+            // and the links on the same thread would never send any of them.
+            passed_on = passed_on.wrapping_add(1);
+            if passed_on.is_multiple_of(MESSAGES_PER_TURN) {
+                tokio::task::yield_now().await;
+            }
             tokio::select! {
                 biased;
                 close = closes.recv_async() => return close.map_or(Duration::ZERO, |Close(grace)| grace),
--- a/crates/fescuewell_peer/src/transport/link.rs
+++ b/crates/fescuewell_peer/src/transport/link.rs
@@ -49,6 +49,8 @@
     address: SocketAddr,
     /// The credentials that it was made with.
     identity: Arc<Identity>,
+    /// When it is too old.
+    renew_at: Instant,
     /// Whether the peer acknowledged any message on it.
     proven: AtomicBool,
 }
@@ -77,9 +79,11 @@
         while let Ok(Ok(message)) = timeout(unused, self.inbox.recv_async()).await {
             self.send(message).await;
         }
+        // From here on nothing is sent any more. A ring that still took messages would swallow them.
+        drop(self.inbox);
         let all = self.shared.settings.limits.max_streams;
         let _ = self.streams.acquire_many(all).await;
-        if let Some(wire) = self.wire.take() {
+        if let Some(wire) = self.wire {
             wire.connection.close(CLOSING, b"");
             let _ = timeout(LINGER, wire.endpoint.wait_idle()).await;
         }
@@ -147,7 +151,8 @@
 impl Wire {
     fn fits(&self, address: SocketAddr, identity: &Arc<Identity>) -> bool {
         let open = self.connection.close_reason().is_none();
-        open && self.address == address && Arc::ptr_eq(&self.identity, identity)
+        let fresh = Instant::now() < self.renew_at;
+        open && fresh && self.address == address && Arc::ptr_eq(&self.identity, identity)
     }
 }
 
@@ -179,6 +184,7 @@
         connection,
         address,
         identity,
+        renew_at: Instant::now() + shared.settings.limits.renew(),
         proven: AtomicBool::default(),
     })
 }
--- a/crates/fescuewell_peer/src/transport/shared.rs
+++ b/crates/fescuewell_peer/src/transport/shared.rs
@@ -34,7 +34,7 @@
     pub counters: Counters,
     identity: Mutex<Arc<Identity>>,
     connections: Mutex<Connections>,
-    log_gate: Mutex<Gate>,
+    log_gates: Mutex<HashMap<u16, Gate>>,
 }
 
 /// The open connections, kept for their byte counts and for reloads.
@@ -79,7 +79,7 @@
             counters: Counters::default(),
             identity: Mutex::new(Arc::new(identity)),
             connections: Mutex::default(),
-            log_gate: Mutex::default(),
+            log_gates: Mutex::default(),
         }
     }
 
@@ -167,9 +167,10 @@
         self.log(Event::ConnectionRefused, from, reason);
     }
 
-    /// Logs at most one line a second, with the number of those left out since.
+    /// Logs at most one line a second of each event, with the number of those left out since.
     pub(super) fn log(&self, event: Event, peer: &str, reason: &str) {
-        let mut gate = lock(&self.log_gate);
+        let mut gates = lock(&self.log_gates);
+        let gate = gates.entry(event.number()).or_default();
         let now = Instant::now();
         if gate.last.is_some_and(|last| now - last < LOG_PAUSE) {
             gate.suppressed += 1;
@@ -177,7 +178,7 @@
         }
         gate.last = Some(now);
         let suppressed = std::mem::take(&mut gate.suppressed);
-        drop(gate);
+        drop(gates);
         fescuewell_core::log_event!(
             event,
             "listener=peer peer={peer} reason=\"{reason}\" suppressed={suppressed}"
--- a/crates/fescuewell_peer/tests/transport.rs
+++ b/crates/fescuewell_peer/tests/transport.rs
@@ -317,3 +317,22 @@
 
     assert_eq!(&*q.deliver(&a, b"elsewhere").payload, b"elsewhere");
 }
+
+// Symptom: an instance is still a peer after its certificate has run out. Sequence: it keeps its
+// connection busy. Cause: certificates are looked at only when a connection is made.
+#[test]
+fn a_connection_is_replaced_at_its_age() {
+    let authority = testing::authority();
+    let mut settings = authority.settings("instance-a", loopback()).unwrap();
+    settings.limits.renew_ms = 1;
+    let a = Node::start(settings);
+    let b = node(&authority, "instance-b");
+
+    a.deliver(&b, b"first");
+    eventually(|| {
+        a.deliver(&b, b"again");
+        a.transport.traffic().dialled > 1
+    });
+
+    assert_eq!(a.transport.traffic().lost, 0);
+}
