--- a/crates/fescuewell_queue/src/admission/lane.rs
+++ b/crates/fescuewell_queue/src/admission/lane.rs
@@ -126,9 +126,12 @@
         let Some(flow) = self.flows.get_mut(&place.group) else {
             return;
         };
-        // It stands in front of those that joined after it, so it must not count them as ahead.
-        flow.joined = flow.joined.saturating_sub(place.cost.0);
-        flow.left = flow.left.saturating_sub(place.cost.0);
+        // It stands in front of those that joined after it, so it must not count them as ahead. The line
+        // may have been forgotten meanwhile; then it counts as a newcomer.
+        if flow.left >= place.cost.0 {
+            flow.joined -= place.cost.0;
+            flow.left -= place.cost.0;
+        }
         if let Some(waiting) = flow.line.get_mut(&place.sequence) {
             waiting.mark = flow.left;
         }
--- a/crates/fescuewell_queue/tests/admission.rs
+++ b/crates/fescuewell_queue/tests/admission.rs
@@ -417,3 +417,24 @@
     assert_eq!(refusal.code, Code::UnknownKind);
     assert_eq!(started.ticket, 1);
 }
+
+#[test]
+fn a_request_put_back_into_a_forgotten_line_is_counted_once() {
+    // Symptom: a panic, or a predicted wait of years, for the next request of the group.
+    // Sequence: the only request of a group starts, is put back and starts again; another one arrives.
+    // Cause: the tokens ahead were kept as two counters, and putting back lowered only one of them when
+    // the group's line had been dropped meanwhile.
+    let mut admission = admission(Settings::default());
+    admission.push(at(0), of_group(1, 1, 0)).unwrap();
+    admission.push(at(0), of_group(2, 1, 500)).unwrap();
+    admission.pop(at(0), &mut |_| true).unwrap();
+    let started = admission.pop(at(0), &mut |_| true).unwrap();
+    admission.put_back(at(0), started);
+    admission.push(at(0), of_group(3, 1, 500)).unwrap();
+    admission.pop(at(0), &mut |_| true).unwrap();
+
+    let position = admission.push(at(0), of_group(4, 1, 500)).unwrap();
+
+    assert_eq!(position.ahead, 1);
+    assert_eq!(admission.len(), 2);
+}
