--- a/crates/fescuewell_queue/src/admission/lane.rs
+++ b/crates/fescuewell_queue/src/admission/lane.rs
@@ -30,8 +30,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Lane {
     flows: HashMap<GroupKey, Flow>,
-    /// Groups with something waiting, by start tag and arrival of their first request.
-    ready: BTreeSet<(Tag, u64, GroupKey)>,
+    /// First request of each group that waits, by start tag and arrival.
+    ready: BTreeMap<(Tag, u64, GroupKey), u64>,
     /// Groups with nothing waiting that still owe tokens: their tag lies ahead of the virtual time.
     owing: BTreeSet<(Tag, GroupKey)>,
     virtual_time: Tag,
@@ -77,8 +77,10 @@
         tokens.saturating_mul(SCALE) / self.weight
     }
 
-    fn first(&self) -> Option<u64> {
-        self.line.first_key_value().map(|(&sequence, _)| sequence)
+    /// Sequence number and ticket of the first request.
+    fn first(&self) -> Option<(u64, u64)> {
+        let first = self.line.first_key_value();
+        first.map(|(&sequence, waiting)| (sequence, waiting.ticket))
     }
 }
 
@@ -139,8 +141,7 @@
 
     /// The first requests of the `count` groups whose turn is nearest.
     pub fn heads(&self, count: usize) -> impl Iterator<Item = u64> {
-        let ready = self.ready.iter().take(count);
-        ready.map(|(_, sequence, group)| self.flows[group].line[sequence].ticket)
+        self.ready.values().take(count).copied()
     }
 
     /// Takes a request out because it starts, and charges its group.
@@ -245,11 +246,12 @@
         let Some(flow) = self.flows.get(&group) else {
             return;
         };
-        let Some(first) = flow.first() else {
+        let Some((first, _)) = flow.first() else {
             self.owing.remove(&(flow.tag, group));
             return;
         };
-        if self.ready.remove(&(flow.tag, first, group)) {
+        let removed = self.ready.remove(&(flow.tag, first, group));
+        if removed.is_some() {
             self.weight -= flow.weight;
         }
     }
@@ -258,11 +260,11 @@
         let Some(flow) = self.flows.get(&group) else {
             return;
         };
-        let Some(first) = flow.first() else {
+        let Some((first, ticket)) = flow.first() else {
             self.owing.insert((flow.tag, group));
             return;
         };
-        self.ready.insert((flow.tag, first, group));
+        self.ready.insert((flow.tag, first, group), ticket);
         self.weight += flow.weight;
     }
 
--- a/crates/fescuewell_queue/src/admission/mod.rs
+++ b/crates/fescuewell_queue/src/admission/mod.rs
@@ -100,6 +100,10 @@
     pub most_passed: u32,
     /// Longest time for which a pool is kept free.
     pub hold: Duration,
+    /// A request is accepted only if its predicted wait is at most so many percent of the time it has left. The rest
+    /// is room for urgent work that comes later, and keeps the queue short, so that it empties soon
+    /// after a surge.
+    pub accept_percent: u32,
     /// A queued request is given up once its predicted wait exceeds so many percent of the time it has left.
     pub give_up_percent: u32,
 }
@@ -112,6 +116,7 @@
             look_ahead: 4,
             most_passed: 16,
             hold: Duration::from_secs(5),
+            accept_percent: 50,
             give_up_percent: 125,
         }
     }
--- a/crates/fescuewell_queue/src/admission/wait.rs
+++ b/crates/fescuewell_queue/src/admission/wait.rs
@@ -1,5 +1,6 @@
 //! Predicted waits, and the refusals that follow from them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use fescuewell_core::prelude::*;
@@ -52,10 +53,17 @@
         }
         let wait = self.wait_of_next(now, entry);
         let remaining = entry.deadline.since(now);
+        let most = remaining * self.settings.accept_percent / 100;
         if let Some(wait) = wait
-            && wait > remaining
+            && wait > most
         {
-            return Err(self.refuse(Code::DeadlineTooNear, wait - remaining));
+            // Only what could really not start in time is told so; otherwise the queue is too long.
+            let code = if wait > remaining {
+                Code::DeadlineTooNear
+            } else {
+                Code::QueueFull
+            };
+            return Err(self.refuse(code, wait - most));
         }
         let ahead = self.ahead(entry);
         Ok(Position { ahead, wait })
@@ -97,17 +105,29 @@
         Refusal::new(code).with_retry_after(wait.mul_f64(jitter))
     }
 
-    /// Requests whose deadline is near enough for their predicted wait to matter, nearest first.
+    /// Requests that the last of their kind and pool could not wait for any more, nearest deadline first.
     pub(super) fn in_danger(&self, now: Instant) -> Vec<(Instant, u64)> {
-        let mut longest = Duration::ZERO;
-        for pool in self.pools.values() {
+        let waits = self.longest_waits(now);
+        let longest = waits.values().max().copied().unwrap_or_default();
+        let near = self.deadlines.range(..=(now + longest, u64::MAX));
+        let in_danger = near.filter(|&&(deadline, ticket)| {
+            let entry = self.waiting[&ticket].entry;
+            let wait = waits.get(&(entry.pool, entry.kind));
+            wait.is_some_and(|&wait| deadline <= now + wait)
+        });
+        in_danger.copied().collect()
+    }
+
+    fn longest_waits(&self, now: Instant) -> BTreeMap<(u32, KindKey), Duration> {
+        let mut waits = BTreeMap::new();
+        for (&key, pool) in &self.pools {
             for (kind, lane) in pool.lanes() {
                 let wait = pool.wait(now, &self.kinds, kind, lane.tokens());
-                longest = longest.max(wait.map_or(Duration::ZERO, to_duration));
+                let wait = wait.map_or(Duration::ZERO, to_duration);
+                waits.insert((key, kind), wait);
             }
         }
-        let last = (now + longest, u64::MAX);
-        self.deadlines.range(..=last).copied().collect()
+        waits
     }
 
     /// Whether a waiting request will very likely miss its deadline.
