Refuse a reply of the platform that was cut off

Cause: a test with a reply shorter than its Content-Length got "committed": the HTTP library takes the end of the connection for the end of the body. Half an object would have passed for the object. Change: the clients compare the body with the announced length, and take no body that has neither a length nor chunks. Not tested: that a proxy named in the environment is ignored (a test would have to change its own environment). Conclusion: other users of the library need the same check.

--- a/crates/fescuewell_platform/src/http.rs
+++ b/crates/fescuewell_platform/src/http.rs
@@ -4,13 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Session};
+use attohttpc::header::HeaderMap;
+use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Session, StatusCode};
 
 use crate::settings::{Endpoint, Error};
 
 /// Largest reply that is read. A reply beyond it is a failure, not a reason to run out of memory.
 const REPLY_LIMIT: u64 = 64 * 1024 * 1024;
 
+/// A reply of this status has neither body nor length.
+const NO_CONTENT: StatusCode = StatusCode::NO_CONTENT;
+
 /// A service's base address and the session to reach it with.
 pub(crate) struct Client {
     base: Arc<str>,
@@ -94,7 +98,7 @@
     Body: attohttpc::body::Body,
 {
     let response = request.send().map_err(|error| classify(&error))?;
-    let (status, _, reader) = response.split();
+    let (status, headers, reader) = response.split();
     let mut body = Vec::new();
     let read = reader.take(REPLY_LIMIT + 1).read_to_end(&mut body);
     if let Err(error) = read {
@@ -103,10 +107,27 @@
     if body.len() as u64 > REPLY_LIMIT {
         return Err(Failure::Lost("the reply is too large".into()));
     }
+    if !is_whole(&headers, &body) && !status.is_redirection() && status != NO_CONTENT {
+        return Err(Failure::Lost("the reply was cut off".into()));
+    }
     let status = status.as_u16();
     Ok(Exchange { status, body })
 }
 
+/// Whether the body has the length that was announced for it.
+///
+/// The library takes the end of a connection for the end of the body, also when more was announced.
+/// The first half of an object would then pass for the object. A chunked body it does check; one
+/// with neither length nor chunks can be cut off unseen and is not accepted.
+fn is_whole(headers: &HeaderMap, body: &[u8]) -> bool {
+    if headers.contains_key("transfer-encoding") {
+        return true;
+    }
+    let length = headers.get("content-length");
+    let announced = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    announced == Some(body.len())
+}
+
 /// Tells a refused connection from everything else.
 ///
 /// Taking a lost reply for "nothing was written" would draw or bill twice. Other failures to connect
