--- /dev/null
+++ b/crates/fescuewell_node/src/admit.rs
@@ -0,0 +1,302 @@
+//! From arrival to the queue: checks, claim, hold.
+
+use fescuewell_budget::hold::Shortage;
+use fescuewell_claims::courier::Ask;
+use fescuewell_claims::message::{Known, Owner};
+use fescuewell_core::prelude::*;
+use fescuewell_queue::admission::Entry;
+
+use crate::event::Action;
+use crate::node::Node;
+use crate::record::{Grant, Record};
+use crate::request::{Arrival, Ticket, Verdict, Work};
+
+/// When to ask again for a request that is under way somewhere, in seconds.
+const RETRY_IN_PROGRESS: u64 = 1;
+
+impl Node {
+    /// Takes a request in, or refuses it at once.
+    pub(crate) fn arrive(&mut self, arrival: Arrival) {
+        let ticket = arrival.ticket;
+        match self.check(&arrival) {
+            Err(refusal) => self.refuse_unknown(ticket, &arrival.key, refusal),
+            Ok(record) => {
+                self.book.insert(record);
+                self.retries.first_try(self.now);
+                self.claim(ticket, None);
+            }
+        }
+    }
+
+    fn check(&mut self, arrival: &Arrival) -> Result<Record, Refusal> {
+        self.check_instance()?;
+        let group = self
+            .catalog
+            .group(&arrival.group)
+            .ok_or_else(|| Refusal::new(Code::Forbidden))?;
+        let kind = self
+            .catalog
+            .kind(&arrival.kind)
+            .ok_or_else(|| Refusal::new(Code::UnknownKind).with_detail(&arrival.kind))?;
+        let reach = self.catalog.reach(group, &arrival.work);
+        if reach.servers.is_empty() {
+            let code = match arrival.work {
+                Work::Model { .. } => Code::UnknownModel,
+                Work::Call { .. } => Code::UnknownService,
+            };
+            return Err(Refusal::new(code));
+        }
+        Ok(Record {
+            group,
+            kind,
+            arrived: self.now,
+            deadline: self.now + arrival.deadline,
+            state: self.book.initial(),
+            grant: None,
+            hold: None,
+            other_run: None,
+            entry: None,
+            sent_at: self.now,
+            server: None,
+            sent: 0,
+            excluded: Vec::new(),
+            reach: reach.servers,
+            pool: reach.pool,
+            arrival: arrival.clone(),
+        })
+    }
+
+    fn check_instance(&self) -> Result<(), Refusal> {
+        if !self.drain.takes_requests() {
+            return Err(Refusal::new(Code::Draining));
+        }
+        let view = self.members.view();
+        if view.isolated {
+            return Err(Refusal::new(Code::Isolated));
+        }
+        if !self.propagation.is_ready() {
+            return Err(Refusal::new(Code::NotReady));
+        }
+        // The bills of requests under way must find room even if the table stays away for an hour;
+        // taking one more would mean to drop one of them.
+        if self.courier.is_full() || self.book.len() >= self.settings.most_requests {
+            return Err(
+                Refusal::new(Code::Overloaded).with_retry_after(std::time::Duration::from_secs(1))
+            );
+        }
+        Ok(())
+    }
+
+    /// Asks the slot of the request whether it may run. `lost` names a run of which its backend
+    /// server has no record.
+    pub(crate) fn claim(&mut self, ticket: Ticket, lost: Option<Owner>) {
+        let Some(record) = self.book.get(ticket) else {
+            return;
+        };
+        let ask = ask_for(record, lost);
+        let attempt = self.courier.claim(self.now, ticket.0, &ask);
+        if let Some(record) = self.book.get_mut(ticket) {
+            record.grant = Some(Grant {
+                attempt,
+                is_deferred: true,
+            });
+        }
+    }
+
+    /// The slot granted the claim.
+    pub(crate) fn claim_granted(&mut self, ticket: Ticket) {
+        if let Some(record) = self.book.get_mut(ticket)
+            && let Some(grant) = &mut record.grant
+        {
+            grant.is_deferred = false;
+        }
+        self.fund(ticket);
+    }
+
+    /// Nobody could record the claim.
+    ///
+    /// A call that may not be repeated is refused: were it sent, a second router could not know of
+    /// it and would run it again. A repeatable one goes on; its bill is arbitrated in any case.
+    pub(crate) fn claim_unavailable(&mut self, ticket: Ticket) {
+        let Some(record) = self.book.get(ticket) else {
+            return;
+        };
+        if record.arrival.work.repeatable() {
+            self.fund(ticket);
+            return;
+        }
+        let refusal =
+            Refusal::new(Code::NoClaim).with_retry_after(std::time::Duration::from_secs(1));
+        self.forget_grant(ticket);
+        self.refuse(ticket, refusal);
+    }
+
+    /// The request is known already.
+    pub(crate) fn claim_known(&mut self, ticket: Ticket, known: Known) {
+        self.forget_grant(ticket);
+        let wait = std::time::Duration::from_secs(RETRY_IN_PROGRESS);
+        match known {
+            Known::Absent => self.claim(ticket, None),
+            Known::Conflict => self.refuse(ticket, Refusal::new(Code::Conflict)),
+            Known::InProgress { owner, assignment } => match assignment {
+                Some(assignment) if self.is_model(ticket) => {
+                    self.attach(ticket, Some(owner), &assignment.server, &assignment.stream);
+                }
+                _ => self.refuse(
+                    ticket,
+                    Refusal::new(Code::InProgress).with_retry_after(wait),
+                ),
+            },
+            Known::Done {
+                assignment,
+                answer,
+                in_doubt,
+            } => {
+                if let Some(answer) = answer {
+                    self.decide(ticket, Verdict::Stored(answer));
+                    return;
+                }
+                match assignment {
+                    Some(assignment) if self.is_model(ticket) => {
+                        self.attach(ticket, None, &assignment.server, &assignment.stream);
+                    }
+                    _ if in_doubt => self.refuse(ticket, Refusal::new(Code::OutcomeUnknown)),
+                    _ => self.refuse(ticket, Refusal::new(Code::AlreadyRan)),
+                }
+            }
+        }
+    }
+
+    fn is_model(&self, ticket: Ticket) -> bool {
+        let record = self.book.get(ticket);
+        record.is_some_and(|record| matches!(record.arrival.work, Work::Model { .. }))
+    }
+
+    // The answer of another run is read from the backend server; the run stays its owner's to bill.
+    fn attach(&mut self, ticket: Ticket, owner: Option<Owner>, server: &str, stream: &StreamId) {
+        let Some(place) = self.catalog.place_of(server).cloned() else {
+            self.refuse(ticket, Refusal::new(Code::AlreadyRan));
+            return;
+        };
+        if !self.book.step(ticket, "known") {
+            return;
+        }
+        if let Some(record) = self.book.get_mut(ticket) {
+            record.other_run = owner;
+        }
+        self.log(
+            Event::StreamResumed,
+            format!(
+                "ticket={} server={server} stream={stream} role=reader",
+                ticket.0
+            ),
+        );
+        self.actions.push(Action::Decide {
+            ticket,
+            verdict: Verdict::Attach {
+                server: place.name,
+                address: place.address,
+                stream: stream.clone(),
+            },
+        });
+    }
+
+    /// The backend server has no record of the run that this request was attached to.
+    pub(crate) fn stream_gone(&mut self, ticket: Ticket) {
+        let Some(record) = self.book.get_mut(ticket) else {
+            return;
+        };
+        let other_run = record.other_run.take();
+        if other_run.is_none() {
+            self.refuse(ticket, Refusal::new(Code::AlreadyRan));
+            return;
+        }
+        if self.book.step(ticket, "lost") {
+            self.claim(ticket, other_run);
+        }
+    }
+
+    fn forget_grant(&mut self, ticket: Ticket) {
+        if let Some(record) = self.book.get_mut(ticket) {
+            record.grant = None;
+        }
+    }
+
+    /// Holds the worst case of the request's cost, then queues it.
+    pub(crate) fn fund(&mut self, ticket: Ticket) {
+        if !self.book.step(ticket, "granted") {
+            return;
+        }
+        self.hold(ticket);
+    }
+
+    /// Tries to hold; called again whenever the group's allowance changed.
+    pub(crate) fn hold(&mut self, ticket: Ticket) {
+        let Some(record) = self.book.get(ticket) else {
+            return;
+        };
+        if record.hold.is_some() {
+            self.enqueue(ticket);
+            return;
+        }
+        let amount = record.arrival.work.bound();
+        match self.ledger.hold(self.now, record.group, amount) {
+            Ok(hold) => {
+                if let Some(record) = self.book.get_mut(ticket) {
+                    record.hold = Some(hold);
+                }
+                self.enqueue(ticket);
+            }
+            Err(Shortage::Pending) => {}
+            Err(shortage) => self.refuse_for_money(ticket, shortage),
+        }
+    }
+
+    /// Refuses a request whose group has no money for it, with what is known of the reason.
+    pub(crate) fn refuse_for_money(&mut self, ticket: Ticket, shortage: Shortage) {
+        let refusal = match shortage {
+            Shortage::Pending => return,
+            Shortage::Exhausted => Refusal::new(Code::BudgetExhausted),
+            Shortage::InUse { retry_after } => {
+                Refusal::new(Code::BudgetInUse).with_retry_after(retry_after)
+            }
+            Shortage::Unknown { retry_after } => {
+                Refusal::new(Code::BudgetUnknown).with_retry_after(retry_after)
+            }
+        };
+        self.refuse(ticket, refusal);
+    }
+
+    fn enqueue(&mut self, ticket: Ticket) {
+        if !self.book.step(ticket, "held") {
+            return;
+        }
+        let Some(record) = self.book.get(ticket) else {
+            return;
+        };
+        let entry = Entry {
+            ticket: ticket.0,
+            group: record.group,
+            kind: record.kind,
+            pool: record.pool,
+            cost: record.arrival.work.bound(),
+            deadline: record.deadline,
+        };
+        match self.admission.push(self.now, entry) {
+            Ok(_) => self.needs_dispatch = true,
+            Err(refusal) => self.refuse(ticket, refusal),
+        }
+    }
+}
+
+/// What the slot is asked for a request.
+pub(crate) fn ask_for(record: &Record, lost: Option<Owner>) -> Ask {
+    Ask {
+        request: record.arrival.key.digest(),
+        fingerprint: record.arrival.fingerprint,
+        group: record.arrival.group.clone(),
+        hold: record.arrival.work.bound(),
+        repeatable: record.arrival.work.repeatable(),
+        lost,
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_node/src/settings.rs
@@ -0,0 +1,78 @@
+//! Settings of one entry instance's decisions.
+
+use std::time::Duration;
+
+/// Everything that the machines of one instance are set up with.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Number of slots of the whole fleet; the same on every instance, for good.
+    pub slots: u16,
+    /// Allowances.
+    pub budget: fescuewell_budget::policy::Settings,
+    /// Slots held here.
+    pub arbiter: fescuewell_claims::arbiter::Settings,
+    /// Claims and bills of this instance's own requests.
+    pub courier: fescuewell_claims::courier::Settings,
+    /// The queue.
+    pub queue: fescuewell_queue::admission::Settings,
+    /// Choice of backend servers.
+    pub routing: fescuewell_routing::settings::Settings,
+    /// Heartbeats and readings.
+    pub members: fescuewell_membership::settings::Settings,
+    /// Retries after an attempt that did not run.
+    pub retry: fescuewell_queue::retry::BudgetSettings,
+    /// Most attempts at one request.
+    pub most_attempts: u32,
+    /// Most requests that this instance has a part in at once.
+    pub most_requests: usize,
+    /// How long a member must have been ready before slots are given to it.
+    pub slot_settle: Duration,
+    /// Gossip among instances.
+    pub gossip: fescuewell_membership::gossip::Settings,
+    /// How documents spread.
+    pub propagation: fescuewell_membership::propagate::Settings,
+    /// How the instance shuts down.
+    pub drain: fescuewell_membership::drain::Settings,
+}
+
+/// Slots of a fleet of any size up to a few hundred thousand requests a second; at nine instances
+/// each holds about seven of them.
+const SLOTS: u16 = 64;
+
+/// Instances of a fleet of today's size.
+const FLEET: u32 = 9;
+
+impl Settings {
+    /// Settings whose rates suit a fleet of `instances`.
+    pub fn sized(instances: u32) -> Self {
+        Self {
+            slots: SLOTS,
+            budget: Default::default(),
+            arbiter: fescuewell_claims::arbiter::Settings {
+                slots: SLOTS,
+                commit_interval: Duration::from_millis(20),
+                ..Default::default()
+            },
+            courier: fescuewell_claims::courier::Settings {
+                slots: SLOTS,
+                ..Default::default()
+            },
+            queue: Default::default(),
+            routing: Default::default(),
+            members: fescuewell_membership::settings::Settings::sized(instances),
+            retry: Default::default(),
+            most_attempts: 3,
+            most_requests: 4_000,
+            slot_settle: Duration::from_secs(1),
+            gossip: fescuewell_membership::gossip::Settings::sized(instances),
+            propagation: fescuewell_membership::propagate::Settings::sized(instances),
+            drain: Default::default(),
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::sized(FLEET)
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_node/src/settle.rs
@@ -0,0 +1,307 @@
+//! From the end of an attempt to a durable bill, a retry or a refusal.
+
+use std::time::Duration;
+
+use fescuewell_claims::courier::Cost;
+use fescuewell_claims::message::Answer;
+use fescuewell_core::prelude::*;
+use fescuewell_routing::server::{Outcome, Ticket as RouteTicket};
+
+use crate::admit::ask_for;
+use crate::event::Action;
+use crate::node::Node;
+use crate::request::{End, Ticket, Verdict};
+
+/// When to ask again after backend servers took nothing.
+const RETRY_BUSY: Duration = Duration::from_secs(1);
+
+/// What is to be billed for an attempt.
+struct Charge {
+    cost: Tokens,
+    is_complete: bool,
+    answer: Option<Answer>,
+}
+
+impl Node {
+    /// An attempt ended.
+    pub(crate) fn ended(&mut self, ticket: Ticket, end: End) {
+        if !self.book.is_in(ticket, "running") {
+            // A reader of another run's stream ended: nothing is billed here.
+            if self.book.step(ticket, "done") {
+                self.book.remove(ticket);
+            }
+            return;
+        }
+        self.needs_dispatch = true;
+        self.tell_routing(ticket, outcome_of(&end));
+        match end {
+            End::Done {
+                cost,
+                output,
+                answer,
+            } => {
+                self.log_done(ticket, cost, output);
+                self.bill(
+                    ticket,
+                    Charge {
+                        cost,
+                        is_complete: true,
+                        answer,
+                    },
+                );
+            }
+            End::NotSent | End::Busy => self.try_again(ticket),
+            End::Rejected => self.drop_unrun(ticket),
+            End::Cancelled { used } if used.is_zero() && self.is_repeatable(ticket) => {
+                self.drop_unrun(ticket);
+            }
+            End::Lost {
+                delivered: false, ..
+            } if self.is_repeatable(ticket) => self.rerun(ticket),
+            End::Cancelled { used } => {
+                // The caller gave up: a repeat reads what there is. Were it to run again without a bill,
+                // cancelling would be a way to get answers for nothing.
+                let cost = self.cost_of_lost(ticket, used);
+                self.bill(
+                    ticket,
+                    Charge {
+                        cost,
+                        is_complete: true,
+                        answer: None,
+                    },
+                );
+            }
+            End::Lost { used, .. } => {
+                let cost = self.cost_of_lost(ticket, used);
+                self.bill(
+                    ticket,
+                    Charge {
+                        cost,
+                        is_complete: false,
+                        answer: None,
+                    },
+                );
+            }
+        }
+    }
+
+    fn is_repeatable(&self, ticket: Ticket) -> bool {
+        let record = self.book.get(ticket);
+        record.is_some_and(|record| record.arrival.work.repeatable())
+    }
+
+    // A call that may not be repeated and whose outcome is unknown counts as run: it is charged, and
+    // its claim stays, so that no repeat runs it again.
+    fn cost_of_lost(&self, ticket: Ticket, used: Tokens) -> Tokens {
+        match self.book.get(ticket) {
+            Some(record) if !record.arrival.work.repeatable() => record.arrival.work.bound(),
+            _ => used,
+        }
+    }
+
+    fn tell_routing(&mut self, ticket: Ticket, outcome: Outcome) {
+        let now = self.now;
+        let Some(record) = self.book.get_mut(ticket) else {
+            return;
+        };
+        let took = now.since(record.sent_at);
+        if let Some(server) = record.server {
+            self.router
+                .finished(now, server, RouteTicket(ticket.0), outcome);
+        }
+        if let Some(entry) = &record.entry {
+            let took = (outcome == Outcome::Done).then_some(took);
+            self.admission.finished(entry, took);
+        }
+    }
+
+    fn log_done(&mut self, ticket: Ticket, cost: Tokens, output: u32) {
+        let Some(record) = self.book.get(ticket) else {
+            return;
+        };
+        let took = self.now.since(record.arrived);
+        let text = format!(
+            "ticket={} account={} request={} cost={cost} output={output} took_ms={:.1}",
+            ticket.0,
+            record.arrival.key.account,
+            record.arrival.key.id,
+            took.as_secs_f64() * 1e3,
+        );
+        self.log(Event::RequestDone, text);
+    }
+
+    fn bill(&mut self, ticket: Ticket, charge: Charge) {
+        if !self.book.step(ticket, "ended") {
+            return;
+        }
+        let now = self.now;
+        let Some(record) = self.book.get(ticket) else {
+            return;
+        };
+        let (Some(grant), Some(hold)) = (record.grant, record.hold) else {
+            return;
+        };
+        let owed = self.ledger.settle(now, hold, charge.cost);
+        if let Some(entry) = &record.entry {
+            self.admission.settled(entry, owed);
+        }
+        let cost = Cost {
+            tokens: owed,
+            complete: charge.is_complete,
+            answer: charge.answer,
+        };
+        self.courier
+            .bill(now, ticket.0, &ask_for(record, None), grant.attempt, cost);
+    }
+
+    /// A bill is durable: the hold becomes spent, or free again when another run was charged.
+    pub(crate) fn billed(&mut self, ticket: Ticket, charged: Tokens) {
+        if !self.book.step(ticket, "billed") {
+            return;
+        }
+        let Some(record) = self.book.remove(ticket) else {
+            return;
+        };
+        if let Some(hold) = record.hold {
+            self.ledger.bill_durable(self.now, hold, charged);
+        }
+    }
+
+    /// Provably nothing ran: another backend server is tried, within the deadline and the retry budget.
+    fn try_again(&mut self, ticket: Ticket) {
+        let most = self.settings.most_attempts;
+        let now = self.now;
+        let Some(record) = self.book.get_mut(ticket) else {
+            return;
+        };
+        record.excluded.extend(record.server.take());
+        let in_time = now < record.deadline;
+        let more = record.sent < most && record.excluded.len() < record.reach.len();
+        if !(in_time && more && self.retries.try_retry(now)) {
+            let refusal = Refusal::new(Code::NoServer).with_retry_after(RETRY_BUSY);
+            self.refuse(ticket, refusal);
+            return;
+        }
+        let Some(entry) = record.entry else {
+            return;
+        };
+        if self.book.step(ticket, "again") {
+            self.log(
+                Event::RouteRetried,
+                format!("ticket={} reason=not_run", ticket.0),
+            );
+            self.admission.put_back(now, entry);
+        }
+    }
+
+    /// The backend server lost the answer before any of it reached the caller: run it anew elsewhere, as a
+    /// new attempt, since the old one may still be known under its stream id.
+    fn rerun(&mut self, ticket: Ticket) {
+        let most = self.settings.most_attempts;
+        let now = self.now;
+        let Some(record) = self.book.get_mut(ticket) else {
+            return;
+        };
+        record.excluded.extend(record.server.take());
+        let in_time = now < record.deadline;
+        let more = record.sent < most && record.excluded.len() < record.reach.len();
+        let old = record.grant.take();
+        let digest = record.arrival.key.digest();
+        if !(in_time && more && self.retries.try_retry(now)) {
+            record.grant = old;
+            self.refuse(
+                ticket,
+                Refusal::new(Code::RetryBudgetSpent).with_retry_after(RETRY_BUSY),
+            );
+            return;
+        }
+        if let Some(old) = old {
+            self.courier.release(now, digest, old.attempt);
+        }
+        if self.book.step(ticket, "rerun") {
+            self.log(
+                Event::RouteRetried,
+                format!("ticket={} reason=lost", ticket.0),
+            );
+            self.claim(ticket, None);
+        }
+    }
+
+    /// Ends a request of which nothing ran and whose caller was answered by the data plane.
+    fn drop_unrun(&mut self, ticket: Ticket) {
+        if self.book.step(ticket, "refuse") {
+            self.release(ticket);
+        }
+    }
+
+    /// Refuses a request truthfully and lets go of its claim and hold.
+    pub(crate) fn refuse(&mut self, ticket: Ticket, refusal: Refusal) {
+        if !self.book.step(ticket, "refuse") {
+            return;
+        }
+        if let Some(record) = self.book.get(ticket) {
+            let key = record.arrival.key.clone();
+            self.log_refusal(ticket, &key, &refusal);
+        }
+        self.admission.remove(self.now, ticket.0);
+        self.decide(ticket, Verdict::Refuse(refusal));
+        self.release(ticket);
+    }
+
+    /// Refuses a request that never got a record.
+    pub(crate) fn refuse_unknown(&mut self, ticket: Ticket, key: &RequestKey, refusal: Refusal) {
+        self.log_refusal(ticket, key, &refusal);
+        self.decide(ticket, Verdict::Refuse(refusal));
+    }
+
+    fn log_refusal(&mut self, ticket: Ticket, key: &RequestKey, refusal: &Refusal) {
+        let text = format!(
+            "ticket={} account={} request={} code={} name={} run={:?}",
+            ticket.0,
+            key.account,
+            key.id,
+            refusal.code.number(),
+            refusal.code.name(),
+            refusal.run,
+        );
+        *self.refusals.entry(refusal.code).or_default() += 1;
+        self.log(Event::RouteRefused, text);
+    }
+
+    fn release(&mut self, ticket: Ticket) {
+        let Some(record) = self.book.remove(ticket) else {
+            return;
+        };
+        if let Some(hold) = record.hold {
+            self.ledger.release(self.now, hold);
+        }
+        if let Some(grant) = record.grant {
+            let digest = record.arrival.key.digest();
+            self.courier.release(self.now, digest, grant.attempt);
+        }
+    }
+
+    /// The caller went away before the verdict.
+    pub(crate) fn withdraw(&mut self, ticket: Ticket) {
+        self.admission.remove(self.now, ticket.0);
+        if self.book.step(ticket, "refuse") {
+            self.release(ticket);
+        }
+    }
+
+    /// Hands a verdict to the listener.
+    pub(crate) fn decide(&mut self, ticket: Ticket, verdict: Verdict) {
+        self.actions.push(Action::Decide { ticket, verdict });
+    }
+}
+
+fn outcome_of(end: &End) -> Outcome {
+    match end {
+        End::Done { .. } | End::Rejected => Outcome::Done,
+        End::NotSent => Outcome::Failed,
+        End::Busy => Outcome::Busy,
+        End::Lost { stalled: true, .. } => Outcome::Stalled,
+        End::Lost { .. } => Outcome::Failed,
+        End::Cancelled { .. } => Outcome::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_router/src/backends.rs
@@ -0,0 +1,220 @@
+//! The thread towards backend servers: load reports, cache events, listings for the sweep.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use fescuewell_core::prelude::*;
+use fescuewell_document::model::{Server, ServerRole};
+use fescuewell_http::upstream::{Client, Target, Timeouts};
+use fescuewell_node::event::{Event as NodeEvent, StreamRecord};
+use fescuewell_routing::load::Report;
+use serde_json::Value;
+
+use crate::adapters::BackendWork;
+
+/// Time between two load reports of one backend server.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for any of these small answers.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Largest answer.
+const LARGEST: usize = 4 * 1024 * 1024;
+
+/// What the thread works with.
+#[derive(Clone)]
+pub struct Backends {
+    /// Backend servers of the document in force.
+    pub servers: Arc<ArcSwap<Vec<Server>>>,
+    /// The decision thread's ring.
+    pub events: flume::Sender<NodeEvent>,
+    /// Connections of its own, so that a burst of streams does not delay reports.
+    pub client: Client,
+}
+
+/// Starts the thread; it ends when the ring of work is closed.
+///
+/// # Errors
+///
+/// When the operating system starts no more threads.
+pub fn start(backends: Backends, work: flume::Receiver<BackendWork>) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    std::thread::Builder::new()
+        .name("backends".into())
+        .spawn(move || {
+            runtime.block_on(backends.run(&work));
+        })?;
+    Ok(())
+}
+
+impl Backends {
+    async fn run(&self, work: &flume::Receiver<BackendWork>) {
+        let mut interval = tokio::time::interval(REPORT_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        let mut polls = BTreeMap::new();
+        loop {
+            tokio::select! {
+                _ = interval.tick() => self.poll_all(&mut polls),
+                received = work.recv_async() => match received {
+                    Ok(work) => {
+                        let backends = self.clone();
+                        tokio::spawn(async move { backends.work(work).await });
+                    }
+                    Err(_) => return,
+                },
+            }
+        }
+    }
+
+    // A backend server that does not answer has one question open, not one more each time.
+    fn poll_all(&self, polls: &mut BTreeMap<Arc<str>, tokio::task::JoinHandle<u64>>) {
+        use std::collections::btree_map::Entry;
+        for server in self.servers.load().iter() {
+            if server.role != ServerRole::Engine {
+                continue;
+            }
+            match polls.entry(server.name.clone()) {
+                Entry::Vacant(entry) => {
+                    entry.insert(tokio::spawn(self.clone().poll(server.clone())));
+                }
+                Entry::Occupied(mut entry) if entry.get().is_finished() => {
+                    entry.insert(tokio::spawn(self.clone().poll(server.clone())));
+                }
+                Entry::Occupied(_) => {}
+            }
+        }
+    }
+
+    async fn poll(self, server: Server) -> u64 {
+        let Some(models) = self.get(server.address, "/v1/models").await else {
+            return 0;
+        };
+        let Some(metrics) = self.get(server.address, "/metrics").await else {
+            return 0;
+        };
+        let loaded = names_of(&serde_json::from_slice(&models).unwrap_or_default());
+        let report = read_report(&String::from_utf8_lossy(&metrics));
+        let event = NodeEvent::Reported {
+            server: server.name.clone(),
+            report,
+            loaded,
+        };
+        let _ = self.events.try_send(event);
+        1
+    }
+
+    async fn work(&self, work: BackendWork) {
+        match work {
+            BackendWork::Cancel { address, stream } => {
+                let path = format!("/v1/responses/{stream}/cancel");
+                let _ = self.ask(address, http::Method::POST, &path).await;
+            }
+            BackendWork::ListStreams {
+                server,
+                holder,
+                is_engine: false,
+                ..
+            } => {
+                let streams = Some(Vec::new());
+                let event = NodeEvent::Streams {
+                    server,
+                    holder,
+                    streams,
+                };
+                let _ = self.events.send_async(event).await;
+            }
+            BackendWork::ListStreams {
+                server,
+                address,
+                holder,
+                ..
+            } => {
+                let path = format!("/v1/responses?holder={holder}");
+                let body = self.get(address, &path).await;
+                let streams = body.and_then(|body| read_streams(&body));
+                let event = NodeEvent::Streams {
+                    server,
+                    holder,
+                    streams,
+                };
+                let _ = self.events.send_async(event).await;
+            }
+        }
+    }
+
+    async fn get(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
+        self.ask(address, http::Method::GET, path).await
+    }
+
+    async fn ask(&self, address: SocketAddr, method: http::Method, path: &str) -> Option<Bytes> {
+        let request = http::Request::builder().method(method).uri(path);
+        let request = request.body(Bytes::new()).ok()?;
+        let timeouts = Timeouts {
+            connect: PATIENCE,
+            first_byte: PATIENCE,
+            progress: PATIENCE,
+        };
+        let exchange = self
+            .client
+            .open(&Target::new(address), request, timeouts)
+            .await
+            .ok()?;
+        if !exchange.status.is_success() {
+            return None;
+        }
+        exchange.whole(LARGEST).await.ok()
+    }
+}
+
+fn names_of(models: &Value) -> Vec<Arc<str>> {
+    let data = models["data"].as_array().into_iter().flatten();
+    data.filter_map(|model| model["id"].as_str().map(Arc::from))
+        .collect()
+}
+
+/// Reads the few lines that matter of a report in the Prometheus text format.
+fn read_report(text: &str) -> Report {
+    let value = |name: &str| {
+        let mut lines = text.lines().filter(|line| !line.starts_with('#'));
+        let line = lines.find(|line| {
+            line.split(['{', ' '])
+                .next()
+                .is_some_and(|found| found.ends_with(name))
+        });
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .unwrap_or_default()
+    };
+    Report {
+        running: value("engine_requests_running") as u32,
+        waiting: value("engine_requests_waiting") as u32,
+        cache_used: value("engine_prefix_cache_usage_ratio") as f32,
+        at_age: Duration::from_secs_f64(value("engine_report_age_seconds").max(0.0)),
+    }
+}
+
+fn read_streams(body: &[u8]) -> Option<Vec<StreamRecord>> {
+    let value: Value = serde_json::from_slice(body).ok()?;
+    let data = value["data"].as_array()?;
+    Some(data.iter().filter_map(read_stream).collect())
+}
+
+fn read_stream(record: &Value) -> Option<StreamRecord> {
+    let metadata = &record["metadata"];
+    let finish = record["finish_reason"].as_str().unwrap_or_default();
+    let hold = metadata["hold"]
+        .as_u64()
+        .or_else(|| metadata["hold"].as_str()?.parse().ok());
+    Some(StreamRecord {
+        stream: record["id"].as_str()?.into(),
+        group: metadata["group"].as_str().unwrap_or_default().into(),
+        hold: Tokens(hold.unwrap_or_default()),
+        done: record["done"].as_bool().unwrap_or_default(),
+        complete: matches!(finish, "stop" | "length"),
+        answer: None,
+        used: Tokens(record["usage"]["total_tokens"].as_u64().unwrap_or_default()),
+    })
+}
--- /dev/null
+++ b/crates/fescuewell_router/src/plane.rs
@@ -0,0 +1,562 @@
+//! The callers' interface: which path does what, from a read request to its answer.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use fescuewell_claims::message::Answer;
+use fescuewell_core::prelude::*;
+use fescuewell_document::lookup::Index;
+use fescuewell_http::listener::{Handler, Reply, Request, spawn};
+use fescuewell_http::upstream::{Client, Timeouts};
+use fescuewell_http::{depth, refusal::refusal_response};
+use fescuewell_membership::address;
+use fescuewell_membership::view::View;
+use fescuewell_node::event::Event as NodeEvent;
+use fescuewell_node::request::{Arrival, Ticket, Verdict, Work};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use crate::attempt::Bench;
+use crate::caller::{Caller, authenticate, deadline_of, kind_of};
+use crate::chat::{Path, Prompt};
+use crate::delivery::{Delivery, Wish};
+use crate::desk::Desk;
+use crate::metrics::Metrics;
+
+/// Deepest nesting of a JSON body.
+const DEEPEST: usize = 64;
+
+/// What the decision thread publishes for the data plane.
+#[derive(Default)]
+pub struct Published {
+    /// The fleet.
+    pub view: View,
+    /// Whether this instance takes requests.
+    pub is_ready: bool,
+    /// Whether it is shutting down.
+    pub is_draining: bool,
+}
+
+/// The data plane of one instance.
+pub struct Plane {
+    /// The document in force, indexed.
+    pub index: ArcSwap<Index>,
+    /// The fleet as the decision thread last published it.
+    pub published: ArcSwap<Published>,
+    /// Where requests meet the decision thread.
+    pub desk: Desk,
+    /// Connections to backend servers.
+    pub client: Client,
+    /// Time limits towards backend servers.
+    pub timeouts: Timeouts,
+    /// How callers are spread.
+    pub addresses: address::Settings,
+    /// `instance.incarnation`, part of the request ids made here.
+    pub holder: Arc<str>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
+/// The listener's handler; a handle to the [`Plane`].
+pub struct Front(pub Arc<Plane>);
+
+impl Handler for Front {
+    fn handle(&self, request: Request, reply: Reply) {
+        let plane = self.0.clone();
+        spawn(async move {
+            plane.serve(request, reply).await;
+        });
+    }
+}
+
+/// A request that passed its first checks.
+struct Checked {
+    caller: Caller,
+    arrival: Arrival,
+    wish: Option<Wish>,
+    prompt: Option<Prompt>,
+    request: Request,
+    deadline: Instant,
+}
+
+impl Plane {
+    async fn serve(&self, request: Request, reply: Reply) {
+        self.metrics.requests.add(1, &[]);
+        let path = request.path.clone();
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        let is_get = request.method == Method::GET;
+        let is_post = request.method == Method::POST;
+        match (parts.as_slice(), is_get, is_post) {
+            (["healthz"], true, _) => send_json(reply, StatusCode::OK, &json!({"status": "ok"})),
+            (["readyz"], true, _) => self.answer_ready(reply),
+            (["v1", "instances"], true, _) => self.answer_instances(&request, reply),
+            (["v1", "models"], true, _) => self.answer_models(&request, reply),
+            (["v1", "chat", "completions"], _, true) => {
+                self.model(Path::Chat, request, reply).await
+            }
+            (["v1", "completions"], _, true) => self.model(Path::Text, request, reply).await,
+            (["v1", "services", service, call], _, true) => {
+                self.service(service, call, request, reply).await;
+            }
+            (["v1", "responses", id], true, _) => self.resume(id, request, reply).await,
+            (known, _, _) if is_known(known) => reply.refuse(&Refusal::new(Code::MethodNotAllowed)),
+            _ => reply.refuse(&Refusal::new(Code::NoSuchPath)),
+        }
+    }
+
+    fn answer_ready(&self, reply: Reply) {
+        let published = self.published.load();
+        if published.is_ready {
+            send_json(reply, StatusCode::OK, &json!({"status": "ready"}));
+            return;
+        }
+        let code = match (published.is_draining, published.view.isolated) {
+            (true, _) => Code::Draining,
+            (_, true) => Code::Isolated,
+            _ => Code::NotReady,
+        };
+        reply.refuse(&Refusal::new(code));
+    }
+
+    fn answer_instances(&self, request: &Request, reply: Reply) {
+        let index = self.index.load();
+        let account = match authenticate(&index, request) {
+            Ok(account) => account,
+            Err(refusal) => return reply.refuse(&refusal),
+        };
+        let zone = query_value(&request.query, "zone").map(Arc::from);
+        let caller = address::Caller {
+            account: account.name.clone(),
+            client: request.peer.ip().to_string().into(),
+            zone,
+            rate: 0,
+        };
+        send_json(reply, StatusCode::OK, &self.instances(&caller));
+    }
+
+    fn instances(&self, caller: &address::Caller) -> Value {
+        let published = self.published.load();
+        let answer = address::answer(&self.addresses, caller, &published.view);
+        let instances: Vec<Value> = answer
+            .addresses
+            .iter()
+            .map(|entry| {
+                json!({
+                    "address": entry.address.to_string(),
+                    "zone": &*entry.zone,
+                    "weight": entry.weight,
+                })
+            })
+            .collect();
+        json!({"ttl_seconds": answer.ttl.as_secs(), "instances": instances})
+    }
+
+    fn answer_models(&self, request: &Request, reply: Reply) {
+        let index = self.index.load();
+        let account = match authenticate(&index, request) {
+            Ok(account) => account,
+            Err(refusal) => return reply.refuse(&refusal),
+        };
+        let models = index.document().models.iter();
+        let offered = models.filter(|model| index.offers(&account.group, &model.name));
+        let data: Vec<Value> = offered
+            .map(|model| json!({"id": &*model.name, "object": "model", "owned_by": "fescuewell"}))
+            .collect();
+        send_json(
+            reply,
+            StatusCode::OK,
+            &json!({"object": "list", "data": data}),
+        );
+    }
+
+    async fn model(&self, path: Path, request: Request, reply: Reply) {
+        let mut place = self.desk.take_place();
+        let checked = match self.check_model(path, request, place.ticket) {
+            Ok(checked) => checked,
+            Err(refusal) => return self.refuse(reply, &refusal),
+        };
+        let (Some(wish), Some(prompt)) = (checked.wish, checked.prompt) else {
+            return;
+        };
+        let mut delivery = Delivery::new(wish.clone(), reply);
+        let bench = Bench {
+            client: &self.client,
+            desk: &self.desk,
+            timeouts: self.timeouts,
+            ticket: place.ticket,
+            deadline: checked.deadline,
+            may_ask_again: checked.caller.may_ask_again,
+        };
+        let ticket = place.ticket;
+        let mut verdict = place.open(NodeEvent::Arrived(checked.arrival)).await;
+        loop {
+            match verdict {
+                Err(refusal) | Ok(Verdict::Refuse(refusal)) => {
+                    return self.refuse_delivery(delivery, &refusal).await;
+                }
+                Ok(Verdict::Stored(answer)) => {
+                    return delivery
+                        .pass_on(status_of(&answer), Bytes::copy_from_slice(&answer.body));
+                }
+                Ok(Verdict::Attach {
+                    address, stream, ..
+                }) => match bench.read(address, &stream, &mut delivery).await {
+                    Some(outcome) => return self.end(ticket, outcome, delivery).await,
+                    None => verdict = place.again(NodeEvent::StreamGone { ticket }).await,
+                },
+                Ok(Verdict::Run(assignment)) => {
+                    delivery.restart();
+                    let outcome = bench.run(&assignment, &prompt, &wish, &mut delivery).await;
+                    if !is_retried(&outcome.end) {
+                        return self.end(ticket, outcome, delivery).await;
+                    }
+                    let end = outcome.end;
+                    verdict = place.again(NodeEvent::Ended { ticket, end }).await;
+                }
+            }
+        }
+    }
+
+    async fn end(&self, ticket: Ticket, outcome: crate::attempt::Outcome, delivery: Delivery) {
+        use fescuewell_node::request::End;
+        let end = outcome.end.clone();
+        match &outcome.end {
+            End::Done { .. } => delivery.finish().await,
+            End::Rejected => {
+                let (status, body) = outcome.rejection.unwrap_or_default();
+                delivery.pass_on(status, body);
+            }
+            _ if outcome.is_late => {
+                self.refuse_delivery(delivery, &Refusal::new(Code::DeadlineCut))
+                    .await;
+            }
+            End::Cancelled { .. } => {
+                self.refuse_delivery(delivery, &Refusal::new(Code::Cancelled))
+                    .await;
+            }
+            _ => {
+                self.refuse_delivery(delivery, &Refusal::new(Code::ServerFailed))
+                    .await
+            }
+        }
+        self.desk.tell(NodeEvent::Ended { ticket, end }).await;
+    }
+
+    fn check_model(
+        &self,
+        path: Path,
+        request: Request,
+        ticket: Ticket,
+    ) -> Result<Checked, Refusal> {
+        let index = self.index.load();
+        let caller = Caller::read(&index, &request, || self.make_id(ticket))?;
+        depth::check(&request.body, DEEPEST).map_err(|_| Refusal::new(Code::TooDeep))?;
+        let prompt = Prompt::read(path, &request.body)?;
+        let model = index
+            .model(&prompt.model)
+            .filter(|model| index.offers(&caller.group, &model.name))
+            .ok_or_else(|| Refusal::new(Code::UnknownModel).with_detail(&prompt.model))?;
+        let output_limit = prompt.output_limit.unwrap_or(model.default_output);
+        if output_limit > model.context_tokens {
+            let detail = format!("The model takes {} tokens.", model.context_tokens);
+            return Err(Refusal::new(Code::TooLong).with_detail(detail));
+        }
+        let salt = fescuewell_node::dispatch::cache_salt(&caller.group);
+        let work = Work::Model {
+            model: model.name.clone(),
+            prefix: prompt.prefix(&salt),
+            prompt_bound: prompt.bound,
+            output_limit,
+        };
+        let wish = Wish {
+            path,
+            stream: prompt.stream,
+            include_usage: prompt.include_usage,
+            id: caller.id.clone(),
+            last_event: caller.last_event,
+        };
+        self.checked(&index, caller, request, work, ticket)
+            .map(|checked| Checked {
+                wish: Some(wish),
+                prompt: Some(prompt),
+                ..checked
+            })
+    }
+
+    fn checked(
+        &self,
+        index: &Index,
+        caller: Caller,
+        request: Request,
+        work: Work,
+        ticket: Ticket,
+    ) -> Result<Checked, Refusal> {
+        let kind = match &work {
+            Work::Call { service, call, .. } => match index.call(service, call) {
+                Some((_, call)) if !request.headers.contains_key(crate::caller::KIND_HEADER) => {
+                    call.kind.clone()
+                }
+                _ => kind_of(index, &request, &caller.account)?,
+            },
+            Work::Model { .. } => kind_of(index, &request, &caller.account)?,
+        };
+        let deadline = deadline_of(index, &request, &kind)?;
+        let arrival = Arrival {
+            ticket,
+            key: caller.key(),
+            fingerprint: fingerprint(&request),
+            group: caller.group.clone(),
+            kind,
+            work,
+            deadline,
+        };
+        Ok(Checked {
+            caller,
+            arrival,
+            wish: None,
+            prompt: None,
+            request,
+            deadline: Instant::now() + deadline,
+        })
+    }
+
+    fn make_id(&self, ticket: Ticket) -> String {
+        format!("auto-{}-{}", self.holder, ticket.0)
+    }
+
+    async fn service(&self, service: &str, call: &str, request: Request, reply: Reply) {
+        let mut place = self.desk.take_place();
+        let checked = match self.check_call(service, call, request, place.ticket) {
+            Ok(checked) => checked,
+            Err(refusal) => return self.refuse(reply, &refusal),
+        };
+        let Work::Call {
+            price, repeatable, ..
+        } = checked.arrival.work
+        else {
+            return;
+        };
+        let ticket = place.ticket;
+        let id = checked.caller.id.clone();
+        let sender = crate::call::Call {
+            client: &self.client,
+            timeouts: self.timeouts,
+            deadline: checked.deadline,
+            call,
+            body: &checked.request.body,
+            content_type: checked.request.headers.get(CONTENT_TYPE),
+            price,
+            repeatable,
+        };
+        let mut verdict = place.open(NodeEvent::Arrived(checked.arrival)).await;
+        loop {
+            match verdict {
+                Ok(Verdict::Stored(answer)) => return send_answer(reply, &answer, &id),
+                Ok(Verdict::Run(assignment)) => {
+                    let outcome = sender.run(&assignment).await;
+                    let end = outcome.end;
+                    if let Some(answer) = outcome.answer {
+                        send_answer(reply, &answer, &id);
+                        return self.desk.tell(NodeEvent::Ended { ticket, end }).await;
+                    }
+                    if is_lost(&end) && !repeatable {
+                        self.refuse(reply, &Refusal::new(Code::OutcomeUnknown));
+                        let end = sender.settle_later(&assignment).await;
+                        return self.desk.tell(NodeEvent::Ended { ticket, end }).await;
+                    }
+                    verdict = place.again(NodeEvent::Ended { ticket, end }).await;
+                }
+                Err(refusal) | Ok(Verdict::Refuse(refusal)) => return self.refuse(reply, &refusal),
+                Ok(Verdict::Attach { .. }) => {
+                    return self.refuse(reply, &Refusal::new(Code::InProgress));
+                }
+            }
+        }
+    }
+
+    fn check_call(
+        &self,
+        service: &str,
+        call: &str,
+        request: Request,
+        ticket: Ticket,
+    ) -> Result<Checked, Refusal> {
+        let index = self.index.load();
+        let caller = Caller::read(&index, &request, || self.make_id(ticket))?;
+        let (service, call) = index
+            .call(service, call)
+            .ok_or_else(|| Refusal::new(Code::UnknownService))?;
+        let work = Work::Call {
+            service: service.name.clone(),
+            call: call.name.clone(),
+            repeatable: call.repeatable,
+            price: call.price,
+        };
+        self.checked(&index, caller, request, work, ticket)
+    }
+
+    /// Takes up the answer of an earlier request of the same account.
+    async fn resume(&self, id: &str, request: Request, reply: Reply) {
+        let index = self.index.load_full();
+        let caller = match Caller::read(&index, &request, String::new) {
+            Ok(caller) => caller,
+            Err(refusal) => return self.refuse(reply, &refusal),
+        };
+        let after = query_value(&request.query, "starting_after");
+        let after = after.map_or(Ok(caller.last_event), str::parse);
+        let Ok(last_event) = after else {
+            let refusal = Refusal::new(Code::InvalidField).with_detail("starting_after");
+            return self.refuse(reply, &refusal);
+        };
+        let mut place = self.desk.take_place();
+        let ticket = place.ticket;
+        let key = RequestKey::new(caller.account.clone(), id);
+        let wish = Wish {
+            path: Path::Chat,
+            stream: query_value(&request.query, "stream") != Some("false"),
+            include_usage: true,
+            id: id.into(),
+            last_event,
+        };
+        let delivery = Delivery::new(wish, reply);
+        let verdict = place.open(NodeEvent::Resume { ticket, key }).await;
+        self.deliver_resumed(ticket, verdict, delivery).await;
+    }
+
+    async fn deliver_resumed(
+        &self,
+        ticket: Ticket,
+        verdict: Result<Verdict, Refusal>,
+        mut delivery: Delivery,
+    ) {
+        let bench = Bench {
+            client: &self.client,
+            desk: &self.desk,
+            timeouts: self.timeouts,
+            ticket,
+            deadline: Instant::now() + crate::caller::LONGEST_DEADLINE,
+            may_ask_again: false,
+        };
+        match verdict {
+            Ok(Verdict::Attach {
+                address, stream, ..
+            }) => match bench.read(address, &stream, &mut delivery).await {
+                Some(outcome) => self.end(ticket, outcome, delivery).await,
+                None => {
+                    self.refuse_delivery(delivery, &Refusal::new(Code::NoSuchStream))
+                        .await;
+                }
+            },
+            Ok(Verdict::Stored(answer)) => {
+                delivery.pass_on(status_of(&answer), Bytes::copy_from_slice(&answer.body));
+            }
+            Err(refusal) | Ok(Verdict::Refuse(refusal)) => {
+                self.refuse_delivery(delivery, &refusal).await;
+            }
+            Ok(Verdict::Run(_)) => {}
+        }
+    }
+
+    fn refuse(&self, reply: Reply, refusal: &Refusal) {
+        self.metrics.count_refusal(refusal.code);
+        let (mut parts, body) = refusal_response(refusal).into_parts();
+        self.add_addresses(refusal, &mut parts.headers);
+        reply.whole(parts.status, parts.headers, body);
+    }
+
+    // A caller that holds the address of an instance that is leaving is told others right away.
+    fn add_addresses(&self, refusal: &Refusal, headers: &mut HeaderMap) {
+        if !matches!(
+            refusal.code,
+            Code::Draining | Code::Isolated | Code::NotReady
+        ) {
+            return;
+        }
+        let published = self.published.load();
+        let others = published.view.live.iter().filter(|peer| {
+            peer.state == fescuewell_membership::row::State::Ready && !peer.suspected
+        });
+        let text: Vec<String> = others.map(|peer| peer.caller_address.to_string()).collect();
+        if let Ok(value) = HeaderValue::from_str(&text.join(", ")) {
+            headers.insert("x-other-instances", value);
+        }
+    }
+
+    async fn refuse_delivery(&self, delivery: Delivery, refusal: &Refusal) {
+        self.metrics.count_refusal(refusal.code);
+        delivery.refuse(refusal).await;
+    }
+}
+
+fn is_known(parts: &[&str]) -> bool {
+    matches!(
+        parts,
+        ["healthz"]
+            | ["readyz"]
+            | ["v1", "instances" | "models" | "completions"]
+            | ["v1", "chat", "completions"]
+            | ["v1", "services", _, _]
+            | ["v1", "responses", _]
+    )
+}
+
+fn is_retried(end: &fescuewell_node::request::End) -> bool {
+    use fescuewell_node::request::End;
+    matches!(
+        end,
+        End::NotSent
+            | End::Busy
+            | End::Lost {
+                delivered: false,
+                ..
+            }
+    )
+}
+
+fn is_lost(end: &fescuewell_node::request::End) -> bool {
+    matches!(end, fescuewell_node::request::End::Lost { .. })
+}
+
+/// Hash of what is asked, so that the same id with another body is noticed.
+fn fingerprint(request: &Request) -> Digest {
+    let mut bytes = request.path.as_bytes().to_vec();
+    bytes.push(0);
+    bytes.extend_from_slice(&request.body);
+    Digest::of(&bytes)
+}
+
+fn status_of(answer: &Answer) -> StatusCode {
+    StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK)
+}
+
+fn send_answer(reply: Reply, answer: &Answer, id: &str) {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(&answer.content_type) {
+        headers.insert(CONTENT_TYPE, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(id) {
+        headers.insert(crate::delivery::ID_HEADER, value);
+    }
+    reply.whole(
+        status_of(answer),
+        headers,
+        Bytes::copy_from_slice(&answer.body),
+    );
+}
+
+fn send_json(reply: Reply, status: StatusCode, body: &Value) {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply.whole(status, headers, Bytes::from(body.to_string()));
+}
+
+fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .filter(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+        .next()
+}
--- /dev/null
+++ b/crates/fescuewell_router/src/settings.rs
@@ -0,0 +1,230 @@
+//! The settings file of a router.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell_document::fault::Fault;
+use fescuewell_platform::settings::Secret;
+use serde::{Deserialize, Serialize};
+
+/// Settings of one entry instance.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, as in the instance list and in its certificate.
+    pub instance: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators connect: state and metrics.
+    pub operator_listen: SocketAddr,
+    /// Token that operators show there; without one, only loopback addresses are served.
+    #[serde(default)]
+    pub operator_token: Option<Secret>,
+    /// Certificate and key of the callers' listener; plain HTTP without.
+    #[serde(default)]
+    pub tls: Option<Tls>,
+    /// Listener and certificates for other instances.
+    pub peers: fescuewell_peer::Settings,
+    /// The platform's services.
+    pub platform: fescuewell_platform::settings::Settings,
+    /// Size of the fleet that rates are set for.
+    #[serde(default = "default_fleet")]
+    pub fleet: u32,
+    /// Bounds of the callers' listener.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Time limits.
+    #[serde(default)]
+    pub timing: Timing,
+}
+
+/// Certificate and key of a listener, by file.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// PEM file of the certificate chain.
+    pub certificate: Arc<str>,
+    /// PEM file of the key.
+    pub key: Arc<str>,
+}
+
+/// Bounds of one instance.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Open connections of callers.
+    pub connections: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Bytes of a request's head; at least 8192.
+    pub head_bytes: usize,
+    /// Requests that the instance has a part in at once.
+    pub requests: usize,
+    /// Threads that serve callers.
+    pub threads: usize,
+}
+
+/// Time limits of one instance, in milliseconds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Connecting to a backend server.
+    pub connect_ms: u64,
+    /// From sending a request to the head of its answer.
+    pub first_byte_ms: u64,
+    /// Between two chunks of an answer.
+    pub progress_ms: u64,
+    /// How long callers keep an address that they were given.
+    pub address_ttl_ms: u64,
+    /// How long a draining instance waits until every peer knows of it.
+    pub drain_spread_ms: u64,
+    /// After so long a draining process ends, whatever is left.
+    pub drain_limit_ms: u64,
+    /// Least time between two group commits of claims and bills.
+    pub commit_interval_ms: u64,
+    /// How long a claim is waited for before a repeatable request goes on without.
+    pub claim_patience_ms: u64,
+    /// Longest lag of the instance list.
+    pub list_lag_ms: u64,
+    /// Silence of both the table and all peers after which requests are refused.
+    pub isolation_ms: u64,
+    /// Heartbeats missing for so long make an instance's slots free to take over.
+    pub lease_ms: u64,
+}
+
+fn default_fleet() -> u32 {
+    9
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4_096,
+            body_bytes: 4 * 1024 * 1024,
+            head_bytes: 16 * 1024,
+            requests: 4_000,
+            threads: 1,
+        }
+    }
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            connect_ms: 500,
+            first_byte_ms: 30_000,
+            progress_ms: 10_000,
+            address_ttl_ms: 10_000,
+            drain_spread_ms: 2_000,
+            drain_limit_ms: 120_000,
+            commit_interval_ms: 20,
+            claim_patience_ms: 300,
+            list_lag_ms: 60_000,
+            isolation_ms: 30_000,
+            lease_ms: 5_000,
+        }
+    }
+}
+
+/// Shortest name of an instance or zone is one character; the longest fits a DNS label.
+const LONGEST_NAME: usize = 63;
+/// Least size of a head that HTTP libraries accept.
+const LEAST_HEAD: usize = 8_192;
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The first fault, with file and line where it is known.
+    pub fn read(text: &str, file: &str) -> Result<Self, fescuewell_document::settings::Error> {
+        let settings: Self = fescuewell_document::settings::read(text, file)?;
+        settings
+            .check()
+            .map_err(|fault| fescuewell_document::settings::Error::new(file, fault))?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        check_name("instance", &self.instance)?;
+        check_name("zone", &self.zone)?;
+        let bounds = [
+            ("limits.connections", self.limits.connections, 1, 100_000),
+            (
+                "limits.body_bytes",
+                self.limits.body_bytes,
+                1_024,
+                256 * 1024 * 1024,
+            ),
+            (
+                "limits.head_bytes",
+                self.limits.head_bytes,
+                LEAST_HEAD,
+                1024 * 1024,
+            ),
+            ("limits.requests", self.limits.requests, 1, 100_000),
+            ("limits.threads", self.limits.threads, 1, 64),
+            ("fleet", self.fleet as usize, 1, 10_000),
+        ];
+        for (name, value, least, most) in bounds {
+            if !(least..=most).contains(&value) {
+                return Err(Fault::new(
+                    name,
+                    format!("{value} is not between {least} and {most}"),
+                ));
+            }
+        }
+        self.check_timing()
+    }
+
+    fn check_timing(&self) -> Result<(), Fault> {
+        let timing = &self.timing;
+        let all = [
+            ("timing.connect_ms", timing.connect_ms),
+            ("timing.first_byte_ms", timing.first_byte_ms),
+            ("timing.progress_ms", timing.progress_ms),
+            ("timing.commit_interval_ms", timing.commit_interval_ms),
+            ("timing.claim_patience_ms", timing.claim_patience_ms),
+            ("timing.isolation_ms", timing.isolation_ms),
+            ("timing.lease_ms", timing.lease_ms),
+        ];
+        for (name, value) in all {
+            if value == 0 {
+                return Err(Fault::new(name, "must be at least 1"));
+            }
+        }
+        if timing.drain_limit_ms <= timing.address_ttl_ms + timing.drain_spread_ms {
+            let text = "must be longer than address_ttl_ms and drain_spread_ms together";
+            return Err(Fault::new("timing.drain_limit_ms", text));
+        }
+        Ok(())
+    }
+
+    /// Settings of the decisions.
+    pub fn node(&self) -> fescuewell_node::settings::Settings {
+        let timing = &self.timing;
+        let mut node = fescuewell_node::settings::Settings::sized(self.fleet);
+        node.most_requests = self.limits.requests;
+        node.arbiter.commit_interval = Duration::from_millis(timing.commit_interval_ms);
+        node.courier.patience = Duration::from_millis(timing.claim_patience_ms);
+        node.members.list_lag = Duration::from_millis(timing.list_lag_ms);
+        node.members.isolation_limit = Duration::from_millis(timing.isolation_ms);
+        node.members.lease = Duration::from_millis(timing.lease_ms);
+        node.drain.address_ttl = Duration::from_millis(timing.address_ttl_ms);
+        node.drain.spread = Duration::from_millis(timing.drain_spread_ms);
+        node.drain.limit = Duration::from_millis(timing.drain_limit_ms);
+        node
+    }
+}
+
+fn check_name(setting: &str, name: &str) -> Result<(), Fault> {
+    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    if name.is_empty() || name.len() > LONGEST_NAME || !name.bytes().all(allowed) {
+        let text = format!("`{name}` is not 1 to {LONGEST_NAME} of a-z, 0-9 and -");
+        return Err(Fault::new(setting, text));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,71 @@
+//! The subcommands.
+
+mod check;
+mod config;
+mod console;
+mod demo;
+mod issue;
+mod log;
+mod router;
+mod standin;
+mod stop;
+
+use pico_args::Arguments;
+
+use crate::cli::{Error, finish, usage};
+
+/// The help text of a subcommand.
+pub fn help(command: &str) -> Option<&'static str> {
+    match command {
+        "check" => Some(check::HELP),
+        "config" => Some(config::HELP),
+        "console" => Some(console::HELP),
+        "demo" => Some(demo::HELP),
+        "issue-certificates" => Some(issue::HELP),
+        "router" => Some(router::HELP),
+        "stand-in" => Some(standin::HELP),
+        _ => None,
+    }
+}
+
+/// Runs a subcommand.
+///
+/// # Errors
+///
+/// What the subcommand reports, or [`Error::Usage`] when there is none of that name.
+pub fn dispatch(command: &str, arguments: Arguments) -> Result<(), Error> {
+    match command {
+        "check" => check::run(arguments),
+        "config" => config::run(arguments),
+        "console" => console::run(arguments),
+        "demo" => demo::run(arguments),
+        "hash-key" => hash_secret(arguments, |key| {
+            Ok(fescuewell::document::key::hash_key(key).to_string())
+        }),
+        "hash-password" => hash_secret(arguments, |password| {
+            fescuewell::console::password::hash(password).map_err(Error::failed)
+        }),
+        "issue-certificates" => issue::run(arguments),
+        "router" => router::run(arguments),
+        "stand-in" => standin::run(arguments),
+        _ => Err(usage(format!("there is no command {command}"))),
+    }
+}
+
+// From standard input, since a command line is seen by every process of the machine.
+fn hash_secret<Hash>(arguments: Arguments, hash: Hash) -> Result<(), Error>
+where
+    Hash: Fn(&str) -> Result<String, Error>,
+{
+    finish(arguments)?;
+    let mut line = String::new();
+    std::io::stdin()
+        .read_line(&mut line)
+        .map_err(Error::failed)?;
+    let secret = line.trim_end_matches(['\r', '\n']);
+    if secret.is_empty() {
+        return Err(usage("a key or password is wanted on standard input"));
+    }
+    println!("{}", hash(secret)?);
+    Ok(())
+}
--- /dev/null
+++ b/src/command/check.rs
@@ -0,0 +1,71 @@
+//! `check`: settings files and configuration documents.
+
+use fescuewell::document::parse;
+use fescuewell::router::settings::Settings;
+use pico_args::Arguments;
+
+use super::console;
+use crate::cli::{Error, finish, usage};
+
+/// Help text.
+pub const HELP: &str = "\
+fescuewell check - check a settings file or a configuration document
+
+usage: fescuewell check FILE [--as router|console|document]
+
+Without --as the kind is told by the file's keys: 'peers' stands in a router's settings, 'operators'
+in a console's, anything else is a document. Prints every fault with its line; exit code 3 if there is one.
+";
+
+/// Runs the check.
+///
+/// # Errors
+///
+/// [`Error::Invalid`] with the faults.
+pub fn run(mut arguments: Arguments) -> Result<(), Error> {
+    let kind: Option<String> = arguments.opt_value_from_str("--as")?;
+    let path: String = arguments.free_from_str()?;
+    finish(arguments)?;
+    let text = std::fs::read_to_string(&path)
+        .map_err(|error| Error::failed(format_args!("{path}: {error}")))?;
+    let kind = kind.unwrap_or_else(|| guess(&text).into());
+    match kind.as_str() {
+        "router" => Settings::read(&text, &path).map(drop).map_err(invalid)?,
+        "console" => console::read(&text, &path).map(drop)?,
+        "document" => check_document(&text, &path)?,
+        other => {
+            return Err(usage(format!(
+                "--as {other}: one of router, console, document is wanted"
+            )));
+        }
+    }
+    println!("{path}: a valid {kind} file");
+    Ok(())
+}
+
+fn guess(text: &str) -> &'static str {
+    match text {
+        text if text.contains("\"peers\"") => "router",
+        text if text.contains("\"operators\"") => "console",
+        _ => "document",
+    }
+}
+
+fn invalid(error: fescuewell::document::settings::Error) -> Error {
+    Error::Invalid {
+        message: error.to_string(),
+    }
+}
+
+fn check_document(text: &str, path: &str) -> Result<(), Error> {
+    let Err(faults) = parse::read_document(text) else {
+        return Ok(());
+    };
+    let lines: Vec<String> = faults
+        .iter()
+        .map(|fault| format!("{path}: {fault}"))
+        .collect();
+    Err(Error::Invalid {
+        message: lines.join("\n"),
+    })
+}
--- /dev/null
+++ b/src/command/demo.rs
@@ -0,0 +1,92 @@
+//! `demo`: the whole system in one process.
+
+use fescuewell::demo::document::{HANDSIGN_KEY, MODEL, TEINTE_KEY};
+use fescuewell::demo::fleet::{Fleet, OPERATOR, PASSWORD, Settings};
+use pico_args::Arguments;
+
+use super::{log, stop};
+use crate::cli::{Error, finish};
+
+/// Help text.
+pub const HELP: &str = "\
+fescuewell demo - the whole system in one process, on embedded stand-ins
+
+usage: fescuewell demo [--port N] [--log LEVEL] [--json]
+
+Starts the platform's stand-in, three model engines, a plain service, three routers in three zones
+and the console on loopback, prints 'ready' with addresses and lines to paste, and goes on until
+Ctrl-C, which drains.
+
+options
+  --port N      port of the first router (default 8080; 0 for a free one)
+  --log LEVEL   error, warn, info or debug (default warn; info shows each routing decision)
+  --json        log lines as JSON
+";
+
+/// Port unless another one is asked for.
+const PORT: u16 = 8_080;
+
+/// Runs the demo.
+///
+/// # Errors
+///
+/// When a part cannot be started.
+pub fn run(mut arguments: Arguments) -> Result<(), Error> {
+    let port = arguments.opt_value_from_str("--port")?.unwrap_or(PORT);
+    let options = log::Options::read_with(&mut arguments, "warn")?;
+    finish(arguments)?;
+    let _logger = log::start(&options)?;
+    let mut signals = stop::Listener::start()?;
+    let settings = Settings {
+        port,
+        ..Settings::default()
+    };
+    let fleet = Fleet::start(&settings).map_err(Error::failed)?;
+    if !fleet.wait_ready() {
+        return Err(Error::failed("a router ended before it was ready"));
+    }
+    print_guide(&fleet);
+    signals.wait_for_stop();
+    println!("draining");
+    fleet.stop();
+    println!("stopped");
+    Ok(())
+}
+
+fn print_guide(fleet: &Fleet) {
+    let addresses = fleet.addresses();
+    println!("ready");
+    for address in &addresses {
+        println!("callers  http://{address}");
+    }
+    println!(
+        "console  http://{} (user {OPERATOR}, password {PASSWORD})",
+        fleet.console.address()
+    );
+    let first = addresses
+        .first()
+        .map(ToString::to_string)
+        .unwrap_or_default();
+    let second = addresses
+        .get(1)
+        .map(ToString::to_string)
+        .unwrap_or_default();
+    println!("
+# which addresses to use
+curl -s http://{first}/v1/instances -H 'Authorization: Bearer {HANDSIGN_KEY}'
+
+# a streamed chat
+curl -sN http://{first}/v1/chat/completions -H 'Authorization: Bearer {HANDSIGN_KEY}' -d '{{\"model\":\"{MODEL}\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"Summarise job 7\"}}]}}'
+
+# a status call
+curl -s http://{first}/v1/services/desk/status -H 'Authorization: Bearer {HANDSIGN_KEY}' -d '{{\"booking\":7}}'
+
+# a booking confirmation, sent twice to two routers: it runs once, both get the same answer
+curl -s http://{first}/v1/services/desk/confirm -H 'Authorization: Bearer {HANDSIGN_KEY}' -H 'Idempotency-Key: booking-7' -d '{{\"booking\":7}}'
+curl -s http://{second}/v1/services/desk/confirm -H 'Authorization: Bearer {HANDSIGN_KEY}' -H 'Idempotency-Key: booking-7' -d '{{\"booking\":7}}'
+
+# a small budget running out: after some cards the answer is code 2001
+for n in $(seq 40); do curl -s http://{first}/v1/chat/completions -H 'Authorization: Bearer {TEINTE_KEY}' -d '{{\"model\":\"{MODEL}\",\"max_tokens\":150,\"messages\":[{{\"role\":\"user\",\"content\":\"Formula card '$n'\"}}]}}' | cut -c1-160; echo; done
+
+Ctrl-C drains and stops.");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub use fescuewell_claims as claims;
 pub use fescuewell_console as console;
 pub use fescuewell_core as core;
+pub use fescuewell_demo as demo;
 pub use fescuewell_document as document;
 pub use fescuewell_http as http;
 pub use fescuewell_membership as membership;
