Reach the platform over TLS

Cause: the platform's bearer token and rows went over plain TCP, and an https address was refused. Change: an endpoint takes https with the authorities to trust, as a PEM file's path or text; scheme and authority must go together. A full handshake is made for each request, as each has its own connection. The price of the handshakes is not measured.

--- a/crates/fescuewell_platform/src/http.rs
+++ b/crates/fescuewell_platform/src/http.rs
@@ -7,11 +7,17 @@
 use attohttpc::header::HeaderMap;
 use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Session, StatusCode};
 
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::pem::PemObject;
+
 use crate::settings::{Endpoint, Error};
 
 /// Largest reply that is read. A reply beyond it is a failure, not a reason to run out of memory.
 const REPLY_LIMIT: u64 = 64 * 1024 * 1024;
 
+/// How the text of a PEM file starts; anything else is a path.
+const PEM_START: &str = "-----BEGIN";
+
 /// A reply of this status has neither body nor length.
 const NO_CONTENT: StatusCode = StatusCode::NO_CONTENT;
 
@@ -45,6 +51,10 @@
         if !is_address(&address) {
             return Err(Error::Address { address });
         }
+        let secure = address.starts_with("https://");
+        if secure != endpoint.authority.is_some() {
+            return Err(Error::AuthorityMissing { address });
+        }
         let timeout = Duration::from_millis(endpoint.timeout_ms.into());
         let mut session = Session::new();
         session.connect_timeout(Duration::from_millis(endpoint.connect_timeout_ms.into()));
@@ -58,6 +68,14 @@
         // A redirected write could be applied by the first server and refused by the second,
         // and would then be reported as "not written".
         session.follow_redirects(false);
+        if let Some(authority) = &endpoint.authority {
+            // Without a provider of its own choice the TLS library panics as soon as two are linked in.
+            // That one was installed before is no failure.
+            let _ = rustls::crypto::ring::default_provider().install_default();
+            for certificate in read_authority(&address, authority)? {
+                session.add_root_certificate(certificate);
+            }
+        }
         if let Some(token) = &endpoint.token {
             session.header("Authorization", format!("Bearer {}", token.read()?));
         }
@@ -85,7 +103,8 @@
 }
 
 fn is_address(address: &str) -> bool {
-    let Some(rest) = address.strip_prefix("http://") else {
+    let plain_text = address.strip_prefix("http://");
+    let Some(rest) = plain_text.or_else(|| address.strip_prefix("https://")) else {
         return false;
     };
     let host = rest.split('/').next().unwrap_or_default();
@@ -93,6 +112,27 @@
     !host.is_empty() && plain && !rest.contains(['@', '?', '#', '"', '<', '>', '\\'])
 }
 
+fn read_authority(
+    address: &Arc<str>,
+    authority: &Arc<str>,
+) -> Result<Vec<CertificateDer<'static>>, Error> {
+    let failed = |reason: String| Error::Authority {
+        address: address.clone(),
+        reason: reason.into(),
+    };
+    let text = if authority.trim_start().starts_with(PEM_START) {
+        authority.to_string()
+    } else {
+        std::fs::read_to_string(&**authority).map_err(|error| failed(error.to_string()))?
+    };
+    let blocks: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(text.as_bytes()).collect();
+    match blocks {
+        Ok(blocks) if !blocks.is_empty() => Ok(blocks),
+        Ok(_) => Err(failed("no certificate was found".into())),
+        Err(error) => Err(failed(error.to_string())),
+    }
+}
+
 fn exchange<Body>(request: RequestBuilder<Body>) -> Result<Exchange, Failure>
 where
     Body: attohttpc::body::Body,
--- a/crates/fescuewell_platform/src/settings.rs
+++ b/crates/fescuewell_platform/src/settings.rs
@@ -22,8 +22,12 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Endpoint {
-    /// Base address, `http://host:port` with an optional path.
+    /// Base address, `http://host:port` or `https://host:port`, with an optional path.
     pub address: Arc<str>,
+    /// Certificates of the authorities that an `https` service is trusted by: a PEM file's path, or the
+    /// PEM text itself. No others are trusted.
+    #[serde(default)]
+    pub authority: Option<Arc<str>>,
     /// Where to find the bearer token, if the service wants one.
     #[serde(default)]
     pub token: Option<Secret>,
@@ -59,11 +63,27 @@
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// The address cannot be used.
-    #[snafu(display("address {address:?} is not of the form http://host:port"))]
+    #[snafu(display(
+        "address {address:?} is not of the form http://host:port or https://host:port"
+    ))]
     Address {
         /// The address as set.
         address: Arc<str>,
     },
+    /// An `https` address without authorities, or the other way round.
+    #[snafu(display("{address:?} needs the setting authority if, and only if, it is https"))]
+    AuthorityMissing {
+        /// The address as set.
+        address: Arc<str>,
+    },
+    /// The authorities' certificates could not be read.
+    #[snafu(display("setting authority of {address:?}: {reason}"))]
+    Authority {
+        /// The address as set.
+        address: Arc<str>,
+        /// What is wrong.
+        reason: Arc<str>,
+    },
     /// A time limit is zero.
     #[snafu(display("the time limits of {address:?} must be at least 1 ms"))]
     Timeout {
@@ -111,12 +131,19 @@
     pub fn new(address: impl Into<Arc<str>>) -> Self {
         Self {
             address: address.into(),
+            authority: None,
             token: None,
             connect_timeout_ms: DEFAULT_CONNECT_TIMEOUT_MS,
             timeout_ms: DEFAULT_TIMEOUT_MS,
         }
     }
 
+    /// Sets by which authorities the service is trusted.
+    pub fn with_authority(mut self, authority: impl Into<Arc<str>>) -> Self {
+        self.authority = Some(authority.into());
+        self
+    }
+
     /// Sets where to find the bearer token.
     pub fn with_token(mut self, token: Secret) -> Self {
         self.token = Some(token);
