Mend what a look at the console's pages showed

Cause: a wrong amount in a top-up brought the group's own form back empty; values stood in JSON quotes; a new group started without the usual allowance; an import of 23,234 items answered with 25 MB; sign-in and form refusals borrowed the callers' codes, whose texts speak of keys. Change: forms beside a top-up, key or removal come back filled; values without quotes; usual allowance in a new group's form; answers list at most 1,000 changed items and their number; codes 5007 to 5009; Retry-After on throttled sign-ins. Two tests that expected 403 for a throttled sign-in now expect 429 with code 5008, which is as strict.

--- a/crates/fescuewell_console/src/api.rs
+++ b/crates/fescuewell_console/src/api.rs
@@ -9,6 +9,7 @@
 
 use std::sync::Arc;
 
+use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_document::check::check;
 use fescuewell_document::difference::{Change, Clash, compare, merge};
@@ -18,6 +19,10 @@
 
 use crate::store::{Loaded, Store};
 
+/// Most changed items that one answer lists: an import of tens of thousands would make an answer larger than
+/// the document.
+pub const MOST_CHANGES: usize = 1_000;
+
 fescuewell_core::data! {
     /// A document with its version.
     pub struct Stored {
@@ -31,8 +36,10 @@
     pub struct Accepted {
         /// Its version, or that of the document it was compared with when it was only checked.
         pub version: Version,
-        /// What it changes.
+        /// What it changes, at most [`MOST_CHANGES`] items.
         pub changes: Vec<Change>,
+        /// How many items it changes.
+        pub changed_items: usize,
     }
 
     /// The numbered refusal.
@@ -102,14 +109,37 @@
     base: Version,
     purpose: Purpose,
     author: &str,
+) -> Result<Accepted, Box<Failure>> {
+    let result = try_submit(store, text, base, purpose, author);
+    // What the store refuses it has logged itself.
+    if let Err(failure) = &result
+        && purpose != Purpose::Check
+        && (!failure.faults.is_empty() || failure.current.is_some())
+    {
+        log_event!(
+            Event::DocumentRefused,
+            "code={} base={} author={author} faults={} clashes={}",
+            failure.error.code,
+            base.0,
+            failure.faults.len(),
+            failure.clashes.len()
+        );
+    }
+    result
+}
+
+fn try_submit(
+    store: &Store,
+    text: &str,
+    base: Version,
+    purpose: Purpose,
+    author: &str,
 ) -> Result<Accepted, Box<Failure>> {
     let document = read_document(text).map_err(invalid)?;
     let current = store.current().map_err(failure)?;
     if purpose == Purpose::Check {
-        return Ok(Accepted {
-            version: current.version(),
-            changes: compare(&current.document, &document),
-        });
+        let changes = compare(&current.document, &document);
+        return Ok(accepted(current.version(), changes));
     }
     let after = match base == current.version() {
         true => document,
@@ -117,10 +147,17 @@
     };
     let changes = compare(&current.document, &after);
     let head = store.accept(&current, &after, author).map_err(failure)?;
-    Ok(Accepted {
-        version: head.version,
+    Ok(accepted(head.version, changes))
+}
+
+fn accepted(version: Version, mut changes: Vec<Change>) -> Accepted {
+    let changed_items = changes.len();
+    changes.truncate(MOST_CHANGES);
+    Accepted {
+        version,
         changes,
-    })
+        changed_items,
+    }
 }
 
 fn failure(refusal: Refusal) -> Box<Failure> {
@@ -145,6 +182,7 @@
     let mut raced = failure(Refusal::new(Code::DocumentRaced));
     raced.current = Some(current.version());
     raced.meanwhile = compare(&started.document, &current.document);
+    raced.meanwhile.truncate(MOST_CHANGES);
     let merged = match merge(&started.document, mine, &current.document) {
         Ok(merged) => merged,
         Err(clashes) => {
--- a/crates/fescuewell_console/src/edit.rs
+++ b/crates/fescuewell_console/src/edit.rs
@@ -45,6 +45,20 @@
     pub typed: Typed,
 }
 
+impl Edit {
+    /// Fills the form from the item where nothing was typed into it: a top-up, a key or a removal is asked
+    /// for beside the form, which must not come back empty, as if to be saved so.
+    pub fn with_fields_of(mut self, document: &Document) -> Self {
+        if self.action != Action::Save
+            && let Some(name) = self.item.as_deref()
+            && let Some(item) = find(self.section, name, document)
+        {
+            self.typed = Typed::from_item(self.section, &item);
+        }
+        self
+    }
+}
+
 /// What an edit comes to.
 pub enum Resolved {
     /// It can be shown and, if nothing happened meanwhile, accepted.
@@ -132,6 +146,7 @@
 }
 
 fn again(edit: Edit, faults: Vec<Fault>, clashes: Vec<Clash>, current: Loaded) -> Resolved {
+    let edit = edit.with_fields_of(&current.document);
     Resolved::Again(Again {
         edit,
         faults,
--- a/crates/fescuewell_console/src/form.rs
+++ b/crates/fescuewell_console/src/form.rs
@@ -8,7 +8,7 @@
 
 use fescuewell_document::fault::Fault;
 use fescuewell_document::item::Section;
-use fescuewell_document::model::Document;
+use fescuewell_document::model::{Allowance, Document};
 use serde_json::{Map, Value};
 
 use crate::html::escape;
@@ -264,6 +264,23 @@
         Self { values }
     }
 
+    /// What the form of a new item starts with.
+    pub fn for_new(section: Section) -> Self {
+        let mut typed = Self::default();
+        if section != Section::Groups {
+            return typed;
+        }
+        let usual = Allowance::default();
+        typed.set("weight", "1");
+        typed.set(
+            "allowance.outage_seconds",
+            &usual.outage_seconds.to_string(),
+        );
+        typed.set("allowance.share_percent", &usual.share_percent.to_string());
+        typed.set("allowance.least", &usual.least.to_string());
+        typed
+    }
+
     /// What the form of an existing item shows.
     pub fn from_item(section: Section, item: &Value) -> Self {
         let mut typed = Self::default();
--- a/crates/fescuewell_console/src/pages.rs
+++ b/crates/fescuewell_console/src/pages.rs
@@ -4,6 +4,8 @@
 pub mod list;
 pub mod state;
 
+use std::sync::Arc;
+
 use fescuewell_core::prelude::*;
 use fescuewell_document::difference::{Action, Change, Clash};
 use fescuewell_document::fault::Fault;
@@ -54,7 +56,11 @@
          <input type=\"password\" id=\"password\" name=\"password\" autocomplete=\"current-password\" required></div>\n\
          <button>Sign in</button></form>\n"
     );
-    page(status, "Sign in", None, &body)
+    let answer = page(status, "Sign in", None, &body);
+    match problem.and_then(|refusal| refusal.retry_after) {
+        Some(wait) => answer.with_unique_header("Retry-After", wait.as_secs().to_string()),
+        None => answer,
+    }
 }
 
 /// A table of changes.
@@ -87,8 +93,8 @@
     let item = format!("{} {}{action}", change.section.singular(), change.name);
     let mut html = String::new();
     for field in &change.fields {
-        let before = field.before.as_deref().unwrap_or("–");
-        let after = field.after.as_deref().unwrap_or("–");
+        let before = shown(field.before.as_deref());
+        let after = shown(field.after.as_deref());
         html.push_str(&format!(
             "<tr><th scope=\"row\">{}</th><td>{}</td><td>{}</td><td>{}</td></tr>\n",
             escape(&item),
@@ -100,6 +106,15 @@
     html
 }
 
+/// A value as people write it: text without the quotes that it has as JSON.
+fn shown(value: Option<&str>) -> &str {
+    let Some(value) = value else { return "–" };
+    let unquoted = value
+        .strip_prefix('"')
+        .and_then(|rest| rest.strip_suffix('"'));
+    unquoted.unwrap_or(value)
+}
+
 /// The summary at the top of a form: each fault links to its field.
 fn fault_summary(faults: &[Fault]) -> String {
     if faults.is_empty() {
@@ -134,8 +149,7 @@
          <th scope=\"col\">Accepted meanwhile</th><th scope=\"col\">Yours</th></tr></thead><tbody>\n",
     );
     for clash in clashes {
-        let show =
-            |side: &Option<std::sync::Arc<str>>| escape(side.as_deref().unwrap_or("(absent)"));
+        let show = |side: &Option<Arc<str>>| escape(shown(side.as_deref()));
         html.push_str(&format!(
             "<tr><th scope=\"row\">{} {}</th><td>{}</td><td>{}</td><td>{}</td><td>{}</td></tr>\n",
             clash.section.singular(),
--- a/crates/fescuewell_console/src/pages/item.rs
+++ b/crates/fescuewell_console/src/pages/item.rs
@@ -77,8 +77,12 @@
         Section::Groups => html.push_str(&format!(
             "<h2>Top up</h2><form method=\"post\" action=\"/edit/review\">\n{fields}\
              <div class=\"field\"><label for=\"field-add\">Tokens to add</label>\
-             <input type=\"text\" inputmode=\"numeric\" autocomplete=\"off\" id=\"field-add\" name=\"add\"></div>\
-             <button name=\"action\" value=\"top-up\">Review the top-up</button></form>\n"
+             <input type=\"text\" inputmode=\"numeric\" autocomplete=\"off\" id=\"field-add\" name=\"add\" value=\"{}\"></div>\
+             <button name=\"action\" value=\"top-up\">Review the top-up</button></form>\n",
+            escape(match &edit.action {
+                Action::TopUp(amount) => amount,
+                _ => "",
+            })
         )),
         Section::Accounts => html.push_str(&keys(edit, &fields, document)),
         _ => {}
@@ -111,8 +115,12 @@
         "</ul>\n<form method=\"post\" action=\"/edit/review\">\n{fields}\
          <div class=\"field\"><label for=\"field-key_name\">Name of a new key</label>\
          <p class=\"hint\" id=\"key_name-hint\">The key itself is made when you accept, and shown once.</p>\
-         <input type=\"text\" autocomplete=\"off\" id=\"field-key_name\" name=\"key_name\" aria-describedby=\"key_name-hint\"></div>\
-         <button name=\"action\" value=\"add-key\">Review the new key</button></form>\n"
+         <input type=\"text\" autocomplete=\"off\" id=\"field-key_name\" name=\"key_name\" value=\"{}\" aria-describedby=\"key_name-hint\"></div>\
+         <button name=\"action\" value=\"add-key\">Review the new key</button></form>\n",
+        escape(match &edit.action {
+            Action::AddKey(name) => name,
+            _ => "",
+        })
     ));
     html
 }
--- a/crates/fescuewell_console/src/routes.rs
+++ b/crates/fescuewell_console/src/routes.rs
@@ -19,7 +19,7 @@
 use crate::pages;
 use crate::pages::list::Filter;
 use crate::server::{Operator, Settings};
-use crate::session::{Session, Sessions, Throttle};
+use crate::session::{FAILURE_WINDOW, Session, Sessions, Throttle};
 use crate::store::Store;
 use crate::{live, password, random};
 
@@ -134,8 +134,7 @@
     fn sign_in(&self, request: &Request) -> Response {
         let address = peer(request);
         if !lock(&self.throttle).allows(self.now(), address) {
-            let refusal = Refusal::new(Code::Forbidden)
-                .with_detail("Too many failed sign-ins from here; wait five minutes.");
+            let refusal = Refusal::new(Code::SignInThrottled).with_retry_after(FAILURE_WINDOW);
             return pages::sign_in(Some(&refusal));
         }
         let posted = match self.posted(request) {
@@ -146,10 +145,9 @@
             lock(&self.throttle).failed(self.now(), address);
             log_event!(
                 Event::ConnectionRefused,
-                "listener=console peer={address} code=1001 reason=sign-in"
+                "listener=console peer={address} code=5007"
             );
-            let refusal =
-                Refusal::new(Code::Unauthorized).with_detail("Operator or password are wrong.");
+            let refusal = Refusal::new(Code::SignInFailed);
             return pages::sign_in(Some(&refusal));
         };
         lock(&self.throttle).succeeded(address);
@@ -182,8 +180,8 @@
             request.header("Sec-Fetch-Site"),
             Some("cross-site" | "same-site")
         ) {
-            let refusal = Refusal::new(Code::Forbidden);
-            return Err(refusal.with_detail("The form comes from another site."));
+            let refusal = Refusal::new(Code::FormRefused);
+            return Err(refusal.with_detail("It comes from another site."));
         }
         let text = body(request, LARGEST_FORM)?;
         Ok(form_urlencoded::parse(text.as_bytes())
@@ -250,10 +248,8 @@
         let posted = self.posted(request)?;
         // Another site can make a signed-in browser send a form, but cannot know this session's token.
         if !key::verify(field(&posted, "csrf"), &key::hash_key(&session.csrf)) {
-            let refusal = Refusal::new(Code::Forbidden);
-            return Err(
-                refusal.with_detail("The form is not from this session; open the page again.")
-            );
+            let refusal = Refusal::new(Code::FormRefused);
+            return Err(refusal.with_detail("Open the page again."));
         }
         match path {
             "/sign-out" => {
--- a/crates/fescuewell_console/src/routes/editing.rs
+++ b/crates/fescuewell_console/src/routes/editing.rs
@@ -26,7 +26,7 @@
     ) -> Result<Response, Refusal> {
         let current = self.store.current()?;
         let typed = match item {
-            None => Typed::default(),
+            None => Typed::for_new(section),
             Some(name) => {
                 let found = find(section, name, &current.document);
                 let found = found.ok_or_else(|| Refusal::new(Code::NoSuchPath))?;
@@ -53,14 +53,8 @@
 
     /// Back from the review to the form, with everything that was typed.
     pub(super) fn again(&self, session: &Session, posted: &Posted) -> Result<Response, Refusal> {
-        let mut edit = edit_of(posted)?;
         let current = self.store.current()?;
-        if edit.action != Action::Save
-            && let Some(name) = edit.item.as_deref()
-            && let Some(item) = find(edit.section, name, &current.document)
-        {
-            edit.typed = Typed::from_item(edit.section, &item);
-        }
+        let edit = edit_of(posted)?.with_fields_of(&current.document);
         Ok(pages::item::form(session, &plain(edit, current)))
     }
 
--- a/crates/fescuewell_console/tests/gate.rs
+++ b/crates/fescuewell_console/tests/gate.rs
@@ -141,7 +141,7 @@
             ),
         );
     }
-    assert!(last.starts_with("HTTP/1.1 403"), "{last}");
+    assert!(last.starts_with("HTTP/1.1 429"), "{last}");
 }
 
 #[test]
--- a/crates/fescuewell_console/tests/pages.rs
+++ b/crates/fescuewell_console/tests/pages.rs
@@ -41,7 +41,8 @@
         stranger.post("/sign-in", &[("operator", "ana"), ("password", "guess")]);
     }
     let right = stranger.post("/sign-in", &[("operator", "ana"), ("password", PASSWORD)]);
-    assert_eq!(right.status, 403);
+    assert_eq!(right.status, 429);
+    assert!(right.contains("E5008"));
 }
 
 #[test]
@@ -199,6 +200,13 @@
     assert!(page.contains("value=\"many\"") && page.contains("value=\"12345\""));
     let page = ana.review("/groups/signwise", &[("weight", "0")]);
     assert!(page.contains("href=\"#field-weight\"") && page.contains("allowed: 1 to 10000"));
+    let mut form = ana.get("/groups/signwise").form("value=\"top-up\"");
+    set(&mut form, "action", "top-up");
+    set(&mut form, "add", "lots");
+    let page = ana.post("/edit/review", &form);
+    // The form beside it comes back filled, not empty as if to be saved so.
+    assert!(page.contains("href=\"#field-add\"") && page.contains("value=\"lots\""));
+    assert!(page.contains("value=\"10000\""), "{}", page.text);
     let mut form = ana.get("/servers/desk-1").form("value=\"remove\"");
     set(&mut form, "action", "remove");
     let page = ana.post("/edit/review", &form);
--- a/crates/fescuewell_core/src/code.rs
+++ b/crates/fescuewell_core/src/code.rs
@@ -117,6 +117,9 @@
     DocumentUnreadable = 5004, 409, NotRun, "A live instance cannot read this document.";
     StoreUnavailable = 5005, 503, Unknown, "The platform's store gave no answer; the change may have been accepted.";
     SignInRequired = 5006, 401, NotRun, "Sign in as an operator.";
+    SignInFailed = 5007, 401, NotRun, "The operator's name or password is wrong.";
+    SignInThrottled = 5008, 429, NotRun, "Too many sign-ins from this address failed; wait before the next one.";
+    FormRefused = 5009, 403, NotRun, "The form was not made by this session of the console.";
 
     Internal = 9001, 500, Unknown, "Something went wrong here.";
 }
