Fence dead holders, size by use and parts, and bring every failure about

Cause: random schedules of faults against the first version found money that was stranded or called exhausted wrongly: a draw of a dead holder that lands after the reclaim passed its row; a table taken to be down for ever when nothing was due; verdicts from an old view, from the same instant, or after a third holder drew. An outage found the money with instances that had few callers.

--- a/crates/fescuewell_budget/src/allowance.rs
+++ b/crates/fescuewell_budget/src/allowance.rs
@@ -15,13 +15,24 @@
     pub revision: u64,
     /// When the read or write that showed it was asked for; it is no older than that.
     pub seen: Instant,
+    /// Number of the step that showed it.
+    pub step: u64,
     pub budget: Budget,
 }
 
+/// When and in which order a step was handed out.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Asked {
+    pub at: Instant,
+    pub step: u64,
+}
+
 /// Requests that wait for a draw.
 #[derive(Debug, Clone)]
 pub(crate) struct Waiting {
     pub since: Instant,
+    /// Number of the last step that was asked for before.
+    pub step: u64,
     /// Sum of what they need.
     pub sum: Tokens,
     /// The smallest of them: from there on waking them is worth while.
@@ -32,6 +43,12 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Recall {
     pub deadline: Instant,
+    /// How many recalls came before for the same requests.
+    pub round: u32,
+    /// When the next one may be sent.
+    pub again_at: Instant,
+    /// Every other holder in the row and its grant when the recall began.
+    pub asked: Vec<(Arc<str>, Tokens)>,
     pub unanswered: Vec<Arc<str>>,
     /// What the others reported as held or owed.
     pub in_use: Tokens,
@@ -39,8 +56,24 @@
     pub lacking: Tokens,
     /// Whether some holder was not asked, the fan-out being limited.
     pub is_partial: bool,
-    /// When the last answer came, or the deadline passed.
-    pub finished: Option<Instant>,
+    /// Set when the last answer came or the deadline passed: number of the last step that was
+    /// asked for before. Times would not do, as a read may show the row as it was at the
+    /// same instant but before the returns.
+    pub finished: Option<u64>,
+}
+
+impl Recall {
+    /// Whether some other holder has been granted more since the recall began.
+    ///
+    /// Its answer, if it was asked at all, says nothing about that.
+    pub fn is_overtaken(&self, holder: &str, budget: &Budget) -> bool {
+        let mut grants = budget.grants.iter();
+        grants.any(|(other, grant)| {
+            let asked = self.asked.iter().find(|(asked, _)| asked == other);
+            let before = asked.map_or(Tokens::ZERO, |(_, granted)| *granted);
+            **other != *holder && grant.granted > before
+        })
+    }
 }
 
 /// A refusal that is repeated for a while without another look at the row.
@@ -154,9 +187,10 @@
     }
 
     /// Adds a request to those that wait.
-    pub fn wait(&mut self, now: Instant, amount: Tokens) {
+    pub fn wait(&mut self, now: Instant, step: u64, amount: Tokens) {
         let waiting = self.strain().waiting.get_or_insert(Waiting {
             since: now,
+            step,
             sum: Tokens::ZERO,
             smallest: amount,
         });
@@ -198,7 +232,7 @@
     /// Only this holder changes its grant while it lives, so the row is right about it whenever no
     /// write of ours is open. A grant that has gone was removed on somebody's proof that this
     /// holder ended (or the group was deleted): whatever is idle must not be spent then.
-    pub fn observe(&mut self, seen: Instant, row: &table::Row, holder: &str) -> Sight {
+    pub fn observe(&mut self, asked: Asked, row: &table::Row, holder: &str) -> Sight {
         let known = self.row.as_ref().map_or(0, |cached| cached.revision);
         if row.revision < known {
             return Sight::Current;
@@ -219,7 +253,8 @@
         let revision = row.revision;
         self.row = Some(Box::new(Cached {
             revision,
-            seen,
+            seen: asked.at,
+            step: asked.step,
             budget,
         }));
         sight
--- a/crates/fescuewell_budget/src/ledger.rs
+++ b/crates/fescuewell_budget/src/ledger.rs
@@ -1,5 +1,6 @@
 //! The ledger of one instance: holds against allowances, and the table work that keeps them filled.
 
+mod attempt;
 mod intent;
 mod recall;
 mod work;
@@ -76,6 +77,10 @@
     outbox: Vec<Outgoing>,
     news: Vec<News>,
     is_closing: bool,
+    /// Revision of this holder's fence row, once it has been written.
+    fence: Option<u64>,
+    /// Whether this holder was declared ended.
+    is_fenced: bool,
 }
 
 fescuewell_core::message! {
@@ -128,6 +133,8 @@
             outbox: Vec::new(),
             news: Vec::new(),
             is_closing: false,
+            fence: None,
+            is_fenced: false,
         }
     }
 
@@ -170,7 +177,7 @@
         let Some(policy) = self.policies.get(&group) else {
             return Err(self.unknown());
         };
-        if self.is_closing {
+        if self.is_closing || self.is_fenced {
             return Err(self.unknown());
         }
         let is_down = self.table_is_down(now);
@@ -193,7 +200,7 @@
         if let Some(shortage) = allowance.standing_refusal(now, amount) {
             return Err(shortage);
         }
-        allowance.wait(now, amount);
+        allowance.wait(now, self.work.asked.step, amount);
         self.due.insert(group);
         Err(Shortage::Pending)
     }
@@ -262,20 +269,19 @@
     /// the grants are removed. New holds are refused.
     pub fn close(&mut self, now: Instant) {
         self.is_closing = true;
-        let groups: Vec<GroupKey> = self.allowances.keys().copied().collect();
-        for group in groups {
-            self.refuse(now, group, self.unknown());
-            self.due.insert(group);
-        }
+        self.refuse_all(now);
+        self.due.extend(self.allowances.keys());
     }
 
     /// Whether no grant of this holder is left in the table.
     pub fn is_closed(&self) -> bool {
-        let open = self.allowances.values();
+        let is_gone = self.is_fenced || self.fence.is_none();
+        let mut allowances = self.allowances.values();
         self.is_closing
             && self.holds.is_empty()
             && self.is_at_rest()
-            && open.filter(|allowance| allowance.is_listed).count() == 0
+            && is_gone
+            && !allowances.any(|allowance| allowance.is_listed)
     }
 
     /// Takes the messages that wait to be sent.
@@ -338,6 +344,13 @@
         allowance.relax(now);
     }
 
+    fn refuse_all(&mut self, now: Instant) {
+        let groups: Vec<GroupKey> = self.allowances.keys().copied().collect();
+        for group in groups {
+            self.refuse(now, group, self.unknown());
+        }
+    }
+
     fn unknown(&self) -> Shortage {
         Shortage::Unknown {
             retry_after: self.settings.backoff_most,
--- a/crates/fescuewell_budget/src/ledger/intent.rs
+++ b/crates/fescuewell_budget/src/ledger/intent.rs
@@ -8,6 +8,7 @@
 use crate::allowance::{Allowance, Waiting};
 use crate::hold::Shortage;
 use crate::policy::{Policy, Settings};
+use crate::row::Budget;
 use crate::sizing;
 use crate::sizing::View;
 
@@ -79,6 +80,7 @@
             now,
             policy,
             settings,
+            holder: &self.holder,
         };
         if sizer.has_surplus(allowance) {
             allowance.surplus_since.get_or_insert(now);
@@ -107,6 +109,7 @@
             now,
             policy: &self.policies[&group],
             settings: &self.settings,
+            holder: &self.holder,
         }
     }
 
@@ -134,26 +137,27 @@
             let drawn = self.sizer(now, group).draw(allowance, waiting);
             return Intent::Grant(Some(allowance.granted + drawn));
         }
-        if cached.seen < waiting.since {
+        // After a pause of the process the view may be old although it is younger than the requests.
+        let is_old = now.since(cached.seen) > self.settings.negative_ttl;
+        if cached.step <= waiting.step || is_old {
             return Intent::Look;
         }
-        let seen = cached.seen;
+        let shown_by = cached.step;
         if self.is_still_exhausted(group, waiting) {
             self.judge(now, group, Shortage::Exhausted);
             return Intent::Nothing;
         }
-        let Some(recall) = allowance.recall() else {
-            self.start_recall(now, group, waiting.smallest);
+        if allowance.recall().is_none() {
+            self.start_recall(now, group, waiting.smallest, 0);
+        }
+        let Some(recall) = self.allowances[&group].recall() else {
             return Intent::Wait;
         };
         match recall.finished {
             None => Intent::Wait,
             // The others' returns may have come after the row was seen.
-            Some(finished) if seen < finished => Intent::Look,
-            Some(_) => {
-                self.judge_by_recall(now, group);
-                Intent::Nothing
-            }
+            Some(finished) if shown_by <= finished => Intent::Look,
+            Some(_) => self.after_recall(now, group, waiting),
         }
     }
 }
@@ -180,6 +184,7 @@
     now: Instant,
     policy: &'a Policy,
     settings: &'a Settings,
+    holder: &'a str,
 }
 
 impl Sizer<'_> {
@@ -252,12 +257,16 @@
     }
 
     fn view(&self, allowance: &Allowance) -> View {
-        let free = allowance.row.as_ref().map(|cached| cached.budget.free());
+        let rate = allowance.rate.per_second(self.now);
+        let usual_hold = allowance.rate.usual_hold();
+        let idle = allowance.idle();
+        let budget = allowance.row.as_ref().map(|cached| &cached.budget);
         View {
-            rate: allowance.rate.per_second(self.now),
-            usual_hold: allowance.rate.usual_hold(),
-            free: free.unwrap_or_default(),
-            idle: allowance.idle(),
+            rate,
+            others: budget.map_or(0, |budget| budget.rate_of_others(self.holder)),
+            usual_hold,
+            free: budget.map(Budget::free).unwrap_or_default(),
+            idle,
         }
     }
 }
--- a/crates/fescuewell_budget/src/ledger/recall.rs
+++ b/crates/fescuewell_budget/src/ledger/recall.rs
@@ -6,10 +6,30 @@
 use rand::seq::SliceRandom;
 
 use super::Ledger;
+use super::intent::Intent;
 use crate::allowance::{Recall, Verdict, Waiting};
 use crate::hold::Shortage;
 use crate::message::{Message, Outgoing};
 
+/// The pause after the first recall is this part of the time for which "in use" is repeated; it
+/// doubles with each round.
+const FIRST_PAUSE_PART: u32 = 8;
+
+/// Most doublings of the pause.
+const MOST_DOUBLINGS: u32 = 8;
+
+/// What is known after a recall that has not brought enough.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Prospect {
+    /// Certain: nothing is left that could come back. Every holder of the row has answered, none has
+    /// anything idle or in use, and none has drawn since.
+    Empty,
+    /// Requests under way may give something back within moments.
+    Moving,
+    /// Some holder did not answer; it may have ended, or may be cut off from here.
+    Silent,
+}
+
 impl Ledger {
     /// Takes a message of another holder.
     pub fn receive(&mut self, now: Instant, from: Arc<str>, message: Message) {
@@ -19,7 +39,7 @@
                 group,
                 returned,
                 in_use,
-            } => self.take_answer(now, &from, &group, returned, in_use),
+            } => self.take_answer(&from, &group, returned, in_use),
         }
     }
 
@@ -44,17 +64,11 @@
         self.due.insert(group);
     }
 
-    fn take_answer(
-        &mut self,
-        now: Instant,
-        from: &Arc<str>,
-        name: &Arc<str>,
-        returned: Tokens,
-        in_use: Tokens,
-    ) {
+    fn take_answer(&mut self, from: &Arc<str>, name: &Arc<str>, returned: Tokens, in_use: Tokens) {
         let Some(&group) = self.names.get(name) else {
             return;
         };
+        let step = self.work.asked.step;
         let Some(allowance) = self.allowances.get_mut(&group) else {
             return;
         };
@@ -68,12 +82,14 @@
         recall.in_use += in_use;
         recall.lacking = recall.lacking.minus(returned);
         if recall.unanswered.is_empty() || recall.lacking.is_zero() {
-            recall.finished.get_or_insert(now);
+            recall.finished.get_or_insert(step);
         }
     }
 
     /// Asks the other holders to return what lies idle with them.
-    pub(super) fn start_recall(&mut self, now: Instant, group: GroupKey, need: Tokens) {
+    pub(super) fn start_recall(&mut self, now: Instant, group: GroupKey, need: Tokens, round: u32) {
+        let pause = self.settings.in_use_ttl / FIRST_PAUSE_PART;
+        let again_at = now + pause * 2u32.pow(round.min(MOST_DOUBLINGS));
         let fanout = self.settings.recall_fanout;
         let deadline = now + self.settings.recall_wait;
         let scarce_until = now + self.settings.scarce_for;
@@ -84,11 +100,12 @@
             return;
         };
         let free = cached.budget.free();
-        let others = cached.budget.grants.keys();
-        let mut others: Vec<Arc<str>> = others
-            .filter(|holder| **holder != self.holder)
-            .cloned()
+        let grants = cached.budget.grants.iter();
+        let asked: Vec<(Arc<str>, Tokens)> = grants
+            .filter(|(holder, _)| **holder != self.holder)
+            .map(|(holder, grant)| (holder.clone(), grant.granted))
             .collect();
+        let mut others: Vec<Arc<str>> = asked.iter().map(|(holder, _)| holder.clone()).collect();
         let is_partial = others.len() > fanout;
         others.shuffle(&mut self.rng);
         others.truncate(fanout);
@@ -102,9 +119,12 @@
             self.outbox.push(Outgoing { to, message });
         }
         allowance.scarce_until = scarce_until;
-        let finished = others.is_empty().then_some(now);
+        let finished = others.is_empty().then_some(0);
         allowance.strain().recall = Some(Recall {
             deadline,
+            round,
+            again_at,
+            asked,
             unanswered: others,
             in_use: Tokens::ZERO,
             lacking: need,
@@ -162,27 +182,60 @@
         })
     }
 
-    /// Refuses those that wait, by what the recall has shown.
-    ///
-    /// "Exhausted" is said only when it is certain: every holder of the row has answered and none has
-    /// anything left. A holder that does not answer may have ended, or may be cut off from here.
-    pub(super) fn judge_by_recall(&mut self, now: Instant, group: GroupKey) {
+    /// Asks again or refuses, when a recall has not brought enough.
+    pub(super) fn after_recall(
+        &mut self,
+        now: Instant,
+        group: GroupKey,
+        waiting: &Waiting,
+    ) -> Intent {
+        let round = self.allowances[&group].recall().map(|recall| recall.round);
+        let prospect = self.prospect(group);
+        let is_patient = now.since(waiting.since) < self.settings.patience;
+        if prospect == Prospect::Moving && is_patient {
+            let again_at = self.allowances[&group]
+                .recall()
+                .map(|recall| recall.again_at);
+            if again_at.is_some_and(|again_at| now >= again_at) {
+                self.start_recall(now, group, waiting.smallest, round.unwrap_or(0) + 1);
+            }
+            return Intent::Wait;
+        }
+        let retry_after = match prospect {
+            Prospect::Empty => {
+                self.judge(now, group, Shortage::Exhausted);
+                return Intent::Nothing;
+            }
+            Prospect::Moving => self.settings.in_use_ttl,
+            Prospect::Silent => self.settings.negative_ttl,
+        };
+        self.judge(now, group, Shortage::InUse { retry_after });
+        Intent::Nothing
+    }
+
+    /// What the answers to a recall say about the money that is left.
+    fn prospect(&self, group: GroupKey) -> Prospect {
         let allowance = &self.allowances[&group];
-        let is_empty = allowance.recall().is_some_and(|recall| {
-            recall.unanswered.is_empty() && recall.in_use.is_zero() && !recall.is_partial
-        });
-        let shortage = match is_empty && allowance.in_use().is_zero() {
-            true => Shortage::Exhausted,
-            false => Shortage::InUse {
-                retry_after: self.settings.negative_ttl,
-            },
+        let Some((recall, cached)) = allowance.recall().zip(allowance.row.as_ref()) else {
+            return Prospect::Silent;
         };
-        self.judge(now, group, shortage);
+        let is_overtaken = recall.is_overtaken(&self.holder, &cached.budget);
+        let in_use = allowance.in_use() + recall.in_use;
+        if is_overtaken || !in_use.is_zero() {
+            return Prospect::Moving;
+        }
+        match recall.unanswered.is_empty() && !recall.is_partial {
+            true => Prospect::Empty,
+            false => Prospect::Silent,
+        }
     }
 
     /// Refuses those that wait and repeats the refusal for a while.
     pub(super) fn judge(&mut self, now: Instant, group: GroupKey, shortage: Shortage) {
-        let until = now + self.settings.negative_ttl;
+        let ttl = match shortage {
+            Shortage::InUse { retry_after } => retry_after,
+            _ => self.settings.negative_ttl,
+        };
         let Some(allowance) = self.allowances.get_mut(&group) else {
             return;
         };
@@ -192,7 +245,7 @@
         let need = waiting.smallest;
         let revision = allowance.row.as_ref().map_or(0, |cached| cached.revision);
         allowance.strain().verdict = Some(Verdict {
-            until,
+            until: now + ttl,
             need,
             shortage,
             revision,
@@ -209,6 +262,7 @@
     /// Ends what has waited too long: recalls without answers, requests while the table is down.
     pub(super) fn expire(&mut self, now: Instant) {
         let is_down = self.table_is_down(now);
+        let step = self.work.asked.step;
         let due: Vec<GroupKey> = self.due.iter().copied().collect();
         for group in due {
             let Some(allowance) = self.allowances.get_mut(&group) else {
@@ -225,7 +279,7 @@
                 continue;
             };
             if recall.deadline <= now {
-                recall.finished.get_or_insert(now);
+                recall.finished.get_or_insert(step);
             }
         }
     }
--- a/crates/fescuewell_budget/src/ledger/work.rs
+++ b/crates/fescuewell_budget/src/ledger/work.rs
@@ -4,15 +4,15 @@
 use std::time::Duration;
 
 use fescuewell_core::prelude::*;
-use fescuewell_core::table::{Error, Outcome, Reply, Row, Step, Transaction};
+use fescuewell_core::table::{Error, Outcome, Reply, Row, Step};
 use rand::Rng;
 
 use super::Ledger;
+use super::attempt::Attempt;
 use super::intent::Intent;
-use crate::allowance::{Cached, Sight};
+use crate::allowance::{Asked, Sight};
 use crate::message::News;
 use crate::row;
-use crate::row::{Budget, Grant};
 
 /// Conflicts after which a renewal pauses between attempts. A conflict means that another holder got
 /// through, so a few at once do no harm.
@@ -27,47 +27,17 @@
 /// Where the table work stands.
 #[derive(Debug, Default)]
 pub(super) struct Work {
-    attempt: Option<Attempt>,
+    pub(super) attempt: Option<Attempt>,
     is_outstanding: bool,
-    /// When the outstanding step was handed out.
-    asked: Instant,
+    /// The outstanding or else the last step.
+    pub(super) asked: Asked,
     /// Groups whose rows are being read.
     looks: Vec<GroupKey>,
     not_before: Instant,
     failures: u32,
     conflicts: u32,
     failing_since: Option<Instant>,
-    draws: u32,
-}
-
-/// A transaction whose outcome is open.
-#[derive(Debug)]
-struct Attempt {
-    transaction: Transaction,
-    changes: Vec<Change>,
-}
-
-/// What an attempt does to one group.
-#[derive(Debug)]
-struct Change {
-    group: GroupKey,
-    before: Tokens,
-    /// The new grant; `None` when it is removed.
-    after: Option<Tokens>,
-    draw: Arc<str>,
-    revision: u64,
-    budget: Budget,
-}
-
-impl Change {
-    /// Whether this row was written by the attempt.
-    fn is_in(&self, budget: &Budget, holder: &str) -> bool {
-        match (budget.grants.get(holder), self.after) {
-            (None, None) => true,
-            (Some(grant), Some(_)) => grant.draw == self.draw,
-            _ => false,
-        }
-    }
+    pub(super) draws: u32,
 }
 
 impl Ledger {
@@ -85,7 +55,10 @@
             _ => self.plan(now)?,
         };
         self.work.is_outstanding = true;
-        self.work.asked = now;
+        self.work.asked = Asked {
+            at: now,
+            step: self.work.asked.step + 1,
+        };
         Some(step)
     }
 
@@ -116,7 +89,7 @@
     /// Whether the table has failed for longer than requests should wait for it.
     pub(super) fn table_is_down(&self, now: Instant) -> bool {
         // A step that gets no answer at all is a failure as well.
-        let asked = self.work.is_outstanding.then_some(self.work.asked);
+        let asked = self.work.is_outstanding.then_some(self.work.asked.at);
         let since = self.work.failing_since.or(asked);
         since.is_some_and(|since| now.since(since) >= self.settings.patience)
     }
@@ -154,6 +127,9 @@
 
     /// Chooses reads, or else one transaction for as many groups as fit.
     fn plan(&mut self, now: Instant) -> Option<Step> {
+        if self.is_fenced {
+            return None;
+        }
         self.queue_renewals(now);
         let due: Vec<GroupKey> = self.due.iter().copied().collect();
         let mut looks = Vec::new();
@@ -171,20 +147,32 @@
                 Intent::Grant(after) => changes.push((group, after)),
             }
         }
+        if looks.is_empty() && changes.is_empty() {
+            looks.extend(self.probe());
+        }
         if !looks.is_empty() {
             self.signal("read");
             let keys = looks.iter().map(|&group| self.row_key(group)).collect();
             self.work.looks = looks;
             return Some(Step::Read { keys });
         }
-        if changes.is_empty() {
-            return None;
-        }
-        let transaction = self.begin(&changes);
+        let transaction = match changes.is_empty() {
+            true => self.begin_removal()?,
+            false => self.begin(now, &changes),
+        };
         self.signal("commit");
         Some(Step::Commit(transaction))
     }
 
+    /// A group whose row is read only to learn whether the table is back.
+    ///
+    /// Requests are refused without any table work while the table is taken to be down. If nothing else
+    /// were due either, nobody would notice its return, and the refusals would never end.
+    fn probe(&self) -> Option<GroupKey> {
+        self.work.failing_since?;
+        self.allowances.keys().next().copied()
+    }
+
     fn queue_renewals(&mut self, now: Instant) {
         if now < self.next_renewal {
             return;
@@ -209,68 +197,6 @@
         });
     }
 
-    fn begin(&mut self, changes: &[(GroupKey, Option<Tokens>)]) -> Transaction {
-        let mut transaction = Transaction::default();
-        let mut list = Vec::with_capacity(changes.len());
-        for &(group, after) in changes {
-            let change = self.change(group, after);
-            let key = self.row_key(group);
-            transaction = transaction
-                .with_compare(key.clone(), change.revision)
-                .with_put(key, change.budget.write());
-            list.push(change);
-        }
-        self.work.attempt = Some(Attempt {
-            transaction: transaction.clone(),
-            changes: list,
-        });
-        transaction
-    }
-
-    fn change(&mut self, group: GroupKey, after: Option<Tokens>) -> Change {
-        self.work.draws = self.work.draws.wrapping_add(1);
-        let id = u64::from(self.rng.random::<u32>()) << 32 | u64::from(self.work.draws);
-        let draw: Arc<str> = format!("{id:016x}").into();
-        let holder = self.holder.clone();
-        let allowance = self
-            .allowances
-            .get_mut(&group)
-            .expect("planned groups exist");
-        let before = allowance.granted;
-        // What a return may already have given away must not be spent, whatever becomes of the reply.
-        allowance.leaving = match after {
-            Some(after) => before.minus(after),
-            None => before.minus(allowance.spent),
-        };
-        let cached = allowance.row.as_ref().expect("planned rows are known");
-        let mut budget = cached.budget.clone();
-        match after {
-            Some(granted) => {
-                let rest = budget.grants.remove(&holder).unwrap_or_default().rest;
-                let draw = draw.clone();
-                let grant = Grant {
-                    granted,
-                    draw,
-                    rest,
-                };
-                budget.grants.insert(holder, grant);
-            }
-            None => {
-                budget.grants.remove(&holder);
-                budget.spent += allowance.spent;
-            }
-        }
-        let revision = cached.revision;
-        Change {
-            group,
-            before,
-            after,
-            draw,
-            revision,
-            budget,
-        }
-    }
-
     /// Reads the rows of an attempt whose reply was lost.
     ///
     /// A write that took effect although its reply did not arrive would otherwise be made again: the
@@ -316,8 +242,8 @@
             .expect("a verified attempt is kept");
         let compares = &attempt.transaction.compares;
         let is_unchanged = compares.iter().all(|compare| {
-            let mut rows = rows.iter();
-            rows.any(|row| row.key == compare.key && row.revision == compare.revision)
+            let found = rows.iter().find(|row| row.key == compare.key);
+            found.map_or(0, |row| row.revision) == compare.revision
         });
         if is_unchanged {
             self.signal("unsettled");
@@ -338,87 +264,7 @@
         self.resolve(now, rows);
     }
 
-    /// Learns from the rows, at least one of which has moved on, whether the attempt took effect.
-    fn resolve(&mut self, now: Instant, rows: &[Row]) {
-        let Some(attempt) = &self.work.attempt else {
-            return;
-        };
-        let mut has_landed = false;
-        for change in &attempt.changes {
-            let key = self.row_key(change.group);
-            let Some(row) = rows.iter().find(|row| row.key == key) else {
-                continue;
-            };
-            let budget = Budget::parse(&row.value).unwrap_or_default();
-            // A removed grant is recognised by its absence, which means nothing in an unchanged row.
-            has_landed |= row.revision != change.revision && change.is_in(&budget, &self.holder);
-        }
-        let changes = attempt.changes.iter();
-        let groups: Vec<GroupKey> = changes.map(|change| change.group).collect();
-        if has_landed {
-            self.land(now, 0);
-        } else {
-            self.drop_attempt();
-        }
-        self.observe_all(now, &groups, rows);
-    }
-
-    /// The attempt took effect.
-    fn land(&mut self, now: Instant, revision: u64) {
-        let Some(attempt) = self.work.attempt.take() else {
-            return;
-        };
-        for change in attempt.changes {
-            let Change { group, before, .. } = change;
-            let Some(allowance) = self.allowances.get_mut(&group) else {
-                continue;
-            };
-            allowance.leaving = Tokens::ZERO;
-            let after = change.after.unwrap_or(allowance.spent);
-            allowance.granted = after;
-            allowance.is_listed = change.after.is_some();
-            allowance.surplus_since = None;
-            if revision > 0 {
-                let seen = self.work.asked;
-                let budget = change.budget;
-                let cached = Cached {
-                    revision,
-                    seen,
-                    budget,
-                };
-                allowance.row = Some(Box::new(cached));
-            }
-            self.tell(group, before, after);
-            self.due.insert(group);
-            self.wake_if_funded(now, group);
-        }
-    }
-
-    fn tell(&mut self, group: GroupKey, before: Tokens, after: Tokens) {
-        if after > before {
-            let amount = after.minus(before);
-            self.news.push(News::Drawn { group, amount });
-        }
-        if after < before {
-            let amount = before.minus(after);
-            self.news.push(News::Returned { group, amount });
-            self.count_recalled(group, amount);
-        }
-    }
-
-    /// The attempt certainly did not take effect.
-    fn drop_attempt(&mut self) {
-        let Some(attempt) = self.work.attempt.take() else {
-            return;
-        };
-        for change in attempt.changes {
-            if let Some(allowance) = self.allowances.get_mut(&change.group) {
-                allowance.leaving = Tokens::ZERO;
-            }
-        }
-    }
-
-    fn observe_all(&mut self, now: Instant, groups: &[GroupKey], rows: &[Row]) {
+    pub(super) fn observe_all(&mut self, now: Instant, groups: &[GroupKey], rows: &[Row]) {
         for &group in groups {
             let key = self.row_key(group);
             let Some(allowance) = self.allowances.get_mut(&group) else {
@@ -444,7 +290,7 @@
         }
     }
 
-    fn row_key(&self, group: GroupKey) -> Arc<str> {
+    pub(super) fn row_key(&self, group: GroupKey) -> Arc<str> {
         row::key(&self.allowances[&group].name)
     }
 }
--- a/crates/fescuewell_budget/src/lib.rs
+++ b/crates/fescuewell_budget/src/lib.rs
@@ -9,6 +9,7 @@
 //! Nothing here frees money because time has passed: a holder that was paused may still send what
 //! it checked before the pause. Only its own return, or the proof that it has ended, lowers a grant.
 
+pub mod fence;
 pub mod hold;
 pub mod ledger;
 pub mod message;
--- a/crates/fescuewell_budget/src/policy.rs
+++ b/crates/fescuewell_budget/src/policy.rs
@@ -21,6 +21,8 @@
         pub recall_fanout: usize,
         /// How long a refusal is repeated without looking at the row again.
         pub negative_ttl: Duration,
+        /// The same for a refusal because money is in use: it may come back any moment.
+        pub in_use_ttl: Duration,
         /// After so long with more than needed, the surplus is returned.
         pub surplus_after: Duration,
         /// After so long without any hold, the whole idle allowance is returned.
@@ -57,6 +59,7 @@
             recall_wait: Duration::from_millis(500),
             recall_fanout: 32,
             negative_ttl: Duration::from_secs(1),
+            in_use_ttl: Duration::from_millis(250),
             surplus_after: Duration::from_secs(10),
             idle_after: Duration::from_secs(300),
             scarce_for: Duration::from_secs(5),
--- a/crates/fescuewell_budget/src/rate.rs
+++ b/crates/fescuewell_budget/src/rate.rs
@@ -4,12 +4,16 @@
 
 use fescuewell_core::prelude::*;
 
-/// Time constant of the average. Long enough to smooth single requests of a small group, short
-/// enough that allowances follow a shift of callers within a minute.
-pub const TIME_CONSTANT: Duration = Duration::from_secs(30);
+/// Time constant of the fast average, which follows a surge of callers within a minute.
+pub const FAST: Duration = Duration::from_secs(30);
 
-/// How strongly the latest request moves the expected share of a hold that is really used.
-const USE_WEIGHT: f32 = 0.1;
+/// Time constant of the slow average, which remembers callers that ask only now and then. With the fast
+/// one alone an allowance would be returned between two requests of a small group, and an outage
+/// in between would find none.
+pub const SLOW: Duration = Duration::from_secs(300);
+
+/// How strongly the latest request moves the averages over requests.
+const WEIGHT: f32 = 0.1;
 
 /// Tokens per second that requests are expected to cost, from their holds and earlier settlements.
 ///
@@ -17,13 +21,14 @@
 /// it that earlier requests used up, since allowances sized by worst cases would tie up too much.
 #[derive(Debug, Clone)]
 pub struct Rate {
-    /// Decayed sum of expected costs.
-    sum: f32,
+    /// Decayed sums of expected costs.
+    fast: f32,
+    slow: f32,
     at: Instant,
     first: Instant,
     /// Decayed average of cost over hold.
     used_share: f32,
-    /// Decayed average size of a hold, for reserves.
+    /// Decayed average size of a hold.
     hold: f32,
 }
 
@@ -31,7 +36,8 @@
     /// A rate of zero.
     pub fn new(now: Instant) -> Self {
         Self {
-            sum: 0.0,
+            fast: 0.0,
+            slow: 0.0,
             at: now,
             first: now,
             used_share: 1.0,
@@ -42,12 +48,15 @@
     /// Takes a hold into account.
     pub fn count_hold(&mut self, now: Instant, amount: Tokens) {
         let amount = amount.0 as f32;
-        self.sum = self.decayed(now) + amount * self.used_share;
+        let cost = amount * self.used_share;
+        let elapsed = now.since(self.at);
+        self.fast = self.fast * decay(elapsed, FAST) + cost;
+        self.slow = self.slow * decay(elapsed, SLOW) + cost;
         self.at = self.at.max(now);
         if self.hold == 0.0 {
             self.hold = amount;
         }
-        self.hold += USE_WEIGHT * (amount - self.hold);
+        self.hold += WEIGHT * (amount - self.hold);
     }
 
     /// Learns which part of a hold was really used.
@@ -56,25 +65,34 @@
             return;
         }
         let share = cost.0 as f32 / hold.0 as f32;
-        self.used_share += USE_WEIGHT * (share - self.used_share);
+        self.used_share += WEIGHT * (share - self.used_share);
     }
 
-    /// Expected cost in tokens per second.
+    /// Expected cost in tokens per second: the larger of the two averages.
     ///
     /// While less than a time constant has passed since the first hold, the sum is divided by the
-    /// time that has passed (at least a second), or the rate would start far too low.
+    /// time that has passed, or the rate would start far too low.
     pub fn per_second(&self, now: Instant) -> f32 {
-        let known = now.since(self.first).as_secs_f32().max(1.0);
-        self.decayed(now) / known.min(TIME_CONSTANT.as_secs_f32())
+        let elapsed = now.since(self.at);
+        let known = now.since(self.first);
+        let fast = self.fast * decay(elapsed, FAST) / span(known, FAST);
+        let slow = self.slow * decay(elapsed, SLOW) / span(known, SLOW);
+        fast.max(slow)
     }
 
     /// Average size of recent holds, in tokens.
     pub fn usual_hold(&self) -> Tokens {
         Tokens(self.hold as u64)
     }
+}
 
-    fn decayed(&self, now: Instant) -> f32 {
-        let elapsed = now.since(self.at).as_secs_f32();
-        self.sum * (-elapsed / TIME_CONSTANT.as_secs_f32()).exp()
-    }
+/// Shortest time over which a rate is worked out. The first request of a group says little about its rate.
+const SHORTEST_SPAN: Duration = Duration::from_secs(10);
+
+fn span(known: Duration, constant: Duration) -> f32 {
+    known.clamp(SHORTEST_SPAN, constant).as_secs_f32()
+}
+
+fn decay(elapsed: Duration, constant: Duration) -> f32 {
+    (-elapsed.as_secs_f32() / constant.as_secs_f32()).exp()
 }
--- a/crates/fescuewell_budget/src/reclaim.rs
+++ b/crates/fescuewell_budget/src/reclaim.rs
@@ -14,6 +14,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::fence;
+use crate::fence::Fence;
 use crate::row;
 use crate::row::{Budget, Grant};
 
@@ -44,6 +46,10 @@
 
 #[derive(Debug, Clone, PartialEq)]
 enum Stage {
+    /// Read the holder's fence.
+    Fence,
+    /// Close it, if it still has this revision.
+    Close(u64),
     Scan,
     Commit(Row),
     /// A reply was lost: the row shows by the grant's absence whether the write took effect.
@@ -54,16 +60,20 @@
 /// Removes the grants of one terminated holder, row by row.
 ///
 /// Each row is one compare-and-swap that adds what the holder was charged to `spent` and removes its grant.
-/// A row without the grant is done, so lost replies and a second reclaim do no harm.
+/// The holder's fence is closed first, see [`crate::fence`]. A row without the grant is done, so lost replies and a second reclaim do no harm.
 ///
 /// ```
 /// use fescuewell_budget::reclaim::Reclaim;
 /// use fescuewell_core::prelude::*;
-/// use fescuewell_core::table::{Reply, Step};
+/// use fescuewell_core::table::{Outcome, Reply, Step};
 ///
 /// let now = Instant::from_millis(0);
 /// let totals = [("signwise".into(), Tokens(300))];
 /// let mut reclaim = Reclaim::new("entry-1.1f".into(), &totals, 1);
+/// assert!(matches!(reclaim.next_step(now), Some(Step::Read { .. })));
+/// reclaim.reply(now, Reply::Rows(Vec::new()));
+/// assert!(matches!(reclaim.next_step(now), Some(Step::Commit(_))));
+/// reclaim.reply(now, Reply::Outcome(Outcome::Committed { revision: 9 }));
 /// assert!(matches!(reclaim.next_step(now), Some(Step::Scan(_))));
 /// reclaim.reply(now, Reply::Rows(Vec::new()));
 /// assert!(reclaim.is_done());
@@ -95,7 +105,7 @@
             holder,
             totals: sums,
             rng: SmallRng::seed_from_u64(seed),
-            stage: Stage::Scan,
+            stage: Stage::Fence,
             queue: VecDeque::new(),
             after: None,
             is_last_page: false,
@@ -129,6 +139,10 @@
         }
         let step = match &self.stage {
             Stage::Done => return None,
+            Stage::Fence => Step::Read {
+                keys: vec![fence::key(&self.holder)],
+            },
+            Stage::Close(revision) => self.closing(*revision),
             Stage::Scan => Step::Scan(Range {
                 prefix: row::PREFIX.into(),
                 after: self.after.clone(),
@@ -168,6 +182,12 @@
     fn advance(&mut self, reply: Reply) {
         let stage = std::mem::replace(&mut self.stage, Stage::Scan);
         match (stage, reply) {
+            (Stage::Fence, Reply::Rows(rows))
+            | (Stage::Close(_), Reply::Outcome(Outcome::Conflict { rows })) => {
+                self.look_at_fence(&rows);
+                return;
+            }
+            (Stage::Close(_), Reply::Outcome(Outcome::Committed { .. })) => return,
             (Stage::Scan, Reply::Rows(rows)) => self.take_page(rows),
             (Stage::Commit(row), Reply::Outcome(Outcome::Committed { .. })) => self.finish(&row),
             (Stage::Commit(row), Reply::Outcome(Outcome::Conflict { rows }))
@@ -181,6 +201,23 @@
         self.choose();
     }
 
+    fn look_at_fence(&mut self, rows: &[Row]) {
+        let is_closed = rows.first().map(|row| Fence::parse(&row.value).is_closed);
+        let revision = rows.first().map_or(0, |row| row.revision);
+        if is_closed != Some(true) {
+            self.stage = Stage::Close(revision);
+        }
+    }
+
+    fn closing(&self, revision: u64) -> Step {
+        let key = fence::key(&self.holder);
+        let value = Fence { is_closed: true }.write();
+        let transaction = Transaction::default()
+            .with_compare(key.clone(), revision)
+            .with_put(key, value);
+        Step::Commit(transaction)
+    }
+
     fn take_page(&mut self, rows: Vec<Row>) {
         self.is_last_page = rows.len() < PAGE as usize;
         self.after = rows.last().map(|row| row.key.clone()).or(self.after.take());
--- a/crates/fescuewell_budget/src/row.rs
+++ b/crates/fescuewell_budget/src/row.rs
@@ -39,6 +39,10 @@
         /// Hexadecimal id of the write that set `granted`; the holder reads back by it when the reply
         /// to that write was lost.
         pub draw: Arc<str>,
+        /// Expected use in tokens per second when the grant was last written. The holders size their
+        /// allowances by their parts of the sum, so that scarce money lies where the callers are.
+        #[serde(default)]
+        pub rate: u64,
         /// Fields that this program does not know.
         #[serde(flatten)]
         pub rest: Map<String, Value>,
@@ -93,6 +97,12 @@
         self.prepaid.minus(self.spent + self.granted())
     }
 
+    /// Expected use of all holders but this one, in tokens per second, as they last wrote it.
+    pub fn rate_of_others(&self, holder: &str) -> u64 {
+        let others = self.grants.iter().filter(|(name, _)| ***name != *holder);
+        others.fold(0, |sum, (_, grant)| sum.saturating_add(grant.rate))
+    }
+
     /// Whether `spent + sum(granted) <= prepaid` holds.
     pub fn is_sound(&self) -> bool {
         self.spent + self.granted() <= self.prepaid
--- /dev/null
+++ b/crates/fescuewell_budget/tests/regressions.rs
@@ -0,0 +1,413 @@
+//! Failures that the random schedules of `faults.rs` found, or that the design names, step by step.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::fleet::{Fault, Fleet, GROUPS};
+use fescuewell_budget::reclaim::Reclaim;
+use fescuewell_budget::{Message, News, Shortage};
+use fescuewell_core::prelude::*;
+use fescuewell_core::table::{Error, Reply, Step, Table, carry_out};
+
+fn fleet(prepaid: u64) -> Fleet {
+    Fleet::new(3, Tokens(prepaid), 11)
+}
+
+fn granted(fleet: &Fleet, node: usize) -> Tokens {
+    let budget = fleet.table.budget(GROUPS[0]);
+    let grant = budget.grants.get(&fleet.nodes[node].holder);
+    grant.map(|grant| grant.granted).unwrap_or_default()
+}
+
+fn idle(fleet: &Fleet, node: usize) -> Tokens {
+    let lines = fleet.nodes[node].ledger.snapshot();
+    lines.first().map(|line| line.idle).unwrap_or_default()
+}
+
+#[test]
+fn a_draw_whose_reply_is_lost_is_not_made_twice() {
+    // Symptom: an allowance stands in the row with nobody to spend it. A draw took effect and its
+    // reply was lost; the holder drew again instead of looking for the id of its draw.
+    let mut fleet = fleet(10_000);
+    fleet.request(0, 0, Tokens(500));
+    fleet.step(0, Fault::None);
+
+    fleet.step(0, Fault::ReplyLost);
+    let drawn = granted(&fleet, 0);
+    fleet.heal();
+
+    assert!(drawn >= Tokens(500));
+    assert_eq!(granted(&fleet, 0), drawn);
+    assert_eq!(fleet.granted, 1);
+}
+
+#[test]
+fn a_draw_that_never_arrived_is_made_again() {
+    // Symptom: a request waits for ever. The transaction was lost on its way; the rows are unchanged when
+    // they are read back, and the ledger has to send the same transaction once more.
+    let mut fleet = fleet(10_000);
+    fleet.request(0, 0, Tokens(500));
+    fleet.step(0, Fault::None);
+
+    fleet.step(0, Fault::RequestLost);
+    fleet.heal();
+
+    assert_eq!(fleet.granted, 1);
+}
+
+#[test]
+fn a_return_that_arrives_late_is_not_spent_twice() {
+    // Symptom: overspend by the amount of a return. The return was on its way when the holder was told
+    // that nothing is known; it read the row, saw it unchanged, and spent the amount that then
+    // arrived and was drawn by another.
+    let mut fleet = fleet(1_000);
+    fleet.request(0, 0, Tokens(900));
+    fleet.round();
+    fleet.release(0, 0);
+    fleet.request(1, 0, Tokens(900));
+    fleet.step(1, Fault::None);
+    fleet.step(1, Fault::None);
+    fleet.deliver(0, false);
+
+    fleet.step(0, Fault::Late);
+    assert_eq!(idle(&fleet, 0), Tokens::ZERO);
+    fleet.advance(200);
+    fleet.step(0, Fault::None);
+    assert_eq!(idle(&fleet, 0), Tokens::ZERO);
+    fleet.land_late(0);
+    fleet.check();
+    fleet.heal();
+
+    assert_eq!(fleet.used(0), Tokens(900));
+}
+
+#[test]
+fn the_table_s_return_is_noticed_when_nothing_else_is_due() {
+    // Symptom: every request is refused as "unknown" for good after a short outage. A read failed; the
+    // request that had asked for it was refused; with nothing due no further step was taken, so the
+    // table was taken to be down for ever.
+    let mut fleet = fleet(1_000);
+    fleet.request(0, 0, Tokens(1));
+    fleet.step(0, Fault::ReplyLost);
+    fleet.advance(3_000);
+    fleet.step(0, Fault::ReplyLost);
+
+    fleet.request(0, 0, Tokens(1));
+    fleet.heal();
+
+    assert!(fleet.is_granted(0, 0, Tokens(1), 50));
+}
+
+#[test]
+fn a_dead_holder_s_draw_does_not_land_behind_the_reclaim() {
+    // Symptom: the last tokens cannot be had. A holder died with a draw on its way; the reclaim passed
+    // the row, which had no grant yet; then the draw landed, and nobody owned it.
+    let mut fleet = fleet(1_000);
+    fleet.request(2, 0, Tokens(100));
+    fleet.step(2, Fault::None);
+    fleet.step(2, Fault::Late);
+
+    fleet.kill(2);
+    fleet.heal();
+
+    assert!(fleet.is_granted(0, 0, Tokens(1_000), 100));
+}
+
+#[test]
+fn a_holder_that_was_declared_ended_stops_spending() {
+    // Symptom: overspend by a holder that the instance list called terminated while it still ran. Its
+    // idle money was freed and drawn by another; its next write has to tell it so.
+    let mut fleet = fleet(1_000);
+    fleet.request(0, 0, Tokens(400));
+    fleet.round();
+    fleet.release(0, 0);
+    let holder = fleet.nodes[0].holder.clone();
+    let mut reclaim = Reclaim::new(holder, &[], 1);
+    while let Some(step) = reclaim.next_step(fleet.now) {
+        reclaim.reply(fleet.now, carry_out(&fleet.table, &step));
+    }
+
+    let now = fleet.now + Duration::from_secs(20);
+    let group = GroupKey(0);
+    let ledger = &mut fleet.nodes[0].ledger;
+    let first = ledger.hold(now, group, Tokens(900));
+    while let Some(step) = ledger.next_step(now) {
+        ledger.reply(now, carry_out(&fleet.table, &step));
+    }
+
+    assert!(reclaim.is_done());
+    assert_eq!(first, Err(Shortage::Pending));
+    assert!(ledger.news().contains(&News::Lost(group)));
+    assert!(matches!(
+        ledger.hold(now, group, Tokens(1)),
+        Err(Shortage::Unknown { .. })
+    ));
+}
+
+#[test]
+fn exhausted_is_not_said_when_a_third_holder_drew_meanwhile() {
+    // Symptom: "exhausted" while another instance has idle money. The first holder was asked and returned
+    // everything; a third one, which was not in the row when the recall began, drew it.
+    let mut fleet = fleet(180);
+    fleet.request(0, 0, Tokens(126));
+    fleet.round();
+    fleet.release(0, 0);
+    fleet.advance(10_000);
+    fleet.request(1, 0, Tokens(56));
+    fleet.request(1, 0, Tokens(125));
+    fleet.request(2, 0, Tokens(55));
+
+    fleet.heal();
+
+    let exhausted = fleet.refused.iter();
+    let exhausted = exhausted.filter(|refused| refused.shortage == Shortage::Exhausted);
+    assert_eq!(exhausted.count(), 0);
+}
+
+#[test]
+fn exhausted_is_not_said_from_an_old_view() {
+    // Symptom: "exhausted" right after a top-up. The process paused between its look at the row and its
+    // verdict, and the top-up came during the pause.
+    let mut fleet = fleet(100);
+    fleet.request(0, 0, Tokens(101));
+    fleet.step(0, Fault::None);
+    fleet.top_up(0, Tokens(1));
+
+    fleet.advance(10_000);
+    fleet.heal();
+
+    assert_eq!(fleet.granted, 1);
+}
+
+#[test]
+fn a_silent_holder_makes_the_refusal_say_in_use() {
+    // Symptom: "exhausted" although the money is only cut off. A holder with idle money does not answer
+    // the recall; whether it has ended cannot be known here.
+    let mut fleet = fleet(100);
+    fleet.request(0, 0, Tokens(100));
+    fleet.round();
+    fleet.nodes[0].is_paused = true;
+
+    fleet.request(1, 0, Tokens(50));
+    for _ in 0..100 {
+        fleet.round();
+    }
+
+    let shortage = fleet.refused[0].shortage;
+    assert!(matches!(shortage, Shortage::InUse { .. }), "{shortage:?}");
+}
+
+#[test]
+fn exhausted_ends_with_a_top_up() {
+    // Symptom: a topped-up group goes on being refused. The refusal is repeated without a look at the row
+    // for a while, but not for good.
+    let mut fleet = fleet(100);
+    fleet.request(0, 0, Tokens(100));
+    fleet.round();
+    fleet.settle(0, 0, 100);
+    fleet.bill(0, 0, false);
+    fleet.request(0, 0, Tokens(10));
+    fleet.round();
+    assert_eq!(fleet.refused[0].shortage, Shortage::Exhausted);
+
+    let before = fleet.table.counts().reads;
+    for _ in 0..100 {
+        fleet.request(0, 0, Tokens(10));
+    }
+    assert_eq!(fleet.table.counts().reads, before);
+    fleet.top_up(0, Tokens(10));
+
+    assert!(fleet.is_granted(0, 0, Tokens(10), 50));
+}
+
+#[test]
+fn an_outage_is_survived_from_the_allowance() {
+    // Symptom: requests are refused as soon as the table is down. What was drawn ahead has to last;
+    // after that the refusal says that the budget is not known, rather than that it is spent.
+    let mut fleet = fleet(1_000_000);
+    for _ in 0..200 {
+        fleet.request(0, 1, Tokens(100));
+        fleet.round();
+        fleet.settle(0, 0, 100);
+        fleet.bill(0, 0, false);
+    }
+    let before = fleet.granted;
+
+    fleet.nodes[0].is_cut_off = true;
+    let mut at_first_refusal = None;
+    for second in 0..600 {
+        fleet.advance(1_000);
+        for _ in 0..20 {
+            fleet.request(0, 1, Tokens(100));
+        }
+        fleet.step(0, Fault::None);
+        if !fleet.refused.is_empty() {
+            at_first_refusal.get_or_insert(second);
+        }
+    }
+
+    assert!(fleet.granted > before);
+    assert!(
+        at_first_refusal.is_some_and(|second| second >= 110),
+        "{at_first_refusal:?}"
+    );
+    let shortage = fleet.refused[0].shortage;
+    assert!(matches!(shortage, Shortage::Unknown { .. }), "{shortage:?}");
+}
+
+#[test]
+fn a_repeated_or_foreign_message_moves_no_money() {
+    // Symptom: money appears or vanishes with a message. Messages arrive twice, late, or from holders
+    // that were never asked; only the table may change what may be spent.
+    let mut fleet = fleet(1_000);
+    fleet.request(0, 0, Tokens(100));
+    fleet.round();
+    let stranger: Arc<str> = "entry-9.1".into();
+    let recalled = Message::Recalled {
+        group: GROUPS[0].into(),
+        returned: Tokens(1_000_000),
+        in_use: Tokens::ZERO,
+    };
+
+    let before = idle(&fleet, 0);
+    let now = fleet.now;
+    fleet.nodes[0]
+        .ledger
+        .receive(now, stranger.clone(), recalled.clone());
+    fleet.nodes[0].ledger.receive(now, stranger, recalled);
+
+    assert_eq!(idle(&fleet, 0), before);
+    fleet.check();
+}
+
+#[test]
+fn a_reclaim_whose_replies_are_lost_frees_each_grant_once() {
+    // Symptom: a dead holder's spending is counted twice. The removal took effect, its reply was lost, and
+    // the reclaim did it again.
+    let mut fleet = fleet(1_000);
+    fleet.request(0, 0, Tokens(300));
+    fleet.round();
+    fleet.settle(0, 0, 100);
+    fleet.kill(0);
+
+    for _ in 0..40 {
+        fleet.advance(3_000);
+        fleet.reclaim(0, Fault::ReplyLost);
+        fleet.advance(3_000);
+        fleet.reclaim(0, Fault::None);
+    }
+
+    let budget = fleet.table.budget(GROUPS[0]);
+    assert!(fleet.reclaims[0].is_done());
+    assert_eq!(budget.spent, Tokens(300));
+    assert!(budget.grants.is_empty());
+}
+
+#[test]
+fn a_group_without_a_row_is_unknown() {
+    // Symptom: a group that the console has not written yet is told that its budget is spent.
+    let mut fleet = fleet(1_000);
+    let policy = fescuewell_budget::Policy {
+        key: GroupKey(7),
+        name: "brolga-access".into(),
+        outage: Duration::from_secs(60),
+        share_percent: 10,
+        least: Tokens(10),
+    };
+    let now = fleet.now;
+    let ledger = &mut fleet.nodes[0].ledger;
+    ledger.set_groups(now, &[policy]);
+
+    assert_eq!(
+        ledger.hold(now, GroupKey(7), Tokens(1)),
+        Err(Shortage::Pending)
+    );
+    let step = ledger.next_step(now).unwrap();
+    ledger.reply(now, carry_out(&fleet.table, &step));
+
+    let retry_after = Duration::from_secs(1);
+    let shortage = Shortage::Unknown { retry_after };
+    assert_eq!(ledger.news(), [News::Refused(GroupKey(7), shortage)]);
+}
+
+#[test]
+fn ledgers_spread_out_when_the_table_returns() {
+    // Symptom: the table goes down again under its own clients. All instances failed at the same moment
+    // and came back at the same moment.
+    let mut fleet = Fleet::new(9, Tokens(100_000), 11);
+    for node in 0..9 {
+        fleet.request(node, 0, Tokens(10));
+        for _ in 0..6 {
+            let now = fleet.now;
+            let ledger = &mut fleet.nodes[node].ledger;
+            if ledger.next_step(now).is_some() {
+                ledger.reply(now, Reply::Failed(Error::Busy));
+            }
+            fleet.advance(5_000);
+        }
+        fleet.now = Instant::from_millis(1_000);
+    }
+
+    // Every ledger has just failed for the sixth time; look when each one comes back.
+    let start = Instant::from_millis(1_000) + Duration::from_secs(25);
+    let mut comebacks = vec![0; 41];
+    for node in &mut fleet.nodes {
+        let back = (0..41).find(|tick| {
+            let now = start + Duration::from_millis(50) * *tick;
+            node.ledger.next_step(now).is_some()
+        });
+        comebacks[back.expect("no pause is longer than two seconds") as usize] += 1;
+    }
+
+    assert!(comebacks.iter().all(|&count| count <= 4), "{comebacks:?}");
+}
+
+#[test]
+fn many_groups_share_one_transaction() {
+    // Symptom: table writes grow with the number of budgets. Draws that are due together have to go
+    // together, in batches.
+    let mut fleet = fleet(1_000);
+    let names: Vec<String> = (0..70).map(|index| format!("salon-{index}")).collect();
+    let policies: Vec<fescuewell_budget::Policy> = names
+        .iter()
+        .enumerate()
+        .map(|(index, name)| fescuewell_budget::Policy {
+            key: GroupKey(index as u32),
+            name: name.as_str().into(),
+            outage: Duration::from_secs(20),
+            share_percent: 5,
+            least: Tokens(10),
+        })
+        .collect();
+    for name in &names {
+        fleet.table.top_up(name, Tokens(1_000));
+    }
+    let before = fleet.table.counts();
+    let now = fleet.now;
+    let ledger = &mut fleet.nodes[0].ledger;
+    ledger.set_groups(now, &policies);
+
+    for policy in &policies {
+        assert_eq!(
+            ledger.hold(now, policy.key, Tokens(5)),
+            Err(Shortage::Pending)
+        );
+    }
+    while let Some(step) = ledger.next_step(now) {
+        if let Step::Commit(transaction) = &step {
+            assert!(transaction.writes.len() <= 33);
+        }
+        ledger.reply(now, carry_out(&fleet.table as &dyn Table, &step));
+    }
+
+    assert_eq!(fleet.table.counts().commits - before.commits, 3);
+    let funded = ledger.news().into_iter();
+    assert_eq!(
+        funded
+            .filter(|news| matches!(news, News::Funded(_)))
+            .count(),
+        70
+    );
+}
