--- a/crates/fescuewell_claims/tests/sweep.rs
+++ b/crates/fescuewell_claims/tests/sweep.rs
@@ -368,6 +368,28 @@
     ));
 }
 
+#[test]
+fn a_late_claim_of_a_closed_router_is_not_granted() {
+    // Symptom: a request stays under way at a router that ended long ago.
+    // Events: r sends a claim that is held up on the way, dies and is swept; the claim arrives.
+    // Cause: a closed router's messages are taken like any other's.
+    let mut world = World::new(&[]);
+    let mut sweep = world.sweep();
+    world.run(&mut sweep, 60);
+
+    let late = world.ask(&Request::Claim(claim("x", "r.1", 1)));
+    let retry = world.ask(&Request::Claim(claim("x", "s.1", 1)));
+
+    assert_eq!(late, Reply::Unavailable);
+    assert_eq!(
+        retry,
+        Reply::Granted {
+            attempt: 1,
+            durable: false
+        }
+    );
+}
+
 #[test]
 fn an_attempt_sent_to_two_servers_is_charged_for_the_one_that_ended() {
     let mut world = World::new(&["e1", "e2"]);
