Close the platform stand-in's socket before stop returns

The HTTP server closes its socket later, from another thread. Two peer tests (one failure each) looked at the other side's counter of refusals before that side had counted. Change: stop shuts the listening socket down first; the address can be used again at once, which a new test does. The peer tests wait for the counter to rise instead of looking once; what they ask for is the same. A new test of the bound on connections taken from peers.

--- a/crates/fescuewell_peer/tests/transport.rs
+++ b/crates/fescuewell_peer/tests/transport.rs
@@ -60,8 +60,8 @@
     let genuine = a.deliver(&b, b"genuine");
 
     assert_eq!(&*genuine.payload, b"genuine");
+    eventually(|| b.transport.traffic().refused > 0);
     assert!(b.inbox.is_empty());
-    assert!(b.transport.traffic().refused > 0);
 }
 
 // Symptom: as above. Sequence: the stranger trusts our authority, so its side of the handshake
@@ -83,8 +83,8 @@
         traffic.lost + traffic.dropped == 20
     });
 
+    eventually(|| b.transport.traffic().refused > 0);
     assert!(b.inbox.is_empty());
-    assert!(b.transport.traffic().refused > 0);
     assert_eq!(stranger.transport.traffic().sent, 0);
 }
 
@@ -336,3 +336,24 @@
 
     assert_eq!(a.transport.traffic().lost, 0);
 }
+
+// Symptom: the process runs out of memory or descriptors. Sequence: more connections arrive than the
+// instance has room for. Cause: no bound on connections taken.
+#[test]
+fn connections_beyond_the_limit_are_refused_until_there_is_room() {
+    let authority = testing::authority();
+    let mut settings = authority.settings("instance-b", loopback()).unwrap();
+    settings.limits.max_incoming = 1;
+    let b = Node::start(settings);
+    let a = node(&authority, "instance-a");
+    let c = node(&authority, "instance-c");
+    a.deliver(&b, b"first");
+
+    c.transport.send(b.address(), b"no room".to_vec());
+    eventually(|| c.transport.traffic().dropped > 0);
+    eventually(|| b.transport.traffic().refused > 0);
+    a.transport.close(Duration::ZERO);
+    let later = c.deliver(&b, b"room again");
+
+    assert_eq!(&*later.from, "instance-c");
+}
--- a/crates/fescuewell_standin/src/platform.rs
+++ b/crates/fescuewell_standin/src/platform.rs
@@ -19,7 +19,7 @@
 mod table;
 mod weights;
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::JoinHandle;
@@ -30,6 +30,7 @@
 use fescuewell_platform::{memory, sd};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
+use socket2::SockRef;
 
 pub use control::{Control, Fault, Report};
 pub use weights::Weights;
@@ -138,6 +139,8 @@
 /// ```
 pub struct Platform {
     address: SocketAddr,
+    /// Another handle to the socket that the server accepts on.
+    listener: TcpListener,
     server: Arc<tiny_http::Server>,
     shared: Arc<Shared>,
     workers: Vec<JoinHandle<()>>,
@@ -164,12 +167,13 @@
         content: Content,
     ) -> Result<Self, Error> {
         let shared = Arc::new(Shared::new(settings, content)?);
-        let server = tiny_http::Server::http(listen).map_err(|error| Error::Listen {
+        let (server, listener, address) = open(listen).map_err(|reason| Error::Listen {
             address: listen,
-            reason: error.to_string().into(),
+            reason: reason.to_string().into(),
         })?;
         let mut platform = Self {
-            address: server.server_addr().to_ip().unwrap_or(listen),
+            address,
+            listener,
             server: Arc::new(server),
             shared,
             workers: Vec::with_capacity(WORKERS),
@@ -233,6 +237,9 @@
 impl Drop for Platform {
     fn drop(&mut self) {
         self.shared.stopped.store(true, Ordering::Release);
+        // Dropping the server closes its socket some time later, from another thread. Until then a client
+        // would be let in and cut off, and take for a lost reply what should be a refused connection.
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
         for _ in &self.workers {
             self.server.unblock();
         }
@@ -269,6 +276,15 @@
     }
 }
 
+type Opened = (tiny_http::Server, TcpListener, SocketAddr);
+
+fn open(listen: SocketAddr) -> Result<Opened, Box<dyn std::error::Error + Send + Sync>> {
+    let listener = TcpListener::bind(listen)?;
+    let address = listener.local_addr()?;
+    let server = tiny_http::Server::from_listener(listener.try_clone()?, None)?;
+    Ok((server, listener, address))
+}
+
 fn work(server: &tiny_http::Server, shared: &Shared) {
     while !shared.stopped.load(Ordering::Acquire) {
         // An error here is the wake-up call of `stop`, or the end of the listener.
--- a/crates/fescuewell_standin/tests/platform.rs
+++ b/crates/fescuewell_standin/tests/platform.rs
@@ -117,6 +117,19 @@
     assert!(services.instances.list().is_err());
 }
 
+#[test]
+fn a_stopped_platform_starts_again_with_what_it_had() {
+    let (platform, services) = start(Settings::default());
+    services.table.commit(&insert("a")).unwrap();
+    let (address, content) = (platform.address(), platform.content().clone());
+    platform.stop();
+
+    let again = Platform::start_with(address, Settings::default(), content).unwrap();
+
+    assert_eq!(again.address(), address);
+    assert!(services.table.read("a").unwrap().is_some());
+}
+
 // Symptom: a call hangs for as long as the service does. Sequence: the service is slow beyond the
 // client's limit. Cause: without a limit on the whole exchange a slow store stops its callers.
 #[test]
