--- a/crates/fescuewell_http/src/listener/accept.rs
+++ b/crates/fescuewell_http/src/listener/accept.rs
@@ -144,11 +144,7 @@
     let shared = shared.clone();
     tokio::spawn(async move {
         let refusal = Refusal::new(Code::TooManyConnections).with_retry_after(RETRY_AFTER);
-        fescuewell_core::log_event!(
-            Event::ConnectionRefused,
-            "peer={peer} code={}",
-            refusal.code.number()
-        );
+        shared.refusal_log.note(peer, refusal.code);
         connection::refuse(stream, &refusal).await;
         shared.refusals.fetch_sub(1, Ordering::Relaxed);
     });
--- a/crates/fescuewell_http/src/listener/connection.rs
+++ b/crates/fescuewell_http/src/listener/connection.rs
@@ -8,11 +8,9 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use fescuewell_core::prelude::*;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -20,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, timeout};
 
+use super::body::{self, Room};
 use super::guard::{Expiry, Guard, Watch};
 use super::reply::{self, Body, BrokenOff};
 use super::{Arrival, Request, Shared, Stage};
@@ -94,7 +93,7 @@
     });
     let end = end.await;
     let io = connection.into_parts().io.into_inner().into_inner();
-    conclude(io, end, peer, &watch).await;
+    conclude(io, end, peer, &watch, shared).await;
 }
 
 /// Fires when the connection's patience has ended. The timer is left alone while the deadline moves
@@ -122,7 +121,7 @@
 }
 
 /// Tells the caller what hyper does not, and closes the connection.
-async fn conclude<Io>(mut io: Io, end: End, peer: SocketAddr, watch: &Watch)
+async fn conclude<Io>(mut io: Io, end: End, peer: SocketAddr, watch: &Watch, shared: &Shared)
 where
     Io: AsyncRead + AsyncWrite + Unpin,
 {
@@ -133,11 +132,7 @@
         End::Finished(_) => None,
     };
     if let Some(code) = code {
-        fescuewell_core::log_event!(
-            Event::ConnectionRefused,
-            "peer={peer} code={}",
-            code.number()
-        );
+        shared.refusal_log.note(peer, code);
         refuse(io, &Refusal::new(code)).await;
         return;
     }
@@ -234,15 +229,12 @@
 ) -> Result<http::Response<Body>, BrokenOff> {
     let arrived = std::time::Instant::now();
     let (parts, body) = request.into_parts();
-    let body = match read_body(body, &shared).await {
+    let mut room = Room::new(shared.clone());
+    let body = match body::read(body, &shared.settings, &mut room).await {
         Ok(body) => body,
-        Err(code) => {
-            fescuewell_core::log_event!(
-                Event::ConnectionRefused,
-                "peer={peer} code={}",
-                code.number()
-            );
-            return Ok(refuse_body(code, watch));
+        Err(refusal) => {
+            shared.refusal_log.note(peer, refusal.code);
+            return Ok(refuse_body(&refusal, watch));
         }
     };
     let method = parts.method.clone();
@@ -263,32 +255,16 @@
         fescuewell_core::log_event!(Event::InternalFault, "part=handler peer={peer}");
     }
     drop(shared);
+    // The room of the body is kept until the answer begins: until then the handler may hold it.
     let response = reply::wait(answer, closer, watch).await?;
+    drop(room);
     let unread = reply::is_unread(&method, response.status());
     Ok(response.map(|body| body.with_unread(unread)))
 }
 
-async fn read_body(body: Incoming, shared: &Shared) -> Result<Bytes, Code> {
-    let most = shared.settings.max_body_bytes;
-    // An announced size beyond the bound is refused before a byte of it is read.
-    if body.size_hint().lower() > most as u64 {
-        return Err(Code::BodyTooLarge);
-    }
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let whole = Box::pin(Limited::new(body, most).collect());
-    match timeout(shared.settings.body_timeout, whole).await {
-        Err(_) => Err(Code::RequestTimeout),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
-        Ok(Err(_)) => Err(Code::MalformedRequest),
-    }
-}
-
 /// A refusal after which the connection is closed, since the rest of the body may still be coming.
-fn refuse_body(code: Code, watch: Arc<Watch>) -> http::Response<Body> {
-    let (mut parts, body) = refusal_response(&Refusal::new(code)).into_parts();
+fn refuse_body(refusal: &Refusal, watch: Arc<Watch>) -> http::Response<Body> {
+    let (mut parts, body) = refusal_response(refusal).into_parts();
     let close = HeaderValue::from_static("close");
     parts.headers.insert(CONNECTION, close);
     let (reply, answer, closer) = reply::pair();
--- a/crates/fescuewell_http/src/listener/mod.rs
+++ b/crates/fescuewell_http/src/listener/mod.rs
@@ -22,8 +22,10 @@
 //! ```
 
 mod accept;
+mod body;
 mod connection;
 mod guard;
+mod refusal_log;
 mod reply;
 mod settings;
 mod tls;
@@ -125,6 +127,8 @@
     connections: AtomicUsize,
     refusals: AtomicUsize,
     exchanges: AtomicUsize,
+    body_bytes: AtomicUsize,
+    refusal_log: refusal_log::RefusalLog,
     stage: watch::Sender<Stage>,
 }
 
@@ -167,6 +171,8 @@
             connections: AtomicUsize::new(0),
             refusals: AtomicUsize::new(0),
             exchanges: AtomicUsize::new(0),
+            body_bytes: AtomicUsize::new(0),
+            refusal_log: refusal_log::RefusalLog::default(),
             stage,
         });
         let mut listener = Self {
--- a/crates/fescuewell_http/src/listener/settings.rs
+++ b/crates/fescuewell_http/src/listener/settings.rs
@@ -39,6 +39,8 @@
     pub max_head_bytes: usize,
     /// Largest body, in bytes.
     pub max_body_bytes: usize,
+    /// Most bytes of bodies whose answers have not begun, over all connections.
+    pub max_buffered_bytes: usize,
     /// How long the caller may take nothing of an answer that is ready to be sent.
     pub write_stall_timeout: Duration,
     /// TLS, or plain HTTP.
@@ -59,6 +61,7 @@
             body_timeout: Duration::from_secs(30),
             max_head_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
+            max_buffered_bytes: 64 * 1024 * 1024,
             write_stall_timeout: Duration::from_secs(30),
             tls: None,
             threads: 1,
--- a/crates/fescuewell_http/tests/listener.rs
+++ b/crates/fescuewell_http/tests/listener.rs
@@ -381,3 +381,30 @@
 
     assert_eq!(answer, "");
 }
+
+#[test]
+fn all_bodies_together_are_bounded() {
+    // Symptom: the process ends for want of memory although each body keeps its bound. Sequence: a body waits for
+    // its answer; another one comes that does not fit beside it; the first is answered; the second comes again.
+    let mut settings = local();
+    settings.max_buffered_bytes = 1_000;
+    let (hand_over, handed) = flume::bounded(1);
+    let handler = Answer(move |request: Request, reply: Reply| match &*request.path {
+        "/wait" => hand_over.send(reply).unwrap(),
+        _ => reply.whole(StatusCode::OK, HeaderMap::new(), bytes("took it")),
+    });
+    let listener = listen(settings, Arc::new(handler));
+    let mut first = connect(listener.address());
+    let body = "x".repeat(700);
+    first.write_all(post("/wait", &body).as_bytes()).unwrap();
+    let reply = handed.recv_timeout(PATIENCE).unwrap();
+
+    let refused = talk(listener.address(), post("/", &body).as_bytes());
+    reply.whole(StatusCode::OK, HeaderMap::new(), bytes("at last"));
+    read_until(&mut first, "at last");
+    let mut third = connect(listener.address());
+    third.write_all(post("/", &body).as_bytes()).unwrap();
+
+    assert_refusal(&refused, Code::Overloaded);
+    read_until(&mut third, "took it");
+}
--- a/crates/fescuewell_standin/src/engine/stream.rs
+++ b/crates/fescuewell_standin/src/engine/stream.rs
@@ -15,6 +15,9 @@
 use super::text::Seed;
 use super::{Core, Engine};
 
+/// Tokens in one chunk, when a reader has some way to catch up.
+const TOKENS_AT_ONCE: u32 = 64;
+
 /// One connection's reading of one response.
 pub(super) struct Reader {
     core: Arc<Core>,
@@ -168,7 +171,8 @@
         let limit = self.drop_after.unwrap_or(u32::MAX);
         let available = record.usage.completion.min(limit);
         if available > self.position {
-            return Next::Tokens(available);
+            let most = self.position.saturating_add(TOKENS_AT_ONCE);
+            return Next::Tokens(available.min(most));
         }
         match record.finish {
             Some(finish) => Next::End(finish, record.usage),
