--- a/crates/fescuewell_routing/src/health.rs
+++ b/crates/fescuewell_routing/src/health.rs
@@ -120,11 +120,12 @@
     slowness: f32,
 }
 
-impl Default for Health {
-    fn default() -> Self {
+impl Health {
+    /// The health of a server that is first heard of now.
+    pub(crate) fn new(now: Instant) -> Self {
         Self {
             state: STATES.chart.initial(),
-            since: Instant::default(),
+            since: now,
             gap: 0.0,
             tokens: 0,
             measured: Instant::default(),
@@ -134,9 +135,7 @@
             slowness: 1.0,
         }
     }
-}
 
-impl Health {
     /// The name of its state in `health.json`.
     pub(crate) fn state(&self) -> &'static str {
         STATES.chart.name(self.state)
--- a/crates/fescuewell_routing/src/lib.rs
+++ b/crates/fescuewell_routing/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`health`] | ejection on lack of progress, gradual return |
 
 pub mod choice;
+mod gather;
 pub mod health;
 pub mod load;
 pub mod pool;
--- a/crates/fescuewell_routing/src/load.rs
+++ b/crates/fescuewell_routing/src/load.rs
@@ -1,9 +1,9 @@
 //! The load of one backend server, from own sends and lagging reports.
 //!
 //! A report says how many requests a server had some time ago, from all instances together. Used
-//! as it is, it makes every instance choose the same idle server until the next report (the
-//! herd). So the own part is taken out of it and replaced by the exact present one, and the rest
-//! is drawn back towards its long-run mean as the report grows old.
+//! as it is, it makes every instance choose the same idle server until the next report. So the own
+//! part is taken out of it and replaced by the exact present one, and of the rest only the
+//! long-run mean is used, together with what the other instances are expected to send.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -27,17 +27,15 @@
 
 /// Ended streams remembered per server, to know what a late report counted.
 const ENDED_MOST: usize = 64;
-/// Weight of a new report in the long-run mean.
+/// Weight of a new report in the long-run means.
 const MEAN_WEIGHT: f32 = 0.1;
-/// Time in which the news of a report fades by the factor e.
-const FADE: Duration = Duration::from_secs(2);
 
 /// What other instances have on a backend server.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Others {
     seen: Option<Seen>,
     mean: f32,
-    sent_since: u32,
+    waiting: f32,
     ended: VecDeque<Span>,
 }
 
@@ -61,12 +59,23 @@
 pub(crate) struct Estimate {
     /// Requests of other instances.
     pub(crate) others: f32,
-    /// Of these and the own ones, those that wait in the server's queue.
+    /// Requests that stay in the server's queue, from all instances.
     pub(crate) waiting: f32,
     /// Requests in its batch when it last reported.
     pub(crate) running: f32,
 }
 
+/// How the load by others is estimated.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Basis {
+    /// Reports older than this are ignored.
+    pub(crate) life: Duration,
+    /// Weight of the reports, from 0 to 1; the rest is inferred from the own load.
+    pub(crate) report_share: f32,
+    /// Other instances.
+    pub(crate) peers: f32,
+}
+
 impl Others {
     /// Takes a report in; `open` are the starts of the own streams that are open now.
     pub(crate) fn report<Starts>(&mut self, now: Instant, report: Report, open: Starts)
@@ -78,35 +87,24 @@
         if self.seen.is_some_and(|seen| seen.at > at) {
             return;
         }
-        let mut own = 0u32;
-        let mut sent_since = 0;
-        for start in open {
-            if start <= at {
-                own += 1;
-            } else {
-                sent_since += 1;
-            }
-        }
+        let mut own = open.filter(|start| *start <= at).count();
         self.ended.retain(|span| span.end > at);
-        own += self.ended.iter().filter(|span| span.start <= at).count() as u32;
+        own += self.ended.iter().filter(|span| span.start <= at).count();
         let total = (report.running + report.waiting) as f32;
-        let others = (total - own as f32).max(0.0);
-        self.mean = match self.seen {
-            None => others,
-            Some(_) => self.mean + (others - self.mean) * MEAN_WEIGHT,
-        };
-        self.sent_since = sent_since;
-        self.seen = Some(Seen {
+        let seen = Seen {
             at,
-            others,
+            others: (total - own as f32).max(0.0),
             waiting: report.waiting as f32,
             running: report.running as f32,
-        });
-    }
-
-    /// Notes an own send.
-    pub(crate) fn sent(&mut self) {
-        self.sent_since += 1;
+        };
+        let weight = if self.seen.is_none() {
+            1.0
+        } else {
+            MEAN_WEIGHT
+        };
+        self.mean += (seen.others - self.mean) * weight;
+        self.waiting += (seen.waiting - self.waiting) * weight;
+        self.seen = Some(seen);
     }
 
     /// Notes the end of an own stream.
@@ -117,22 +115,35 @@
         self.ended.push_back(span);
     }
 
-    /// What others have on the server now, or `None` without a report that is fresh enough.
+    /// What others had on the server at the last report that is fresh enough, else 0.
+    pub(crate) fn reported(&self, now: Instant, life: Duration) -> f32 {
+        self.fresh(now, life).map_or(0.0, |seen| seen.others)
+    }
+
+    /// What others have on the server now, given `own` requests of this instance.
     ///
-    /// `herd` is the number of sends by others that stands behind one own send since the report.
-    pub(crate) fn estimate(&self, now: Instant, life: Duration, herd: f32) -> Option<Estimate> {
-        let seen = self.seen?;
-        let age = now.since(seen.at);
-        if age > life {
-            return None;
-        }
-        let freshness = (-age.as_secs_f32() / FADE.as_secs_f32()).exp();
-        let steady = self.mean + (seen.others - self.mean) * freshness;
-        let expected = herd * self.sent_since as f32;
-        Some(Estimate {
-            others: steady + expected,
-            waiting: seen.waiting * freshness,
+    /// The present report is deliberately not followed: all instances read the same one, and
+    /// steering by it makes them overshoot together until the next. What counts is the mean of
+    /// many reports, which shows lasting differences, and the own load, which is exact at any
+    /// time and which each other instance is expected to match, as it chooses by the same rules.
+    pub(crate) fn estimate(&self, now: Instant, own: f32, basis: &Basis) -> Estimate {
+        let matched = own * basis.peers;
+        let Some(seen) = self.fresh(now, basis.life) else {
+            return Estimate {
+                others: matched,
+                ..Estimate::default()
+            };
+        };
+        let share = basis.report_share;
+        Estimate {
+            others: self.mean * share + matched * (1.0 - share),
+            // A queue counts when it lasts; one that a single report shows is gone by now.
+            waiting: self.waiting.min(seen.waiting),
             running: seen.running,
-        })
+        }
+    }
+
+    fn fresh(&self, now: Instant, life: Duration) -> Option<Seen> {
+        self.seen.filter(|seen| now.since(seen.at) <= life)
     }
 }
--- a/crates/fescuewell_routing/src/pool.rs
+++ b/crates/fescuewell_routing/src/pool.rs
@@ -207,13 +207,28 @@
 
 /// Odd multiplier of the fingerprint (2^64 divided by the golden ratio).
 const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
+/// Independent hash chains of the fingerprint.
+const LANES: usize = 8;
 
 fn fingerprint(reach: &[ServerKey]) -> u64 {
-    let mut hash = reach.len() as u64;
-    for server in reach {
-        hash = (hash.rotate_left(5) ^ u64::from(server.0)).wrapping_mul(SPREAD);
+    // Independent lanes: one chain of multiplications over 12,000 keys would take 20 us.
+    let mut lanes = [reach.len() as u64; LANES];
+    let chunks = reach.chunks_exact(LANES);
+    for (lane, server) in lanes.iter_mut().zip(chunks.remainder()) {
+        *lane = mix(*lane, server.0);
     }
-    hash
+    for chunk in chunks {
+        for (lane, server) in lanes.iter_mut().zip(chunk) {
+            *lane = mix(*lane, server.0);
+        }
+    }
+    lanes.iter().fold(0, |hash: u64, lane| {
+        (hash.rotate_left(5) ^ lane).wrapping_mul(SPREAD)
+    })
+}
+
+fn mix(lane: u64, server: u32) -> u64 {
+    (lane.rotate_left(5) ^ u64::from(server)).wrapping_mul(SPREAD)
 }
 
 /// The capacity of a cache, at least one.
--- a/crates/fescuewell_routing/src/prefix.rs
+++ b/crates/fescuewell_routing/src/prefix.rs
@@ -26,7 +26,7 @@
 }
 
 /// Servers remembered per block.
-const HOLDERS_MOST: usize = 8;
+const HOLDERS_MOST: usize = 16;
 /// Blocks looked at per prompt; of longer prompts every second, fourth, ... block is looked at.
 const DEPTHS_MOST: usize = 64;
 /// An event this far behind the newest one is not late: the server counts from the start again.
@@ -59,7 +59,8 @@
 struct Feed {
     last: Option<u64>,
     era: u32,
-    cleared: Option<Instant>,
+    /// What was believed in earlier eras is worthless: the cache was emptied.
+    empty_before: u32,
     evicting: bool,
 }
 
@@ -150,13 +151,7 @@
     }
 
     /// Takes in a cache event. Returns whether it revealed a gap.
-    pub(crate) fn event(
-        &mut self,
-        now: Instant,
-        server: ServerKey,
-        sequence: u64,
-        event: Event,
-    ) -> bool {
+    pub(crate) fn event(&mut self, server: ServerKey, sequence: u64, event: Event) -> bool {
         let feed = self.feed(server);
         let last = feed.last;
         let next = last.is_none_or(|last| sequence == last + 1);
@@ -168,8 +163,8 @@
         if gap || event == Event::Cleared {
             feed.era += 1;
         }
-        if event == Event::Cleared && !late {
-            feed.cleared = Some(now);
+        if event == Event::Cleared {
+            feed.empty_before = feed.era;
         }
         match event {
             Event::Evicted(block) => self.remove(block, server),
@@ -186,11 +181,11 @@
     }
 
     /// Forgets what was believed of a server, as when it was replaced.
-    pub(crate) fn forget(&mut self, now: Instant, server: ServerKey) {
+    pub(crate) fn forget(&mut self, server: ServerKey) {
         let feed = self.feed(server);
         feed.era += 1;
         feed.last = None;
-        feed.cleared = Some(now);
+        feed.empty_before = feed.era;
     }
 
     /// How many blocks are remembered.
@@ -302,7 +297,7 @@
     let Some(sent) = holder.sent else {
         return 0.0;
     };
-    if feed.cleared.is_some_and(|cleared| cleared >= sent) {
+    if holder.era < feed.empty_before {
         return 0.0;
     }
     let half_life = millis(settings.history_half_life_ms).as_secs_f32();
--- a/crates/fescuewell_routing/src/router.rs
+++ b/crates/fescuewell_routing/src/router.rs
@@ -8,19 +8,15 @@
 use rand::{Rng, SeedableRng};
 
 use crate::choice::{Basis, Choice, NoChoice, Query, Reason};
+use crate::gather::{Admission, Candidate, Gathering};
 use crate::health::{self, Change, Health};
-use crate::load::{Estimate, Others, Report};
-use crate::pool::{ModelKey, Pool, Pools, ring_position};
+use crate::load::{self, Others, Report};
+use crate::pool::{ModelKey, Pools, ring_position};
 use crate::prefix::{Event, History, Hit};
 use crate::server::{Entry, Outcome, Policy, Stream, Ticket};
 use crate::settings::{Settings, millis};
 use crate::speed::Speed;
 
-/// Random draws per wanted sample, before the draw is given up.
-const DRAWS_PER_SAMPLE: usize = 3;
-/// Fewest own streams that a returning server may have.
-const SHARE_LEAST: f32 = 1.0;
-
 /// Chooses backend servers for one instance.
 ///
 /// ```
@@ -63,13 +59,6 @@
     candidates: Vec<Candidate>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Candidate {
-    server: ServerKey,
-    source: Basis,
-    hit: Option<Hit>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Scored {
     candidate: Candidate,
@@ -78,14 +67,6 @@
     expected_tokens: f32,
 }
 
-/// Why a server cannot take a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Closed {
-    Gone,
-    Ejected,
-    Busy,
-}
-
 impl Router {
     /// A router of an instance in `zone`; `seed` fixes its random draws.
     pub fn new(settings: Settings, zone: Arc<str>, seed: u64) -> Self {
@@ -115,14 +96,14 @@
             let known = old.get_mut(index).and_then(Option::take);
             let known = known.filter(|entry| entry.name == policy.name);
             if known.is_none() {
-                self.history.forget(now, policy.key);
+                self.history.forget(policy.key);
             }
-            self.entries[index] = Some(self.entry(policy, known));
+            self.entries[index] = Some(self.entry(now, policy, known));
         }
         self.pools.clear();
     }
 
-    fn entry(&mut self, policy: &Policy, known: Option<Entry>) -> Entry {
+    fn entry(&mut self, now: Instant, policy: &Policy, known: Option<Entry>) -> Entry {
         let mut entry = known.unwrap_or_else(|| Entry {
             name: policy.name.clone(),
             local: true,
@@ -135,7 +116,7 @@
             streams: Vec::new(),
             pending_tokens: 0,
             others: Others::default(),
-            health: Health::default(),
+            health: Health::new(now),
         });
         entry.local = policy.zone == self.zone;
         entry.concurrency = policy.concurrency;
@@ -196,7 +177,11 @@
         };
         self.gather(now, query, model)?;
         let mut best: Option<Scored> = None;
-        for &candidate in &self.candidates {
+        // Equals are common, and always taking the first of them would load that one.
+        let len = self.candidates.len();
+        let first = self.random.random_range(0..len.max(1));
+        for step in 0..len {
+            let candidate = self.candidates[(first + step) % len];
             let scored = self.score(now, query, candidate);
             if best.is_none_or(|best| scored.cost < best.cost) {
                 best = Some(scored);
@@ -272,18 +257,15 @@
         let entry = self.entries[candidate.server.0 as usize]
             .as_ref()
             .expect("candidates are known servers");
-        let estimate = estimate(
-            now,
-            entry,
-            &self.settings,
-            herd(&self.settings, self.instances),
-        );
+        let own = entry.streams.len() as f32;
+        let basis = basis(&self.settings, self.instances);
+        let estimate = entry.others.estimate(now, own, &basis);
         let held = candidate.hit.map_or(0.0, |hit| {
             let share = hit.blocks as f32 / query.prefix.len().max(1) as f32;
             share.min(1.0) * hit.trust
         });
         let expected_tokens = query.prompt_tokens as f32 * (1.0 - held);
-        let outstanding = entry.streams.len() as f32 + estimate.others;
+        let outstanding = own + estimate.others;
         let ahead = Ahead {
             prompt_tokens: entry.pending_tokens as f32 + expected_tokens,
             outstanding,
@@ -367,7 +349,7 @@
     /// Takes in a cache event. Returns whether its number revealed a gap.
     pub fn cache_event(
         &mut self,
-        now: Instant,
+        _now: Instant,
         server: ServerKey,
         sequence: u64,
         event: Event,
@@ -376,7 +358,7 @@
             .entries
             .get(server.0 as usize)
             .is_some_and(Option::is_some);
-        known && self.history.event(now, server, sequence, event)
+        known && self.history.event(server, sequence, event)
     }
 
     /// Judges the servers' progress; to be called a few times a second.
@@ -419,139 +401,10 @@
     pub(crate) stream_tokens: f32,
 }
 
-fn herd(settings: &Settings, instances: u32) -> f32 {
-    (instances - 1) as f32 * settings.herd_percent as f32 / 100.0
-}
-
-fn estimate(now: Instant, entry: &Entry, settings: &Settings, herd: f32) -> Estimate {
-    let life = millis(settings.report_life_ms);
-    entry.others.estimate(now, life, herd).unwrap_or_default()
-}
-
-/// Decides whether a server can take the request.
-struct Admission<'a> {
-    now: Instant,
-    query: &'a Query<'a>,
-    entries: &'a [Option<Entry>],
-    settings: &'a Settings,
-    instances: u32,
-}
-
-impl Admission<'_> {
-    fn closed(&self, server: ServerKey) -> Option<Closed> {
-        let Some(Some(entry)) = self.entries.get(server.0 as usize) else {
-            return Some(Closed::Gone);
-        };
-        if entry.leaving || self.query.exclude.contains(&server) {
-            return Some(Closed::Gone);
-        }
-        let share = entry.health.share(self.now, &self.settings.health);
-        if share <= 0.0 {
-            return Some(Closed::Ejected);
-        }
-        self.busy(entry, share).then_some(Closed::Busy)
-    }
-
-    fn busy(&self, entry: &Entry, share: f32) -> bool {
-        if self.now < entry.busy_until {
-            return true;
-        }
-        let own = entry.streams.len() as f32;
-        let mut limit = entry.concurrency as f32;
-        if !self.query.urgent {
-            limit -= limit * f32::from(self.settings.urgent_reserve_percent) / 100.0;
-        }
-        if share < 1.0 {
-            // Each instance lets the server back in by itself, so each takes its own part only.
-            limit = (limit * share / self.instances as f32).max(SHARE_LEAST);
-            return own >= limit;
-        }
-        // Expected sends of others count for the comparison, not for a refusal: a guess that
-        // every other instance sends as well must not turn a request away.
-        let others = estimate(self.now, entry, self.settings, 0.0).others;
-        own + others + 1.0 > limit.max(1.0)
-    }
-}
-
-struct Gathering<'a> {
-    admission: Admission<'a>,
-    pool: &'a Pool,
-    hits: &'a [Hit],
-    candidates: &'a mut Vec<Candidate>,
-}
-
-impl Gathering<'_> {
-    fn holders(&mut self, most: usize) {
-        for index in 0..self.hits.len() {
-            if self.candidates.len() >= most {
-                return;
-            }
-            let server = self.hits[index].server;
-            let Some(Some(entry)) = self.admission.entries.get(server.0 as usize) else {
-                continue;
-            };
-            if !self.pool.holds(server, entry.ring) {
-                continue;
-            }
-            self.add(server, Basis::PrefixHit);
-        }
-    }
-
-    /// The first servers after the prompt's first block on the ring of names. All instances see
-    /// the same ones without talking to each other, so a prefix gathers there. When the first home
-    /// is loaded, the next one costs less and a large account spreads to it.
-    fn homes(&mut self, most: usize) {
-        let Some(first) = self.admission.query.prefix.first() else {
-            return;
-        };
-        let pool = self.pool;
-        for server in pool.after(first.0 as u64).take(most) {
-            self.add(server, Basis::PrefixHome);
-        }
-    }
-
-    fn samples(&mut self, most: usize, random: &mut SmallRng) {
-        let mut found = 0;
-        for _ in 0..most * DRAWS_PER_SAMPLE {
-            if found == most {
-                return;
-            }
-            let index = random.random_range(0..self.pool.loaded.len());
-            found += usize::from(self.add(self.pool.loaded[index].server, Basis::LeastLoad));
-        }
-    }
-
-    /// Looks at the whole pool, from a random place on, after the draws found nobody.
-    fn anyone(&mut self, random: &mut SmallRng) -> Result<(), NoChoice> {
-        let len = self.pool.loaded.len();
-        let start = random.random_range(0..len);
-        let mut worst = Closed::Gone;
-        for step in 0..len {
-            let server = self.pool.loaded[(start + step) % len].server;
-            let Some(closed) = self.admission.closed(server) else {
-                self.add(server, Basis::LeastLoad);
-                return Ok(());
-            };
-            worst = worst.max(closed);
-        }
-        Err(match worst {
-            Closed::Gone => NoChoice::NoneLeft,
-            Closed::Ejected => NoChoice::AllEjected,
-            Closed::Busy => NoChoice::AllBusy,
-        })
-    }
-
-    fn add(&mut self, server: ServerKey, source: Basis) -> bool {
-        let known = |candidate: &Candidate| candidate.server == server;
-        if self.candidates.iter().any(known) || self.admission.closed(server).is_some() {
-            return false;
-        }
-        let hit = self.hits.iter().find(|hit| hit.server == server).copied();
-        self.candidates.push(Candidate {
-            server,
-            source,
-            hit,
-        });
-        true
+fn basis(settings: &Settings, instances: u32) -> load::Basis {
+    load::Basis {
+        life: millis(settings.report_life_ms),
+        report_share: f32::from(settings.report_percent.min(100)) / 100.0,
+        peers: (instances - 1) as f32,
     }
 }
--- a/crates/fescuewell_routing/src/server.rs
+++ b/crates/fescuewell_routing/src/server.rs
@@ -91,7 +91,6 @@
 
     pub(crate) fn open(&mut self, stream: Stream) {
         self.pending_tokens = self.pending_tokens.saturating_add(stream.tokens);
-        self.others.sent();
         self.streams.push(stream);
     }
 
--- a/crates/fescuewell_routing/src/settings.rs
+++ b/crates/fescuewell_routing/src/settings.rs
@@ -21,8 +21,9 @@
         pub prefill_tokens_per_second: u32,
         /// Delay that one running stream adds to a first token, as a number of prompt tokens.
         pub stream_tokens: u32,
-        /// Own sends since a report stand for so many percent of as many sends by each other instance.
-        pub herd_percent: u32,
+        /// Weight of load reports in the estimate of what other instances have on a server, in
+        /// percent; the rest is inferred from the own load.
+        pub report_percent: u8,
         /// Prompt blocks remembered from this instance's own sends.
         pub history_blocks: u32,
         /// Prompt blocks remembered from cache events alone.
@@ -71,12 +72,12 @@
         Self {
             samples: 3,
             homes: 2,
-            holders: 4,
+            holders: 16,
             zone_penalty_us: 1_000,
             report_life_ms: 5_000,
             prefill_tokens_per_second: 8_000,
-            stream_tokens: 64,
-            herd_percent: 25,
+            stream_tokens: 20,
+            report_percent: 50,
             history_blocks: 32_768,
             hint_blocks: 32_768,
             history_half_life_ms: 60_000,
