Write one row for each slot commit, and only when a call waits or half a second is over

Change: the slot's row is compared but no longer written by a commit; the log row carries the commit's id and must be absent, so that a repeated commit takes effect once. Slots in which a call waits for its claim are committed at once, the others after flush_interval (500 ms). Checkpoints are written in rows of 256 KB while the slot goes on, once the log has grown to the size of the last one; renumbering of names is a record of the log.

--- a/crates/fescuewell_claims/src/arbiter.rs
+++ b/crates/fescuewell_claims/src/arbiter.rs
@@ -33,6 +33,7 @@
 //! assert_eq!(arbiter.take_answers(), [(1, Reply::Known(Known::Absent))]);
 //! ```
 
+mod checkpoint;
 mod commit;
 mod held;
 pub mod row;
@@ -61,22 +62,28 @@
 pub struct Settings {
     /// Number of slots of the whole fleet.
     pub slots: u16,
-    /// Least time between two group commits. Writes per second of one instance are its inverse,
-    /// whatever the request rate; a non-repeatable call waits about half of it.
+    /// Least time between two group commits: their number per second is at most its inverse, whatever the
+    /// request rate. A non-repeatable call waits for about half of it.
     pub commit_interval: Duration,
+    /// How long records for which no call waits are collected. Each slot with records costs a row, so that a
+    /// fleet writes at most `slots / flush_interval` rows per second, and one for each non-repeatable call.
+    pub flush_interval: Duration,
     /// How often the slot rows are read while a wanted slot is held by somebody else.
     pub poll_interval: Duration,
     /// How often they are read otherwise, so that an idle holder learns that its slot was taken.
     pub lease: Duration,
     /// How long finished requests are kept.
     pub retention: Retention,
-    /// How many group commits of a slot are logged before its whole state is written as a checkpoint.
+    /// How many group commits of a slot are logged, at least, before its whole state is written as a checkpoint;
+    /// the log is also let grow to the size of the last checkpoint, so that no byte is written more than twice.
     pub checkpoint_every: u64,
+    /// Size of a row of a checkpoint, in bytes; the table limits the size of a row.
+    pub chunk_bytes: usize,
     /// Most decided records that wait for the table; beyond it askers keep what they have.
     pub pending_limit: usize,
     /// Most requests kept in memory; beyond it claims and bills are answered `Unavailable`.
     pub entry_limit: usize,
-    /// Most slots in one commit: three writes each, and the table limits the writes of a transaction.
+    /// Most slots in one commit: two writes each at most, and the table limits the writes of a transaction.
     pub slots_per_commit: usize,
     /// Bytes of records in one commit, roughly; the table limits the size of a transaction.
     pub bytes_per_commit: usize,
@@ -92,11 +99,13 @@
     fn default() -> Self {
         Self {
             slots: 64,
-            commit_interval: Duration::from_millis(100),
+            commit_interval: Duration::from_millis(50),
+            flush_interval: Duration::from_millis(500),
             poll_interval: Duration::from_secs(1),
             lease: Duration::from_secs(15),
             retention: Retention::default(),
             checkpoint_every: 256,
+            chunk_bytes: 256 * 1024,
             pending_limit: 50_000,
             entry_limit: 200_000,
             slots_per_commit: 40,
@@ -115,7 +124,12 @@
     Take(Vec<(SlotKey, SlotRow)>),
     LoadBase(SlotKey),
     LoadTail(SlotKey),
-    Trim { slot: SlotKey, upto: u64 },
+    Chunk(SlotKey),
+    Trim {
+        slot: SlotKey,
+        garbage: usize,
+        trim_from: u64,
+    },
     Commit,
     Recheck,
 }
@@ -264,7 +278,7 @@
         self.notes.extend(decision.note.take());
         let records = std::mem::take(&mut decision.records);
         self.pending += records.len();
-        held.push(records);
+        held.push(now, records);
         if !decision.after_commit || held.is_clean() {
             self.answers.push((ticket, decision.reply));
             return;
@@ -313,6 +327,7 @@
             .next_commit_step(now)
             .or_else(|| self.next_load_step())
             .or_else(|| self.next_take_step(now))
+            .or_else(|| self.next_chunk_step())
             .or_else(|| self.next_trim_step())?;
         self.outstanding = Some(outstanding);
         Some(step)
@@ -346,11 +361,15 @@
             (Outstanding::LoadTail(slot), table::Reply::Rows(rows)) => {
                 self.tail_loaded(now, slot, &rows);
             }
-            (Outstanding::Trim { slot, upto }, table::Reply::Outcome(_)) => {
-                if let Some(held) = self.held.get_mut(&slot) {
-                    held.trim_from = upto + 1;
-                }
-            }
+            (Outstanding::Chunk(slot), table::Reply::Outcome(_)) => self.chunk_written(slot),
+            (
+                Outstanding::Trim {
+                    slot,
+                    garbage,
+                    trim_from,
+                },
+                table::Reply::Outcome(_),
+            ) => self.trimmed(slot, garbage, trim_from),
             // An answer of the wrong kind says nothing; the step is decided on anew.
             (Outstanding::Commit, _) => self.flight_unknown(),
             _ => {}
--- a/crates/fescuewell_claims/src/arbiter/commit.rs
+++ b/crates/fescuewell_claims/src/arbiter/commit.rs
@@ -6,8 +6,10 @@
 use fescuewell_core::table::{self, Outcome, Row, Step, Transaction};
 use rand::Rng;
 
-use super::row::{SlotRow, base_key, encode, log_key, slot_key};
-use super::{Arbiter, Outstanding};
+use super::checkpoint::Checkpoint;
+use super::held::Held;
+use super::row::{SlotRow, encode, log_key, slot_key};
+use super::{Arbiter, Outstanding, Settings};
 use crate::message::{Reply, Request};
 use crate::note::Note;
 use crate::record::{Batch, Record};
@@ -22,9 +24,14 @@
 #[derive(Debug)]
 struct Part {
     slot: SlotKey,
-    row: SlotRow,
+    /// Revision of the slot's row that the commit requires.
     revision: u64,
+    commit: u64,
     records: u64,
+    /// The log row, with its number and size.
+    log: Option<(u64, u64)>,
+    /// The slot's new row, when it changes.
+    row: Option<SlotRow>,
     is_release: bool,
 }
 
@@ -46,15 +53,29 @@
 }
 
 impl Part {
-    fn verdict(&self, row: Option<&Row>) -> Verdict {
-        let Some(row) = row else {
+    fn log_key(&self) -> Option<std::sync::Arc<str>> {
+        self.log.map(|(number, _)| log_key(self.slot, number))
+    }
+
+    fn verdict(&self, rows: &[Row]) -> Verdict {
+        let find = |key: &str| rows.iter().find(|row| &*row.key == key);
+        let log = self.log_key().and_then(|key| find(&key));
+        if let Some(row) = log
+            && postcard::from_bytes::<Batch>(&row.value)
+                .is_ok_and(|batch| batch.commit == self.commit)
+        {
+            return Verdict::Committed(row.revision);
+        }
+        let Some(row) = find(&slot_key(self.slot)) else {
             return Verdict::Lost;
         };
         if row.revision == self.revision {
             return Verdict::NotYet;
         }
         match postcard::from_bytes::<SlotRow>(&row.value) {
-            Ok(found) if found.commit == self.row.commit => Verdict::Committed(row.revision),
+            Ok(found) if self.row.is_some() && found.commit == self.commit => {
+                Verdict::Committed(row.revision)
+            }
             _ => Verdict::Lost,
         }
     }
@@ -69,8 +90,11 @@
         // The reply may have been lost after the write took effect. Sending the records again under another
         // number would log them twice; the commit's own id in the row tells.
         if flight.is_unknown {
-            let keys = flight.parts.iter().map(|part| slot_key(part.slot));
-            let keys = keys.collect();
+            let mut keys = Vec::with_capacity(2 * flight.parts.len());
+            for part in &flight.parts {
+                keys.push(slot_key(part.slot));
+                keys.extend(part.log_key());
+            }
             return Some((Outstanding::Recheck, Step::Read { keys }));
         }
         let step = Step::Commit(flight.transaction.clone());
@@ -78,7 +102,7 @@
     }
 
     fn build_flight(&mut self, now: Instant) -> Option<Flight> {
-        let (slots, is_all) = self.dirty_slots();
+        let (slots, is_all) = self.due_slots(now);
         let last = *slots.last()?;
         let commit = self.rng.random();
         let mut transaction = Transaction::default();
@@ -99,15 +123,16 @@
         })
     }
 
-    /// Slots with something to write, from the cursor on, and whether these are all.
-    fn dirty_slots(&self) -> (Vec<SlotKey>, bool) {
+    /// Slots that are due, from the cursor on, and whether these are all.
+    fn due_slots(&self, now: Instant) -> (Vec<SlotKey>, bool) {
         let after = self.held.range(SlotKey(self.cursor.0.wrapping_add(1))..);
         let before = self.held.range(..=self.cursor);
         let mut slots = Vec::new();
         let mut seen = std::collections::BTreeSet::new();
         for (&slot, held) in after.chain(before) {
-            let is_dirty = !held.pending.is_empty() || !self.wanted.contains(&slot);
-            if !is_dirty || !seen.insert(slot) {
+            let flush_interval = self.settings.flush_interval;
+            let is_due = held.is_due(now, flush_interval) || !self.wanted.contains(&slot);
+            if !is_due || !seen.insert(slot) {
                 continue;
             }
             if slots.len() == self.settings.slots_per_commit {
@@ -131,43 +156,50 @@
         }
         let is_wanted = self.wanted.contains(&slot);
         let held = self.held.get_mut(&slot)?;
-        let records = take_records(&mut held.pending, room);
+        let mut records = take_records(&mut held.pending, room);
         self.pending -= records.len();
         let is_drained = held.pending.is_empty();
+        held.is_urgent &= !is_drained;
+        held.since = held.since.filter(|_| !is_drained);
         let is_release = !is_wanted && is_drained;
-        let mut row = SlotRow {
-            last: held.row.last + 1,
-            commit,
-            ..held.row.clone()
-        };
-        if is_release {
-            row.holder = None;
+        let is_checkpoint = is_drained && is_wanted && is_checkpoint_due(held, &self.settings);
+        if is_checkpoint {
+            records.push(held.ledger.compact(now, &self.settings.retention));
+            held.decided += 1;
         }
         let count = records.len() as u64;
-        let rows_logged = row.last - held.row.base;
-        // A checkpoint holds what was decided up to now, so it can stand for this commit's log row only when
-        // nothing decided is left over.
-        if is_drained && rows_logged >= self.settings.checkpoint_every {
-            row.base = row.last;
-            held.ledger.compact(now, &self.settings.retention);
-            let snapshot = held.ledger.snapshot(now).encode();
-            push_put(transaction, base_key(slot), snapshot.into());
-        } else {
-            push_put(
-                transaction,
-                log_key(slot, row.last),
-                encode(&Batch { records }),
-            );
+        let mut log = None;
+        if !records.is_empty() {
+            let number = held.last + 1;
+            let value = encode(&Batch { commit, records });
+            log = Some((number, value.len() as u64));
+            transaction.compares.push(table::Compare {
+                key: log_key(slot, number),
+                revision: 0,
+            });
+            push_put(transaction, log_key(slot, number), value);
+        }
+        if is_checkpoint {
+            let (number, bytes) = log.unwrap_or((held.last, 0));
+            let log_bytes = held.log_bytes + bytes;
+            let chunk = self.settings.chunk_bytes;
+            let checkpoint = Checkpoint::new(now, slot, held, number, chunk, log_bytes);
+            held.checkpoint = Some(checkpoint);
+        }
+        let row = next_row(held, commit, is_release);
+        if let Some(row) = &row {
+            push_put(transaction, slot_key(slot), encode(row));
         }
-        push_put(transaction, slot_key(slot), encode(&row));
         let revision = held.revision;
         let key = slot_key(slot);
         transaction.compares.push(table::Compare { key, revision });
         Some(Part {
             slot,
-            row,
             revision,
+            commit,
             records: count,
+            log,
+            row,
             is_release,
         })
     }
@@ -207,9 +239,7 @@
         let mut not_yet = Vec::new();
         let mut is_any_lost = false;
         for part in flight.parts {
-            let key = slot_key(part.slot);
-            let row = rows.iter().find(|row| row.key == key);
-            match part.verdict(row) {
+            match part.verdict(rows) {
                 Verdict::Committed(revision) => self.part_committed(part, revision),
                 Verdict::NotYet => not_yet.push(part),
                 Verdict::Lost => {
@@ -237,16 +267,13 @@
         let mut kept = Transaction::default();
         for part in &flight.parts {
             let slot = slot_key(part.slot);
-            let base = base_key(part.slot);
-            let log = log_key(part.slot, part.row.last);
+            let log = part.log_key();
+            let is_own = |key: &std::sync::Arc<str>| *key == slot || Some(key) == log.as_ref();
             let compares = flight.transaction.compares.iter();
             kept.compares
-                .extend(compares.filter(|compare| compare.key == slot).cloned());
+                .extend(compares.filter(|compare| is_own(&compare.key)).cloned());
             for write in &flight.transaction.writes {
-                let table::Write::Put { key, .. } = write else {
-                    continue;
-                };
-                if *key == slot || *key == base || *key == log {
+                if matches!(write, table::Write::Put { key, .. } if is_own(key)) {
                     kept.writes.push(write.clone());
                 }
             }
@@ -258,8 +285,19 @@
         let Some(held) = self.held.get_mut(&part.slot) else {
             return;
         };
-        held.row = part.row;
-        held.revision = revision;
+        if let Some((number, bytes)) = part.log {
+            held.last = number;
+            held.log_bytes += bytes;
+        }
+        if let Some(row) = part.row {
+            held.revision = revision;
+            if row.base != held.row.base
+                && let Some(checkpoint) = held.checkpoint.take()
+            {
+                held.adopt(part.slot, &checkpoint);
+            }
+            held.row = row;
+        }
         self.answers.extend(held.commit(part.records));
         if !part.is_release {
             return;
@@ -345,12 +383,41 @@
                 let decision = held.ledger.request(&view, &release);
                 self.notes.extend(decision.note);
                 self.pending += decision.records.len();
-                held.push(decision.records);
+                held.push(now, decision.records);
             }
         }
     }
 }
 
+/// Not while another one is being written; the former one is still in force then.
+fn is_checkpoint_due(held: &Held, settings: &Settings) -> bool {
+    let rows = held.last + 1 - held.row.base;
+    held.checkpoint.is_none()
+        && rows >= settings.checkpoint_every
+        && held.log_bytes >= held.base_bytes
+}
+
+/// The slot's row after the commit, if it changes.
+fn next_row(held: &Held, commit: u64, is_release: bool) -> Option<SlotRow> {
+    let checkpoint = held.checkpoint.as_ref().filter(|entry| entry.is_written());
+    if !is_release && checkpoint.is_none() {
+        return None;
+    }
+    let mut row = SlotRow {
+        commit,
+        ..held.row.clone()
+    };
+    if is_release {
+        row.holder = None;
+    }
+    if let Some(checkpoint) = checkpoint {
+        row.base = checkpoint.number;
+        row.base_epoch = row.epoch;
+        row.chunks = checkpoint.chunks;
+    }
+    Some(row)
+}
+
 fn take_records(pending: &mut std::collections::VecDeque<Record>, room: &mut usize) -> Vec<Record> {
     let mut records = Vec::new();
     while *room > 0 {
--- a/crates/fescuewell_claims/src/arbiter/row.rs
+++ b/crates/fescuewell_claims/src/arbiter/row.rs
@@ -8,17 +8,20 @@
 pub const SLOT_PREFIX: &str = "slot/";
 
 fescuewell_core::data! {
-    /// Content of `slot/{nn}`.
+    /// Content of `slot/{nn}`. Group commits only compare its revision; it is written when the slot is taken,
+    /// handed back, or passes to another checkpoint.
     #[derive(Default)]
     pub struct SlotRow {
         /// Rises by one each time that the slot is taken.
         pub epoch: Epoch,
         /// `instance.incarnation` of the holder; `None` after a release.
         pub holder: Option<Arc<str>>,
-        /// Number of the last group commit.
-        pub last: u64,
-        /// Number of the group commit that the checkpoint covers; the log goes on after it.
+        /// Number of the group commit up to which the checkpoint reaches; the log goes on after it. 0 for none.
         pub base: u64,
+        /// Epoch in which the checkpoint was written.
+        pub base_epoch: Epoch,
+        /// In how many rows the checkpoint is stored.
+        pub chunks: u32,
         /// Random id of the last write, by which its writer recognises it when the reply was lost.
         pub commit: u64,
     }
@@ -29,9 +32,15 @@
     format!("{SLOT_PREFIX}{:04}", slot.0).into()
 }
 
-/// Key of a slot's checkpoint.
-pub fn base_key(slot: SlotKey) -> Arc<str> {
-    format!("slotbase/{:04}", slot.0).into()
+/// Common start of all rows of a slot's checkpoints.
+pub fn base_prefix(slot: SlotKey) -> Arc<str> {
+    format!("slotbase/{:04}/", slot.0).into()
+}
+
+/// Common start of the rows of one checkpoint. The epoch keeps a replaced holder, which may still be
+/// writing, out of its successor's rows.
+pub fn checkpoint_prefix(slot: SlotKey, epoch: Epoch, number: u64) -> Arc<str> {
+    format!("slotbase/{:04}/{:016x}-{number:016x}/", slot.0, epoch.0).into()
 }
 
 /// Common start of a slot's log rows.
--- a/crates/fescuewell_claims/src/arbiter/take.rs
+++ b/crates/fescuewell_claims/src/arbiter/take.rs
@@ -1,16 +1,16 @@
-//! Taking slots, reading their logs, and removing log rows that a checkpoint has made superfluous.
+//! Taking slots and reading their logs.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use fescuewell_core::prelude::*;
-use fescuewell_core::table::{self, Outcome, Range, Row, Step, Transaction};
+use fescuewell_core::table::{Outcome, Range, Row, Step, Transaction};
 use rand::Rng;
 
 use super::held::Held;
 use super::row::{
-    SLOT_PREFIX, SlotRow, base_key, encode, log_key, log_prefix, parse_log_key, parse_slot_key,
-    slot_key,
+    SLOT_PREFIX, SlotRow, base_prefix, checkpoint_prefix, encode, log_prefix, parse_log_key,
+    parse_slot_key, slot_key,
 };
 use super::{Arbiter, Outstanding};
 use crate::ledger::{Ledger, Snapshot};
@@ -23,8 +23,8 @@
 /// Log rows read at once.
 const PAGE: u32 = 64;
 
-/// Log rows removed at once.
-const TRIM_LIMIT: u64 = 64;
+/// Rows of checkpoints read at once; they are larger.
+const CHUNK_PAGE: u32 = 8;
 
 /// A slot that was taken and whose log is being read.
 #[derive(Debug)]
@@ -33,10 +33,15 @@
     revision: u64,
     ledger: Ledger,
     is_base_read: bool,
+    /// The checkpoint's rows read so far, and rows of other checkpoints.
+    chunks: Vec<Row>,
+    garbage: Vec<Arc<str>>,
     after: Option<Arc<str>>,
     /// Number of the last log row applied.
     applied: u64,
     first_row: Option<u64>,
+    base_bytes: u64,
+    log_bytes: u64,
 }
 
 impl Arbiter {
@@ -147,8 +152,12 @@
                 revision: *revision,
                 ledger: Ledger::default(),
                 is_base_read: false,
+                chunks: Vec::new(),
+                garbage: Vec::new(),
                 after: None,
                 first_row: None,
+                base_bytes: 0,
+                log_bytes: 0,
             };
             self.loading.insert(slot, loading);
         }
@@ -157,8 +166,12 @@
     pub(super) fn next_load_step(&mut self) -> Option<(Outstanding, Step)> {
         let (&slot, loading) = self.loading.first_key_value()?;
         if !loading.is_base_read {
-            let keys = vec![base_key(slot)];
-            return Some((Outstanding::LoadBase(slot), Step::Read { keys }));
+            let range = Range {
+                prefix: base_prefix(slot),
+                after: loading.after.clone(),
+                limit: CHUNK_PAGE,
+            };
+            return Some((Outstanding::LoadBase(slot), Step::Scan(range)));
         }
         let range = Range {
             prefix: log_prefix(slot),
@@ -172,16 +185,33 @@
         let Some(loading) = self.loading.get_mut(&slot) else {
             return;
         };
-        loading.is_base_read = true;
-        let Some(row) = rows.first() else {
-            if loading.row.base > 0 {
-                self.damaged(slot, "the checkpoint is missing");
+        let in_force = checkpoint_prefix(slot, loading.row.base_epoch, loading.row.base);
+        for row in rows {
+            loading.after = Some(row.key.clone());
+            match row.key.starts_with(&*in_force) {
+                true => loading.chunks.push(row.clone()),
+                // Left behind by a holder that was replaced before its checkpoint came into force.
+                false => loading.garbage.push(row.key.clone()),
             }
+        }
+        if rows.len() == CHUNK_PAGE as usize {
             return;
-        };
-        match Snapshot::decode(&row.value) {
-            Ok(snapshot) => loading.ledger = Ledger::restore(now, snapshot),
-            Err(_) => self.damaged(slot, "the checkpoint is unreadable"),
+        }
+        loading.is_base_read = true;
+        loading.after = None;
+        if loading.row.base == 0 {
+            return;
+        }
+        let chunks = std::mem::take(&mut loading.chunks);
+        let is_whole = chunks.len() == loading.row.chunks as usize;
+        let content: Vec<u8> = chunks
+            .iter()
+            .flat_map(|row| row.value.iter().copied())
+            .collect();
+        loading.base_bytes = content.len() as u64;
+        match Snapshot::decode(&content) {
+            Ok(snapshot) if is_whole => loading.ledger = Ledger::restore(now, snapshot),
+            _ => self.damaged(slot, "the checkpoint is incomplete or unreadable"),
         }
     }
 
@@ -206,6 +236,7 @@
                 return;
             };
             loading.applied = number;
+            loading.log_bytes += row.value.len() as u64;
             for record in &batch.records {
                 loading.ledger.apply(now, record);
             }
@@ -219,15 +250,22 @@
         let Some(loading) = self.loading.remove(&slot) else {
             return;
         };
-        if loading.applied != loading.row.last {
-            self.damaged(slot, "the end of the log is missing");
-            return;
-        }
         let entries = loading.ledger.len();
         self.entries += entries;
         let epoch = loading.row.epoch;
-        let trim_from = loading.first_row.unwrap_or(loading.row.last + 1);
-        let held = Held::new(loading.row, loading.revision, loading.ledger, trim_from);
+        let trim_from = loading.first_row.unwrap_or(loading.applied + 1);
+        let held = Held {
+            trim_from,
+            garbage: loading.garbage,
+            base_bytes: loading.base_bytes,
+            log_bytes: loading.log_bytes,
+            ..Held::new(
+                loading.row,
+                loading.revision,
+                loading.ledger,
+                loading.applied,
+            )
+        };
         self.held.insert(slot, held);
         self.notes.push(Note::SlotTaken {
             slot,
@@ -244,21 +282,4 @@
         let reason = reason.into();
         self.notes.push(Note::SlotDamaged { slot, reason });
     }
-
-    pub(super) fn next_trim_step(&mut self) -> Option<(Outstanding, Step)> {
-        for (&slot, held) in &self.held {
-            if held.trim_from > held.row.base {
-                continue;
-            }
-            let upto = held.row.base.min(held.trim_from + TRIM_LIMIT - 1);
-            let mut transaction = Transaction::default();
-            for number in held.trim_from..=upto {
-                let key = log_key(slot, number);
-                transaction.writes.push(table::Write::Delete { key });
-            }
-            // No compare: rows that a committed checkpoint covers are superfluous whoever holds the slot.
-            return Some((Outstanding::Trim { slot, upto }, Step::Commit(transaction)));
-        }
-        None
-    }
 }
--- a/crates/fescuewell_claims/src/courier.rs
+++ b/crates/fescuewell_claims/src/courier.rs
@@ -57,8 +57,10 @@
 pub struct Settings {
     /// Number of slots of the whole fleet.
     pub slots: u16,
-    /// Wait for an answer before the message is sent again; doubles up to [`Settings::retry_limit`].
+    /// Wait for an answer to a claim or a look-up before it is sent again; doubles up to [`Settings::retry_limit`].
     pub reply_timeout: Duration,
+    /// The same for bills, releases and assignments, which the holder of the slot collects for a while.
+    pub bill_timeout: Duration,
     /// Longest wait between two sends of one message.
     pub retry_limit: Duration,
     /// Wait after an answer that the instance does not hold the slot, for instance while it reads the log.
@@ -78,6 +80,7 @@
         Self {
             slots: 64,
             reply_timeout: Duration::from_millis(250),
+            bill_timeout: Duration::from_millis(1_500),
             retry_limit: Duration::from_secs(10),
             redirect_wait: Duration::from_millis(30),
             patience: Duration::from_millis(1_000),
--- a/crates/fescuewell_claims/src/courier/item.rs
+++ b/crates/fescuewell_claims/src/courier/item.rs
@@ -119,7 +119,11 @@
             return None;
         };
         let doublings = item.tries.min(16);
-        let wait = self.settings.reply_timeout.saturating_mul(1 << doublings);
+        let timeout = match item.until() {
+            Some(_) => self.settings.reply_timeout,
+            None => self.settings.bill_timeout,
+        };
+        let wait = timeout.saturating_mul(1 << doublings);
         let wait = self.jitter(wait.min(self.settings.retry_limit));
         self.reschedule(id, now + wait);
         let item = self.items.get_mut(&id)?;
--- a/crates/fescuewell_claims/src/ledger.rs
+++ b/crates/fescuewell_claims/src/ledger.rs
@@ -187,6 +187,7 @@
             Record::Release { request, run } => self.apply_release(now, *request, *run),
             Record::Close { holder, finish } => self.apply_close(now, *holder, *finish),
             Record::Forget { holder } => self.apply_forget(*holder),
+            Record::Compact { dropped, kept } => self.apply_compact(dropped, kept),
         }
     }
 
--- a/crates/fescuewell_claims/src/ledger/compaction.rs
+++ b/crates/fescuewell_claims/src/ledger/compaction.rs
@@ -5,68 +5,78 @@
 use fescuewell_core::prelude::*;
 
 use super::entry::{NO_SERVER, stamp};
-use super::{Ledger, Retention};
-use crate::record::NameKey;
+use super::{Entry, Ledger, Retention};
+use crate::record::{NameKey, Record};
 
 impl Ledger {
-    /// Drops routers that were closed long ago and numbers the remaining names anew.
-    ///
-    /// Only right before a checkpoint that covers everything decided: log rows written earlier use the old
-    /// numbers. Without it the names of all instances that ever were would stay in every checkpoint.
-    pub fn compact(&mut self, now: Instant, retention: &Retention) {
-        self.drop_closed(now, retention);
+    /// Forgets routers that were closed long ago and numbers the remaining names anew; returns the record
+    /// of it, already applied. Without it the names of all instances that ever were would stay in every checkpoint.
+    pub fn compact(&mut self, now: Instant, retention: &Retention) -> Record {
+        let dropped = self.old_closed(now, retention);
+        for holder in &dropped {
+            self.closed.remove(holder);
+            self.oldest.remove(holder);
+        }
+        let kept: Vec<NameKey> = self.used_names().into_iter().collect();
+        self.apply_compact(&dropped, &kept);
+        Record::Compact { dropped, kept }
+    }
+
+    pub(super) fn apply_compact(&mut self, dropped: &[NameKey], kept: &[NameKey]) {
+        for holder in dropped {
+            self.closed.remove(holder);
+            self.oldest.remove(holder);
+        }
         let mut names: Interner<NameKey> = Interner::default();
         let mut moved = BTreeMap::new();
-        for key in self.used_names() {
+        for &key in kept {
             moved.insert(key, names.intern(self.names.name(key)));
         }
+        self.drop_unnamed(&moved);
         self.renumber(&moved);
         self.names = names;
     }
 
-    fn drop_closed(&mut self, now: Instant, retention: &Retention) {
+    /// Closed routers that nothing refers to and of which no message can be under way any more.
+    ///
+    /// The oldest unfinished attempt of any other router stays, however long it has been silent: the sweep to
+    /// come relies on it to tell old records of settled streams from unbilled ones.
+    fn old_closed(&self, now: Instant, retention: &Retention) -> Vec<NameKey> {
         let keep = retention.single.as_secs() as u32;
-        let mut in_use = BTreeSet::new();
-        for entry in self.entries.values() {
-            in_use.insert(entry.owner.holder);
-            if entry.billed {
-                in_use.insert(entry.biller.holder);
-            }
-        }
+        let mut in_use: BTreeSet<NameKey> = self.entries.values().flat_map(holders).collect();
         in_use.extend(self.totals.keys().map(|&(holder, _)| holder));
         let now = stamp(now);
-        let mut dropped = Vec::new();
+        let mut old = Vec::new();
         for (&holder, closed) in &self.closed {
             let is_recent = closed.since.saturating_add(keep) > now;
             if closed.finished && !is_recent && !in_use.contains(&holder) {
-                dropped.push(holder);
+                old.push(holder);
             }
         }
-        // The oldest unfinished attempt of any other router stays, however long it has been silent: the sweep to
-        // come relies on it to tell old records of settled streams from unbilled ones.
-        for holder in dropped {
-            self.closed.remove(&holder);
-            self.oldest.remove(&holder);
-        }
+        old
     }
 
     fn used_names(&self) -> BTreeSet<NameKey> {
-        let mut used = BTreeSet::new();
-        for entry in self.entries.values() {
-            used.extend([entry.owner.holder, entry.biller.holder, entry.group]);
-            used.insert(entry.server);
-        }
+        let mut used: BTreeSet<NameKey> = self.entries.values().flat_map(names).collect();
         for &(holder, group) in self.totals.keys() {
             used.extend([holder, group]);
         }
         used.extend(self.closed.keys());
         used.extend(self.oldest.keys());
-        used.remove(&NO_SERVER);
-        // The default of an entry without a bill or a group refers to the first name, if there is one.
-        used.retain(|key| (key.0 as usize) < self.names.len());
         used
     }
 
+    /// Expiry is not logged, so that a replayed ledger may hold requests that the one which wrote the record had
+    /// dropped already. Those whose names are gone are dropped here too.
+    fn drop_unnamed(&mut self, moved: &BTreeMap<NameKey, NameKey>) {
+        self.entries
+            .retain(|_, entry| names(entry).all(|name| moved.contains_key(&name)));
+        self.answers
+            .retain(|request, _| self.entries.contains_key(request));
+        self.streams
+            .retain(|request, _| self.entries.contains_key(request));
+    }
+
     fn renumber(&mut self, moved: &BTreeMap<NameKey, NameKey>) {
         let to = |key: NameKey| moved.get(&key).copied().unwrap_or(key);
         for entry in self.entries.values_mut() {
@@ -91,3 +101,15 @@
             .collect();
     }
 }
+
+fn holders(entry: &Entry) -> impl Iterator<Item = NameKey> + use<> {
+    let biller = entry.billed.then_some(entry.biller.holder);
+    [Some(entry.owner.holder), biller].into_iter().flatten()
+}
+
+fn names(entry: &Entry) -> impl Iterator<Item = NameKey> + use<> {
+    // A request that was released without a claim has no group.
+    let group = entry.group_name();
+    let server = (entry.server != NO_SERVER).then_some(entry.server);
+    holders(entry).chain([group, server].into_iter().flatten())
+}
--- a/crates/fescuewell_claims/src/ledger/entry.rs
+++ b/crates/fescuewell_claims/src/ledger/entry.rs
@@ -8,7 +8,10 @@
 use crate::record::{NameKey, Record, Run};
 
 /// Stands for "no backend server known".
-pub(super) const NO_SERVER: NameKey = NameKey(u32::MAX);
+pub(super) const NO_SERVER: NameKey = NO_NAME;
+
+/// Stands for "no name".
+const NO_NAME: NameKey = NameKey(u32::MAX);
 
 /// Seconds added to every time stamp, so that ages restored from a checkpoint do not fall below zero
 /// on a clock whose origin is the start of this process.
@@ -82,6 +85,11 @@
         }
     }
 
+    /// The group that pays, when it is known.
+    pub(super) fn group_name(&self) -> Option<NameKey> {
+        (self.group != NO_NAME).then_some(self.group)
+    }
+
     /// The entry of a request that was billed or released without a known claim.
     pub(super) fn unclaimed(run: Run, status: Status, now: Instant) -> Self {
         Self {
@@ -90,7 +98,7 @@
             charged: Tokens::ZERO,
             owner: run,
             biller: Run::default(),
-            group: NameKey::default(),
+            group: NO_NAME,
             server: NO_SERVER,
             touched: stamp(now),
             status,
--- a/crates/fescuewell_claims/src/record.rs
+++ b/crates/fescuewell_claims/src/record.rs
@@ -108,11 +108,20 @@
             /// The router.
             holder: NameKey,
         },
+        /// Names were numbered anew.
+        Compact {
+            /// Routers closed long ago, which are forgotten altogether.
+            dropped: Vec<NameKey>,
+            /// The names that stay, in the order of their new numbers.
+            kept: Vec<NameKey>,
+        },
     }
 
     /// One row of a slot's log.
     #[derive(Default)]
     pub struct Batch {
+        /// Random id of the commit, by which its writer recognises it when the reply was lost.
+        pub commit: u64,
         /// The changes, in order.
         pub records: Vec<Record>,
     }
--- a/crates/fescuewell_claims/tests/support/mod.rs
+++ b/crates/fescuewell_claims/tests/support/mod.rs
@@ -247,6 +247,7 @@
     Settings {
         slots: 1,
         commit_interval: Duration::from_millis(50),
+        flush_interval: Duration::from_millis(50),
         poll_interval: Duration::from_millis(100),
         lease: Duration::from_secs(1),
         ..Settings::default()
