Let bursts of urgent work pause bulk streams

Besides, a request reported as failed and then put back was taken twice off the number of running ones, which made predicted waits too long. Change: an urgent request that finds no place raises the reserve at once; a policy picks the bulk stream to pause (least produced, at most twice, never short of its deadline, bulk keeps its least part); a request put back repays what its floor was charged; the reserve is the mean and one deviation; popped requests are remembered until finished or put back. The model: resumed streams are read again at 50 tokens per written one, a pause takes 20 ms; both are assumptions.

--- a/crates/fescuewell_queue/examples/model/mod.rs
+++ b/crates/fescuewell_queue/examples/model/mod.rs
@@ -11,6 +11,7 @@
 use fescuewell_queue::admission::{Admission, Entry};
 use fescuewell_queue::deadline;
 use fescuewell_queue::limit::{Class, Limit, Outcome};
+use fescuewell_queue::preempt::{Policy, Stream};
 use fescuewell_queue::retry::{Backoff, BackoffSettings, Budget};
 
 /// Time for each token of an answer.
@@ -22,6 +23,12 @@
 /// The router reckons with answers that take so many times what it expects.
 const SERVICE_MARGIN: f64 = 1.2;
 
+/// Time from the decision to pause a stream until its place is free.
+const TO_PAUSE: Duration = Duration::from_millis(20);
+
+/// Tokens that a server reads in the time in which it writes one; a resumed stream is read again.
+const READ_PER_WRITTEN: u64 = 50;
+
 /// How often the queue is searched for requests to give up.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -57,6 +64,8 @@
     pub budget: Option<Budget>,
     /// Whether deadlines are kept: unreachable ones refused, streams past theirs cut.
     pub keeps_deadlines: bool,
+    /// Whether bulk streams are paused for urgent work.
+    pub preempt: Option<Policy>,
     /// Whether all requests count as one kind and group.
     pub is_blind: bool,
 }
@@ -82,6 +91,11 @@
     pub started: Option<Instant>,
     pub ended: Option<(Instant, End)>,
     pub server: usize,
+    /// Times of its last start or resumption, and tokens written before.
+    resumed: Instant,
+    written: u64,
+    pub pauses: u32,
+    is_pausing: bool,
 }
 
 impl Try {
@@ -95,7 +109,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive { request: usize, number: u32 },
-    Finish { index: usize },
+    Finish { index: usize, pauses: u32 },
+    Paused { index: usize },
     GiveUp { index: usize },
     Tick,
 }
@@ -153,7 +168,8 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive { request, number } => self.arrive(request, number),
-            Event::Finish { index } => self.finish(index),
+            Event::Finish { index, pauses } => self.finish(index, pauses),
+            Event::Paused { index } => self.paused(index),
             Event::GiveUp { index } => self.give_up(index),
             Event::Tick => self.tick(),
         }
@@ -168,6 +184,10 @@
             started: None,
             ended: None,
             server: 0,
+            resumed: self.now,
+            written: 0,
+            pauses: 0,
+            is_pausing: false,
         });
         self.schedule(self.now + self.callers.patience, Event::GiveUp { index });
         if let Err(refusal) = self.admit(index) {
@@ -243,7 +263,7 @@
             return;
         }
         if self.router.keeps_deadlines {
-            if self.tries[index].started.is_some() {
+            if self.entries.contains_key(&index) {
                 self.free(index, Outcome::Failed, None);
                 self.end(index, End::Cut);
             } else {
@@ -255,8 +275,9 @@
         self.try_again(index, None);
     }
 
-    fn finish(&mut self, index: usize) {
-        if self.tries[index].ended.is_some() {
+    fn finish(&mut self, index: usize, pauses: u32) {
+        let each = &self.tries[index];
+        if each.ended.is_some() || each.pauses != pauses {
             return;
         }
         let took = self.tries[index].started.map(|at| self.now.since(at));
@@ -286,31 +307,119 @@
     }
 
     fn start_what_can(&mut self) {
+        while let Some((entry, server)) = self.pop() {
+            let index = entry.ticket as usize;
+            self.entries.insert(index, entry);
+            let each = &mut self.tries[index];
+            each.started.get_or_insert(self.now);
+            each.resumed = self.now;
+            each.server = server;
+            let left = self.load[each.request].actual.0 - each.written;
+            let tokens = left + each.written / READ_PER_WRITTEN;
+            let pauses = each.pauses;
+            let at = self.now + TO_FIRST_TOKEN + PER_TOKEN * tokens as u32;
+            self.schedule(at, Event::Finish { index, pauses });
+        }
+        if self.router.admission.depth(URGENT) == 0 {
+            return;
+        }
+        for limit in &mut self.router.limits {
+            limit.crowded(self.now);
+        }
+        self.preempt();
+    }
+
+    fn pop(&mut self) -> Option<(Entry, usize)> {
         let now = self.now;
-        loop {
-            let limits = &mut self.router.limits;
-            let (tries, load) = (&self.tries, self.load);
-            let mut chosen = 0;
-            let mut can_start = |entry: &Entry| {
-                let class = class_of(load[tries[entry.ticket as usize].request].kind);
-                let with_place = (0..limits.len()).filter(|&at| limits[at].has_place(now, class));
-                let Some(server) = with_place.min_by_key(|&at| limits[at].in_flight()) else {
-                    return false;
-                };
-                chosen = server;
-                limits[server].try_start(now, class)
+        let limits = &mut self.router.limits;
+        let (tries, load) = (&self.tries, self.load);
+        let mut chosen = 0;
+        let mut can_start = |entry: &Entry| {
+            let class = class_of(load[tries[entry.ticket as usize].request].kind);
+            let with_place = (0..limits.len()).filter(|&at| limits[at].has_place(now, class));
+            let Some(server) = with_place.min_by_key(|&at| limits[at].in_flight()) else {
+                return false;
             };
-            let Some(entry) = self.router.admission.pop(now, &mut can_start) else {
+            chosen = server;
+            limits[server].try_start(now, class)
+        };
+        let entry = self.router.admission.pop(now, &mut can_start)?;
+        Some((entry, chosen))
+    }
+
+    /// Pauses a bulk stream for each urgent request that waits.
+    fn preempt(&mut self) {
+        let Some(policy) = &self.router.preempt else {
+            return;
+        };
+        let waiting = self.router.admission.depth(URGENT);
+        if waiting == 0 || !policy.pays(self.router.admission.next_place(0)) {
+            return;
+        }
+        let pausing = self
+            .entries
+            .keys()
+            .filter(|&&index| self.tries[index].is_pausing);
+        let needed = waiting.saturating_sub(pausing.count());
+        for _ in 0..needed {
+            let streams = self.entries.keys().filter_map(|&index| self.stream(index));
+            let policy = self.router.preempt.as_ref();
+            let Some(ticket) = policy.and_then(|policy| policy.choose(self.now, streams)) else {
                 return;
             };
-            let index = entry.ticket as usize;
-            self.entries.insert(index, entry);
-            self.tries[index].started = Some(now);
-            self.tries[index].server = chosen;
-            let actual = self.load[self.tries[index].request].actual;
-            let takes = TO_FIRST_TOKEN + PER_TOKEN * actual.0 as u32;
-            self.schedule(now + takes, Event::Finish { index });
+            let index = ticket as usize;
+            self.tries[index].is_pausing = true;
+            self.schedule(self.now + TO_PAUSE, Event::Paused { index });
+        }
+    }
+
+    fn written(&self, index: usize) -> u64 {
+        let each = &self.tries[index];
+        let ran = self.now.since(each.resumed).saturating_sub(TO_FIRST_TOKEN);
+        let tokens = ran.as_micros() / PER_TOKEN.as_micros();
+        (each.written + tokens as u64).min(self.load[each.request].actual.0)
+    }
+
+    fn stream(&self, index: usize) -> Option<Stream> {
+        let each = &self.tries[index];
+        let is_bulk = self.load[each.request].kind != URGENT;
+        let pausing = self.entries.keys().filter(|&&other| {
+            self.tries[other].is_pausing && self.tries[other].server == each.server
+        });
+        let surplus = self.router.limits[each.server].surplus_bulk() as usize;
+        if !is_bulk || each.is_pausing || pausing.count() >= surplus {
+            return None;
+        }
+        Some(Stream {
+            ticket: index as u64,
+            produced: Tokens(self.written(index)),
+            pauses: each.pauses,
+            latest_resume: self.latest_resume(index),
+        })
+    }
+
+    fn latest_resume(&self, index: usize) -> Instant {
+        let each = &self.tries[index];
+        let expected = self.load[each.request].expected.0;
+        let left = expected.saturating_sub(self.written(index));
+        let service = (PER_TOKEN * left as u32).mul_f64(SERVICE_MARGIN) + TO_FIRST_TOKEN;
+        deadline::latest_start(each.at + self.callers.patience, service)
+    }
+
+    fn paused(&mut self, index: usize) {
+        self.tries[index].is_pausing = false;
+        if self.tries[index].ended.is_some() {
+            return;
         }
+        let Some(mut entry) = self.entries.remove(&index) else {
+            return;
+        };
+        entry.deadline = self.latest_resume(index);
+        self.tries[index].written = self.written(index);
+        self.tries[index].pauses += 1;
+        let limit = &mut self.router.limits[self.tries[index].server];
+        limit.finished(self.now, Class::Bulk, Outcome::Failed);
+        self.router.admission.put_back(self.now, entry);
     }
 }
 
--- a/crates/fescuewell_queue/examples/surge.rs
+++ b/crates/fescuewell_queue/examples/surge.rs
@@ -118,6 +118,7 @@
             .has_budget
             .then(|| Budget::new(BudgetSettings::default())),
         keeps_deadlines: policy.keeps_deadlines,
+        preempt: None,
         is_blind: false,
     }
 }
--- a/crates/fescuewell_queue/examples/waits.rs
+++ b/crates/fescuewell_queue/examples/waits.rs
@@ -10,6 +10,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_queue::admission::{Admission, KindPolicy, Settings};
 use fescuewell_queue::limit::{self, Limit};
+use fescuewell_queue::preempt::{self, Policy};
 use model::{Callers, End, PER_TOKEN, Request, Router, TO_FIRST_TOKEN, Try, URGENT};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -72,7 +73,64 @@
     requests
 }
 
-fn router(is_blind: bool, reserve: bool) -> Router {
+/// What the compared routers do.
+#[derive(Clone, Copy)]
+struct Variant {
+    name: &'static str,
+    is_blind: bool,
+    preempts: bool,
+    limit: fn() -> limit::Settings,
+}
+
+const VARIANTS: [Variant; 5] = [
+    Variant {
+        name: "reserve, preemption",
+        is_blind: false,
+        preempts: true,
+        limit: limit::Settings::default,
+    },
+    Variant {
+        name: "mean reserve, preempt.",
+        is_blind: false,
+        preempts: true,
+        limit: mean_reserve,
+    },
+    Variant {
+        name: "reserve alone",
+        is_blind: false,
+        preempts: false,
+        limit: limit::Settings::default,
+    },
+    Variant {
+        name: "no reserve",
+        is_blind: false,
+        preempts: false,
+        limit: no_reserve,
+    },
+    Variant {
+        name: "first come, no kinds",
+        is_blind: true,
+        preempts: false,
+        limit: no_reserve,
+    },
+];
+
+fn mean_reserve() -> limit::Settings {
+    limit::Settings {
+        reserve_deviations: 0.0,
+        ..limit::Settings::default()
+    }
+}
+
+fn no_reserve() -> limit::Settings {
+    limit::Settings {
+        reserve_percent: 0,
+        bulk_least_percent: 100,
+        ..limit::Settings::default()
+    }
+}
+
+fn router(variant: Variant) -> Router {
     let mut admission = Admission::new(Settings::default(), 3);
     admission.set_kinds(&[
         KindPolicy {
@@ -86,21 +144,14 @@
             floor_percent: FLOOR_PERCENT,
         },
     ]);
-    let settings = if reserve {
-        limit::Settings::default()
-    } else {
-        limit::Settings {
-            reserve_percent: 0,
-            bulk_least_percent: 100,
-            ..limit::Settings::default()
-        }
-    };
+    let policy = Policy::new(preempt::Settings::default());
     Router {
         admission,
-        limits: vec![Limit::new(settings, PLACES); SERVERS],
+        limits: vec![Limit::new((variant.limit)(), PLACES); SERVERS],
         budget: None,
         keeps_deadlines: true,
-        is_blind,
+        preempt: variant.preempts.then_some(policy),
+        is_blind: variant.is_blind,
     }
 }
 
@@ -109,6 +160,9 @@
     bulk_share: f64,
     urgent_refused: usize,
     used: f64,
+    /// Pauses for each hundred bulk requests that started.
+    pauses: f64,
+    cut: usize,
     vanished: usize,
 }
 
@@ -136,6 +190,10 @@
     }
     let window = until.since(from).as_secs_f64();
     let capacity = SERVERS as f64 * PLACES * window / PER_TOKEN.as_secs_f64();
+    let bulk = tries.iter().filter(|each| kind(each) == BULK);
+    let started = bulk.filter(|each| each.started.is_some());
+    let pauses: Vec<u32> = started.map(|each| each.pauses).collect();
+    let is_cut = |each: &&Try| matches!(each.ended, Some((_, End::Cut)));
     let is_refused = |each: &&Try| matches!(each.ended, Some((_, End::Refused(_))));
     Figures {
         wait: [quantile(0.5), quantile(0.95), quantile(0.99)],
@@ -146,29 +204,31 @@
             .filter(|each| kind(each) == URGENT)
             .count(),
         used: (tokens[0] + tokens[1]) / capacity,
+        pauses: 100.0 * f64::from(pauses.iter().sum::<u32>()) / pauses.len().max(1) as f64,
+        cut: tries.iter().filter(is_cut).count(),
         vanished: tries.iter().filter(|each| each.ended.is_none()).count(),
     }
 }
 
 fn print(name: &str, urgent: f64, figures: &Figures, alone: &Figures) {
     let first = |figures: &Figures| (figures.wait[1] + TO_FIRST_TOKEN).as_secs_f64();
+    let [median, p95, p99] = figures.wait.map(|wait| wait.as_secs_f64() * 1e3);
     println!(
-        "{name:<22} {urgent:>6.2} {:>8.1} {:>8.1} {:>8.1} {:>9.2} {:>7.1}% {:>7.1}% {:>8} {:>8}",
-        figures.wait[0].as_secs_f64() * 1e3,
-        figures.wait[1].as_secs_f64() * 1e3,
-        figures.wait[2].as_secs_f64() * 1e3,
+        "{name:<24} {urgent:>6.2} {median:>8.1} {p95:>8.1} {p99:>8.1} {:>9.2} {:>6.1}% {:>6.1}% {:>6} {:>6} {:>6.1} {:>8}",
         first(figures) / first(alone),
         figures.bulk_share * 100.0,
         figures.used * 100.0,
         figures.urgent_refused,
+        figures.cut,
+        figures.pauses,
         figures.vanished,
     );
 }
 
 fn main() {
     println!(
-        "{:<22} {:>6} {:>8} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8} {:>8}",
-        "policy, bulk at 3x",
+        "{:<24} {:>6} {:>8} {:>8} {:>8} {:>9} {:>7} {:>7} {:>6} {:>6} {:>6} {:>8}",
+        "bulk at 3x",
         "urgent",
         "p50 ms",
         "p95 ms",
@@ -176,33 +236,21 @@
         "first/al.",
         "bulk",
         "used",
-        "refused",
+        "refus.",
+        "cut",
+        "pauses",
         "vanished"
     );
     for shape in [Shape::Steady, Shape::Bursts] {
         println!("urgent work: {shape:?}");
         for urgent in [0.1, 0.3, 0.5, 0.6, 0.7, 1.5] {
-            let alone = measure(&load(shape, urgent, 0.0), router(false, true));
+            let alone = measure(&load(shape, urgent, 0.0), router(VARIANTS[0]));
             print("urgent alone", urgent, &alone, &alone);
             let both = load(shape, urgent, 3.0);
-            print(
-                "fescuewell",
-                urgent,
-                &measure(&both, router(false, true)),
-                &alone,
-            );
-            print(
-                "without reserve",
-                urgent,
-                &measure(&both, router(false, false)),
-                &alone,
-            );
-            print(
-                "first come, no kinds",
-                urgent,
-                &measure(&both, router(true, false)),
-                &alone,
-            );
+            for variant in VARIANTS {
+                let figures = measure(&both, router(variant));
+                print(variant.name, urgent, &figures, &alone);
+            }
         }
     }
 }
--- a/crates/fescuewell_queue/src/admission/mod.rs
+++ b/crates/fescuewell_queue/src/admission/mod.rs
@@ -40,7 +40,7 @@
 mod rate;
 mod wait;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use fescuewell_core::prelude::*;
@@ -140,6 +140,9 @@
     weights: HashMap<GroupKey, u32>,
     waiting: HashMap<u64, Waiting>,
     deadlines: BTreeSet<(Instant, u64)>,
+    /// Popped, and neither finished nor put back: a request that failed is often reported as finished before
+    /// it is put back, and must not free two places in the estimate of the pool's speed.
+    running: HashSet<u64>,
     pools: BTreeMap<u32, Pool>,
     /// Pool that started a request last: the others are asked first next time.
     last_pool: u32,
@@ -183,6 +186,7 @@
             weights: HashMap::new(),
             waiting: HashMap::new(),
             deadlines: BTreeSet::new(),
+            running: HashSet::new(),
             pools: BTreeMap::new(),
             last_pool: 0,
             sequence: FIRST_SEQUENCE,
@@ -227,7 +231,8 @@
         Ok(position)
     }
 
-    /// Puts a popped request back where it stood, because the backend server did not take it after all.
+    /// Puts a popped request back where it stood, because the backend server did not take it after all or
+    /// because it was [preempted](crate::preempt).
     ///
     /// It was accepted before, so it is not refused for want of room; its group's charge is undone. A
     /// ticket that waits already stays as it is.
@@ -244,6 +249,9 @@
         let arrival = self.arrival(&waiting);
         let pool = self.pools.entry(entry.pool).or_default();
         pool.last_used = now;
+        if self.running.remove(&entry.ticket) {
+            pool.rate.put_back(entry.cost);
+        }
         pool.put_back(&self.kinds, entry.kind, arrival);
         self.enlist(waiting);
     }
@@ -277,11 +285,19 @@
     ///
     /// `took` is the time since it was popped, or `None` when it failed and says nothing about speed.
     pub fn finished(&mut self, entry: &Entry, took: Option<Duration>) {
+        if !self.running.remove(&entry.ticket) {
+            return;
+        }
         if let Some(pool) = self.pools.get_mut(&entry.pool) {
             pool.rate.finished(entry.cost, took);
         }
     }
 
+    /// Mean time until a running request of the pool ends; `None` while that is unknown.
+    pub fn next_place(&self, pool: u32) -> Option<Duration> {
+        self.pools.get(&pool)?.rate.next_end()
+    }
+
     /// Corrects the group's share once the true cost of a popped request is known.
     pub fn settled(&mut self, entry: &Entry, actual: Tokens) {
         let correction = Correction {
--- a/crates/fescuewell_queue/src/admission/order.rs
+++ b/crates/fescuewell_queue/src/admission/order.rs
@@ -113,6 +113,7 @@
         pool.last_used = now;
         pool.start(now, &self.kinds, entry.kind, waiting.place());
         self.last_pool = entry.pool;
+        self.running.insert(ticket);
         Some(entry)
     }
 
--- a/crates/fescuewell_queue/src/admission/pool.rs
+++ b/crates/fescuewell_queue/src/admission/pool.rs
@@ -83,7 +83,8 @@
             weight,
         } = arrival;
         queue.lane.put_back(place, ticket, weight);
-        self.rate.put_back(place.cost);
+        let repaid = (queue.deficit + place.cost.0 as f64).min(0.0);
+        queue.deficit = queue.deficit.max(repaid);
         self.len += 1;
     }
 
--- a/crates/fescuewell_queue/src/admission/rate.rs
+++ b/crates/fescuewell_queue/src/admission/rate.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Rate {
     /// Tokens a second of one running request, smoothed over finished ones.
     speed: Option<f64>,
+    /// Seconds that a request runs, smoothed over finished ones.
+    duration: Option<f64>,
     in_flight: u32,
     /// Requests that ran when the pool was last found full.
     slots: u32,
@@ -82,7 +84,10 @@
         if took.is_zero() || cost.is_zero() {
             return;
         }
-        let sample = cost.0 as f64 / took.as_secs_f64();
+        let took = took.as_secs_f64();
+        let duration = self.duration.unwrap_or(took);
+        self.duration = Some(duration + SPEED_GAIN * (took - duration));
+        let sample = cost.0 as f64 / took;
         // Averaging the inverse weighs each token alike, so that short requests do not dominate.
         let speed = self.speed.map_or(sample, |speed| {
             1.0 / ((1.0 - SPEED_GAIN) / speed + SPEED_GAIN / sample)
@@ -90,6 +95,13 @@
         self.speed = Some(speed);
     }
 
+    /// Mean time until one of the running requests ends, by Little's law; `None` while that is unknown.
+    pub fn next_end(&self) -> Option<Duration> {
+        let duration = self.duration?;
+        let running = self.in_flight.max(1);
+        Some(Duration::from_secs_f64(duration / f64::from(running)))
+    }
+
     /// Expected tokens a second, or `None` while nothing has been measured.
     pub fn per_second(&self, now: Instant) -> Option<f64> {
         let open = self
--- a/crates/fescuewell_queue/src/lib.rs
+++ b/crates/fescuewell_queue/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`admission`] holds the queue of one instance: which request starts next, which is refused and why.
 //! - [`limit`] decides how many requests one instance keeps running on one backend server.
+//! - [`preempt`] picks the bulk stream that makes room for a burst of urgent work.
 //! - [`overload`] refuses early when the instance itself runs out of streams or memory.
 //! - [`retry`] bounds retries and spaces them.
 //! - [`deadline`] carries the remaining time of a request from one process to the next.
@@ -10,4 +11,5 @@
 pub mod deadline;
 pub mod limit;
 pub mod overload;
+pub mod preempt;
 pub mod retry;
--- a/crates/fescuewell_queue/src/limit/demand.rs
+++ b/crates/fescuewell_queue/src/limit/demand.rs
@@ -13,22 +13,24 @@
 /// Time over which past demand is forgotten, in seconds.
 const MEMORY: f64 = 30.0;
 
-/// Standard deviations above the mean that are reckoned with.
-const DEVIATIONS: f64 = 2.0;
-
 impl Demand {
     /// `in_flight` requests ran since the last observation.
     pub fn observe(&mut self, now: Instant, in_flight: u32) {
-        *self = self.updated(now, in_flight);
+        *self = self.at(now, in_flight);
+    }
+
+    /// At least so many are needed.
+    pub fn raise(&mut self, needed: u32) {
+        self.mean = self.mean.max(f64::from(needed));
     }
 
     /// Places that urgent work is expected to need at once.
-    pub fn expected(&self, now: Instant, in_flight: u32) -> f64 {
-        let current = self.updated(now, in_flight);
-        current.mean + DEVIATIONS * current.variance.sqrt()
+    pub fn expected(&self, deviations: f64) -> f64 {
+        self.mean + deviations * self.variance.sqrt()
     }
 
-    fn updated(&self, now: Instant, in_flight: u32) -> Self {
+    /// The state after `in_flight` requests ran since the last observation.
+    pub fn at(&self, now: Instant, in_flight: u32) -> Self {
         let seconds = now.since(self.last).as_secs_f64();
         let weight = 1.0 - (-seconds / MEMORY).exp();
         let difference = f64::from(in_flight) - self.mean;
--- a/crates/fescuewell_queue/src/limit/mod.rs
+++ b/crates/fescuewell_queue/src/limit/mod.rs
@@ -59,6 +59,9 @@
     /// Part of the limit that bulk work may use however much urgent work there is, in percent. At least the
     /// sum of the floors of bulk kinds, or these floors cannot be kept.
     pub bulk_least_percent: u32,
+    /// The reserve holds the mean number of urgent requests in flight over the last 30 s and so many standard
+    /// deviations. Less wastes less room and makes bursts of urgent work wait, or preempt.
+    pub reserve_deviations: f64,
     /// Largest limit, in percent of the share. More than 100 lets an instance with much work use what others leave,
     /// at the price that the fleet together may exceed the server's concurrency until the server answers "busy".
     pub stretch_percent: u32,
@@ -72,6 +75,7 @@
         Self {
             reserve_percent: 20,
             bulk_least_percent: 10,
+            reserve_deviations: 1.0,
             stretch_percent: 100,
             tolerance_percent: 300,
         }
@@ -171,6 +175,16 @@
         class == Class::Urgent || self.bulk < self.bulk_places(now)
     }
 
+    /// An urgent request found no place on this server nor on any other that would do.
+    ///
+    /// The reserve grows at once to what urgent work uses now and one more, and shrinks again as that is forgotten.
+    /// Otherwise bulk work would take the next places that come free, and a burst of urgent work
+    /// would wait, or preempt, again and again until the mean has caught up.
+    pub fn crowded(&mut self, now: Instant) {
+        self.demand.observe(now, self.urgent);
+        self.demand.raise(self.urgent + 1);
+    }
+
     /// Gives a place back and learns from how the request ended.
     pub fn finished(&mut self, now: Instant, class: Class, outcome: Outcome) {
         self.demand.observe(now, self.urgent);
@@ -204,10 +218,20 @@
     pub fn bulk_places(&self, now: Instant) -> u32 {
         let places = f64::from(self.places());
         let reserve = (places * f64::from(self.settings.reserve_percent) / 100.0).ceil();
-        let expected = self.demand.expected(now, self.urgent).ceil();
-        let least = (places * f64::from(self.settings.bulk_least_percent) / 100.0).ceil();
-        let bulk = (places - reserve.max(expected)).max(least);
-        (bulk as u32).max(1)
+        let demand = self.demand.at(now, self.urgent);
+        let expected = demand.expected(self.settings.reserve_deviations).ceil();
+        let bulk = (places - reserve.max(expected)) as u32;
+        bulk.max(self.bulk_least())
+    }
+
+    /// Bulk requests that run beyond their least part: so many may be preempted for urgent work.
+    pub fn surplus_bulk(&self) -> u32 {
+        self.bulk.saturating_sub(self.bulk_least())
+    }
+
+    fn bulk_least(&self) -> u32 {
+        let part = self.places() * self.settings.bulk_least_percent.min(100);
+        part.div_ceil(100).max(1)
     }
 
     fn done(&mut self, now: Instant, per_token: Option<Duration>) {
--- a/crates/fescuewell_queue/tests/admission.rs
+++ b/crates/fescuewell_queue/tests/admission.rs
@@ -456,3 +456,24 @@
     assert_eq!(position.ahead, 1);
     assert_eq!(admission.len(), 2);
 }
+
+#[test]
+fn a_failed_request_that_is_put_back_frees_one_place_only() {
+    // Symptom: after a few failed sends the predicted waits were several times too long.
+    // Sequence: a popped request is reported as finished without success, then put back.
+    // Cause: both reports took one off the number of running requests.
+    let mut admission = measured(Settings::default());
+    let mut running = Vec::new();
+    while running.len() < 10 {
+        running.extend(admission.pop(at(5_000), &mut |_| true));
+    }
+    let before = admission.next_place(0);
+    let failed = running.remove(0);
+
+    admission.finished(&failed, None);
+    admission.put_back(at(5_000), failed);
+    admission.pop(at(5_000), &mut |entry| entry.ticket == failed.ticket);
+
+    assert!(before.is_some());
+    assert_eq!(admission.next_place(0), before);
+}
--- a/crates/fescuewell_queue/tests/limit.rs
+++ b/crates/fescuewell_queue/tests/limit.rs
@@ -144,3 +144,21 @@
     assert_eq!(fewer, 5);
     assert_eq!(limit.places(), 30);
 }
+
+#[test]
+fn the_reserve_grows_at_once_when_urgent_work_finds_no_place() {
+    // Symptom: in the first half minute of a burst, urgent requests waited for one bulk stream after another.
+    // Sequence: bulk work fills its part, a burst of urgent work fills the rest, places come free one by one.
+    // Cause: the reserve followed a slow mean, so bulk work took back the places that came free.
+    let mut limit = Limit::new(Settings::default(), 50.0);
+    while limit.try_start(at(0), Class::Bulk) {}
+    while limit.try_start(at(0), Class::Urgent) {}
+
+    limit.crowded(at(0));
+    let crowded = limit.bulk_places(at(0));
+    let later = limit.bulk_places(at(600_000));
+
+    assert_eq!(crowded, 50 - 11);
+    assert_eq!(limit.surplus_bulk(), 40 - 5);
+    assert!(later >= 38, "{later}");
+}
