--- a/crates/fescuewell_http/src/upstream/mod.rs
+++ b/crates/fescuewell_http/src/upstream/mod.rs
@@ -193,7 +193,7 @@
         self.pool.forget(address);
     }
 
-    /// How many unused connections are kept, over all addresses.
+    /// How many unused connections are open, over all addresses.
     pub fn idle_connections(&self) -> usize {
         self.pool.len()
     }
--- a/crates/fescuewell_http/src/upstream/pool.rs
+++ b/crates/fescuewell_http/src/upstream/pool.rs
@@ -103,7 +103,11 @@
         self.idle().remove(&address);
     }
 
+    /// How many are kept that their servers have not closed.
     pub(super) fn len(&self) -> usize {
-        self.idle().values().map(Vec::len).sum()
+        let idle = self.idle();
+        let open = idle.values().flatten();
+        open.filter(|idle| !idle.connection.sender.is_closed())
+            .count()
     }
 }
--- /dev/null
+++ b/crates/fescuewell_http/tests/tls.rs
@@ -0,0 +1,64 @@
+//! A listener that speaks TLS.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::sync::Arc;
+
+use common::*;
+use fescuewell_http::listener::{Error, Listener, Tls};
+use rustls::pki_types::{CertificateDer, ServerName};
+
+fn certificate() -> (Tls, CertificateDer<'static>) {
+    let made = rcgen::generate_simple_self_signed(vec!["router.test".to_owned()]).unwrap();
+    let tls = Tls {
+        certificate: made.cert.pem().into_bytes().into(),
+        key: made.signing_key.serialize_pem().into_bytes().into(),
+    };
+    (tls, made.cert.der().clone())
+}
+
+#[test]
+fn answers_over_tls() {
+    let (tls, certificate) = certificate();
+    let listener = listen(local().with_tls(tls), echo());
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(certificate).unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .unwrap()
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    let name = ServerName::try_from("router.test").unwrap();
+    let session = rustls::ClientConnection::new(Arc::new(config), name).unwrap();
+    let mut stream = rustls::StreamOwned::new(session, connect(listener.address()));
+
+    let request = post("/", "over tls").replace("Host: here", "Host: here\r\nConnection: close");
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+
+    assert!(answer.ends_with("over tls"), "{answer:?}");
+}
+
+#[test]
+fn a_caller_that_never_shakes_hands_is_closed() {
+    // Symptom: half-open TLS connections are held for ever. Cause: a time bound that begins after the handshake.
+    let mut settings = local().with_tls(certificate().0);
+    settings.header_timeout = std::time::Duration::from_millis(50);
+    let listener = listen(settings, echo());
+
+    // The start of a TLS record that never comes whole.
+    assert_eq!(talk(listener.address(), &[0x16, 3, 1]), "");
+
+    eventually("closed", || listener.open_connections() == 0);
+}
+
+#[test]
+fn a_certificate_that_cannot_be_used_is_told() {
+    let mut tls = certificate().0;
+    tls.key = b"no key"[..].into();
+    let refused = Listener::start(local().with_tls(tls), echo());
+    assert!(matches!(refused, Err(Error::Certificate { .. })));
+}
--- a/crates/fescuewell_standin/src/service.rs
+++ b/crates/fescuewell_standin/src/service.rs
@@ -84,6 +84,8 @@
 /// Counts since the start.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Counters {
+    /// Calls that were taken in, whether or not they have run by now.
+    pub arrived: u64,
     /// How often the call of each request id ran.
     pub runs: HashMap<Arc<str>, u32>,
     /// Calls that were cut off before they ran.
@@ -232,6 +234,7 @@
             state.unnamed += 1;
             format!("unnamed-{}", state.unnamed).into()
         });
+        state.counters.arrived += 1;
         let delay = state.control.delay_ms.map(Duration::from_millis);
         let delay = delay.unwrap_or(core.settings.delay);
         drop(state);
--- a/crates/fescuewell_standin/tests/engine.rs
+++ b/crates/fescuewell_standin/tests/engine.rs
@@ -356,3 +356,101 @@
     let refused = open(address, request).await;
     assert!(matches!(refused, Err(Error::NotSent { .. })));
 }
+
+#[tokio::test]
+async fn the_next_turn_of_a_conversation_finds_its_prefix_and_the_events_tell_of_it() {
+    let engine = engine(Settings::quick());
+    let question = "what colour ".repeat(40);
+    let mut stream = start(engine.address(), "one", &chat(&question, 40)).await;
+    let first = listen(&mut stream, u32::MAX).await;
+    let mut turn = chat(&question, 5);
+    turn["messages"] = json!([
+        {"role": "user", "content": question},
+        {"role": "assistant", "content": first.text},
+        {"role": "user", "content": "and why"},
+    ]);
+
+    let mut stream = start(engine.address(), "two", &turn).await;
+    let second = listen(&mut stream, u32::MAX).await;
+    let (_, exported) = post(engine.address(), "/v1/kv/export", &turn).await;
+    let (_, events) = get(engine.address(), "/v1/cache_events?after=0").await;
+
+    let cached = &second.usage["prompt_tokens_details"]["cached_tokens"];
+    let prompt = first.usage["prompt_tokens"].as_u64().unwrap();
+    assert!(
+        cached.as_u64().unwrap() > prompt,
+        "{cached} of {}",
+        second.usage
+    );
+    assert_eq!(events["events"][0]["kind"], "stored");
+    assert_eq!(events["events"][0]["blocks"][0], exported["blocks"][0]);
+}
+
+#[tokio::test]
+async fn exported_blocks_can_be_imported_elsewhere() {
+    let (from, to) = (engine(Settings::quick()), engine(Settings::quick()));
+    let body = chat(&"a long prompt ".repeat(40), 1);
+    let mut stream = start(from.address(), "one", &body).await;
+    listen(&mut stream, u32::MAX).await;
+
+    let (_, exported) = post(from.address(), "/v1/kv/export", &body).await;
+    let (_, imported) = post(to.address(), "/v1/kv/import", &exported).await;
+    let mut stream = start(to.address(), "two", &body).await;
+    let heard = listen(&mut stream, u32::MAX).await;
+
+    assert_eq!(exported, imported);
+    assert!(exported["bytes"].as_u64().unwrap() > 0);
+    let cached = &heard.usage["prompt_tokens_details"]["cached_tokens"];
+    assert!(cached.as_u64().unwrap() > 0);
+}
+
+async fn metrics(engine: &Engine) -> String {
+    let request = request("GET", "/metrics", &[], &Value::Null);
+    let exchange = open(engine.address(), request).await.unwrap();
+    String::from_utf8(exchange.whole(100_000).await.unwrap().to_vec()).unwrap()
+}
+
+#[tokio::test]
+async fn load_reports_show_the_past() {
+    let engine = engine(Settings::quick());
+    let mut stream = start(engine.address(), "one", &chat("hello", 20_000)).await;
+    listen(&mut stream, 3).await;
+    while !metrics(&engine).await.contains("engine_requests_running 1") {}
+
+    engine.control(&Control {
+        report_lag_ms: Some(3_600_000),
+        ..Control::default()
+    });
+
+    assert!(metrics(&engine).await.contains("engine_requests_running 0"));
+}
+
+#[tokio::test]
+async fn a_load_fetches_from_the_weight_store() {
+    use fescuewell_standin::platform::{self, Platform, Weights};
+    let weights = Weights {
+        bytes_per_second: 0,
+        models: [(text("henna-3b"), 1_000_000)].into_iter().collect(),
+    };
+    let platform = platform::Settings {
+        weights,
+        token: Some(text("weights please")),
+        ..platform::Settings::default()
+    };
+    let platform = Platform::start(any_port(), platform).unwrap();
+    let engine = engine(Settings {
+        weight_store: Some(platform.address()),
+        weight_store_token: Some(text("weights please")),
+        ..Settings::quick()
+    });
+
+    send_order(&engine, "1", json!({"action": "load", "model": "henna-3b"})).await;
+    send_order(&engine, "1", json!({"action": "load", "model": "unknown"})).await;
+
+    let models = eventually_get(engine.address(), "/v1/models", |models| {
+        models["loading"].as_array().is_some_and(Vec::is_empty)
+    });
+    let models = models.await;
+    assert_eq!(models["data"][1]["id"], "henna-3b");
+    assert!(models["failed"]["unknown"].is_string());
+}
--- a/crates/fescuewell_standin/tests/service.rs
+++ b/crates/fescuewell_standin/tests/service.rs
@@ -78,12 +78,15 @@
     post(
         service.address(),
         "/control",
-        &json!({"refuse": false, "delay_ms": 30}),
+        &json!({"refuse": false, "delay_ms": 1500}),
     )
     .await;
 
-    let left = tokio::time::timeout(std::time::Duration::from_millis(5), call(&service, "left"));
-    assert!(left.await.is_err());
+    let before = service.counters().arrived;
+    tokio::select! {
+        answer = call(&service, "left") => panic!("answered before the delay: {answer:?}"),
+        () = eventually("it arrived", || service.counters().arrived > before) => {}
+    }
 
     eventually("the call has run", || {
         service.counters().runs.contains_key("left")
