Give heads precedence over membership news, and keep rows until settled

Causes, found by the first trials at 850 instances and by breaking the code on purpose: after a restart of the whole fleet the news of hundreds of members used up the gossip's byte rate and held heads back for seconds; a row told by a peer before the table showed it could not be removed, for want of a revision; a row that named an unsettled earlier incarnation could be removed with the later one; partners late in the alphabet starved under a storm; the view was rebuilt at each reply.

Settled incarnations are struck from a row one by one, by compare-and-swap and by whoever settled them, a live successor's row included; the row goes with the last name. A heartbeat's confirmation counts for the state that was sent, not for one set meanwhile: a farewell could have been taken for written.

--- a/crates/fescuewell_membership/src/gossip.rs
+++ b/crates/fescuewell_membership/src/gossip.rs
@@ -10,7 +10,7 @@
 
 use fescuewell_core::prelude::*;
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 
 use crate::news::News;
@@ -24,6 +24,9 @@
 const ITEM_ROUNDS: u32 = 4;
 /// Rounds of silence after which an instance that was not chosen is no partner any more.
 const SILENT_ROUNDS: u32 = 3;
+/// Part of the byte rate that changes of the membership may take. After a restart of a whole large
+/// fleet they are many, and the heads behind them would wait for minutes.
+const NEWS_SHARE: f64 = 0.5;
 /// Bytes of a message without changes, and of the packet around it, rounded up.
 pub const MESSAGE_BYTES: usize = 160;
 /// Bytes of one change, rounded up.
@@ -145,6 +148,7 @@
     due_round: Instant,
     due_choice: Instant,
     gate: Gate,
+    news_gate: Gate,
 }
 
 impl Gossip {
@@ -155,6 +159,7 @@
         let burst = rate.max((2 * settings.fanout * message) as f64);
         Self {
             gate: Gate::new(rate, burst),
+            news_gate: Gate::new(rate * NEWS_SHARE, burst * NEWS_SHARE),
             settings,
             instance,
             zone,
@@ -218,10 +223,21 @@
         self.choose_partners(now, view);
         let mut outgoing = Vec::new();
         let mut held_back = false;
-        for to in self.partners.keys().cloned().collect::<Vec<_>>() {
-            let Some(message) = self.message_to(&to, round) else {
+        // In the same order each time, the last ones would get nothing while the rate is used up.
+        let mut names: Vec<Arc<str>> = self.partners.keys().cloned().collect();
+        names.shuffle(&mut self.rng);
+        for to in names {
+            let Some(mut message) = self.message_to(&to, round) else {
                 continue;
             };
+            let news_size = message.news.len() * NEWS_BYTES;
+            if !self.news_gate.take(now, news_size as f64) {
+                held_back = true;
+                message.news.clear();
+                if !self.is_due(&to, round) {
+                    continue;
+                }
+            }
             let size = MESSAGE_BYTES + message.news.len() * NEWS_BYTES;
             // A storm of changes must not take the network from the requests. What is held back here
             // goes out as soon as the rate allows it; the table tells it too.
@@ -243,19 +259,23 @@
     }
 
     fn message_to(&self, to: &Arc<str>, round: bool) -> Option<Message> {
-        let partner = &self.partners[to];
         let untold = self.items.iter().filter(|item| !item.told.contains(to));
         let untold = untold.take(self.settings.most_news);
         let news: Vec<News> = untold.map(|item| item.news.clone()).collect();
-        let newer = self.head.is_some_and(|head| head.version > partner.version);
-        let regular = round && partner.chosen;
-        let worth_sending = regular || newer || !news.is_empty();
+        let worth_sending = self.is_due(to, round) || !news.is_empty();
         worth_sending.then_some(Message {
             head: self.head,
             news,
         })
     }
 
+    /// Whether the partner is to be told the head, whatever else there is to tell.
+    fn is_due(&self, to: &Arc<str>, round: bool) -> bool {
+        let partner = &self.partners[to];
+        let newer = self.head.is_some_and(|head| head.version > partner.version);
+        newer || round && partner.chosen
+    }
+
     fn note_told(&mut self, to: &Arc<str>, message: &Message) {
         for item in &mut self.items {
             if message.news.contains(&item.news) {
--- a/crates/fescuewell_membership/src/member.rs
+++ b/crates/fescuewell_membership/src/member.rs
@@ -11,7 +11,7 @@
 
 use fescuewell_core::platform::Listing;
 use fescuewell_core::prelude::*;
-use fescuewell_core::table::{self, Outcome, Range, Reply, Step};
+use fescuewell_core::table::{Range, Reply, Step};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -28,11 +28,14 @@
 const MOST_WATCHED: usize = 12;
 /// News kept until gossip fetches them; the table tells whatever is dropped.
 const MOST_NEWS: usize = 64;
-/// Pages are this much larger and more frequent while the first round lasts.
+/// Pages are this much larger while the first round lasts: slots wait for its end.
+const FIRST_ROUND_PAGE: u32 = 16;
+/// Pages are read this much more often while the first round lasts.
 const FIRST_ROUND_SPEEDUP: u32 = 4;
 
 mod judgement;
 mod reading;
+mod settling;
 
 /// What the table was asked.
 #[derive(Debug, Clone)]
@@ -49,8 +52,9 @@
         acked: u64,
         at: Instant,
     },
-    Remove {
+    Settle {
         instance: Arc<str>,
+        incarnation: Incarnation,
     },
 }
 
@@ -86,7 +90,7 @@
     words: Words,
     extra_watch: BTreeSet<Arc<str>>,
     outstanding: Option<Asked>,
-    removals: VecDeque<Arc<str>>,
+    settled: VecDeque<(Arc<str>, Incarnation)>,
     news: VecDeque<News>,
     due_beat: Instant,
     due_watch: Instant,
@@ -100,6 +104,7 @@
     table_answered: Instant,
     peers_answered: BTreeMap<Arc<str>, Instant>,
     isolated: bool,
+    dirty: bool,
     view: View,
 }
 
@@ -116,7 +121,7 @@
             words: Words::default(),
             extra_watch: BTreeSet::new(),
             outstanding: None,
-            removals: VecDeque::new(),
+            settled: VecDeque::new(),
             news: VecDeque::new(),
             due_beat: first,
             due_watch: first,
@@ -130,6 +135,7 @@
             table_answered: Instant::default(),
             peers_answered: BTreeMap::new(),
             isolated: false,
+            dirty: true,
             view: View::default(),
         }
     }
@@ -155,6 +161,7 @@
             return;
         }
         self.due_beat = now;
+        self.dirty = true;
         self.tell_own();
         self.refresh();
     }
@@ -162,11 +169,13 @@
     /// Notes the version that is in force here.
     pub fn set_version(&mut self, version: Version) {
         self.own.set_version(version);
+        self.dirty = true;
     }
 
     /// Notes this instance's load, published with the next heartbeat.
     pub fn set_load(&mut self, load: Load) {
         self.own.set_load(load);
+        self.dirty = true;
     }
 
     /// Sets which members are watched closely besides those of the ring, such as the holders of slots
@@ -187,6 +196,7 @@
     /// Takes the instance list; one that could not be had is not passed.
     pub fn instance_list(&mut self, now: Instant, list: &[Listing]) {
         self.words.hear(now, list, self.settings.list_lag);
+        self.dirty = true;
         for (instance, sighting) in &mut self.sightings {
             if self.words.is_leaving(instance) {
                 sighting.suspect();
@@ -198,6 +208,7 @@
     /// A backend server said itself that it is leaving.
     pub fn server_leaves(&mut self, now: Instant, server: &str) {
         self.words.server_leaves(now, server);
+        self.dirty = true;
         self.refresh();
     }
 
@@ -219,24 +230,6 @@
         self.news.drain(..).collect()
     }
 
-    /// Removes what is left of a terminated holder once all its streams are settled.
-    pub fn settled(&mut self, holder: &str) {
-        let Some((instance, incarnation)) = row::parse_holder(holder) else {
-            return;
-        };
-        if instance == &*self.own.me().instance {
-            self.own.settle(incarnation);
-            return;
-        }
-        let Some(sighting) = self.sightings.get(instance) else {
-            return;
-        };
-        let last = sighting.row().incarnation == incarnation;
-        if last && self.view.terminated.contains(holder) {
-            self.removals.push_back(instance.into());
-        }
-    }
-
     /// The next piece of table work; at most one is outstanding.
     pub fn next_step(&mut self, now: Instant) -> Option<Step> {
         self.judge_isolation(now);
@@ -275,9 +268,14 @@
             (Asked::Watch { keys, acked, at }, Reply::Rows(rows)) => {
                 self.watch_read(now, &keys, acked, at, &rows);
             }
-            (Asked::Remove { instance }, Reply::Outcome(Outcome::Committed { .. })) => {
-                self.sightings.remove(&instance);
-                self.words.forget(&instance);
+            (
+                Asked::Settle {
+                    instance,
+                    incarnation,
+                },
+                Reply::Outcome(outcome),
+            ) => {
+                self.settling_done(now, instance, incarnation, outcome);
             }
             _ => {}
         }
@@ -315,8 +313,7 @@
                 at: now,
             });
         }
-        let instance = self.removals.pop_front()?;
-        Some(Asked::Remove { instance })
+        self.choose_settling()
     }
 
     fn step(&mut self, asked: &Asked) -> Step {
@@ -331,19 +328,17 @@
                 after: self.cursor.clone(),
                 limit: self.page_size(),
             }),
-            Asked::Remove { instance } => {
-                let revision = self.sightings.get(instance).map_or(0, Sighting::revision);
-                let key = row::key(instance);
-                let removal = table::Transaction::default().with_compare(key.clone(), revision);
-                Step::Commit(removal.with_delete(key))
-            }
+            Asked::Settle {
+                instance,
+                incarnation,
+            } => self.settling_step(instance, *incarnation),
         }
     }
 
     fn page_size(&self) -> u32 {
         match self.complete {
             true => self.settings.page,
-            false => self.settings.page * FIRST_ROUND_SPEEDUP,
+            false => self.settings.page * FIRST_ROUND_PAGE,
         }
     }
 
--- a/crates/fescuewell_membership/src/member/judgement.rs
+++ b/crates/fescuewell_membership/src/member/judgement.rs
@@ -56,21 +56,26 @@
     /// both gone it could serve an old document for ever and nobody would notice but its callers.
     pub(super) fn judge_isolation(&mut self, now: Instant) {
         let limit = self.settings.isolation_limit;
-        let heard = self.peers_answered.values();
-        let near = heard.filter(|at| now.since(**at) <= limit).count();
+        self.peers_answered.retain(|_, at| now.since(*at) <= limit);
+        let near = self.peers_answered.len();
         let table_silent = now.since(self.table_answered) > limit;
         let isolated = table_silent && near < self.settings.isolation_peers;
         if isolated == self.isolated {
             return;
         }
         self.isolated = isolated;
+        self.dirty = true;
         if isolated {
             log_event!(Event::Isolated, "instance={}", self.own.me().instance);
         }
         self.refresh();
     }
 
+    /// Makes the view anew if something that it shows has changed; a heartbeat alone has not.
     pub(super) fn refresh(&mut self) {
+        if !std::mem::take(&mut self.dirty) {
+            return;
+        }
         let mut view = View {
             leaving_servers: self.words.leaving_servers(),
             complete: self.complete,
@@ -93,16 +98,20 @@
         let row = self.own.row();
         judge_earlier(view, instance, row, false);
         if !view.superseded && row.state != State::Gone {
-            view.live.push(peer(instance, row, false));
+            let holder = row::holder(instance, row.incarnation);
+            view.live.push(peer(instance, holder, row, false));
         }
     }
 
     fn judge_other(&self, view: &mut View, instance: &Arc<str>, sighting: &Sighting) {
         let row = sighting.row();
-        let holder = row::holder(instance, row.incarnation);
+        let holder = sighting.holder().clone();
         let list_lag = self.settings.list_lag;
         let proved = self.words.proves_end(instance, sighting, list_lag);
         judge_earlier(view, instance, row, proved);
+        if row.settled {
+            return;
+        }
         if row.state == State::Gone || proved {
             view.terminated.insert(holder);
             return;
@@ -112,7 +121,7 @@
             return;
         }
         let suspected = sighting.is_suspected() || self.words.is_leaving(instance);
-        view.live.push(peer(instance, row, suspected));
+        view.live.push(peer(instance, holder, row, suspected));
     }
 }
 
@@ -135,10 +144,10 @@
     sighting.is_suspected() && !over
 }
 
-fn peer(instance: &Arc<str>, row: &Row, suspected: bool) -> Peer {
+fn peer(instance: &Arc<str>, holder: Arc<str>, row: &Row, suspected: bool) -> Peer {
     Peer {
         instance: instance.clone(),
-        holder: row::holder(instance, row.incarnation),
+        holder,
         caller_address: row.caller_address,
         peer_address: row.peer_address,
         operator_address: row.operator_address,
--- a/crates/fescuewell_membership/src/member/reading.rs
+++ b/crates/fescuewell_membership/src/member/reading.rs
@@ -23,14 +23,19 @@
         if matches!(asked, Asked::OwnRow | Asked::Beat) {
             self.due_beat = now + self.jittered(self.settings.beat_interval / 2);
         }
-        if let Asked::Remove { instance } = asked {
-            self.removals.push_back(instance.clone());
+        if let Asked::Settle {
+            instance,
+            incarnation,
+        } = asked
+        {
+            self.settled.push_back((instance.clone(), *incarnation));
         }
         self.judge_isolation(now);
     }
 
     pub(super) fn own_row_read(&mut self, rows: &[table::Row]) {
         let exclusive = self.settings.exclusive_address;
+        self.dirty = true;
         match rows.first() {
             Some(found) => self.own.inherit(found, exclusive),
             None => self.own.inherit_nothing(),
@@ -41,6 +46,7 @@
         match outcome {
             Outcome::Committed { revision } => self.own.committed(revision),
             Outcome::Conflict { rows } => {
+                self.dirty = true;
                 let exclusive = self.settings.exclusive_address;
                 if !self.own.conflicted(rows.first(), exclusive) {
                     self.due_beat = now;
@@ -81,6 +87,7 @@
             self.suspect_quiet(now, rows);
         }
         self.note_round(now, full_if_short, last, rows);
+        self.dirty |= last && !self.complete;
         self.complete |= last;
         self.cursor = match last {
             true => None,
@@ -103,7 +110,7 @@
         for (instance, sighting) in &mut self.sightings {
             let older = sighting.changed_at() < self.round_started;
             if older && !self.round_seen.contains(instance) {
-                sighting.suspect();
+                self.dirty |= sighting.suspect();
             }
         }
     }
@@ -125,7 +132,7 @@
         self.observe(at, &watched, rows);
     }
 
-    fn learn_rows(&mut self, now: Instant, rows: &[table::Row]) {
+    pub(super) fn learn_rows(&mut self, now: Instant, rows: &[table::Row]) {
         for found in rows {
             let Some(instance) = row::instance(&found.key) else {
                 continue;
@@ -152,17 +159,22 @@
         let Some(sighting) = self.sightings.get_mut(instance) else {
             let name: Arc<str> = instance.into();
             log_event!(Event::PeerJoined, "instance={name} zone={}", row.zone);
-            self.push_member_news(spread, &name, &row);
-            self.sightings
-                .insert(name, Sighting::new(now, row, revision));
+            self.push_member_news(spread && row.state != State::Starting, &name, &row);
+            let sighting = Sighting::new(now, &name, row, revision);
+            self.sightings.insert(name, sighting);
+            self.dirty = true;
             return;
         };
         let before = (sighting.row().incarnation, sighting.row().state);
-        if !sighting.learn(now, row, revision) {
+        let shows = sighting.is_suspected() || !row.is_same_but_beat(sighting.row());
+        let newer = sighting.learn(now, instance, row, revision);
+        self.dirty |= shows;
+        if !newer {
             return;
         }
-        let row = sighting.row().clone();
+        let row = sighting.row();
         if (row.incarnation, row.state) != before {
+            let row = row.clone();
             self.push_member_news(spread, &instance.into(), &row);
         }
     }
@@ -177,6 +189,7 @@
             let was_lapsed = sighting.is_lapsed();
             sighting.observe(at, most_gap, self.settings.lease);
             if sighting.is_lapsed() && !was_lapsed {
+                self.dirty = true;
                 let (incarnation, beat) = (sighting.row().incarnation, sighting.row().beat);
                 log_event!(Event::PeerLost, "instance={instance} beat={beat}");
                 self.news.push_back(News::Suspicion {
@@ -195,6 +208,7 @@
         }
         for instance in removed {
             self.sightings.remove(&instance);
+            self.dirty = true;
         }
     }
 
@@ -213,7 +227,7 @@
                 continue;
             };
             if now.since(sighting.changed_at()) > lease {
-                sighting.suspect();
+                self.dirty |= sighting.suspect();
             }
         }
     }
@@ -231,7 +245,7 @@
         if known > (incarnation, beat) || sighting.is_suspected() {
             return;
         }
-        sighting.suspect();
+        self.dirty |= sighting.suspect();
         self.push_news(News::Suspicion {
             instance: instance.clone(),
             incarnation,
--- a/crates/fescuewell_membership/src/own.rs
+++ b/crates/fescuewell_membership/src/own.rs
@@ -41,6 +41,7 @@
     revision: u64,
     acked_beat: u64,
     acked_state: State,
+    sent_state: State,
     superseded: bool,
 }
 
@@ -58,6 +59,7 @@
             version: Version(0),
             formats: me.formats,
             load: Load::default(),
+            settled: false,
             earlier: Vec::new(),
         };
         Self {
@@ -68,6 +70,7 @@
             revision: 0,
             acked_beat: 0,
             acked_state: State::Starting,
+            sent_state: State::Starting,
             superseded: false,
         }
     }
@@ -134,6 +137,7 @@
     /// addresses for the old process's.
     pub fn beat(&mut self) -> table::Transaction {
         self.row.beat += 1;
+        self.sent_state = self.row.state;
         let key = row::key(&self.me.instance);
         table::Transaction::default()
             .with_compare(key.clone(), self.revision)
@@ -145,7 +149,9 @@
         self.revision = revision;
         self.committed = true;
         self.acked_beat = self.row.beat;
-        self.acked_state = self.row.state;
+        // The state may have advanced since the row was sent. Taken for published, a farewell that was
+        // never written would let the process end with its allowances charged.
+        self.acked_state = self.sent_state;
     }
 
     /// The last beat met another revision: takes what stands there now. Returns whether the beat is
@@ -166,6 +172,12 @@
         if content.incarnation == self.me.incarnation {
             self.revision = found.revision;
             self.committed = true;
+            self.superseded |= content.settled;
+            let left = &content.earlier;
+            self.row.earlier.retain(|entry| {
+                left.iter()
+                    .any(|known| known.incarnation == entry.incarnation)
+            });
             self.acked_beat = self.acked_beat.max(content.beat);
             self.acked_state = self.acked_state.max(content.state);
             return content.beat == self.row.beat;
@@ -190,10 +202,12 @@
         }
         let ended = old.state == State::Gone || exclusive_address && self.holds_addresses_of(&old);
         let mut earlier = old.earlier;
-        earlier.push(Earlier {
-            incarnation: old.incarnation,
-            ended,
-        });
+        if !old.settled {
+            earlier.push(Earlier {
+                incarnation: old.incarnation,
+                ended,
+            });
+        }
         for entry in earlier {
             self.add_earlier(entry);
         }
--- a/crates/fescuewell_membership/src/propagate.rs
+++ b/crates/fescuewell_membership/src/propagate.rs
@@ -122,6 +122,13 @@
     at: Instant,
 }
 
+/// A peer that has documents.
+#[derive(Debug, Clone, Copy, Default)]
+struct Holder {
+    version: Version,
+    near: bool,
+}
+
 /// A document that is being collected.
 #[derive(Debug, Clone)]
 struct Collection {
@@ -156,7 +163,7 @@
     head_unreadable: bool,
     collection: Option<Collection>,
     complete: Option<Head>,
-    holders: BTreeMap<Arc<str>, Version>,
+    holders: BTreeMap<Arc<str>, Holder>,
 }
 
 impl Propagation {
@@ -222,10 +229,19 @@
         self.learn(now, head, now + wait, assembler);
     }
 
-    /// A peer has the document of that head in force, and so all of its objects.
-    pub fn hear(&mut self, now: Instant, from: &str, head: Head, assembler: &mut dyn Assembler) {
-        let held = self.holders.entry(from.into()).or_default();
-        *held = head.version.max(*held);
+    /// A peer has the document of that head in force, and so all of its objects. `near` says that it is
+    /// in this instance's zone: near peers are asked first.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        from: &str,
+        near: bool,
+        head: Head,
+        assembler: &mut dyn Assembler,
+    ) {
+        let holder = self.holders.entry(from.into()).or_default();
+        holder.version = head.version.max(holder.version);
+        holder.near = near;
         let wait = self.settings.store_wait + self.settings.fetch_timeout;
         self.learn(now, head, now + wait, assembler);
     }
@@ -433,14 +449,19 @@
     /// has come or every such peer has refused.
     fn source(&mut self, now: Instant, collection: &Collection, name: &Arc<str>) -> Option<Source> {
         let version = collection.head.version;
-        let able = self.holders.iter().filter(|(_, held)| **held >= version);
-        let able: Vec<&Arc<str>> = able.map(|(instance, _)| instance).collect();
+        let able = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| holder.version >= version);
+        let able: Vec<(&Arc<str>, &Holder)> = able.collect();
         let refused = |instance: &Arc<str>| {
             let pair = (name.clone(), instance.clone());
             collection.refused.contains(&pair)
         };
-        let willing: Vec<&Arc<str>> = able.iter().copied().filter(|name| !refused(name)).collect();
-        if let Some(instance) = willing.choose(&mut self.rng) {
+        let willing = able.iter().filter(|(instance, _)| !refused(instance));
+        let (near, far): (Vec<_>, Vec<_>) = willing.partition(|(_, holder)| holder.near);
+        let nearest = if near.is_empty() { far } else { near };
+        if let Some((instance, _)) = nearest.choose(&mut self.rng) {
             return Some(Source::Peer((*instance).clone()));
         }
         let due = now >= collection.store_from || !able.is_empty();
--- a/crates/fescuewell_membership/src/row.rs
+++ b/crates/fescuewell_membership/src/row.rs
@@ -66,6 +66,9 @@
         /// Its load.
         #[serde(default)]
         pub load: Load,
+        /// Set by others once this incarnation has ended and everything that it left is settled.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub settled: bool,
         /// Incarnations before this one that may still be charged with something.
         #[serde(default)]
         pub earlier: Vec<Earlier>,
@@ -97,6 +100,16 @@
         })
     }
 
+    /// Whether the rows differ in nothing but the heartbeat.
+    pub fn is_same_but_beat(&self, other: &Self) -> bool {
+        let beat = other.beat;
+        let aligned = Self {
+            beat,
+            ..self.clone()
+        };
+        aligned == *other
+    }
+
     /// Whether this was written after `other`, a row of the same instance.
     pub fn is_newer(&self, other: &Self) -> bool {
         (self.incarnation, self.beat) > (other.incarnation, other.beat)
--- a/crates/fescuewell_membership/src/sighting.rs
+++ b/crates/fescuewell_membership/src/sighting.rs
@@ -1,14 +1,16 @@
 //! What this instance itself has observed of one other member.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fescuewell_core::prelude::*;
 
-use crate::row::Row;
+use crate::row::{self, Row};
 
 /// The newest known row of a member and how long its heartbeat has stood still.
 #[derive(Debug, Clone)]
 pub struct Sighting {
+    holder: Arc<str>,
     row: Row,
     revision: u64,
     first_seen: Instant,
@@ -21,8 +23,9 @@
 
 impl Sighting {
     /// A member seen for the first time. `revision` is 0 when the news came from a peer.
-    pub fn new(now: Instant, row: Row, revision: u64) -> Self {
+    pub fn new(now: Instant, instance: &str, row: Row, revision: u64) -> Self {
         Self {
+            holder: row::holder(instance, row.incarnation),
             row,
             revision,
             first_seen: now,
@@ -36,15 +39,23 @@
 
     /// Takes a row from wherever it comes; an older one than the known changes nothing.
     /// Returns whether it was newer.
-    pub fn learn(&mut self, now: Instant, row: Row, revision: u64) -> bool {
+    pub fn learn(&mut self, now: Instant, instance: &str, row: Row, revision: u64) -> bool {
         if !row.is_newer(&self.row) {
+            // A row that a peer told first has no revision until the table shows it; and others strike
+            // settled incarnations from a row without touching its heartbeat.
+            let same = !self.row.is_newer(&row);
+            if same && revision > self.revision {
+                self.row = row;
+                self.revision = revision;
+            }
             return false;
         }
         if row.incarnation != self.row.incarnation {
             self.first_seen = now;
+            self.holder = row::holder(instance, row.incarnation);
         }
         self.row = row;
-        self.revision = revision.max(self.revision);
+        self.revision = revision;
         self.changed_at = now;
         self.last_fresh = None;
         self.unchanged = Duration::ZERO;
@@ -81,9 +92,15 @@
         self.last_fresh = None;
     }
 
-    /// Marks the member as probably dead until a newer heartbeat is seen.
-    pub fn suspect(&mut self) {
-        self.suspected = true;
+    /// Marks the member as probably dead until a newer heartbeat is seen. Returns whether it was not
+    /// marked before.
+    pub fn suspect(&mut self) -> bool {
+        !std::mem::replace(&mut self.suspected, true)
+    }
+
+    /// `instance.incarnation`.
+    pub fn holder(&self) -> &Arc<str> {
+        &self.holder
     }
 
     /// The newest known row.
@@ -91,7 +108,7 @@
         &self.row
     }
 
-    /// Revision of the newest row read from the table; 0 when none was.
+    /// Revision of the newest known row; 0 when only a peer has told it so far.
     pub fn revision(&self) -> u64 {
         self.revision
     }
--- a/crates/fescuewell_membership/tests/common/mod.rs
+++ b/crates/fescuewell_membership/tests/common/mod.rs
@@ -28,6 +28,8 @@
 pub struct Store {
     pub rows: BTreeMap<Arc<str>, Row>,
     past: Vec<BTreeMap<Arc<str>, Row>>,
+    /// Keeps no past, where no reading is stale and there are many rows.
+    pub forgets: bool,
     revision: u64,
     pub reads: u64,
     pub writes: u64,
@@ -112,7 +114,9 @@
         }
         self.revision += 1;
         self.writes += 1;
-        self.past.push(self.rows.clone());
+        if !self.forgets {
+            self.past.push(self.rows.clone());
+        }
         if self.past.len() > KEPT_PAST {
             self.past.remove(0);
         }
--- a/crates/fescuewell_membership/tests/common/network.rs
+++ b/crates/fescuewell_membership/tests/common/network.rs
@@ -11,6 +11,7 @@
 use fescuewell_membership::prelude::*;
 use fescuewell_membership::propagate::{self, Assembler, Head, Propagation, Rejection, Source};
 use fescuewell_membership::row::State;
+use fescuewell_membership::slots::Keeper;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -31,7 +32,8 @@
     format!("{version}-{}", OBJECTS[part].0).into()
 }
 
-fn bytes(name: &str) -> Vec<u8> {
+/// Content of the object of that name.
+pub fn bytes(name: &str) -> Vec<u8> {
     let part = OBJECTS.iter().find(|(part, _)| name.ends_with(part));
     vec![0; part.map_or(0, |(_, size)| *size)]
 }
@@ -81,10 +83,14 @@
     pub gossip: Gossip,
     pub propagation: Propagation,
     pub shelf: Shelf,
+    pub keeper: Keeper,
     pub region: usize,
+    pub zone: Arc<str>,
     pub sent: u64,
     pub received: u64,
+    pub object_bytes: u64,
     pub applied: Vec<Version>,
+    keeper_due: Instant,
 }
 
 enum Event {
@@ -121,6 +127,7 @@
     pub faults: Faults,
     pub objects: BTreeSet<Arc<str>>,
     pub object_reads: u64,
+    pub stopped: BTreeSet<usize>,
     index: BTreeMap<Arc<str>, usize>,
     events: BinaryHeap<Reverse<(Instant, u64, usize)>>,
     payloads: BTreeMap<u64, Event>,
@@ -128,6 +135,12 @@
     rng: SmallRng,
 }
 
+/// Slots of request ids.
+pub const SLOTS: u16 = 64;
+const KEEP: Duration = Duration::from_millis(500);
+/// In a fleet of hundreds, so that the simulation does not spend its time there.
+const LARGE_FLEET_KEEP: Duration = Duration::from_secs(5);
+const LARGE_FLEET: usize = 100;
 const WAKE: Duration = Duration::from_millis(50);
 /// Bytes around a message: UDP and IP headers, QUIC header and tag.
 pub const PACKET_BYTES: usize = 60;
@@ -142,6 +155,8 @@
             let seed = seed + index as u64 * 3;
             let settings = gossip::Settings::sized(size);
             Node {
+                zone: own.zone.clone(),
+                keeper: Keeper::new(own.instance.clone(), SLOTS, Duration::from_secs(3)),
                 gossip: Gossip::new(settings, own.instance.clone(), own.zone.clone(), seed),
                 members: Members::new(Settings::sized(size), own, seed + 1),
                 propagation: Propagation::new(propagate::Settings::sized(size), seed + 2),
@@ -149,6 +164,8 @@
                 region,
                 sent: 0,
                 received: 0,
+                object_bytes: 0,
+                keeper_due: Instant::default(),
                 applied: Vec::new(),
             }
         };
@@ -163,6 +180,7 @@
             },
             objects: BTreeSet::new(),
             object_reads: 0,
+            stopped: BTreeSet::new(),
             index: (0..count).map(|index| (instance(index), index)).collect(),
             events: BinaryHeap::new(),
             payloads: BTreeMap::new(),
@@ -214,6 +232,10 @@
             return;
         };
         self.now = at;
+        if self.stopped.contains(&index) {
+            self.payloads.remove(&sequence);
+            return;
+        }
         match self.payloads.remove(&sequence) {
             Some(Event::Wake) => self.schedule(WAKE, index, Event::Wake),
             Some(Event::Message { from, message }) => self.take_message(index, from, message),
@@ -225,6 +247,7 @@
             }) => {
                 let node = &mut self.nodes[index];
                 let content = content.as_deref();
+                node.object_bytes += content.map_or(0, <[u8]>::len) as u64;
                 node.propagation
                     .supply(at, &name, content, from, &mut node.shelf);
             }
@@ -235,12 +258,14 @@
 
     fn take_message(&mut self, index: usize, from: usize, message: Message) {
         let now = self.now;
+        let near = self.nodes[from].zone == self.nodes[index].zone;
         let from = instance(from);
         let node = &mut self.nodes[index];
         node.members.peer_answered(now, &from);
         let heard = node.gossip.receive(now, &from, message);
         if let Some(head) = heard.head {
-            node.propagation.hear(now, &from, head, &mut node.shelf);
+            node.propagation
+                .hear(now, &from, near, head, &mut node.shelf);
         }
         for news in heard.news {
             node.members.hear(now, news);
@@ -258,6 +283,11 @@
 
     fn act(&mut self, index: usize) {
         let now = self.now;
+        let keep = if self.nodes.len() < LARGE_FLEET {
+            KEEP
+        } else {
+            LARGE_FLEET_KEEP
+        };
         if let Some(step) = self.nodes[index].members.next_step(now) {
             self.ask_table(index, false, &step);
         }
@@ -272,6 +302,11 @@
             node.members.set_version(head.version);
             node.members.set_state(now, State::Ready);
         }
+        if now >= node.keeper_due {
+            node.keeper_due = now + keep;
+            node.keeper.update(now, node.members.view());
+            node.members.set_watch(node.keeper.watch().clone());
+        }
         let wants = node.propagation.wants(now, &mut node.shelf);
         let news = node.members.take_news();
         node.gossip.spread(now, news);
@@ -309,6 +344,7 @@
             Source::Peer(peer) => {
                 let peer = self.index[peer];
                 let there = self.nodes[peer].shelf.objects.contains(&name);
+                let there = there && !self.stopped.contains(&peer);
                 let reached = (self.faults.peers)(index, peer);
                 (
                     (there && reached).then(|| bytes(&name)),
--- a/crates/fescuewell_membership/tests/member.rs
+++ b/crates/fescuewell_membership/tests/member.rs
@@ -105,11 +105,13 @@
 #[test]
 fn an_observer_that_was_paused_lapses_nobody() {
     // Symptom: an instance takes over everything when it wakes. Sequence: it is stopped; meanwhile the
-    // table is down, and comes back just before it wakes. Cause: it took its own absence for silence.
+    // others cannot write, since the table is down until just before it wakes. Cause: it took its own absence for silence.
     let mut fleet = Fleet::new(3, &settings());
     fleet.run(seconds(5));
 
-    fleet.stopped = vec![true; 3];
+    fleet.stopped = vec![false, true, true];
+    fleet.run(seconds(3));
+    fleet.stopped[0] = true;
     fleet.run(seconds(600));
     fleet.stopped[0] = false;
     fleet.run(seconds(4));
@@ -260,6 +262,9 @@
     let holder = fleet.holder(2);
     let now = fleet.now;
     fleet.members[2].set_state(now, State::Gone);
+    for news in fleet.members[2].take_news() {
+        fleet.members[0].hear(now, news);
+    }
     fleet.run(seconds(3));
     assert!(fleet.members[2].is_published(State::Gone));
     assert!(fleet.members[0].view().terminated.contains(&holder));
@@ -271,6 +276,85 @@
     assert!(fleet.members[1].view().terminated.is_empty());
 }
 
+#[test]
+fn a_live_instance_lets_others_settle_its_predecessor() {
+    let settings = Settings {
+        exclusive_address: true,
+        ..settings()
+    };
+    let mut fleet = Fleet::new(2, &settings);
+    fleet.run(seconds(5));
+    fleet.members[0] = Members::new(settings, me(0, 2), 99);
+    fleet.run(seconds(5));
+    let first = row::holder(&instance(0), Incarnation(1));
+
+    fleet.members[1].settled(&first);
+    fleet.run(seconds(3));
+
+    assert!(fleet.members[0].own_row().earlier.is_empty());
+    assert!(!fleet.members[0].view().superseded);
+    for member in &fleet.members {
+        assert!(member.view().terminated.is_empty());
+        assert_eq!(member.view().live.len(), 2);
+    }
+}
+
+#[test]
+fn a_farewell_counts_only_once_it_is_written() {
+    // Symptom: a process ends without a farewell and its allowances stay charged. Sequence: the state
+    // advances while a heartbeat is under way. Cause: the reply was taken for the new state's.
+    let mut fleet = Fleet::new(1, &settings());
+    fleet.run(seconds(5));
+    let mut now = fleet.now;
+    let step = loop {
+        now = now + TURN;
+        match fleet.members[0].next_step(now) {
+            Some(step @ fescuewell_core::table::Step::Commit(_)) => break step,
+            Some(step) => {
+                let reply = fleet.store.carry_out(&step, Fault::None);
+                fleet.members[0].reply(now, reply);
+            }
+            None => {}
+        }
+    };
+
+    fleet.members[0].set_state(now, State::Gone);
+    let reply = fleet.store.carry_out(&step, Fault::None);
+    fleet.members[0].reply(now, reply);
+
+    assert!(!fleet.members[0].is_published(State::Gone));
+    fleet.now = now;
+    fleet.run(seconds(1));
+    assert!(fleet.members[0].is_published(State::Gone));
+}
+
+#[test]
+fn a_row_stays_until_all_its_incarnations_are_settled() {
+    // Symptom: an allowance stays charged for ever. Sequence: an instance is killed, restarts and says
+    // farewell; the farewell is settled and its row removed. Cause: the row named the killed one too.
+    let mut fleet = Fleet::new(2, &settings());
+    fleet.run(seconds(5));
+    fleet.members[1] = Members::new(settings(), me(1, 2), 9);
+    fleet.run(seconds(5));
+    let now = fleet.now;
+    fleet.members[1].set_state(now, State::Gone);
+    fleet.run(seconds(70));
+    let list = [listing(&instance(1), Role::Entry, Listed::Terminated)];
+    let holders = [1, 2].map(|start| row::holder(&instance(1), Incarnation(start)));
+
+    fleet.members[0].settled(&holders[1]);
+    fleet.run(seconds(3));
+    assert!(fleet.members[0].view().lapsed.contains(&holders[0]));
+    assert!(fleet.store.rows.contains_key(&row::key(&instance(1))));
+    fleet.tell_list(&list);
+    assert!(fleet.members[0].view().terminated.contains(&holders[0]));
+    assert!(!fleet.members[0].view().terminated.contains(&holders[1]));
+    fleet.members[0].settled(&holders[0]);
+    fleet.run(seconds(3));
+
+    assert!(!fleet.store.rows.contains_key(&row::key(&instance(1))));
+}
+
 #[test]
 fn a_process_whose_row_was_removed_stops() {
     // Symptom: an instance that was declared ended goes on spending. Sequence: it is cut off, its
--- a/crates/fescuewell_membership/tests/propagate.rs
+++ b/crates/fescuewell_membership/tests/propagate.rs
@@ -13,7 +13,7 @@
 use fescuewell_membership::member::Members;
 use fescuewell_membership::news::News;
 use fescuewell_membership::propagate::{Propagation, Settings, Source};
-use fescuewell_membership::row::State;
+use fescuewell_membership::row::{Row, State};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -121,6 +121,32 @@
     assert_eq!(network.nodes[0].applied, vec![Version(1), Version(3)]);
 }
 
+#[test]
+fn an_old_head_does_not_make_a_newer_one_forgotten() {
+    // Symptom: an instance stays one version behind until its next poll. Sequence: it collects version
+    // 2 and hears of 3, then a lagging replica or peer tells it of 1. Cause: the last word won.
+    let mut propagation = Propagation::new(Settings::default(), 1);
+    let mut shelf = Shelf::default();
+    let now = Instant::from_millis(10);
+    for version in [2, 3, 1] {
+        propagation.hear(now, "entry-9", true, head(version), &mut shelf);
+    }
+
+    let mut applied = Vec::new();
+    for _ in 0..8 {
+        for want in propagation.wants(now, &mut shelf) {
+            let bytes = common::network::bytes(&want.name);
+            propagation.supply(now, &want.name, Some(&bytes), want.from, &mut shelf);
+        }
+        if let Some(head) = propagation.take_complete() {
+            propagation.applied(now, head, &mut shelf);
+            applied.push(head.version.0);
+        }
+    }
+
+    assert_eq!(applied, [2, 3]);
+}
+
 #[test]
 fn a_store_that_fails_is_not_asked_without_pause() {
     // Symptom: a store in trouble gets thousands of requests a second. Sequence: a fetch fails at
@@ -129,7 +155,7 @@
     let mut shelf = Shelf::default();
     let mut asked = 0;
 
-    propagation.hear(Instant::default(), "entry-9", head(5), &mut shelf);
+    propagation.hear(Instant::default(), "entry-9", true, head(5), &mut shelf);
     for milli in 0..20_000 {
         let now = Instant::from_millis(milli);
         for want in propagation.wants(now, &mut shelf) {
@@ -146,7 +172,7 @@
     let mut propagation = Propagation::new(Settings::default(), 1);
     let mut shelf = Shelf::default();
     let now = Instant::from_millis(10);
-    propagation.hear(now, "entry-9", head(5), &mut shelf);
+    propagation.hear(now, "entry-9", true, head(5), &mut shelf);
 
     let first = propagation.wants(now, &mut shelf).remove(0);
     propagation.supply(
@@ -201,6 +227,45 @@
     assert!(encoded(&full) + common::network::PACKET_BYTES <= most);
 }
 
+/// Four changes of one member, different in each turn.
+fn storm(turn: u64) -> Vec<News> {
+    let row = Members::new(common::settings(), me(1, 1), 1)
+        .own_row()
+        .clone();
+    let change = |number: u64| News::Member {
+        instance: instance(1),
+        row: Row {
+            beat: turn * 4 + number,
+            ..row.clone()
+        },
+    };
+    (0..4).map(change).collect()
+}
+
+#[test]
+fn a_head_overtakes_a_storm_of_changes() {
+    // Symptom: a document takes seconds more to spread after a restart of the whole fleet. Sequence:
+    // hundreds of changes are passed on, then a head comes. Cause: the changes used up the byte rate.
+    let settings = GossipSettings::sized(850);
+    let fanout = settings.fanout;
+    let mut gossip = Gossip::new(settings, instance(0), "a".into(), 1);
+    let network = started(9, 6);
+    let view = network.nodes[0].members.view();
+    for turn in 0..590 {
+        let now = Instant::from_millis(turn * 100);
+        gossip.spread(now, storm(turn));
+        gossip.take_outgoing(now, view);
+    }
+
+    gossip.set_head(head(7));
+    let outgoing = gossip.take_outgoing(Instant::from_millis(59_000), view);
+
+    let told = outgoing
+        .iter()
+        .filter(|outgoing| outgoing.message.head == Some(head(7)));
+    assert_eq!(told.count(), fanout);
+}
+
 #[test]
 fn a_storm_of_changes_stays_within_the_byte_rate() {
     let settings = GossipSettings::sized(850);
@@ -208,21 +273,23 @@
     let mut gossip = Gossip::new(settings, instance(0), "a".into(), 1);
     let network = started(9, 6);
     let view = network.nodes[0].members.view();
-    let row = network.nodes[1].members.own_row().clone();
     let mut sent = 0;
+    let mut last_head = None;
 
-    for second in 0..600 {
-        let now = Instant::from_millis(second * 1_000);
-        let storm = (0..20).map(|_| News::Member {
-            instance: instance(1),
-            row: row.clone(),
-        });
-        gossip.spread(now, storm.collect());
+    for turn in 0..6_000 {
+        let now = Instant::from_millis(turn * 100);
+        gossip.spread(now, storm(turn));
+        gossip.set_head(head(turn));
         for outgoing in gossip.take_outgoing(now, view) {
             sent += encoded(&outgoing.message) + common::network::PACKET_BYTES;
+            last_head = outgoing.message.head;
         }
     }
 
+    assert!(
+        last_head.is_some_and(|head| head.version.0 > 5_980),
+        "heads get through"
+    );
     assert!(sent <= 600 * rate + 20_000, "{sent}");
     assert!(sent > 600 * 10, "something is sent at all");
 }
--- a/crates/fescuewell_node/src/pump.rs
+++ b/crates/fescuewell_node/src/pump.rs
@@ -362,7 +362,10 @@
     fn hear_gossip(&mut self, from: &Arc<str>, message: fescuewell_membership::gossip::Message) {
         let now = self.now;
         if let Some(head) = message.head {
-            self.propagation.hear(now, from, head, &mut self.collector);
+            let peer = self.members.view().peer(from);
+            let near = peer.is_some_and(|peer| peer.zone == self.me.zone);
+            self.propagation
+                .hear(now, from, near, head, &mut self.collector);
         }
         for news in message.news.clone() {
             self.members.hear(now, news);
