Weigh gaps by their size, judge speed by its lower quartile, ignore noise

Change: a gap of n events takes n in the held blocks off the trust in each and voids all when n reaches that number; a clearing that a gap hid shows as a drop of the cache's use in the next report. Slowness counts from twice the median on; a queue counts beyond a tenth of the batch; the tracked time per token settles at the lower quartile.

--- a/crates/fescuewell_routing/examples/engines/main.rs
+++ b/crates/fescuewell_routing/examples/engines/main.rs
@@ -99,7 +99,7 @@
 fn slow_engine(shape: load::Shape, seed: u64) {
     let from = 60_000_000;
     println!(
-        "\none of {ENGINES} engines five times slower from 60 s on, {}",
+        "\none of {ENGINES} engines five times slower from 60 s on, {}, seed {seed}",
         shape.name
     );
     let rate = capacity(shape, seed) * 0.7;
@@ -116,7 +116,7 @@
             let Change::Ejected { server, why } = change else {
                 continue;
             };
-            if *server != ServerKey(3) {
+            if *server != ServerKey(3) || *at < from {
                 println!("  also ejected: {server:?} by {router} at {at} us, {why}");
                 continue;
             }
@@ -136,5 +136,7 @@
         compare(shape, seeds, true);
     }
     compare(load::SHAPES[0], seeds, false);
-    slow_engine(load::SHAPES[0], 1);
+    for seed in 1..=seeds {
+        slow_engine(load::SHAPES[0], seed);
+    }
 }
--- a/crates/fescuewell_routing/src/health.rs
+++ b/crates/fescuewell_routing/src/health.rs
@@ -93,8 +93,9 @@
     }
 });
 
-/// Weight of a new token time in the mean.
-const GAP_WEIGHT: f32 = 0.05;
+/// Step by which the tracked time per token follows a longer one; a shorter one counts three times
+/// as much, so that the tracked time settles at the lower quartile.
+const GAP_STEP: f32 = 0.025;
 /// Servers of one kind that must have been measured before a median means anything.
 const PEERS_LEAST: usize = 3;
 /// Measured speeds older than this say nothing about now.
@@ -103,6 +104,8 @@
 const RAMP_LEAST: f32 = 0.05;
 /// After this many first pauses without a relapse the next pause is short again.
 const FORGIVEN_AFTER: u32 = 10;
+/// Time per token, as a multiple of the median, from which on it raises the predicted cost.
+const SLOWNESS_FROM: f32 = 2.0;
 /// Cost factor of a suspect server.
 const SUSPECT_COST: f32 = 2.0;
 
@@ -182,8 +185,14 @@
             self.tokens = 0;
             self.gap = gap;
         }
-        let weight = 1.0 - (1.0 - GAP_WEIGHT).powi(tokens.min(64) as i32);
-        self.gap += (gap - self.gap) * weight;
+        // The mean would not do: an engine that computes long prompts for a second or two is as slow
+        // in the mean as a broken one, and one would see healthy engines ejected in turn. Between
+        // prompts it is fast, though, and a broken one never is.
+        self.gap *= if gap > self.gap {
+            1.0 + GAP_STEP
+        } else {
+            1.0 - 3.0 * GAP_STEP
+        };
         self.tokens = self.tokens.saturating_add(tokens);
         self.measured = now;
     }
@@ -336,7 +345,9 @@
         (Some(gap), Some(median)) if median > 0.0 => gap / median,
         _ => 1.0,
     };
-    entry.health.slowness = factor.max(1.0);
+    // Smaller differences are those of the load, and to follow them makes the load swing.
+    let clearly = factor >= SLOWNESS_FROM;
+    entry.health.slowness = if clearly { factor } else { 1.0 };
     if entry.health.failures >= settings.failures {
         let failures = entry.health.failures;
         return Some(Why::Failing { failures });
--- a/crates/fescuewell_routing/src/load.rs
+++ b/crates/fescuewell_routing/src/load.rs
@@ -30,6 +30,9 @@
 /// Weight of a new report in the long-run means.
 const MEAN_WEIGHT: f32 = 0.1;
 
+/// Requests that wait for the next step of the batch, as a part of it.
+const STEP_SHARE: f32 = 0.1;
+
 /// What other instances have on a backend server.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Others {
@@ -137,8 +140,9 @@
         let share = basis.report_share;
         Estimate {
             others: self.mean * share + matched * (1.0 - share),
-            // A queue counts when it lasts; one that a single report shows is gone by now.
-            waiting: self.waiting.min(seen.waiting),
+            // A queue counts when it lasts; one that a single report shows is gone by now. A few
+            // always wait, for the end of the engine's present step.
+            waiting: (self.waiting.min(seen.waiting) - seen.running * STEP_SHARE).max(0.0),
             running: seen.running,
         }
     }
--- a/crates/fescuewell_routing/src/prefix.rs
+++ b/crates/fescuewell_routing/src/prefix.rs
@@ -1,8 +1,10 @@
 //! Which server's cache probably holds which prompt prefix.
 //!
 //! Two sources: what this instance sent where, and the cache events that engines publish. Events
-//! come late and with gaps, so they are hints: a gap in the sequence may have hidden the eviction
-//! of any block, and everything that was believed of that server before the gap loses its standing.
+//! come late and with gaps, so they are hints. A gap of `n` events may have hidden the eviction of
+//! any `n` blocks, nobody knows which, so each block that the server was believed to hold loses
+//! trust by `n` in the number held; a gap as large as that number voids them all. A gap that hid
+//! the clearing of the whole cache shows in the next load report, as the cache is nearly empty then.
 
 use std::hash::{BuildHasherDefault, Hasher};
 
@@ -33,6 +35,10 @@
 const LATE_MOST: u64 = 1_024;
 /// Part of the cache in use from which on blocks are being evicted.
 const EVICTING_FROM: f32 = 0.85;
+/// A cache whose use falls below this part of its last use was cleared.
+const CLEARED_BELOW: f32 = 0.5;
+/// Trust in an own send from before a gap that voided all hints.
+const VOIDED_TRUST: f32 = 0.5;
 /// Holders that are trusted less than this are dropped.
 const TRUST_LEAST: f32 = 0.05;
 
@@ -51,6 +57,8 @@
     server: ServerKey,
     confirmed: bool,
     era: u32,
+    /// The feed's `kept` when the holder was last known to be one.
+    kept: f32,
     sent: Option<Instant>,
 }
 
@@ -61,7 +69,12 @@
     era: u32,
     /// What was believed in earlier eras is worthless: the cache was emptied.
     empty_before: u32,
-    evicting: bool,
+    /// Logarithm of the part of the blocks that outlived all gaps of this era.
+    kept: f32,
+    /// Blocks that events say the server holds, as far as they are remembered.
+    held: u32,
+    /// Part of its cache in use at the last report.
+    used: f32,
 }
 
 #[derive(Default)]
@@ -135,18 +148,27 @@
 
     /// Notes that this instance sends a prompt to a server.
     pub(crate) fn sent(&mut self, now: Instant, prefix: &[Digest], server: ServerKey) {
-        let era = self.feed(server).era;
+        let Feed { era, kept, .. } = *self.feed(server);
         // Deepest first, so that the blocks most prompts share are the last to be forgotten.
         for depth in depths(prefix.len(), stride(prefix.len())).rev() {
             let block = prefix[depth];
             self.take_up(block);
-            let holders = self.own.get_or_insert_mut(block, Vec::new);
+            if !self.own.contains(&block) {
+                let dropped = self.own.push(block, Vec::with_capacity(1));
+                release(&mut self.feeds, dropped);
+            }
+            let Some(holders) = self.own.get_mut(&block) else {
+                continue;
+            };
             let holder = place(holders, server);
             holder.sent = Some(now);
             if holder.era != era {
                 holder.era = era;
                 holder.confirmed = false;
             }
+            if !holder.confirmed {
+                holder.kept = kept;
+            }
         }
     }
 
@@ -160,11 +182,14 @@
             feed.last = Some(sequence);
         }
         let gap = !next && !late;
-        if gap || event == Event::Cleared {
-            feed.era += 1;
+        if gap {
+            let hidden = sequence.saturating_sub(last.unwrap_or(0)).saturating_sub(1);
+            // A number that went back far is that of a restarted server, whose cache is empty.
+            let restarted = last.is_some_and(|last| sequence <= last);
+            feed.doubt(if restarted { u64::MAX } else { hidden });
         }
         if event == Event::Cleared {
-            feed.empty_before = feed.era;
+            feed.empty();
         }
         match event {
             Event::Evicted(block) => self.remove(block, server),
@@ -177,15 +202,20 @@
 
     /// Notes how full a server's cache is.
     pub(crate) fn cache_used(&mut self, server: ServerKey, used: f32) {
-        self.feed(server).evicting = used >= EVICTING_FROM;
+        let feed = self.feed(server);
+        if used < feed.used * CLEARED_BELOW {
+            feed.empty();
+        }
+        feed.used = used;
     }
 
     /// Forgets what was believed of a server, as when it was replaced.
     pub(crate) fn forget(&mut self, server: ServerKey) {
         let feed = self.feed(server);
-        feed.era += 1;
+        feed.empty();
         feed.last = None;
-        feed.empty_before = feed.era;
+        // Until a report says more, the cache may be evicting already.
+        feed.used = 1.0;
     }
 
     /// How many blocks are remembered.
@@ -196,11 +226,11 @@
     fn feed(&mut self, server: ServerKey) -> &mut Feed {
         let index = server.0 as usize;
         if index >= self.feeds.len() {
-            let evicting = Feed {
-                evicting: true,
+            let unknown = Feed {
+                used: 1.0,
                 ..Feed::default()
             };
-            self.feeds.resize(index + 1, evicting);
+            self.feeds.resize(index + 1, unknown);
         }
         &mut self.feeds[index]
     }
@@ -208,34 +238,82 @@
     /// Moves a block that was known from events alone to the own blocks.
     fn take_up(&mut self, block: Digest) {
         if let Some(holders) = self.hints.pop(&block) {
-            self.own.put(block, holders);
+            let dropped = self.own.push(block, holders);
+            release(&mut self.feeds, dropped);
         }
     }
 
     fn confirm(&mut self, block: Digest, server: ServerKey) {
-        let era = self.feed(server).era;
-        let holders = match self.own.peek_mut(&block) {
-            Some(holders) => holders,
-            None => self.hints.get_or_insert_mut(block, Vec::new),
+        let Feed { era, kept, .. } = *self.feed(server);
+        if !self.own.contains(&block) && !self.hints.contains(&block) {
+            let dropped = self.hints.push(block, Vec::with_capacity(1));
+            release(&mut self.feeds, dropped);
+        }
+        let found = self.own.peek_mut(&block);
+        let Some(holders) = found.or_else(|| self.hints.get_mut(&block)) else {
+            return;
         };
         let holder = place(holders, server);
+        let known = holder.confirmed && holder.era == era;
         holder.era = era;
+        holder.kept = kept;
         holder.confirmed = true;
+        self.feed(server).held += u32::from(!known);
     }
 
     fn remove(&mut self, block: Digest, server: ServerKey) {
-        let keep = |holder: &Holder| holder.server != server;
-        if let Some(holders) = self.own.peek_mut(&block) {
-            holders.retain(keep);
+        let found = self.own.peek_mut(&block);
+        let Some(holders) = found.or_else(|| self.hints.peek_mut(&block)) else {
             return;
-        }
-        let Some(holders) = self.hints.peek_mut(&block) else {
+        };
+        let Some(position) = holders.iter().position(|holder| holder.server == server) else {
             return;
         };
-        holders.retain(keep);
+        let holder = holders.remove(position);
         if holders.is_empty() {
             self.hints.pop(&block);
         }
+        self.feed(server).release(&holder);
+    }
+}
+
+impl Feed {
+    /// Counts a holder of this server out.
+    fn release(&mut self, holder: &Holder) {
+        if holder.confirmed && holder.era == self.era {
+            self.held = self.held.saturating_sub(1);
+        }
+    }
+
+    /// Takes trust away after `hidden` events that were not seen.
+    fn doubt(&mut self, hidden: u64) {
+        if hidden >= u64::from(self.held) {
+            self.void();
+            return;
+        }
+        self.kept += (1.0 - hidden as f32 / self.held as f32).ln();
+    }
+
+    /// Begins a new era, in which nothing is known to be held.
+    fn void(&mut self) {
+        self.era += 1;
+        self.held = 0;
+        self.kept = 0.0;
+    }
+
+    /// Notes that the server's cache was emptied.
+    fn empty(&mut self) {
+        self.void();
+        self.empty_before = self.era;
+    }
+}
+
+/// Counts the holders of a block that was pushed out of the bounded history.
+fn release(feeds: &mut [Feed], dropped: Option<(Digest, Vec<Holder>)>) {
+    for holder in dropped.into_iter().flat_map(|(_, holders)| holders) {
+        if let Some(feed) = feeds.get_mut(holder.server.0 as usize) {
+            feed.release(&holder);
+        }
     }
 }
 
@@ -281,6 +359,7 @@
             server,
             confirmed: false,
             era: 0,
+            kept: 0.0,
             sent: None,
         });
         holders.len() - 1
@@ -291,8 +370,14 @@
 fn trust(feeds: &[Feed], settings: &Settings, now: Instant, holder: &Holder) -> f32 {
     let feed = feeds.get(holder.server.0 as usize);
     let feed = feed.copied().unwrap_or_default();
-    if holder.confirmed && holder.era == feed.era {
-        return 1.0;
+    let current = holder.era == feed.era;
+    let kept = if current {
+        (feed.kept - holder.kept).exp()
+    } else {
+        VOIDED_TRUST
+    };
+    if holder.confirmed && current {
+        return kept;
     }
     let Some(sent) = holder.sent else {
         return 0.0;
@@ -303,11 +388,9 @@
     let half_life = millis(settings.history_half_life_ms).as_secs_f32();
     let age = now.since(sent).as_secs_f32() / half_life;
     let fresh = (-age).exp2();
-    // What the gap hid may be the eviction of this block, which an own send alone cannot rule out.
-    let voided = holder.era != feed.era;
-    match (voided, feed.evicting) {
-        (true, _) => fresh * 0.5,
-        (false, true) => fresh,
-        (false, false) => 1.0,
+    let evicting = feed.used >= EVICTING_FROM;
+    if evicting || !current {
+        return fresh * kept;
     }
+    kept
 }
--- a/crates/fescuewell_routing/tests/health.rs
+++ b/crates/fescuewell_routing/tests/health.rs
@@ -89,6 +89,24 @@
     assert_eq!(fleet.ejected(), [ServerKey(5)]);
 }
 
+#[test]
+fn a_burst_of_long_prompts_does_not_eject_a_healthy_server() {
+    // Symptom: healthy engines are ejected in turn, a few a minute.
+    // Events: an engine computes long prompts for most of a second, with every token of its other
+    // streams delayed fivefold, then goes on as before; again and again.
+    // Cause: its mean time per token was compared, which such a burst moves as a fault does.
+    let mut fleet = fleet(20);
+    fleet.run(2_000);
+    for _ in 0..10 {
+        fleet.gaps[3] = 100;
+        fleet.run(800);
+        fleet.gaps[3] = 20;
+        fleet.run(400);
+    }
+
+    assert_eq!(fleet.ejected(), []);
+}
+
 #[test]
 fn when_all_are_equally_slow_nobody_is_ejected() {
     let mut fleet = fleet(20);
--- a/crates/fescuewell_routing/tests/prefix.rs
+++ b/crates/fescuewell_routing/tests/prefix.rs
@@ -129,6 +129,54 @@
     assert_eq!(after.expected_hit_blocks, 0);
 }
 
+#[test]
+fn a_small_gap_leaves_most_of_what_an_engine_holds() {
+    // Symptom: one lost event of thousands makes the whole cache of an engine count for nothing,
+    // and the cache hit share drops (0.85 without lost events, 0.75 with one in a thousand lost).
+    // Events: 200 blocks are stored, then one event is lost.
+    // Cause: one event can take back one block; all were voided.
+    let mut router = router(ENGINES);
+    let reach = keys(ENGINES);
+    let prefix = prompt(1, 16);
+    let others = (0..184).map(|number| Digest(number + 1));
+    let mut sequence = 0;
+    for block in prefix.iter().copied().chain(others) {
+        sequence += 1;
+        router.cache_event(at(0), ServerKey(7), sequence, CacheEvent::Stored(block));
+    }
+    let last = CacheEvent::Stored(Digest(999));
+    assert!(router.cache_event(at(1), ServerKey(7), sequence + 2, last));
+
+    let choice = router.choose(at(2), &query(&reach, &prefix)).unwrap();
+
+    assert_eq!(choice.server, ServerKey(7));
+    assert_eq!(choice.expected_hit_blocks, 16);
+    assert!(choice.expected_tokens >= 1, "some doubt stays");
+}
+
+#[test]
+fn a_clearing_that_a_gap_hid_shows_in_the_load_report() {
+    // Symptom: requests follow prefixes into an engine whose cache is empty.
+    // Events: blocks are stored, the event that the cache was cleared is lost, a report follows.
+    // Cause: only an event could end what was believed.
+    let mut router = router(ENGINES);
+    let reach = keys(ENGINES);
+    let prefix = prompt(1, 16);
+    let home = run(&mut router, at(0), &reach, &prefix).server;
+    let mut full = report(1, 0, 0);
+    full.cache_used = 0.7;
+    router.load_report(at(10), home, full);
+    let held = router.choose(at(11), &query(&reach, &prefix)).unwrap();
+    assert_eq!((held.server, held.expected_hit_blocks), (home, 16));
+    let mut empty = report(1, 0, 0);
+    empty.cache_used = 0.01;
+    router.load_report(at(500), home, empty);
+
+    let choice = router.choose(at(501), &query(&reach, &prefix)).unwrap();
+
+    assert_eq!(choice.expected_hit_blocks, 0);
+}
+
 #[test]
 fn late_events_remove_but_never_add() {
     // Symptom: a hint for a block that was evicted long ago comes back to life.
