Let only a later heartbeat refute a suspicion; hurry until all are ready

And after a restart of all, instances had read each other as starting and went on with that for a whole slow round.

Change: a suspicion carries the heartbeat that it is about, and only a later one refutes it. Rounds stay fast, four at most, while they show members that are starting. Pages of a large fleet have 32 rows in place of 16.

--- a/crates/fescuewell_membership/examples/membership_figures.rs
+++ b/crates/fescuewell_membership/examples/membership_figures.rs
@@ -30,11 +30,8 @@
     let mut network = Network::new(count, regions, 1);
     network.store.forgets = true;
     network.accept(1);
-    let began = Wall::now();
     start(&mut network);
-    eprintln!("start took {:?}", began.elapsed());
     converge(&mut network);
-    eprintln!("converge took {:?}", began.elapsed());
     idle(&mut network, "idle", None);
     idle(&mut network, "40,000 changes a day", Some(BUSY_INTERVAL));
     crash(&mut network);
@@ -123,6 +120,16 @@
 }
 
 fn crash(network: &mut Network) {
+    let mut wishes: Vec<&slots::Assignment> = Vec::new();
+    for node in &network.nodes {
+        if !wishes.contains(&node.keeper.assignment()) {
+            wishes.push(node.keeper.assignment());
+        }
+    }
+    println!(
+        "different wishes for the slots among the instances: {}",
+        wishes.len()
+    );
     let owner = network.nodes[0]
         .keeper
         .assignment()
--- a/crates/fescuewell_membership/src/member.rs
+++ b/crates/fescuewell_membership/src/member.rs
@@ -28,10 +28,13 @@
 const MOST_WATCHED: usize = 12;
 /// News kept until gossip fetches them; the table tells whatever is dropped.
 const MOST_NEWS: usize = 64;
-/// Pages are this much larger while the first round lasts: slots wait for its end.
-const FIRST_ROUND_PAGE: u32 = 16;
-/// Pages are read this much more often while the first round lasts.
-const FIRST_ROUND_SPEEDUP: u32 = 4;
+/// Rounds that are hurried at the start, as long as they show members that are starting too: after a
+/// restart of all, slots wait until everybody is known to be ready.
+const HURRIED_ROUNDS: u32 = 4;
+/// Pages of a hurried round are this much larger.
+const HURRIED_PAGE: u32 = 8;
+/// Pages of a hurried round are read this much more often.
+const HURRIED_SPEEDUP: u32 = 4;
 
 mod judgement;
 mod reading;
@@ -100,6 +103,7 @@
     round_seen: BTreeSet<Arc<str>>,
     several_pages: bool,
     complete: bool,
+    hurry: u32,
     trouble_at: Option<Instant>,
     table_answered: Instant,
     peers_answered: BTreeMap<Arc<str>, Instant>,
@@ -131,6 +135,7 @@
             round_seen: BTreeSet::new(),
             several_pages: false,
             complete: false,
+            hurry: HURRIED_ROUNDS,
             trouble_at: None,
             table_answered: Instant::default(),
             peers_answered: BTreeMap::new(),
@@ -216,11 +221,7 @@
     pub fn hear(&mut self, now: Instant, news: News) {
         match news {
             News::Member { instance, row } => self.learn(now, &instance, row, 0, true),
-            News::Suspicion {
-                instance,
-                incarnation,
-                beat,
-            } => self.hear_suspicion(&instance, incarnation, beat),
+            News::Suspicion { instance, beat } => self.hear_suspicion(&instance, beat),
         }
         self.refresh();
     }
@@ -336,17 +337,17 @@
     }
 
     fn page_size(&self) -> u32 {
-        match self.complete {
-            true => self.settings.page,
-            false => self.settings.page * FIRST_ROUND_PAGE,
+        match self.hurry {
+            0 => self.settings.page,
+            _ => self.settings.page * HURRIED_PAGE,
         }
     }
 
     fn page_wait(&mut self) -> Duration {
-        let interval = match (self.several_pages, self.complete) {
+        let interval = match (self.several_pages, self.hurry) {
             (false, _) => self.settings.read_interval,
-            (true, true) => self.settings.page_interval,
-            (true, false) => self.settings.page_interval / FIRST_ROUND_SPEEDUP,
+            (true, 0) => self.settings.page_interval,
+            (true, _) => self.settings.page_interval / HURRIED_SPEEDUP,
         };
         self.jittered(interval)
     }
--- a/crates/fescuewell_membership/src/member/reading.rs
+++ b/crates/fescuewell_membership/src/member/reading.rs
@@ -9,7 +9,7 @@
 use super::{Asked, Members};
 use crate::news::News;
 use crate::row::{self, Row, State};
-use crate::sighting::Sighting;
+use crate::sighting::{Beat, Sighting};
 
 /// Gap between two fresh readings, in read intervals, above which silence is not counted.
 const MOST_GAP: u32 = 3;
@@ -107,6 +107,11 @@
         if !last {
             return;
         }
+        self.hurry = self.hurry.saturating_sub(1);
+        let mut states = self.sightings.values().map(|sighting| sighting.row().state);
+        if !states.any(|state| state == State::Starting) {
+            self.hurry = 0;
+        }
         for (instance, sighting) in &mut self.sightings {
             let older = sighting.changed_at() < self.round_started;
             if older && !self.round_seen.contains(instance) {
@@ -190,11 +195,10 @@
             sighting.observe(at, most_gap, self.settings.lease);
             if sighting.is_lapsed() && !was_lapsed {
                 self.dirty = true;
-                let (incarnation, beat) = (sighting.row().incarnation, sighting.row().beat);
-                log_event!(Event::PeerLost, "instance={instance} beat={beat}");
+                let beat = Beat::of(sighting.row());
+                log_event!(Event::PeerLost, "instance={instance} beat={}", beat.number);
                 self.news.push_back(News::Suspicion {
                     instance: instance.clone(),
-                    incarnation,
                     beat,
                 });
             }
@@ -232,23 +236,16 @@
         }
     }
 
-    pub(super) fn hear_suspicion(
-        &mut self,
-        instance: &Arc<str>,
-        incarnation: Incarnation,
-        beat: u64,
-    ) {
+    pub(super) fn hear_suspicion(&mut self, instance: &Arc<str>, beat: Beat) {
         let Some(sighting) = self.sightings.get_mut(instance) else {
             return;
         };
-        let known = (sighting.row().incarnation, sighting.row().beat);
-        if known > (incarnation, beat) || sighting.is_suspected() {
+        if !sighting.suspect_after(beat) {
             return;
         }
-        self.dirty |= sighting.suspect();
+        self.dirty = true;
         self.push_news(News::Suspicion {
             instance: instance.clone(),
-            incarnation,
             beat,
         });
     }
--- a/crates/fescuewell_membership/src/news.rs
+++ b/crates/fescuewell_membership/src/news.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use fescuewell_core::prelude::*;
-
 use crate::row::Row;
+use crate::sighting::Beat;
 
 fescuewell_core::data! {
     /// One change, small enough to travel with a digest.
@@ -20,10 +19,8 @@
         Suspicion {
             /// Name of the instance.
             instance: Arc<str>,
-            /// Its incarnation.
-            incarnation: Incarnation,
-            /// The last beat seen.
-            beat: u64,
+            /// The last heartbeat seen.
+            beat: Beat,
         },
     }
 }
--- a/crates/fescuewell_membership/src/settings.rs
+++ b/crates/fescuewell_membership/src/settings.rs
@@ -43,8 +43,8 @@
 const LEAST_LEASE: f64 = 5.0;
 /// Instances up to which one page holds all rows.
 const PAGE: u32 = 64;
-/// Rows in a page of a larger fleet: with rows of about 350 bytes some 5.6 kB.
-const LARGE_FLEET_PAGE: u32 = 16;
+/// Rows in a page of a larger fleet: with rows of about 250 bytes some 8 kB.
+const LARGE_FLEET_PAGE: u32 = 32;
 /// First accesses a second that the whole fleet may make when all of it starts at once.
 const FLEET_STARTS: f64 = 85.0;
 
--- a/crates/fescuewell_membership/src/sighting.rs
+++ b/crates/fescuewell_membership/src/sighting.rs
@@ -7,6 +7,26 @@
 
 use crate::row::{self, Row};
 
+fescuewell_core::key! {
+    /// One heartbeat of an instance; later ones are greater.
+    pub struct Beat {
+        /// Its incarnation.
+        pub incarnation: Incarnation,
+        /// The heartbeat's number within the incarnation.
+        pub number: u64,
+    }
+}
+
+impl Beat {
+    /// The heartbeat that wrote the row.
+    pub fn of(row: &Row) -> Self {
+        Self {
+            incarnation: row.incarnation,
+            number: row.beat,
+        }
+    }
+}
+
 /// The newest known row of a member and how long its heartbeat has stood still.
 #[derive(Debug, Clone)]
 pub struct Sighting {
@@ -17,7 +37,7 @@
     changed_at: Instant,
     last_fresh: Option<Instant>,
     unchanged: Duration,
-    suspected: bool,
+    suspected: Option<Beat>,
     lapsed: bool,
 }
 
@@ -32,7 +52,7 @@
             changed_at: now,
             last_fresh: None,
             unchanged: Duration::ZERO,
-            suspected: false,
+            suspected: None,
             lapsed: false,
         }
     }
@@ -59,7 +79,10 @@
         self.changed_at = now;
         self.last_fresh = None;
         self.unchanged = Duration::ZERO;
-        self.suspected = false;
+        // Only a heartbeat later than the suspicion refutes it. This instance may have known a much older
+        // one, and would take the last before a crash for a sign of life.
+        let beat = Beat::of(&self.row);
+        self.suspected = self.suspected.filter(|suspected| *suspected >= beat);
         self.lapsed = false;
         true
     }
@@ -92,10 +115,21 @@
         self.last_fresh = None;
     }
 
-    /// Marks the member as probably dead until a newer heartbeat is seen. Returns whether it was not
-    /// marked before.
+    /// Marks the member as probably dead until a heartbeat later than the last known is seen. Returns
+    /// whether it was not marked before.
     pub fn suspect(&mut self) -> bool {
-        !std::mem::replace(&mut self.suspected, true)
+        self.suspect_after(Beat::of(&self.row))
+    }
+
+    /// Marks the member as probably dead until a heartbeat later than `beat` is seen. Returns whether
+    /// it was not marked before.
+    pub fn suspect_after(&mut self, beat: Beat) -> bool {
+        if Beat::of(&self.row) > beat {
+            return false;
+        }
+        let before = self.suspected;
+        self.suspected = before.max(Some(beat));
+        before.is_none()
     }
 
     /// `instance.incarnation`.
@@ -130,6 +164,6 @@
 
     /// Whether somebody, perhaps this instance, has reason to think it dead.
     pub fn is_suspected(&self) -> bool {
-        self.suspected || self.lapsed
+        self.suspected.is_some() || self.lapsed
     }
 }
--- a/crates/fescuewell_membership/tests/common/network.rs
+++ b/crates/fescuewell_membership/tests/common/network.rs
@@ -346,6 +346,9 @@
                 let there = self.nodes[peer].shelf.objects.contains(&name);
                 let there = there && !self.stopped.contains(&peer);
                 let reached = (self.faults.peers)(index, peer);
+                if there && reached {
+                    self.nodes[peer].object_bytes += bytes(&name).len() as u64;
+                }
                 (
                     (there && reached).then(|| bytes(&name)),
                     self.delay(index, peer) * 2,
--- a/crates/fescuewell_membership/tests/member.rs
+++ b/crates/fescuewell_membership/tests/member.rs
@@ -7,8 +7,10 @@
 use common::*;
 use fescuewell_core::platform::{Role, State as Listed};
 use fescuewell_core::prelude::*;
+use fescuewell_membership::news::News;
 use fescuewell_membership::prelude::*;
 use fescuewell_membership::row::{self, State};
+use fescuewell_membership::sighting::Beat;
 use rand::Rng;
 
 fn seconds(count: u64) -> Duration {
@@ -170,6 +172,48 @@
     }
 }
 
+#[test]
+fn only_a_later_heartbeat_refutes_a_suspicion() {
+    // Symptom: a crashed member is named to callers again. Sequence: its watchers tell that it stands
+    // still; an instance that knew an older heartbeat reads the last one. Cause: taken for a new one.
+    let mut fleet = Fleet::new(2, &settings());
+    fleet.run(seconds(5));
+    fleet.stopped = vec![true, false];
+    fleet.run(seconds(5));
+    fleet.stopped = vec![false, true];
+    let beat = Beat {
+        incarnation: Incarnation(1),
+        number: fleet.members[1].own_row().beat,
+    };
+    let now = fleet.now;
+
+    fleet.members[0].hear(
+        now,
+        News::Suspicion {
+            instance: instance(1),
+            beat,
+        },
+    );
+    fleet.run(seconds(2));
+    assert!(
+        fleet.members[0]
+            .view()
+            .peer(&instance(1))
+            .unwrap()
+            .suspected
+    );
+    fleet.stopped[1] = false;
+    fleet.run(seconds(3));
+
+    assert!(
+        !fleet.members[0]
+            .view()
+            .peer(&instance(1))
+            .unwrap()
+            .suspected
+    );
+}
+
 #[test]
 fn a_newer_incarnation_wins() {
     // Symptom: two processes of one name write over each other's row. Sequence: the first is stopped,
