--- a/crates/fescuewell_membership/tests/member.rs
+++ b/crates/fescuewell_membership/tests/member.rs
@@ -7,12 +7,28 @@
 use common::*;
 use fescuewell_core::platform::{Role, State as Listed};
 use fescuewell_core::prelude::*;
+use fescuewell_core::table::{Outcome, Reply, Step};
 use fescuewell_membership::news::News;
 use fescuewell_membership::prelude::*;
 use fescuewell_membership::row::{self, State};
 use fescuewell_membership::sighting::Beat;
 use rand::Rng;
 
+/// Goes on until that member asks to write that row; the step is left to the caller.
+fn next_commit_to(fleet: &mut Fleet, index: usize, key: &str) -> Step {
+    loop {
+        fleet.now = fleet.now + TURN;
+        let Some(step) = fleet.members[index].next_step(fleet.now) else {
+            continue;
+        };
+        if matches!(&step, Step::Commit(transaction) if &*transaction.compares[0].key == key) {
+            return step;
+        }
+        let reply = fleet.store.carry_out(&step, Fault::None);
+        fleet.members[index].reply(fleet.now, reply);
+    }
+}
+
 fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
 }
@@ -89,7 +105,7 @@
             let Some(step) = fleet.members[index].next_step(fleet.now) else {
                 continue;
             };
-            let writes = matches!(step, fescuewell_core::table::Step::Commit(_));
+            let writes = matches!(step, Step::Commit(_));
             let fault = if writes {
                 Fault::Unreachable
             } else {
@@ -333,6 +349,17 @@
     let first = row::holder(&instance(0), Incarnation(1));
 
     fleet.members[1].settled(&first);
+    let strike = next_commit_to(&mut fleet, 1, &row::key(&instance(0)));
+    fleet.stopped[1] = true;
+    fleet.run(seconds(2));
+    let reply = fleet.store.carry_out(&strike, Fault::None);
+    assert!(
+        matches!(reply, Reply::Outcome(Outcome::Conflict { .. })),
+        "it beat meanwhile"
+    );
+    let now = fleet.now;
+    fleet.members[1].reply(now, reply);
+    fleet.stopped[1] = false;
     fleet.run(seconds(3));
 
     assert!(fleet.members[0].own_row().earlier.is_empty());
@@ -349,25 +376,14 @@
     // advances while a heartbeat is under way. Cause: the reply was taken for the new state's.
     let mut fleet = Fleet::new(1, &settings());
     fleet.run(seconds(5));
-    let mut now = fleet.now;
-    let step = loop {
-        now = now + TURN;
-        match fleet.members[0].next_step(now) {
-            Some(step @ fescuewell_core::table::Step::Commit(_)) => break step,
-            Some(step) => {
-                let reply = fleet.store.carry_out(&step, Fault::None);
-                fleet.members[0].reply(now, reply);
-            }
-            None => {}
-        }
-    };
+    let step = next_commit_to(&mut fleet, 0, &row::key(&instance(0)));
+    let now = fleet.now;
 
     fleet.members[0].set_state(now, State::Gone);
     let reply = fleet.store.carry_out(&step, Fault::None);
     fleet.members[0].reply(now, reply);
 
     assert!(!fleet.members[0].is_published(State::Gone));
-    fleet.now = now;
     fleet.run(seconds(1));
     assert!(fleet.members[0].is_published(State::Gone));
 }
