Count returning servers as out; tell of every unordered change put right

Cause: two of ten servers could be ejected while two others were still coming back, so that four of ten were missing with a share of 20 %. Damage by a late order to what this holder had not ordered itself was mended without E7003's notice. The weight store's rate could not be told to the planner. Change: the quota counts returning servers, whose relapse needs no new place; a read-back that differs from the one before without an order of ours counts as damage; set_store_rate spaces the loads. Conclusion: the share holds through returns.

--- a/crates/fescuewell_placement/src/fleet.rs
+++ b/crates/fescuewell_placement/src/fleet.rs
@@ -138,6 +138,32 @@
         });
     }
 
+    /// What would undo the changes since `before` that this planner did not order.
+    pub(crate) fn unordered(&self, before: &Seen) -> Vec<Action> {
+        let Some(seen) = &self.seen else {
+            return Vec::new();
+        };
+        let pending = self.pending.as_ref().map(|pending| &pending.action);
+        let mut undo = Vec::new();
+        for model in before.loaded.difference(&seen.loaded).cloned() {
+            let unload = Action::Unload {
+                model: model.clone(),
+            };
+            if pending != Some(&unload) {
+                undo.push(Action::Load { model });
+            }
+        }
+        for model in seen.loaded.difference(&before.loaded).cloned() {
+            let load = Action::Load {
+                model: model.clone(),
+            };
+            if pending != Some(&load) && !before.loading.contains(&model) {
+                undo.push(Action::Unload { model });
+            }
+        }
+        undo
+    }
+
     /// Notes an order that may still arrive; only unloads can do harm later.
     pub(crate) fn threaten(&mut self, threat: Threat) {
         let unload = matches!(threat.late.action, Action::Unload { .. });
--- a/crates/fescuewell_placement/src/planner.rs
+++ b/crates/fescuewell_placement/src/planner.rs
@@ -91,6 +91,7 @@
     retry_at: Instant,
     settled_at: Instant,
     last_load: Option<Instant>,
+    store_ms: u32,
     ideas: VecDeque<Arc<str>>,
     ready: VecDeque<(Instant, Order)>,
     achieved: BTreeMap<Arc<str>, Vec<Action>>,
@@ -114,6 +115,7 @@
             retry_at: Instant::default(),
             settled_at: Instant::default(),
             last_load: None,
+            store_ms: 0,
             ideas: VecDeque::new(),
             ready: VecDeque::new(),
             achieved: BTreeMap::new(),
@@ -169,6 +171,13 @@
         }
     }
 
+    /// Notes how fast the weight store delivers. The next load waits until the last one's bytes can
+    /// have passed.
+    pub fn set_store_rate(&mut self, bytes_per_second: u64, model_bytes: u64) {
+        let millis = model_bytes.saturating_mul(1_000) / bytes_per_second.max(1);
+        self.store_ms = u32::try_from(millis).unwrap_or(u32::MAX);
+    }
+
     /// Notes whether a server is leaving; a leaving one is replaced ahead of time.
     pub fn set_leaving(&mut self, server: &str, leaving: bool) {
         if let Some(server) = self.fleet.get_mut(server) {
@@ -245,9 +254,16 @@
             let after = pending.sent.is_some_and(|sent| seen.asked >= sent);
             after && shows(&seen, &pending.action)
         });
-        server.seen = Some(seen);
+        let known = server.seen.replace(seen);
+        let strange = known
+            .map(|known| server.unordered(&known))
+            .unwrap_or_default();
+        let achieved = self.achieved.entry(name.into()).or_default();
+        for action in strange {
+            achieved.retain(|known| !opposes(known, &action));
+            achieved.push(action);
+        }
         if done && let Some(pending) = server.pending.take() {
-            let achieved = self.achieved.entry(name.into()).or_default();
             achieved.retain(|known| !opposes(known, &pending.action));
             achieved.push(pending.action);
         }
@@ -329,7 +345,7 @@
     /// Whether the weight store has room for another load. The loads of an earlier holder show as
     /// `loading` and count as well.
     fn load_allowed(&self, now: Instant) -> bool {
-        let stagger = millis(self.settings.stagger_ms);
+        let stagger = millis(self.settings.stagger_ms.max(self.store_ms));
         if self.last_load.is_some_and(|last| now.since(last) < stagger) {
             return false;
         }
--- a/crates/fescuewell_placement/tests/planner.rs
+++ b/crates/fescuewell_placement/tests/planner.rs
@@ -137,6 +137,44 @@
     assert_eq!(world.log.iter().filter(told).count(), 1);
 }
 
+#[test]
+fn what_a_late_order_took_away_is_put_right_and_told() {
+    // Symptom: a late order's damage is mended in silence, and operators never learn of it.
+    // Events: a server has a model that this holder did not order; a late order unloads it.
+    // Cause: only what this holder had ordered itself was compared.
+    let document = document(&[false; 2], &[ALL; 2]);
+    let mut world = World::new(&document, &[ALL, ALL]);
+    let mut planner = planner(&document, 2);
+    run(&mut world, &mut planner, 0, 15_000);
+    world
+        .engines
+        .get_mut("engine-1")
+        .unwrap()
+        .loaded
+        .remove("b");
+
+    run(&mut world, &mut planner, 15_000, 30_000);
+
+    assert_eq!(world.serving("b"), 2);
+    let told = |line: &&String| line.contains("Repaired") && line.contains("engine-1");
+    assert_eq!(world.log.iter().filter(told).count(), 1);
+}
+
+#[test]
+fn a_slow_weight_store_spreads_the_loads_further() {
+    let document = document(&[true; 2], &[ALL; 2]);
+    let mut world = World::new(&document, &[NONE; 2]);
+    let mut planner = planner(&document, 1);
+    planner.set_store_rate(1_000_000_000, 8_000_000_000);
+
+    run(&mut world, &mut planner, 0, 60_000);
+
+    assert_eq!(world.loads.len(), 6);
+    for pair in world.loads.windows(2) {
+        assert!(pair[1].0 - pair[0].0 >= 8_000, "{:?}", world.loads);
+    }
+}
+
 /// A planner whose first order's row is about to be written, and that step.
 fn about_to_write() -> (Planner, Step) {
     let document = document(&[true; 2], &[ALL; 2]);
--- a/crates/fescuewell_routing/src/health.rs
+++ b/crates/fescuewell_routing/src/health.rs
@@ -144,8 +144,9 @@
         STATES.chart.name(self.state)
     }
 
-    pub(crate) fn ejected(&self) -> bool {
-        self.state == STATES.ejected
+    /// Whether the server gets less than its full share of the work.
+    fn out(&self) -> bool {
+        self.state == STATES.ejected || self.state == STATES.returning
     }
 
     /// Share of its full load that the server may get now.
@@ -288,7 +289,7 @@
     // When many servers look bad at once, the fault is likely to be on our side or common to all;
     // ejecting them would put the whole load on the few that are left. A suspect server that
     // finds no room in the quota goes on at a higher cost.
-    if !quota.take(entry) {
+    if state != STATES.returning && !quota.take(entry) {
         return None;
     }
     entry.health.eject(now, settings);
@@ -406,11 +407,13 @@
     fn count(entries: &[Option<Entry>], share_percent: u32) -> Self {
         let mut counts: HashMap<Option<ModelKey>, (i64, i64)> = HashMap::new();
         for entry in entries.iter().flatten() {
-            let ejected = i64::from(entry.health.ejected());
+            // A returning server carries little yet. Were it not counted, others could be ejected
+            // while it comes back, and the rest would be fewer than the share allows.
+            let missing = i64::from(entry.health.out());
             for model in models(entry) {
                 let (all, out) = counts.entry(model).or_default();
                 *all += 1;
-                *out += ejected;
+                *out += missing;
             }
         }
         let mut left = HashMap::new();
--- a/crates/fescuewell_routing/tests/health.rs
+++ b/crates/fescuewell_routing/tests/health.rs
@@ -126,8 +126,15 @@
     fleet.run(1_000);
     fleet.gaps.fill(0);
     fleet.run(9_000);
-
     assert_eq!(fleet.ejected().len(), 2);
+
+    // Nor while the first two come back and fail again.
+    for _ in 0..80 {
+        fleet.run(500);
+        let state = |server: &ServerKey| fleet.router.health(*server).unwrap();
+        let out = |server: &ServerKey| ["ejected", "returning"].contains(&state(server));
+        assert_eq!(keys(ENGINES).iter().filter(|server| out(server)).count(), 2);
+    }
     let reach = keys(ENGINES);
     assert!(
         fleet
