--- /dev/null
+++ b/tools/reference/src/lib.rs
@@ -0,0 +1,93 @@
+//! The generated reference pages of the result codes and log events.
+//!
+//! ```
+//! let page = reference::codes();
+//! assert!(page.contains("| 2001 | `BudgetExhausted` | 402 | `not_run` |"));
+//! ```
+
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+
+use fescuewell_core::code::{Code, Run};
+use fescuewell_core::event::Event;
+
+/// What stands before the table of codes.
+const CODES_HEAD: &str = include_str!("codes_head.md");
+/// What stands before the table of events.
+const EVENTS_HEAD: &str = include_str!("events_head.md");
+
+/// One generated file.
+pub struct Page {
+    /// Where it belongs.
+    pub path: PathBuf,
+    /// What it should hold.
+    pub text: String,
+}
+
+/// Every generated page.
+pub fn pages() -> Vec<Page> {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    vec![
+        Page {
+            path: docs.join("CODES.md"),
+            text: codes(),
+        },
+        Page {
+            path: docs.join("EVENTS.md"),
+            text: events(),
+        },
+    ]
+}
+
+/// The page of result codes.
+pub fn codes() -> String {
+    let mut text = CODES_HEAD.to_owned();
+    text.push_str(
+        "| code | name | HTTP status | `run` | meaning |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for code in Code::ALL {
+        push_row(
+            &mut text,
+            &[
+                &code.number().to_string(),
+                &format!("`{}`", code.name()),
+                &code.status().to_string(),
+                &format!("`{}`", run_name(code.run())),
+                code.text(),
+            ],
+        );
+    }
+    text
+}
+
+/// The page of log events.
+pub fn events() -> String {
+    let mut text = EVENTS_HEAD.to_owned();
+    text.push_str("| event | title | level | meaning |\n| --- | --- | --- | --- |\n");
+    for event in Event::ALL {
+        push_row(
+            &mut text,
+            &[
+                &format!("E{}", event.number()),
+                &format!("`{}`", event.title()),
+                &event.level().to_string().to_lowercase(),
+                event.text(),
+            ],
+        );
+    }
+    text
+}
+
+fn push_row(text: &mut String, cells: &[&str]) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "| {} |", cells.join(" | "));
+}
+
+/// The name in an error body.
+fn run_name(run: Run) -> &'static str {
+    match run {
+        Run::NotRun => "not_run",
+        Run::Unknown => "unknown",
+        Run::Ran => "ran",
+    }
+}
--- /dev/null
+++ b/tools/reference/src/main.rs
@@ -0,0 +1,11 @@
+//! `cargo run -p reference` writes the generated pages anew.
+
+use std::io;
+
+fn main() -> io::Result<()> {
+    for page in reference::pages() {
+        std::fs::write(&page.path, &page.text)?;
+        println!("{}", page.path.display());
+    }
+    Ok(())
+}
