Treat a strange log row as the loss of the slot

Cause: a trial with the commit id ignored sent the same commit again without end and without a pause. Change: a log row under the next number with another commit id means that the slot was lost; a conflict that its rows do not explain is repeated after the usual wait. Conclusion: no unpaused repetition is left in the commit.

--- a/crates/fescuewell_claims/src/arbiter/commit.rs
+++ b/crates/fescuewell_claims/src/arbiter/commit.rs
@@ -60,11 +60,14 @@
     fn verdict(&self, rows: &[Row]) -> Verdict {
         let find = |key: &str| rows.iter().find(|row| &*row.key == key);
         let log = self.log_key().and_then(|key| find(&key));
-        if let Some(row) = log
-            && postcard::from_bytes::<Batch>(&row.value)
-                .is_ok_and(|batch| batch.commit == self.commit)
-        {
-            return Verdict::Committed(row.revision);
+        if let Some(row) = log {
+            // Anybody else's row under this number means that the log went on without this instance.
+            let batch = postcard::from_bytes::<Batch>(&row.value);
+            let is_own = batch.is_ok_and(|batch| batch.commit == self.commit);
+            return match is_own {
+                true => Verdict::Committed(row.revision),
+                false => Verdict::Lost,
+            };
         }
         let Some(row) = find(&slot_key(self.slot)) else {
             return Verdict::Lost;
@@ -217,7 +220,13 @@
                 }
                 self.notes.push(Note::Committed { records, slots });
             }
-            Outcome::Conflict { rows } => self.resolve(now, &rows),
+            Outcome::Conflict { rows } => {
+                self.resolve(now, &rows);
+                // A conflict that its rows do not explain would otherwise be repeated without a pause.
+                if self.flight.is_some() {
+                    self.retry_at = now + self.settings.retry;
+                }
+            }
         }
     }
 
