Measure taking a slot over

Cause: nothing said how long a hand-over or a checkpoint takes as a slot grows. Change: the measuring example takes over one slot of a given size; rates are measured at 250 ms too.

--- a/crates/fescuewell_claims/examples/measure.rs
+++ b/crates/fescuewell_claims/examples/measure.rs
@@ -61,14 +61,20 @@
     }
 
     fn read(&self, step: &Step) -> Vec<Row> {
-        let rows = self.rows.values();
-        match step {
-            Step::Scan(range) => rows
-                .filter(|row| row.key.starts_with(&*range.prefix))
-                .cloned()
-                .collect(),
-            _ => Vec::new(),
-        }
+        let Step::Scan(range) = step else {
+            return Vec::new();
+        };
+        let is_wanted = |row: &&Row| {
+            let is_after = range.after.as_ref().is_none_or(|after| row.key > *after);
+            is_after && row.key.starts_with(&*range.prefix)
+        };
+        let limit = if range.limit == 0 {
+            u32::MAX
+        } else {
+            range.limit
+        };
+        let rows = self.rows.values().filter(is_wanted);
+        rows.take(limit as usize).cloned().collect()
     }
 }
 
@@ -260,6 +266,70 @@
     std::hint::black_box(arbiter.entries());
 }
 
+/// Takes over one slot that knows `count` requests.
+fn measure_takeover(count: u64) {
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let settings = Settings {
+        entry_limit: 10_000_000,
+        pending_limit: 10_000_000,
+        checkpoint_every: 8,
+        ..Settings::default()
+    };
+    let mut first = arbiter(settings.clone(), &mut table, &mut now);
+    for index in 0..count {
+        let claim = claim(index, true);
+        let bill = bill(&claim);
+        first.request(now, 0, SlotKey(0), &Request::Claim(claim));
+        first.request(now, 0, SlotKey(0), &bill);
+    }
+    let began = std::time::Instant::now();
+    let mut longest = Duration::ZERO;
+    for index in 0..4_000 {
+        now = now + Duration::from_millis(50);
+        let claim = claim(count + index, true);
+        first.request(now, 0, SlotKey(0), &Request::Claim(claim));
+        let step_began = std::time::Instant::now();
+        let step = first.next_step(now);
+        longest = longest.max(step_began.elapsed());
+        if let Some(step) = step {
+            let reply = table.carry_out(&step);
+            first.reply(now, reply);
+        }
+    }
+    let written = began.elapsed();
+    let mut second = Arbiter::new(settings, "entry-2.18c5a2f3b8", 7);
+    second.want(now, &[SlotKey(0)]);
+    let lapsed = [Arc::from("entry-1.18c5a2f3b7")];
+    second.set_lapsed(now, lapsed.into_iter().collect());
+    let began = std::time::Instant::now();
+    let mut steps = 0;
+    while !second.holds(SlotKey(0)) {
+        now = now + Duration::from_millis(1);
+        let Some(step) = second.next_step(now) else {
+            continue;
+        };
+        steps += 1;
+        let reply = table.carry_out(&step);
+        second.reply(now, reply);
+    }
+    let size = |prefix: &str| -> usize {
+        let rows = table
+            .rows
+            .values()
+            .filter(|row| row.key.starts_with(prefix));
+        rows.map(|row| row.value.len()).sum::<usize>() / 1_000
+    };
+    println!(
+        "{count:>8} requests in one slot: checkpoint {} KB, log {} KB, read and replayed in {} ms and {steps} table \
+         steps; longest step while writing {} ms of {} ms",
+        size("slotbase/"),
+        size("slotlog/"),
+        began.elapsed().as_millis(),
+        longest.as_millis(),
+        written.as_millis(),
+    );
+}
+
 fn measure_courier(count: u64) {
     let now = Instant::from_millis(0);
     let mut courier = Courier::new(courier::Settings::default(), "entry-1.18c5a2f3b7", 7);
@@ -294,10 +364,11 @@
     // Memory is measured in a process of its own: what an earlier part freed would be used again unseen.
     match (arguments.next().as_deref(), arguments.next()) {
         (Some("memory"), Some(count)) => measure_memory(count.parse().expect("a number")),
+        (Some("takeover"), Some(count)) => measure_takeover(count.parse().expect("a number")),
         (Some("courier"), Some(count)) => measure_courier(count.parse().expect("a number")),
         _ => {
             for rate in [50, 500, 5_000, 27_000] {
-                for interval in [20, 50] {
+                for interval in [20, 50, 250] {
                     measure_rate(rate, Duration::from_millis(interval));
                 }
             }
