Hold money before the claim, and let a fleet that leaves at once bill what is open

Two faults of the composed node, found by random schedules over three nodes: - Claims were made before money was held. Money is now held first. A request without money is still claimed, with a hold of 0, so that a caller who asks for an answer that exists gets it rather than a refusal that says it did not run. - When all instances drained at once nobody was a candidate for slots any more; bills of open streams could not be recorded and every instance hung until the limit of its drain. Draining members now count as candidates while nobody is ready, and an instance holds slots until it has given everything back.

--- a/crates/fescuewell_membership/src/slots.rs
+++ b/crates/fescuewell_membership/src/slots.rs
@@ -109,6 +109,22 @@
     result
 }
 
+/// The state whose members hold the slots: ready ones, or draining ones once nobody is ready.
+///
+/// When a whole fleet is stopped at once, the streams that are still open have to be billed by somebody.
+/// With no candidate left nobody holds the slots, all instances wait with their bills until
+/// the limit of their drain, and the bills are lost with them.
+fn last_state(live: &[Peer]) -> State {
+    match live.iter().any(|peer| peer.state == State::Ready) {
+        true => State::Ready,
+        false => State::Draining,
+    }
+}
+
+fn may_hold(state: State, last: State) -> bool {
+    state == State::Ready || state == last
+}
+
 fn score(salt: &str, slot: u16, name: &str) -> u128 {
     Digest::of(format!("{salt}/{slot}/{name}").as_bytes()).0
 }
@@ -201,8 +217,9 @@
     }
 
     fn note_present(&mut self, now: Instant, live: &[Peer]) {
+        let last = last_state(live);
         for peer in live {
-            if peer.state != State::Ready {
+            if !may_hold(peer.state, last) {
                 continue;
             }
             let known = self.standings.entry(peer.instance.clone());
@@ -227,13 +244,14 @@
     /// name, and is about to be ready again, keeps them for a settling time: its new incarnation
     /// takes them over from the old one, which moves them once in place of twice.
     fn note_absent(&mut self, now: Instant, live: &[Peer]) {
+        let last = last_state(live);
         let states: BTreeMap<&str, State> = live
             .iter()
             .map(|peer| (&*peer.instance, peer.state))
             .collect();
         for (instance, standing) in &mut self.standings {
             let state = states.get(&**instance);
-            if state == Some(&State::Ready) {
+            if state.is_some_and(|state| may_hold(*state, last)) {
                 standing.left_at = None;
                 continue;
             }
--- a/crates/fescuewell_node/src/admit.rs
+++ b/crates/fescuewell_node/src/admit.rs
@@ -1,4 +1,8 @@
-//! From arrival to the queue: checks, claim, hold.
+//! From arrival to the queue: checks, hold, claim.
+//!
+//! Money is held before the claim. The sweep bills a dead router's open claims at their hold, and with a
+//! claim made first there would be no allowance behind such a bill: the bills of a group would come to
+//! more than what was granted to its routers, at worst to more than was prepaid.
 
 use fescuewell_budget::hold::Shortage;
 use fescuewell_claims::courier::Ask;
@@ -23,7 +27,7 @@
             Ok(record) => {
                 self.book.insert(record);
                 self.retries.first_try(self.now);
-                self.claim(ticket, None);
+                self.hold(ticket);
             }
         }
     }
@@ -54,6 +58,8 @@
             state: self.book.initial(),
             grant: None,
             hold: None,
+            shortage: None,
+            lost: None,
             other_run: None,
             entry: None,
             sent_at: self.now,
@@ -87,13 +93,16 @@
         Ok(())
     }
 
-    /// Asks the slot of the request whether it may run. `lost` names a run of which its backend
-    /// server has no record.
-    pub(crate) fn claim(&mut self, ticket: Ticket, lost: Option<Owner>) {
+    /// Asks the slot of the request whether it may run.
+    pub(crate) fn claim(&mut self, ticket: Ticket) {
         let Some(record) = self.book.get(ticket) else {
             return;
         };
-        let ask = ask_for(record, lost);
+        let mut ask = ask_for(record);
+        if record.shortage.is_some() {
+            // Nothing is held and nothing will be sent, so there is nothing to bill either.
+            ask.hold = Tokens::ZERO;
+        }
         let attempt = self.courier.claim(self.now, ticket.0, &ask);
         if let Some(record) = self.book.get_mut(ticket) {
             record.grant = Some(Grant {
@@ -110,7 +119,16 @@
         {
             grant.is_deferred = false;
         }
-        self.fund(ticket);
+        self.may_run(ticket);
+    }
+
+    /// Queues a request that is not known elsewhere, if there is money for it.
+    fn may_run(&mut self, ticket: Ticket) {
+        let shortage = self.book.get(ticket).and_then(|record| record.shortage);
+        match shortage {
+            Some(shortage) => self.refuse(ticket, refusal_of(shortage)),
+            None => self.enqueue(ticket),
+        }
     }
 
     /// Nobody could record the claim.
@@ -121,8 +139,8 @@
         let Some(record) = self.book.get(ticket) else {
             return;
         };
-        if record.arrival.work.repeatable() {
-            self.fund(ticket);
+        if record.arrival.work.repeatable() || record.shortage.is_some() {
+            self.may_run(ticket);
             return;
         }
         let refusal =
@@ -136,7 +154,7 @@
         self.forget_grant(ticket);
         let wait = std::time::Duration::from_secs(RETRY_IN_PROGRESS);
         match known {
-            Known::Absent => self.claim(ticket, None),
+            Known::Absent => self.claim(ticket),
             Known::Conflict => self.refuse(ticket, Refusal::new(Code::Conflict)),
             Known::InProgress { owner, .. } if self.is_over(&owner) => {
                 self.reclaims.insert(ticket);
@@ -193,7 +211,7 @@
                 self.refuse(ticket, Refusal::new(Code::InProgress));
                 continue;
             }
-            self.claim(ticket, None);
+            self.claim(ticket);
         }
     }
 
@@ -213,6 +231,11 @@
         }
         if let Some(record) = self.book.get_mut(ticket) {
             record.other_run = owner;
+            let hold = record.hold.take();
+            // A reader costs nothing; money held for it would be missing elsewhere meanwhile.
+            if let Some(hold) = hold {
+                self.ledger.release(self.now, hold);
+            }
         }
         self.log(
             Event::StreamResumed,
@@ -241,8 +264,9 @@
             self.refuse(ticket, Refusal::new(Code::AlreadyRan));
             return;
         }
+        record.lost = other_run;
         if self.book.step(ticket, "lost") {
-            self.claim(ticket, other_run);
+            self.hold(ticket);
         }
     }
 
@@ -252,53 +276,46 @@
         }
     }
 
-    /// Holds the worst case of the request's cost, then queues it.
-    pub(crate) fn fund(&mut self, ticket: Ticket) {
-        if !self.book.step(ticket, "granted") {
-            return;
-        }
-        self.hold(ticket);
-    }
-
-    /// Tries to hold; called again whenever the group's allowance changed.
+    /// Tries to hold the worst case of the request's cost, then claims it; called again whenever the
+    /// group's allowance changed.
     pub(crate) fn hold(&mut self, ticket: Ticket) {
         let Some(record) = self.book.get(ticket) else {
             return;
         };
-        if record.hold.is_some() {
-            self.enqueue(ticket);
-            return;
-        }
         let amount = record.arrival.work.bound();
         match self.ledger.hold(self.now, record.group, amount) {
             Ok(hold) => {
                 if let Some(record) = self.book.get_mut(ticket) {
                     record.hold = Some(hold);
+                    record.shortage = None;
                 }
-                self.enqueue(ticket);
+                self.held(ticket);
             }
             Err(Shortage::Pending) => {}
-            Err(shortage) => self.refuse_for_money(ticket, shortage),
+            Err(shortage) => self.out_of_money(ticket, shortage),
         }
     }
 
-    /// Refuses a request whose group has no money for it, with what is known of the reason.
-    pub(crate) fn refuse_for_money(&mut self, ticket: Ticket, shortage: Shortage) {
-        let refusal = match shortage {
-            Shortage::Pending => return,
-            Shortage::Exhausted => Refusal::new(Code::BudgetExhausted),
-            Shortage::InUse { retry_after } => {
-                Refusal::new(Code::BudgetInUse).with_retry_after(retry_after)
-            }
-            Shortage::Unknown { retry_after } => {
-                Refusal::new(Code::BudgetUnknown).with_retry_after(retry_after)
-            }
-        };
-        self.refuse(ticket, refusal);
+    /// There is no money for a request. It may still have run before, and a caller that asks for its answer
+    /// must not be told that it did not.
+    pub(crate) fn out_of_money(&mut self, ticket: Ticket, shortage: Shortage) {
+        if shortage == Shortage::Pending {
+            return;
+        }
+        if let Some(record) = self.book.get_mut(ticket) {
+            record.shortage = Some(shortage);
+        }
+        self.held(ticket);
+    }
+
+    fn held(&mut self, ticket: Ticket) {
+        if self.book.step(ticket, "held") {
+            self.claim(ticket);
+        }
     }
 
     fn enqueue(&mut self, ticket: Ticket) {
-        if !self.book.step(ticket, "held") {
+        if !self.book.step(ticket, "granted") {
             return;
         }
         let Some(record) = self.book.get(ticket) else {
@@ -319,14 +336,28 @@
     }
 }
 
+/// What is known of the reason why there is no money.
+fn refusal_of(shortage: Shortage) -> Refusal {
+    match shortage {
+        Shortage::Exhausted => Refusal::new(Code::BudgetExhausted),
+        Shortage::InUse { retry_after } => {
+            Refusal::new(Code::BudgetInUse).with_retry_after(retry_after)
+        }
+        Shortage::Pending => Refusal::new(Code::BudgetUnknown),
+        Shortage::Unknown { retry_after } => {
+            Refusal::new(Code::BudgetUnknown).with_retry_after(retry_after)
+        }
+    }
+}
+
 /// What the slot is asked for a request.
-pub(crate) fn ask_for(record: &Record, lost: Option<Owner>) -> Ask {
+pub(crate) fn ask_for(record: &Record) -> Ask {
     Ask {
         request: record.arrival.key.digest(),
         fingerprint: record.arrival.fingerprint,
         group: record.arrival.group.clone(),
         hold: record.arrival.work.bound(),
         repeatable: record.arrival.work.repeatable(),
-        lost,
+        lost: record.lost.clone(),
     }
 }
--- a/crates/fescuewell_node/src/pump.rs
+++ b/crates/fescuewell_node/src/pump.rs
@@ -196,7 +196,7 @@
                 News::Funded(group) => self.hold_again(group),
                 News::Refused(group, shortage) => {
                     for ticket in self.waiting_for_money(group) {
-                        self.refuse_for_money(ticket, shortage);
+                        self.out_of_money(ticket, shortage);
                     }
                 }
                 News::Drawn { group, amount } => {
@@ -422,7 +422,9 @@
         self.arbiter
             .set_lapsed(now, view.lapsed.union(&view.terminated).cloned().collect());
         self.arbiter.set_terminated(now, view.terminated.clone());
-        if self.keeper.update(now, view) && self.drain.takes_requests() {
+        // A draining instance goes on holding what falls to it, until it has given everything back: when
+        // all instances drain at once there is nobody else to record their last bills.
+        if self.keeper.update(now, view) && !self.has_released_slots {
             self.arbiter.want(now, &self.keeper.mine());
         }
         self.members.set_watch(self.keeper.watch().clone());
@@ -475,7 +477,10 @@
                 DrainAction::FlushBills => {}
                 DrainAction::HandBillsToPeer => self.hand_bills_over(),
                 DrainAction::ReturnAllowances => self.ledger.close(self.now),
-                DrainAction::ReleaseSlots => self.arbiter.want(self.now, &[]),
+                DrainAction::ReleaseSlots => {
+                    self.has_released_slots = true;
+                    self.arbiter.want(self.now, &[]);
+                }
                 DrainAction::Farewell => self.members.set_state(self.now, State::Gone),
                 DrainAction::Exit { .. } => self.actions.push(Action::Exit),
             }
--- a/crates/fescuewell_node/src/record.rs
+++ b/crates/fescuewell_node/src/record.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use fescuewell_budget::hold::HoldKey;
+use fescuewell_budget::hold::{HoldKey, Shortage};
 use fescuewell_claims::message::Owner;
 use fescuewell_core::chart::{Chart, State};
 use fescuewell_core::prelude::*;
@@ -39,6 +39,10 @@
     pub grant: Option<Grant>,
     /// The money held for it.
     pub hold: Option<HoldKey>,
+    /// Why there is no money for it; it is claimed all the same, to learn whether it is known already.
+    pub shortage: Option<Shortage>,
+    /// The run of another router of which its backend server has no record.
+    pub lost: Option<Owner>,
     /// The run of another router whose answer this request reads.
     pub other_run: Option<Owner>,
     /// The queue's entry, kept for its later corrections.
--- a/crates/fescuewell_node/src/settle.rs
+++ b/crates/fescuewell_node/src/settle.rs
@@ -158,7 +158,7 @@
             answer: charge.answer,
         };
         self.courier
-            .bill(now, ticket.0, &ask_for(record, None), grant.attempt, cost);
+            .bill(now, ticket.0, &ask_for(record), grant.attempt, cost);
     }
 
     /// A bill is durable: the hold becomes spent, or free again when another run was charged.
@@ -230,7 +230,7 @@
                 Event::RouteRetried,
                 format!("ticket={} reason=lost", ticket.0),
             );
-            self.claim(ticket, None);
+            self.claim(ticket);
         }
     }
 
--- a/crates/fescuewell_node/tests/faults.rs
+++ b/crates/fescuewell_node/tests/faults.rs
@@ -284,3 +284,62 @@
         1
     );
 }
+
+#[test]
+fn a_whole_fleet_that_leaves_at_once_bills_what_was_open() {
+    // Symptom: after a restart of everything the instances hang until their limit and their bills are in
+    // doubt. None of them is a candidate for slots any more, so nobody can record the bills.
+    let mut world = warm_world(31);
+    for number in 0..9 {
+        world
+            .backend
+            .reactions
+            .push_back(Reaction::Take(2_000 + 300 * number));
+        world.ask(number as usize % 3, &format!("job-{number}"));
+    }
+    world.run_for(100);
+
+    let left = leave(&mut world);
+
+    assert!(left, "{:#?}", world.summaries());
+    for number in 0..9 {
+        assert_eq!(
+            world.bills(&format!("job-{number}")).len(),
+            1,
+            "job-{number}"
+        );
+    }
+    assert!(world.budget().grants.is_empty());
+    assert_eq!(world.budget().spent, world.charged());
+}
+
+#[test]
+fn a_claim_of_a_node_that_dies_before_it_has_money_costs_nothing() {
+    // Symptom: the bills of a group come to more than its routers were granted. A router claims, dies before it
+    // has drawn an allowance, and the sweep bills its open claim at the hold.
+    for wait in 0..20 {
+        let mut world = world(50);
+        world.ask(0, "job-1");
+        world.call(0, "file-1", false);
+        world.run_for(wait);
+        world.kill(0);
+
+        // Past the lease, the lag of the list and the sweep.
+        world.run_for(20_000);
+        let swept = world.run_until(90_000, |world| {
+            let summaries = world.summaries();
+            let mut gone = summaries
+                .iter()
+                .map(|summary| summary.terminated.is_empty());
+            gone.all(|is_gone| is_gone) && !world.budget().grants.contains_key("entry-0.1")
+        });
+
+        assert!(swept, "{wait} {:#?}", world.summaries());
+        assert!(leave(&mut world));
+        assert_eq!(
+            world.budget().spent,
+            world.charged(),
+            "killed after {wait} ms"
+        );
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_node/tests/random.rs
@@ -0,0 +1,260 @@
+//! Random schedules of requests and faults, with the same verdict on every run.
+
+mod common;
+
+use common::backend::Reaction;
+use common::document::document;
+use common::world::World;
+use fescuewell_core::prelude::*;
+use fescuewell_node::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Steps of one schedule.
+const STEPS: usize = 90;
+/// Most instances that a schedule kills.
+const MOST_DEATHS: usize = 2;
+
+/// One schedule in progress.
+struct Schedule {
+    world: World,
+    random: SmallRng,
+    prepaid: Tokens,
+    /// Id, whether it may be repeated, and ticket of every request.
+    requests: Vec<(String, bool, Ticket)>,
+    deaths: usize,
+    table_back: Instant,
+    peers_back: Instant,
+}
+
+impl Schedule {
+    fn new(seed: u64, prepaid: u64) -> Self {
+        Self {
+            world: World::new(3, &document(prepaid, 4), seed),
+            random: SmallRng::seed_from_u64(seed ^ 0x5eed),
+            prepaid: Tokens(prepaid),
+            requests: Vec::new(),
+            deaths: 0,
+            table_back: Instant::default(),
+            peers_back: Instant::default(),
+        }
+    }
+
+    fn node(&mut self) -> usize {
+        let alive = self.world.alive();
+        alive[self.random.random_range(0..alive.len())]
+    }
+
+    fn millis(&mut self, most: u64) -> std::time::Duration {
+        std::time::Duration::from_millis(self.random.random_range(100..most))
+    }
+
+    fn step(&mut self) {
+        match self.random.random_range(0..100) {
+            0..45 => self.ask(true),
+            45..60 => self.ask(false),
+            60..70 => self.repeat(),
+            70..75 => self.withdraw(),
+            75..85 => self.trouble_backend(),
+            85..89 => {
+                self.table_back = self.world.now + self.millis(4_000);
+                self.world.table.fault().set_down(true);
+            }
+            89..92 => self.world.table.fault().lose_next_replies(2),
+            92..95 => {
+                let node = self.node();
+                let pause = self.random.random_range(100..8_000);
+                self.world.pause(node, pause);
+            }
+            95..97 => {
+                self.peers_back = self.world.now + self.millis(2_000);
+                self.world.is_parted = true;
+            }
+            _ => self.die(),
+        }
+        let pause = self.random.random_range(0..300);
+        self.world.run_for(pause);
+        self.heal();
+        self.check_money();
+    }
+
+    fn ask(&mut self, repeatable: bool) {
+        let node = self.node();
+        let id = format!("job-{}", self.requests.len());
+        let ticket = self.send(node, &id, repeatable);
+        self.requests.push((id, repeatable, ticket));
+    }
+
+    fn send(&mut self, node: usize, id: &str, repeatable: bool) -> Ticket {
+        match repeatable {
+            true => self.world.ask(node, id),
+            false => self.world.call(node, id, false),
+        }
+    }
+
+    fn repeat(&mut self) {
+        if self.requests.is_empty() {
+            return;
+        }
+        let recent = self.requests.len().saturating_sub(8);
+        let index = self.random.random_range(recent..self.requests.len());
+        let (id, repeatable, _) = self.requests[index].clone();
+        let node = self.node();
+        let ticket = self.send(node, &id, repeatable);
+        self.requests.push((id, repeatable, ticket));
+    }
+
+    // The listener withdraws a request only while no verdict is there.
+    fn withdraw(&mut self) {
+        let Some((_, _, ticket)) = self.requests.last().cloned() else {
+            return;
+        };
+        let asked = &self.world.asked[&ticket];
+        if asked.runs.is_empty() && asked.refused.is_none() && !asked.is_reader {
+            self.world.withdraw(ticket);
+        }
+    }
+
+    fn trouble_backend(&mut self) {
+        let troubles = [
+            Reaction::Refuse,
+            Reaction::Busy,
+            Reaction::Lose,
+            Reaction::BreakLate,
+            Reaction::Take(4_000),
+        ];
+        let index = self.random.random_range(0..troubles.len());
+        self.world.backend.reactions.push_back(troubles[index]);
+    }
+
+    fn die(&mut self) {
+        if self.deaths == MOST_DEATHS {
+            return;
+        }
+        self.deaths += 1;
+        let node = self.node();
+        self.world.kill(node);
+        self.world.start();
+    }
+
+    fn heal(&mut self) {
+        if self.world.now >= self.table_back {
+            self.world.table.fault().set_down(false);
+        }
+        if self.world.now >= self.peers_back {
+            self.world.is_parted = false;
+        }
+    }
+
+    fn check_money(&self) {
+        assert!(self.world.budget().is_sound(), "{:?}", self.world.budget());
+        assert!(self.world.charged() <= self.prepaid);
+        assert_eq!(self.world.twice_billed(), []);
+    }
+
+    fn finish(mut self, seed: u64) -> usize {
+        self.table_back = Instant::default();
+        self.peers_back = Instant::default();
+        self.heal();
+        self.world.table.fault().lose_next_replies(0);
+        self.world.backend.reactions.clear();
+        let settled = self.world.run_until(240_000, |world| {
+            let names: Vec<String> = world
+                .alive()
+                .iter()
+                .map(|node| format!("entry-{node}.1"))
+                .collect();
+            let budget = world.budget();
+            let mut holders = budget.grants.keys();
+            world.open() == (Tokens::ZERO, 0)
+                && holders.all(|holder| names.contains(&holder.to_string()))
+        });
+        assert!(
+            settled,
+            "seed {seed} {:#?} {:?}",
+            self.world.summaries(),
+            self.world.budget()
+        );
+        self.check_money();
+        self.check_requests(seed);
+        for node in self.world.alive() {
+            self.world.terminate(node);
+        }
+        let left = self
+            .world
+            .run_until(60_000, |world| world.alive().is_empty());
+        assert!(left, "seed {seed} {:#?}", self.world.summaries());
+        let budget = self.world.budget();
+        assert!(budget.grants.is_empty(), "seed {seed} {budget:?}");
+        assert_eq!(budget.spent, self.world.charged(), "seed {seed}");
+        let requests = self.world.asked.values();
+        requests.filter(|asked| asked.answered.is_some()).count()
+    }
+
+    fn check_requests(&self, seed: u64) {
+        for (id, repeatable, ticket) in &self.requests {
+            let asked = &self.world.asked[ticket];
+            let sends = self.world.backend.sends(asked.key.digest());
+            assert!(
+                *repeatable || sends <= 1,
+                "seed {seed} {id} sent {sends} times"
+            );
+            if asked.answered.is_some() {
+                assert_eq!(self.world.bills(id).len(), 1, "seed {seed} {id}");
+            }
+            let refusal = asked.refused.as_ref().map(|(_, refusal)| refusal);
+            let said_not_run = refusal.is_some_and(|refusal| refusal.run == Run::NotRun);
+            assert!(
+                !said_not_run || asked.runs.iter().all(|(_, run)| !self.ran(&run.stream)),
+                "seed {seed} {id}: {refusal:?}"
+            );
+        }
+    }
+
+    fn ran(&self, stream: &StreamId) -> bool {
+        self.world.backend.streams.contains_key(stream)
+    }
+}
+
+/// Runs one schedule; how many requests were answered.
+fn run(seed: u64, prepaid: u64, loss: u32) -> usize {
+    let mut schedule = Schedule::new(seed, prepaid);
+    schedule.world.loss = loss;
+    for _ in 0..STEPS {
+        schedule.step();
+    }
+    schedule.finish(seed)
+}
+
+#[test]
+fn with_plenty_of_money_every_schedule_ends_settled_and_billed_once() {
+    for seed in 100..108 {
+        let answered = run(seed, 100_000, 0);
+        assert!(
+            answered >= 20,
+            "seed {seed}: the schedule answered only {answered}"
+        );
+    }
+}
+
+#[test]
+fn with_little_money_no_schedule_overspends() {
+    for seed in 200..208 {
+        let answered = run(seed, 2_000, 0);
+        assert!(
+            answered >= 10,
+            "seed {seed}: the schedule answered only {answered}"
+        );
+    }
+}
+
+#[test]
+fn with_a_lossy_network_every_schedule_ends_settled_and_billed_once() {
+    for seed in 300..308 {
+        let answered = run(seed, 100_000, 50);
+        assert!(
+            answered >= 20,
+            "seed {seed}: the schedule answered only {answered}"
+        );
+    }
+}
