--- a/crates/fescuewell_claims/src/lib.rs
+++ b/crates/fescuewell_claims/src/lib.rs
@@ -14,6 +14,11 @@
 //! - A router's *oldest* unfinished attempt travels with its messages. Every attempt below it has had
 //!   its final answer, so a slot may forget it, and must not bill it again if an old message or a
 //!   backend server's old record turns up later.
+//!
+//! What a crash loses: grants of repeatable calls that were not committed yet (a repeat that comes at that
+//! moment runs a second time; only one of the two is billed), and bills in a router's memory for which neither a
+//! durable claim nor a backend server's record is left. What it cannot lose: a grant of a call that may not be
+//! repeated, and any bill that was answered.
 
 pub mod arbiter;
 pub mod courier;
