--- a/src/command.rs
+++ b/src/command.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 mod bench;
+mod capacity;
 mod check;
 mod config;
 mod console;
--- a/src/command/bench.rs
+++ b/src/command/bench.rs
@@ -5,7 +5,7 @@
 use fescuewell::bench::load::{self, plan::Plan, report::Report};
 use pico_args::Arguments;
 
-use super::log;
+use super::{capacity, log};
 use crate::cli::{Error, finish, usage};
 
 /// Help text.
@@ -14,7 +14,9 @@
 
 usage: fescuewell bench load [--file FILE] [--seconds N] [--routers N] [--engines N]
                              [--json OUT] [--compare EARLIER] [--log LEVEL]
+       fescuewell bench capacity [--json] [--seed N] [--axis NAME] [--divide N]
 
+load
 Starts the demo's fleet in this process, sends a seeded load, drains, audits the bills and prints
 what was measured. Fleet, stand-ins and callers share the machine, so times are upper bounds.
 
@@ -26,6 +28,18 @@
   --json OUT         write the report to this file
   --compare EARLIER  print what differs from an earlier report
   --log LEVEL        error, warn, info or debug (default error)
+
+capacity
+Drives the decisions of one instance in memory and virtual time, on one thread, fits a line through four
+points on each axis and prints it with its standard error and the size that docs/CAPACITY.md asks for.
+Uses under 2 GB of memory and about a minute.
+
+options
+  --json             the report as JSON
+  --seed N           feeds all random choices (default 1)
+  --axis NAME        only axes whose name contains this: nodes, changes, streams, requests, claims,
+                     workers, accounts, budgets
+  --divide N         divides all sizes, for a quick try
 ";
 
 /// The load without `--file`.
@@ -38,10 +52,14 @@
 /// When the load cannot be read, the fleet not started, or a promise was broken: overspend, an answer
 /// without its bill, or a call that ran twice.
 pub fn run(mut arguments: Arguments) -> Result<(), Error> {
-    let what = arguments.subcommand()?;
-    if what.as_deref() != Some("load") {
-        return Err(usage("bench measures: load"));
+    match arguments.subcommand()?.as_deref() {
+        Some("load") => run_load(arguments),
+        Some("capacity") => capacity::run(arguments),
+        _ => Err(usage("bench measures: load, capacity")),
     }
+}
+
+fn run_load(mut arguments: Arguments) -> Result<(), Error> {
     let plan = read_plan(&mut arguments)?;
     let json: Option<PathBuf> = arguments.opt_value_from_str("--json")?;
     let compare: Option<PathBuf> = arguments.opt_value_from_str("--compare")?;
