Limit what a node runs on each backend server by class, and queue by expected cost

The composed node had no limit of its own: routing capped bulk work by all streams on a server, less a reserve, so bulk that its floor owed a start found no place while urgent work filled the engines, and several nodes together sent more than the engines take.

- limits.rs: the queue's adaptive limit for each server.
It starts from concurrency / live instances, may grow to the whole server, learns from time per token (from the first token on) and "busy"; urgent requests without a place raise the reserve.
Routing is told of each server's room by class.
- Routing keeps its reserve only beyond the instance's own share once it is told of rooms.
- usual.rs: running means of cost and time for each group and kind feed the queue's entries; the latest start is the deadline less the usual time, at most half of the time left.
Money is held at the worst case as before.
- A verdict that nobody took gives its place on the server back.

--- a/crates/fescuewell_node/src/admit.rs
+++ b/crates/fescuewell_node/src/admit.rs
@@ -9,11 +9,14 @@
 use fescuewell_claims::message::{Known, Owner};
 use fescuewell_core::prelude::*;
 use fescuewell_queue::admission::Entry;
+use fescuewell_queue::deadline::latest_start;
+use fescuewell_queue::limit::Class;
 
 use crate::event::Action;
 use crate::node::Node;
 use crate::record::{Grant, Record};
 use crate::request::{Arrival, Ticket, Verdict, Work};
+use crate::usual::Whose;
 
 /// When to ask again for a request that is under way somewhere, in seconds.
 const RETRY_IN_PROGRESS: u64 = 1;
@@ -63,6 +66,8 @@
             other_run: None,
             entry: None,
             sent_at: self.now,
+            output: None,
+            class: Class::Bulk,
             server: None,
             sent: 0,
             excluded: Vec::new(),
@@ -321,13 +326,18 @@
         let Some(record) = self.book.get(ticket) else {
             return;
         };
+        let whose = Whose {
+            group: record.group,
+            kind: record.kind,
+        };
+        let left = record.deadline.since(self.now);
         let entry = Entry {
             ticket: ticket.0,
             group: record.group,
             kind: record.kind,
             pool: record.pool,
-            cost: record.arrival.work.bound(),
-            deadline: record.deadline,
+            cost: self.usual.cost(whose, record.arrival.work.bound()),
+            deadline: latest_start(record.deadline, self.usual.time(whose, left)),
         };
         match self.admission.push(self.now, entry) {
             Ok(_) => self.needs_dispatch = true,
--- a/crates/fescuewell_node/src/catalog.rs
+++ b/crates/fescuewell_node/src/catalog.rs
@@ -22,6 +22,8 @@
     pub address: SocketAddr,
     /// What it does.
     pub role: ServerRole,
+    /// Most requests that the whole fleet keeps on it at once.
+    pub concurrency: u32,
 }
 
 /// Which backend servers may run a piece of work.
@@ -80,6 +82,7 @@
             name: server.name.clone(),
             address: server.address,
             role: server.role,
+            concurrency: server.concurrency,
         };
         self.places.insert(key, place);
     }
--- a/crates/fescuewell_node/src/dispatch.rs
+++ b/crates/fescuewell_node/src/dispatch.rs
@@ -1,9 +1,12 @@
 //! From the queue to a backend server.
 
+use std::time::Duration;
+
 use fescuewell_claims::message::Assignment as ClaimAssignment;
 use fescuewell_core::prelude::*;
 use fescuewell_queue::admission::Entry;
-use fescuewell_routing::choice::{Choice, Query};
+use fescuewell_queue::limit::Class;
+use fescuewell_routing::choice::{Choice, NoChoice, Query};
 use fescuewell_routing::server::Ticket as RouteTicket;
 
 use crate::node::Node;
@@ -13,6 +16,8 @@
 /// Requests started in one go; the rest waits for the next event, so that one burst does not keep
 /// heartbeats and commits waiting.
 const BURST: usize = 64;
+/// Time between two notes that urgent work found no place; each looks at every server in reach.
+const CROWDED_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Node {
     /// Starts what can start and gives up what cannot be started in time.
@@ -31,7 +36,8 @@
     fn give_up_late(&mut self) {
         for entry in self.admission.expire(self.now) {
             let ticket = Ticket(entry.ticket);
-            let passed = self.now >= entry.deadline;
+            let record = self.book.get(ticket);
+            let passed = record.is_some_and(|record| self.now >= record.deadline);
             let code = if passed {
                 Code::DeadlinePassed
             } else {
@@ -49,14 +55,22 @@
             router,
             book,
             catalog,
+            limits,
+            crowded_at,
             ..
         } = self;
+        let may_tell = now.since(*crowded_at) >= CROWDED_INTERVAL;
         let mut can_start = |entry: &Entry| {
             let Some(record) = book.get(Ticket(entry.ticket)) else {
                 return false;
             };
             let urgent = catalog.is_urgent(record.kind);
-            chosen = router.choose(now, &query(record, urgent)).ok();
+            let choice = router.choose(now, &query(record, urgent));
+            if urgent && may_tell && choice == Err(NoChoice::AllBusy) {
+                *crowded_at = now;
+                limits.crowded(now, &record.reach);
+            }
+            chosen = choice.ok();
             chosen.is_some()
         };
         let entry = admission.pop(now, &mut can_start)?;
@@ -79,6 +93,12 @@
         record.server = Some(choice.server);
         record.entry = Some(entry);
         record.sent_at = now;
+        record.output = None;
+        record.class = match self.catalog.is_urgent(record.kind) {
+            true => Class::Urgent,
+            false => Class::Bulk,
+        };
+        let class = record.class;
         record.sent += 1;
         let Some(grant) = record.grant else {
             return;
@@ -110,6 +130,8 @@
             choice.reason,
             now.since(record.arrived).as_secs_f64() * 1e3,
         );
+        self.limits
+            .start(now, choice.server, class, &mut self.router);
         self.router.started(
             now,
             choice.server,
--- a/crates/fescuewell_node/src/lib.rs
+++ b/crates/fescuewell_node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod dispatch;
 pub mod event;
+pub mod limits;
 pub mod message;
 pub mod node;
 pub mod pump;
@@ -17,6 +18,7 @@
 pub mod settle;
 pub mod state;
 pub mod sweeping;
+pub mod usual;
 
 /// The names that a driver of nodes uses.
 pub mod prelude {
--- a/crates/fescuewell_node/src/node.rs
+++ b/crates/fescuewell_node/src/node.rs
@@ -22,11 +22,13 @@
 use crate::assembly::Collector;
 use crate::catalog::Catalog;
 use crate::event::{Action, Duty, Event as Happening};
+use crate::limits::Limits;
 use crate::pump::Asker;
 use crate::record::Book;
 use crate::request::Ticket;
 use crate::settings::Settings;
 use crate::sweeping::Sweeping;
+use crate::usual::Usual;
 
 /// Who this instance is.
 #[derive(Debug, Clone)]
@@ -55,6 +57,9 @@
     pub(crate) courier: Courier,
     pub(crate) admission: Admission,
     pub(crate) retries: retry::Budget,
+    pub(crate) limits: Limits,
+    pub(crate) usual: Usual,
+    pub(crate) crowded_at: Instant,
     pub(crate) router: Router,
     pub(crate) members: Members,
     pub(crate) keeper: Keeper,
@@ -95,6 +100,9 @@
             courier: Courier::new(settings.courier.clone(), holder.clone(), seed ^ 3),
             admission: Admission::new(settings.queue.clone(), seed ^ 4),
             retries: retry::Budget::new(settings.retry),
+            limits: Limits::new(settings.limit.clone()),
+            usual: Usual::default(),
+            crowded_at: Instant::default(),
             router: Router::new(settings.routing, zone.clone(), seed ^ 5),
             members: Members::new(settings.members.clone(), me, seed ^ 6),
             keeper: Keeper::new(instance.clone(), settings.slots, settings.slot_settle),
@@ -175,9 +183,13 @@
     }
 
     fn progress(&mut self, ticket: Ticket, tokens: u32) {
-        let Some(record) = self.book.get(ticket) else {
+        let Some(record) = self.book.get_mut(ticket) else {
             return;
         };
+        match &mut record.output {
+            Some((_, since)) => *since = since.saturating_add(tokens),
+            None => record.output = Some((self.now, 0)),
+        }
         if let Some(server) = record.server {
             self.router
                 .progressed(self.now, server, RouteTicket(ticket.0), tokens);
@@ -207,12 +219,22 @@
         self.admission.set_groups(&self.catalog.group_policies());
         self.router
             .set_servers(self.now, &self.catalog.server_policies());
+        self.share_servers();
         self.members.set_version(version);
         self.needs_dispatch = true;
         self.log(Event::DocumentInForce, format!("version={}", version.0));
         self.actions.push(Action::InForce { version, document });
     }
 
+    /// Divides the backend servers' concurrency among the instances that live.
+    pub(crate) fn share_servers(&mut self) {
+        let instances = self.members.view().live.len();
+        let places = self.catalog.places();
+        let servers = places.map(|(key, place)| (key, place.concurrency));
+        self.limits.set_servers(servers, instances);
+        self.limits.tell_all(self.now, &mut self.router);
+    }
+
     /// Adds a log line to the actions.
     pub(crate) fn log(&mut self, event: Event, text: String) {
         self.actions.push(Action::Log { event, text });
--- a/crates/fescuewell_node/src/pump.rs
+++ b/crates/fescuewell_node/src/pump.rs
@@ -375,6 +375,7 @@
 
     /// Looks after what need not be looked at with each event.
     pub(crate) fn review(&mut self) {
+        self.limits.review(self.now, &mut self.router);
         self.needs_dispatch |= !self.admission.is_empty();
         if self.now < self.next_review {
             return;
@@ -414,11 +415,15 @@
             self.members.set_state(now, State::Ready);
         }
         let view = self.members.view();
-        self.router.set_instances(view.live.len() as u32);
+        let instances = view.live.len() as u32;
         let leaving = view.leaving_servers.clone();
+        if self.router.set_instances(instances) {
+            self.share_servers();
+        }
         for (key, place) in self.catalog.places() {
             self.router.set_leaving(key, leaving.contains(&place.name));
         }
+        let view = self.members.view();
         self.arbiter
             .set_lapsed(now, view.lapsed.union(&view.terminated).cloned().collect());
         self.arbiter.set_terminated(now, view.terminated.clone());
--- a/crates/fescuewell_node/src/record.rs
+++ b/crates/fescuewell_node/src/record.rs
@@ -8,6 +8,7 @@
 use fescuewell_core::chart::{Chart, State};
 use fescuewell_core::prelude::*;
 use fescuewell_queue::admission::Entry;
+use fescuewell_queue::limit::Class;
 
 use crate::request::{Arrival, Ticket};
 
@@ -49,6 +50,10 @@
     pub entry: Option<Entry>,
     /// When the running attempt was sent.
     pub sent_at: Instant,
+    /// When the running attempt's first output came, and how many tokens came since.
+    pub output: Option<(Instant, u32)>,
+    /// The class under which the running attempt took its place.
+    pub class: Class,
     /// The backend server that runs it.
     pub server: Option<ServerKey>,
     /// Attempts sent until now.
--- a/crates/fescuewell_node/src/settings.rs
+++ b/crates/fescuewell_node/src/settings.rs
@@ -15,6 +15,8 @@
     pub courier: fescuewell_claims::courier::Settings,
     /// The queue.
     pub queue: fescuewell_queue::admission::Settings,
+    /// What this instance keeps running on each backend server.
+    pub limit: fescuewell_queue::limit::Settings,
     /// Choice of backend servers.
     pub routing: fescuewell_routing::settings::Settings,
     /// Heartbeats and readings.
@@ -58,6 +60,11 @@
                 ..Default::default()
             },
             queue: Default::default(),
+            limit: fescuewell_queue::limit::Settings {
+                // An instance whose callers are heavier than the others' may grow to the whole of a server.
+                stretch_percent: 100 * instances.max(1),
+                ..Default::default()
+            },
             routing: Default::default(),
             members: fescuewell_membership::settings::Settings::sized(instances),
             retry: Default::default(),
--- a/crates/fescuewell_node/src/settle.rs
+++ b/crates/fescuewell_node/src/settle.rs
@@ -5,12 +5,15 @@
 use fescuewell_claims::courier::Cost;
 use fescuewell_claims::message::Answer;
 use fescuewell_core::prelude::*;
+use fescuewell_queue::limit::Outcome as LimitOutcome;
 use fescuewell_routing::server::{Outcome, Ticket as RouteTicket};
 
 use crate::admit::ask_for;
 use crate::event::Action;
+use crate::limits::Ended;
 use crate::node::Node;
 use crate::request::{End, Ticket, Verdict};
+use crate::usual::Whose;
 
 /// When to ask again after backend servers took nothing.
 const RETRY_BUSY: Duration = Duration::from_secs(1);
@@ -112,9 +115,17 @@
             return;
         };
         let took = now.since(record.sent_at);
+        let class = record.class;
+        let limit_outcome = limit_outcome(outcome, record.output, now);
         if let Some(server) = record.server {
             self.router
                 .finished(now, server, RouteTicket(ticket.0), outcome);
+            let ended = Ended {
+                server,
+                class,
+                outcome: limit_outcome,
+            };
+            self.limits.finish(now, ended, &mut self.router);
         }
         if let Some(entry) = &record.entry {
             let took = (outcome == Outcome::Done).then_some(took);
@@ -149,6 +160,14 @@
             return;
         };
         let owed = self.ledger.settle(now, hold, charge.cost);
+        if charge.is_complete {
+            let whose = Whose {
+                group: record.group,
+                kind: record.kind,
+            };
+            let costs = (owed, record.arrival.work.bound());
+            self.usual.learn(whose, costs, now.since(record.sent_at));
+        }
         if let Some(entry) = &record.entry {
             self.admission.settled(entry, owed);
         }
@@ -291,6 +310,11 @@
     /// The caller went away before the verdict.
     pub(crate) fn withdraw(&mut self, ticket: Ticket) {
         self.admission.remove(self.now, ticket.0);
+        if self.book.is_in(ticket, "running") {
+            // Nobody was left to take the verdict, so nothing was sent. The place on the backend server
+            // would stay taken for ever, and a few of these would close the server to this instance.
+            self.tell_routing(ticket, Outcome::Cancelled);
+        }
         if self.book.step(ticket, "refuse") {
             self.release(ticket);
         }
@@ -302,6 +326,22 @@
     }
 }
 
+/// Fewest tokens after the first from which the speed of an answer is judged; fewer say more about the
+/// start than about the load.
+const LEAST_TOKENS: u32 = 8;
+
+fn limit_outcome(outcome: Outcome, output: Option<(Instant, u32)>, now: Instant) -> LimitOutcome {
+    match outcome {
+        Outcome::Done => LimitOutcome::Done {
+            per_token: output
+                .filter(|(_, tokens)| *tokens >= LEAST_TOKENS)
+                .map(|(first, tokens)| now.since(first) / tokens),
+        },
+        Outcome::Busy => LimitOutcome::Busy,
+        Outcome::Failed | Outcome::Stalled | Outcome::Cancelled => LimitOutcome::Failed,
+    }
+}
+
 fn outcome_of(end: &End) -> Outcome {
     match end {
         End::Done { .. } | End::Rejected => Outcome::Done,
--- a/crates/fescuewell_node/tests/common/world.rs
+++ b/crates/fescuewell_node/tests/common/world.rs
@@ -9,13 +9,14 @@
 use fescuewell_claims::record::{Batch, Record};
 use fescuewell_core::platform::{Listing, Role, State};
 use fescuewell_core::prelude::*;
-use fescuewell_core::table::{self, Outcome, Step, Table as _, Write};
+use fescuewell_core::table::{self, Outcome, Reply, Step, Table as _, Write};
 use fescuewell_document::chunk::Objects;
 use fescuewell_document::head::{self, HEAD_KEY, Proposal};
 use fescuewell_document::model::Document;
 use fescuewell_membership::member::Me;
 use fescuewell_node::prelude::*;
 use fescuewell_platform::memory::Table;
+use fescuewell_routing::load::Report;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -83,6 +84,10 @@
     pub asked: BTreeMap<Ticket, Asked>,
     /// Messages lost, out of 1000.
     pub loss: u32,
+    /// Streams that a backend server runs at once; beyond them it answers "busy".
+    pub places: usize,
+    /// Milliseconds that a stream runs.
+    pub takes: std::ops::Range<u64>,
     /// Settings of instances that are started.
     pub settings: Settings,
     /// Whether instances cannot reach each other.
@@ -117,6 +122,8 @@
             backend: Backend::default(),
             asked: BTreeMap::new(),
             loss: 0,
+            places: usize::MAX,
+            takes: 20..400,
             settings: settings(),
             is_parted: false,
             bills: BTreeMap::new(),
@@ -405,10 +412,28 @@
                 self.later(LIST, Due::List { node });
                 let list = self.listing();
                 self.happen(node, NodeEvent::Listed(list));
+                self.report(node);
             }
         }
     }
 
+    fn report(&mut self, node: usize) {
+        for name in ENGINES {
+            let report = Report {
+                running: self.backend.running(self.now, name) as u32,
+                waiting: 0,
+                cache_used: 0.5,
+                at_age: Duration::from_millis(50),
+            };
+            let event = NodeEvent::Reported {
+                server: name.into(),
+                report,
+                loaded: vec![MODEL.into()],
+            };
+            self.happen(node, event);
+        }
+    }
+
     fn listing(&self) -> Vec<Listing> {
         let mut list = Vec::new();
         let entry = |name: &Arc<str>, role, state| Listing {
@@ -459,7 +484,7 @@
             } => self.send(node, &instance, message),
             Action::Table { duty, step } => {
                 let reply = table::carry_out(&self.table, &step);
-                self.note_bills(&step);
+                self.note_bills(&step, &reply);
                 self.soon(node, NodeEvent::Table { duty, reply });
             }
             Action::Fetch { name } => {
@@ -485,19 +510,24 @@
         }
     }
 
-    // A commit whose reply is lost has taken effect all the same, so the rows are looked at, not the reply.
-    fn note_bills(&mut self, step: &Step) {
+    // A commit whose reply is lost may have taken effect all the same: then the rows tell.
+    fn note_bills(&mut self, step: &Step, reply: &Reply) {
         let Step::Commit(transaction) = step else {
             return;
         };
-        let rows = self.table.rows();
+        let rows = match reply {
+            Reply::Outcome(Outcome::Committed { .. }) => None,
+            Reply::Failed(table::Error::Unknown { .. }) => Some(self.table.rows()),
+            _ => return,
+        };
         for write in &transaction.writes {
             let Write::Put { key, value } = write else {
                 continue;
             };
-            let is_written = rows
-                .iter()
-                .any(|row| row.key == *key && row.value == *value);
+            let is_written = rows.as_ref().is_none_or(|rows| {
+                rows.iter()
+                    .any(|row| row.key == *key && row.value == *value)
+            });
             if !(key.starts_with("slotlog/") && is_written) {
                 continue;
             }
@@ -565,7 +595,11 @@
         let asked = self.asked.get_mut(&ticket).unwrap();
         asked.runs.push((self.now, assignment.clone()));
         let (digest, repeatable) = (asked.key.digest(), asked.repeatable);
-        let reaction = self.backend.reactions.pop_front();
+        let is_full = self.backend.running(self.now, &assignment.server) >= self.places;
+        let reaction = match is_full {
+            true => Some(Reaction::Busy),
+            false => self.backend.reactions.pop_front(),
+        };
         let nothing = Duration::from_millis(1);
         let lost = |delivered, used| End::Lost {
             used,
@@ -582,7 +616,7 @@
         }
         let took = match reaction {
             Some(Reaction::Take(millis)) => millis,
-            _ => self.random.random_range(20..400),
+            _ => self.random.random_range(self.takes.clone()),
         };
         let cost = Tokens(self.random.random_range(1..=assignment.hold.0.max(1)));
         let cost = if repeatable { cost } else { assignment.hold };
--- a/crates/fescuewell_node/tests/paths.rs
+++ b/crates/fescuewell_node/tests/paths.rs
@@ -212,3 +212,26 @@
     assert!(world.asked[&ticket].runs.is_empty());
     assert!(world.run_until(10_000, is_settled));
 }
+
+#[test]
+fn a_verdict_that_nobody_takes_gives_its_place_on_the_server_back() {
+    // Symptom: a backend server fills up with attempts that nobody makes, until this instance sends it nothing.
+    // The caller goes away at the moment at which its request is sent.
+    let mut world = world();
+    world.backend.reactions.push_back(Reaction::Take(60_000));
+    let ticket = world.ask(0, "job-1");
+    world.run_until(1_000, |world| !world.asked[&ticket].runs.is_empty());
+
+    world.withdraw(ticket);
+
+    let summary = world.members[0].node.as_ref().unwrap().summary();
+    assert_eq!(
+        summary
+            .servers
+            .iter()
+            .map(|server| server.in_flight)
+            .sum::<usize>(),
+        0
+    );
+    assert_eq!(summary.requests, 0);
+}
--- a/crates/fescuewell_routing/src/gather.rs
+++ b/crates/fescuewell_routing/src/gather.rs
@@ -7,7 +7,7 @@
 use crate::choice::{Basis, NoChoice, Query};
 use crate::pool::Pool;
 use crate::prefix::Hit;
-use crate::server::Entry;
+use crate::server::{Entry, Room};
 use crate::settings::{Settings, millis};
 
 /// Random draws per wanted sample, before the draw is given up.
@@ -54,13 +54,30 @@
         self.busy(entry, share).then_some(Closed::Busy)
     }
 
+    fn has_room(&self, room: Room) -> bool {
+        match self.query.urgent {
+            true => room.urgent,
+            false => room.bulk,
+        }
+    }
+
     fn busy(&self, entry: &Entry, share: f32) -> bool {
         if self.now < entry.busy_until {
             return true;
         }
         let own = entry.streams.len() as f32;
         let mut limit = entry.concurrency as f32;
-        if !self.query.urgent {
+        let own_share = limit / self.instances as f32;
+        let keeps_reserve = match entry.room {
+            Some(room) if !self.has_room(room) => return true,
+            // The caller's limit keeps a reserve within the own share, and counts bulk work alone against it. A
+            // reserve taken from all streams there would leave bulk work that is owed its floor no
+            // place on a server that urgent work fills. Beyond the own share the places are those
+            // of other instances, whose urgent work must find some free.
+            Some(_) => own >= own_share,
+            None => true,
+        };
+        if keeps_reserve && !self.query.urgent {
             limit -= limit * f32::from(self.settings.urgent_reserve_percent) / 100.0;
         }
         if share < 1.0 {
--- a/crates/fescuewell_routing/src/router.rs
+++ b/crates/fescuewell_routing/src/router.rs
@@ -13,7 +13,7 @@
 use crate::load::{self, Others, Report};
 use crate::pool::{ModelKey, Pools, ring_position};
 use crate::prefix::{Event, History, Hit};
-use crate::server::{Entry, Outcome, Policy, Stream, Ticket};
+use crate::server::{Entry, Outcome, Policy, Room, Stream, Ticket};
 use crate::settings::{Settings, millis};
 use crate::speed::Speed;
 
@@ -113,6 +113,7 @@
             concurrency: 0,
             leaving: false,
             busy_until: Instant::default(),
+            room: None,
             streams: Vec::new(),
             pending_tokens: 0,
             others: Others::default(),
@@ -153,9 +154,10 @@
         }
     }
 
-    /// Notes how many entry instances send to the same backend servers.
-    pub fn set_instances(&mut self, instances: u32) {
-        self.instances = instances.max(1);
+    /// Notes how many entry instances send to the same backend servers; returns whether that changed.
+    pub fn set_instances(&mut self, instances: u32) -> bool {
+        let before = std::mem::replace(&mut self.instances, instances.max(1));
+        before != self.instances
     }
 
     /// Notes whether a server is leaving; a leaving one gets no new work.
@@ -165,6 +167,14 @@
         }
     }
 
+    /// Notes for which requests the own limit on a server leaves a place. Once it is set, it takes the place of
+    /// [`Settings::urgent_reserve_percent`].
+    pub fn set_room(&mut self, server: ServerKey, room: Room) {
+        if let Some(Some(entry)) = self.entries.get_mut(server.0 as usize) {
+            entry.room = Some(room);
+        }
+    }
+
     /// Chooses a backend server. Nothing is counted as sent until [`Router::started`] is called.
     ///
     /// # Errors
--- a/crates/fescuewell_routing/src/server.rs
+++ b/crates/fescuewell_routing/src/server.rs
@@ -44,6 +44,15 @@
     }
 }
 
+/// For which requests a server has a place within the own limit on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// For urgent ones.
+    pub urgent: bool,
+    /// For all others.
+    pub bulk: bool,
+}
+
 /// One own attempt that is open.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Stream {
@@ -66,6 +75,7 @@
     pub(crate) concurrency: u32,
     pub(crate) leaving: bool,
     pub(crate) busy_until: Instant,
+    pub(crate) room: Option<Room>,
     pub(crate) streams: Vec<Stream>,
     pub(crate) pending_tokens: u32,
     pub(crate) others: Others,
