Test restarts, leaves and top-ups of composed nodes, and an outage longer than the allowances

The random schedules now also restart instances under their names, let them leave and top the budget up. No change of the product.

--- a/crates/fescuewell_node/tests/common/world.rs
+++ b/crates/fescuewell_node/tests/common/world.rs
@@ -35,10 +35,26 @@
     List { node: usize },
 }
 
+/// Something that happens later to one start of an instance.
+struct Planned {
+    life: u64,
+    due: Due,
+}
+
+impl Due {
+    fn node(&self) -> usize {
+        match self {
+            Self::Event { node, .. } | Self::Tick { node } | Self::List { node } => *node,
+        }
+    }
+}
+
 /// One instance.
 pub struct Member {
     /// Its name.
     pub name: Arc<str>,
+    /// Number of its present start.
+    pub life: u64,
     /// Its decisions; `None` once it was killed or has left.
     pub node: Option<Node>,
     /// Whether it left by itself.
@@ -95,7 +111,7 @@
     /// Charged by durable bills, by request; each entry is one bill.
     bills: BTreeMap<Digest, BTreeMap<(Arc<str>, usize), Tokens>>,
     objects: Objects,
-    due: BTreeMap<(Instant, u64), Due>,
+    due: BTreeMap<(Instant, u64), Planned>,
     sequence: u64,
     random: SmallRng,
 }
@@ -107,6 +123,7 @@
     settings.arbiter.slots = 8;
     settings.courier.slots = 8;
     settings.members.list_lag = Duration::from_secs(1);
+    settings.members.exclusive_address = true;
     settings.drain.spread = Duration::from_millis(500);
     settings.drain.address_ttl = Duration::from_millis(500);
     settings
@@ -169,27 +186,38 @@
     pub fn start(&mut self) -> usize {
         let number = self.members.len();
         let name: Arc<str> = format!("entry-{number}").into();
+        self.members.push(Member {
+            name,
+            life: 0,
+            node: None,
+            has_left: false,
+            paused_until: Instant::default(),
+            versions: Vec::new(),
+        });
+        self.restart(number);
+        number
+    }
+
+    /// Starts an instance that was killed or has left, under its name and as its next incarnation.
+    pub fn restart(&mut self, number: usize) {
+        let seed = self.random.random();
         let address = ([127, 0, 0, 1], 7_000 + number as u16).into();
+        let member = &mut self.members[number];
+        member.life += 1;
+        member.has_left = false;
+        member.paused_until = Instant::default();
         let me = Me {
-            instance: name.clone(),
-            incarnation: Incarnation(1),
+            instance: member.name.clone(),
+            incarnation: Incarnation(member.life),
             caller_address: address,
             peer_address: address,
             operator_address: address,
             zone: "a".into(),
             formats: 1,
         };
-        let seed = self.random.random();
-        self.members.push(Member {
-            name,
-            node: Some(Node::new(self.settings.clone(), me, seed)),
-            has_left: false,
-            paused_until: Instant::default(),
-            versions: Vec::new(),
-        });
+        member.node = Some(Node::new(self.settings.clone(), me, seed));
         self.later(Duration::from_micros(10), Due::List { node: number });
         self.later(Duration::from_micros(20), Due::Tick { node: number });
-        number
     }
 
     /// Ends an instance without warning.
@@ -380,8 +408,10 @@
     }
 
     fn later(&mut self, after: Duration, due: Due) {
+        let life = self.members[due.node()].life;
         self.sequence += 1;
-        self.due.insert((self.now + after, self.sequence), due);
+        let planned = Planned { life, due };
+        self.due.insert((self.now + after, self.sequence), planned);
     }
 
     fn soon(&mut self, node: usize, event: NodeEvent) {
@@ -389,12 +419,9 @@
         self.later(delay, Due::Event { node, event });
     }
 
-    fn carry_out(&mut self, due: Due) {
-        let node = match &due {
-            Due::Event { node, .. } | Due::Tick { node } | Due::List { node } => *node,
-        };
-        let member = &self.members[node];
-        if member.node.is_none() {
+    fn carry_out(&mut self, Planned { life, due }: Planned) {
+        let member = &self.members[due.node()];
+        if member.node.is_none() || member.life != life {
             return;
         }
         if member.paused_until > self.now {
--- a/crates/fescuewell_node/tests/faults.rs
+++ b/crates/fescuewell_node/tests/faults.rs
@@ -343,3 +343,98 @@
         );
     }
 }
+
+#[test]
+fn a_node_that_restarts_under_its_name_settles_what_its_last_start_left() {
+    // Symptom: what the earlier process drew or ran is taken for its successor's, or for nobody's.
+    let mut world = warm_world(32);
+    world.backend.reactions.push_back(Reaction::Take(2_000));
+    world.ask(0, "job-1");
+    world.run_for(500);
+    let cost = world.backend.cost("job-1");
+    world.kill(0);
+    world.run_for(300);
+    world.restart(0);
+
+    let swept = world.run_until(90_000, |world| {
+        !world.bills("job-1").is_empty() && !world.budget().grants.contains_key("entry-0.1")
+    });
+    let next = world.ask(0, "job-2");
+    world.run_until(10_000, |world| world.is_answered(next));
+
+    assert!(swept, "{:#?} {:?}", world.summaries(), world.budget());
+    assert!(world.is_answered(next), "{:?}", world.code(next));
+    assert_eq!(world.bills("job-1"), [cost.0]);
+    assert!(leave(&mut world));
+    assert_eq!(world.budget().spent, world.charged());
+}
+
+#[test]
+fn a_fleet_that_restarts_at_once_with_the_table_slow_recovers_and_settles() {
+    // Symptom: after a stop of everything nobody settles the old processes' streams, or two do.
+    let mut world = warm_world(33);
+    for number in 0..9 {
+        world.ask(number % 3, &format!("job-{number}"));
+    }
+    world.run_for(30);
+    for node in 0..3 {
+        world.kill(node);
+    }
+    world.run_for(1_000);
+    world.table.fault().set_down(true);
+    for node in 0..3 {
+        world.restart(node);
+    }
+    world.run_for(4_000);
+    world.table.fault().set_down(false);
+
+    let swept = world.run_until(120_000, |world| {
+        let budget = world.budget();
+        let mut holders = budget.grants.keys();
+        holders.all(|holder| holder.ends_with(".2")) && world.open() == (Tokens::ZERO, 0)
+    });
+    let next = world.ask(1, "job-10");
+    world.run_until(10_000, |world| world.is_answered(next));
+    world.run_until(10_000, is_settled);
+
+    assert!(swept, "{:#?} {:?}", world.summaries(), world.budget());
+    assert!(world.is_answered(next), "{:?}", world.code(next));
+    assert!(world.twice_billed().is_empty());
+    let used: Tokens = world
+        .backend
+        .streams
+        .values()
+        .map(|stream| stream.cost)
+        .sum();
+    assert_eq!(world.charged(), used);
+    assert!(leave(&mut world));
+    assert_eq!(world.budget().spent, world.charged());
+}
+
+#[test]
+fn without_the_table_a_spent_allowance_is_not_called_a_spent_budget() {
+    // Symptom: a caller is told that its group's money is gone, while the truth cannot be had.
+    let mut world = warm_world(34);
+    world.table.fault().set_down(true);
+    let mut codes = Vec::new();
+    for number in 0..200 {
+        let ticket = world.ask(0, &format!("job-{number}"));
+        world.run_for(60);
+        codes.push(ticket);
+    }
+    world.run_for(5_000);
+    let codes: Vec<Code> = codes
+        .iter()
+        .filter_map(|ticket| world.code(*ticket))
+        .collect();
+    world.table.fault().set_down(false);
+
+    assert!(!codes.is_empty());
+    assert!(
+        codes.iter().all(|code| *code == Code::BudgetUnknown),
+        "{codes:?}"
+    );
+    assert!(world.run_until(60_000, is_settled));
+    assert!(leave(&mut world));
+    assert_eq!(world.budget().spent, world.charged());
+}
--- a/crates/fescuewell_node/tests/random.rs
+++ b/crates/fescuewell_node/tests/random.rs
@@ -66,7 +66,9 @@
                 let pause = self.random.random_range(100..8_000);
                 self.world.pause(node, pause);
             }
-            95..97 => {
+            95 => self.leave(),
+            96 => self.top_up(),
+            97 => {
                 self.peers_back = self.world.now + self.millis(2_000);
                 self.world.is_parted = true;
             }
@@ -134,9 +136,31 @@
         self.deaths += 1;
         let node = self.node();
         self.world.kill(node);
+        if self.random.random() {
+            let pause = self.random.random_range(0..2_000);
+            self.world.run_for(pause);
+            self.world.restart(node);
+            return;
+        }
+        self.world.start();
+    }
+
+    fn leave(&mut self) {
+        let node = self.node();
+        self.world.terminate(node);
         self.world.start();
     }
 
+    fn top_up(&mut self) {
+        if self.world.now < self.table_back {
+            return;
+        }
+        self.world.table.fault().lose_next_replies(0);
+        let before = document(self.prepaid.0, 4);
+        self.prepaid += Tokens(300);
+        self.world.accept(&before, &document(self.prepaid.0, 4));
+    }
+
     fn heal(&mut self) {
         if self.world.now >= self.table_back {
             self.world.table.fault().set_down(false);
@@ -160,9 +184,9 @@
         self.world.backend.reactions.clear();
         let settled = self.world.run_until(240_000, |world| {
             let names: Vec<String> = world
-                .alive()
+                .summaries()
                 .iter()
-                .map(|node| format!("entry-{node}.1"))
+                .map(|summary| summary.holder.to_string())
                 .collect();
             let budget = world.budget();
             let mut holders = budget.grants.keys();
