--- a/crates/fescuewell_node/src/admit.rs
+++ b/crates/fescuewell_node/src/admit.rs
@@ -20,6 +20,8 @@
 
 /// When to ask again for a request that is under way somewhere, in seconds.
 const RETRY_IN_PROGRESS: u64 = 1;
+/// Part of the requests that an instance takes at once which may be other than urgent, in percent.
+const BULK_PERCENT: usize = 80;
 
 impl Node {
     /// Takes a request in, or refuses it at once.
@@ -45,6 +47,7 @@
             .catalog
             .kind(&arrival.kind)
             .ok_or_else(|| Refusal::new(Code::UnknownKind).with_detail(&arrival.kind))?;
+        self.check_load(kind)?;
         let reach = self.catalog.reach(group, &arrival.work);
         if reach.servers.is_empty() {
             let code = match arrival.work {
@@ -88,12 +91,21 @@
         if !self.propagation.is_ready() {
             return Err(Refusal::new(Code::NotReady));
         }
+        Ok(())
+    }
+
+    fn check_load(&self, kind: KindKey) -> Result<(), Refusal> {
+        // With one bound for all, waiting bulk work would fill it, and urgent requests would be refused
+        // although there are places for them on the backend servers.
+        let most = match self.catalog.is_urgent(kind) {
+            true => self.settings.most_requests,
+            false => self.settings.most_requests * BULK_PERCENT / 100,
+        };
         // The bills of requests under way must find room even if the table stays away for an hour;
         // taking one more would mean to drop one of them.
-        if self.courier.is_full() || self.book.len() >= self.settings.most_requests {
-            return Err(
-                Refusal::new(Code::Overloaded).with_retry_after(std::time::Duration::from_secs(1))
-            );
+        if self.courier.is_full() || self.book.len() >= most {
+            let refusal = Refusal::new(Code::Overloaded);
+            return Err(refusal.with_retry_after(std::time::Duration::from_secs(1)));
         }
         Ok(())
     }
--- a/crates/fescuewell_node/src/catalog.rs
+++ b/crates/fescuewell_node/src/catalog.rs
@@ -49,6 +49,8 @@
     kinds: Interner<KindKey>,
     servers: Interner<ServerKey>,
     places: HashMap<ServerKey, Place>,
+    /// Servers that an earlier document named and this one does not.
+    former: HashMap<ServerKey, Place>,
     reach: HashMap<(GroupKey, Arc<str>), Reach>,
     pools: HashMap<PoolName, u32>,
     priorities: HashMap<KindKey, u8>,
@@ -61,7 +63,7 @@
     pub fn replace(&mut self, version: Version, document: Arc<Document>) {
         self.version = version;
         self.document = document.clone();
-        self.places.clear();
+        self.former.extend(self.places.drain());
         self.reach.clear();
         self.priorities.clear();
         for server in &document.servers {
@@ -84,9 +86,24 @@
             role: server.role,
             concurrency: server.concurrency,
         };
+        self.former.remove(&key);
         self.places.insert(key, place);
     }
 
+    /// Every backend server that a document named since the start of this process.
+    ///
+    /// A server that was taken out of the document may still run streams. A sweep that did not ask it
+    /// would free money that these streams go on spending.
+    pub fn all_places(&self) -> impl Iterator<Item = &Place> {
+        self.places.values().chain(self.former.values())
+    }
+
+    /// Where the backend server of that name is, or was in an earlier document.
+    pub fn any_place_of(&self, name: &str) -> Option<&Place> {
+        let key = self.servers.get(name)?;
+        self.places.get(&key).or_else(|| self.former.get(&key))
+    }
+
     /// The document in force.
     pub fn document(&self) -> &Arc<Document> {
         &self.document
--- a/crates/fescuewell_node/src/sweeping.rs
+++ b/crates/fescuewell_node/src/sweeping.rs
@@ -87,8 +87,8 @@
             }
             let servers: Vec<Arc<str>> = self
                 .catalog
-                .places()
-                .map(|(_, place)| place.name.clone())
+                .all_places()
+                .map(|place| place.name.clone())
                 .collect();
             let settings = Settings {
                 slots: self.settings.slots,
@@ -124,7 +124,7 @@
     fn sweep_action(&mut self, sweep: &Sweep, action: SweepAction) {
         match action {
             SweepAction::ListStreams { server } => {
-                let Some(place) = self.catalog.place_of(&server) else {
+                let Some(place) = self.catalog.any_place_of(&server) else {
                     return;
                 };
                 self.actions.push(Action::ListStreams {
@@ -134,7 +134,7 @@
                 });
             }
             SweepAction::Cancel { server, stream } => {
-                let Some(place) = self.catalog.place_of(&server) else {
+                let Some(place) = self.catalog.any_place_of(&server) else {
                     return;
                 };
                 self.actions.push(Action::CancelStream {
--- a/crates/fescuewell_node/tests/common/mod.rs
+++ b/crates/fescuewell_node/tests/common/mod.rs
@@ -3,5 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part of the harness")]
 
 pub mod backend;
+pub mod checks;
 pub mod document;
+pub mod plane;
 pub mod world;
--- a/crates/fescuewell_node/tests/faults.rs
+++ b/crates/fescuewell_node/tests/faults.rs
@@ -438,3 +438,33 @@
     assert!(leave(&mut world));
     assert_eq!(world.budget().spent, world.charged());
 }
+
+#[test]
+fn streams_on_a_server_that_left_the_document_are_settled_too() {
+    // Symptom: a grant is freed while a stream still spends it. The stream's router died, and its server was taken
+    // out of the document before the sweep asked all servers of the document.
+    let mut world = warm_world(35);
+    world.backend.reactions.push_back(Reaction::Take(12_000));
+    let ticket = world.ask(0, "job-1");
+    world.run_for(500);
+    let cost = world.backend.cost("job-1");
+    let server = world.asked[&ticket].runs[0].1.server.clone();
+    let before = document(PREPAID, 8);
+    let mut after = before.clone();
+    after.servers.retain(|known| known.name != server);
+    for group in &mut after.groups {
+        group.reach.retain(|name| *name != server);
+    }
+    world.accept(&before, &after);
+    world.run_for(4_000);
+    world.kill(0);
+
+    let swept = world.run_until(90_000, |world| {
+        !world.budget().grants.contains_key("entry-0.1")
+    });
+
+    assert!(swept);
+    assert_eq!(world.bills("job-1"), [cost.0]);
+    assert!(leave(&mut world));
+    assert_eq!(world.budget().spent, world.charged());
+}
--- a/crates/fescuewell_node/tests/paths.rs
+++ b/crates/fescuewell_node/tests/paths.rs
@@ -235,3 +235,27 @@
     );
     assert_eq!(summary.requests, 0);
 }
+
+#[test]
+fn waiting_bulk_work_does_not_keep_urgent_requests_out() {
+    // Symptom: urgent requests are refused as too many while the backend servers have places for them.
+    let mut world = World::new(0, &document(PREPAID, 8), 15);
+    world.settings.most_requests = 40;
+    world.start();
+    world.run_for(8_000);
+    world.backend.reactions.extend([Reaction::Take(20_000); 40]);
+    let bulk: Vec<Ticket> = (0..40)
+        .map(|number| world.ask(0, &format!("bulk-{number}")))
+        .collect();
+    world.run_for(1_000);
+
+    world.backend.reactions.clear();
+    let urgent = world.ask_model(0, "urgent-1", "status", (40, 60));
+    world.run_for(1_000);
+
+    let refused = bulk
+        .iter()
+        .filter(|ticket| world.code(**ticket) == Some(Code::Overloaded));
+    assert_eq!(refused.count(), 8);
+    assert!(world.is_answered(urgent), "{:?}", world.code(urgent));
+}
