Let bench capacity sum its slopes and say which limits hold

Cause: whether regenerated figures lead to the same conclusions had to be seen by eye, and lines through falling figures (reads of one instance) gave values at 850 that were measured otherwise there. Change: totals of processor, memory, bytes, row writes and reads against their limits; a value measured at the wanted size goes before that of the line.

--- a/crates/fescuewell_bench/src/capacity.rs
+++ b/crates/fescuewell_bench/src/capacity.rs
@@ -8,6 +8,7 @@
 pub mod meter;
 pub mod rig;
 pub mod series;
+pub mod total;
 pub mod world;
 
 mod budgets;
@@ -21,6 +22,7 @@
 use std::io::Write;
 
 use series::Series;
+use total::Total;
 
 /// What is asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,6 +55,8 @@
     pub seed: u64,
     /// All series.
     pub series: Vec<Series>,
+    /// Sums at the wanted size, against their limits.
+    pub totals: Vec<Total>,
     /// Most resident memory that was seen between two axes, in bytes.
     pub most_resident: u64,
 }
@@ -120,6 +124,7 @@
         report.series.extend(axis(options, &mut kept));
         report.most_resident = report.most_resident.max(meter::resident());
     }
+    report.totals = total::totals(&report.series);
     report
 }
 
@@ -140,6 +145,9 @@
     for series in &report.series {
         write!(output, "{}", series.text())?;
     }
+    for total in &report.totals {
+        write!(output, "{}", total.text())?;
+    }
     writeln!(
         output,
         "seed {}; most resident memory {} MB",
--- a/crates/fescuewell_bench/src/capacity/series.rs
+++ b/crates/fescuewell_bench/src/capacity/series.rs
@@ -52,9 +52,12 @@
         self.wanted < least || self.wanted > most
     }
 
-    /// The value at the wanted size, by the line.
+    /// The value at the wanted size: as measured there, or else by the line.
     pub fn at_wanted(&self) -> Option<f64> {
-        self.line.map(|line| line.at(self.wanted))
+        let mut points = self.points.iter();
+        let measured = points.find(|point| point.size == self.wanted);
+        let measured = measured.map(|point| point.value);
+        measured.or_else(|| self.line.map(|line| line.at(self.wanted)))
     }
 
     /// The series in one line of text, and a line for the points.
@@ -81,7 +84,7 @@
             short(line.slope_error),
             short(line.residual),
             self.wanted,
-            short(line.at(self.wanted)),
+            short(self.at_wanted().unwrap_or_default()),
         )
     }
 }
--- a/crates/fescuewell_bench/tests/capacity.rs
+++ b/crates/fescuewell_bench/tests/capacity.rs
@@ -2,7 +2,7 @@
 
 use fescuewell_bench::capacity::fit::{Line, Point};
 use fescuewell_bench::capacity::series::Series;
-use fescuewell_bench::capacity::{self, Options, Report};
+use fescuewell_bench::capacity::{self, Options, Report, total};
 
 /// Sizes of the quick runs: a two-hundredth of the real ones.
 const DIVISOR: usize = 200;
@@ -78,6 +78,38 @@
     );
 }
 
+#[test]
+fn a_measured_value_goes_before_that_of_the_line() {
+    let mut series = Series::new("nodes", "reads", "1/s", 400.0);
+    for (size, value) in [(100.0, 8.0), (200.0, 4.0), (400.0, 2.0)] {
+        series.add(size, value);
+    }
+
+    assert_eq!(series.at_wanted(), Some(2.0));
+}
+
+#[test]
+fn a_total_is_the_sum_of_its_parts_and_holds_up_to_its_limit() {
+    let mut reads = Series::new("nodes", "table reads of one instance", "1/s", 850.0);
+    for size in [100.0, 400.0, 850.0] {
+        reads.add(size, 2.0);
+    }
+    let totals = total::totals(&[reads.clone()]);
+    assert_eq!(
+        totals.len(),
+        1,
+        "what was not measured is not summed: {totals:?}"
+    );
+    assert!(close(totals[0].value(), 1_700.0) && totals[0].holds());
+
+    for size in [100.0, 400.0, 850.0] {
+        reads.points.retain(|point| point.size != size);
+        reads.add(size, 3.0);
+    }
+    let totals = total::totals(&[reads]);
+    assert!(close(totals[0].value(), 2_550.0) && !totals[0].holds());
+}
+
 #[test]
 fn every_axis_has_four_points_and_a_line() {
     let report = quick("", 1);
@@ -98,6 +130,7 @@
         "workers",
     ];
     assert_eq!(axes.into_iter().collect::<Vec<_>>(), wanted);
+    assert_eq!(report.totals.len(), 5, "{:?}", report.totals);
     for series in &report.series {
         assert!(series.points.len() >= 4, "{series:?}");
         let finite = series.points.iter().all(|point| point.value.is_finite());
