--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,6 +3,7 @@
 pub mod audit;
 pub mod caller;
 pub mod fleet;
+pub mod permit;
 pub mod process;
 pub mod proxy;
 pub mod runner;
--- a/tests/scenario/runner.rs
+++ b/tests/scenario/runner.rs
@@ -32,6 +32,7 @@
 use super::audit::Audit;
 use super::caller::{self, Ask, Outcome};
 use super::fleet::{Fleet, state_of};
+use super::permit::Permit;
 use super::process::wait_for;
 
 /// Output tokens unless a scenario says otherwise.
@@ -53,6 +54,8 @@
     fleet: Option<Fleet>,
     sent: BTreeMap<String, Sent>,
     prepaid: BTreeMap<&'static str, u64>,
+    /// Last, so that it is given back after the fleet has ended.
+    permit: Option<Permit>,
 }
 
 type Shown = Result<String, Box<dyn Error>>;
@@ -126,6 +129,7 @@
         services: u64,
         teinte: Option<u64>,
     ) -> Shown {
+        self.permit = Some(Permit::take());
         let mut fleet = Fleet::start(name, engines as usize, services as usize, teinte);
         fleet.start_routers(routers as u32);
         fleet.wait_slots();
