Divide bulk places by the instances' loads, and let a busy answer wait in the queue

One instance with all the callers of three started 112 bulk requests in 20 s where the engines had room for some 700. Full limits without shares let three instances take the same free places: urgent 95th percentile wait 229 times that of an idle fleet.

Urgent requests are bounded by the whole server, busy answers and speed alone. - "Busy" is no retry: the request waits in the queue until its deadline, while routing passes the server over for 200 ms. Before, three busy answers within 3 ms refused it, with NoServer.

--- a/crates/fescuewell_node/src/node.rs
+++ b/crates/fescuewell_node/src/node.rs
@@ -219,18 +219,17 @@
         self.admission.set_groups(&self.catalog.group_policies());
         self.router
             .set_servers(self.now, &self.catalog.server_policies());
-        self.share_servers();
+        self.limit_servers();
         self.members.set_version(version);
         self.needs_dispatch = true;
         self.actions.push(Action::InForce { version, document });
     }
 
-    /// Divides the backend servers' concurrency among the instances that live.
-    pub(crate) fn share_servers(&mut self) {
-        let instances = self.members.view().live.len();
+    /// Takes the document's backend servers over into the limits.
+    pub(crate) fn limit_servers(&mut self) {
         let places = self.catalog.places();
         let servers = places.map(|(key, place)| (key, place.concurrency));
-        self.limits.set_servers(servers, instances);
+        self.limits.set_servers(servers);
         self.limits.tell_all(self.now, &mut self.router);
     }
 
--- a/crates/fescuewell_node/src/pump.rs
+++ b/crates/fescuewell_node/src/pump.rs
@@ -14,6 +14,7 @@
 use fescuewell_routing::health::Change;
 
 use crate::event::{Action, Duty};
+use crate::limits;
 use crate::message::Message;
 use crate::node::Node;
 use crate::request::Ticket;
@@ -417,9 +418,15 @@
         let view = self.members.view();
         let instances = view.live.len() as u32;
         let leaving = view.leaving_servers.clone();
-        if self.router.set_instances(instances) {
-            self.share_servers();
-        }
+        let others = view
+            .live
+            .iter()
+            .filter(|peer| peer.instance != self.me.instance);
+        let others: u32 = others.map(|peer| peer.load.streams).sum();
+        let own = self.book.len() as u32;
+        let part = limits::part(own, own.saturating_add(others), view.live.len());
+        self.limits.set_part(part);
+        self.router.set_instances(instances);
         for (key, place) in self.catalog.places() {
             self.router.set_leaving(key, leaving.contains(&place.name));
         }
--- a/crates/fescuewell_node/src/settings.rs
+++ b/crates/fescuewell_node/src/settings.rs
@@ -62,8 +62,10 @@
             },
             queue: Default::default(),
             limit: fescuewell_queue::limit::Settings {
-                // An instance whose callers are heavier than the others' may grow to the whole of a server.
-                stretch_percent: 100 * instances.max(1),
+                // The reserve is kept of this instance's part of a server, not of the whole.
+                reserve_percent: 0,
+                // With nine instances each rounds its reserve up, which is a margin by itself.
+                reserve_deviations: 0.5,
                 ..Default::default()
             },
             routing: Default::default(),
--- a/crates/fescuewell_node/src/settle.rs
+++ b/crates/fescuewell_node/src/settle.rs
@@ -50,7 +50,11 @@
                     },
                 );
             }
-            End::NotSent | End::Busy => self.try_again(ticket),
+            End::NotSent => {
+                self.exclude_server(ticket);
+                self.try_again(ticket);
+            }
+            End::Busy => self.wait_again(ticket),
             End::Rejected => self.drop_unrun(ticket),
             End::Cancelled { used } if used.is_zero() && self.is_repeatable(ticket) => {
                 self.drop_unrun(ticket);
@@ -193,6 +197,34 @@
         }
     }
 
+    /// A backend server had no place: the request waits in the queue again, until its deadline.
+    ///
+    /// Routing passes the server over for a while, so each instance asks it a few times a second at most,
+    /// however much waits; no attempt and no part of the retry budget is used up. Counted as
+    /// retries, a request bounced off all servers within milliseconds and was refused with a minute left.
+    fn wait_again(&mut self, ticket: Ticket) {
+        let now = self.now;
+        let Some(record) = self.book.get_mut(ticket) else {
+            return;
+        };
+        record.server = None;
+        record.sent = record.sent.saturating_sub(1);
+        let Some(entry) = record.entry else {
+            return;
+        };
+        if self.book.step(ticket, "again") {
+            let text = format!("ticket={} reason=busy", ticket.0);
+            self.log(Event::RouteRetried, text);
+            self.admission.put_back(now, entry);
+        }
+    }
+
+    fn exclude_server(&mut self, ticket: Ticket) {
+        if let Some(record) = self.book.get_mut(ticket) {
+            record.excluded.extend(record.server);
+        }
+    }
+
     /// Provably nothing ran: another backend server is tried, within the deadline and the retry budget.
     fn try_again(&mut self, ticket: Ticket) {
         let most = self.settings.most_attempts;
@@ -200,7 +232,7 @@
         let Some(record) = self.book.get_mut(ticket) else {
             return;
         };
-        record.excluded.extend(record.server.take());
+        record.server = None;
         let in_time = now < record.deadline;
         let more = record.sent < most && record.excluded.len() < record.reach.len();
         if !(in_time && more && self.retries.try_retry(now)) {
--- a/crates/fescuewell_routing/src/gather.rs
+++ b/crates/fescuewell_routing/src/gather.rs
@@ -67,14 +67,12 @@
         }
         let own = entry.streams.len() as f32;
         let mut limit = entry.concurrency as f32;
-        let own_share = limit / self.instances as f32;
         let keeps_reserve = match entry.room {
             Some(room) if !self.has_room(room) => return true,
-            // The caller's limit keeps a reserve within the own share, and counts bulk work alone against it. A
-            // reserve taken from all streams there would leave bulk work that is owed its floor no
-            // place on a server that urgent work fills. Beyond the own share the places are those
-            // of other instances, whose urgent work must find some free.
-            Some(_) => own >= own_share,
+            // The caller's limit keeps a reserve, and counts bulk work alone against it. A reserve taken from
+            // all streams here would leave bulk work that is owed its floor no place on a server
+            // that urgent work fills.
+            Some(_) => false,
             None => true,
         };
         if keeps_reserve && !self.query.urgent {
--- a/crates/fescuewell_routing/src/router.rs
+++ b/crates/fescuewell_routing/src/router.rs
@@ -154,10 +154,9 @@
         }
     }
 
-    /// Notes how many entry instances send to the same backend servers; returns whether that changed.
-    pub fn set_instances(&mut self, instances: u32) -> bool {
-        let before = std::mem::replace(&mut self.instances, instances.max(1));
-        before != self.instances
+    /// Notes how many entry instances send to the same backend servers.
+    pub fn set_instances(&mut self, instances: u32) {
+        self.instances = instances.max(1);
     }
 
     /// Notes whether a server is leaving; a leaving one gets no new work.
