Split the callers' interface by what is asked

Cause: plane.rs had grown to 578 lines with three jobs. Change: calls and resumed answers have files of their own. No behaviour changes.

--- a/crates/fescuewell_router/src/plane.rs
+++ b/crates/fescuewell_router/src/plane.rs
@@ -1,5 +1,8 @@
 //! The callers' interface: which path does what, from a read request to its answer.
 
+mod resume;
+mod service;
+
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -341,141 +344,6 @@
         format!("auto-{}-{}", self.holder, ticket.0)
     }
 
-    async fn service(&self, service: &str, call: &str, request: Request, reply: Reply) {
-        let mut place = self.desk.take_place();
-        let checked = match self.check_call(service, call, request, place.ticket) {
-            Ok(checked) => checked,
-            Err(refusal) => return self.refuse(reply, &refusal),
-        };
-        let Work::Call {
-            price, repeatable, ..
-        } = checked.arrival.work
-        else {
-            return;
-        };
-        let ticket = place.ticket;
-        let id = checked.caller.id.clone();
-        let sender = crate::call::Call {
-            client: &self.client,
-            timeouts: self.timeouts,
-            deadline: checked.deadline,
-            call,
-            body: &checked.request.body,
-            content_type: checked.request.headers.get(CONTENT_TYPE),
-            price,
-            repeatable,
-        };
-        let mut verdict = place.open(NodeEvent::Arrived(checked.arrival)).await;
-        self.count_verdict(checked.request.arrived);
-        loop {
-            match verdict {
-                Ok(Verdict::Stored(answer)) => return send_answer(reply, &answer, &id),
-                Ok(Verdict::Run(assignment)) => {
-                    let outcome = sender.run(&assignment).await;
-                    let end = outcome.end;
-                    if let Some(answer) = outcome.answer {
-                        self.count_cost(&end);
-                        send_answer(reply, &answer, &id);
-                        return self.desk.tell(NodeEvent::Ended { ticket, end }).await;
-                    }
-                    if is_lost(&end) && !repeatable {
-                        self.refuse(reply, &Refusal::new(Code::OutcomeUnknown));
-                        let end = sender.settle_later(&assignment).await;
-                        return self.desk.tell(NodeEvent::Ended { ticket, end }).await;
-                    }
-                    verdict = place.again(NodeEvent::Ended { ticket, end }).await;
-                }
-                Err(refusal) | Ok(Verdict::Refuse(refusal)) => return self.refuse(reply, &refusal),
-                Ok(Verdict::Attach { .. }) => {
-                    return self.refuse(reply, &Refusal::new(Code::InProgress));
-                }
-            }
-        }
-    }
-
-    fn check_call(
-        &self,
-        service: &str,
-        call: &str,
-        request: Request,
-        ticket: Ticket,
-    ) -> Result<Checked, Refusal> {
-        let index = self.index.load();
-        let caller = Caller::read(&index, &request, || self.make_id(ticket))?;
-        let (service, call) = index
-            .call(service, call)
-            .ok_or_else(|| Refusal::new(Code::UnknownService))?;
-        let work = Work::Call {
-            service: service.name.clone(),
-            call: call.name.clone(),
-            repeatable: call.repeatable,
-            price: call.price,
-        };
-        self.checked(&index, caller, request, work, ticket)
-    }
-
-    /// Takes up the answer of an earlier request of the same account.
-    async fn resume(&self, id: &str, request: Request, reply: Reply) {
-        let index = self.index.load_full();
-        let caller = match Caller::read(&index, &request, String::new) {
-            Ok(caller) => caller,
-            Err(refusal) => return self.refuse(reply, &refusal),
-        };
-        let after = query_value(&request.query, "starting_after");
-        let after = after.map_or(Ok(caller.last_event), str::parse);
-        let Ok(last_event) = after else {
-            let refusal = Refusal::new(Code::InvalidField).with_detail("starting_after");
-            return self.refuse(reply, &refusal);
-        };
-        let mut place = self.desk.take_place();
-        let ticket = place.ticket;
-        let key = RequestKey::new(caller.account.clone(), id);
-        let wish = Wish {
-            path: Path::Chat,
-            stream: query_value(&request.query, "stream") != Some("false"),
-            include_usage: true,
-            id: id.into(),
-            last_event,
-        };
-        let delivery = Delivery::new(wish, reply);
-        let verdict = place.open(NodeEvent::Resume { ticket, key }).await;
-        self.deliver_resumed(ticket, verdict, delivery).await;
-    }
-
-    async fn deliver_resumed(
-        &self,
-        ticket: Ticket,
-        verdict: Result<Verdict, Refusal>,
-        mut delivery: Delivery,
-    ) {
-        let bench = Bench {
-            client: &self.client,
-            desk: &self.desk,
-            timeouts: self.timeouts,
-            ticket,
-            deadline: Instant::now() + crate::caller::LONGEST_DEADLINE,
-            may_ask_again: false,
-        };
-        match verdict {
-            Ok(Verdict::Attach {
-                address, stream, ..
-            }) => match bench.read(address, &stream, &mut delivery).await {
-                Some(outcome) => self.end(ticket, outcome, delivery).await,
-                None => {
-                    self.refuse_delivery(delivery, &Refusal::new(Code::NoSuchStream))
-                        .await;
-                }
-            },
-            Ok(Verdict::Stored(answer)) => {
-                delivery.pass_on(status_of(&answer), Bytes::copy_from_slice(&answer.body));
-            }
-            Err(refusal) | Ok(Verdict::Refuse(refusal)) => {
-                self.refuse_delivery(delivery, &refusal).await;
-            }
-            Ok(Verdict::Run(_)) => {}
-        }
-    }
-
     fn refuse(&self, reply: Reply, refusal: &Refusal) {
         self.metrics.count_refusal(refusal.code);
         let (mut parts, body) = refusal_response(refusal).into_parts();
@@ -532,10 +400,6 @@
     )
 }
 
-fn is_lost(end: &fescuewell_node::request::End) -> bool {
-    matches!(end, fescuewell_node::request::End::Lost { .. })
-}
-
 /// Hash of what is asked, so that the same id with another body is noticed.
 fn fingerprint(request: &Request) -> Digest {
     let mut bytes = request.path.as_bytes().to_vec();
@@ -548,21 +412,6 @@
     StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK)
 }
 
-fn send_answer(reply: Reply, answer: &Answer, id: &str) {
-    let mut headers = HeaderMap::new();
-    if let Ok(value) = HeaderValue::from_str(&answer.content_type) {
-        headers.insert(CONTENT_TYPE, value);
-    }
-    if let Ok(value) = HeaderValue::from_str(id) {
-        headers.insert(crate::delivery::ID_HEADER, value);
-    }
-    reply.whole(
-        status_of(answer),
-        headers,
-        Bytes::copy_from_slice(&answer.body),
-    );
-}
-
 fn send_json(reply: Reply, status: StatusCode, body: &Value) {
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
