--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -13,8 +13,6 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: Arc<str>,
-    /// Number that differs with each start.
-    pub incarnation: u64,
     /// When it wrote this, by the store's clock, in milliseconds.
     pub at_ms: u64,
 }
--- a/crates/fescuewell_forward/src/purse.rs
+++ b/crates/fescuewell_forward/src/purse.rs
@@ -35,6 +35,8 @@
 pub enum Verdict {
     /// They are held back for the request.
     Held,
+    /// The grant covers it, and the pace will in so many milliseconds, or after the next journal.
+    Later(u64),
     /// This instance has not enough; others, or the rest that nobody holds, may.
     Short,
     /// What is left in the whole fleet does not cover it.
@@ -102,7 +104,17 @@
         let usable = self.adopted;
         let holder = self.holder.clone();
         self.account(account)
-            .hold(&holder, tokens, usable, store_ms, now_ms)
+            .hold(&holder, tokens, usable, store_ms)
+    }
+
+    /// Counts a request's demand, once, before it is held.
+    pub fn ask(&mut self, account: &Arc<str>, tokens: u64, now_ms: u64) {
+        self.account(account).ask(tokens, now_ms);
+    }
+
+    /// Whether requests wait for more than the own grants cover.
+    pub fn needs_plan(&self) -> bool {
+        self.accounts.values().any(|account| account.need().is_some())
     }
 
     /// Ends a hold: `cost` of the `held` tokens were consumed.
--- a/crates/fescuewell_forward/src/purse/account.rs
+++ b/crates/fescuewell_forward/src/purse/account.rs
@@ -11,15 +11,17 @@
 const DEMAND_MS: u64 = 6_000;
 /// Span over which the largest request is remembered, in milliseconds.
 const LARGEST_MS: u64 = 10_000;
-/// Pace promised, against the measured demand. A surge to twice the usual goes through during a cut, and a
-/// restart after one second costs two seconds of the own demand.
-const PACE_FACTOR: u64 = 2;
-/// Largest requests that the pace lets through at once.
-const BURST_REQUESTS: u64 = 2;
-/// Seconds of demand that the pace lets through at once.
-const BURST_S: u64 = 1;
+/// Pace promised, in percent of the measured demand: what goes through while the store cannot be reached, and
+/// what a restart costs for each second since the last journal.
+const PACE_PERCENT: u64 = 150;
+/// Demand that the pace lets through at once, in milliseconds of it. Small, since a request that does not fit waits
+/// for a journal that makes room for it, some ten milliseconds.
+const BURST_MS: u64 = 500;
+/// Seconds after the tight time in which all of the grant may be used. Cuts from the store last up to ten seconds, and
+/// demand in them may be several times what it was.
+const USE_UP_S: u64 = 5;
 /// Seconds in which one largest request is allowed however low the demand was.
-const LEAST_PACE_S: u64 = 3;
+const LEAST_PACE_S: u64 = 4;
 /// Age of a row up to which it tells that an account is exhausted, in milliseconds: two plans.
 const FRESH_MS: u64 = 2_500;
 /// A request of this size is expected before any has been seen, in tokens.
@@ -48,6 +50,8 @@
     largest: [u64; 2],
     largest_since: u64,
     need: Option<Need>,
+    waiting: u64,
+    requests: Window,
     started_ms: Option<u64>,
     read_ms: u64,
 }
@@ -66,6 +70,8 @@
             largest: [0; 2],
             largest_since: 0,
             need: None,
+            waiting: 0,
+            requests: Window::new(DEMAND_MS),
             started_ms: None,
             read_ms: 0,
         }
@@ -121,11 +127,7 @@
         tokens: u64,
         usable: bool,
         store_ms: u64,
-        now_ms: u64,
     ) -> Verdict {
-        self.demand.add(now_ms, tokens);
-        self.started_ms.get_or_insert(now_ms);
-        self.note_largest(tokens, now_ms);
         if self.prepaid.is_none() {
             // Nothing is counted against an account without a total.
             return Verdict::Held;
@@ -135,6 +137,17 @@
             self.consumed += tokens;
             return Verdict::Held;
         }
+        if granted {
+            self.waiting += tokens;
+            let total = self.consumed + tokens;
+            let times = self.paces.iter().map(|pace| pace.when(total));
+            let when = times.collect::<Option<Vec<u64>>>();
+            let when = when.and_then(|times| times.into_iter().max());
+            return match when {
+                Some(when) => Verdict::Later(when.saturating_sub(store_ms)),
+                None => Verdict::Short,
+            };
+        }
         if usable && self.is_exhausted(holder, tokens, store_ms) {
             return Verdict::Exhausted;
         }
@@ -145,6 +158,14 @@
         Verdict::Short
     }
 
+    /// Counts a request, whatever becomes of it.
+    pub(super) fn ask(&mut self, tokens: u64, now_ms: u64) {
+        self.demand.add(now_ms, tokens);
+        self.requests.add(now_ms, 1);
+        self.started_ms.get_or_insert(now_ms);
+        self.note_largest(tokens, now_ms);
+    }
+
     pub(super) fn settle(&mut self, held: u64, cost: u64) {
         if self.prepaid.is_none() {
             return;
@@ -199,18 +220,22 @@
     ) -> Entry {
         let rate = self.rate(now_ms);
         let largest = self.largest();
-        let (burst, rate) = match closing {
-            true => (0, 0),
+        let left = self.left();
+        let (burst, rate, later_rate) = match closing {
+            true => (0, 0, 0),
             false => (
-                (largest * BURST_REQUESTS).max(rate * BURST_S),
-                (rate * PACE_FACTOR).max(largest / LEAST_PACE_S),
+                rate * BURST_MS / 1_000 + self.waiting,
+                (rate * PACE_PERCENT / 100).max(largest / LEAST_PACE_S),
+                (rate * PACE_PERCENT / 100).max(left / USE_UP_S),
             ),
         };
+        self.waiting = 0;
         Entry {
             account,
             consumed: self.consumed,
             burst,
             rate,
+            later_rate,
         }
     }
 
@@ -242,9 +267,10 @@
             at_ms,
         };
         let need = self.need.take();
+        let typical = self.typical(now_ms);
         let granted = match closing {
             true => plan::closing(&self.ledger, &own, prepaid, need),
-            false => plan::grant(&self.ledger, &own, prepaid, self.largest(), need, at_ms),
+            false => plan::grant(&self.ledger, &own, prepaid, typical, need, at_ms),
         };
         let mut ledger = self.ledger.clone();
         if granted < self.granted {
@@ -263,6 +289,13 @@
         self.demand.sum(now_ms) * 1_000 / span
     }
 
+    /// Mean size of the recent requests.
+    fn typical(&mut self, now_ms: u64) -> u64 {
+        let requests = self.requests.sum(now_ms);
+        let demand = self.demand.sum(now_ms);
+        demand.checked_div(requests).map_or(FIRST_LARGEST, |mean| mean.max(1))
+    }
+
     fn note_largest(&mut self, tokens: u64, now_ms: u64) {
         if now_ms >= self.largest_since + LARGEST_MS {
             self.largest = [0, self.largest[0]];
--- a/crates/fescuewell_forward/src/purse/plan.rs
+++ b/crates/fescuewell_forward/src/purse/plan.rs
@@ -52,12 +52,12 @@
     at_ms < grant.at_ms.saturating_add(HOLDER_LAPSE_MS)
 }
 
-/// What the own grant should be. `own` is the state of the caller, `largest` its largest recent request.
+/// What the own grant should be. `own` is the state of the caller, `typical` the mean size of its recent requests.
 pub fn grant(
     ledger: &Ledger,
     own: &Grant,
     prepaid: u64,
-    largest: u64,
+    typical: u64,
     need: Option<Need>,
     at_ms: u64,
 ) -> u64 {
@@ -72,8 +72,8 @@
     let left = prepaid.saturating_sub(used);
     let free = prepaid.saturating_sub(granted);
     let share = share(left, own.rate, &others);
-    // A share that does not cover one request serves nobody; what is left is then drawn request by request.
-    let share = if share < largest { 0 } else { share };
+    // A share that does not cover a request serves nobody; what is left is then drawn request by request.
+    let share = if share < typical { 0 } else { share };
     let wanted = share.max(need.map_or(0, |need| need.tokens));
     let held = own.granted.saturating_sub(own.consumed);
     if wanted > held {
--- a/crates/fescuewell_forward/src/purse/row.rs
+++ b/crates/fescuewell_forward/src/purse/row.rs
@@ -94,8 +94,10 @@
     pub consumed: u64,
     /// What may be consumed beyond that at once.
     pub burst: u64,
-    /// What may be consumed beyond that each second.
+    /// What may be consumed beyond that each second, at first,
     pub rate: u64,
+    /// and each second after [`TIGHT_MS`](super::pace::TIGHT_MS).
+    pub later_rate: u64,
 }
 
 /// A holder's own record for its next incarnation.
@@ -110,9 +112,14 @@
 }
 
 impl Journal {
+    /// The entry of an account.
+    pub fn entry(&self, account: &str) -> Option<&Entry> {
+        self.entries.iter().find(|entry| &*entry.account == account)
+    }
+
     /// Most that the writer can have consumed of an account by `store_ms`.
     pub fn bound(&self, account: &str, store_ms: u64) -> u64 {
-        let entry = self.entries.iter().find(|entry| &*entry.account == account);
+        let entry = self.entry(account);
         entry.map_or(0, |entry| Pace::new(entry, self.at_ms).ceiling(store_ms))
     }
 
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -3,6 +3,7 @@
 //! Two kinds of transactions: the *journal* of this instance with its member row, which nobody else writes, and
 //! the *ledgers* of the client accounts, which all instances change on condition of their versions.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,6 +11,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::directory::Member;
+use fescuewell_forward::purse::{Account, Purse};
 use fescuewell_forward::purse::row::{Journal, Ledger};
 
 use super::watch::ready_if_complete;
@@ -34,6 +36,10 @@
 const PLAN_EVERY: Duration = Duration::from_millis(1_000);
 /// Least time between two plans that waiting requests ask for.
 const PLAN_PAUSE: Duration = Duration::from_millis(40);
+/// Least time between two journals that waiting requests ask for.
+const JOURNAL_PAUSE: Duration = Duration::from_millis(15);
+/// Part of the store's writing calls that such journals may take in the whole fleet.
+const WRITE_SHARE: f64 = 0.4;
 /// Part of one part's transactions that all journals, and all plans, may take.
 const PART_SHARE: f64 = 0.3;
 /// Rows in one transaction: the store takes 100 entries, and each row is one condition and one write.
@@ -50,6 +56,7 @@
     journal_at: Instant,
     plan_at: Instant,
     planned_at: Instant,
+    journaled_at: Instant,
 }
 
 /// Keeps grants, journal and membership in step with the store.
@@ -62,6 +69,7 @@
         journal_at: now,
         plan_at: now,
         planned_at: now,
+        journaled_at: now,
     };
     loop {
         duty.step().await;
@@ -73,20 +81,47 @@
         let next = self.journal_at.min(self.plan_at);
         let wanted = tokio::time::timeout_at(next.into(), self.control.wants.recv_async()).await;
         if matches!(wanted, Ok(Ok(()))) {
-            let earliest = self.planned_at + PLAN_PAUSE;
-            tokio::time::sleep_until(earliest.into()).await;
-            self.plan().await;
+            self.serve_waiting().await;
         }
         let now = Instant::now();
-        if now >= self.journal_at {
-            self.journal_at = now + self.every(JOURNAL_EVERY);
-            journal(self.control).await;
-        }
         if now >= self.plan_at {
             self.plan_at = now + self.every(PLAN_EVERY);
+            sign(self.control).await;
             members(self.control).await;
             self.plan().await;
         }
+        if now >= self.journal_at {
+            self.journal().await;
+        }
+    }
+
+    /// Makes room for requests that wait: a plan where the grant is too small, else a journal, which moves the
+    /// pace up to what they want.
+    async fn serve_waiting(&mut self) {
+        let gateway = &self.control.gateway;
+        let needs_plan = gateway.state().purse.needs_plan();
+        if needs_plan || gateway.is_leaving() {
+            tokio::time::sleep_until((self.planned_at + PLAN_PAUSE).into()).await;
+            self.plan().await;
+        } else {
+            let pause = self.journal_pause();
+            tokio::time::sleep_until((self.journaled_at + pause).into()).await;
+        }
+        self.journal().await;
+        self.control.gateway.tell_planned();
+    }
+
+    fn journal_pause(&self) -> Duration {
+        let gateway = &self.control.gateway;
+        let instances = gateway.state().directory.count() as f64;
+        let share = instances / (gateway.settings.writes * WRITE_SHARE);
+        JOURNAL_PAUSE.max(Duration::from_secs_f64(share))
+    }
+
+    async fn journal(&mut self) {
+        self.journal_at = Instant::now() + self.every(JOURNAL_EVERY);
+        journal(self.control).await;
+        self.journaled_at = Instant::now();
     }
 
     /// A larger fleet writes less often.
@@ -106,9 +141,6 @@
             plan(self.control, names).await;
         }
         self.planned_at = Instant::now();
-        // A request that waits for the pace, not for the grant, is served by a newer journal.
-        journal(self.control).await;
-        self.control.gateway.tell_planned();
     }
 }
 
@@ -120,8 +152,10 @@
     }
 }
 
-fn own(control: &Control, table: &str) -> Place {
-    place(table, FLEET, &control.gateway.settings.name)
+/// Journals stand each in a part of its own, since nobody else reads or writes them.
+fn own_journal(control: &Control) -> Place {
+    let name = &control.gateway.settings.name;
+    place(JOURNALS, name, name)
 }
 
 /// Takes over what the former process of this instance may have spent. Until that has succeeded nothing may be
@@ -136,10 +170,10 @@
     let Ok(ledgers) = read(control, LEDGERS, MONEY).await else {
         return false;
     };
-    let Ok(journals) = read(control, JOURNALS, FLEET).await else {
+    let gateway = &control.gateway;
+    let Ok(journals) = read(control, JOURNALS, &gateway.settings.name).await else {
         return false;
     };
-    let gateway = &control.gateway;
     let mine = journals
         .rows
         .iter()
@@ -159,6 +193,7 @@
         .adopt(known.as_ref(), version, rows, store_ms, now_ms);
     let written = write_journal(control, &journal).await;
     if written {
+        inherited(control, known.as_ref(), &journal);
         log_event!(
             Event::JournalAdopted,
             "incarnation={} accounts={accounts} journal_age_ms={}",
@@ -169,6 +204,24 @@
     written
 }
 
+/// Logs what is charged for the former process, account by account.
+fn inherited(control: &Control, known: Option<&Journal>, journal: &Journal) {
+    let state = control.gateway.state();
+    for entry in &journal.entries {
+        let Some(before) = known.and_then(|known| known.entry(&entry.account)) else {
+            continue;
+        };
+        let granted = state.purse.view(&entry.account).map_or(0, Account::granted);
+        log_event!(
+            Event::AllowanceReclaimed,
+            "account={} recorded={} charged={} granted={granted}",
+            entry.account,
+            before.consumed,
+            entry.consumed
+        );
+    }
+}
+
 async fn read(control: &Control, table: &str, part: &str) -> Result<Reading, Error> {
     let reading = control.store.read(table, part);
     let reading = control.call(table, CALL, reading).await?;
@@ -219,17 +272,11 @@
 async fn write_journal(control: &Control, journal: &Journal) -> bool {
     let gateway = &control.gateway;
     let version = gateway.state().purse.journal_version();
-    let mut change = Change {
-        expects: vec![(own(control, JOURNALS), version)],
-        puts: vec![(own(control, JOURNALS), journal.encode())],
+    let change = Change {
+        expects: vec![(own_journal(control), version)],
+        puts: vec![(own_journal(control), journal.encode())],
         removes: Vec::new(),
     };
-    match gateway.is_leaving() {
-        true => change.removes.push(own(control, MEMBERS)),
-        false => change
-            .puts
-            .push((own(control, MEMBERS), member(control, journal))),
-    }
     let commit = control.store.commit(&change);
     let outcome = control.call("journal_write", CALL, commit).await;
     let now_ms = gateway.now_ms();
@@ -260,16 +307,28 @@
     }
 }
 
-fn member(control: &Control, journal: &Journal) -> Vec<u8> {
-    let settings = &control.gateway.settings;
-    let member = Member {
-        address: settings.front,
-        zone: settings.zone.clone(),
-        incarnation: journal.incarnation,
-        at_ms: journal.at_ms,
-    };
-    // Only a type that cannot be written at all fails here.
-    postcard::to_extend(&member, Vec::new()).unwrap_or_default()
+/// Writes the sign that this instance lives, or takes it away when it leaves.
+async fn sign(control: &Control) {
+    let gateway = &control.gateway;
+    let settings = &gateway.settings;
+    let place = place(MEMBERS, FLEET, &settings.name);
+    let mut change = Change::default();
+    if gateway.is_leaving() {
+        change.removes.push(place);
+    } else {
+        let now_ms = gateway.now_ms();
+        let member = Member {
+            address: settings.front,
+            zone: settings.zone.clone(),
+            at_ms: gateway.state().purse.store_time(now_ms),
+        };
+        // Only a type that cannot be written at all fails here.
+        let value = postcard::to_extend(&member, Vec::new()).unwrap_or_default();
+        change.puts.push((place, value));
+    }
+    let commit = control.store.commit(&change);
+    // A sign that is lost is followed by the next one; `call` has noted the failure.
+    let _ = control.call("sign", CALL, commit).await;
 }
 
 /// Reads which instances live.
@@ -326,6 +385,7 @@
             }) => {
                 state.purse.clock(store_ms, now_ms);
                 for (name, ledger) in planned {
+                    tell(&state.purse, &name, &ledger);
                     state.purse.learn(&name, version, ledger, store_ms);
                 }
                 return;
@@ -347,6 +407,27 @@
     }
 }
 
+/// Logs how the own grant of an account changes.
+fn tell(purse: &Purse, name: &str, ledger: &Ledger) {
+    let Some(account) = purse.view(name) else {
+        return;
+    };
+    let before = account.granted();
+    let granted = ledger.granted(purse.holder());
+    let event = match granted.cmp(&before) {
+        Ordering::Greater => Event::AllowanceDrawn,
+        Ordering::Less => Event::AllowanceReturned,
+        Ordering::Equal => return,
+    };
+    log_event!(
+        event,
+        "account={name} before={before} granted={granted} consumed={} prepaid={} all_granted={}",
+        account.consumed(),
+        account.prepaid().unwrap_or_default(),
+        ledger.total()
+    );
+}
+
 type Planned = Vec<(Arc<str>, Ledger)>;
 
 fn draft(control: &Control, names: &[Arc<str>]) -> (Change, Planned) {
--- a/crates/fescuewell_gateway/src/front.rs
+++ b/crates/fescuewell_gateway/src/front.rs
@@ -62,7 +62,7 @@
                 code.name(),
                 refused.version
             );
-            refusal::answer(reply, code, gateway.is_leaving());
+            refusal::answer(reply, code, None, gateway.is_leaving());
         }
     }
 }
--- a/crates/fescuewell_gateway/src/hold.rs
+++ b/crates/fescuewell_gateway/src/hold.rs
@@ -24,7 +24,8 @@
 }
 
 impl Hold {
-    /// Holds the most that a request may cost, waiting a little for tokens of others.
+    /// Holds the most that a request may cost, waiting a little for tokens of others, or up to `patience` for the
+    /// own pace.
     ///
     /// # Errors
     ///
@@ -34,23 +35,45 @@
         account: &Arc<str>,
         tokens: Tokens,
         id: &str,
-    ) -> Result<Self, Code> {
+        patience: Duration,
+    ) -> Result<Self, Refusal> {
         let most = tokens.prompt + tokens.most_output;
-        let until = Instant::now() + WAIT;
+        let until = Instant::now() + patience.max(WAIT);
+        let refuse = |code: Code, later: Option<Duration>| {
+            let refusal = Refusal::new(code);
+            match later {
+                Some(later) => refusal.with_retry_after(later),
+                None => refusal,
+            }
+        };
         let mut plans = gateway.plans();
         let mut waited = false;
+        let now_ms = gateway.now_ms();
+        gateway.state().purse.ask(account, most, now_ms);
         loop {
             plans.mark_unchanged();
             let now_ms = gateway.now_ms();
             let verdict = gateway.state().purse.hold(account, most, now_ms);
             match verdict {
                 Verdict::Held => return Ok(Self::new(gateway, account, tokens)),
-                Verdict::Exhausted => return Err(Code::BudgetExhausted),
-                Verdict::Short => {}
+                Verdict::Exhausted => return Err(refuse(Code::BudgetExhausted, None)),
+                Verdict::Short | Verdict::Later(_) => {}
             }
+            let later = match verdict {
+                Verdict::Later(wait_ms) => Some(Duration::from_millis(wait_ms)),
+                _ => None,
+            };
             let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() || !gateway.is_store_up() {
-                return Err(Code::BudgetUnknown);
+            if left.is_zero() {
+                return Err(refuse(Code::BudgetUnknown, later));
+            }
+            if !gateway.is_store_up() {
+                // Nobody can give more now; only the pace moves on by itself.
+                match later.filter(|later| *later <= left) {
+                    Some(later) => tokio::time::sleep(later).await,
+                    None => return Err(refuse(Code::BudgetUnknown, later)),
+                }
+                continue;
             }
             if !waited {
                 log_event!(
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -31,6 +31,8 @@
 /// A stream that may be resumed is taken up elsewhere after a pause of so many times the longest one that is still
 /// on time.
 const GAP_PATIENCE: f64 = 1.25;
+/// Part of the target latency for which a request waits for tokens: the rest is enough for a backend server.
+const TOKENS_PART: f64 = 0.5;
 /// Largest answer that is read whole, in bytes.
 const MOST_ANSWER: usize = 4 * 1024 * 1024;
 /// Servers that are tried while nothing could be sent to any of them.
@@ -182,9 +184,8 @@
 
     /// Serves the request.
     pub async fn run(mut self, reply: Reply) {
-        if let Err(code) = self.reserve().await {
-            self.refuse(reply, code);
-            return;
+        if let Err(refusal) = self.reserve().await {
+            return self.refuse_as(reply, refusal.code, refusal.retry_after);
         }
         let now_ms = self.gateway.now_ms();
         let service = self.service.name.clone();
@@ -222,7 +223,7 @@
     }
 
     /// Holds the tokens that the request may cost at most.
-    async fn reserve(&mut self) -> Result<(), Code> {
+    async fn reserve(&mut self) -> Result<(), Refusal> {
         let Some(tokens) = self.facts.tokens else {
             return Ok(());
         };
@@ -232,7 +233,9 @@
         if tenant.prepaid.is_none() || self.service.engine.is_none() {
             return Ok(());
         }
-        self.hold = Some(Hold::take(&self.gateway, &tenant.name, tokens, &self.id).await?);
+        let patience = self.route.target_latency.mul_f64(TOKENS_PART);
+        let hold = Hold::take(&self.gateway, &tenant.name, tokens, &self.id, patience);
+        self.hold = Some(hold.await?);
         Ok(())
     }
 
@@ -496,6 +499,10 @@
     }
 
     fn refuse(&self, reply: Reply, code: Code) {
+        self.refuse_as(reply, code, None);
+    }
+
+    fn refuse_as(&self, reply: Reply, code: Code, wait: Option<Duration>) {
         log_event!(
             Event::RouteRefused,
             "request={} route={} account={} code={} cause={} sends={} configuration={} age_ms={}",
@@ -508,7 +515,7 @@
             self.version,
             self.arrived.elapsed().as_millis()
         );
-        refusal::answer(reply, code, self.gateway.is_leaving());
+        refusal::answer(reply, code, wait, self.gateway.is_leaving());
     }
 
     fn answer(mut self, reply: Reply, answer: Answer, place: &Place) {
--- a/crates/fescuewell_gateway/src/settings.rs
+++ b/crates/fescuewell_gateway/src/settings.rs
@@ -33,6 +33,8 @@
     pub retry: retry::Bounds,
     /// Transactions a second that one part of the store takes.
     pub part_writes: f64,
+    /// Writing calls a second that all instances together may make.
+    pub writes: f64,
     /// Reading calls a second that all instances together may make.
     pub reads: f64,
 }
@@ -60,6 +62,7 @@
                 window_ms: 10_000,
             },
             part_writes: 200.0,
+            writes: 600.0,
             reads: 2_000.0,
         }
     }
--- a/crates/fescuewell_gateway/src/side.rs
+++ b/crates/fescuewell_gateway/src/side.rs
@@ -27,7 +27,7 @@
             reply.whole(StatusCode::OK, HeaderMap::new(), Bytes::new());
             return;
         }
-        refusal::answer(reply, Code::NotReady, false);
+        refusal::answer(reply, Code::NotReady, None, false);
     }
 
     fn addresses(&self, reply: Reply) {
@@ -36,7 +36,7 @@
         let draw = self.gateway.draw();
         let addresses = self.gateway.state().directory.addresses(own, draw);
         if addresses.is_empty() {
-            refusal::answer(reply, Code::NotReady, false);
+            refusal::answer(reply, Code::NotReady, None, false);
             return;
         }
         let keep = self.gateway.settings.keep_addresses;
@@ -60,6 +60,6 @@
             self.addresses(reply);
             return;
         }
-        refusal::answer(reply, Code::NoSuchPath, false);
+        refusal::answer(reply, Code::NoSuchPath, None, false);
     }
 }
