--- a/crates/fescuewell_forward/src/purse.rs
+++ b/crates/fescuewell_forward/src/purse.rs
@@ -53,6 +53,9 @@
     journal_version: u64,
     adopted: bool,
     closing: bool,
+    burst_ms: u64,
+    unanswered: Option<Journal>,
+    may_be_written: bool,
 }
 
 impl Purse {
@@ -66,6 +69,9 @@
             journal_version: 0,
             adopted: false,
             closing: false,
+            burst_ms: 0,
+            unanswered: None,
+            may_be_written: false,
         }
     }
 
@@ -74,6 +80,12 @@
         &self.holder
     }
 
+    /// Sets the demand, in milliseconds of it, that each journal lets through beside the requests that wait for it.
+    /// A fleet that may journal rarely needs more.
+    pub fn set_burst(&mut self, burst_ms: u64) {
+        self.burst_ms = burst_ms;
+    }
+
     /// Takes a reading of the store's clock that was received at `now_ms` of the own steady clock.
     pub fn clock(&mut self, store_ms: u64, now_ms: u64) {
         self.clock.learn(store_ms, now_ms);
@@ -170,15 +182,28 @@
     }
 
     /// The journal as it should be written now; its pace binds from this moment on.
+    ///
+    /// While the answer to an earlier one is missing, that one is given again. A new one would bind as well,
+    /// from its own moment on, and each try during an outage would start the tight time of the pace anew.
     pub fn journal(&mut self, now_ms: u64) -> Journal {
+        if let Some(journal) = &self.unanswered {
+            return journal.clone();
+        }
+        let journal = self.new_journal(now_ms);
+        self.unanswered = Some(journal.clone());
+        journal
+    }
+
+    fn new_journal(&mut self, now_ms: u64) -> Journal {
         let at_ms = self.clock.at(now_ms);
         let closing = self.closing;
+        let burst_ms = self.burst_ms;
         let mut entries = Vec::new();
         for (name, account) in &mut self.accounts {
             if account.prepaid().is_none() && account.consumed() == 0 {
                 continue;
             }
-            entries.push(account.entry(name.clone(), now_ms, closing));
+            entries.push(account.entry(name.clone(), now_ms, burst_ms, closing));
         }
         entries.sort_by(|left, right| left.account.cmp(&right.account));
         let journal = Journal {
@@ -199,8 +224,30 @@
         self.journal_version
     }
 
+    /// Nobody knows whether the journal was written; it may be written late.
+    pub fn journal_unknown(&mut self) {
+        self.may_be_written = true;
+    }
+
+    /// This try certainly did not write the journal. Unless an earlier try may have, its pace binds no more.
+    pub fn journal_dropped(&mut self) {
+        if self.may_be_written {
+            return;
+        }
+        let Some(journal) = self.unanswered.take() else {
+            return;
+        };
+        for entry in &journal.entries {
+            if let Some(account) = self.accounts.get_mut(&entry.account) {
+                account.unbind(entry, journal.at_ms);
+            }
+        }
+    }
+
     /// The journal was written; only its pace binds now.
     pub fn journal_written(&mut self, journal: &Journal, version: u64) {
+        self.unanswered = None;
+        self.may_be_written = false;
         self.journal_version = version;
         self.adopted = true;
         for entry in &journal.entries {
--- a/crates/fescuewell_forward/src/purse/account.rs
+++ b/crates/fescuewell_forward/src/purse/account.rs
@@ -11,17 +11,11 @@
 const DEMAND_MS: u64 = 6_000;
 /// Span over which the largest request is remembered, in milliseconds.
 const LARGEST_MS: u64 = 10_000;
-/// Pace promised, in percent of the measured demand: what goes through while the store cannot be reached, and
-/// what a restart costs for each second since the last journal.
+/// Pace promised after the tight time, in percent of the measured demand, where the grant is large.
 const PACE_PERCENT: u64 = 150;
-/// Demand that the pace lets through at once, in milliseconds of it. Small, since a request that does not fit waits
-/// for a journal that makes room for it, some ten milliseconds.
-const BURST_MS: u64 = 500;
 /// Seconds after the tight time in which all of the grant may be used. Cuts from the store last up to ten seconds, and
 /// demand in them may be several times what it was.
 const USE_UP_S: u64 = 5;
-/// Seconds in which one largest request is allowed however low the demand was.
-const LEAST_PACE_S: u64 = 4;
 /// Age of a row up to which it tells that an account is exhausted, in milliseconds: two plans.
 const FRESH_MS: u64 = 2_500;
 /// A request of this size is expected before any has been seen, in tokens.
@@ -216,16 +210,16 @@
         &mut self,
         account: std::sync::Arc<str>,
         now_ms: u64,
+        burst_ms: u64,
         closing: bool,
     ) -> Entry {
         let rate = self.rate(now_ms);
-        let largest = self.largest();
         let left = self.left();
         let (burst, rate, later_rate) = match closing {
             true => (0, 0, 0),
             false => (
-                rate * BURST_MS / 1_000 + self.waiting,
-                (rate * PACE_PERCENT / 100).max(largest / LEAST_PACE_S),
+                rate * burst_ms / 1_000 + self.waiting,
+                0,
                 (rate * PACE_PERCENT / 100).max(left / USE_UP_S),
             ),
         };
@@ -244,6 +238,12 @@
         self.paces.push(Pace::new(entry, at_ms));
     }
 
+    /// The journal with this entry cannot take effect.
+    pub(super) fn unbind(&mut self, entry: &Entry, at_ms: u64) {
+        let dropped = Pace::new(entry, at_ms);
+        self.paces.retain(|pace| *pace != dropped);
+    }
+
     /// A journal with this entry is in force, and no earlier one can be any more.
     pub(super) fn rebind(&mut self, entry: &Entry, at_ms: u64) {
         self.paces.clear();
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -38,6 +38,8 @@
 const PLAN_PAUSE: Duration = Duration::from_millis(40);
 /// Least time between two journals that waiting requests ask for.
 const JOURNAL_PAUSE: Duration = Duration::from_millis(15);
+/// Pauses whose demand a journal lets through at once.
+const BURST_PAUSES: u32 = 2;
 /// Part of the store's writing calls that such journals may take in the whole fleet.
 const WRITE_SHARE: f64 = 0.4;
 /// Part of one part's transactions that all journals, and all plans, may take.
@@ -120,6 +122,9 @@
 
     async fn journal(&mut self) {
         self.journal_at = Instant::now() + self.every(JOURNAL_EVERY);
+        let burst = self.journal_pause() * BURST_PAUSES;
+        let burst_ms = burst.as_millis() as u64;
+        self.control.gateway.state().purse.set_burst(burst_ms);
         journal(self.control).await;
         self.journaled_at = Instant::now();
     }
@@ -303,7 +308,14 @@
             }
             false
         }
-        Err(_) => false,
+        Err(Error::NotDone { .. }) => {
+            state.purse.journal_dropped();
+            false
+        }
+        Err(_) => {
+            state.purse.journal_unknown();
+            false
+        }
     }
 }
 
