--- a/crates/fescuewell_forward/src/purse/account.rs
+++ b/crates/fescuewell_forward/src/purse/account.rs
@@ -11,6 +11,11 @@
 const DEMAND_MS: u64 = 6_000;
 /// Span over which the largest request is remembered, in milliseconds.
 const LARGEST_MS: u64 = 10_000;
+/// Part of the grant's rest, in percent, that a journal lets through at once: what a restart may cost where an account
+/// has much left, so that a cut does not begin with refusals.
+const SPARE_PERCENT: u64 = 8;
+/// That part is at most so many requests of the usual size.
+const SPARE_REQUESTS: u64 = 2;
 /// Pace promised after the tight time, in percent of the measured demand, where the grant is large.
 const PACE_PERCENT: u64 = 150;
 /// Seconds after the tight time in which all of the grant may be used. Cuts from the store last up to ten seconds, and
@@ -215,10 +220,11 @@
     ) -> Entry {
         let rate = self.rate(now_ms);
         let left = self.left();
+        let spare = (left * SPARE_PERCENT / 100).min(self.typical(now_ms) * SPARE_REQUESTS);
         let (burst, rate, later_rate) = match closing {
             true => (0, 0, 0),
             false => (
-                rate * burst_ms / 1_000 + self.waiting,
+                (rate * burst_ms / 1_000).max(spare) + self.waiting,
                 0,
                 (rate * PACE_PERCENT / 100).max(left / USE_UP_S),
             ),
--- a/crates/fescuewell_forward/src/purse/pace.rs
+++ b/crates/fescuewell_forward/src/purse/pace.rs
@@ -8,7 +8,7 @@
 
 /// Time after a journal for which the promise is tight, in milliseconds: the age of a journal, a restart and the first
 /// reading.
-pub const TIGHT_MS: u64 = 1_200;
+pub const TIGHT_MS: u64 = 1_500;
 
 /// A ceiling of consumption that rises with time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
