--- a/crates/fescuewell_forward/src/purse.rs
+++ b/crates/fescuewell_forward/src/purse.rs
@@ -154,28 +154,29 @@
     /// Takes over from the former incarnation of this holder, whose process has ended.
     ///
     /// `journal` is its last journal, `version` that row's version, 0 if there is none; `ledgers` are the
-    /// accounts' rows. Everything must have been read after the end of that process, at `store_ms` of the store's clock.
+    /// accounts' rows. `ended_ms` is a moment of the store's clock by which that process had ended.
     /// Returns the journal that must be written, on condition of `version`, before anything is spent.
     pub fn adopt(
         &mut self,
         journal: Option<&Journal>,
         version: u64,
         ledgers: Vec<(Arc<str>, u64, Ledger)>,
-        store_ms: u64,
+        ended_ms: u64,
         now_ms: u64,
     ) -> Journal {
         self.journal_version = version;
-        self.clock.learn(store_ms, now_ms);
+        self.unanswered = None;
+        self.may_be_written = false;
         let holder = self.holder.clone();
         for (name, row_version, ledger) in ledgers {
             let granted = ledger.granted(&holder);
             let consumed = match journal {
-                Some(journal) => journal.bound(&name, store_ms).min(granted),
+                Some(journal) => journal.bound(&name, ended_ms).min(granted),
                 None => granted,
             };
             let account = self.account(&name);
             account.inherit(consumed);
-            account.learn(&holder, row_version, ledger, store_ms);
+            account.learn(&holder, row_version, ledger, ended_ms);
         }
         self.incarnation = journal.map_or(1, |journal| journal.incarnation + 1);
         self.journal(now_ms)
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -176,9 +176,13 @@
         return false;
     };
     let gateway = &control.gateway;
+    let asked_ms = gateway.now_ms();
     let Ok(journals) = read(control, JOURNALS, &gateway.settings.name).await else {
         return false;
     };
+    // The own clock began when this process started, and the former one had ended by then. Counting back from
+    // the question to that moment keeps the time that the store could not be reached out of the charge.
+    let ended_ms = journals.now_ms.saturating_sub(asked_ms);
     let mine = journals
         .rows
         .iter()
@@ -191,11 +195,10 @@
         .collect();
     let accounts = rows.len();
     let now_ms = gateway.now_ms();
-    let store_ms = journals.now_ms;
     let journal = gateway
         .state()
         .purse
-        .adopt(known.as_ref(), version, rows, store_ms, now_ms);
+        .adopt(known.as_ref(), version, rows, ended_ms, now_ms);
     let written = write_journal(control, &journal).await;
     if written {
         inherited(control, known.as_ref(), &journal);
@@ -203,7 +206,7 @@
             Event::JournalAdopted,
             "incarnation={} accounts={accounts} journal_age_ms={}",
             journal.incarnation,
-            known.map_or(0, |known| store_ms.saturating_sub(known.at_ms))
+            known.map_or(0, |known| ended_ms.saturating_sub(known.at_ms))
         );
     }
     written
@@ -306,7 +309,7 @@
                     log_event!(Event::JournalLost, "incarnation={}", found.incarnation);
                 }
             }
-            false
+            state.purse.is_adopted()
         }
         Err(Error::NotDone { .. }) => {
             state.purse.journal_dropped();
