--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -24,37 +24,53 @@
     pub draw: u64,
 }
 
+/// What this instance has under way at one backend server.
+#[derive(Debug, Default, Clone, Copy)]
+struct Busy {
+    running: u32,
+    unread: u64,
+}
+
 /// Requests under way at each backend server, sent by this instance.
 #[derive(Debug, Default)]
 pub struct Load {
-    running: HashMap<Arc<str>, u32>,
+    servers: HashMap<Arc<str>, Busy>,
 }
 
 impl Load {
-    /// One more request.
-    pub fn begin(&mut self, id: &Arc<str>) {
-        *self.running.entry(id.clone()).or_default() += 1;
+    /// One more request, with a prompt of so many tokens that are still to be read.
+    pub fn begin(&mut self, id: &Arc<str>, unread: u64) {
+        let busy = self.servers.entry(id.clone()).or_default();
+        busy.running += 1;
+        busy.unread += unread;
+    }
+
+    /// A prompt has been read.
+    pub fn read(&mut self, id: &str, unread: u64) {
+        if let Some(busy) = self.servers.get_mut(id) {
+            busy.unread = busy.unread.saturating_sub(unread);
+        }
     }
 
-    /// One request fewer.
+    /// One request fewer, its prompt having been read or given up.
     pub fn end(&mut self, id: &str) {
-        let Some(count) = self.running.get_mut(id) else {
+        let Some(busy) = self.servers.get_mut(id) else {
             return;
         };
-        *count -= 1;
-        if *count == 0 {
-            self.running.remove(id);
+        busy.running = busy.running.saturating_sub(1);
+        if busy.running == 0 {
+            self.servers.remove(id);
         }
     }
 
     /// Requests under way.
     pub fn running(&self, id: &str) -> u32 {
-        self.running.get(id).copied().unwrap_or_default()
+        self.servers.get(id).map_or(0, |busy| busy.running)
     }
 
-    /// All requests under way.
-    pub fn total(&self) -> u32 {
-        self.running.values().sum()
+    /// Prompt tokens still to be read.
+    pub fn unread(&self, id: &str) -> u64 {
+        self.servers.get(id).map_or(0, |busy| busy.unread)
     }
 }
 
@@ -63,6 +79,8 @@
 const BOUND_FACTOR: f64 = 1.5;
 /// The few more.
 const BOUND_SLACK: f64 = 2.0;
+/// Prompt tokens that may wait to be read at one server beyond that: about a quarter of a second of reading.
+const UNREAD_SLACK: f64 = 40_000.0;
 /// Shared tokens from which finding them again is worth more than an even load.
 const LEAST_SHARED: u64 = 1_000;
 
@@ -74,27 +92,47 @@
     health: &Health,
     now_ms: u64,
 ) -> Option<&'a Arc<Entry>> {
-    let sound: Vec<&Arc<Entry>> = candidates
+    let open: Vec<&Arc<Entry>> = candidates
         .iter()
         .copied()
         .filter(|entry| !health.is_out(&entry.id, now_ms))
         .collect();
     // With all of them left out, the judgement is more likely wrong than every server.
-    let from = if sound.is_empty() { candidates } else { &sound };
+    let from = if open.is_empty() { candidates } else { &open };
     match wish.affinity {
         Some(part) if wish.shared_tokens >= LEAST_SHARED => by_rank(from, part, load),
-        _ => by_load(from, wish, load, health),
+        _ => by_load(&not_slow(from, health, now_ms), wish, load, health),
     }
 }
 
+/// Those that are not much slower than the others. Only where nothing is kept for the request: reading a
+/// long prompt again costs more than a slow server does.
+fn not_slow<'a>(from: &[&'a Arc<Entry>], health: &Health, now_ms: u64) -> Vec<&'a Arc<Entry>> {
+    let ids = from.iter().map(|entry| &*entry.id);
+    let limit = health.slow_from(ids, now_ms).unwrap_or(f64::INFINITY);
+    let is_slow = |id: &str| health.measured(id, now_ms).is_some_and(|time| time > limit);
+    let fast: Vec<&Arc<Entry>> = from
+        .iter()
+        .copied()
+        .filter(|entry| !is_slow(&entry.id))
+        .collect();
+    if fast.is_empty() { from.to_vec() } else { fast }
+}
+
 fn by_rank<'a>(from: &[&'a Arc<Entry>], part: &str, load: &Load) -> Option<&'a Arc<Entry>> {
     let mut ranked: Vec<&Arc<Entry>> = from.to_vec();
     ranked.sort_by_key(|entry| std::cmp::Reverse(rank(part, &entry.id)));
+    let count = ranked.len().max(1) as f64;
     let running: u32 = ranked.iter().map(|entry| load.running(&entry.id)).sum();
-    let mean = f64::from(running) / ranked.len().max(1) as f64;
-    let bound = mean * BOUND_FACTOR + BOUND_SLACK;
-    let below = |entry: &&&Arc<Entry>| f64::from(load.running(&entry.id)) < bound;
-    ranked.iter().find(below).or(ranked.first()).copied()
+    let unread: u64 = ranked.iter().map(|entry| load.unread(&entry.id)).sum();
+    let most_running = f64::from(running) / count * BOUND_FACTOR + BOUND_SLACK;
+    let most_unread = unread as f64 / count * BOUND_FACTOR + UNREAD_SLACK;
+    let below = |entry: &&&Arc<Entry>| {
+        f64::from(load.running(&entry.id)) < most_running
+            && (load.unread(&entry.id) as f64) < most_unread
+    };
+    let least = || ranked.iter().min_by_key(|entry| load.unread(&entry.id));
+    ranked.iter().find(below).or_else(least).copied()
 }
 
 fn by_load<'a>(
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -60,6 +60,8 @@
     tried: Vec<Arc<str>>,
     may_have_run: bool,
     timed_out: bool,
+    held_ms: u128,
+    first_ms: u128,
 }
 
 /// A backend server's answer.
@@ -89,17 +91,33 @@
 pub(crate) struct Place {
     gateway: Arc<Gateway>,
     pub(crate) server: Arc<Entry>,
+    unread: u64,
 }
 
 impl Place {
-    fn take(gateway: &Arc<Gateway>, server: Arc<Entry>) -> Self {
-        gateway.state().load.begin(&server.id);
+    fn take(gateway: &Arc<Gateway>, server: Arc<Entry>, unread: u64) -> Self {
+        gateway.state().load.begin(&server.id, unread);
         Self {
             gateway: gateway.clone(),
             server,
+            unread,
         }
     }
 
+    /// The first event shows that the prompt has been read.
+    fn first_event(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.gateway.state().load.read(&self.server.id, unread);
+    }
+
+    /// Notes how long the server took: for a whole answer, or between two events.
+    pub(crate) fn time(&self, time: Duration) {
+        let now_ms = self.gateway.now_ms();
+        let time_ms = time.as_secs_f64() * 1_000.0;
+        let mut state = self.gateway.state();
+        state.health.time(&self.server.id, time_ms, now_ms);
+    }
+
     /// Notes how the request ended at this server.
     pub(crate) fn judge(&self, outcome: Outcome) {
         let now_ms = self.gateway.now_ms();
@@ -120,7 +138,9 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.gateway.state().load.end(&self.server.id);
+        let mut state = self.gateway.state();
+        state.load.read(&self.server.id, self.unread);
+        state.load.end(&self.server.id);
     }
 }
 
@@ -153,6 +173,8 @@
             tried: Vec::new(),
             may_have_run: false,
             timed_out: false,
+            held_ms: 0,
+            first_ms: 0,
         }
     }
 
@@ -187,15 +209,16 @@
         if let Err(refusal) = self.reserve().await {
             return self.refuse_as(reply, refusal.code, refusal.retry_after);
         }
+        self.held_ms = self.arrived.elapsed().as_millis();
         let now_ms = self.gateway.now_ms();
         let service = self.service.name.clone();
         self.gateway.state().retry.request(&service, now_ms);
         loop {
-            let place = match self.pick() {
+            let mut place = match self.pick() {
                 Ok(place) => place,
                 Err(code) => return self.refuse(reply, code),
             };
-            let attempt = self.attempt(&place, None).await;
+            let attempt = self.attempt(&mut place, None).await;
             match attempt {
                 Attempt::Whole(answer) => return self.answer(reply, answer, &place),
                 Attempt::Events(exchange, first) => {
@@ -288,11 +311,12 @@
             self.tenant.as_ref().map_or("-", |tenant| &tenant.name)
         );
         self.tried.push(server.id.clone());
-        Ok(Place::take(&self.gateway, server))
+        let unread = self.facts.tokens.map_or(0, |tokens| tokens.prompt);
+        Ok(Place::take(&self.gateway, server, unread))
     }
 
     /// Sends the request to a backend server; `after` is the last event that the caller already has.
-    pub(crate) async fn attempt(&mut self, place: &Place, after: Option<u64>) -> Attempt {
+    pub(crate) async fn attempt(&mut self, place: &mut Place, after: Option<u64>) -> Attempt {
         let Some(request) = self.request(&place.server, after) else {
             return Attempt::NotSent;
         };
@@ -301,6 +325,7 @@
             false => self.limit,
         };
         let target = Target::new(place.server.address).with_deadline(until);
+        let sent_at = Instant::now();
         let opened = self
             .gateway
             .client
@@ -319,10 +344,15 @@
                 return self.unknown(place, &error);
             }
         };
-        self.sent_to_be_judged(place, exchange).await
+        self.receive(place, exchange, sent_at).await
     }
 
-    async fn sent_to_be_judged(&mut self, place: &Place, mut exchange: Exchange) -> Attempt {
+    async fn receive(
+        &mut self,
+        place: &mut Place,
+        mut exchange: Exchange,
+        sent_at: Instant,
+    ) -> Attempt {
         self.sends += 1;
         let names = self.gateway.dialect.names().clone();
         let status = exchange.status;
@@ -355,7 +385,11 @@
         }
         if self.route.kind.is_stream() && status.is_success() {
             return match exchange.next_chunk().await {
-                Some(Ok(first)) => Attempt::Events(Box::new(exchange), first),
+                Some(Ok(first)) => {
+                    place.first_event();
+                    self.first_ms = self.arrived.elapsed().as_millis();
+                    Attempt::Events(Box::new(exchange), first)
+                }
                 Some(Err(error)) => self.unknown(place, &error),
                 None => self.unknown(place, &"a stream without events"),
             };
@@ -374,6 +408,7 @@
                     return Attempt::Failed(answer);
                 }
                 place.judge(Outcome::Good);
+                place.time(sent_at.elapsed());
                 Attempt::Whole(answer)
             }
             Err(error) => self.unknown(place, &error),
@@ -533,11 +568,14 @@
     pub(crate) fn done(&self, place: &Place, outcome: &str) {
         log_event!(
             Event::RequestDone,
-            "request={} server={} outcome={outcome} sends={} tokens={} age_ms={}",
+            "request={} route={} server={} outcome={outcome} sends={} tokens={} held_ms={} first_ms={} age_ms={}",
             self.id,
+            self.route.name,
             place.server.id,
             self.sends,
             self.hold.as_ref().map_or(0, Hold::cost),
+            self.held_ms,
+            self.first_ms,
             self.arrived.elapsed().as_millis()
         );
     }
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -1,6 +1,8 @@
 //! Streamed answers: whole events go on as they come, and a broken stream is taken up elsewhere inside the
 //! same answer.
 
+use std::time::Instant;
+
 use bytes::{Buf, Bytes, BytesMut};
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
@@ -142,9 +144,14 @@
             let Some((exchange, first)) = current.take() else {
                 return self.done(&place, "broken_off");
             };
+            let begun = (Instant::now(), cutter.taken());
             match self.pump(&sink, &mut cutter, exchange, first).await {
                 Ending::Whole => {
                     place.judge(Outcome::Good);
+                    let events = cutter.taken().saturating_sub(begun.1 + 1);
+                    if let Some(gap) = begun.0.elapsed().checked_div(events as u32) {
+                        place.time(gap);
+                    }
                     sink.finish();
                     return self.done(&place, "whole");
                 }
@@ -163,7 +170,7 @@
                     place.server.id,
                     cutter.last()
                 );
-                let attempt = self.attempt(&place, cutter.last()).await;
+                let attempt = self.attempt(&mut place, cutter.last()).await;
                 if let Attempt::Events(exchange, first) = attempt {
                     current = Some((*exchange, first));
                 }
