Let instances tell each other their load; choose the server where a prompt is read first

Change: words of load over UDP (hints, nothing depends on them); cost of a choice: tokens that wait, and shared parts to be read again.

--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -8,6 +8,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::health::Health;
 use crate::server::Entry;
 
@@ -35,6 +37,29 @@
 #[derive(Debug, Default)]
 pub struct Load {
     servers: HashMap<Arc<str>, Busy>,
+    peers: HashMap<Arc<str>, Heard>,
+}
+
+/// What another instance said of its own load.
+#[derive(Debug)]
+struct Heard {
+    at_ms: u64,
+    number: u64,
+    servers: HashMap<Arc<str>, Busy>,
+}
+
+/// Age from which another instance's word counts no more, in milliseconds: it is repeated while it changes.
+const HEARD_MS: u64 = 1_500;
+
+/// One instance's word of its load.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// Who says it.
+    pub instance: Arc<str>,
+    /// Rises with each word of one start.
+    pub number: u64,
+    /// Server, requests under way, prompt tokens still to be read.
+    pub servers: Vec<(Arc<str>, u32, u64)>,
 }
 
 impl Load {
@@ -63,24 +88,60 @@
         }
     }
 
-    /// Requests under way.
+    /// The own load, for the others.
+    pub fn word(&self, instance: Arc<str>, number: u64) -> Word {
+        let servers = self.servers.iter();
+        let servers = servers.map(|(id, busy)| (id.clone(), busy.running, busy.unread));
+        Word {
+            instance,
+            number,
+            servers: servers.collect(),
+        }
+    }
+
+    /// Takes another instance's word.
+    pub fn hear(&mut self, word: Word, now_ms: u64) {
+        let known = self.peers.get(&word.instance);
+        let is_old = known.is_some_and(|heard| word.number <= heard.number && now_ms < heard.at_ms + HEARD_MS);
+        if is_old {
+            return;
+        }
+        let servers = word.servers.into_iter();
+        let servers = servers.map(|(id, running, unread)| (id, Busy { running, unread }));
+        let heard = Heard {
+            at_ms: now_ms,
+            number: word.number,
+            servers: servers.collect(),
+        };
+        self.peers.insert(word.instance, heard);
+    }
+
+    /// Forgets words that are too old.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.peers.retain(|_, heard| now_ms < heard.at_ms + HEARD_MS);
+    }
+
+    fn all(&self, id: &str) -> impl Iterator<Item = &Busy> {
+        let heard = self.peers.values().filter_map(move |heard| heard.servers.get(id));
+        self.servers.get(id).into_iter().chain(heard)
+    }
+
+    /// Requests under way, of all instances that were heard of.
     pub fn running(&self, id: &str) -> u32 {
-        self.servers.get(id).map_or(0, |busy| busy.running)
+        self.all(id).map(|busy| busy.running).sum()
     }
 
     /// Prompt tokens still to be read.
     pub fn unread(&self, id: &str) -> u64 {
-        self.servers.get(id).map_or(0, |busy| busy.unread)
+        self.all(id).map(|busy| busy.unread).sum()
     }
 }
 
-/// A server may have so many times the mean number of own requests, and a few more, before the next one in the
-/// order is taken.
-const BOUND_FACTOR: f64 = 1.5;
-/// The few more.
-const BOUND_SLACK: f64 = 2.0;
-/// Prompt tokens that may wait to be read at one server beyond that: about a quarter of a second of reading.
-const UNREAD_SLACK: f64 = 40_000.0;
+/// What reading shared parts again costs against waiting for so many tokens, in percent: the price of the
+/// second copy comes on top of its time.
+const AGAIN_PERCENT: u64 = 400;
+/// A running request slows the others down about as much as so many prompt tokens do.
+const RUNNING_TOKENS: u64 = 300;
 /// Shared tokens from which finding them again is worth more than an even load.
 const LEAST_SHARED: u64 = 1_000;
 
@@ -100,7 +161,7 @@
     // With all of them left out, the judgement is more likely wrong than every server.
     let from = if open.is_empty() { candidates } else { &open };
     match wish.affinity {
-        Some(part) if wish.shared_tokens >= LEAST_SHARED => by_rank(from, part, load),
+        Some(part) if wish.shared_tokens >= LEAST_SHARED => by_cost(from, part, wish, load),
         _ => by_load(&not_slow(from, health, now_ms), wish, load, health),
     }
 }
@@ -119,20 +180,23 @@
     if fast.is_empty() { from.to_vec() } else { fast }
 }
 
-fn by_rank<'a>(from: &[&'a Arc<Entry>], part: &str, load: &Load) -> Option<&'a Arc<Entry>> {
+/// The server at which the prompt is read first: what waits there, and what it has to read again.
+fn by_cost<'a>(
+    from: &[&'a Arc<Entry>],
+    part: &str,
+    wish: &Wish<'_>,
+    load: &Load,
+) -> Option<&'a Arc<Entry>> {
     let mut ranked: Vec<&Arc<Entry>> = from.to_vec();
     ranked.sort_by_key(|entry| std::cmp::Reverse(rank(part, &entry.id)));
-    let count = ranked.len().max(1) as f64;
-    let running: u32 = ranked.iter().map(|entry| load.running(&entry.id)).sum();
-    let unread: u64 = ranked.iter().map(|entry| load.unread(&entry.id)).sum();
-    let most_running = f64::from(running) / count * BOUND_FACTOR + BOUND_SLACK;
-    let most_unread = unread as f64 / count * BOUND_FACTOR + UNREAD_SLACK;
-    let below = |entry: &&&Arc<Entry>| {
-        f64::from(load.running(&entry.id)) < most_running
-            && (load.unread(&entry.id) as f64) < most_unread
+    let cost = |place: usize, entry: &Arc<Entry>| {
+        let again = if place == 0 { 0 } else { wish.shared_tokens * AGAIN_PERCENT / 100 };
+        let decoding = u64::from(load.running(&entry.id)) * RUNNING_TOKENS;
+        load.unread(&entry.id) + again + decoding
     };
-    let least = || ranked.iter().min_by_key(|entry| load.unread(&entry.id));
-    ranked.iter().find(below).or_else(least).copied()
+    let costs = ranked.iter().enumerate();
+    let costs = costs.map(|(place, entry)| (cost(place, entry), place, *entry));
+    costs.min_by_key(|(cost, place, _)| (*cost, *place)).map(|(_, _, entry)| entry)
 }
 
 fn by_load<'a>(
--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -11,6 +11,8 @@
 pub struct Member {
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address for the other instances, if it takes their words.
+    pub peer: Option<SocketAddr>,
     /// Availability zone.
     pub zone: Arc<str>,
     /// When it wrote this, by the store's clock, in milliseconds.
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -1,6 +1,7 @@
 //! The duties of the control thread: the configuration, the list of backend servers, grants and membership.
 
 mod money;
+mod peers;
 mod watch;
 
 use std::sync::Arc;
@@ -49,7 +50,8 @@
         let configuration = watch::configuration(&self);
         let servers = watch::servers(&self);
         let money = money::run(&self);
-        tokio::join!(configuration, servers, money);
+        let peers = peers::run(&self);
+        tokio::join!(configuration, servers, money, peers);
     }
 
     /// Notes what a call to the store came to.
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -334,6 +334,7 @@
         let now_ms = gateway.now_ms();
         let member = Member {
             address: settings.front,
+            peer: settings.peer,
             zone: settings.zone.clone(),
             at_ms: gateway.state().purse.store_time(now_ms),
         };
--- /dev/null
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -0,0 +1,78 @@
+//! Words of load between instances: hints that make the choice of a backend server better and that nothing depends
+//! on. A word that is lost, late or withheld by a cut leaves each instance with its own load.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::choice::Word;
+use tokio::net::UdpSocket;
+
+use super::Control;
+
+/// Least time between two words.
+const PAUSE: Duration = Duration::from_millis(10);
+/// A word is repeated after this time even if nothing changed, so that one that was lost does not last.
+const REPEAT: Duration = Duration::from_millis(500);
+/// Largest word in bytes: one packet of an Ethernet.
+const MOST: usize = 1_400;
+
+/// Tells the own load and hears that of others.
+pub(super) async fn run(control: &Control) {
+    let Some(address) = control.gateway.settings.peer else {
+        return;
+    };
+    let socket = match UdpSocket::bind(address).await {
+        Ok(socket) => socket,
+        Err(error) => {
+            log_event!(Event::LinkFailed, "address={address} reason={}", error.kind());
+            return;
+        }
+    };
+    tokio::join!(tell(control, &socket), hear(control, &socket));
+}
+
+async fn tell(control: &Control, socket: &UdpSocket) {
+    let gateway = &control.gateway;
+    for number in 1.. {
+        // The end of the time is as good a reason as a change.
+        let _ = tokio::time::timeout(REPEAT, gateway.load_changed()).await;
+        let now_ms = gateway.now_ms();
+        let (word, peers) = {
+            let mut state = gateway.state();
+            state.load.expire(now_ms);
+            let word = state.load.word(gateway.settings.name.clone(), number);
+            let own = gateway.settings.peer;
+            let peers = state.directory.live().filter_map(|(_, member)| member.peer);
+            let peers: Vec<SocketAddr> = peers.filter(|peer| Some(*peer) != own).collect();
+            (word, peers)
+        };
+        let Ok(bytes) = postcard::to_extend(&word, Vec::new()) else {
+            continue;
+        };
+        if bytes.len() <= MOST {
+            for peer in peers {
+                // A hint that cannot be sent is no loss.
+                let _ = socket.try_send_to(&bytes, peer);
+            }
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn hear(control: &Control, socket: &UdpSocket) {
+    let mut buffer = [0; MOST];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        // Anything that is no word is left alone.
+        let Ok(word) = postcard::from_bytes::<Word>(&buffer[..length]) else {
+            continue;
+        };
+        let now_ms = control.gateway.now_ms();
+        control.gateway.state().load.hear(word, now_ms);
+    }
+}
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use fescuewell_http::upstream;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::dialect::Dialect;
 use crate::settings::Settings;
@@ -66,6 +66,7 @@
     open: AtomicUsize,
     wanted: flume::Sender<()>,
     planned: watch::Sender<u64>,
+    loaded: Notify,
     started: Instant,
 }
 
@@ -94,6 +95,7 @@
             open: AtomicUsize::new(0),
             wanted,
             planned,
+            loaded: Notify::new(),
             started: Instant::now(),
         };
         (Arc::new(gateway), wants)
@@ -169,6 +171,16 @@
         self.planned.send_modify(|count| *count += 1);
     }
 
+    /// Tells that the own load has changed.
+    pub fn tell_loaded(&self) {
+        self.loaded.notify_one();
+    }
+
+    /// Waits for a change of the own load.
+    pub async fn load_changed(&self) {
+        self.loaded.notified().await;
+    }
+
     /// Wakes after each plan.
     pub fn plans(&self) -> watch::Receiver<u64> {
         self.planned.subscribe()
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -97,6 +97,7 @@
 impl Place {
     fn take(gateway: &Arc<Gateway>, server: Arc<Entry>, unread: u64) -> Self {
         gateway.state().load.begin(&server.id, unread);
+        gateway.tell_loaded();
         Self {
             gateway: gateway.clone(),
             server,
@@ -108,6 +109,7 @@
     fn first_event(&mut self) {
         let unread = std::mem::take(&mut self.unread);
         self.gateway.state().load.read(&self.server.id, unread);
+        self.gateway.tell_loaded();
     }
 
     /// Notes how long the server took: for a whole answer, or between two events.
@@ -141,6 +143,8 @@
         let mut state = self.gateway.state();
         state.load.read(&self.server.id, self.unread);
         state.load.end(&self.server.id);
+        drop(state);
+        self.gateway.tell_loaded();
     }
 }
 
--- a/crates/fescuewell_gateway/src/settings.rs
+++ b/crates/fescuewell_gateway/src/settings.rs
@@ -19,6 +19,8 @@
     pub ready: Option<SocketAddr>,
     /// Where callers ask for addresses.
     pub directory: Option<SocketAddr>,
+    /// Where other instances send their words.
+    pub peer: Option<SocketAddr>,
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
     /// Most sockets that the process may have open.
@@ -51,6 +53,7 @@
             front,
             ready: None,
             directory: None,
+            peer: None,
             metrics: None,
             sockets: 4_096,
             memory: 110 * 1024 * 1024,
