Tell which prompt parts were placed where

Cause: a part's second copy, made while its first server was busy or gone, was known to one instance only.

--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -38,6 +38,55 @@
 pub struct Load {
     servers: HashMap<Arc<str>, Busy>,
     peers: HashMap<Arc<str>, Heard>,
+    kept: Kept,
+}
+
+/// Which servers are known to keep a prompt part, from own requests and from the words of others.
+#[derive(Debug, Default)]
+struct Kept {
+    parts: HashMap<u64, Vec<Copy>>,
+    fresh: Vec<(u64, Arc<str>, u64)>,
+}
+
+/// A part at a server, and when it was last used there.
+#[derive(Debug)]
+struct Copy {
+    server: Arc<str>,
+    used_ms: u64,
+}
+
+/// A part that was not used for so long may have been displaced, in milliseconds.
+const KEPT_MS: u64 = 20_000;
+/// New copies are told for so long, in milliseconds, since a word may be lost.
+const FRESH_COPY_MS: u64 = 300;
+/// Most copies in one word: it has to fit one packet.
+const MOST_COPIES: usize = 24;
+/// Most parts that are remembered.
+const MOST_PARTS: usize = 20_000;
+
+impl Kept {
+    /// Notes a use; returns whether the copy is new.
+    fn note(&mut self, part: u64, server: &Arc<str>, now_ms: u64) -> bool {
+        if self.parts.len() >= MOST_PARTS {
+            self.parts.clear();
+        }
+        let copies = self.parts.entry(part).or_default();
+        copies.retain(|copy| now_ms < copy.used_ms + KEPT_MS);
+        if let Some(copy) = copies.iter_mut().find(|copy| copy.server == *server) {
+            copy.used_ms = now_ms;
+            return false;
+        }
+        copies.push(Copy {
+            server: server.clone(),
+            used_ms: now_ms,
+        });
+        true
+    }
+
+    fn holds(&self, part: u64, server: &str) -> bool {
+        let copies = self.parts.get(&part);
+        copies.is_some_and(|copies| copies.iter().any(|copy| &*copy.server == server))
+    }
 }
 
 /// What another instance said of its own load.
@@ -60,6 +109,8 @@
     pub number: u64,
     /// Server, requests under way, prompt tokens still to be read.
     pub servers: Vec<(Arc<str>, u32, u64)>,
+    /// Parts that servers have been given lately: part and server.
+    pub copies: Vec<(u64, Arc<str>)>,
 }
 
 impl Load {
@@ -88,14 +139,27 @@
         }
     }
 
+    /// A server is given a prompt that has this part.
+    pub fn keep(&mut self, part: &str, server: &Arc<str>, now_ms: u64) {
+        let part = part_number(part);
+        if self.kept.note(part, server, now_ms) {
+            self.kept.fresh.push((part, server.clone(), now_ms));
+        }
+    }
+
     /// The own load, for the others.
-    pub fn word(&self, instance: Arc<str>, number: u64) -> Word {
+    pub fn word(&mut self, instance: Arc<str>, number: u64, now_ms: u64) -> Word {
+        self.kept.fresh.retain(|(_, _, at)| now_ms < at + FRESH_COPY_MS);
+        let copies = self.kept.fresh.iter().rev().take(MOST_COPIES);
+        let copies = copies.map(|(part, server, _)| (*part, server.clone()));
+        let copies = copies.collect();
         let servers = self.servers.iter();
         let servers = servers.map(|(id, busy)| (id.clone(), busy.running, busy.unread));
         Word {
             instance,
             number,
             servers: servers.collect(),
+            copies,
         }
     }
 
@@ -106,6 +170,9 @@
         if is_old {
             return;
         }
+        for (part, server) in &word.copies {
+            self.kept.note(*part, server, now_ms);
+        }
         let servers = word.servers.into_iter();
         let servers = servers.map(|(id, running, unread)| (id, Busy { running, unread }));
         let heard = Heard {
@@ -140,6 +207,8 @@
 /// What reading shared parts again costs against waiting for so many tokens, in percent: the price of the
 /// second copy comes on top of its time.
 const AGAIN_PERCENT: u64 = 400;
+/// The same where no copy is known: instances that have not heard of each other then still agree.
+const UNKNOWN_PERCENT: u64 = 50;
 /// A running request slows the others down about as much as so many prompt tokens do.
 const RUNNING_TOKENS: u64 = 300;
 /// Shared tokens from which finding them again is worth more than an even load.
@@ -189,8 +258,17 @@
 ) -> Option<&'a Arc<Entry>> {
     let mut ranked: Vec<&Arc<Entry>> = from.to_vec();
     ranked.sort_by_key(|entry| std::cmp::Reverse(rank(part, &entry.id)));
+    let number = part_number(part);
+    let is_kept = ranked.iter().any(|entry| load.kept.holds(number, &entry.id));
+    let again = wish.shared_tokens * AGAIN_PERCENT / 100;
     let cost = |place: usize, entry: &Arc<Entry>| {
-        let again = if place == 0 { 0 } else { wish.shared_tokens * AGAIN_PERCENT / 100 };
+        let again = match (is_kept, place) {
+            (true, _) if load.kept.holds(number, &entry.id) => 0,
+            (true, _) => again,
+            // As far as is known the part has to be read wherever it goes.
+            (false, 0) => 0,
+            (false, _) => wish.shared_tokens * UNKNOWN_PERCENT / 100,
+        };
         let decoding = u64::from(load.running(&entry.id)) * RUNNING_TOKENS;
         load.unread(&entry.id) + again + decoding
     };
@@ -217,6 +295,13 @@
     })
 }
 
+/// A part's identity as a number; equal on all instances of one program version.
+fn part_number(part: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    part.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Rank of a server for a prompt part; equal on all instances of one program version.
 fn rank(part: &str, id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -276,7 +276,7 @@
         }
         let now_ms = self.gateway.now_ms();
         let draw = self.gateway.draw();
-        let state = self.gateway.state();
+        let mut state = self.gateway.state();
         let all: Vec<&Arc<Entry>> = state.registry.ready(&self.service.name).collect();
         let listed = all.len();
         let fresh: Vec<&Arc<Entry>> = all
@@ -295,6 +295,9 @@
             draw,
         };
         let chosen = choice::pick(&fresh, &wish, &state.load, &state.health, now_ms).cloned();
+        if let (Some(server), Some(part)) = (&chosen, wish.affinity) {
+            state.load.keep(part, &server.id, now_ms);
+        }
         let running = chosen.as_ref().map(|entry| state.load.running(&entry.id));
         drop(state);
         let Some(server) = chosen else {
