--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -149,7 +149,9 @@
 
     /// The own load, for the others.
     pub fn word(&mut self, instance: Arc<str>, number: u64, now_ms: u64) -> Word {
-        self.kept.fresh.retain(|(_, _, at)| now_ms < at + FRESH_COPY_MS);
+        self.kept
+            .fresh
+            .retain(|(_, _, at)| now_ms < at + FRESH_COPY_MS);
         let copies = self.kept.fresh.iter().rev().take(MOST_COPIES);
         let copies = copies.map(|(part, server, _)| (*part, server.clone()));
         let copies = copies.collect();
@@ -166,7 +168,8 @@
     /// Takes another instance's word.
     pub fn hear(&mut self, word: Word, now_ms: u64) {
         let known = self.peers.get(&word.instance);
-        let is_old = known.is_some_and(|heard| word.number <= heard.number && now_ms < heard.at_ms + HEARD_MS);
+        let is_old = known
+            .is_some_and(|heard| word.number <= heard.number && now_ms < heard.at_ms + HEARD_MS);
         if is_old {
             return;
         }
@@ -185,11 +188,15 @@
 
     /// Forgets words that are too old.
     pub fn expire(&mut self, now_ms: u64) {
-        self.peers.retain(|_, heard| now_ms < heard.at_ms + HEARD_MS);
+        self.peers
+            .retain(|_, heard| now_ms < heard.at_ms + HEARD_MS);
     }
 
     fn all(&self, id: &str) -> impl Iterator<Item = &Busy> {
-        let heard = self.peers.values().filter_map(move |heard| heard.servers.get(id));
+        let heard = self
+            .peers
+            .values()
+            .filter_map(move |heard| heard.servers.get(id));
         self.servers.get(id).into_iter().chain(heard)
     }
 
@@ -259,7 +266,9 @@
     let mut ranked: Vec<&Arc<Entry>> = from.to_vec();
     ranked.sort_by_key(|entry| std::cmp::Reverse(rank(part, &entry.id)));
     let number = part_number(part);
-    let is_kept = ranked.iter().any(|entry| load.kept.holds(number, &entry.id));
+    let is_kept = ranked
+        .iter()
+        .any(|entry| load.kept.holds(number, &entry.id));
     let again = wish.shared_tokens * AGAIN_PERCENT / 100;
     let cost = |place: usize, entry: &Arc<Entry>| {
         let again = match (is_kept, place) {
@@ -274,7 +283,9 @@
     };
     let costs = ranked.iter().enumerate();
     let costs = costs.map(|(place, entry)| (cost(place, entry), place, *entry));
-    costs.min_by_key(|(cost, place, _)| (*cost, *place)).map(|(_, _, entry)| entry)
+    costs
+        .min_by_key(|(cost, place, _)| (*cost, *place))
+        .map(|(_, _, entry)| entry)
 }
 
 fn by_load<'a>(
--- a/crates/fescuewell_forward/src/purse.rs
+++ b/crates/fescuewell_forward/src/purse.rs
@@ -126,7 +126,9 @@
 
     /// Whether requests wait for more than the own grants cover.
     pub fn needs_plan(&self) -> bool {
-        self.accounts.values().any(|account| account.need().is_some())
+        self.accounts
+            .values()
+            .any(|account| account.need().is_some())
     }
 
     /// Ends a hold: `cost` of the `held` tokens were consumed.
--- a/crates/fescuewell_forward/src/purse/account.rs
+++ b/crates/fescuewell_forward/src/purse/account.rs
@@ -16,10 +16,11 @@
 const SPARE_PERCENT: u64 = 8;
 /// That part is at most so many requests of the usual size.
 const SPARE_REQUESTS: u64 = 2;
-/// Pace promised after the tight time, in percent of the measured demand, where the grant is large.
-const PACE_PERCENT: u64 = 150;
+/// Pace promised after the tight time, in percent of the measured demand. Demand in a cut may be twice what it was; a
+/// restart at the end of an outage of the store is charged all of it.
+const PACE_PERCENT: u64 = 200;
 /// Seconds after the tight time in which all of the grant may be used. Cuts from the store last up to ten seconds, and
-/// demand in them may be several times what it was.
+/// the requests of one account come to one instance in lumps.
 const USE_UP_S: u64 = 5;
 /// Age of a row up to which it tells that an account is exhausted, in milliseconds: two plans.
 const FRESH_MS: u64 = 2_500;
@@ -220,7 +221,8 @@
     ) -> Entry {
         let rate = self.rate(now_ms);
         let left = self.left();
-        let spare = (left * SPARE_PERCENT / 100).min(self.typical(now_ms) * SPARE_REQUESTS);
+        let typical = self.typical(now_ms);
+        let spare = (left * SPARE_PERCENT / 100).min(typical * SPARE_REQUESTS);
         let (burst, rate, later_rate) = match closing {
             true => (0, 0, 0),
             false => (
@@ -299,7 +301,9 @@
     fn typical(&mut self, now_ms: u64) -> u64 {
         let requests = self.requests.sum(now_ms);
         let demand = self.demand.sum(now_ms);
-        demand.checked_div(requests).map_or(FIRST_LARGEST, |mean| mean.max(1))
+        demand
+            .checked_div(requests)
+            .map_or(FIRST_LARGEST, |mean| mean.max(1))
     }
 
     fn note_largest(&mut self, tokens: u64, now_ms: u64) {
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -65,7 +65,11 @@
                 let reason = error.to_string().replace(' ', "_");
                 log_event!(Event::TableDown, "call={call} reason={reason}");
             }
-            _ => log_event!(Event::TableUp, "call={call}"),
+            _ => {
+                log_event!(Event::TableUp, "call={call}");
+                // The journal is as old as the outage, and a restart now would be charged for all of that.
+                self.gateway.want_tokens();
+            }
         }
     }
 
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -11,8 +11,8 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::directory::Member;
-use fescuewell_forward::purse::{Account, Purse};
 use fescuewell_forward::purse::row::{Journal, Ledger};
+use fescuewell_forward::purse::{Account, Purse};
 
 use super::watch::ready_if_complete;
 use super::{CALL, Control, PAUSE};
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -26,7 +26,11 @@
     let socket = match UdpSocket::bind(address).await {
         Ok(socket) => socket,
         Err(error) => {
-            log_event!(Event::LinkFailed, "address={address} reason={}", error.kind());
+            log_event!(
+                Event::LinkFailed,
+                "address={address} reason={}",
+                error.kind()
+            );
             return;
         }
     };
@@ -42,7 +46,9 @@
         let (word, peers) = {
             let mut state = gateway.state();
             state.load.expire(now_ms);
-            let word = state.load.word(gateway.settings.name.clone(), number, now_ms);
+            let word = state
+                .load
+                .word(gateway.settings.name.clone(), number, now_ms);
             let own = gateway.settings.peer;
             let peers = state.directory.live().filter_map(|(_, member)| member.peer);
             let peers: Vec<SocketAddr> = peers.filter(|peer| Some(*peer) != own).collect();
