Send callers to as many instances as the traffic needs; tell usage beside the ledgers

Plans of 70 instances were in conflict nearly always, since each wrote its use into all ledgers. Change: use is told in the member rows, ledgers are written only when a grant changes; address answers name one instance in each zone and one more for each 40 requests a second.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::purse::row::Usage;
+
 /// What an instance tells the others of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -15,12 +17,24 @@
     pub peer: Option<SocketAddr>,
     /// Availability zone.
     pub zone: Arc<str>,
+    /// How much traffic it can carry against others, in thousandths of a core with a link to match.
+    pub weight: u32,
+    /// Requests a second that callers send it.
+    pub requests: u32,
+    /// Its use of the accounts that pay by tokens.
+    pub usage: Vec<Usage>,
     /// When it wrote this, by the store's clock, in milliseconds.
     pub at_ms: u64,
 }
 
-/// Age of a member's last sign, in milliseconds, from which it is not named to callers.
+/// Age of a member's last sign, in milliseconds, from which it counts as absent and its grants count as
+/// spent. Large fleets sign less often than small ones; see [`Directory::set_lapse`].
 pub const MEMBER_LAPSE_MS: u64 = 3_500;
+/// Age of a member's last sign, in milliseconds, up to which callers are still sent to it. Longer than the other: an
+/// instance that is cut from the store still serves, with tokens that nobody else has.
+const NAMED_LAPSE_MS: u64 = 6_000;
+/// Requests a second for which one more instance is named: what letter 1's size gives each instance.
+const REQUESTS_EACH: u32 = 40;
 /// Most addresses in one answer.
 const MOST: usize = 64;
 
@@ -29,9 +43,15 @@
 pub struct Directory {
     members: BTreeMap<Arc<str>, Member>,
     read_at_ms: u64,
+    lapse_ms: u64,
 }
 
 impl Directory {
+    /// Sets the age from which a member counts as absent, in milliseconds.
+    pub fn set_lapse(&mut self, lapse_ms: u64) {
+        self.lapse_ms = lapse_ms;
+    }
+
     /// Takes the list as read at `now_ms` of the store's clock.
     pub fn replace(&mut self, members: BTreeMap<Arc<str>, Member>, now_ms: u64) {
         self.members = members;
@@ -43,9 +63,10 @@
     /// While the store cannot be reached nobody's sign gets newer; the list then stays as it was last read.
     pub fn live(&self) -> impl Iterator<Item = (&Arc<str>, &Member)> {
         let now = self.read_at_ms;
+        let lapse = self.lapse_ms.max(MEMBER_LAPSE_MS);
         self.members
             .iter()
-            .filter(move |(_, member)| now < member.at_ms + MEMBER_LAPSE_MS)
+            .filter(move |(_, member)| now < member.at_ms + lapse)
     }
 
     /// Number of live instances, at least 1.
@@ -53,13 +74,11 @@
         self.live().count().max(1)
     }
 
-    /// Addresses for a caller, at most 64: those of live instances, and `own` if it takes callers.
+    /// Addresses for a caller, at most 64: those of the named instances, or `own` where none is known.
     pub fn addresses(&self, own: Option<SocketAddr>, draw: u64) -> Vec<SocketAddr> {
-        let mut addresses: Vec<SocketAddr> =
-            self.live().map(|(_, member)| member.address).collect();
-        if let Some(own) = own
-            && !addresses.contains(&own)
-        {
+        let named = self.named();
+        let mut addresses: Vec<SocketAddr> = named.iter().map(|member| member.address).collect();
+        if let Some(own) = own.filter(|_| addresses.is_empty()) {
             addresses.push(own);
         }
         if addresses.len() > MOST {
@@ -69,4 +88,43 @@
         }
         addresses
     }
+
+    /// The instances that callers are sent to: as many as the traffic needs, and one in each availability zone.
+    ///
+    /// What is prepaid is divided among the instances that take requests. Spread over more of them than the traffic
+    /// needs, the part of each covers only a few requests, and requests are refused although the account has
+    /// tokens elsewhere. All instances choose the same ones, since they read the same rows.
+    fn named(&self) -> Vec<&Member> {
+        let mut known: Vec<(&Arc<str>, &Member)> = self
+            .members
+            .iter()
+            .filter(|(_, member)| self.read_at_ms < member.at_ms + NAMED_LAPSE_MS)
+            .collect();
+        known.sort_by_key(|(name, member)| (std::cmp::Reverse(member.weight), spread(name)));
+        let requests: u32 = known.iter().map(|(_, member)| member.requests).sum();
+        let wanted = requests.div_ceil(REQUESTS_EACH) as usize;
+        let mut zones: Vec<&Arc<str>> = Vec::new();
+        let mut first = Vec::new();
+        let mut rest = Vec::new();
+        for (_, member) in known {
+            if zones.contains(&&member.zone) {
+                rest.push(member);
+            } else {
+                zones.push(&member.zone);
+                first.push(member);
+            }
+        }
+        let more = wanted.saturating_sub(first.len());
+        first
+            .into_iter()
+            .chain(rest.into_iter().take(more))
+            .collect()
+    }
+}
+
+/// A number that spreads names evenly and is the same on all instances.
+fn spread(name: &str) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    std::hash::Hash::hash(name, &mut hasher);
+    std::hash::Hasher::finish(&hasher)
 }
--- a/crates/fescuewell_forward/src/purse.rs
+++ b/crates/fescuewell_forward/src/purse.rs
@@ -31,7 +31,8 @@
 
 pub use account::Account;
 use clock::StoreClock;
-use row::{Journal, Ledger};
+use plan::{Peer, Peers};
+use row::{Journal, Ledger, Usage};
 
 /// Answer to a request for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -281,17 +282,46 @@
         account.learn(&holder, version, ledger, store_ms);
     }
 
+    /// What the other holders that gave a sign lately say of their use.
+    pub fn set_peers(&mut self, said: &[(Arc<str>, Vec<Usage>)]) {
+        let mut by_account: HashMap<Arc<str>, Peers> = HashMap::new();
+        for (holder, usages) in said {
+            if *holder == self.holder {
+                continue;
+            }
+            for usage in usages {
+                let peer = Peer {
+                    consumed: usage.consumed,
+                    rate: usage.rate,
+                };
+                let peers = by_account.entry(usage.account.clone()).or_default();
+                peers.insert(holder.clone(), peer);
+            }
+        }
+        for (name, account) in &mut self.accounts {
+            account.set_peers(by_account.remove(name).unwrap_or_default());
+        }
+    }
+
+    /// What is told to the other holders.
+    pub fn usage(&mut self, now_ms: u64) -> Vec<Usage> {
+        let accounts = self.accounts.iter_mut();
+        let limited = accounts.filter(|(_, account)| account.prepaid().is_some());
+        limited
+            .map(|(name, account)| account.usage(name.clone(), now_ms))
+            .collect()
+    }
+
     /// The row that should replace the account's, with the version on which to condition it; `None` when
     /// nothing is to change. What is given back may not be spent from now on, whatever becomes of the write.
     pub fn plan(&mut self, account: &Arc<str>, now_ms: u64) -> Option<(u64, Ledger)> {
         if !self.adopted {
             return None;
         }
-        let at_ms = self.clock.at(now_ms);
         let holder = self.holder.clone();
         let closing = self.closing;
         let account = self.accounts.get_mut(account)?;
-        account.plan(&holder, at_ms, now_ms, closing)
+        account.plan(&holder, now_ms, closing)
     }
 
     fn account(&mut self, name: &Arc<str>) -> &mut Account {
--- a/crates/fescuewell_forward/src/purse/account.rs
+++ b/crates/fescuewell_forward/src/purse/account.rs
@@ -2,8 +2,8 @@
 
 use super::Verdict;
 use super::pace::Pace;
-use super::plan::{self, Need};
-use super::row::{Entry, Grant, Ledger};
+use super::plan::{self, Need, Own, Peers};
+use super::row::{Entry, Grant, Ledger, Usage};
 use crate::window::Window;
 
 /// Span over which demand is measured, in milliseconds: long enough for a few requests of an
@@ -44,6 +44,7 @@
     paces: Vec<Pace>,
     version: u64,
     ledger: Ledger,
+    peers: Peers,
     demand: Window,
     need: Option<Need>,
     waiting: u64,
@@ -62,6 +63,7 @@
             paces: Vec::new(),
             version: 0,
             ledger: Ledger::default(),
+            peers: Peers::default(),
             demand: Window::new(DEMAND_MS),
             need: None,
             waiting: 0,
@@ -184,7 +186,7 @@
         if self.version == 0 || store_ms > self.read_ms + FRESH_MS {
             return false;
         }
-        let used = plan::used_by_others(&self.ledger, holder, self.read_ms);
+        let used = plan::used_by_others(&self.ledger, holder, &self.peers);
         prepaid.saturating_sub(used + self.consumed) < tokens
     }
 
@@ -251,29 +253,42 @@
         self.paces.push(Pace::new(entry, at_ms));
     }
 
+    /// What the other holders said last; those who gave no sign lately are left out.
+    pub(super) fn set_peers(&mut self, peers: Peers) {
+        self.peers = peers;
+    }
+
+    /// What is told to the other holders.
+    pub(super) fn usage(&mut self, account: std::sync::Arc<str>, now_ms: u64) -> Usage {
+        Usage {
+            account,
+            consumed: self.consumed,
+            rate: self.rate(now_ms),
+        }
+    }
+
     pub(super) fn plan(
         &mut self,
         holder: &std::sync::Arc<str>,
-        at_ms: u64,
         now_ms: u64,
         closing: bool,
     ) -> Option<(u64, Ledger)> {
         let prepaid = self.prepaid?;
-        let rate = self.rate(now_ms);
-        let own = Grant {
+        let own = Own {
             holder: holder.clone(),
             granted: self.granted(),
             consumed: self.consumed,
-            rate: if closing { 0 } else { rate },
-            at_ms,
+            rate: self.rate(now_ms),
+            typical: self.typical(now_ms),
         };
         let need = self.need.take();
-        let typical = self.typical(now_ms);
         let granted = match closing {
             true => plan::closing(&self.ledger, &own, prepaid, need),
-            false => plan::grant(&self.ledger, &own, prepaid, typical, need, at_ms),
+            false => plan::grant(&self.ledger, &self.peers, &own, prepaid, need),
         };
-        let mut ledger = self.ledger.clone();
+        if granted == self.granted {
+            return None;
+        }
         if granted < self.granted {
             // An earlier return on the same condition may still take effect in place of this one.
             let earlier = self.returning.map_or(granted, |earlier| earlier.granted);
@@ -282,8 +297,12 @@
                 granted: granted.min(earlier),
             });
         }
-        ledger.set(Grant { granted, ..own });
-        (ledger != self.ledger).then_some((self.version, ledger))
+        let mut ledger = self.ledger.clone();
+        ledger.set(Grant {
+            holder: holder.clone(),
+            granted,
+        });
+        Some((self.version, ledger))
     }
 
     fn rate(&mut self, now_ms: u64) -> u64 {
--- a/crates/fescuewell_forward/src/purse/row.rs
+++ b/crates/fescuewell_forward/src/purse/row.rs
@@ -34,12 +34,18 @@
     pub holder: Arc<str>,
     /// Total that it may ever consume, over all its incarnations.
     pub granted: u64,
-    /// What it had consumed or held back when it wrote this.
+}
+
+/// What a holder tells the others of its use of one account, beside the rows that are changed on condition: it changes all
+/// the time, and a conditional row would be in conflict all the time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The account.
+    pub account: Arc<str>,
+    /// Consumed or held back so far.
     pub consumed: u64,
-    /// Its demand in tokens a second.
+    /// Demand in tokens a second.
     pub rate: u64,
-    /// When it wrote this, by the store's clock in milliseconds.
-    pub at_ms: u64,
 }
 
 /// All grants of one account.
--- a/crates/fescuewell_forward/tests/common/mod.rs
+++ b/crates/fescuewell_forward/tests/common/mod.rs
@@ -210,6 +210,21 @@
         }
     }
 
+    /// The instance hears what the others say of their use.
+    pub fn hear(&mut self, index: usize) {
+        let now_ms: Vec<u64> = (0..self.instances.len())
+            .map(|who| self.local(who))
+            .collect();
+        let mut said = Vec::new();
+        for (who, instance) in self.instances.iter_mut().enumerate() {
+            if instance.purse.is_adopted() {
+                let holder = instance.purse.holder().clone();
+                said.push((holder, instance.purse.usage(now_ms[who])));
+            }
+        }
+        self.instances[index].purse.set_peers(&said);
+    }
+
     /// The instance brings its grant to what its plan says.
     pub fn plan(&mut self, index: usize, fate: Fate) {
         let now_ms = self.local(index);
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -16,6 +16,8 @@
 
 use super::watch::ready_if_complete;
 use super::{CALL, Control, PAUSE};
+use crate::gateway::ARRIVALS_S;
+use crate::settings::Settings;
 use crate::store::{Change, Error, Outcome, Place, Reading, Row};
 
 /// Table of the accounts' ledgers.
@@ -32,6 +34,10 @@
 /// Time between two journals in a small fleet. What a process may have spent is known to its successor as of the
 /// last one.
 const JOURNAL_EVERY: Duration = Duration::from_millis(500);
+/// Link for which a whole core of an instance has use, in Mbit/s: prompts are some 17 kB each.
+const LINK_EACH_MBPS: f64 = 200.0;
+/// Signs that a member may miss before it counts as absent.
+const LAPSE_SIGNS: u32 = 4;
 /// Time between two plans in a small fleet.
 const PLAN_EVERY: Duration = Duration::from_millis(1_000);
 /// Least time between two plans that waiting requests ask for.
@@ -44,8 +50,8 @@
 const WRITE_SHARE: f64 = 0.4;
 /// Part of one part's transactions that all journals, and all plans, may take.
 const PART_SHARE: f64 = 0.3;
-/// Rows in one transaction: the store takes 100 entries, and each row is one condition and one write.
-const ROWS: usize = 45;
+/// Rows in one transaction: one that is in conflict holds up the others, and each costs a call.
+const ROWS: usize = 10;
 /// Times between writes vary from this part,
 const SPREAD_FROM: f64 = 0.9;
 /// to this part of what they should be.
@@ -90,7 +96,11 @@
             self.plan_at = now + self.every(PLAN_EVERY);
             sign(self.control).await;
             members(self.control).await;
+            ledgers(self.control).await;
             self.plan().await;
+            let lapse = self.every(PLAN_EVERY) * LAPSE_SIGNS;
+            let lapse_ms = lapse.as_millis() as u64;
+            self.control.gateway.state().directory.set_lapse(lapse_ms);
         }
         if now >= self.journal_at {
             self.journal().await;
@@ -142,9 +152,7 @@
 
     async fn plan(&mut self) {
         let names = self.control.gateway.state().purse.names();
-        for names in names.chunks(ROWS) {
-            plan(self.control, names).await;
-        }
+        plan(self.control, &names).await;
         self.planned_at = Instant::now();
     }
 }
@@ -332,12 +340,17 @@
         change.removes.push(place);
     } else {
         let now_ms = gateway.now_ms();
+        let mut state = gateway.state();
         let member = Member {
             address: settings.front,
             peer: settings.peer,
             zone: settings.zone.clone(),
-            at_ms: gateway.state().purse.store_time(now_ms),
+            weight: weight(settings),
+            requests: state.arrivals.sum(now_ms) as u32 / ARRIVALS_S,
+            usage: state.purse.usage(now_ms),
+            at_ms: state.purse.store_time(now_ms),
         };
+        drop(state);
         // Only a type that cannot be written at all fails here.
         let value = postcard::to_extend(&member, Vec::new()).unwrap_or_default();
         change.puts.push((place, value));
@@ -347,6 +360,12 @@
     let _ = control.call("sign", CALL, commit).await;
 }
 
+/// How much traffic the instance can carry, in thousandths of a core: no more than its link has room for.
+fn weight(settings: &Settings) -> u32 {
+    let by_link = settings.link_mbps / LINK_EACH_MBPS;
+    (settings.cores.min(by_link) * 1_000.0) as u32
+}
+
 /// Reads which instances live.
 async fn members(control: &Control) {
     let Ok(reading) = read(control, MEMBERS, FLEET).await else {
@@ -374,6 +393,11 @@
         .live()
         .map(|(name, _)| name.clone())
         .collect();
+    let said = state.directory.live();
+    let said: Vec<_> = said
+        .map(|(name, member)| (name.clone(), member.usage.clone()))
+        .collect();
+    state.purse.set_peers(&said);
     drop(state);
     for name in after.iter().filter(|name| !before.contains(name)) {
         log_event!(Event::PeerJoined, "instance={name}");
@@ -383,43 +407,108 @@
     }
 }
 
-/// Brings the ledgers of some accounts to what the plan says, against others who do the same.
+/// Reads the accounts' rows.
+async fn ledgers(control: &Control) {
+    let Ok(reading) = read(control, LEDGERS, MONEY).await else {
+        return;
+    };
+    let mut state = control.gateway.state();
+    for row in &reading.rows {
+        let Some(ledger) = decode_ledger(row) else {
+            continue;
+        };
+        let name = row.place.key.clone();
+        state
+            .purse
+            .learn(&name, row.version, ledger, reading.now_ms);
+    }
+}
+
+/// Brings the ledgers of the accounts to what the plan says, against others who do the same.
 async fn plan(control: &Control, names: &[Arc<str>]) {
     for _ in 0..TRIES {
-        let (change, planned) = draft(control, names);
-        if change.puts.is_empty() {
+        let drafts = draft(control, names);
+        if drafts.is_empty() {
             return;
         }
-        let commit = control.store.commit(&change);
-        let outcome = control.call("plan", CALL, commit).await;
-        let now_ms = control.gateway.now_ms();
-        let mut state = control.gateway.state();
-        match outcome {
-            Ok(Outcome::Done {
-                version,
-                now_ms: store_ms,
-            }) => {
-                state.purse.clock(store_ms, now_ms);
-                for (name, ledger) in planned {
-                    tell(&state.purse, &name, &ledger);
-                    state.purse.learn(&name, version, ledger, store_ms);
-                }
-                return;
+        let mut is_conflict = false;
+        for drafts in drafts.chunks(ROWS) {
+            match write_ledgers(control, drafts).await {
+                Some(true) => {}
+                Some(false) => is_conflict = true,
+                None => return,
             }
-            Ok(Outcome::Conflict(reading)) => {
-                state.purse.clock(reading.now_ms, now_ms);
-                for row in &reading.rows {
-                    let Some(ledger) = decode_ledger(row) else {
-                        continue;
-                    };
-                    let name = row.place.key.clone();
-                    state
-                        .purse
-                        .learn(&name, row.version, ledger, reading.now_ms);
-                }
+        }
+        if !is_conflict {
+            return;
+        }
+    }
+}
+
+/// A row that is to replace an account's ledger of this version.
+struct Draft {
+    account: Arc<str>,
+    version: u64,
+    ledger: Ledger,
+}
+
+fn draft(control: &Control, names: &[Arc<str>]) -> Vec<Draft> {
+    let now_ms = control.gateway.now_ms();
+    let mut state = control.gateway.state();
+    let mut drafts = Vec::new();
+    for account in names {
+        let Some((version, ledger)) = state.purse.plan(account, now_ms) else {
+            continue;
+        };
+        let account = account.clone();
+        drafts.push(Draft {
+            account,
+            version,
+            ledger,
+        });
+    }
+    drafts
+}
+
+/// Writes some ledgers in one transaction: whether it took effect, or nothing when that is not known.
+async fn write_ledgers(control: &Control, drafts: &[Draft]) -> Option<bool> {
+    let mut change = Change::default();
+    for draft in drafts {
+        let place = place(LEDGERS, MONEY, &draft.account);
+        change.expects.push((place.clone(), draft.version));
+        change.puts.push((place, draft.ledger.encode()));
+    }
+    let commit = control.store.commit(&change);
+    let outcome = control.call("plan", CALL, commit).await;
+    let now_ms = control.gateway.now_ms();
+    let mut state = control.gateway.state();
+    match outcome {
+        Ok(Outcome::Done {
+            version,
+            now_ms: store_ms,
+        }) => {
+            state.purse.clock(store_ms, now_ms);
+            for draft in drafts {
+                tell(&state.purse, &draft.account, &draft.ledger);
+                let ledger = draft.ledger.clone();
+                state.purse.learn(&draft.account, version, ledger, store_ms);
+            }
+            Some(true)
+        }
+        Ok(Outcome::Conflict(reading)) => {
+            state.purse.clock(reading.now_ms, now_ms);
+            for row in &reading.rows {
+                let Some(ledger) = decode_ledger(row) else {
+                    continue;
+                };
+                let name = row.place.key.clone();
+                state
+                    .purse
+                    .learn(&name, row.version, ledger, reading.now_ms);
             }
-            Err(_) => return,
+            Some(false)
         }
+        Err(_) => None,
     }
 }
 
@@ -443,22 +532,3 @@
         ledger.total()
     );
 }
-
-type Planned = Vec<(Arc<str>, Ledger)>;
-
-fn draft(control: &Control, names: &[Arc<str>]) -> (Change, Planned) {
-    let now_ms = control.gateway.now_ms();
-    let mut state = control.gateway.state();
-    let mut change = Change::default();
-    let mut planned = Vec::new();
-    for name in names {
-        let Some((version, ledger)) = state.purse.plan(name, now_ms) else {
-            continue;
-        };
-        let place = place(LEDGERS, MONEY, name);
-        change.expects.push((place.clone(), version));
-        change.puts.push((place, ledger.encode()));
-        planned.push((name.clone(), ledger));
-    }
-    (change, planned)
-}
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use fescuewell_forward::purse::Purse;
 use fescuewell_forward::retry::Budget;
 use fescuewell_forward::server::Registry;
+use fescuewell_forward::window::Window;
 use fescuewell_http::upstream;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -20,6 +21,9 @@
 use crate::dialect::Dialect;
 use crate::settings::Settings;
 
+/// Span over which arrivals are counted, in seconds.
+pub const ARRIVALS_S: u32 = 4;
+
 /// Stage of the process's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
@@ -47,6 +51,8 @@
     pub retry: Budget,
     /// The other instances.
     pub directory: Directory,
+    /// Requests of callers in the last seconds.
+    pub arrivals: Window,
     /// Random choices.
     pub random: SmallRng,
 }
@@ -82,6 +88,7 @@
             purse: Purse::new(settings.name.clone(), 0),
             retry: Budget::new(settings.retry),
             directory: Directory::default(),
+            arrivals: Window::new(u64::from(ARRIVALS_S) * 1_000),
             random: SmallRng::from_os_rng(),
         };
         let gateway = Self {
@@ -126,6 +133,9 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Span over which arrivals are counted, in seconds.
+    pub const ARRIVALS_S: u32 = 4;
+
     /// Stage of the process's life.
     pub fn stage(&self) -> Stage {
         match self.stage.load(Ordering::Acquire) {
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -216,7 +216,11 @@
         self.held_ms = self.arrived.elapsed().as_millis();
         let now_ms = self.gateway.now_ms();
         let service = self.service.name.clone();
-        self.gateway.state().retry.request(&service, now_ms);
+        {
+            let mut state = self.gateway.state();
+            state.retry.request(&service, now_ms);
+            state.arrivals.add(now_ms, 1);
+        }
         loop {
             let mut place = match self.pick() {
                 Ok(place) => place,
--- a/crates/fescuewell_gateway/src/settings.rs
+++ b/crates/fescuewell_gateway/src/settings.rs
@@ -23,6 +23,10 @@
     pub peer: Option<SocketAddr>,
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
+    /// Part of a core.
+    pub cores: f64,
+    /// Link in Mbit/s.
+    pub link_mbps: f64,
     /// Most sockets that the process may have open.
     pub sockets: usize,
     /// Memory of the process in bytes.
@@ -55,6 +59,8 @@
             directory: None,
             peer: None,
             metrics: None,
+            cores: 1.0,
+            link_mbps: 1_000.0,
             sockets: 4_096,
             memory: 110 * 1024 * 1024,
             grace: Duration::from_secs(8),
--- a/crates/fescuewell_standin/src/lib.rs
+++ b/crates/fescuewell_standin/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod engine;
 pub mod platform;
+pub mod rows;
 pub mod service;
+pub mod worker;
--- /dev/null
+++ b/tests/forward/answers.rs
@@ -0,0 +1,239 @@
+//! Whole answers, to their own callers, after at most one run where that is asked.
+
+use std::io::Write;
+
+use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
+
+use crate::fixture::{Fixture, GROUP, KEY, Request, read_answer};
+
+#[test]
+fn a_request_arrives_unchanged_and_its_answer_too() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    let request = Request::new("POST /unsafe/a%20b/?x=1&y=%2F", "r-1")
+        .with("X-Own", "kept")
+        .with("Connection", "X-Hop")
+        .with("X-Hop", "dropped")
+        .with_body(b"body");
+
+    let answer = fixture.send(&request);
+
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.text(), "r-1 ran");
+    assert_eq!(answer.header("x-fescuewell-response-seal"), Some("i-0.r-1"));
+    let run = &fixture.workers[0].runs()[0];
+    assert_eq!(&*run.target, "POST /unsafe/a%20b/?x=1&y=%2F");
+    assert_eq!(&run.body[..], b"body");
+    assert_eq!(run.headers["x-own"], "kept");
+    assert_eq!(run.headers["x-fescuewell-tenant"], GROUP);
+    assert_eq!(run.headers["x-fescuewell-expect-instance"], "i-0");
+    assert!(!run.headers.contains_key("x-hop"));
+    assert!(!run.headers.contains_key("x-fescuewell-key"));
+}
+
+/// Symptom: a caller took another account's name, or memory that was reserved for somebody else. Sequence: it sends the
+/// headers that only the system sets. Cause: they were passed on.
+#[test]
+fn headers_of_the_system_are_not_taken_from_callers() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    let request = Request::new("GET /safe/x", "r-1")
+        .with("X-Fescuewell-Tenant", "other")
+        .with("X-Fescuewell-Expect-Instance", "i-9")
+        .with("X-Fescuewell-Hold", "h")
+        .with("X-Fescuewell-Pin-Ms", "9")
+        .with("X-Fescuewell-Kv-Backup", "1.2.3.4:5")
+        .with("Kv-From", "1.2.3.4:5/6");
+
+    let answer = fixture.send(&request);
+
+    assert_eq!(answer.status, 200);
+    let run = &fixture.workers[0].runs()[0];
+    assert_eq!(run.headers["x-fescuewell-tenant"], GROUP);
+    for name in [
+        "x-fescuewell-hold",
+        "x-fescuewell-pin-ms",
+        "x-fescuewell-kv-backup",
+        "kv-from",
+    ] {
+        assert!(!run.headers.contains_key(name), "{name}");
+    }
+}
+
+/// Symptom: a booking was made twice. Sequence: the answer to a call that may not be repeated is lost. Cause: the
+/// call was sent to a second server, or called "not run".
+#[test]
+fn an_unsafe_request_whose_answer_is_lost_is_not_repeated() {
+    let fixture = Fixture::ready(2, 1_000_000);
+    fixture
+        .workers
+        .iter()
+        .for_each(|worker| worker.next(&[Behaviour::Lose]));
+
+    let answer = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
+
+    assert_eq!(answer.status, 502);
+    assert_eq!(fixture.runs("r-1"), 1);
+}
+
+#[test]
+fn a_safe_request_whose_answer_is_lost_goes_to_another_server() {
+    let fixture = Fixture::ready(2, 1_000_000);
+    fixture
+        .workers
+        .iter()
+        .for_each(|worker| worker.next(&[Behaviour::Lose]));
+    // The first server loses it; what the second one does is taken back.
+    fixture.workers[1].next(&[Behaviour::Answer]);
+
+    let first = fixture.send(&Request::new("GET /safe/x", "r-1"));
+    let second = fixture.send(&Request::new("GET /safe/x", "r-2"));
+
+    assert_eq!(first.status, 502);
+    assert_eq!(fixture.runs("r-1"), 2);
+    assert_eq!(second.status, 200);
+}
+
+#[test]
+fn a_request_that_was_turned_away_is_told_so() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    fixture.workers[0].next(&[Behaviour::TurnAway]);
+
+    let answer = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
+
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(fixture.runs("r-1"), 0);
+}
+
+/// Symptom: a caller got somebody else's answer. Sequence: an answer that belongs to another request comes on the
+/// connection. Cause: the echoed id was not compared.
+#[test]
+fn an_answer_to_another_request_is_not_passed_on() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    fixture.workers[0].next(&[Behaviour::WrongId]);
+
+    let answer = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
+
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.header("x-fescuewell-response-seal"), None);
+}
+
+/// Symptom: a stream had a piece twice, or half a piece. Sequence: a server breaks off in the middle of an event.
+/// Cause: its half event was passed on before the next server's whole one.
+#[test]
+fn a_broken_stream_goes_on_at_another_server_within_the_answer() {
+    let fixture = Fixture::ready(2, 1_000_000);
+    fixture
+        .workers
+        .iter()
+        .for_each(|worker| worker.next(&[Behaviour::Break(2)]));
+    let request = Request::new("POST /stream/x", "r-1")
+        .with_tokens(10, 100)
+        .with_body(b"");
+    fixture.workers[0].next(&[Behaviour::Answer]);
+
+    let answer = fixture.send(&request);
+
+    let all: Vec<u64> = (1..=EVENTS).collect();
+    let first_two: Vec<u64> = vec![1, 2];
+    // Both servers break after event 2; the second one, asked from event 3 on, breaks at once.
+    assert!(answer.events() == all || (answer.events() == first_two && !answer.whole));
+    assert!(!answer.text().contains("ha\n") && !answer.text().ends_with("ha"));
+    assert_eq!(fixture.runs("r-1"), 2);
+}
+
+#[test]
+fn a_stream_that_breaks_once_arrives_whole() {
+    let fixture = Fixture::ready(2, 1_000_000);
+    let request = |id: &str| {
+        Request::new("POST /stream/x", id)
+            .with_tokens(10, 100)
+            .with_body(b"")
+    };
+    fixture.send(&request("r-0"));
+    let usual = usize::from(fixture.workers[0].runs().is_empty());
+    fixture.workers[usual].next(&[Behaviour::Break(3)]);
+
+    let answers: Vec<_> = (1..=6)
+        .map(|number| fixture.send(&request(&format!("r-{number}"))))
+        .collect();
+
+    let all: Vec<u64> = (1..=EVENTS).collect();
+    for answer in answers {
+        assert_eq!(answer.events(), all);
+        assert!(answer.whole);
+    }
+}
+
+/// Symptom: a cut stream looked complete. Sequence: a stream that may not be resumed breaks off. Cause: the answer's
+/// end was written all the same.
+#[test]
+fn a_stream_that_may_not_be_resumed_ends_without_its_end() {
+    let fixture = Fixture::ready(2, 1_000_000);
+    fixture
+        .workers
+        .iter()
+        .for_each(|worker| worker.next(&[Behaviour::Break(2)]));
+    let request = Request::new("POST /stream-once/x", "r-1")
+        .with_tokens(10, 100)
+        .with_body(b"");
+
+    let answer = fixture.send(&request);
+
+    assert_eq!(answer.events(), [1, 2]);
+    assert!(!answer.whole);
+    assert_eq!(fixture.runs("r-1"), 1);
+}
+
+/// Symptom: servers worked on for callers that had left. Sequence: a caller closes its connection during a stream.
+/// Cause: the call to the server was kept.
+#[test]
+fn a_caller_that_leaves_frees_the_server() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    fixture.workers[0].next(&[Behaviour::Hang]);
+    let mut connection = fixture.connect();
+    let request = Request::new("POST /unsafe/x", "r-1").with_body(b"");
+    connection.write_all(&request.bytes()).unwrap();
+    assert!(fixture.workers[0].wait_for(1));
+
+    drop(connection);
+
+    assert!(wait_until(|| fixture.workers[0].left() == 1));
+}
+
+#[test]
+fn a_connection_serves_one_request_after_the_other() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    let mut connection = fixture.connect();
+
+    for number in 0..5 {
+        let id = format!("r-{number}");
+        let request = Request::new("GET /safe/x", &id).with("X-Fescuewell-Key", KEY);
+        connection.write_all(&request.bytes()).unwrap();
+        let answer = read_answer(&mut connection).unwrap();
+        assert_eq!(answer.text(), format!("{id} ran"));
+    }
+}
+
+/// Symptom: a request was cut off by a planned stop. Sequence: SIGTERM comes while a stream is under way. Cause: the
+/// process ended before its streams.
+#[test]
+fn a_stop_lets_streams_end() {
+    let mut fixture = Fixture::ready(1, 1_000_000);
+    fixture.workers[0].next(&[Behaviour::Pause(1)]);
+    let mut connection = fixture.connect();
+    let request = Request::new("POST /stream/x", "r-1")
+        .with_tokens(10, 100)
+        .with_body(b"");
+    connection.write_all(&request.bytes()).unwrap();
+    assert!(fixture.workers[0].wait_for(1));
+    let daemon = fixture.daemon.take().unwrap();
+
+    let stopping = std::thread::spawn(move || daemon.stop());
+    assert!(wait_until(|| fixture.readiness() != 200));
+    fixture.workers[0].release();
+    let answer = read_answer(&mut connection).unwrap();
+
+    stopping.join().unwrap();
+    assert!(answer.whole);
+    assert_eq!(answer.events().len() as u64, EVENTS);
+}
--- /dev/null
+++ b/tests/forward/fixture.rs
@@ -0,0 +1,356 @@
+//! A store, backend servers and an instance on loopback, and a caller.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell::adapter::dialect::Wire;
+use fescuewell::adapter::rows::Rows as Client;
+use fescuewell::adapter::settings;
+use fescuewell::adapter::source::Registry;
+use fescuewell::gateway::daemon::Daemon;
+use fescuewell::standin::rows::Rows;
+use fescuewell::standin::worker::{Worker, wait_until};
+use serde_json::{Value, json};
+
+pub const HOST: &str = "desk.example";
+pub const KEY: &str = "key-of-group";
+pub const GROUP: &str = "group";
+
+/// Any free address.
+pub fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An address that is free now, for what must be known before it is bound.
+pub fn free() -> SocketAddr {
+    let probe = TcpListener::bind(any()).unwrap();
+    probe.local_addr().unwrap()
+}
+
+pub struct Fixture {
+    pub store: Rows,
+    pub workers: Vec<Worker>,
+    pub daemon: Option<Daemon>,
+    pub front: SocketAddr,
+    ready: SocketAddr,
+    directory: SocketAddr,
+    name: &'static str,
+}
+
+/// The configuration with one route of each kind; `prepaid` is the account's total.
+pub fn configuration(version: u64, prepaid: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, resumable: bool, attempts: u32| {
+        json!({
+            "name": name, "host": HOST, "prefix": prefix, "kind": kind, "timeoutMs": 3_000,
+            "targetLatencyMs": 1_000, "priority": 1, "service": "pool", "maxAttempts": attempts,
+            "public": false, "sticky": true, "resumable": resumable, "gapAimMs": 5_000
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("safe", "/safe/", "safe", false, 2),
+            route("unsafe", "/unsafe/", "unsafe", false, 1),
+            route("stream", "/stream/", "streaming", true, 2),
+            route("once", "/stream-once/", "streaming", false, 1),
+        ],
+        "services": [{
+            "name": "pool", "healthPath": "/healthz", "maxConns": 50,
+            "engine": {"slots": 8, "kvCapacity": 100_000, "stride": 7}
+        }],
+        "tenants": [{"name": GROUP, "apiKeys": [KEY], "priority": 3, "prepaid": prepaid}],
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
+            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000
+        }
+    })
+}
+
+impl Fixture {
+    /// A store with a configuration and so many backend servers; no instance yet.
+    pub fn platform(workers: usize, prepaid: u64) -> Self {
+        let fixture = Self::empty(workers);
+        fixture.configure(&configuration(1, prepaid));
+        fixture
+    }
+
+    /// The same without a configuration.
+    pub fn empty(workers: usize) -> Self {
+        let store = Rows::start(any()).unwrap();
+        let mut fixture = Self {
+            store,
+            workers: Vec::new(),
+            daemon: None,
+            front: free(),
+            ready: free(),
+            directory: free(),
+            name: "entry-1",
+        };
+        for index in 0..workers {
+            let worker = Worker::start(any(), &format!("i-{index}")).unwrap();
+            fixture.workers.push(worker);
+            fixture.register(index, "ready");
+        }
+        fixture
+    }
+
+    /// All of it, ready for requests.
+    pub fn ready(workers: usize, prepaid: u64) -> Self {
+        let mut fixture = Self::platform(workers, prepaid);
+        fixture.start();
+        fixture.wait_ready();
+        fixture
+    }
+
+    pub fn configure(&self, configuration: &Value) {
+        let value = configuration.to_string();
+        self.store.put("op", "", "config", value.as_bytes());
+    }
+
+    /// A backend server's own entry.
+    pub fn register(&self, index: usize, state: &str) {
+        let entry = json!({
+            "service": "pool", "address": self.workers[index].address().to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1
+        });
+        let key = format!("i-{index}");
+        self.store
+            .put("servers", "", &key, entry.to_string().as_bytes());
+    }
+
+    pub fn start(&mut self) {
+        let text = format!(
+            "node={}\nzone=a\nlisten.front={}\nlisten.ready={}\nlisten.directory={}\n\
+             limits.maxFds=4100\nlimits.memoryMb=110\nbounds.graceS=2\nplatform.address={}\nunknown.field=1\n",
+            self.name,
+            self.front,
+            self.ready,
+            self.directory,
+            self.store.address()
+        );
+        let boot = settings::read(&text, "boot.conf").unwrap();
+        let rows = Arc::new(Client::new(boot.store));
+        let source = Arc::new(Registry::new(rows.clone()));
+        let daemon = Daemon::start(boot.instance, Arc::new(Wire::default()), rows, source);
+        self.daemon = Some(daemon.unwrap());
+    }
+
+    /// The process ends without a word.
+    pub fn kill(&mut self) {
+        self.daemon = None;
+    }
+
+    pub fn wait_ready(&self) {
+        assert!(
+            wait_until(|| self.readiness() == 200),
+            "the instance never became ready"
+        );
+        let listed = || {
+            let state = self.daemon.as_ref().unwrap().gateway().state();
+            state.registry.ready("pool").count() == self.workers.len()
+        };
+        assert!(wait_until(listed), "the backend servers were never listed");
+    }
+
+    pub fn readiness(&self) -> u16 {
+        get(self.ready, "/-/readyz").map_or(0, |answer| answer.status)
+    }
+
+    pub fn addresses(&self) -> Vec<String> {
+        let path = format!("/-/resolve?name={HOST}&region=r&zone=a");
+        let answer = get(self.directory, &path).unwrap();
+        let body: Value = serde_json::from_slice(&answer.body).unwrap();
+        let addresses = body["addresses"].as_array().unwrap();
+        addresses
+            .iter()
+            .map(|text| text.as_str().unwrap().to_owned())
+            .collect()
+    }
+
+    /// Version of the configuration in force.
+    pub fn version(&self) -> u64 {
+        let table = self.daemon.as_ref().unwrap().gateway().table();
+        table.map_or(0, |table| table.configuration().version)
+    }
+
+    /// Tokens that the account has consumed, by the instance's own count.
+    pub fn consumed(&self) -> u64 {
+        let state = self.daemon.as_ref().unwrap().gateway().state();
+        state
+            .purse
+            .view(GROUP)
+            .map_or(0, |account| account.consumed())
+    }
+
+    /// Runs of one request at all backend servers.
+    pub fn runs(&self, id: &str) -> usize {
+        let all = self.workers.iter().flat_map(Worker::runs);
+        all.filter(|run| &*run.id == id).count()
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        connect(self.front)
+    }
+
+    pub fn send(&self, request: &Request) -> Answer {
+        let mut connection = self.connect();
+        connection.write_all(&request.bytes()).unwrap();
+        read_answer(&mut connection).expect("an answer")
+    }
+}
+
+pub fn connect(address: SocketAddr) -> TcpStream {
+    let connection = TcpStream::connect(address).unwrap();
+    let patience = Duration::from_secs(20);
+    connection.set_read_timeout(Some(patience)).unwrap();
+    connection
+}
+
+/// A caller's request.
+pub struct Request {
+    line: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Request {
+    pub fn new(line: &str, id: &str) -> Self {
+        let request = Self {
+            line: line.into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+        };
+        request
+            .with("Host", HOST)
+            .with("X-Fescuewell-Request-Id", id)
+            .with("X-Fescuewell-Deadline-Ms", "5000")
+            .with("X-Fescuewell-Key", KEY)
+    }
+
+    /// Replaces or adds a header; an empty value removes it.
+    pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers.retain(|(known, _)| known != name);
+        if !value.is_empty() {
+            self.headers.push((name.into(), value.into()));
+        }
+        self
+    }
+
+    pub fn with_tokens(self, prompt: u64, output: u64) -> Self {
+        self.with("X-Fescuewell-Token-Counts", &format!("{prompt},{output}"))
+            .with("X-Fescuewell-Model", "m")
+    }
+
+    pub fn with_body(mut self, body: &[u8]) -> Self {
+        self.body = body.into();
+        let length = body.len().to_string();
+        self.with("Content-Length", &length)
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut text = format!("{} HTTP/1.1\r\n", self.line);
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Whether the body ended as its framing says.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Numbers of the events in the body.
+    pub fn events(&self) -> Vec<u64> {
+        let text = self.text();
+        let lines = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        lines.map(|number| number.parse().unwrap()).collect()
+    }
+}
+
+fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+    let mut connection = TcpStream::connect(address).ok()?;
+    connection
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .ok()?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+    connection.write_all(request.as_bytes()).ok()?;
+    read_answer(&mut connection)
+}
+
+fn read_line(connection: &mut TcpStream) -> Option<String> {
+    let mut line = Vec::new();
+    let mut byte = [0];
+    while !line.ends_with(b"\r\n") {
+        if connection.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        line.push(byte[0]);
+    }
+    line.truncate(line.len() - 2);
+    String::from_utf8(line).ok()
+}
+
+/// Reads one answer; nothing when the connection ends before its head.
+pub fn read_answer(connection: &mut TcpStream) -> Option<Answer> {
+    let line = read_line(connection)?;
+    let status = line.split(' ').nth(1)?.parse().ok()?;
+    let mut headers = Vec::new();
+    loop {
+        let line = read_line(connection)?;
+        if line.is_empty() {
+            break;
+        }
+        let (name, value) = line.split_once(": ")?;
+        headers.push((name.to_owned(), value.to_owned()));
+    }
+    let mut answer = Answer {
+        status,
+        headers,
+        body: Vec::new(),
+        whole: false,
+    };
+    if let Some(length) = answer.header("content-length") {
+        let mut body = vec![0; length.parse().ok()?];
+        answer.whole = connection.read_exact(&mut body).is_ok();
+        answer.body = body;
+        return Some(answer);
+    }
+    while let Some(line) = read_line(connection) {
+        let size = usize::from_str_radix(&line, 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        if connection.read_exact(&mut chunk).is_err() {
+            break;
+        }
+        if size == 0 {
+            answer.whole = true;
+            break;
+        }
+        answer.body.extend_from_slice(&chunk[..size]);
+    }
+    Some(answer)
+}
--- /dev/null
+++ b/tests/forward/main.rs
@@ -0,0 +1,8 @@
+//! The forwarding path through the platform's adapter: real sockets, a store of rows and backend servers that fail on
+//! demand.
+
+mod answers;
+mod configuration;
+mod fixture;
+mod money;
+mod refusals;
--- /dev/null
+++ b/tests/forward/money.rs
@@ -0,0 +1,112 @@
+//! Prepaid tokens through the whole path.
+
+use fescuewell::standin::rows::Fault;
+use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
+
+use crate::fixture::{Fixture, GROUP, Request, configuration};
+
+fn stream(id: &str, prompt: u64, output: u64) -> Request {
+    Request::new("POST /stream/x", id)
+        .with_tokens(prompt, output)
+        .with_body(b"")
+}
+
+#[test]
+fn a_request_costs_its_prompt_and_what_was_delivered() {
+    let fixture = Fixture::ready(1, 100_000);
+
+    let answer = fixture.send(&stream("r-1", 1_000, 5_000));
+
+    assert_eq!(answer.status, 200);
+    assert!(wait_until(|| fixture.consumed() == 1_000 + EVENTS * 7));
+}
+
+#[test]
+fn a_request_that_did_not_run_costs_nothing() {
+    let fixture = Fixture::ready(1, 100_000);
+    fixture.workers[0].next(&[Behaviour::TurnAway]);
+
+    let answer = fixture.send(&stream("r-1", 1_000, 5_000));
+
+    assert_eq!(answer.status, 503);
+    assert!(wait_until(|| fixture.consumed() == 0));
+}
+
+#[test]
+fn what_is_left_does_not_cover_a_large_request() {
+    let fixture = Fixture::ready(1, 10_000);
+
+    let large = fixture.send(&stream("r-1", 9_000, 2_000));
+    let small = fixture.send(&stream("r-2", 1_000, 100));
+
+    assert_eq!(large.status, 402);
+    assert_eq!(small.status, 200);
+    assert_eq!(fixture.runs("r-1"), 0);
+}
+
+#[test]
+fn a_top_up_is_used_at_once() {
+    let fixture = Fixture::ready(1, 10_000);
+    assert_eq!(fixture.send(&stream("r-1", 20_000, 100)).status, 402);
+
+    fixture.configure(&configuration(2, 50_000));
+
+    assert!(wait_until(|| fixture.version() == 2));
+    assert!(wait_until(|| fixture
+        .send(&stream("r-2", 20_000, 100))
+        .status
+        == 200));
+}
+
+/// Symptom: an account got its total twice. Sequence: the process is killed with most of the total spent, and starts
+/// again. Cause: what was spent lay in the process's memory only.
+#[test]
+fn a_restart_remembers_what_was_spent() {
+    let mut fixture = Fixture::ready(1, 10_000);
+    assert_eq!(fixture.send(&stream("r-1", 8_000, 100)).status, 200);
+
+    fixture.kill();
+    fixture.start();
+    fixture.wait_ready();
+
+    assert_eq!(fixture.send(&stream("r-2", 8_000, 100)).status, 402);
+    assert_eq!(fixture.runs("r-2"), 0);
+}
+
+/// Symptom: an account got more than its total. Sequence: replies of the store are lost for a while. Cause: a grant whose
+/// reply was lost was drawn a second time.
+#[test]
+fn lost_replies_do_not_double_a_grant() {
+    let fixture = Fixture::ready(1, 30_000);
+    fixture.store.set_fault(Fault::LostReplies);
+    for number in 0..5 {
+        fixture.send(&stream(&format!("r-{number}"), 1_000, 10));
+    }
+    fixture.store.set_fault(Fault::None);
+
+    let first = || fixture.send(&stream("s-first", 1_000, 10)).status == 200;
+    assert!(wait_until(first));
+    let mut served = 0;
+    for number in 0..60 {
+        let answer = fixture.send(&stream(&format!("s-{number}"), 1_000, 10));
+        served += u64::from(answer.status == 200);
+    }
+
+    assert!(served > 10, "{served}");
+    let runs = fixture.workers[0].runs().len() as u64;
+    assert!(runs * 1_010 <= 30_000, "{runs} runs");
+}
+
+#[test]
+fn a_stop_gives_unused_tokens_back() {
+    let mut fixture = Fixture::ready(1, 100_000);
+    assert_eq!(fixture.send(&stream("r-1", 1_000, 100)).status, 200);
+
+    fixture.daemon.take().unwrap().stop();
+
+    let rows = fixture.store.table("ledger");
+    let (name, value) = &rows[0];
+    let ledger = fescuewell::forward::purse::row::Ledger::decode(value).unwrap();
+    assert_eq!(&**name, GROUP);
+    assert_eq!(ledger.total(), 1_000 + EVENTS * 7);
+}
--- /dev/null
+++ b/tests/forward/refusals.rs
@@ -0,0 +1,119 @@
+//! Refusals: at once, true, and clear.
+
+use std::io::Write;
+
+use proptest::prelude::*;
+
+use crate::fixture::{Fixture, Request, read_answer};
+
+#[test]
+fn without_a_configuration_everything_is_refused_for_now_only() {
+    let mut fixture = Fixture::empty(1);
+    fixture.start();
+
+    let answer = loop {
+        // The listener is up before the first answer of the store.
+        let answer =
+            fixture.send(&Request::new("GET /safe/x", "r-1").with("X-Fescuewell-Key", "wrong"));
+        break answer;
+    };
+
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_ne!(fixture.readiness(), 200);
+}
+
+#[test]
+fn each_kind_of_bad_request_has_its_status_and_runs_nothing() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    let good = || Request::new("GET /safe/x", "r-1");
+    let cases = [
+        (good().with("X-Fescuewell-Key", ""), 401),
+        (good().with("X-Fescuewell-Key", "wrong"), 401),
+        (good().with("Host", "other.example"), 404),
+        (Request::new("GET /nowhere/x", "r-1"), 404),
+        (good().with("X-Fescuewell-Request-Id", ""), 400),
+        (good().with("Content-Length", "99999999"), 413),
+    ];
+
+    for (request, status) in cases {
+        assert_eq!(fixture.send(&request).status, status);
+    }
+
+    assert!(fixture.workers[0].runs().is_empty());
+    assert_eq!(fixture.consumed(), 0);
+}
+
+/// Symptom: a server ran a request that no caller had sent. Sequence: a second request stands inside the body of the
+/// first, whose length is given twice. Cause: the two ends of a connection read different lengths.
+#[test]
+fn a_smuggled_request_does_not_run() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    let inner = Request::new("GET /safe/inner", "r-inner").bytes();
+    let outer = Request::new("POST /unsafe/x", "r-1")
+        .with("Content-Length", "0")
+        .with("Transfer-Encoding", "chunked");
+    let mut connection = fixture.connect();
+    connection.write_all(&outer.bytes()).unwrap();
+    connection.write_all(&inner).unwrap();
+
+    let answer = read_answer(&mut connection);
+
+    assert!(answer.is_none_or(|answer| answer.status == 400));
+    assert_eq!(fixture.runs("r-inner"), 0);
+}
+
+#[test]
+fn a_server_at_a_reused_address_does_not_run_the_request() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    let entry = serde_json::json!({
+        "service": "pool", "address": fixture.workers[0].address().to_string(), "zone": "a",
+        "slots": 8, "state": "ready"
+    });
+    fixture
+        .store
+        .put("servers", "", "i-gone", entry.to_string().as_bytes());
+    fixture.store.remove("servers", "", "i-0");
+    let state = || {
+        fixture
+            .daemon
+            .as_ref()
+            .unwrap()
+            .gateway()
+            .state()
+            .registry
+            .is_ready("i-gone")
+    };
+    assert!(fescuewell::standin::worker::wait_until(state));
+    let gone = || {
+        !fixture
+            .daemon
+            .as_ref()
+            .unwrap()
+            .gateway()
+            .state()
+            .registry
+            .is_known("i-0")
+    };
+    assert!(fescuewell::standin::worker::wait_until(gone));
+
+    let answer = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
+
+    assert_eq!(answer.status, 503);
+    assert_eq!(fixture.runs("r-1"), 0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_settings_text_is_read_or_refused(text in "[ -~\n]{0,300}") {
+        let _ = fescuewell::adapter::settings::read(&text, "boot.conf");
+    }
+
+    #[test]
+    fn any_configuration_text_is_read_or_refused(text in "[ -~]{0,300}") {
+        let _ = fescuewell::adapter::config::decode(text.as_bytes());
+        let _ = fescuewell::adapter::server::decode("i-1".into(), text.as_bytes());
+    }
+}
