Let only named instances hold parts of an account; tell words to them only

Cause: on 70 instances those without callers held shares of what is prepaid, and each word of load went to 69 others: 0.47 GB between zones and links of 10 Mbit/s filled.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -35,6 +35,8 @@
 const NAMED_LAPSE_MS: u64 = 6_000;
 /// Requests a second for which one more instance is named: what letter 1's size gives each instance.
 const REQUESTS_EACH: u32 = 40;
+/// One instance in so many is named however low the traffic is, so that a sudden rise finds them with tokens.
+const LEAST_PART: usize = 6;
 /// Most addresses in one answer.
 const MOST: usize = 64;
 
@@ -77,7 +79,8 @@
     /// Addresses for a caller, at most 64: those of the named instances, or `own` where none is known.
     pub fn addresses(&self, own: Option<SocketAddr>, draw: u64) -> Vec<SocketAddr> {
         let named = self.named();
-        let mut addresses: Vec<SocketAddr> = named.iter().map(|member| member.address).collect();
+        let mut addresses: Vec<SocketAddr> =
+            named.iter().map(|(_, member)| member.address).collect();
         if let Some(own) = own.filter(|_| addresses.is_empty()) {
             addresses.push(own);
         }
@@ -94,7 +97,7 @@
     /// What is prepaid is divided among the instances that take requests. Spread over more of them than the traffic
     /// needs, the part of each covers only a few requests, and requests are refused although the account has
     /// tokens elsewhere. All instances choose the same ones, since they read the same rows.
-    fn named(&self) -> Vec<&Member> {
+    pub fn named(&self) -> Vec<(&Arc<str>, &Member)> {
         let mut known: Vec<(&Arc<str>, &Member)> = self
             .members
             .iter()
@@ -103,15 +106,16 @@
         known.sort_by_key(|(name, member)| (std::cmp::Reverse(member.weight), spread(name)));
         let requests: u32 = known.iter().map(|(_, member)| member.requests).sum();
         let wanted = requests.div_ceil(REQUESTS_EACH) as usize;
+        let wanted = wanted.max(known.len() / LEAST_PART);
         let mut zones: Vec<&Arc<str>> = Vec::new();
         let mut first = Vec::new();
         let mut rest = Vec::new();
-        for (_, member) in known {
+        for (name, member) in known {
             if zones.contains(&&member.zone) {
-                rest.push(member);
+                rest.push((name, member));
             } else {
                 zones.push(&member.zone);
-                first.push(member);
+                first.push((name, member));
             }
         }
         let more = wanted.saturating_sub(first.len());
--- a/crates/fescuewell_forward/src/purse.rs
+++ b/crates/fescuewell_forward/src/purse.rs
@@ -57,6 +57,7 @@
     journal_version: u64,
     adopted: bool,
     closing: bool,
+    is_named: bool,
     burst_ms: u64,
     unanswered: Option<Journal>,
     may_be_written: bool,
@@ -73,6 +74,7 @@
             journal_version: 0,
             adopted: false,
             closing: false,
+            is_named: true,
             burst_ms: 0,
             unanswered: None,
             may_be_written: false,
@@ -128,6 +130,11 @@
         self.account(account).ask(tokens, now_ms);
     }
 
+    /// Whether nothing is held that could be spent.
+    pub fn is_idle(&self) -> bool {
+        self.accounts.values().all(|account| account.left() == 0)
+    }
+
     /// Whether requests wait for more than the own grants cover.
     pub fn needs_plan(&self) -> bool {
         self.accounts
@@ -282,8 +289,9 @@
         account.learn(&holder, version, ledger, store_ms);
     }
 
-    /// What the other holders that gave a sign lately say of their use.
-    pub fn set_peers(&mut self, said: &[(Arc<str>, Vec<Usage>)]) {
+    /// What the holders that gave a sign lately say of their use. `named` are those to which callers are sent.
+    pub fn set_peers(&mut self, said: &[(Arc<str>, Vec<Usage>)], named: &[Arc<str>]) {
+        self.is_named = named.is_empty() || named.contains(&self.holder);
         let mut by_account: HashMap<Arc<str>, Peers> = HashMap::new();
         for (holder, usages) in said {
             if *holder == self.holder {
@@ -293,6 +301,7 @@
                 let peer = Peer {
                     consumed: usage.consumed,
                     rate: usage.rate,
+                    is_named: named.is_empty() || named.contains(holder),
                 };
                 let peers = by_account.entry(usage.account.clone()).or_default();
                 peers.insert(holder.clone(), peer);
@@ -320,8 +329,9 @@
         }
         let holder = self.holder.clone();
         let closing = self.closing;
+        let is_named = self.is_named;
         let account = self.accounts.get_mut(account)?;
-        account.plan(&holder, now_ms, closing)
+        account.plan(&holder, now_ms, is_named, closing)
     }
 
     fn account(&mut self, name: &Arc<str>) -> &mut Account {
--- a/crates/fescuewell_forward/src/purse/account.rs
+++ b/crates/fescuewell_forward/src/purse/account.rs
@@ -271,6 +271,7 @@
         &mut self,
         holder: &std::sync::Arc<str>,
         now_ms: u64,
+        is_named: bool,
         closing: bool,
     ) -> Option<(u64, Ledger)> {
         let prepaid = self.prepaid?;
@@ -280,6 +281,7 @@
             consumed: self.consumed,
             rate: self.rate(now_ms),
             typical: self.typical(now_ms),
+            is_named,
         };
         let need = self.need.take();
         let granted = match closing {
--- a/crates/fescuewell_forward/src/purse/plan.rs
+++ b/crates/fescuewell_forward/src/purse/plan.rs
@@ -16,6 +16,8 @@
     pub consumed: u64,
     /// Demand in tokens a second.
     pub rate: u64,
+    /// Whether callers are sent to it.
+    pub is_named: bool,
 }
 
 /// The other holders that gave a sign lately; all others count as absent: they get no part of what is left, and the
@@ -35,6 +37,8 @@
     pub rate: u64,
     /// Mean size of its recent requests.
     pub typical: u64,
+    /// Whether callers are sent to it.
+    pub is_named: bool,
 }
 
 /// Tokens that waiting requests want.
@@ -79,7 +83,7 @@
     let used = own.consumed + used_by_others(ledger, &own.holder, peers);
     let left = prepaid.saturating_sub(used);
     let free = prepaid.saturating_sub(ledger.total());
-    let share = share(left, own.rate, peers);
+    let share = share(left, own, peers);
     // A share that does not cover a request serves nobody; what is left is then drawn request by request.
     let share = if share < own.typical { 0 } else { share };
     let wanted = share.max(need.map_or(0, |need| need.tokens));
@@ -97,17 +101,18 @@
     own.granted
 }
 
-/// Part of the mean demand, in percent, that counts for everybody beside the own demand: the demand of a few seconds
-/// foretells that of the next ones only roughly, and an instance without callers may get some.
-const COMMON_PERCENT: u64 = 10;
+/// Part of the mean demand, in percent, that counts for each named holder beside its own demand: the demand of a few
+/// seconds foretells that of the next ones only roughly.
+const COMMON_PERCENT: u64 = 25;
 
 /// The own part of what is left, by demand.
-fn share(left: u64, own_rate: u64, peers: &Peers) -> u64 {
-    let count = peers.len() as u64 + 1;
-    let total: u64 = peers.values().map(|peer| peer.rate).sum::<u64>() + own_rate;
-    let common = total / count * COMMON_PERCENT / 100 + 1;
-    let weight = u128::from(own_rate + common);
-    let sum = u128::from(total + common * count);
+fn share(left: u64, own: &Own, peers: &Peers) -> u64 {
+    let named = peers.values().filter(|peer| peer.is_named).count() as u64;
+    let named = named + u64::from(own.is_named);
+    let total: u64 = peers.values().map(|peer| peer.rate).sum::<u64>() + own.rate;
+    let common = total / named.max(1) * COMMON_PERCENT / 100 + 1;
+    let weight = u128::from(own.rate + if own.is_named { common } else { 0 });
+    let sum = u128::from(total + common * named);
     let usable = u128::from(left * (100 - RESERVE_PERCENT) / 100);
-    (usable * weight / sum) as u64
+    (usable * weight).checked_div(sum).unwrap_or_default() as u64
 }
--- a/crates/fescuewell_forward/tests/common/mod.rs
+++ b/crates/fescuewell_forward/tests/common/mod.rs
@@ -222,7 +222,7 @@
                 said.push((holder, instance.purse.usage(now_ms[who])));
             }
         }
-        self.instances[index].purse.set_peers(&said);
+        self.instances[index].purse.set_peers(&said, &[]);
     }
 
     /// The instance brings its grant to what its plan says.
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -36,6 +36,8 @@
 const JOURNAL_EVERY: Duration = Duration::from_millis(500);
 /// Link for which a whole core of an instance has use, in Mbit/s: prompts are some 17 kB each.
 const LINK_EACH_MBPS: f64 = 200.0;
+/// Time between two journals while this instance holds no tokens.
+const IDLE_JOURNAL: Duration = Duration::from_secs(4);
 /// Signs that a member may miss before it counts as absent.
 const LAPSE_SIGNS: u32 = 4;
 /// Time between two plans in a small fleet.
@@ -131,7 +133,9 @@
     }
 
     async fn journal(&mut self) {
-        self.journal_at = Instant::now() + self.every(JOURNAL_EVERY);
+        let idle = self.control.gateway.state().purse.is_idle();
+        let every = if idle { IDLE_JOURNAL } else { JOURNAL_EVERY };
+        self.journal_at = Instant::now() + self.every(every);
         let burst = self.journal_pause() * BURST_PAUSES;
         let burst_ms = burst.as_millis() as u64;
         self.control.gateway.state().purse.set_burst(burst_ms);
@@ -397,7 +401,9 @@
     let said: Vec<_> = said
         .map(|(name, member)| (name.clone(), member.usage.clone()))
         .collect();
-    state.purse.set_peers(&said);
+    let named = state.directory.named();
+    let named: Vec<Arc<str>> = named.iter().map(|(name, _)| (*name).clone()).collect();
+    state.purse.set_peers(&said, &named);
     drop(state);
     for name in after.iter().filter(|name| !before.contains(name)) {
         log_event!(Event::PeerJoined, "instance={name}");
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -13,6 +13,9 @@
 
 /// Least time between two words.
 const PAUSE: Duration = Duration::from_millis(10);
+/// Peers up to which that is the time; with more of them words are told less often, so that the bytes that one
+/// instance sends do not grow with their number.
+const PEERS_AT_PAUSE: u32 = 4;
 /// A word is repeated after this time even if nothing changed, so that one that was lost does not last.
 const REPEAT: Duration = Duration::from_millis(500);
 /// Largest word in bytes: one packet of an Ethernet.
@@ -39,34 +42,46 @@
 
 async fn tell(control: &Control, socket: &UdpSocket) {
     let gateway = &control.gateway;
+    let mut was_empty = true;
     for number in 1.. {
         // The end of the time is as good a reason as a change.
         let _ = tokio::time::timeout(REPEAT, gateway.load_changed()).await;
-        let now_ms = gateway.now_ms();
-        let (word, peers) = {
-            let mut state = gateway.state();
-            state.load.expire(now_ms);
-            let word = state
-                .load
-                .word(gateway.settings.name.clone(), number, now_ms);
-            let own = gateway.settings.peer;
-            let peers = state.directory.live().filter_map(|(_, member)| member.peer);
-            let peers: Vec<SocketAddr> = peers.filter(|peer| Some(*peer) != own).collect();
-            (word, peers)
-        };
+        let (word, peers) = word(control, number);
+        let is_empty = word.servers.is_empty();
+        if is_empty && was_empty {
+            continue;
+        }
+        was_empty = is_empty;
         let Ok(bytes) = postcard::to_extend(&word, Vec::new()) else {
             continue;
         };
         if bytes.len() <= MOST {
-            for peer in peers {
+            for peer in &peers {
                 // A hint that cannot be sent is no loss.
-                let _ = socket.try_send_to(&bytes, peer);
+                let _ = socket.try_send_to(&bytes, *peer);
             }
         }
-        tokio::time::sleep(PAUSE).await;
+        let parts = peers.len() as u32 / PEERS_AT_PAUSE;
+        tokio::time::sleep(PAUSE * parts.max(1)).await;
     }
 }
 
+/// The own load, and those whom it helps: the instances that callers are sent to.
+fn word(control: &Control, number: u64) -> (Word, Vec<SocketAddr>) {
+    let gateway = &control.gateway;
+    let now_ms = gateway.now_ms();
+    let mut state = gateway.state();
+    state.load.expire(now_ms);
+    let word = state
+        .load
+        .word(gateway.settings.name.clone(), number, now_ms);
+    let own = gateway.settings.peer;
+    let named = state.directory.named();
+    let peers = named.iter().filter_map(|(_, member)| member.peer);
+    let peers = peers.filter(|peer| Some(*peer) != own).collect();
+    (word, peers)
+}
+
 async fn hear(control: &Control, socket: &UdpSocket) {
     let mut buffer = [0; MOST];
     loop {
