--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -89,6 +89,13 @@
                 reason: "no answer in time".into(),
             })
         });
+        let outcome = match &answer {
+            Ok(_) => "answered",
+            Err(Error::NotDone { .. }) => "not_done",
+            Err(Error::Unknown { .. }) => "unknown",
+            Err(Error::Compacted) => "compacted",
+        };
+        self.gateway.metrics.store_call(name, outcome);
         self.heard(&answer, name);
         answer
     }
--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -15,6 +15,7 @@
 use crate::dialect::Dialect;
 use crate::front::Front;
 use crate::gateway::{Gateway, Stage};
+use crate::metrics;
 use crate::settings::Settings;
 use crate::side::Side;
 use crate::source::Source;
@@ -29,6 +30,12 @@
         /// Why.
         source: listener::Error,
     },
+    /// The metrics failed.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: metrics::Error,
+    },
     /// A thread or its runtime could not be started.
     #[snafu(display("cannot start the control thread: {source}"))]
     Thread {
@@ -71,7 +78,7 @@
         store: Arc<dyn Store>,
         source: Arc<dyn Source>,
     ) -> Result<Self, Error> {
-        let (gateway, wants) = Gateway::new(settings, dialect);
+        let (gateway, wants) = Gateway::new(settings, dialect).context(MetricsSnafu)?;
         let settings = &gateway.settings;
         let front = front_settings(settings);
         let handler: Arc<dyn Handler> = Arc::new(Front::new(gateway.clone()));
@@ -157,7 +164,8 @@
 fn side_addresses(settings: &Settings) -> Vec<(&'static str, SocketAddr)> {
     let ready = settings.ready.map(|address| ("ready", address));
     let directory = settings.directory.map(|address| ("directory", address));
-    ready.into_iter().chain(directory).collect()
+    let metrics = settings.metrics.map(|address| ("metrics", address));
+    ready.into_iter().chain(directory).chain(metrics).collect()
 }
 
 fn start_control(control: Control) -> Result<JoinHandle<()>, Error> {
--- a/crates/fescuewell_gateway/src/front.rs
+++ b/crates/fescuewell_gateway/src/front.rs
@@ -40,6 +40,7 @@
 
 async fn serve(gateway: &Arc<Gateway>, request: Request, reply: Reply) {
     let closed = reply.closed();
+    let arrived = request.arrived;
     match admit(gateway, request) {
         Ok(job) => {
             // A caller that leaves drops the job, and with it the call to the backend server.
@@ -62,6 +63,8 @@
                 code.name(),
                 refused.version
             );
+            let took = arrived.elapsed();
+            gateway.metrics.refusal("-", code, took);
             refusal::answer(reply, code, None, gateway.is_leaving());
         }
     }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -1,8 +1,8 @@
 //! What the threads of one instance share.
 
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 use fescuewell_forward::choice::Load;
@@ -19,6 +19,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::dialect::Dialect;
+use crate::metrics::{self, Metrics};
 use crate::settings::Settings;
 
 /// Span over which arrivals are counted, in seconds.
@@ -63,12 +64,15 @@
     pub settings: Settings,
     /// How callers and backend servers name things.
     pub dialect: Arc<dyn Dialect>,
+    /// What is counted.
+    pub metrics: Metrics,
     /// Connections to backend servers.
     pub client: upstream::Client,
     table: ArcSwapOption<Table>,
     state: Mutex<State>,
     stage: AtomicU8,
     store_up: AtomicBool,
+    store_heard_ms: AtomicU64,
     open: AtomicUsize,
     wanted: flume::Sender<()>,
     planned: watch::Sender<u64>,
@@ -78,7 +82,14 @@
 
 impl Gateway {
     /// A gateway that knows nothing yet, and the channel on which it asks for tokens.
-    pub fn new(settings: Settings, dialect: Arc<dyn Dialect>) -> (Arc<Self>, flume::Receiver<()>) {
+    ///
+    /// # Errors
+    ///
+    /// When the metrics cannot be set up.
+    pub fn new(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+    ) -> Result<(Arc<Self>, flume::Receiver<()>), metrics::Error> {
         let (wanted, wants) = flume::bounded(1);
         let (planned, _) = watch::channel(0);
         let state = State {
@@ -94,18 +105,22 @@
         let gateway = Self {
             settings,
             dialect,
+            metrics: Metrics::new()?,
             client: upstream::Client::new(upstream::Settings::default()),
             table: ArcSwapOption::empty(),
             state: Mutex::new(state),
             stage: AtomicU8::new(Stage::Starting as u8),
             store_up: AtomicBool::new(false),
+            store_heard_ms: AtomicU64::new(0),
             open: AtomicUsize::new(0),
             wanted,
             planned,
             loaded: Notify::new(),
             started: Instant::now(),
         };
-        (Arc::new(gateway), wants)
+        let gateway = Arc::new(gateway);
+        gateway.metrics.watch(&gateway);
+        Ok((gateway, wants))
     }
 
     /// The configuration in force.
@@ -155,6 +170,17 @@
         self.stage() == Stage::Leaving
     }
 
+    /// Whether the instance takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.stage() == Stage::Ready
+    }
+
+    /// Time since the store answered last.
+    pub fn store_silence(&self) -> Duration {
+        let heard = self.store_heard_ms.load(Ordering::Relaxed);
+        Duration::from_millis(self.now_ms().saturating_sub(heard))
+    }
+
     /// Whether the store answered last time.
     pub fn is_store_up(&self) -> bool {
         self.store_up.load(Ordering::Relaxed)
@@ -162,6 +188,9 @@
 
     /// Notes whether the store answers; returns whether that is news.
     pub fn set_store_up(&self, up: bool) -> bool {
+        if up {
+            self.store_heard_ms.store(self.now_ms(), Ordering::Relaxed);
+        }
         self.store_up.swap(up, Ordering::Relaxed) != up
     }
 
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -398,7 +398,9 @@
             return match exchange.next_chunk().await {
                 Some(Ok(first)) => {
                     place.first_event();
-                    self.first_ms = self.arrived.elapsed().as_millis();
+                    let took = self.arrived.elapsed();
+                    self.first_ms = took.as_millis();
+                    self.gateway.metrics.first_event(&self.route.name, took);
                     Attempt::Events(Box::new(exchange), first)
                 }
                 Some(Err(error)) => self.unknown(place, &error),
@@ -503,7 +505,8 @@
         Attempt::Unknown
     }
 
-    fn note(&self, place: &Place, what: &str, reason: &str) {
+    fn note(&self, place: &Place, what: &'static str, reason: &str) {
+        self.gateway.metrics.attempt(&self.service.name, what);
         let reason = reason.replace(' ', "_");
         log_event!(
             Event::AttemptFailed,
@@ -549,6 +552,8 @@
     }
 
     fn refuse_as(&self, reply: Reply, code: Code, wait: Option<Duration>) {
+        let took = self.arrived.elapsed();
+        self.gateway.metrics.refusal(&self.route.name, code, took);
         log_event!(
             Event::RouteRefused,
             "request={} route={} account={} code={} cause={} sends={} configuration={} age_ms={}",
@@ -577,6 +582,10 @@
     }
 
     pub(crate) fn done(&self, place: &Place, outcome: &str) {
+        let took = self.arrived.elapsed();
+        let metrics = &self.gateway.metrics;
+        metrics.request(&self.route.name, outcome, took);
+        metrics.attempt(&self.service.name, "answered");
         log_event!(
             Event::RequestDone,
             "request={} route={} server={} outcome={outcome} sends={} tokens={} held_ms={} first_ms={} age_ms={}",
--- a/crates/fescuewell_gateway/src/lib.rs
+++ b/crates/fescuewell_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod header;
 pub mod hold;
 pub mod job;
+pub mod metrics;
 pub mod refusal;
 pub mod settings;
 pub mod side;
--- /dev/null
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -0,0 +1,179 @@
+//! Counters, histograms and gauges of one instance, kept by `opentelemetry` and shown as Prometheus text.
+
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use fescuewell_core::prelude::*;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use snafu::Snafu;
+
+use crate::gateway::Gateway;
+
+/// The exporter could not be set up.
+#[derive(Debug, Snafu)]
+#[snafu(display("metrics cannot be set up: {reason}"))]
+pub struct Error {
+    reason: Arc<str>,
+}
+
+/// Accounts whose tokens are shown one by one; a fleet with more shows the first of them by name, so that the page stays
+/// small.
+const MOST_ACCOUNTS: usize = 64;
+
+/// Everything that one instance counts.
+pub struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    store_calls: Counter<u64>,
+    first_event: Histogram<f64>,
+    whole: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Sets the instruments up.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter cannot be built.
+    pub fn new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| Error {
+                reason: error.to_string().into(),
+            })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("fescuewell");
+        Ok(Self {
+            registry,
+            requests: meter.u64_counter("fescuewell_forward_requests").build(),
+            attempts: meter.u64_counter("fescuewell_forward_attempts").build(),
+            store_calls: meter.u64_counter("fescuewell_store_calls").build(),
+            first_event: meter
+                .f64_histogram("fescuewell_first_event_seconds")
+                .build(),
+            whole: meter.f64_histogram("fescuewell_request_seconds").build(),
+            provider,
+        })
+    }
+
+    /// Shows what the gateway holds: tokens by account, and the ages of what it believes.
+    pub fn watch(&self, gateway: &Arc<Gateway>) {
+        let meter = self.provider.meter("fescuewell");
+        watch_tokens(&meter, Arc::downgrade(gateway));
+        watch_beliefs(&meter, Arc::downgrade(gateway));
+    }
+
+    /// Counts the end of a request.
+    pub fn request(&self, route: &str, outcome: &str, took: Duration) {
+        let attributes = [
+            KeyValue::new("route", route.to_owned()),
+            KeyValue::new("outcome", outcome.to_owned()),
+        ];
+        self.requests.add(1, &attributes);
+        self.whole.record(took.as_secs_f64(), &attributes[..1]);
+    }
+
+    /// Counts a refusal by its code.
+    pub fn refusal(&self, route: &str, code: Code, took: Duration) {
+        self.request(route, code.name(), took);
+    }
+
+    /// Counts an attempt at a backend server of a service.
+    pub fn attempt(&self, service: &str, outcome: &'static str) {
+        let attributes = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.attempts.add(1, &attributes);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, call: &str, outcome: &'static str) {
+        let attributes = [
+            KeyValue::new("call", call.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_calls.add(1, &attributes);
+    }
+
+    /// Notes the time to the first event of a stream.
+    pub fn first_event(&self, route: &str, took: Duration) {
+        let attributes = [KeyValue::new("route", route.to_owned())];
+        self.first_event.record(took.as_secs_f64(), &attributes);
+    }
+
+    /// The present values in the Prometheus text format.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory fails for no other reason than a broken metric, which is then left out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
+
+fn watch_tokens(meter: &Meter, gateway: Weak<Gateway>) {
+    meter
+        .u64_observable_gauge("fescuewell_tokens")
+        .with_callback(move |gauge| {
+            let Some(gateway) = gateway.upgrade() else {
+                return;
+            };
+            let state = gateway.state();
+            for name in state.purse.names().iter().take(MOST_ACCOUNTS) {
+                let Some(account) = state.purse.view(name) else {
+                    continue;
+                };
+                let values = [
+                    ("prepaid", account.prepaid().unwrap_or_default()),
+                    ("granted", account.granted()),
+                    ("consumed", account.consumed()),
+                ];
+                for (kind, value) in values {
+                    let attributes = [
+                        KeyValue::new("account", name.to_string()),
+                        KeyValue::new("kind", kind),
+                    ];
+                    gauge.observe(value, &attributes);
+                }
+            }
+        })
+        .build();
+}
+
+fn watch_beliefs(meter: &Meter, gateway: Weak<Gateway>) {
+    meter
+        .f64_observable_gauge("fescuewell_state")
+        .with_callback(move |gauge| {
+            let Some(gateway) = gateway.upgrade() else {
+                return;
+            };
+            let version = gateway
+                .table()
+                .map_or(0, |table| table.configuration().version);
+            let (servers, instances) = {
+                let state = gateway.state();
+                (state.registry.entries().count(), state.directory.count())
+            };
+            let values = [
+                ("configuration_version", version as f64),
+                (
+                    "store_silent_seconds",
+                    gateway.store_silence().as_secs_f64(),
+                ),
+                ("servers", servers as f64),
+                ("instances", instances as f64),
+                ("ready", f64::from(u8::from(gateway.is_ready()))),
+            ];
+            for (kind, value) in values {
+                gauge.observe(value, &[KeyValue::new("of", kind)]);
+            }
+        })
+        .build();
+}
--- a/crates/fescuewell_gateway/src/side.rs
+++ b/crates/fescuewell_gateway/src/side.rs
@@ -1,4 +1,4 @@
-//! The two small questions beside the traffic: which addresses to use, and whether this instance is ready.
+//! The small questions beside the traffic: which addresses to use, whether this instance is ready, its metrics.
 
 use std::sync::Arc;
 
@@ -8,10 +8,13 @@
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{HeaderMap, StatusCode};
 
-use crate::gateway::{Gateway, Stage};
+use crate::gateway::Gateway;
 use crate::refusal;
 
-/// Answers both questions.
+/// Path of the metrics, as scrapers expect it.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers them.
 pub struct Side {
     gateway: Arc<Gateway>,
 }
@@ -23,7 +26,7 @@
     }
 
     fn ready(&self, reply: Reply) {
-        if self.gateway.stage() == Stage::Ready {
+        if self.gateway.is_ready() {
             reply.whole(StatusCode::OK, HeaderMap::new(), Bytes::new());
             return;
         }
@@ -31,7 +34,7 @@
     }
 
     fn addresses(&self, reply: Reply) {
-        let own = self.gateway.stage() == Stage::Ready;
+        let own = self.gateway.is_ready();
         let own = own.then_some(self.gateway.settings.front);
         let draw = self.gateway.draw();
         let addresses = self.gateway.state().directory.addresses(own, draw);
@@ -60,6 +63,11 @@
             self.addresses(reply);
             return;
         }
+        if &*request.path == METRICS_PATH {
+            let text = Bytes::from(self.gateway.metrics.text());
+            reply.whole(StatusCode::OK, HeaderMap::new(), text);
+            return;
+        }
         refusal::answer(reply, Code::NoSuchPath, None, false);
     }
 }
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -36,6 +36,7 @@
     pub front: SocketAddr,
     ready: SocketAddr,
     directory: SocketAddr,
+    metrics: SocketAddr,
     name: &'static str,
 }
 
@@ -86,6 +87,7 @@
             front: free(),
             ready: free(),
             directory: free(),
+            metrics: free(),
             name: "entry-1",
         };
         for index in 0..workers {
@@ -130,7 +132,8 @@
             self.directory,
             self.store.address()
         );
-        let boot = settings::read(&text, "boot.conf").unwrap();
+        let mut boot = settings::read(&text, "boot.conf").unwrap();
+        boot.instance.metrics = Some(self.metrics);
         let rows = Arc::new(Client::new(boot.store));
         let source = Arc::new(Registry::new(rows.clone()));
         let daemon = Daemon::start(boot.instance, Arc::new(Wire::default()), rows, source);
@@ -169,6 +172,11 @@
             .collect()
     }
 
+    /// The metrics page.
+    pub fn metrics(&self) -> String {
+        get(self.metrics, "/metrics").unwrap().text()
+    }
+
     /// Version of the configuration in force.
     pub fn version(&self) -> u64 {
         let table = self.daemon.as_ref().unwrap().gateway().table();
--- a/tests/forward/money.rs
+++ b/tests/forward/money.rs
@@ -21,6 +21,22 @@
     assert!(wait_until(|| fixture.consumed() == 1_000 + EVENTS * 7));
 }
 
+#[test]
+fn metrics_show_requests_and_tokens() {
+    let fixture = Fixture::ready(1, 100_000);
+    fixture.send(&stream("r-1", 1_000, 5_000));
+    fixture.send(&stream("r-2", 900_000, 5_000));
+
+    let shown = || {
+        let text = fixture.metrics();
+        text.contains("outcome=\"whole\"")
+            && text.contains("outcome=\"BudgetExhausted\"")
+            && text.contains("fescuewell_tokens{account=\"group\",kind=\"prepaid\"")
+    };
+
+    assert!(wait_until(shown), "{}", fixture.metrics());
+}
+
 #[test]
 fn a_request_that_did_not_run_costs_nothing() {
     let fixture = Fixture::ready(1, 100_000);
