--- /dev/null
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -0,0 +1,215 @@
+//! The list of backend servers, and the judgement of each.
+
+use std::sync::Arc;
+
+use fescuewell_forward::choice::{Load, Wish, pick};
+use fescuewell_forward::health::{Health, Outcome};
+use fescuewell_forward::server::{Entry, Registry, State};
+
+fn entry(id: &str, state: State) -> Entry {
+    Entry {
+        id: id.into(),
+        service: "pool".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "a".into(),
+        slots: 8,
+        state,
+    }
+}
+
+fn entries(count: usize) -> Vec<Arc<Entry>> {
+    let ids = (0..count).map(|index| format!("i-{index}"));
+    ids.map(|id| Arc::new(entry(&id, State::Ready))).collect()
+}
+
+fn shared(part: &str) -> Wish<'_> {
+    Wish {
+        affinity: Some(part),
+        shared_tokens: 10_000,
+        zone: "a",
+        draw: 1,
+    }
+}
+
+fn chosen(candidates: &[Arc<Entry>], wish: &Wish<'_>, load: &Load, health: &Health) -> Arc<str> {
+    let candidates: Vec<&Arc<Entry>> = candidates.iter().collect();
+    pick(&candidates, wish, load, health, 0).unwrap().id.clone()
+}
+
+/// Symptom: a server that had left got requests again. Sequence: its removal is seen by the feed; a whole reading that is
+/// seconds old still lists it. Cause: the reading that came last counted.
+#[test]
+fn an_old_snapshot_brings_nobody_back() {
+    let mut registry = Registry::default();
+    registry.snapshot(
+        5,
+        vec![
+            (3, entry("i-0", State::Ready)),
+            (4, entry("i-1", State::Ready)),
+        ],
+    );
+    registry.change(&"i-0".into(), 9, None);
+
+    registry.snapshot(
+        6,
+        vec![
+            (3, entry("i-0", State::Ready)),
+            (4, entry("i-1", State::Ready)),
+        ],
+    );
+
+    assert!(!registry.is_known("i-0"));
+    assert!(registry.is_ready("i-1"));
+}
+
+#[test]
+fn an_older_entry_does_not_undo_a_drain() {
+    let mut registry = Registry::default();
+    registry.change(&"i-0".into(), 7, Some(entry("i-0", State::Draining)));
+
+    registry.change(&"i-0".into(), 6, Some(entry("i-0", State::Ready)));
+
+    assert!(!registry.is_ready("i-0"));
+}
+
+#[test]
+fn a_server_that_a_newer_list_lacks_is_gone() {
+    let mut registry = Registry::default();
+    registry.snapshot(5, vec![(3, entry("i-0", State::Ready))]);
+
+    registry.snapshot(8, Vec::new());
+
+    assert!(!registry.is_known("i-0"));
+}
+
+/// Symptom: requests went on failing at a server whose health check was good. Sequence: it fails what it is sent. Cause: only
+/// the health check was believed.
+#[test]
+fn a_server_that_fails_is_left_out_and_tried_again() {
+    let mut health = Health::default();
+    let id: Arc<str> = "i-0".into();
+
+    health.outcome(&id, Outcome::Bad, 0);
+    let ejected = health.outcome(&id, Outcome::Bad, 10);
+
+    assert!(ejected);
+    assert!(health.is_out(&id, 500));
+    assert!(!health.is_out(&id, 1_100));
+    assert!(health.outcome(&id, Outcome::Bad, 1_200));
+    assert!(health.is_out(&id, 3_000));
+}
+
+#[test]
+fn failures_that_every_server_has_leave_no_one_out() {
+    let mut health = Health::default();
+    let id: Arc<str> = "i-0".into();
+
+    for round in 0..200 {
+        let outcome = if round % 7 == 0 {
+            Outcome::Failed
+        } else {
+            Outcome::Good
+        };
+        assert!(!health.outcome(&id, outcome, round));
+    }
+}
+
+#[test]
+fn a_slow_server_is_told_from_its_peers() {
+    let mut health = Health::default();
+    let ids: Vec<Arc<str>> = (0..4).map(|index| format!("i-{index}").into()).collect();
+    for id in &ids[..3] {
+        health.time(id, 20.0, 0);
+    }
+    health.time(&ids[3], 300.0, 0);
+
+    let limit = health.slow_from(ids.iter().map(|id| &**id), 10).unwrap();
+
+    assert!(health.measured("i-0", 10).unwrap() < limit);
+    assert!(health.measured("i-3", 10).unwrap() > limit);
+    assert_eq!(health.measured("i-3", 10_000), None);
+}
+
+#[test]
+fn instances_choose_the_same_server_for_a_part() {
+    let candidates = entries(8);
+    let health = Health::default();
+
+    for part in ["a", "b", "c", "d"] {
+        let one = chosen(&candidates, &shared(part), &Load::default(), &health);
+        let reversed: Vec<Arc<Entry>> = candidates.iter().rev().cloned().collect();
+        let other = chosen(&reversed, &shared(part), &Load::default(), &health);
+        assert_eq!(one, other);
+    }
+}
+
+/// Symptom: first events came seconds late at one server while others had nothing to do. Sequence: several instances send
+/// long prompts to it at the same moment. Cause: each saw only its own load.
+#[test]
+fn what_another_instance_sent_there_counts() {
+    let candidates = entries(4);
+    let health = Health::default();
+    let usual = chosen(&candidates, &shared("a"), &Load::default(), &health);
+    let mut other = Load::default();
+    other.begin(&usual, 90_000);
+    let mut own = Load::default();
+
+    own.hear(other.word("entry-2".into(), 1, 0), 0);
+
+    assert_ne!(chosen(&candidates, &shared("a"), &own, &health), usual);
+    own.expire(60_000);
+    assert_eq!(chosen(&candidates, &shared("a"), &own, &health), usual);
+}
+
+#[test]
+fn a_copy_that_another_instance_made_is_used() {
+    let candidates = entries(6);
+    let health = Health::default();
+    let usual = chosen(&candidates, &shared("a"), &Load::default(), &health);
+    let copy = candidates.iter().find(|entry| entry.id != usual).unwrap();
+    let mut other = Load::default();
+    other.keep("a", &copy.id, 0);
+    let mut own = Load::default();
+
+    own.hear(other.word("entry-2".into(), 1, 0), 0);
+
+    assert_eq!(chosen(&candidates, &shared("a"), &own, &health), copy.id);
+}
+
+#[test]
+fn an_older_word_does_not_replace_a_newer_one() {
+    let mut other = Load::default();
+    let old = other.word("entry-2".into(), 1, 0);
+    other.begin(&"i-0".into(), 500);
+    let new = other.word("entry-2".into(), 2, 0);
+    let mut own = Load::default();
+
+    own.hear(new, 0);
+    own.hear(old, 1);
+
+    assert_eq!(own.unread("i-0"), 500);
+}
+
+#[test]
+fn with_all_servers_left_out_one_is_still_chosen() {
+    let candidates = entries(2);
+    let mut health = Health::default();
+    for entry in &candidates {
+        health.outcome(&entry.id, Outcome::Bad, 0);
+        health.outcome(&entry.id, Outcome::Bad, 0);
+    }
+
+    chosen(&candidates, &shared("a"), &Load::default(), &health);
+}
+
+#[test]
+fn small_requests_go_where_least_is_under_way() {
+    let candidates = entries(3);
+    let mut load = Load::default();
+    load.begin(&"i-0".into(), 0);
+    load.begin(&"i-2".into(), 0);
+
+    let server = chosen(&candidates, &Wish::default(), &load, &Health::default());
+
+    assert_eq!(&*server, "i-1");
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -25,6 +25,7 @@
   entry [--settings FILE]      one entry instance on the users' platform
   router --settings FILE       one entry instance with the product's own interface
   console --settings FILE      the operators' console
+  explain ID FILE...           the story of one request from log files
   check FILE                   check a settings file or a configuration document
   config get|check|apply ...   read, check or replace the document through the console
   hash-key                     read a key from standard input, print the hash that documents keep
--- a/src/command.rs
+++ b/src/command.rs
@@ -7,6 +7,7 @@
 mod console;
 mod demo;
 mod entry;
+mod explain;
 mod issue;
 mod log;
 mod router;
@@ -26,6 +27,7 @@
         "console" => Some(console::HELP),
         "demo" => Some(demo::HELP),
         "entry" => Some(entry::HELP),
+        "explain" => Some(explain::HELP),
         "issue-certificates" => Some(issue::HELP),
         "router" => Some(router::HELP),
         "stand-in" => Some(standin::HELP),
@@ -46,6 +48,7 @@
         "console" => console::run(arguments),
         "demo" => demo::run(arguments),
         "entry" => entry::run(arguments),
+        "explain" => explain::run(arguments),
         "hash-key" => hash_secret(arguments, |key| {
             Ok(fescuewell::document::key::hash_key(key).to_string())
         }),
--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -11,10 +11,11 @@
 pub const HELP: &str = "\
 fescuewell check - check a settings file or a configuration document
 
-usage: fescuewell check FILE [--as router|console|document]
+usage: fescuewell check FILE [--as router|console|document|platform|deploy]
 
 Without --as the kind is told by the file's keys: 'peers' stands in a router's settings, 'operators'
-in a console's, anything else is a document. Prints every fault with its line; exit code 3 if there is one.
+in a console's, 'platform.address=' in the platform's file for an entry instance, '[roles.' in a deploy
+file; anything else is a document. Prints every fault with its line; exit code 3 if there is one.
 ";
 
 /// Runs the check.
@@ -33,9 +34,11 @@
         "router" => Settings::read(&text, &path).map(drop).map_err(invalid)?,
         "console" => console::read(&text, &path).map(drop)?,
         "document" => check_document(&text, &path)?,
+        "platform" => check_platform(&text, &path)?,
+        "deploy" => check_deploy(&text, &path)?,
         other => {
             return Err(usage(format!(
-                "--as {other}: one of router, console, document is wanted"
+                "--as {other}: one of router, console, document, platform, deploy is wanted"
             )));
         }
     }
@@ -47,6 +50,8 @@
     match text {
         text if text.contains("\"peers\"") => "router",
         text if text.contains("\"operators\"") => "console",
+        text if text.contains("platform.address=") => "platform",
+        text if text.contains("[roles.") => "deploy",
         _ => "document",
     }
 }
@@ -57,6 +62,20 @@
     }
 }
 
+fn check_platform(text: &str, path: &str) -> Result<(), Error> {
+    let read = fescuewell::adapter::settings::read(text, path);
+    read.map(drop).map_err(|error| Error::Invalid {
+        message: error.to_string(),
+    })
+}
+
+fn check_deploy(text: &str, path: &str) -> Result<(), Error> {
+    let read = fescuewell::adapter::deploy::read(text, path);
+    read.map(drop).map_err(|error| Error::Invalid {
+        message: error.to_string(),
+    })
+}
+
 fn check_document(text: &str, path: &str) -> Result<(), Error> {
     let Err(faults) = parse::read_document(text) else {
         return Ok(());
--- a/src/command/entry.rs
+++ b/src/command/entry.rs
@@ -2,12 +2,16 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fescuewell::adapter::dialect::Wire;
 use fescuewell::adapter::rows::Rows;
 use fescuewell::adapter::settings::{self, Boot};
 use fescuewell::adapter::source::Registry;
+use fescuewell::core::event::Event;
+use fescuewell::core::log_event;
 use fescuewell::gateway::daemon::Daemon;
+use flume::RecvTimeoutError;
 use pico_args::Arguments;
 
 use super::{log, stop};
@@ -20,7 +24,8 @@
 usage: fescuewell entry [--settings FILE] [--log LEVEL]
 
 Without --settings the file is the one that the variable FESCUEWELL_SETTINGS names. Log lines are JSON on
-standard output. SIGTERM or Ctrl-C drains within the grace time of the settings; SIGHUP reads them again.
+standard output. SIGTERM or Ctrl-C drains within the grace time of the settings. The file is looked at each second and at
+SIGHUP; a changed address of the store is taken up, anything else needs a restart.
 ";
 
 /// Runs the instance.
@@ -34,15 +39,54 @@
     finish(arguments)?;
     let boot = read(&path)?;
     let _logger = log::start(&options)?;
-    let mut signals = stop::Listener::start()?;
-    let daemon = start(boot)?;
-    while signals.wait() == stop::Asked::Reload {
-        reload(&path);
+    let signals = stop::Listener::start()?.into_channel()?;
+    let rows = Arc::new(Rows::new(boot.store));
+    let daemon = start(boot.clone(), rows.clone())?;
+    let mut file = Watched { path, boot };
+    loop {
+        match signals.recv_timeout(LOOK) {
+            Ok(stop::Asked::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+            Ok(stop::Asked::Reload) | Err(RecvTimeoutError::Timeout) => file.look(&rows),
+        }
     }
     daemon.stop();
     Ok(())
 }
 
+/// Time between two looks at the settings file: it may change without a signal.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// The settings file and what it said last.
+struct Watched {
+    path: PathBuf,
+    boot: Boot,
+}
+
+impl Watched {
+    /// Takes up a changed address of the store; other changes need a restart. A file that cannot be used changes
+    /// nothing.
+    fn look(&mut self, rows: &Rows) {
+        let boot = match read(&self.path) {
+            Ok(boot) => boot,
+            Err(error) => {
+                let reason = error.to_string().replace(' ', "_");
+                log_event!(Event::SettingsReloaded, "outcome=refused reason={reason}");
+                return;
+            }
+        };
+        if boot == self.boot {
+            return;
+        }
+        rows.set_address(boot.store);
+        log_event!(
+            Event::SettingsReloaded,
+            "outcome=changed store={}",
+            boot.store
+        );
+        self.boot = boot;
+    }
+}
+
 fn path(arguments: &mut Arguments) -> Result<PathBuf, Error> {
     if let Some(path) = arguments.opt_value_from_str("--settings")? {
         return Ok(path);
@@ -66,21 +110,8 @@
 }
 
 /// The subsystems of an instance: the platform's store serves rows and lists, its dialect the rest.
-fn start(boot: Boot) -> Result<Daemon, Error> {
-    let rows = Arc::new(Rows::new(boot.store));
+fn start(boot: Boot, rows: Arc<Rows>) -> Result<Daemon, Error> {
     let source = Arc::new(Registry::new(rows.clone()));
     let dialect = Arc::new(Wire::default());
     Daemon::start(boot.instance, dialect, rows, source).map_err(Error::failed)
 }
-
-/// A file that cannot be used changes nothing.
-fn reload(path: &PathBuf) {
-    match read(path) {
-        Ok(_) => fescuewell::core::log_event!(
-            fescuewell::core::event::Event::SettingsReloaded,
-            "file={}",
-            path.display()
-        ),
-        Err(error) => eprintln!("fescuewell: settings not reloaded: {error}"),
-    }
-}
--- a/tools/reference/tests/hazards.rs
+++ b/tools/reference/tests/hazards.rs
@@ -46,6 +46,12 @@
         [krate, module @ ..] if krate.starts_with("fescuewell_") => {
             file(&root().join("crates").join(krate).join("src"), module).is_some()
         }
+        ["path", tests, test] => {
+            file(&root().join("tests/forward"), &[tests]).is_some_and(|file| {
+                let text = fs::read_to_string(file).unwrap_or_default();
+                text.contains(&format!("fn {test}("))
+            })
+        }
         [krate, tests, test] => {
             let directory = root().join(format!("crates/fescuewell_{krate}/tests"));
             file(&directory, &[tests]).is_some_and(|file| {
