Add a randomized soak of real processes under faults from outside

Change: tests/soak: three instances as processes, a proxy between each and the store, signals, store faults, failing workers, drains, top-ups; checked: one run of what may not be repeated, true refusals, seals, events, tokens, recovery.

--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -158,7 +158,7 @@
     }
 
     pub fn readiness(&self) -> u16 {
-        get(self.ready, "/-/readyz").map_or(0, |answer| answer.status)
+        status(self.ready, "/-/readyz").unwrap_or_default()
     }
 
     pub fn addresses(&self) -> Vec<String> {
@@ -203,13 +203,11 @@
     }
 
     pub fn send(&self, request: &Request) -> Answer {
-        let mut connection = self.connect();
-        connection.write_all(&request.bytes()).unwrap();
-        read_answer(&mut connection).expect("an answer")
+        send(self.front, request).expect("an answer")
     }
 }
 
-pub fn connect(address: SocketAddr) -> TcpStream {
+fn connect(address: SocketAddr) -> TcpStream {
     let connection = TcpStream::connect(address).unwrap();
     let patience = Duration::from_secs(20);
     connection.set_read_timeout(Some(patience)).unwrap();
@@ -300,6 +298,21 @@
     }
 }
 
+/// Sends a request on a new connection; nothing when that gives no answer.
+pub fn send(address: SocketAddr, request: &Request) -> Option<Answer> {
+    let mut connection = TcpStream::connect(address).ok()?;
+    connection
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .ok()?;
+    connection.write_all(&request.bytes()).ok()?;
+    read_answer(&mut connection)
+}
+
+/// Status of a small question; nothing when that gives no answer.
+pub fn status(address: SocketAddr, path: &str) -> Option<u16> {
+    get(address, path).map(|answer| answer.status)
+}
+
 fn get(address: SocketAddr, path: &str) -> Option<Answer> {
     let mut connection = TcpStream::connect(address).ok()?;
     connection
--- a/tests/scenario/proxy.rs
+++ b/tests/scenario/proxy.rs
@@ -15,6 +15,8 @@
     is_closed: AtomicBool,
     /// Connections up to this number pass nothing any more and stay open.
     silenced: AtomicU64,
+    /// Connections up to this number pass nothing back to the client any more and stay open.
+    deafened: AtomicU64,
     /// Connections made so far.
     made: AtomicU64,
     open: Mutex<HashMap<u64, [TcpStream; 2]>>,
@@ -80,6 +82,13 @@
         let made = self.state.made.load(Ordering::SeqCst);
         self.state.silenced.store(made, Ordering::SeqCst);
     }
+
+    /// Lets the connections that are open now pass nothing more back to the client: what it sends still arrives.
+    #[allow(dead_code, reason = "each test program uses its own part of the proxy")]
+    pub fn deafen(&self) {
+        let made = self.state.made.load(Ordering::SeqCst);
+        self.state.deafened.store(made, Ordering::SeqCst);
+    }
 }
 
 fn serve(client: TcpStream, upstream: SocketAddr, state: &Arc<State>) {
@@ -96,19 +105,28 @@
         let mut open = state.open.lock().expect("no panic holds the lock");
         open.insert(number, [client, server]);
     }
-    for (from, to) in [(&client, &server), (&server, &client)] {
+    for (from, to, is_back) in [(&client, &server, false), (&server, &client, true)] {
         let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
             return;
         };
         let state = state.clone();
-        thread::spawn(move || copy(from, to, number, &state));
+        thread::spawn(move || copy(from, to, Way { number, is_back }, &state));
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, number: u64, state: &State) {
+/// One direction of one connection.
+#[derive(Clone, Copy)]
+struct Way {
+    number: u64,
+    is_back: bool,
+}
+
+fn copy(mut from: TcpStream, mut to: TcpStream, way: Way, state: &State) {
     let mut buffer = [0u8; 16 * 1024];
     while let Ok(count) = from.read(&mut buffer) {
-        let is_silent = number <= state.silenced.load(Ordering::SeqCst);
+        let silenced = state.silenced.load(Ordering::SeqCst);
+        let deafened = state.deafened.load(Ordering::SeqCst);
+        let is_silent = way.number <= silenced || (way.is_back && way.number <= deafened);
         if count == 0 && is_silent {
             return;
         }
@@ -127,5 +145,5 @@
         .open
         .lock()
         .expect("no panic holds the lock")
-        .remove(&number);
+        .remove(&way.number);
 }
--- /dev/null
+++ b/tests/soak/world.rs
@@ -0,0 +1,165 @@
+//! The system under the soak, and the course of one seed.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use fescuewell::standin::rows;
+use fescuewell::standin::worker::wait_until;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::caller::{Caller, Kind, request};
+use crate::fault::{self, Fault};
+use crate::fixture::{Fixture, configuration, send};
+use crate::instance::Instance;
+use crate::verdict;
+
+const INSTANCES: usize = 3;
+const WORKERS: usize = 3;
+const CALLERS: usize = 6;
+/// Faults of one seed.
+const FAULTS: usize = 10;
+/// The account's first total, in tokens: gone after some hundred requests.
+const PREPAID: u64 = 150_000;
+/// What a top-up adds.
+const TOP_UP: u64 = 40_000;
+
+pub struct World {
+    random: SmallRng,
+    platform: Fixture,
+    instances: Vec<Instance>,
+    callers: Vec<Caller>,
+    stop: Arc<AtomicBool>,
+    version: u64,
+    prepaid: u64,
+}
+
+impl World {
+    pub fn start(seed: u64) -> Self {
+        let platform = Fixture::platform(WORKERS, PREPAID);
+        let store = platform.store.address();
+        let mut instances: Vec<Instance> = (0..INSTANCES)
+            .map(|index| Instance::new(index, seed, store))
+            .collect();
+        for instance in &mut instances {
+            instance.start();
+        }
+        for instance in &instances {
+            assert!(
+                instance.wait_ready(),
+                "seed {seed}: an instance never became ready"
+            );
+        }
+        let stop = Arc::new(AtomicBool::new(false));
+        let fronts: Vec<_> = instances.iter().map(|instance| instance.front).collect();
+        let callers = (0..CALLERS)
+            .map(|name| Caller::start(seed, name, fronts.clone(), stop.clone()))
+            .collect();
+        Self {
+            random: SmallRng::seed_from_u64(seed),
+            platform,
+            instances,
+            callers,
+            stop,
+            version: 1,
+            prepaid: PREPAID,
+        }
+    }
+
+    /// Faults in series, some of which overlap.
+    pub fn play(&mut self) {
+        let mut open: Vec<Fault> = Vec::new();
+        for _ in 0..FAULTS {
+            let fault = fault::draw(&mut self.random, INSTANCES, WORKERS);
+            self.begin(fault);
+            open.push(fault);
+            let pause = Duration::from_millis(self.random.random_range(50..700));
+            std::thread::sleep(pause);
+            if self.random.random_bool(0.6) {
+                for fault in open.drain(..) {
+                    self.end(fault);
+                }
+            }
+        }
+        for fault in open {
+            self.end(fault);
+        }
+    }
+
+    fn begin(&mut self, fault: Fault) {
+        match fault {
+            Fault::Pause(at) => self.instances[at].pause(),
+            Fault::Kill(at) => self.instances[at].kill(),
+            Fault::Stop(at) => self.instances[at].stop(),
+            Fault::KillAll => self.instances.iter_mut().for_each(Instance::kill),
+            Fault::Cut(at) => self.instances[at].proxy.cut(),
+            Fault::Silence(at) => self.instances[at].proxy.silence(),
+            Fault::Deafen(at) => self.instances[at].proxy.deafen(),
+            Fault::Reset(at) => self.instances[at].proxy.drop_connections(),
+            Fault::Store(fault) => self.platform.store.set_fault(fault),
+            Fault::Compact => self.platform.store.compact(),
+            Fault::Worker(at, behaviour) => self.platform.workers[at].next(&[behaviour; 3]),
+            Fault::Drain(at) => self.platform.register(at, "draining"),
+            Fault::TopUp => self.top_up(),
+        }
+    }
+
+    fn end(&mut self, fault: Fault) {
+        match fault {
+            Fault::Pause(at) => self.instances[at].resume(),
+            Fault::Cut(at) => self.instances[at].proxy.heal(),
+            Fault::Store(_) => self.platform.store.set_fault(rows::Fault::None),
+            Fault::Drain(at) => self.platform.register(at, "ready"),
+            Fault::Kill(_) | Fault::Stop(_) | Fault::KillAll => self.start_missing(),
+            _ => {}
+        }
+    }
+
+    fn start_missing(&mut self) {
+        let missing = self.instances.iter_mut();
+        for instance in missing.filter(|instance| !instance.is_running()) {
+            instance.start();
+        }
+    }
+
+    fn top_up(&mut self) {
+        self.version += 1;
+        self.prepaid += TOP_UP;
+        let next = configuration(self.version, self.prepaid);
+        self.platform.configure(&next);
+    }
+
+    /// Ends the faults, waits for the recovery, and returns the promises that were broken.
+    pub fn finish(mut self) -> Vec<String> {
+        self.start_missing();
+        let mut broken = Vec::new();
+        for (at, instance) in self.instances.iter().enumerate() {
+            if !instance.wait_ready() {
+                broken.push(format!("instance {at} is not ready after the faults"));
+                continue;
+            }
+            let serves = || {
+                let answer = send(instance.front, &request(Kind::Safe, &format!("last-{at}")));
+                answer.is_some_and(|answer| answer.status == 200)
+            };
+            if !wait_until(serves) {
+                broken.push(format!("instance {at} serves nothing after the faults"));
+            }
+        }
+        self.stop.store(true, Ordering::Release);
+        let notes = self
+            .callers
+            .drain(..)
+            .flat_map(Caller::join)
+            .collect::<Vec<_>>();
+        let runs: Vec<_> = self
+            .platform
+            .workers
+            .iter()
+            .map(|worker| worker.runs())
+            .collect();
+        broken.extend(verdict::broken(&notes, &runs, self.prepaid));
+        broken
+    }
+}
