Name instances by the traffic that they carry; log who is named; write log lines whole

Half of the large accounts' callers use one instance, named or not: those of one account press 450 requests a second on a link of 10 Mbit/s. Ruled out: a start-up answer with only the own address as the reason for that; it is refused now all the same.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -33,8 +33,14 @@
 /// Age of a member's last sign, in milliseconds, up to which callers are still sent to it. Longer than the other: an
 /// instance that is cut from the store still serves, with tokens that nobody else has.
 const NAMED_LAPSE_MS: u64 = 6_000;
-/// Requests a second for which one more instance is named: what letter 1's size gives each instance.
-const REQUESTS_EACH: u32 = 40;
+/// Weight, in thousandths of a core, that one request a second takes with ease: a request costs about 0.9 ms of
+/// processor time, half of which is left free.
+const WEIGHT_EACH: u32 = 2;
+/// Named instances carry so many times the present traffic, so that the loss of some of them, or a burst, finds room.
+const HEADROOM: u32 = 2;
+/// An instance with less than such a part of the strongest one's weight is not named for its zone's sake: a narrow link
+/// that gets an equal share of the callers delays all of them.
+const WEAKEST_PART: u32 = 3;
 /// One instance in so many is named however low the traffic is, so that a sudden rise finds them with tokens.
 const LEAST_PART: usize = 6;
 /// Most addresses in one answer.
@@ -49,6 +55,11 @@
 }
 
 impl Directory {
+    /// Whether the list was ever read.
+    pub fn is_read(&self) -> bool {
+        self.read_at_ms > 0
+    }
+
     /// Sets the age from which a member counts as absent, in milliseconds.
     pub fn set_lapse(&mut self, lapse_ms: u64) {
         self.lapse_ms = lapse_ms;
@@ -92,7 +103,8 @@
         addresses
     }
 
-    /// The instances that callers are sent to: as many as the traffic needs, and one in each availability zone.
+    /// The instances that callers are sent to: as many as the traffic needs, and one in each availability zone
+    /// that has one to match the others.
     ///
     /// What is prepaid is divided among the instances that take requests. Spread over more of them than the traffic
     /// needs, the part of each covers only a few requests, and requests are refused although the account has
@@ -105,24 +117,38 @@
             .collect();
         known.sort_by_key(|(name, member)| (std::cmp::Reverse(member.weight), spread(name)));
         let requests: u32 = known.iter().map(|(_, member)| member.requests).sum();
-        let wanted = requests.div_ceil(REQUESTS_EACH) as usize;
-        let wanted = wanted.max(known.len() / LEAST_PART);
+        let wanted = requests * HEADROOM;
+        let least = known.len() / LEAST_PART;
+        let strongest = known.first().map_or(0, |(_, member)| member.weight);
         let mut zones: Vec<&Arc<str>> = Vec::new();
         let mut first = Vec::new();
         let mut rest = Vec::new();
         for (name, member) in known {
-            if zones.contains(&&member.zone) {
+            let is_strong = member.weight >= strongest / WEAKEST_PART;
+            if zones.contains(&&member.zone) || !is_strong {
                 rest.push((name, member));
             } else {
                 zones.push(&member.zone);
                 first.push((name, member));
             }
         }
-        let more = wanted.saturating_sub(first.len());
+        let mut carried: u32 = first.iter().map(|(_, member)| member.carries()).sum();
+        for (name, member) in rest {
+            let is_strong = member.weight >= strongest / WEAKEST_PART;
+            if carried >= wanted && (first.len() >= least || !is_strong) {
+                break;
+            }
+            carried += member.carries();
+            first.push((name, member));
+        }
         first
-            .into_iter()
-            .chain(rest.into_iter().take(more))
-            .collect()
+    }
+}
+
+impl Member {
+    /// Requests a second that it carries with ease.
+    fn carries(&self) -> u32 {
+        (self.weight / WEIGHT_EACH).max(1)
     }
 }
 
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -10,7 +10,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::directory::Member;
+use fescuewell_forward::directory::{Directory, Member};
 use fescuewell_forward::purse::row::{Journal, Ledger};
 use fescuewell_forward::purse::{Account, Purse};
 
@@ -199,7 +199,7 @@
         .rows
         .iter()
         .find(|row| *row.place.key == *gateway.settings.name);
-    let known = mine.and_then(|row| decode_journal(row));
+    let known = mine.and_then(decode_journal);
     let version = mine.map_or(0, |row| row.version);
     let rows = ledgers.rows.iter();
     let rows: Vec<_> = rows
@@ -391,6 +391,7 @@
         .live()
         .map(|(name, _)| name.clone())
         .collect();
+    let named_before = names(&state.directory);
     state.directory.replace(members, reading.now_ms);
     let after: Vec<Arc<str>> = state
         .directory
@@ -401,10 +402,12 @@
     let said: Vec<_> = said
         .map(|(name, member)| (name.clone(), member.usage.clone()))
         .collect();
-    let named = state.directory.named();
-    let named: Vec<Arc<str>> = named.iter().map(|(name, _)| (*name).clone()).collect();
+    let named: Vec<Arc<str>> = names(&state.directory);
     state.purse.set_peers(&said, &named);
     drop(state);
+    if named != named_before {
+        log_event!(Event::InstancesNamed, "named={}", named.join(","));
+    }
     for name in after.iter().filter(|name| !before.contains(name)) {
         log_event!(Event::PeerJoined, "instance={name}");
     }
@@ -413,6 +416,11 @@
     }
 }
 
+fn names(directory: &Directory) -> Vec<Arc<str>> {
+    let named = directory.named();
+    named.iter().map(|(name, _)| (*name).clone()).collect()
+}
+
 /// Reads the accounts' rows.
 async fn ledgers(control: &Control) {
     let Ok(reading) = read(control, LEDGERS, MONEY).await else {
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -151,6 +151,11 @@
     /// Span over which arrivals are counted, in seconds.
     pub const ARRIVALS_S: u32 = 4;
 
+    /// Time since the process started.
+    pub fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Stage of the process's life.
     pub fn stage(&self) -> Stage {
         match self.stage.load(Ordering::Acquire) {
--- a/crates/fescuewell_gateway/src/side.rs
+++ b/crates/fescuewell_gateway/src/side.rs
@@ -1,6 +1,7 @@
 //! The small questions beside the traffic: which addresses to use, whether this instance is ready, its metrics.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
@@ -14,6 +15,9 @@
 /// Path of the metrics, as scrapers expect it.
 const METRICS_PATH: &str = "/metrics";
 
+/// Time from the start after which an instance that could not read the list names itself.
+const ALONE_AFTER: Duration = Duration::from_secs(5);
+
 /// Answers them.
 pub struct Side {
     gateway: Arc<Gateway>,
@@ -34,7 +38,11 @@
     }
 
     fn addresses(&self, reply: Reply) {
-        let own = self.gateway.is_ready();
+        // An instance that knows no other yet would name itself alone, and callers of its zone would all come to it and
+        // keep that answer while its link is too full for a new one. They ask another instance meanwhile.
+        let is_read = self.gateway.state().directory.is_read();
+        let alone = is_read || self.gateway.uptime() > ALONE_AFTER;
+        let own = self.gateway.is_ready() && alone;
         let own = own.then_some(self.gateway.settings.front);
         let draw = self.gateway.draw();
         let addresses = self.gateway.state().directory.addresses(own, draw);
--- a/src/command/log/ring.rs
+++ b/src/command/log/ring.rs
@@ -12,8 +12,9 @@
 
 /// Lines that may wait for the writer's thread; each takes some hundred bytes.
 const LINES: usize = 4_096;
-/// Bytes after which a burst of lines is written out.
-const BATCH: usize = 32 * 1024;
+/// Most bytes of one write: whole lines, and no more than a pipe takes in one piece, so that a collector that reads
+/// several processes never sees half a line.
+const BATCH: usize = 4_096;
 
 enum Item {
     Line(Vec<u8>),
@@ -77,7 +78,12 @@
         let mut next = Some(first);
         while let Some(item) = next {
             match item {
-                Item::Line(line) => batch.extend_from_slice(&line),
+                Item::Line(line) => {
+                    if batch.len() + line.len() > BATCH {
+                        write(&mut out, &mut batch);
+                    }
+                    batch.extend_from_slice(&line);
+                }
                 Item::Flush(done) => {
                     write(&mut out, &mut batch);
                     let _ = done.send(());
