--- a/src/command/entry.rs
+++ b/src/command/entry.rs
@@ -34,7 +34,7 @@
 ///
 /// When settings are wrong or the instance cannot start.
 pub fn run(mut arguments: Arguments) -> Result<(), Error> {
-    let options = log::Options::read(&mut arguments)?.to_standard_output();
+    let options = log::Options::read(&mut arguments)?.on_standard_output();
     let path = path(&mut arguments)?;
     finish(arguments)?;
     let boot = read(&path)?;
--- a/src/command/log.rs
+++ b/src/command/log.rs
@@ -67,7 +67,7 @@
     }
 
     /// JSON lines on standard output.
-    pub fn to_standard_output(mut self) -> Self {
+    pub fn on_standard_output(mut self) -> Self {
         self.form = Form::Json;
         self.target = Target::Output;
         self
--- a/tests/forward/refusals.rs
+++ b/tests/forward/refusals.rs
@@ -11,12 +11,8 @@
     let mut fixture = Fixture::empty(1);
     fixture.start();
 
-    let answer = loop {
-        // The listener is up before the first answer of the store.
-        let answer =
-            fixture.send(&Request::new("GET /safe/x", "r-1").with("X-Fescuewell-Key", "wrong"));
-        break answer;
-    };
+    let answer =
+        fixture.send(&Request::new("GET /safe/x", "r-1").with("X-Fescuewell-Key", "wrong"));
 
     assert_eq!(answer.status, 503);
     assert!(answer.header("retry-after").is_some());
