--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -1,7 +1,11 @@
 //! The duties of the control thread: the configuration, the list of backend servers, grants and membership.
 
+mod journal;
+mod ledger;
+mod members;
 mod money;
 mod peers;
+mod rows;
 mod watch;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/fescuewell_gateway/src/control/journal.rs
@@ -0,0 +1,153 @@
+//! The journal of this instance: what its next process may have to be charged for.
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::purse::Account;
+use fescuewell_forward::purse::row::Journal;
+
+use super::ledger::{LEDGERS, MONEY, decode_ledger};
+use super::rows::{place, read, unreadable};
+use super::{CALL, Control, PAUSE};
+use crate::store::{Change, Error, Outcome, Place, Row};
+
+/// Table of the instances' journals.
+const JOURNALS: &str = "journal";
+
+/// Journals stand each in a part of its own, since nobody else reads or writes them.
+fn own_journal(control: &Control) -> Place {
+    let name = &control.gateway.settings.name;
+    place(JOURNALS, name, name)
+}
+
+/// Takes over what the former process of this instance may have spent. Until that has succeeded nothing may be
+/// spent, so it is tried until it does.
+pub(super) async fn adopt(control: &Control) {
+    while !try_adopt(control).await {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn try_adopt(control: &Control) -> bool {
+    let Ok(ledgers) = read(control, LEDGERS, MONEY).await else {
+        return false;
+    };
+    let gateway = &control.gateway;
+    let asked_ms = gateway.now_ms();
+    let Ok(journals) = read(control, JOURNALS, &gateway.settings.name).await else {
+        return false;
+    };
+    // The own clock began when this process started, and the former one had ended by then. Counting back from
+    // the question to that moment keeps the time that the store could not be reached out of the charge.
+    let ended_ms = journals.now_ms.saturating_sub(asked_ms);
+    let mine = journals
+        .rows
+        .iter()
+        .find(|row| *row.place.key == *gateway.settings.name);
+    let known = mine.and_then(decode_journal);
+    let version = mine.map_or(0, |row| row.version);
+    let rows = ledgers.rows.iter();
+    let rows: Vec<_> = rows
+        .filter_map(|row| Some((row.place.key.clone(), row.version, decode_ledger(row)?)))
+        .collect();
+    let accounts = rows.len();
+    let now_ms = gateway.now_ms();
+    let journal = gateway
+        .state()
+        .purse
+        .adopt(known.as_ref(), version, rows, ended_ms, now_ms);
+    let written = write_journal(control, &journal).await;
+    if written {
+        inherited(control, known.as_ref(), &journal);
+        log_event!(
+            Event::JournalAdopted,
+            "incarnation={} accounts={accounts} journal_age_ms={}",
+            journal.incarnation,
+            known.map_or(0, |known| ended_ms.saturating_sub(known.at_ms))
+        );
+    }
+    written
+}
+
+/// Logs what is charged for the former process, account by account.
+fn inherited(control: &Control, known: Option<&Journal>, journal: &Journal) {
+    let state = control.gateway.state();
+    for entry in &journal.entries {
+        let Some(before) = known.and_then(|known| known.entry(&entry.account)) else {
+            continue;
+        };
+        let granted = state.purse.view(&entry.account).map_or(0, Account::granted);
+        log_event!(
+            Event::AllowanceReclaimed,
+            "account={} recorded={} charged={} granted={granted}",
+            entry.account,
+            before.consumed,
+            entry.consumed
+        );
+    }
+}
+
+fn decode_journal(row: &Row) -> Option<Journal> {
+    let value = row.value.as_deref()?;
+    let journal = Journal::decode(value);
+    journal
+        .inspect_err(|error| unreadable(row, &error.to_string()))
+        .ok()
+}
+
+/// Writes the journal as it stands.
+pub(super) async fn journal(control: &Control) {
+    let now_ms = control.gateway.now_ms();
+    let journal = {
+        let mut state = control.gateway.state();
+        if !state.purse.is_adopted() {
+            return;
+        }
+        state.purse.journal(now_ms)
+    };
+    write_journal(control, &journal).await;
+}
+
+async fn write_journal(control: &Control, journal: &Journal) -> bool {
+    let gateway = &control.gateway;
+    let version = gateway.state().purse.journal_version();
+    let change = Change {
+        expects: vec![(own_journal(control), version)],
+        puts: vec![(own_journal(control), journal.encode())],
+        removes: Vec::new(),
+    };
+    let commit = control.store.commit(&change);
+    let outcome = control.call("journal_write", CALL, commit).await;
+    let now_ms = gateway.now_ms();
+    let mut state = gateway.state();
+    match outcome {
+        Ok(Outcome::Done {
+            version,
+            now_ms: store_ms,
+        }) => {
+            state.purse.clock(store_ms, now_ms);
+            state.purse.journal_written(journal, version);
+            true
+        }
+        Ok(Outcome::Conflict(reading)) => {
+            // An earlier write of this process took effect although its reply was lost.
+            for row in &reading.rows {
+                let Some(found) = decode_journal(row) else {
+                    continue;
+                };
+                let was_adopted = state.purse.is_adopted();
+                if !state.purse.journal_found(&found, row.version) && was_adopted {
+                    log_event!(Event::JournalLost, "incarnation={}", found.incarnation);
+                }
+            }
+            state.purse.is_adopted()
+        }
+        Err(Error::NotDone { .. }) => {
+            state.purse.journal_dropped();
+            false
+        }
+        Err(_) => {
+            state.purse.journal_unknown();
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -0,0 +1,156 @@
+//! The ledgers of the client accounts, which all instances change on condition of their versions.
+
+use std::cmp::Ordering;
+use std::sync::Arc;
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::purse::Purse;
+use fescuewell_forward::purse::row::Ledger;
+
+use super::rows::{place, read, unreadable};
+use super::{CALL, Control};
+use crate::store::{Change, Outcome, Row};
+
+/// Table of the accounts' ledgers.
+pub(super) const LEDGERS: &str = "ledger";
+/// Part of the ledgers.
+pub(super) const MONEY: &str = "money";
+/// Rows in one transaction: one that is in conflict holds up the others, and each costs a call.
+const ROWS: usize = 10;
+/// Tries to change ledgers that others change at the same time.
+const TRIES: usize = 6;
+
+pub(super) fn decode_ledger(row: &Row) -> Option<Ledger> {
+    let value = row.value.as_deref()?;
+    let ledger = Ledger::decode(value);
+    ledger
+        .inspect_err(|error| unreadable(row, &error.to_string()))
+        .ok()
+}
+
+/// Reads the accounts' rows.
+pub(super) async fn ledgers(control: &Control) {
+    let Ok(reading) = read(control, LEDGERS, MONEY).await else {
+        return;
+    };
+    let mut state = control.gateway.state();
+    for row in &reading.rows {
+        let Some(ledger) = decode_ledger(row) else {
+            continue;
+        };
+        let name = row.place.key.clone();
+        state
+            .purse
+            .learn(&name, row.version, ledger, reading.now_ms);
+    }
+}
+
+/// Brings the ledgers of the accounts to what the plan says, against others who do the same.
+pub(super) async fn plan(control: &Control, names: &[Arc<str>]) {
+    for _ in 0..TRIES {
+        let drafts = draft(control, names);
+        if drafts.is_empty() {
+            return;
+        }
+        let mut is_conflict = false;
+        for drafts in drafts.chunks(ROWS) {
+            match write_ledgers(control, drafts).await {
+                Some(true) => {}
+                Some(false) => is_conflict = true,
+                None => return,
+            }
+        }
+        if !is_conflict {
+            return;
+        }
+    }
+}
+
+/// A row that is to replace an account's ledger of this version.
+struct Draft {
+    account: Arc<str>,
+    version: u64,
+    ledger: Ledger,
+}
+
+fn draft(control: &Control, names: &[Arc<str>]) -> Vec<Draft> {
+    let now_ms = control.gateway.now_ms();
+    let mut state = control.gateway.state();
+    let mut drafts = Vec::new();
+    for account in names {
+        let Some((version, ledger)) = state.purse.plan(account, now_ms) else {
+            continue;
+        };
+        let account = account.clone();
+        drafts.push(Draft {
+            account,
+            version,
+            ledger,
+        });
+    }
+    drafts
+}
+
+/// Writes some ledgers in one transaction: whether it took effect, or nothing when that is not known.
+async fn write_ledgers(control: &Control, drafts: &[Draft]) -> Option<bool> {
+    let mut change = Change::default();
+    for draft in drafts {
+        let place = place(LEDGERS, MONEY, &draft.account);
+        change.expects.push((place.clone(), draft.version));
+        change.puts.push((place, draft.ledger.encode()));
+    }
+    let commit = control.store.commit(&change);
+    let outcome = control.call("plan", CALL, commit).await;
+    let now_ms = control.gateway.now_ms();
+    let mut state = control.gateway.state();
+    match outcome {
+        Ok(Outcome::Done {
+            version,
+            now_ms: store_ms,
+        }) => {
+            state.purse.clock(store_ms, now_ms);
+            for draft in drafts {
+                tell(&state.purse, &draft.account, &draft.ledger);
+                let ledger = draft.ledger.clone();
+                state.purse.learn(&draft.account, version, ledger, store_ms);
+            }
+            Some(true)
+        }
+        Ok(Outcome::Conflict(reading)) => {
+            state.purse.clock(reading.now_ms, now_ms);
+            for row in &reading.rows {
+                let Some(ledger) = decode_ledger(row) else {
+                    continue;
+                };
+                let name = row.place.key.clone();
+                state
+                    .purse
+                    .learn(&name, row.version, ledger, reading.now_ms);
+            }
+            Some(false)
+        }
+        Err(_) => None,
+    }
+}
+
+/// Logs how the own grant of an account changes.
+fn tell(purse: &Purse, name: &str, ledger: &Ledger) {
+    let Some(account) = purse.view(name) else {
+        return;
+    };
+    let before = account.granted();
+    let granted = ledger.granted(purse.holder());
+    let event = match granted.cmp(&before) {
+        Ordering::Greater => Event::AllowanceDrawn,
+        Ordering::Less => Event::AllowanceReturned,
+        Ordering::Equal => return,
+    };
+    log_event!(
+        event,
+        "account={name} before={before} granted={granted} consumed={} prepaid={} all_granted={}",
+        account.consumed(),
+        account.prepaid().unwrap_or_default(),
+        ledger.total()
+    );
+}
--- /dev/null
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -0,0 +1,106 @@
+//! The sign that this instance lives, and those of the others.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::directory::{Directory, Member};
+
+use super::rows::{FLEET, place, read, unreadable};
+use super::{CALL, Control};
+use crate::gateway::ARRIVALS_S;
+use crate::settings::Settings;
+use crate::store::Change;
+
+/// Table of the instances' addresses.
+const MEMBERS: &str = "member";
+/// Link for which a whole core of an instance has use, in Mbit/s: prompts are some 17 kB each.
+const LINK_EACH_MBPS: f64 = 200.0;
+
+/// Writes the sign that this instance lives, or takes it away when it leaves.
+pub(super) async fn sign(control: &Control) {
+    let gateway = &control.gateway;
+    let settings = &gateway.settings;
+    let place = place(MEMBERS, FLEET, &settings.name);
+    let mut change = Change::default();
+    if gateway.is_leaving() {
+        change.removes.push(place);
+    } else {
+        let now_ms = gateway.now_ms();
+        let mut state = gateway.state();
+        let member = Member {
+            address: settings.front,
+            peer: settings.peer,
+            zone: settings.zone.clone(),
+            weight: weight(settings),
+            requests: state.arrivals.sum(now_ms) as u32 / ARRIVALS_S,
+            usage: state.purse.usage(now_ms),
+            at_ms: state.purse.store_time(now_ms),
+        };
+        drop(state);
+        // Only a type that cannot be written at all fails here.
+        let value = postcard::to_extend(&member, Vec::new()).unwrap_or_default();
+        change.puts.push((place, value));
+    }
+    let commit = control.store.commit(&change);
+    // A sign that is lost is followed by the next one; `call` has noted the failure.
+    let _ = control.call("sign", CALL, commit).await;
+}
+
+/// How much traffic the instance can carry, in thousandths of a core: no more than its link has room for.
+fn weight(settings: &Settings) -> u32 {
+    let by_link = settings.link_mbps / LINK_EACH_MBPS;
+    (settings.cores.min(by_link) * 1_000.0) as u32
+}
+
+/// Reads which instances live.
+pub(super) async fn members(control: &Control) {
+    let Ok(reading) = read(control, MEMBERS, FLEET).await else {
+        return;
+    };
+    let mut members: BTreeMap<Arc<str>, Member> = BTreeMap::new();
+    for row in reading.rows {
+        let Some(value) = &row.value else { continue };
+        match postcard::from_bytes(value) {
+            Ok(member) => {
+                members.insert(row.place.key.clone(), member);
+            }
+            Err(error) => unreadable(&row, &error.to_string()),
+        }
+    }
+    let mut state = control.gateway.state();
+    let before: Vec<Arc<str>> = state
+        .directory
+        .live()
+        .map(|(name, _)| name.clone())
+        .collect();
+    let named_before = names(&state.directory);
+    state.directory.replace(members, reading.now_ms);
+    let after: Vec<Arc<str>> = state
+        .directory
+        .live()
+        .map(|(name, _)| name.clone())
+        .collect();
+    let said = state.directory.live();
+    let said: Vec<_> = said
+        .map(|(name, member)| (name.clone(), member.usage.clone()))
+        .collect();
+    let named: Vec<Arc<str>> = names(&state.directory);
+    state.purse.set_peers(&said, &named);
+    drop(state);
+    if named != named_before {
+        log_event!(Event::InstancesNamed, "named={}", named.join(","));
+    }
+    for name in after.iter().filter(|name| !before.contains(name)) {
+        log_event!(Event::PeerJoined, "instance={name}");
+    }
+    for name in before.iter().filter(|name| !after.contains(name)) {
+        log_event!(Event::PeerLost, "instance={name}");
+    }
+}
+
+fn names(directory: &Directory) -> Vec<Arc<str>> {
+    let named = directory.named();
+    named.iter().map(|(name, _)| (*name).clone()).collect()
+}
--- /dev/null
+++ b/crates/fescuewell_gateway/src/control/rows.rs
@@ -0,0 +1,36 @@
+//! Reading rows, and what is said of rows that cannot be read.
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+
+use super::{CALL, Control};
+use crate::store::{Error, Place, Reading, Row};
+
+/// Part of the members.
+pub(super) const FLEET: &str = "fleet";
+
+pub(super) fn place(table: &str, part: &str, key: &str) -> Place {
+    Place {
+        table: table.into(),
+        part: part.into(),
+        key: key.into(),
+    }
+}
+
+pub(super) async fn read(control: &Control, table: &str, part: &str) -> Result<Reading, Error> {
+    let reading = control.store.read(table, part);
+    let reading = control.call(table, CALL, reading).await?;
+    let now_ms = control.gateway.now_ms();
+    control.gateway.state().purse.clock(reading.now_ms, now_ms);
+    Ok(reading)
+}
+
+pub(super) fn unreadable(row: &Row, reason: &str) {
+    let reason = reason.replace(' ', "_");
+    log_event!(
+        Event::InternalFault,
+        "part=store table={} key={} reason={reason}",
+        row.place.table,
+        row.place.key
+    );
+}
--- /dev/null
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -0,0 +1,245 @@
+//! One attempt at one backend server: what is sent, how long it is waited for, and what an answer is worth.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::config::Kind;
+use fescuewell_forward::health::Outcome;
+use fescuewell_forward::server::Entry;
+use fescuewell_http::upstream::{Error, Exchange, Target, Timeouts};
+use http::header::HeaderValue;
+use http::{HeaderMap, StatusCode};
+
+use super::{Job, Place};
+
+/// Time for opening a connection; backend servers are a few milliseconds away.
+const CONNECT: Duration = Duration::from_millis(300);
+/// A safe request is tried elsewhere after so many times its target latency without an answer,
+const SAFE_PATIENCE: u32 = 2;
+/// but not before this time.
+const SAFE_LEAST: Duration = Duration::from_millis(200);
+/// A resumable stream is tried elsewhere after so many times its target latency without an event.
+const STREAM_PATIENCE: u32 = 2;
+/// A stream that may be resumed is taken up elsewhere after a pause of so many times the longest one that is still
+/// on time.
+const GAP_PATIENCE: f64 = 1.25;
+/// Largest answer that is read whole, in bytes.
+const MOST_ANSWER: usize = 4 * 1024 * 1024;
+
+/// A backend server's answer.
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// How one attempt ended.
+pub(crate) enum Attempt {
+    /// Answered whole.
+    Whole(Answer),
+    /// The server ran it and says that it failed.
+    Failed(Answer),
+    /// Events have begun to come.
+    Events(Box<Exchange>, Bytes),
+    /// The server did not run it.
+    TurnedAway,
+    /// No byte of it left.
+    NotSent,
+    /// It may have run.
+    Unknown,
+}
+
+impl Job {
+    /// Sends the request to a backend server; `after` is the last event that the caller already has.
+    pub(crate) async fn attempt(&mut self, place: &mut Place, after: Option<u64>) -> Attempt {
+        let Some(request) = self.request(&place.server, after) else {
+            return Attempt::NotSent;
+        };
+        let until = match self.route.kind.is_stream() {
+            true => self.deadline,
+            false => self.limit,
+        };
+        let target = Target::new(place.server.address).with_deadline(until);
+        let sent_at = Instant::now();
+        let opened = self
+            .gateway
+            .client
+            .open(&target, request, self.timeouts())
+            .await;
+        let exchange = match opened {
+            Ok(exchange) => exchange,
+            Err(Error::NotSent { reason }) => {
+                self.unsent += 1;
+                place.judge(Outcome::Bad);
+                self.note(place, "not_sent", &reason);
+                return Attempt::NotSent;
+            }
+            Err(error) => {
+                self.sent();
+                return self.unknown(place, &error);
+            }
+        };
+        self.receive(place, exchange, sent_at).await
+    }
+
+    async fn receive(
+        &mut self,
+        place: &mut Place,
+        mut exchange: Exchange,
+        sent_at: Instant,
+    ) -> Attempt {
+        self.sends += 1;
+        let names = self.gateway.dialect.names().clone();
+        let status = exchange.status;
+        let refused = exchange.headers.contains_key(&names.not_run);
+        if refused || status == StatusCode::MISDIRECTED_REQUEST {
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                // The address belongs to another server now; the entry is of no use until it changes.
+                self.gateway
+                    .state()
+                    .registry
+                    .mark_draining(&place.server.id);
+            } else {
+                place.judge(Outcome::Full);
+            }
+            self.note(place, "turned_away", status.as_str());
+            // Read to its end, so that the connection can be used again.
+            if let Err(error) = exchange.whole(MOST_ANSWER).await {
+                self.note(place, "refusal_broken", &error.to_string());
+            }
+            return Attempt::TurnedAway;
+        }
+        self.mark_run();
+        let echoed = exchange.headers.get(&names.request_id);
+        let own = echoed.is_some_and(|value| value.as_bytes() == self.id.as_bytes());
+        let sealed = exchange.headers.contains_key(&names.seal);
+        if !own || (status.is_success() && !sealed) {
+            // An answer to another request that came late, or bytes that no server sealed: its connection
+            // is dropped with it.
+            return self.unknown(place, &"the answer belongs to another request");
+        }
+        if self.route.kind.is_stream() && status.is_success() {
+            return match exchange.next_chunk().await {
+                Some(Ok(first)) => {
+                    place.first_event();
+                    let took = self.arrived.elapsed();
+                    self.first_ms = took.as_millis();
+                    self.gateway.metrics.first_event(&self.route.name, took);
+                    Attempt::Events(Box::new(exchange), first)
+                }
+                Some(Err(error)) => self.unknown(place, &error),
+                None => self.unknown(place, &"a stream without events"),
+            };
+        }
+        let headers = std::mem::take(&mut exchange.headers);
+        match exchange.whole(MOST_ANSWER).await {
+            Ok(body) => {
+                let answer = Answer {
+                    status,
+                    headers,
+                    body,
+                };
+                if status.is_server_error() {
+                    place.judge(Outcome::Failed);
+                    self.note(place, "failed", status.as_str());
+                    return Attempt::Failed(answer);
+                }
+                place.judge(Outcome::Good);
+                place.time(sent_at.elapsed());
+                Attempt::Whole(answer)
+            }
+            Err(error) => self.unknown(place, &error),
+        }
+    }
+
+    /// The request as the backend server gets it.
+    fn request(&self, server: &Entry, after: Option<u64>) -> Option<http::Request<Bytes>> {
+        let names = self.gateway.dialect.names();
+        let mut headers = self.headers.clone();
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = HeaderValue::from(left.as_millis() as u64);
+        headers.insert(names.deadline.clone(), left);
+        let expected = HeaderValue::from_str(&server.id).ok()?;
+        headers.insert(names.expected_server.clone(), expected);
+        if let Some(tenant) = &self.tenant {
+            let name = HeaderValue::from_str(&tenant.name).ok()?;
+            headers.insert(names.tenant.clone(), name);
+        }
+        if self.service.engine.is_some() {
+            headers.insert(names.urgency.clone(), HeaderValue::from(self.urgency()));
+        }
+        if let Some(after) = after {
+            headers.insert(names.last_event.clone(), HeaderValue::from(after));
+        }
+        let mut request = http::Request::new(self.body.clone());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    /// Rank at the backend server, 0 to 9: the account's if it has one, else the route's.
+    fn urgency(&self) -> u16 {
+        let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        u16::from(own.unwrap_or(self.route.priority)).min(9)
+    }
+
+    fn timeouts(&self) -> Timeouts {
+        let left = self.limit.saturating_duration_since(Instant::now());
+        let target = self.route.target_latency;
+        let last = self.sends + 1 >= self.route.max_attempts;
+        let first_byte = match self.route.kind {
+            Kind::Safe if !last => (target * SAFE_PATIENCE).max(SAFE_LEAST),
+            Kind::Stream { resumable: true } if !last => target * STREAM_PATIENCE,
+            _ => left,
+        };
+        let progress = match self.route.kind {
+            Kind::Stream { resumable: true } if !last => self.route.gap.mul_f64(GAP_PATIENCE),
+            Kind::Stream { .. } => self.deadline.saturating_duration_since(Instant::now()),
+            _ => first_byte,
+        };
+        Timeouts {
+            connect: CONNECT,
+            first_byte: first_byte.min(left),
+            progress,
+        }
+    }
+
+    fn sent(&mut self) {
+        self.sends += 1;
+        self.mark_run();
+    }
+
+    fn mark_run(&mut self) {
+        self.may_have_run = true;
+        if let Some(hold) = &mut self.hold {
+            hold.ran();
+        }
+    }
+
+    fn unknown<Reason>(&mut self, place: &Place, reason: &Reason) -> Attempt
+    where
+        Reason: std::fmt::Display + ?Sized,
+    {
+        self.timed_out = Instant::now() >= self.limit;
+        if !self.timed_out {
+            place.judge(Outcome::Bad);
+        }
+        self.note(place, "unknown", &reason.to_string());
+        Attempt::Unknown
+    }
+
+    fn note(&self, place: &Place, what: &'static str, reason: &str) {
+        self.gateway.metrics.attempt(&self.service.name, what);
+        let reason = reason.replace(' ', "_");
+        log_event!(
+            Event::AttemptFailed,
+            "request={} server={} outcome={what} sends={} reason={reason}",
+            self.id,
+            place.server.id,
+            self.sends
+        );
+    }
+}
--- /dev/null
+++ b/crates/fescuewell_gateway/src/job/place.rs
@@ -0,0 +1,72 @@
+//! A request's place at a backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::health::Outcome;
+use fescuewell_forward::server::Entry;
+
+use crate::gateway::Gateway;
+
+/// A request under way at a backend server, for as long as this lives.
+pub(crate) struct Place {
+    gateway: Arc<Gateway>,
+    pub(crate) server: Arc<Entry>,
+    unread: u64,
+}
+
+impl Place {
+    pub(super) fn take(gateway: &Arc<Gateway>, server: Arc<Entry>, unread: u64) -> Self {
+        gateway.state().load.begin(&server.id, unread);
+        gateway.tell_loaded();
+        Self {
+            gateway: gateway.clone(),
+            server,
+            unread,
+        }
+    }
+
+    /// The first event shows that the prompt has been read.
+    pub(super) fn first_event(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.gateway.state().load.read(&self.server.id, unread);
+        self.gateway.tell_loaded();
+    }
+
+    /// Notes how long the server took: for a whole answer, or between two events.
+    pub(crate) fn time(&self, time: Duration) {
+        let now_ms = self.gateway.now_ms();
+        let time_ms = time.as_secs_f64() * 1_000.0;
+        let mut state = self.gateway.state();
+        state.health.time(&self.server.id, time_ms, now_ms);
+    }
+
+    /// Notes how the request ended at this server.
+    pub(crate) fn judge(&self, outcome: Outcome) {
+        let now_ms = self.gateway.now_ms();
+        let ejected = self
+            .gateway
+            .state()
+            .health
+            .outcome(&self.server.id, outcome, now_ms);
+        if ejected {
+            log_event!(
+                Event::ServerEjected,
+                "server={} outcome={outcome:?}",
+                self.server.id
+            );
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.gateway.state();
+        state.load.read(&self.server.id, self.unread);
+        state.load.end(&self.server.id);
+        drop(state);
+        self.gateway.tell_loaded();
+    }
+}
