--- a/crates/fescuewell_gateway/src/control/journal.rs
+++ b/crates/fescuewell_gateway/src/control/journal.rs
@@ -6,7 +6,7 @@
 use fescuewell_forward::purse::row::Journal;
 
 use super::ledger::{LEDGERS, MONEY, decode_ledger};
-use super::rows::{place, read, unreadable};
+use super::rows::{decode, place, read};
 use super::{CALL, Control, PAUSE};
 use crate::store::{Change, Error, Outcome, Place, Row};
 
@@ -87,11 +87,7 @@
 }
 
 fn decode_journal(row: &Row) -> Option<Journal> {
-    let value = row.value.as_deref()?;
-    let journal = Journal::decode(value);
-    journal
-        .inspect_err(|error| unreadable(row, &error.to_string()))
-        .ok()
+    decode(row, Journal::decode)
 }
 
 /// Writes the journal as it stands.
--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -8,9 +8,9 @@
 use fescuewell_forward::purse::Purse;
 use fescuewell_forward::purse::row::Ledger;
 
-use super::rows::{place, read, unreadable};
+use super::rows::{decode, place, read};
 use super::{CALL, Control};
-use crate::store::{Change, Outcome, Row};
+use crate::store::{Change, Outcome, Reading, Row};
 
 /// Table of the accounts' ledgers.
 pub(super) const LEDGERS: &str = "ledger";
@@ -22,30 +22,28 @@
 const TRIES: usize = 6;
 
 pub(super) fn decode_ledger(row: &Row) -> Option<Ledger> {
-    let value = row.value.as_deref()?;
-    let ledger = Ledger::decode(value);
-    ledger
-        .inspect_err(|error| unreadable(row, &error.to_string()))
-        .ok()
+    decode(row, Ledger::decode)
 }
 
-/// Reads the accounts' rows.
-pub(super) async fn ledgers(control: &Control) {
-    let Ok(reading) = read(control, LEDGERS, MONEY).await else {
-        return;
-    };
-    let mut state = control.gateway.state();
+/// Takes the rows of a reading.
+fn learn(purse: &mut Purse, reading: &Reading) {
     for row in &reading.rows {
         let Some(ledger) = decode_ledger(row) else {
             continue;
         };
         let name = row.place.key.clone();
-        state
-            .purse
-            .learn(&name, row.version, ledger, reading.now_ms);
+        purse.learn(&name, row.version, ledger, reading.now_ms);
     }
 }
 
+/// Reads the accounts' rows.
+pub(super) async fn ledgers(control: &Control) {
+    let Ok(reading) = read(control, LEDGERS, MONEY).await else {
+        return;
+    };
+    learn(&mut control.gateway.state().purse, &reading);
+}
+
 /// Brings the ledgers of the accounts to what the plan says, against others who do the same.
 pub(super) async fn plan(control: &Control, names: &[Arc<str>]) {
     for _ in 0..TRIES {
@@ -119,15 +117,7 @@
         }
         Ok(Outcome::Conflict(reading)) => {
             state.purse.clock(reading.now_ms, now_ms);
-            for row in &reading.rows {
-                let Some(ledger) = decode_ledger(row) else {
-                    continue;
-                };
-                let name = row.place.key.clone();
-                state
-                    .purse
-                    .learn(&name, row.version, ledger, reading.now_ms);
-            }
+            learn(&mut state.purse, &reading);
             Some(false)
         }
         Err(_) => None,
--- a/crates/fescuewell_gateway/src/control/rows.rs
+++ b/crates/fescuewell_gateway/src/control/rows.rs
@@ -3,6 +3,8 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 
+use fescuewell_forward::purse::row;
+
 use super::{CALL, Control};
 use crate::store::{Error, Place, Reading, Row};
 
@@ -34,3 +36,14 @@
         row.place.key
     );
 }
+
+/// The content of a row; one that cannot be read is logged and passed over.
+pub(super) fn decode<Content, Decode>(row: &Row, decode: Decode) -> Option<Content>
+where
+    Decode: Fn(&[u8]) -> Result<Content, row::Error>,
+{
+    let content = decode(row.value.as_deref()?);
+    content
+        .inspect_err(|error| unreadable(row, &error.to_string()))
+        .ok()
+}
--- a/tests/forward/configuration.rs
+++ b/tests/forward/configuration.rs
@@ -90,6 +90,21 @@
     }
 }
 
+/// Symptom: all callers of a zone came to one instance with a narrow link. Sequence: they ask while it has not read the list
+/// of instances yet. Cause: it named itself alone.
+#[test]
+fn no_address_is_told_before_the_list_was_read() {
+    let mut fixture = Fixture::platform(1, 1_000_000);
+    fixture.store.set_fault(Fault::Silent);
+    fixture.start();
+    let directory_answers = || fixture.directory_status().is_some();
+    assert!(wait_until(directory_answers));
+
+    let status = fixture.directory_status();
+
+    assert_eq!(status, Some(503));
+}
+
 #[test]
 fn callers_are_told_the_address_of_a_ready_instance() {
     let fixture = Fixture::ready(1, 1_000_000);
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -161,8 +161,14 @@
         status(self.ready, "/-/readyz").unwrap_or_default()
     }
 
+    /// Status of an address answer.
+    pub fn directory_status(&self) -> Option<u16> {
+        status(self.directory, "/-/resolve?name=x&region=r&zone=a")
+    }
+
     pub fn addresses(&self) -> Vec<String> {
         let path = format!("/-/resolve?name={HOST}&region=r&zone=a");
+        assert!(wait_until(|| status(self.directory, &path) == Some(200)));
         let answer = get(self.directory, &path).unwrap();
         let body: Value = serde_json::from_slice(&answer.body).unwrap();
         let addresses = body["addresses"].as_array().unwrap();
