--- a/tools/reference/tests/hazards.rs
+++ b/tools/reference/tests/hazards.rs
@@ -20,6 +20,7 @@
     let examples = [
         "fescuewell_crate::module",
         "crate::file::test",
+        "path::file::test",
         "scenario::name",
     ];
     let paths = quoted.filter(|text| text.contains("::") && !examples.contains(text));
