Show the forwarding path in the demo

Cause: the demo showed the own interface only; the sample configuration stood in the tests. Change: two entry instances, a store of rows and three backend servers beside the fleet, with lines to paste; the sample moved to the stand-ins.

--- a/crates/fescuewell_demo/src/lib.rs
+++ b/crates/fescuewell_demo/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod document;
 pub mod fleet;
+pub mod forward;
 
 /// What a program needs to run the demo.
 pub mod prelude {
--- a/crates/fescuewell_standin/src/lib.rs
+++ b/crates/fescuewell_standin/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod engine;
 pub mod platform;
 pub mod rows;
+pub mod sample;
 pub mod service;
 pub mod worker;
--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -2,6 +2,7 @@
 
 use fescuewell::demo::document::{HANDSIGN_KEY, MODEL, TEINTE_KEY};
 use fescuewell::demo::fleet::{Fleet, OPERATOR, PASSWORD, Settings};
+use fescuewell::demo::forward::Forward;
 use pico_args::Arguments;
 
 use super::{log, stop};
@@ -14,7 +15,8 @@
 usage: fescuewell demo [--port N] [--log LEVEL] [--json]
 
 Starts the platform's stand-in, three model engines, a plain service, three routers in three zones
-and the console on loopback, prints 'ready' with addresses and lines to paste, and goes on until
+and the console on loopback, and beside them the forwarding path: a store of rows, three backend
+servers and two entry instances. Prints 'ready' with addresses and lines to paste, and goes on until
 Ctrl-C, which drains.
 
 options
@@ -45,9 +47,15 @@
     if !fleet.wait_ready() {
         return Err(Error::failed("a router ended before it was ready"));
     }
+    let forward = Forward::start().map_err(Error::failed)?;
+    if !forward.wait_ready() {
+        return Err(Error::failed("an entry instance was not ready in time"));
+    }
     print_guide(&fleet);
+    println!("\n{}\n\nCtrl-C drains and stops.", forward.guide());
     signals.wait_for_stop();
     println!("draining");
+    forward.stop();
     fleet.stop();
     println!("stopped");
     Ok(())
@@ -86,7 +94,5 @@
 curl -s http://{second}/v1/services/desk/confirm -H 'Authorization: Bearer {HANDSIGN_KEY}' -H 'Idempotency-Key: booking-7' -d '{{\"booking\":7}}'
 
 # a small budget running out: after some cards the answer is code 2001
-for n in $(seq 40); do curl -s http://{first}/v1/chat/completions -H 'Authorization: Bearer {TEINTE_KEY}' -d '{{\"model\":\"{MODEL}\",\"max_tokens\":150,\"messages\":[{{\"role\":\"user\",\"content\":\"Formula card '$n'\"}}]}}' | cut -c1-160; echo; done
-
-Ctrl-C drains and stops.");
+for n in $(seq 40); do curl -s http://{first}/v1/chat/completions -H 'Authorization: Bearer {TEINTE_KEY}' -d '{{\"model\":\"{MODEL}\",\"max_tokens\":150,\"messages\":[{{\"role\":\"user\",\"content\":\"Formula card '$n'\"}}]}}' | cut -c1-160; echo; done");
 }
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -11,12 +11,11 @@
 use fescuewell::adapter::source::Registry;
 use fescuewell::gateway::daemon::Daemon;
 use fescuewell::standin::rows::Rows;
+use fescuewell::standin::sample;
 use fescuewell::standin::worker::{Worker, wait_until};
-use serde_json::{Value, json};
+use serde_json::Value;
 
-pub const HOST: &str = "desk.example";
-pub const KEY: &str = "key-of-group";
-pub const GROUP: &str = "group";
+pub use fescuewell::standin::sample::{GROUP, HOST, KEY, configuration};
 
 /// Any free address.
 pub fn any() -> SocketAddr {
@@ -40,35 +39,6 @@
     name: &'static str,
 }
 
-/// The configuration with one route of each kind; `prepaid` is the account's total.
-pub fn configuration(version: u64, prepaid: u64) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, resumable: bool, attempts: u32| {
-        json!({
-            "name": name, "host": HOST, "prefix": prefix, "kind": kind, "timeoutMs": 3_000,
-            "targetLatencyMs": 1_000, "priority": 1, "service": "pool", "maxAttempts": attempts,
-            "public": false, "sticky": true, "resumable": resumable, "gapAimMs": 5_000
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("safe", "/safe/", "safe", false, 2),
-            route("unsafe", "/unsafe/", "unsafe", false, 1),
-            route("stream", "/stream/", "streaming", true, 2),
-            route("once", "/stream-once/", "streaming", false, 1),
-        ],
-        "services": [{
-            "name": "pool", "healthPath": "/healthz", "maxConns": 50,
-            "engine": {"slots": 8, "kvCapacity": 100_000, "stride": 7}
-        }],
-        "tenants": [{"name": GROUP, "apiKeys": [KEY], "priority": 3, "prepaid": prepaid}],
-        "limits": {
-            "maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
-            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000
-        }
-    })
-}
-
 impl Fixture {
     /// A store with a configuration and so many backend servers; no instance yet.
     pub fn platform(workers: usize, prepaid: u64) -> Self {
@@ -113,10 +83,7 @@
 
     /// A backend server's own entry.
     pub fn register(&self, index: usize, state: &str) {
-        let entry = json!({
-            "service": "pool", "address": self.workers[index].address().to_string(), "zone": "a",
-            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1
-        });
+        let entry = sample::entry(self.workers[index].address(), state);
         let key = format!("i-{index}");
         self.store
             .put("servers", "", &key, entry.to_string().as_bytes());
