Name the quota and the load reports by the field's terms

Cause: purse, word and wish are metaphors; a newcomer looks for quota, report and query. Change: names only.

--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -1,8 +1,7 @@
 //! Which backend server gets a request.
 //!
 //! Model engines keep the prompt parts that they have read, and reading them again costs time. All instances
-//! rank the engines of a prompt in the same order (rendezvous hashing), so that they agree without a word
-//! between them. The first in that order is taken unless it is clearly busier than the others.
+//! rank the engines of a prompt in the same order (rendezvous hashing), so that they agree without talking. The first in that order is taken unless it is clearly busier than the others.
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -15,7 +14,7 @@
 
 /// A request as the choice sees it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Wish<'a> {
+pub struct Query<'a> {
     /// The prompt part, shared with other requests, that is worth finding again.
     pub affinity: Option<&'a str>,
     /// Tokens of the prompt up to that part.
@@ -41,7 +40,7 @@
     kept: Kept,
 }
 
-/// Which servers are known to keep a prompt part, from own requests and from the words of others.
+/// Which servers are known to keep a prompt part, from own requests and from the reports of others.
 #[derive(Debug, Default)]
 struct Kept {
     parts: HashMap<u64, Vec<Copy>>,
@@ -57,9 +56,9 @@
 
 /// A part that was not used for so long may have been displaced, in milliseconds.
 const KEPT_MS: u64 = 20_000;
-/// New copies are told for so long, in milliseconds, since a word may be lost.
+/// New copies are told for so long, in milliseconds, since a report may be lost.
 const FRESH_COPY_MS: u64 = 300;
-/// Most copies in one word: it has to fit one packet.
+/// Most copies in one report: it has to fit one packet.
 const MOST_COPIES: usize = 24;
 /// Most parts that are remembered.
 const MOST_PARTS: usize = 20_000;
@@ -97,15 +96,15 @@
     servers: HashMap<Arc<str>, Busy>,
 }
 
-/// Age from which another instance's word counts no more, in milliseconds: it is repeated while it changes.
+/// Age from which another instance's report counts no more, in milliseconds: it is repeated while it changes.
 const HEARD_MS: u64 = 1_500;
 
-/// One instance's word of its load.
+/// One instance's report of its load.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
+pub struct Report {
     /// Who says it.
     pub instance: Arc<str>,
-    /// Rises with each word of one start.
+    /// Rises with each report of one start.
     pub number: u64,
     /// Server, requests under way, prompt tokens still to be read.
     pub servers: Vec<(Arc<str>, u32, u64)>,
@@ -148,7 +147,7 @@
     }
 
     /// The own load, for the others.
-    pub fn word(&mut self, instance: Arc<str>, number: u64, now_ms: u64) -> Word {
+    pub fn report(&mut self, instance: Arc<str>, number: u64, now_ms: u64) -> Report {
         self.kept
             .fresh
             .retain(|(_, _, at)| now_ms < at + FRESH_COPY_MS);
@@ -157,7 +156,7 @@
         let copies = copies.collect();
         let servers = self.servers.iter();
         let servers = servers.map(|(id, busy)| (id.clone(), busy.running, busy.unread));
-        Word {
+        Report {
             instance,
             number,
             servers: servers.collect(),
@@ -165,28 +164,28 @@
         }
     }
 
-    /// Takes another instance's word.
-    pub fn hear(&mut self, word: Word, now_ms: u64) {
-        let known = self.peers.get(&word.instance);
+    /// Takes another instance's report.
+    pub fn hear(&mut self, report: Report, now_ms: u64) {
+        let known = self.peers.get(&report.instance);
         let is_old = known
-            .is_some_and(|heard| word.number <= heard.number && now_ms < heard.at_ms + HEARD_MS);
+            .is_some_and(|heard| report.number <= heard.number && now_ms < heard.at_ms + HEARD_MS);
         if is_old {
             return;
         }
-        for (part, server) in &word.copies {
+        for (part, server) in &report.copies {
             self.kept.note(*part, server, now_ms);
         }
-        let servers = word.servers.into_iter();
+        let servers = report.servers.into_iter();
         let servers = servers.map(|(id, running, unread)| (id, Busy { running, unread }));
         let heard = Heard {
             at_ms: now_ms,
-            number: word.number,
+            number: report.number,
             servers: servers.collect(),
         };
-        self.peers.insert(word.instance, heard);
+        self.peers.insert(report.instance, heard);
     }
 
-    /// Forgets words that are too old.
+    /// Forgets reports that are too old.
     pub fn expire(&mut self, now_ms: u64) {
         self.peers
             .retain(|_, heard| now_ms < heard.at_ms + HEARD_MS);
@@ -200,7 +199,7 @@
         self.servers.get(id).into_iter().chain(heard)
     }
 
-    /// Requests under way, of all instances that were heard of.
+    /// Requests under way, of all instances that reported.
     pub fn running(&self, id: &str) -> u32 {
         self.all(id).map(|busy| busy.running).sum()
     }
@@ -224,7 +223,7 @@
 /// Picks one of the candidates; `None` when there are none.
 pub fn pick<'a>(
     candidates: &[&'a Arc<Entry>],
-    wish: &Wish<'_>,
+    query: &Query<'_>,
     load: &Load,
     health: &Health,
     now_ms: u64,
@@ -236,9 +235,9 @@
         .collect();
     // With all of them left out, the judgement is more likely wrong than every server.
     let from = if open.is_empty() { candidates } else { &open };
-    match wish.affinity {
-        Some(part) if wish.shared_tokens >= LEAST_SHARED => by_cost(from, part, wish, load),
-        _ => by_load(&not_slow(from, health, now_ms), wish, load, health),
+    match query.affinity {
+        Some(part) if query.shared_tokens >= LEAST_SHARED => by_cost(from, part, query, load),
+        _ => by_load(&not_slow(from, health, now_ms), query, load, health),
     }
 }
 
@@ -260,7 +259,7 @@
 fn by_cost<'a>(
     from: &[&'a Arc<Entry>],
     part: &str,
-    wish: &Wish<'_>,
+    query: &Query<'_>,
     load: &Load,
 ) -> Option<&'a Arc<Entry>> {
     let mut ranked: Vec<&Arc<Entry>> = from.to_vec();
@@ -269,14 +268,14 @@
     let is_kept = ranked
         .iter()
         .any(|entry| load.kept.holds(number, &entry.id));
-    let again = wish.shared_tokens * AGAIN_PERCENT / 100;
+    let again = query.shared_tokens * AGAIN_PERCENT / 100;
     let cost = |place: usize, entry: &Arc<Entry>| {
         let again = match (is_kept, place) {
             (true, _) if load.kept.holds(number, &entry.id) => 0,
             (true, _) => again,
             // As far as is known the part has to be read wherever it goes.
             (false, 0) => 0,
-            (false, _) => wish.shared_tokens * UNKNOWN_PERCENT / 100,
+            (false, _) => query.shared_tokens * UNKNOWN_PERCENT / 100,
         };
         let decoding = u64::from(load.running(&entry.id)) * RUNNING_TOKENS;
         load.unread(&entry.id) + again + decoding
@@ -290,7 +289,7 @@
 
 fn by_load<'a>(
     from: &[&'a Arc<Entry>],
-    wish: &Wish<'_>,
+    query: &Query<'_>,
     load: &Load,
     health: &Health,
 ) -> Option<&'a Arc<Entry>> {
@@ -299,7 +298,7 @@
         let busy = running / f64::from(entry.slots.max(1));
         busy + health.penalty(&entry.id)
     };
-    let tie = |entry: &Arc<Entry>| rank(&wish.draw.to_string(), &entry.id);
+    let tie = |entry: &Arc<Entry>| rank(&query.draw.to_string(), &entry.id);
     from.iter().copied().min_by(|left, right| {
         let order = cost(left).total_cmp(&cost(right));
         order.then_with(|| tie(left).cmp(&tie(right)))
--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::purse::row::Usage;
+use crate::quota::row::Usage;
 
 /// What an instance tells the others of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod config;
 pub mod directory;
 pub mod health;
-pub mod purse;
+pub mod quota;
 pub mod retry;
 pub mod server;
 pub mod window;
@@ -23,6 +23,6 @@
 /// What nearly every user of this crate needs.
 pub mod prelude {
     pub use crate::config::{Configuration, Kind, Limits, Route, Service, Table, Tenant};
-    pub use crate::purse::{Purse, Verdict};
+    pub use crate::quota::{Quota, Verdict};
     pub use crate::server::{Entry, Registry, State};
 }
--- a/crates/fescuewell_forward/src/purse.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -11,13 +11,13 @@
 //! and knows an upper bound that grows with the time since, not with the grant.
 //!
 //! ```
-//! use fescuewell_forward::purse::{Purse, Verdict};
+//! use fescuewell_forward::quota::{Quota, Verdict};
 //!
-//! let mut purse = Purse::new("entry-1".into(), 1);
+//! let mut quota = Quota::new("entry-1".into(), 1);
 //! let group = "group".into();
-//! purse.prepaid(&group, Some(1_000));
+//! quota.prepaid(&group, Some(1_000));
 //! // Nothing was granted yet.
-//! assert_eq!(purse.hold(&group, 100, 0), Verdict::Short);
+//! assert_eq!(quota.hold(&group, 100, 0), Verdict::Short);
 //! ```
 
 mod account;
@@ -49,7 +49,7 @@
 
 /// The prepaid tokens of all client accounts as one instance sees them.
 #[derive(Debug)]
-pub struct Purse {
+pub struct Quota {
     holder: Arc<str>,
     incarnation: u64,
     accounts: HashMap<Arc<str>, Account>,
@@ -63,8 +63,8 @@
     may_be_written: bool,
 }
 
-impl Purse {
-    /// A purse that holds nothing until [`Purse::adopt`].
+impl Quota {
+    /// A quota that holds nothing until [`Quota::adopt`].
     pub fn new(holder: Arc<str>, incarnation: u64) -> Self {
         Self {
             holder,
--- a/crates/fescuewell_forward/tests/common/mod.rs
+++ b/crates/fescuewell_forward/tests/common/mod.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use fescuewell_forward::purse::row::{Journal, Ledger};
-use fescuewell_forward::purse::{Purse, Verdict};
+use fescuewell_forward::quota::row::{Journal, Ledger};
+use fescuewell_forward::quota::{Quota, Verdict};
 
 /// The only account.
 pub const ACCOUNT: &str = "group";
@@ -83,9 +83,9 @@
     }
 }
 
-/// One instance: its purse, and what its requests really used.
+/// One instance: its quota, and what its requests really used.
 pub struct Instance {
-    pub purse: Purse,
+    pub quota: Quota,
     started_ms: u64,
     /// Tokens held by requests under way.
     pub open: Vec<u64>,
@@ -123,10 +123,10 @@
     }
 
     fn fresh(&self, index: usize, used: u64) -> Instance {
-        let mut purse = Purse::new(format!("entry-{index}").into(), 0);
-        purse.prepaid(&self.account, Some(self.prepaid));
+        let mut quota = Quota::new(format!("entry-{index}").into(), 0);
+        quota.prepaid(&self.account, Some(self.prepaid));
         Instance {
-            purse,
+            quota,
             started_ms: self.store.now_ms,
             open: Vec::new(),
             used,
@@ -148,7 +148,7 @@
 
     /// The instance takes over from its former process.
     pub fn adopt(&mut self, index: usize, fate: Fate) {
-        if self.instances[index].purse.is_adopted() {
+        if self.instances[index].quota.is_adopted() {
             return;
         }
         let now_ms = self.local(index);
@@ -160,9 +160,9 @@
             .collect();
         let store_ms = self.store.now_ms;
         let ended_ms = store_ms.saturating_sub(now_ms);
-        let purse = &mut self.instances[index].purse;
-        purse.clock(store_ms, now_ms);
-        let journal = purse.adopt(
+        let quota = &mut self.instances[index].quota;
+        quota.clock(store_ms, now_ms);
+        let journal = quota.adopt(
             known.content.as_ref(),
             known.version,
             rows,
@@ -174,37 +174,37 @@
 
     /// The instance writes its journal.
     pub fn journal(&mut self, index: usize, fate: Fate) {
-        if !self.instances[index].purse.is_adopted() {
+        if !self.instances[index].quota.is_adopted() {
             return;
         }
         let now_ms = self.local(index);
-        let journal = self.instances[index].purse.journal(now_ms);
+        let journal = self.instances[index].quota.journal(now_ms);
         self.write_journal(index, journal, fate);
     }
 
     fn write_journal(&mut self, index: usize, journal: Journal, fate: Fate) {
-        let expected = self.instances[index].purse.journal_version();
+        let expected = self.instances[index].quota.journal_version();
         if fate == Fate::Late {
             let late = Late::Journal(index, expected, journal);
             self.store.late.push(late);
-            return self.instances[index].purse.journal_unknown();
+            return self.instances[index].quota.journal_unknown();
         }
         if fate == Fate::Refused {
-            return self.instances[index].purse.journal_dropped();
+            return self.instances[index].quota.journal_dropped();
         }
         let done = self.store.put_journal(index, expected, journal.clone());
         let cell = self.store.journals[index].clone();
         let store_ms = self.store.now_ms;
         let now_ms = self.local(index);
-        let purse = &mut self.instances[index].purse;
+        let quota = &mut self.instances[index].quota;
         if fate == Fate::Lost {
-            return purse.journal_unknown();
+            return quota.journal_unknown();
         }
-        purse.clock(store_ms, now_ms);
+        quota.clock(store_ms, now_ms);
         match (done, cell.content) {
-            (true, _) => purse.journal_written(&journal, cell.version),
+            (true, _) => quota.journal_written(&journal, cell.version),
             (false, Some(found)) => {
-                purse.journal_found(&found, cell.version);
+                quota.journal_found(&found, cell.version);
             }
             (false, None) => {}
         }
@@ -217,20 +217,20 @@
             .collect();
         let mut said = Vec::new();
         for (who, instance) in self.instances.iter_mut().enumerate() {
-            if instance.purse.is_adopted() {
-                let holder = instance.purse.holder().clone();
-                said.push((holder, instance.purse.usage(now_ms[who])));
+            if instance.quota.is_adopted() {
+                let holder = instance.quota.holder().clone();
+                said.push((holder, instance.quota.usage(now_ms[who])));
             }
         }
-        self.instances[index].purse.set_peers(&said, &[]);
+        self.instances[index].quota.set_peers(&said, &[]);
     }
 
     /// The instance brings its grant to what its plan says.
     pub fn plan(&mut self, index: usize, fate: Fate) {
         let now_ms = self.local(index);
         let account = self.account.clone();
-        let purse = &mut self.instances[index].purse;
-        let Some((expected, ledger)) = purse.plan(&account, now_ms) else {
+        let quota = &mut self.instances[index].quota;
+        let Some((expected, ledger)) = quota.plan(&account, now_ms) else {
             return;
         };
         if fate == Fate::Late {
@@ -245,10 +245,10 @@
         }
         let cell = self.store.ledger.clone();
         let store_ms = self.store.now_ms;
-        let purse = &mut self.instances[index].purse;
-        purse.clock(store_ms, now_ms);
+        let quota = &mut self.instances[index].quota;
+        quota.clock(store_ms, now_ms);
         let ledger = cell.content.unwrap_or_default();
-        purse.learn(&account, cell.version, ledger, store_ms);
+        quota.learn(&account, cell.version, ledger, store_ms);
     }
 
     /// The instance reads the account's row.
@@ -257,8 +257,8 @@
         let ledger = cell.content.unwrap_or_default();
         let store_ms = self.store.now_ms;
         let account = self.account.clone();
-        let purse = &mut self.instances[index].purse;
-        purse.learn(&account, cell.version, ledger, store_ms);
+        let quota = &mut self.instances[index].quota;
+        quota.learn(&account, cell.version, ledger, store_ms);
     }
 
     /// A request asks for tokens.
@@ -266,8 +266,8 @@
         let now_ms = self.local(index);
         let account = self.account.clone();
         let instance = &mut self.instances[index];
-        instance.purse.ask(&account, tokens, now_ms);
-        let verdict = instance.purse.hold(&account, tokens, now_ms);
+        instance.quota.ask(&account, tokens, now_ms);
+        let verdict = instance.quota.hold(&account, tokens, now_ms);
         if verdict == Verdict::Held {
             instance.open.push(tokens);
         }
@@ -283,7 +283,7 @@
         let held = instance.open.remove(0);
         let cost = held * percent.min(100) / 100;
         instance.used += cost;
-        instance.purse.settle(ACCOUNT, held, cost);
+        instance.quota.settle(ACCOUNT, held, cost);
     }
 
     /// The operator changes the total; every instance learns of it.
@@ -291,7 +291,7 @@
         self.prepaid += tokens;
         self.most = self.most.max(self.prepaid);
         for instance in &mut self.instances {
-            instance.purse.prepaid(&self.account, Some(self.prepaid));
+            instance.quota.prepaid(&self.account, Some(self.prepaid));
         }
     }
 
--- a/crates/fescuewell_forward/tests/purse.rs
+++ b/crates/fescuewell_forward/tests/quota.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{ACCOUNT, Fate, World};
-use fescuewell_forward::purse::Verdict;
-use fescuewell_forward::purse::row::{Entry, Grant, Journal, Ledger};
+use fescuewell_forward::quota::Verdict;
+use fescuewell_forward::quota::row::{Entry, Grant, Journal, Ledger};
 use proptest::prelude::*;
 
 /// One thing that happens.
@@ -148,12 +148,12 @@
 #[test]
 fn a_restart_costs_a_small_part_of_the_grant() {
     let mut world = running(1, 1_000_000);
-    let granted = world.instances[0].purse.view(ACCOUNT).unwrap().granted();
+    let granted = world.instances[0].quota.view(ACCOUNT).unwrap().granted();
 
     world.restart(0, 500);
     world.adopt(0, Fate::Done);
 
-    let charged = world.instances[0].purse.view(ACCOUNT).unwrap().consumed();
+    let charged = world.instances[0].quota.view(ACCOUNT).unwrap().consumed();
     assert!(granted > 900_000);
     assert!(charged < granted / 10, "{charged} of {granted}");
 }
@@ -175,7 +175,7 @@
     world.restart(0, 500);
     world.adopt(0, Fate::Done);
 
-    let charged = world.instances[0].purse.view(ACCOUNT).unwrap().consumed();
+    let charged = world.instances[0].quota.view(ACCOUNT).unwrap().consumed();
     assert!(spent > 300_000, "a cut must be survived: {spent}");
     assert!(charged >= spent, "{charged} for {spent}");
 }
@@ -199,7 +199,7 @@
     world.restart(0, 100);
     world.adopt(0, Fate::Done);
 
-    let charged = world.instances[0].purse.view(ACCOUNT).unwrap().consumed();
+    let charged = world.instances[0].quota.view(ACCOUNT).unwrap().consumed();
     assert!(charged >= spent, "{charged} for {spent}");
 }
 
@@ -227,7 +227,7 @@
 #[test]
 fn a_return_that_may_still_take_effect_binds() {
     let mut world = running(2, 400_000);
-    let before = world.instances[0].purse.view(ACCOUNT).unwrap().granted();
+    let before = world.instances[0].quota.view(ACCOUNT).unwrap().granted();
     for _ in 0..20 {
         world.store.now_ms += 100;
         world.hold(1, 9_000);
@@ -240,11 +240,11 @@
 
     world.plan(0, Fate::Late);
 
-    let after = world.instances[0].purse.view(ACCOUNT).unwrap().granted();
+    let after = world.instances[0].quota.view(ACCOUNT).unwrap().granted();
     assert!(after < before, "{after} of {before}");
     world.read_ledger(0);
     assert_eq!(
-        world.instances[0].purse.view(ACCOUNT).unwrap().granted(),
+        world.instances[0].quota.view(ACCOUNT).unwrap().granted(),
         after
     );
 }
@@ -265,13 +265,13 @@
     world.read_ledger(0);
     world.hear(0);
     world.plan(0, Fate::Late);
-    let returned = world.instances[0].purse.view(ACCOUNT).unwrap().granted();
+    let returned = world.instances[0].quota.view(ACCOUNT).unwrap().granted();
 
     world.top_up(100_000);
     world.hold(0, returned + 10_000);
     world.plan(0, Fate::Refused);
 
-    assert!(world.instances[0].purse.view(ACCOUNT).unwrap().granted() <= returned);
+    assert!(world.instances[0].quota.view(ACCOUNT).unwrap().granted() <= returned);
 }
 
 /// Symptom: an overspend after a restart. Sequence: the first journal's reply is lost, requests are served, the
@@ -283,13 +283,13 @@
     world.adopt(0, Fate::Lost);
     world.adopt(0, Fate::Done);
 
-    assert!(world.instances[0].purse.is_adopted());
+    assert!(world.instances[0].quota.is_adopted());
     world.plan(0, Fate::Done);
     world.journal(0, Fate::Done);
     assert_eq!(world.hold(0, 5_000), Verdict::Held);
     world.adopt(0, Fate::Done);
     assert_eq!(
-        world.instances[0].purse.view(ACCOUNT).unwrap().consumed(),
+        world.instances[0].quota.view(ACCOUNT).unwrap().consumed(),
         5_000
     );
 }
@@ -303,7 +303,7 @@
     let content = journal.content.as_mut().unwrap();
     content.incarnation += 1;
 
-    let kept = world.instances[0].purse.journal_found(content, 99);
+    let kept = world.instances[0].quota.journal_found(content, 99);
 
     assert!(!kept);
     assert_ne!(world.hold(0, 10), Verdict::Held);
@@ -322,9 +322,9 @@
 fn an_account_without_a_total_is_never_refused() {
     let mut world = running(1, 50_000);
     let other = "unlimited".into();
-    world.instances[0].purse.prepaid(&other, None);
+    world.instances[0].quota.prepaid(&other, None);
 
-    let verdict = world.instances[0].purse.hold(&other, u64::MAX, 0);
+    let verdict = world.instances[0].quota.hold(&other, u64::MAX, 0);
 
     assert_eq!(verdict, Verdict::Held);
 }
@@ -336,7 +336,7 @@
     let mut world = running(2, 1_000_000);
     world.prepaid = 100_000;
     for instance in &mut world.instances {
-        instance.purse.prepaid(&world.account, Some(100_000));
+        instance.quota.prepaid(&world.account, Some(100_000));
     }
 
     for who in [0, 1] {
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fescuewell_forward::choice::{Load, Wish, pick};
+use fescuewell_forward::choice::{Load, Query, pick};
 use fescuewell_forward::health::{Health, Outcome};
 use fescuewell_forward::server::{Entry, Registry, State};
 
@@ -22,8 +22,8 @@
     ids.map(|id| Arc::new(entry(&id, State::Ready))).collect()
 }
 
-fn shared(part: &str) -> Wish<'_> {
-    Wish {
+fn shared(part: &str) -> Query<'_> {
+    Query {
         affinity: Some(part),
         shared_tokens: 10_000,
         zone: "a",
@@ -31,9 +31,12 @@
     }
 }
 
-fn chosen(candidates: &[Arc<Entry>], wish: &Wish<'_>, load: &Load, health: &Health) -> Arc<str> {
+fn chosen(candidates: &[Arc<Entry>], query: &Query<'_>, load: &Load, health: &Health) -> Arc<str> {
     let candidates: Vec<&Arc<Entry>> = candidates.iter().collect();
-    pick(&candidates, wish, load, health, 0).unwrap().id.clone()
+    pick(&candidates, query, load, health, 0)
+        .unwrap()
+        .id
+        .clone()
 }
 
 /// Symptom: a server that had left got requests again. Sequence: its removal is seen by the feed; a whole reading that is
@@ -154,7 +157,7 @@
     other.begin(&usual, 90_000);
     let mut own = Load::default();
 
-    own.hear(other.word("entry-2".into(), 1, 0), 0);
+    own.hear(other.report("entry-2".into(), 1, 0), 0);
 
     assert_ne!(chosen(&candidates, &shared("a"), &own, &health), usual);
     own.expire(60_000);
@@ -171,17 +174,17 @@
     other.keep("a", &copy.id, 0);
     let mut own = Load::default();
 
-    own.hear(other.word("entry-2".into(), 1, 0), 0);
+    own.hear(other.report("entry-2".into(), 1, 0), 0);
 
     assert_eq!(chosen(&candidates, &shared("a"), &own, &health), copy.id);
 }
 
 #[test]
-fn an_older_word_does_not_replace_a_newer_one() {
+fn an_older_report_does_not_replace_a_newer_one() {
     let mut other = Load::default();
-    let old = other.word("entry-2".into(), 1, 0);
+    let old = other.report("entry-2".into(), 1, 0);
     other.begin(&"i-0".into(), 500);
-    let new = other.word("entry-2".into(), 2, 0);
+    let new = other.report("entry-2".into(), 2, 0);
     let mut own = Load::default();
 
     own.hear(new, 0);
@@ -209,7 +212,7 @@
     load.begin(&"i-0".into(), 0);
     load.begin(&"i-2".into(), 0);
 
-    let server = chosen(&candidates, &Wish::default(), &load, &Health::default());
+    let server = chosen(&candidates, &Query::default(), &load, &Health::default());
 
     assert_eq!(&*server, "i-1");
 }
--- a/crates/fescuewell_gateway/src/control/journal.rs
+++ b/crates/fescuewell_gateway/src/control/journal.rs
@@ -2,8 +2,8 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::purse::Account;
-use fescuewell_forward::purse::row::Journal;
+use fescuewell_forward::quota::Account;
+use fescuewell_forward::quota::row::Journal;
 
 use super::ledger::{LEDGERS, MONEY, decode_ledger};
 use super::rows::{decode, place, read};
@@ -53,7 +53,7 @@
     let now_ms = gateway.now_ms();
     let journal = gateway
         .state()
-        .purse
+        .quota
         .adopt(known.as_ref(), version, rows, ended_ms, now_ms);
     let written = write_journal(control, &journal).await;
     if written {
@@ -75,7 +75,7 @@
         let Some(before) = known.and_then(|known| known.entry(&entry.account)) else {
             continue;
         };
-        let granted = state.purse.view(&entry.account).map_or(0, Account::granted);
+        let granted = state.quota.view(&entry.account).map_or(0, Account::granted);
         log_event!(
             Event::AllowanceReclaimed,
             "account={} recorded={} charged={} granted={granted}",
@@ -95,17 +95,17 @@
     let now_ms = control.gateway.now_ms();
     let journal = {
         let mut state = control.gateway.state();
-        if !state.purse.is_adopted() {
+        if !state.quota.is_adopted() {
             return;
         }
-        state.purse.journal(now_ms)
+        state.quota.journal(now_ms)
     };
     write_journal(control, &journal).await;
 }
 
 async fn write_journal(control: &Control, journal: &Journal) -> bool {
     let gateway = &control.gateway;
-    let version = gateway.state().purse.journal_version();
+    let version = gateway.state().quota.journal_version();
     let change = Change {
         expects: vec![(own_journal(control), version)],
         puts: vec![(own_journal(control), journal.encode())],
@@ -120,8 +120,8 @@
             version,
             now_ms: store_ms,
         }) => {
-            state.purse.clock(store_ms, now_ms);
-            state.purse.journal_written(journal, version);
+            state.quota.clock(store_ms, now_ms);
+            state.quota.journal_written(journal, version);
             true
         }
         Ok(Outcome::Conflict(reading)) => {
@@ -130,19 +130,19 @@
                 let Some(found) = decode_journal(row) else {
                     continue;
                 };
-                let was_adopted = state.purse.is_adopted();
-                if !state.purse.journal_found(&found, row.version) && was_adopted {
+                let was_adopted = state.quota.is_adopted();
+                if !state.quota.journal_found(&found, row.version) && was_adopted {
                     log_event!(Event::JournalLost, "incarnation={}", found.incarnation);
                 }
             }
-            state.purse.is_adopted()
+            state.quota.is_adopted()
         }
         Err(Error::NotDone { .. }) => {
-            state.purse.journal_dropped();
+            state.quota.journal_dropped();
             false
         }
         Err(_) => {
-            state.purse.journal_unknown();
+            state.quota.journal_unknown();
             false
         }
     }
--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -5,8 +5,8 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::purse::Purse;
-use fescuewell_forward::purse::row::Ledger;
+use fescuewell_forward::quota::Quota;
+use fescuewell_forward::quota::row::Ledger;
 
 use super::rows::{decode, place, read};
 use super::{CALL, Control};
@@ -26,13 +26,13 @@
 }
 
 /// Takes the rows of a reading.
-fn learn(purse: &mut Purse, reading: &Reading) {
+fn learn(quota: &mut Quota, reading: &Reading) {
     for row in &reading.rows {
         let Some(ledger) = decode_ledger(row) else {
             continue;
         };
         let name = row.place.key.clone();
-        purse.learn(&name, row.version, ledger, reading.now_ms);
+        quota.learn(&name, row.version, ledger, reading.now_ms);
     }
 }
 
@@ -41,7 +41,7 @@
     let Ok(reading) = read(control, LEDGERS, MONEY).await else {
         return;
     };
-    learn(&mut control.gateway.state().purse, &reading);
+    learn(&mut control.gateway.state().quota, &reading);
 }
 
 /// Brings the ledgers of the accounts to what the plan says, against others who do the same.
@@ -77,7 +77,7 @@
     let mut state = control.gateway.state();
     let mut drafts = Vec::new();
     for account in names {
-        let Some((version, ledger)) = state.purse.plan(account, now_ms) else {
+        let Some((version, ledger)) = state.quota.plan(account, now_ms) else {
             continue;
         };
         let account = account.clone();
@@ -107,17 +107,17 @@
             version,
             now_ms: store_ms,
         }) => {
-            state.purse.clock(store_ms, now_ms);
+            state.quota.clock(store_ms, now_ms);
             for draft in drafts {
-                tell(&state.purse, &draft.account, &draft.ledger);
+                tell(&state.quota, &draft.account, &draft.ledger);
                 let ledger = draft.ledger.clone();
-                state.purse.learn(&draft.account, version, ledger, store_ms);
+                state.quota.learn(&draft.account, version, ledger, store_ms);
             }
             Some(true)
         }
         Ok(Outcome::Conflict(reading)) => {
-            state.purse.clock(reading.now_ms, now_ms);
-            learn(&mut state.purse, &reading);
+            state.quota.clock(reading.now_ms, now_ms);
+            learn(&mut state.quota, &reading);
             Some(false)
         }
         Err(_) => None,
@@ -125,12 +125,12 @@
 }
 
 /// Logs how the own grant of an account changes.
-fn tell(purse: &Purse, name: &str, ledger: &Ledger) {
-    let Some(account) = purse.view(name) else {
+fn tell(quota: &Quota, name: &str, ledger: &Ledger) {
+    let Some(account) = quota.view(name) else {
         return;
     };
     let before = account.granted();
-    let granted = ledger.granted(purse.holder());
+    let granted = ledger.granted(quota.holder());
     let event = match granted.cmp(&before) {
         Ordering::Greater => Event::AllowanceDrawn,
         Ordering::Less => Event::AllowanceReturned,
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -35,8 +35,8 @@
             zone: settings.zone.clone(),
             weight: weight(settings),
             requests: state.arrivals.sum(now_ms) as u32 / ARRIVALS_S,
-            usage: state.purse.usage(now_ms),
-            at_ms: state.purse.store_time(now_ms),
+            usage: state.quota.usage(now_ms),
+            at_ms: state.quota.store_time(now_ms),
         };
         drop(state);
         // Only a type that cannot be written at all fails here.
@@ -87,7 +87,7 @@
         .map(|(name, member)| (name.clone(), member.usage.clone()))
         .collect();
     let named: Vec<Arc<str>> = names(&state.directory);
-    state.purse.set_peers(&said, &named);
+    state.quota.set_peers(&said, &named);
     drop(state);
     if named != named_before {
         log_event!(Event::InstancesNamed, "named={}", named.join(","));
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -87,7 +87,7 @@
     /// pace up to what they want.
     async fn serve_waiting(&mut self) {
         let gateway = &self.control.gateway;
-        let needs_plan = gateway.state().purse.needs_plan();
+        let needs_plan = gateway.state().quota.needs_plan();
         if needs_plan || gateway.is_leaving() {
             tokio::time::sleep_until((self.planned_at + PLAN_PAUSE).into()).await;
             self.plan().await;
@@ -107,12 +107,12 @@
     }
 
     async fn journal(&mut self) {
-        let idle = self.control.gateway.state().purse.is_idle();
+        let idle = self.control.gateway.state().quota.is_idle();
         let every = if idle { IDLE_JOURNAL } else { JOURNAL_EVERY };
         self.journal_at = Instant::now() + self.every(every);
         let burst = self.journal_pause() * BURST_PAUSES;
         let burst_ms = burst.as_millis() as u64;
-        self.control.gateway.state().purse.set_burst(burst_ms);
+        self.control.gateway.state().quota.set_burst(burst_ms);
         journal(self.control).await;
         self.journaled_at = Instant::now();
     }
@@ -129,7 +129,7 @@
     }
 
     async fn plan(&mut self) {
-        let names = self.control.gateway.state().purse.names();
+        let names = self.control.gateway.state().quota.names();
         plan(self.control, &names).await;
         self.planned_at = Instant::now();
     }
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -1,24 +1,24 @@
-//! Words of load between instances: hints that make the choice of a backend server better and that nothing depends
-//! on. A word that is lost, late or withheld by a cut leaves each instance with its own load.
+//! Reports of load between instances: hints that make the choice of a backend server better and that nothing depends
+//! on. A report that is lost, late or withheld by a cut leaves each instance with its own load.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::choice::Word;
+use fescuewell_forward::choice::Report;
 use tokio::net::UdpSocket;
 
 use super::Control;
 
-/// Least time between two words.
+/// Least time between two reports.
 const PAUSE: Duration = Duration::from_millis(10);
-/// Peers up to which that is the time; with more of them words are told less often, so that the bytes that one
+/// Peers up to which that is the time; with more of them reports are sent less often, so that the bytes that one
 /// instance sends do not grow with their number.
 const PEERS_AT_PAUSE: u32 = 4;
-/// A word is repeated after this time even if nothing changed, so that one that was lost does not last.
+/// A report is repeated after this time even if nothing changed, so that one that was lost does not last.
 const REPEAT: Duration = Duration::from_millis(500);
-/// Largest word in bytes: one packet of an Ethernet.
+/// Largest report in bytes: one packet of an Ethernet.
 const MOST: usize = 1_400;
 
 /// Tells the own load and hears that of others.
@@ -37,22 +37,22 @@
             return;
         }
     };
-    tokio::join!(tell(control, &socket), hear(control, &socket));
+    tokio::join!(send(control, &socket), receive(control, &socket));
 }
 
-async fn tell(control: &Control, socket: &UdpSocket) {
+async fn send(control: &Control, socket: &UdpSocket) {
     let gateway = &control.gateway;
     let mut was_empty = true;
     for number in 1.. {
         // The end of the time is as good a reason as a change.
         let _ = tokio::time::timeout(REPEAT, gateway.load_changed()).await;
-        let (word, peers) = word(control, number);
-        let is_empty = word.servers.is_empty();
+        let (report, peers) = report(control, number);
+        let is_empty = report.servers.is_empty();
         if is_empty && was_empty {
             continue;
         }
         was_empty = is_empty;
-        let Ok(bytes) = postcard::to_extend(&word, Vec::new()) else {
+        let Ok(bytes) = postcard::to_extend(&report, Vec::new()) else {
             continue;
         };
         if bytes.len() <= MOST {
@@ -67,33 +67,33 @@
 }
 
 /// The own load, and those whom it helps: the instances that callers are sent to.
-fn word(control: &Control, number: u64) -> (Word, Vec<SocketAddr>) {
+fn report(control: &Control, number: u64) -> (Report, Vec<SocketAddr>) {
     let gateway = &control.gateway;
     let now_ms = gateway.now_ms();
     let mut state = gateway.state();
     state.load.expire(now_ms);
-    let word = state
+    let report = state
         .load
-        .word(gateway.settings.name.clone(), number, now_ms);
+        .report(gateway.settings.name.clone(), number, now_ms);
     let own = gateway.settings.peer;
     let named = state.directory.named();
     let peers = named.iter().filter_map(|(_, member)| member.peer);
     let peers = peers.filter(|peer| Some(*peer) != own).collect();
-    (word, peers)
+    (report, peers)
 }
 
-async fn hear(control: &Control, socket: &UdpSocket) {
+async fn receive(control: &Control, socket: &UdpSocket) {
     let mut buffer = [0; MOST];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        // Anything that is no word is left alone.
-        let Ok(word) = postcard::from_bytes::<Word>(&buffer[..length]) else {
+        // Anything that is no report is left alone.
+        let Ok(report) = postcard::from_bytes::<Report>(&buffer[..length]) else {
             continue;
         };
         let now_ms = control.gateway.now_ms();
-        control.gateway.state().load.hear(word, now_ms);
+        control.gateway.state().load.hear(report, now_ms);
     }
 }
--- a/crates/fescuewell_gateway/src/control/rows.rs
+++ b/crates/fescuewell_gateway/src/control/rows.rs
@@ -3,7 +3,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 
-use fescuewell_forward::purse::row;
+use fescuewell_forward::quota::row;
 
 use super::{CALL, Control};
 use crate::store::{Error, Place, Reading, Row};
@@ -23,7 +23,7 @@
     let reading = control.store.read(table, part);
     let reading = control.call(table, CALL, reading).await?;
     let now_ms = control.gateway.now_ms();
-    control.gateway.state().purse.clock(reading.now_ms, now_ms);
+    control.gateway.state().quota.clock(reading.now_ms, now_ms);
     Ok(reading)
 }
 
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -59,7 +59,7 @@
 fn apply(control: &Control, news: News<Option<Configuration>>) {
     let gateway = &control.gateway;
     let now_ms = gateway.now_ms();
-    gateway.state().purse.clock(news.now_ms, now_ms);
+    gateway.state().quota.clock(news.now_ms, now_ms);
     let Some(configuration) = news.content else {
         return;
     };
@@ -80,7 +80,7 @@
     {
         let mut state = gateway.state();
         for tenant in &configuration.tenants {
-            state.purse.prepaid(&tenant.name, tenant.prepaid);
+            state.quota.prepaid(&tenant.name, tenant.prepaid);
         }
     }
     gateway.set_table(Table::new(configuration));
@@ -91,7 +91,7 @@
 /// The instance is ready once it knows the configuration and what its former process may have spent.
 pub(super) fn ready_if_complete(control: &Control) {
     let gateway = &control.gateway;
-    let complete = gateway.table().is_some() && gateway.state().purse.is_adopted();
+    let complete = gateway.table().is_some() && gateway.state().quota.is_adopted();
     if complete && gateway.advance(Stage::Ready) {
         log_event!(Event::Ready, "instance={}", gateway.settings.name);
     }
--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -127,7 +127,7 @@
         }
         let open = self.gateway.open().load(Ordering::Acquire);
         log_event!(Event::DrainStarted, "open={open}");
-        self.gateway.state().purse.close();
+        self.gateway.state().quota.close();
         self.gateway.want_tokens();
         std::thread::sleep(grace.mul_f64(SERVE_PART));
         let left = grace.saturating_sub(asked.elapsed() + RESERVE);
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use fescuewell_forward::config::Table;
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::Health;
-use fescuewell_forward::purse::Purse;
+use fescuewell_forward::quota::Quota;
 use fescuewell_forward::retry::Budget;
 use fescuewell_forward::server::Registry;
 use fescuewell_forward::window::Window;
@@ -47,7 +47,7 @@
     /// Requests under way at them.
     pub load: Load,
     /// Prepaid tokens.
-    pub purse: Purse,
+    pub quota: Quota,
     /// Repeats.
     pub retry: Budget,
     /// The other instances.
@@ -96,7 +96,7 @@
             registry: Registry::default(),
             health: Health::default(),
             load: Load::default(),
-            purse: Purse::new(settings.name.clone(), 0),
+            quota: Quota::new(settings.name.clone(), 0),
             retry: Budget::new(settings.retry),
             directory: Directory::default(),
             arrivals: Window::new(u64::from(ARRIVALS_S) * 1_000),
--- a/crates/fescuewell_gateway/src/hold.rs
+++ b/crates/fescuewell_gateway/src/hold.rs
@@ -5,7 +5,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::purse::Verdict;
+use fescuewell_forward::quota::Verdict;
 
 use crate::dialect::Tokens;
 use crate::gateway::Gateway;
@@ -49,11 +49,11 @@
         let mut plans = gateway.plans();
         let mut waited = false;
         let now_ms = gateway.now_ms();
-        gateway.state().purse.ask(account, most, now_ms);
+        gateway.state().quota.ask(account, most, now_ms);
         loop {
             plans.mark_unchanged();
             let now_ms = gateway.now_ms();
-            let verdict = gateway.state().purse.hold(account, most, now_ms);
+            let verdict = gateway.state().quota.hold(account, most, now_ms);
             match verdict {
                 Verdict::Held => return Ok(Self::new(gateway, account, tokens)),
                 Verdict::Exhausted => return Err(refuse(Code::BudgetExhausted, None)),
@@ -122,6 +122,6 @@
     fn drop(&mut self) {
         let held = self.tokens.prompt + self.tokens.most_output;
         let cost = self.cost();
-        self.gateway.state().purse.settle(&self.account, held, cost);
+        self.gateway.state().quota.settle(&self.account, held, cost);
     }
 }
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::choice::{self, Wish};
+use fescuewell_forward::choice::{self, Query};
 use fescuewell_forward::config::{Kind, Route, Service, Tenant};
 use fescuewell_forward::server::Entry;
 use fescuewell_http::listener::{Reply, Request};
@@ -198,14 +198,14 @@
             .parts
             .split_last()
             .map_or(&[][..], |(_, shared)| shared);
-        let wish = Wish {
+        let query = Query {
             affinity: shared.last().map(|part| &*part.id),
             shared_tokens: shared.iter().map(|part| part.tokens).sum(),
             zone: &self.gateway.settings.zone,
             draw,
         };
-        let chosen = choice::pick(&fresh, &wish, &state.load, &state.health, now_ms).cloned();
-        if let (Some(server), Some(part)) = (&chosen, wish.affinity) {
+        let chosen = choice::pick(&fresh, &query, &state.load, &state.health, now_ms).cloned();
+        if let (Some(server), Some(part)) = (&chosen, query.affinity) {
             state.load.keep(part, &server.id, now_ms);
         }
         let running = chosen.as_ref().map(|entry| state.load.running(&entry.id));
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -126,8 +126,8 @@
                 return;
             };
             let state = gateway.state();
-            for name in state.purse.names().iter().take(MOST_ACCOUNTS) {
-                let Some(account) = state.purse.view(name) else {
+            for name in state.quota.names().iter().take(MOST_ACCOUNTS) {
+                let Some(account) = state.quota.view(name) else {
                     continue;
                 };
                 let values = [
--- a/crates/fescuewell_gateway/src/settings.rs
+++ b/crates/fescuewell_gateway/src/settings.rs
@@ -19,7 +19,7 @@
     pub ready: Option<SocketAddr>,
     /// Where callers ask for addresses.
     pub directory: Option<SocketAddr>,
-    /// Where other instances send their words.
+    /// Where other instances send their load reports.
     pub peer: Option<SocketAddr>,
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -160,7 +160,7 @@
     pub fn consumed(&self) -> u64 {
         let state = self.daemon.as_ref().unwrap().gateway().state();
         state
-            .purse
+            .quota
             .view(GROUP)
             .map_or(0, |account| account.consumed())
     }
--- a/tests/forward/money.rs
+++ b/tests/forward/money.rs
@@ -122,7 +122,7 @@
 
     let rows = fixture.store.table("ledger");
     let (name, value) = &rows[0];
-    let ledger = fescuewell::forward::purse::row::Ledger::decode(value).unwrap();
+    let ledger = fescuewell::forward::quota::row::Ledger::decode(value).unwrap();
     assert_eq!(&**name, GROUP);
     assert_eq!(ledger.total(), 1_000 + EVENTS * 7);
 }
