Keep load reports within a packet

Cause: with requests at a hundred backend servers a report outgrew 1,400 bytes and was not sent at all; instances of a large fleet knew nothing of each other's load. Change: the 40 busiest servers are told.

--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -58,6 +58,9 @@
 const KEPT_MS: u64 = 20_000;
 /// New copies are told for so long, in milliseconds, since a report may be lost.
 const FRESH_COPY_MS: u64 = 300;
+/// Most servers in one report, the busiest first: some 20 bytes each. Without a bound the report of an instance that has
+/// requests at a hundred servers outgrows a packet and is not sent at all.
+const MOST_SERVERS: usize = 40;
 /// Most copies in one report: it has to fit one packet.
 const MOST_COPIES: usize = 24;
 /// Most parts that are remembered.
@@ -154,7 +157,9 @@
         let copies = self.kept.fresh.iter().rev().take(MOST_COPIES);
         let copies = copies.map(|(part, server, _)| (*part, server.clone()));
         let copies = copies.collect();
-        let servers = self.servers.iter();
+        let mut busiest: Vec<(&Arc<str>, &Busy)> = self.servers.iter().collect();
+        busiest.sort_by_key(|(_, busy)| std::cmp::Reverse((busy.unread, busy.running)));
+        let servers = busiest.into_iter().take(MOST_SERVERS);
         let servers = servers.map(|(id, busy)| (id.clone(), busy.running, busy.unread));
         Report {
             instance,
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -216,3 +216,26 @@
 
     assert_eq!(&*server, "i-1");
 }
+
+/// Symptom: on a fleet with 140 backend servers instances knew nothing of each other's load. Sequence: an instance has requests at
+/// a hundred of them. Cause: its report was larger than a packet and was not sent.
+#[test]
+fn a_report_of_many_servers_fits_a_packet() {
+    let mut load = Load::default();
+    for index in 0..200u64 {
+        let id: Arc<str> = format!("i-{index:010x}").into();
+        load.begin(&id, 10_000 + index);
+        load.keep(&format!("part-{index}"), &id, 0);
+    }
+
+    let report = load.report("front-casa-c-13".into(), 1_000_000, 0);
+
+    let bytes = postcard::to_extend(&report, Vec::new()).unwrap();
+    assert!(bytes.len() <= 1_400, "{}", bytes.len());
+    assert!(
+        report
+            .servers
+            .iter()
+            .all(|(_, _, unread)| *unread >= 10_100)
+    );
+}
