Send callers away from an instance that is sent too much

A second trace, in which such an instance said that it was not ready, showed that they leave it then, within 6 s.

Ruled out: addresses that name it (0 of 3,778 answers), the processor (0.08 of 0.12 cores at most).

Change: callers' bytes and requests are measured over a second; above 0.4 of the link or 0.6 of the processor the instance says that it is not ready for 5 minutes, if callers are not sent to it anyway and fewer than a tenth of the fleet is out. Its row keeps the mark, so that its next process does not take the same callers at once.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::intake::MOST_OUT;
 use crate::quota::row::Usage;
 
 /// What an instance tells the others of itself.
@@ -23,8 +24,11 @@
     pub requests: u32,
     /// Its use of the accounts that pay by tokens.
     pub usage: Vec<Usage>,
-    /// When it wrote this, by the store's clock, in milliseconds.
+    /// When it wrote this, by the store's clock, in milliseconds; 0 once it has left.
     pub at_ms: u64,
+    /// Until when it stays out because callers sent it too much, by the store's clock, in milliseconds; see
+    /// [`crate::intake`].
+    pub out_until_ms: u64,
 }
 
 /// Age of a member's last sign, in milliseconds, from which it counts as absent and its grants count as
@@ -79,7 +83,7 @@
         let lapse = self.lapse_ms.max(MEMBER_LAPSE_MS);
         self.members
             .iter()
-            .filter(move |(_, member)| now < member.at_ms + lapse)
+            .filter(move |(_, member)| member.at_ms > 0 && now < member.at_ms + lapse)
     }
 
     /// Number of live instances, at least 1.
@@ -87,6 +91,17 @@
         self.live().count().max(1)
     }
 
+    /// Whether an instance may stay out: callers are not sent to it anyway, and enough others take them.
+    pub fn can_spare(&self, name: &str) -> bool {
+        let now = self.read_at_ms;
+        let others = self.live().filter(|(other, _)| &***other != name);
+        let out = others
+            .filter(|(_, member)| now < member.out_until_ms)
+            .count();
+        let is_named = self.named().iter().any(|(named, _)| &***named == name);
+        !is_named && self.is_read() && (out + 1) * MOST_OUT <= self.count()
+    }
+
     /// Addresses for a caller, at most 64: those of the named instances, or `own` where none is known.
     pub fn addresses(&self, own: Option<SocketAddr>, draw: u64) -> Vec<SocketAddr> {
         let named = self.named();
@@ -113,6 +128,7 @@
         let mut known: Vec<(&Arc<str>, &Member)> = self
             .members
             .iter()
+            .filter(|(_, member)| member.at_ms > 0)
             .filter(|(_, member)| self.read_at_ms < member.at_ms + NAMED_LAPSE_MS)
             .collect();
         known.sort_by_key(|(name, member)| (std::cmp::Reverse(member.weight), spread(name)));
--- /dev/null
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -0,0 +1,84 @@
+//! Whether callers send an instance more than its link or its processor passes on.
+//!
+//! Addresses tell only some callers where to go: others come back to the instance that they used before, for as long
+//! as it says that it is ready. A narrow link that all callers of a large account keep to is full within seconds, and
+//! then connections to backend servers and calls to the store fail as well. An instance that sees this coming says
+//! that it is not ready while others can take its callers.
+
+use crate::window::Window;
+
+/// Span over which the callers' traffic is measured, in milliseconds: long enough for a mean of some ten requests on the
+/// narrowest link, short against the seconds in which its queue fills.
+const SPAN_MS: u64 = 1_000;
+/// Part of the link from which callers' requests are too many: each body goes out once more to a backend server, and
+/// answers, repeats and calls to the store need room beside it.
+const LINK_PART: f64 = 0.4;
+/// Part of the processor from which they are too many.
+const PROCESSOR_PART: f64 = 0.6;
+/// Processor time of one request, in seconds, from a profile of an instance at 300 requests a second.
+const PROCESSOR_EACH: f64 = 0.000_9;
+/// Bytes of a request beside its body: the request line and some ten headers.
+const HEAD_BYTES: u64 = 500;
+/// Time for which an instance stays out, in milliseconds. Its callers would come back at once, so it is long against
+/// the seconds in which they fill the link again.
+pub const PAUSE_MS: u64 = 300_000;
+/// One instance in so many may be out at the same time; more would be missed.
+pub const MOST_OUT: usize = 10;
+
+/// What callers send, measured against what the instance can pass on.
+#[derive(Debug, Clone)]
+pub struct Intake {
+    bytes_each_s: f64,
+    requests_each_s: f64,
+    bytes: Window,
+    requests: Window,
+    can_spare: bool,
+    out_until_ms: u64,
+}
+
+impl Intake {
+    /// Nothing has come yet; `link_mbps` in Mbit/s, `cores` in parts of a core.
+    pub fn new(link_mbps: f64, cores: f64) -> Self {
+        Self {
+            bytes_each_s: link_mbps * 1_000_000.0 / 8.0 * LINK_PART,
+            requests_each_s: cores * PROCESSOR_PART / PROCESSOR_EACH,
+            bytes: Window::new(SPAN_MS),
+            requests: Window::new(SPAN_MS),
+            can_spare: false,
+            out_until_ms: 0,
+        }
+    }
+
+    /// Sets whether the others can do without this instance; see [`crate::directory::Directory::can_spare`].
+    pub fn set_spare(&mut self, can_spare: bool) {
+        self.can_spare = can_spare;
+    }
+
+    /// A request came whose body has so many bytes. Returns whether the instance stays out from now on.
+    pub fn take(&mut self, now_ms: u64, body: usize) -> bool {
+        self.bytes.add(now_ms, body as u64 + HEAD_BYTES);
+        self.requests.add(now_ms, 1);
+        let goes = self.can_spare && self.out_left_ms(now_ms) == 0 && self.is_pressed(now_ms);
+        if goes {
+            self.leave(now_ms, PAUSE_MS);
+        }
+        goes
+    }
+
+    fn is_pressed(&mut self, now_ms: u64) -> bool {
+        let seconds = SPAN_MS as f64 / 1_000.0;
+        let bytes = self.bytes.sum(now_ms) as f64 / seconds;
+        let requests = self.requests.sum(now_ms) as f64 / seconds;
+        bytes > self.bytes_each_s || requests > self.requests_each_s
+    }
+
+    /// Stays out from now on, for `left_ms` milliseconds.
+    pub fn leave(&mut self, now_ms: u64, left_ms: u64) {
+        self.out_until_ms = self.out_until_ms.max(now_ms + left_ms);
+    }
+
+    /// How much longer it stays out, in milliseconds; 0 when it takes callers.
+    pub fn out_left_ms(&self, now_ms: u64) -> u64 {
+        self.out_until_ms.saturating_sub(now_ms)
+    }
+}
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod directory;
 pub mod health;
+pub mod intake;
 pub mod quota;
 pub mod retry;
 pub mod server;
--- a/crates/fescuewell_forward/tests/limits.rs
+++ b/crates/fescuewell_forward/tests/limits.rs
@@ -122,6 +122,7 @@
         weight: 250,
         requests,
         usage: Vec::new(),
+        out_until_ms: 0,
         at_ms,
     }
 }
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -24,11 +24,14 @@
     let settings = &gateway.settings;
     let place = place(MEMBERS, FLEET, &settings.name);
     let mut change = Change::default();
-    if gateway.is_leaving() {
+    let now_ms = gateway.now_ms();
+    let mut state = gateway.state();
+    let out_left_ms = state.intake.out_left_ms(now_ms);
+    if gateway.is_leaving() && out_left_ms == 0 {
+        drop(state);
         change.removes.push(place);
     } else {
-        let now_ms = gateway.now_ms();
-        let mut state = gateway.state();
+        let store_ms = state.quota.store_time(now_ms);
         let member = Member {
             address: settings.front,
             peer: settings.peer,
@@ -36,7 +39,12 @@
             weight: weight(settings),
             requests: state.arrivals.sum(now_ms) as u32 / ARRIVALS_S,
             usage: state.quota.usage(now_ms),
-            at_ms: state.quota.store_time(now_ms),
+            at_ms: if gateway.is_leaving() { 0 } else { store_ms },
+            // Callers would come back to the next process at once, so it has to know that they were sent away.
+            out_until_ms: match out_left_ms {
+                0 => 0,
+                left_ms => store_ms + left_ms,
+            },
         };
         drop(state);
         // Only a type that cannot be written at all fails here.
@@ -69,7 +77,13 @@
             Err(error) => unreadable(&row, &error.to_string()),
         }
     }
+    let now_ms = control.gateway.now_ms();
     let mut state = control.gateway.state();
+    let own = members.get(&control.gateway.settings.name);
+    let out_left_ms = own.map_or(0, |own| own.out_until_ms.saturating_sub(reading.now_ms));
+    if out_left_ms > 0 {
+        state.intake.leave(now_ms, out_left_ms);
+    }
     let before: Vec<Arc<str>> = state
         .directory
         .live()
@@ -77,6 +91,8 @@
         .collect();
     let named_before = names(&state.directory);
     state.directory.replace(members, reading.now_ms);
+    let can_spare = state.directory.can_spare(&control.gateway.settings.name);
+    state.intake.set_spare(can_spare);
     let after: Vec<Arc<str>> = state
         .directory
         .live()
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -46,6 +46,8 @@
 /// Keeps grants, journal and membership in step with the store.
 pub(super) async fn run(control: &Control) {
     adopt(control).await;
+    // Before it is ready, and before its own sign replaces what its former process wrote.
+    members(control).await;
     ready_if_complete(control);
     let now = Instant::now();
     let mut duty = Duty {
--- a/crates/fescuewell_gateway/src/front.rs
+++ b/crates/fescuewell_gateway/src/front.rs
@@ -41,6 +41,7 @@
 async fn serve(gateway: &Arc<Gateway>, request: Request, reply: Reply) {
     let closed = reply.closed();
     let arrived = request.arrived;
+    gateway.take_in(request.body.len());
     match admit(gateway, request) {
         Ok(job) => {
             // A caller that leaves drops the job, and with it the call to the backend server.
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -5,10 +5,13 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
 use fescuewell_forward::choice::Load;
 use fescuewell_forward::config::Table;
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::Health;
+use fescuewell_forward::intake::{Intake, PAUSE_MS};
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::retry::Budget;
 use fescuewell_forward::server::Registry;
@@ -54,6 +57,8 @@
     pub directory: Directory,
     /// Requests of callers in the last seconds.
     pub arrivals: Window,
+    /// What callers send against what this instance can pass on.
+    pub intake: Intake,
     /// Random choices.
     pub random: SmallRng,
 }
@@ -100,6 +105,7 @@
             retry: Budget::new(settings.retry),
             directory: Directory::default(),
             arrivals: Window::new(u64::from(ARRIVALS_S) * 1_000),
+            intake: Intake::new(settings.link_mbps, settings.cores),
             random: SmallRng::from_os_rng(),
         };
         let gateway = Self {
@@ -180,6 +186,24 @@
         self.stage() == Stage::Ready
     }
 
+    /// Notes a caller's request. An instance that is sent too much asks its callers to leave, if the others have room.
+    pub fn take_in(&self, body: usize) {
+        let goes = self.state().intake.take(self.now_ms(), body);
+        if goes {
+            log_event!(
+                Event::CallersSentAway,
+                "instance={} pause_ms={PAUSE_MS}",
+                self.settings.name
+            );
+        }
+    }
+
+    /// Whether callers may come: it takes requests, and passes on what it is sent.
+    pub fn takes_callers(&self) -> bool {
+        let now_ms = self.now_ms();
+        self.is_ready() && self.state().intake.out_left_ms(now_ms) == 0
+    }
+
     /// Time since the store answered last.
     pub fn store_silence(&self) -> Duration {
         let heard = self.store_heard_ms.load(Ordering::Relaxed);
--- a/crates/fescuewell_gateway/src/side.rs
+++ b/crates/fescuewell_gateway/src/side.rs
@@ -30,7 +30,7 @@
     }
 
     fn ready(&self, reply: Reply) {
-        if self.gateway.is_ready() {
+        if self.gateway.takes_callers() {
             reply.whole(StatusCode::OK, HeaderMap::new(), Bytes::new());
             return;
         }
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -37,6 +37,8 @@
     directory: SocketAddr,
     metrics: SocketAddr,
     name: &'static str,
+    /// The instance's link in Mbit/s, from its next start on.
+    pub link_mbps: f64,
 }
 
 impl Fixture {
@@ -59,6 +61,7 @@
             directory: free(),
             metrics: free(),
             name: "entry-1",
+            link_mbps: 1_000.0,
         };
         for index in 0..workers {
             let worker = Worker::start(any(), &format!("i-{index}")).unwrap();
@@ -101,6 +104,7 @@
         );
         let mut boot = settings::read(&text, "boot.conf").unwrap();
         boot.instance.metrics = Some(self.metrics);
+        boot.instance.link_mbps = self.link_mbps;
         let rows = Arc::new(Client::new(boot.store));
         let source = Arc::new(Registry::new(rows.clone()));
         let daemon = Daemon::start(boot.instance, Arc::new(Wire::default()), rows, source);
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -5,4 +5,5 @@
 mod configuration;
 mod fixture;
 mod money;
+mod pressure;
 mod refusals;
