Bound by the availability zone how many instances send callers away

Tried first and not kept: all instances of a zone that are no stronger go out beside one that is out.

Change: fewer than half of a zone's instances may be out, and the zone keeps one to which callers are sent.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -6,7 +6,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::intake::MOST_OUT;
 use crate::quota::row::Usage;
 
 /// What an instance tells the others of itself.
@@ -91,15 +90,31 @@
         self.live().count().max(1)
     }
 
-    /// Whether an instance may stay out: callers are not sent to it anyway, and enough others take them.
+    /// Whether an instance may stay out: callers are not sent to it, its availability zone has one to which they are, and
+    /// fewer than half of the zone's instances would be out. Where most are not ready, readiness tells callers nothing
+    /// any more: they then go on as if all were.
     pub fn can_spare(&self, name: &str) -> bool {
+        let Some(own) = self.members.get(name) else {
+            return false;
+        };
+        let named = self.named();
+        let is_named = named.iter().any(|(named, _)| &***named == name);
+        let has_other = named.iter().any(|(_, member)| member.zone == own.zone);
+        let beside: Vec<&Member> = self
+            .live()
+            .filter(|(other, member)| &***other != name && member.zone == own.zone)
+            .map(|(_, member)| member)
+            .collect();
         let now = self.read_at_ms;
-        let others = self.live().filter(|(other, _)| &***other != name);
-        let out = others
-            .filter(|(_, member)| now < member.out_until_ms)
-            .count();
-        let is_named = self.named().iter().any(|(named, _)| &***named == name);
-        !is_named && self.is_read() && (out + 1) * MOST_OUT <= self.count()
+        let out = beside.iter().filter(|member| now < member.out_until_ms);
+        let is_few = (out.count() + 1) * 2 < beside.len() + 1;
+        !is_named && has_other && is_few
+    }
+
+    /// How much longer an instance stays out by its own row, in milliseconds.
+    pub fn out_left_ms(&self, name: &str) -> u64 {
+        let own = self.members.get(name);
+        own.map_or(0, |own| own.out_until_ms.saturating_sub(self.read_at_ms))
     }
 
     /// Addresses for a caller, at most 64: those of the named instances, or `own` where none is known.
--- a/crates/fescuewell_forward/src/intake.rs
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -22,8 +22,6 @@
 /// Time for which an instance stays out, in milliseconds. Its callers would come back at once, so it is long against
 /// the seconds in which they fill the link again.
 pub const PAUSE_MS: u64 = 300_000;
-/// One instance in so many may be out at the same time; more would be missed.
-pub const MOST_OUT: usize = 10;
 
 /// What callers send, measured against what the instance can pass on.
 #[derive(Debug, Clone)]
@@ -49,9 +47,13 @@
         }
     }
 
-    /// Sets whether the others can do without this instance; see [`crate::directory::Directory::can_spare`].
+    /// Sets whether the others can do without this instance; see [`crate::directory::Directory::can_spare`]. One that is
+    /// needed takes callers again.
     pub fn set_spare(&mut self, can_spare: bool) {
         self.can_spare = can_spare;
+        if !can_spare {
+            self.out_until_ms = 0;
+        }
     }
 
     /// A request came whose body has so many bytes. Returns whether the instance stays out from now on.
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -9,7 +9,7 @@
 
 use super::rows::{FLEET, place, read, unreadable};
 use super::{CALL, Control};
-use crate::gateway::ARRIVALS_S;
+use crate::gateway::{ARRIVALS_S, Gateway, State};
 use crate::settings::Settings;
 use crate::store::Change;
 
@@ -21,32 +21,13 @@
 /// Writes the sign that this instance lives, or takes it away when it leaves.
 pub(super) async fn sign(control: &Control) {
     let gateway = &control.gateway;
-    let settings = &gateway.settings;
-    let place = place(MEMBERS, FLEET, &settings.name);
+    let place = place(MEMBERS, FLEET, &gateway.settings.name);
+    let member = own_row(gateway);
     let mut change = Change::default();
-    let now_ms = gateway.now_ms();
-    let mut state = gateway.state();
-    let out_left_ms = state.intake.out_left_ms(now_ms);
-    if gateway.is_leaving() && out_left_ms == 0 {
-        drop(state);
+    // Callers that were sent away would come back to the next process at once, so the row stays and tells it.
+    if gateway.is_leaving() && member.out_until_ms == 0 {
         change.removes.push(place);
     } else {
-        let store_ms = state.quota.store_time(now_ms);
-        let member = Member {
-            address: settings.front,
-            peer: settings.peer,
-            zone: settings.zone.clone(),
-            weight: weight(settings),
-            requests: state.arrivals.sum(now_ms) as u32 / ARRIVALS_S,
-            usage: state.quota.usage(now_ms),
-            at_ms: if gateway.is_leaving() { 0 } else { store_ms },
-            // Callers would come back to the next process at once, so it has to know that they were sent away.
-            out_until_ms: match out_left_ms {
-                0 => 0,
-                left_ms => store_ms + left_ms,
-            },
-        };
-        drop(state);
         // Only a type that cannot be written at all fails here.
         let value = postcard::to_extend(&member, Vec::new()).unwrap_or_default();
         change.puts.push((place, value));
@@ -56,6 +37,27 @@
     let _ = control.call("sign", CALL, commit).await;
 }
 
+/// What this instance tells of itself now.
+fn own_row(gateway: &Gateway) -> Member {
+    let settings = &gateway.settings;
+    let now_ms = gateway.now_ms();
+    let mut state = gateway.state();
+    let store_ms = state.quota.store_time(now_ms);
+    Member {
+        address: settings.front,
+        peer: settings.peer,
+        zone: settings.zone.clone(),
+        weight: weight(settings),
+        requests: state.arrivals.sum(now_ms) as u32 / ARRIVALS_S,
+        usage: state.quota.usage(now_ms),
+        at_ms: if gateway.is_leaving() { 0 } else { store_ms },
+        out_until_ms: match state.intake.out_left_ms(now_ms) {
+            0 => 0,
+            left_ms => store_ms + left_ms,
+        },
+    }
+}
+
 /// How much traffic the instance can carry, in thousandths of a core: no more than its link has room for.
 fn weight(settings: &Settings) -> u32 {
     let by_link = settings.link_mbps / LINK_EACH_MBPS;
@@ -79,11 +81,6 @@
     }
     let now_ms = control.gateway.now_ms();
     let mut state = control.gateway.state();
-    let own = members.get(&control.gateway.settings.name);
-    let out_left_ms = own.map_or(0, |own| own.out_until_ms.saturating_sub(reading.now_ms));
-    if out_left_ms > 0 {
-        state.intake.leave(now_ms, out_left_ms);
-    }
     let before: Vec<Arc<str>> = state
         .directory
         .live()
@@ -91,8 +88,7 @@
         .collect();
     let named_before = names(&state.directory);
     state.directory.replace(members, reading.now_ms);
-    let can_spare = state.directory.can_spare(&control.gateway.settings.name);
-    state.intake.set_spare(can_spare);
+    stay_out(&mut state, &control.gateway.settings.name, now_ms);
     let after: Vec<Arc<str>> = state
         .directory
         .live()
@@ -120,3 +116,10 @@
     let named = directory.named();
     named.iter().map(|(name, _)| (*name).clone()).collect()
 }
+
+/// Stays out as long as the former process was to, unless the instance is needed.
+fn stay_out(state: &mut State, name: &str, now_ms: u64) {
+    let left_ms = state.directory.out_left_ms(name);
+    state.intake.leave(now_ms, left_ms);
+    state.intake.set_spare(state.directory.can_spare(name));
+}
