Keep new connections out of an instance that sends callers away

Cause: callers leave an instance that is not ready only with their next address answer, up to six seconds later, and its link is full meanwhile.

Change: the callers' listener has a gate, which is closed for the first 8 s; an instance goes out only if it heard of the others lately and no more than two fifths of its zone would be out; it takes callers again once it was needed for 5 s. Ready instances are named before those that are out.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -68,6 +68,11 @@
         self.lapse_ms = lapse_ms;
     }
 
+    /// Age from which a member counts as absent, in milliseconds.
+    pub fn lapse_ms(&self) -> u64 {
+        self.lapse_ms.max(MEMBER_LAPSE_MS)
+    }
+
     /// Takes the list as read at `now_ms` of the store's clock.
     pub fn replace(&mut self, members: BTreeMap<Arc<str>, Member>, now_ms: u64) {
         self.members = members;
@@ -79,7 +84,7 @@
     /// While the store cannot be reached nobody's sign gets newer; the list then stays as it was last read.
     pub fn live(&self) -> impl Iterator<Item = (&Arc<str>, &Member)> {
         let now = self.read_at_ms;
-        let lapse = self.lapse_ms.max(MEMBER_LAPSE_MS);
+        let lapse = self.lapse_ms();
         self.members
             .iter()
             .filter(move |(_, member)| member.at_ms > 0 && now < member.at_ms + lapse)
@@ -91,14 +96,13 @@
     }
 
     /// Whether an instance may stay out: callers are not sent to it, its availability zone has one to which they are, and
-    /// fewer than half of the zone's instances would be out. Where most are not ready, readiness tells callers nothing
-    /// any more: they then go on as if all were.
+    /// no more than two fifths of the zone's instances would be out. Where most are not ready, readiness tells callers
+    /// nothing any more: they then go on as if all were. Signs are late, so the bound is below a half.
     pub fn can_spare(&self, name: &str) -> bool {
         let Some(own) = self.members.get(name) else {
             return false;
         };
         let named = self.named();
-        let is_named = named.iter().any(|(named, _)| &***named == name);
         let has_other = named.iter().any(|(_, member)| member.zone == own.zone);
         let beside: Vec<&Member> = self
             .live()
@@ -107,8 +111,13 @@
             .collect();
         let now = self.read_at_ms;
         let out = beside.iter().filter(|member| now < member.out_until_ms);
-        let is_few = (out.count() + 1) * 2 < beside.len() + 1;
-        !is_named && has_other && is_few
+        let is_few = (out.count() + 1) * 5 <= (beside.len() + 1) * 2;
+        !self.is_named(name) && has_other && is_few
+    }
+
+    /// Whether callers are sent to an instance.
+    pub fn is_named(&self, name: &str) -> bool {
+        self.named().iter().any(|(named, _)| &***named == name)
     }
 
     /// How much longer an instance stays out by its own row, in milliseconds.
@@ -146,11 +155,16 @@
             .filter(|(_, member)| member.at_ms > 0)
             .filter(|(_, member)| self.read_at_ms < member.at_ms + NAMED_LAPSE_MS)
             .collect();
-        known.sort_by_key(|(name, member)| (std::cmp::Reverse(member.weight), spread(name)));
+        let now = self.read_at_ms;
+        known.sort_by_key(|(name, member)| {
+            let is_out = now < member.out_until_ms;
+            (is_out, std::cmp::Reverse(member.weight), spread(name))
+        });
         let requests: u32 = known.iter().map(|(_, member)| member.requests).sum();
         let wanted = requests * HEADROOM;
         let least = known.len() / LEAST_PART;
-        let strongest = known.first().map_or(0, |(_, member)| member.weight);
+        let weights = known.iter().map(|(_, member)| member.weight);
+        let strongest = weights.max().unwrap_or(0);
         let mut zones: Vec<&Arc<str>> = Vec::new();
         let mut first = Vec::new();
         let mut rest = Vec::new();
--- a/crates/fescuewell_forward/src/intake.rs
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -19,6 +19,11 @@
 const PROCESSOR_EACH: f64 = 0.000_9;
 /// Bytes of a request beside its body: the request line and some ten headers.
 const HEAD_BYTES: u64 = 500;
+/// Time after which an instance that is needed takes callers again, in milliseconds: several signs of the others.
+const NEEDED_MS: u64 = 5_000;
+/// Time for which new connections are kept out, in milliseconds: an address answer is kept for six seconds by some, and two
+/// questions after readiness take two more. Whoever comes after that knows no other instance.
+const SHUT_MS: u64 = 8_000;
 /// Time for which an instance stays out, in milliseconds. Its callers would come back at once, so it is long against
 /// the seconds in which they fill the link again.
 pub const PAUSE_MS: u64 = 300_000;
@@ -30,7 +35,9 @@
     requests_each_s: f64,
     bytes: Window,
     requests: Window,
-    can_spare: bool,
+    spared_until_ms: u64,
+    needed_since_ms: Option<u64>,
+    left_at_ms: u64,
     out_until_ms: u64,
 }
 
@@ -42,16 +49,28 @@
             requests_each_s: cores * PROCESSOR_PART / PROCESSOR_EACH,
             bytes: Window::new(SPAN_MS),
             requests: Window::new(SPAN_MS),
-            can_spare: false,
+            spared_until_ms: 0,
+            needed_since_ms: None,
+            left_at_ms: 0,
             out_until_ms: 0,
         }
     }
 
-    /// Sets whether the others can do without this instance; see [`crate::directory::Directory::can_spare`]. One that is
-    /// needed takes callers again.
-    pub fn set_spare(&mut self, can_spare: bool) {
-        self.can_spare = can_spare;
-        if !can_spare {
+    /// Sets until when the others can do without this instance; see [`crate::directory::Directory::can_spare`]. One that
+    /// has not heard of the others for long cannot know it.
+    pub fn set_spared(&mut self, until_ms: u64) {
+        self.spared_until_ms = until_ms;
+    }
+
+    /// Sets whether callers are sent to this instance. One that is needed for a while takes callers again; for a moment it
+    /// may seem to be, when the others' signs are late.
+    pub fn set_needed(&mut self, now_ms: u64, is_needed: bool) {
+        let since = match (is_needed, self.needed_since_ms) {
+            (false, _) => None,
+            (true, since) => since.or(Some(now_ms)),
+        };
+        self.needed_since_ms = since;
+        if since.is_some_and(|since| now_ms >= since + NEEDED_MS) {
             self.out_until_ms = 0;
         }
     }
@@ -60,7 +79,8 @@
     pub fn take(&mut self, now_ms: u64, body: usize) -> bool {
         self.bytes.add(now_ms, body as u64 + HEAD_BYTES);
         self.requests.add(now_ms, 1);
-        let goes = self.can_spare && self.out_left_ms(now_ms) == 0 && self.is_pressed(now_ms);
+        let is_spared = now_ms < self.spared_until_ms;
+        let goes = is_spared && self.out_left_ms(now_ms) == 0 && self.is_pressed(now_ms);
         if goes {
             self.leave(now_ms, PAUSE_MS);
         }
@@ -76,6 +96,9 @@
 
     /// Stays out from now on, for `left_ms` milliseconds.
     pub fn leave(&mut self, now_ms: u64, left_ms: u64) {
+        if self.out_left_ms(now_ms) == 0 {
+            self.left_at_ms = now_ms;
+        }
         self.out_until_ms = self.out_until_ms.max(now_ms + left_ms);
     }
 
@@ -83,4 +106,10 @@
     pub fn out_left_ms(&self, now_ms: u64) -> u64 {
         self.out_until_ms.saturating_sub(now_ms)
     }
+
+    /// Whether new connections are kept out. Callers whose connection is refused try another address at once, where a
+    /// full link would delay them for seconds until they ask for addresses again.
+    pub fn is_shut(&self, now_ms: u64) -> bool {
+        self.out_left_ms(now_ms) > 0 && now_ms < self.left_at_ms + SHUT_MS
+    }
 }
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -121,5 +121,11 @@
 fn stay_out(state: &mut State, name: &str, now_ms: u64) {
     let left_ms = state.directory.out_left_ms(name);
     state.intake.leave(now_ms, left_ms);
-    state.intake.set_spare(state.directory.can_spare(name));
+    let spared_ms = match state.directory.can_spare(name) {
+        true => state.directory.lapse_ms(),
+        false => 0,
+    };
+    state.intake.set_spared(now_ms + spared_ms);
+    let is_needed = state.directory.is_named(name);
+    state.intake.set_needed(now_ms, is_needed);
 }
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -74,6 +74,7 @@
             self.plan_at = now + self.every(PLAN_EVERY);
             sign(self.control).await;
             members(self.control).await;
+            self.control.gateway.tend_gate();
             ledgers(self.control).await;
             self.plan().await;
             let lapse = self.every(PLAN_EVERY) * LAPSE_SIGNS;
--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -83,6 +83,7 @@
         let front = front_settings(settings);
         let handler: Arc<dyn Handler> = Arc::new(Front::new(gateway.clone()));
         let front = Listener::start(front, handler).context(ListenSnafu)?;
+        gateway.set_gate(front.gate());
         let mut sides = Vec::new();
         for (name, address) in side_addresses(settings) {
             let listen = listener::Settings::new(address)
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! What the threads of one instance share.
 
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
@@ -16,6 +16,7 @@
 use fescuewell_forward::retry::Budget;
 use fescuewell_forward::server::Registry;
 use fescuewell_forward::window::Window;
+use fescuewell_http::listener::Gate;
 use fescuewell_http::upstream;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -82,6 +83,7 @@
     wanted: flume::Sender<()>,
     planned: watch::Sender<u64>,
     loaded: Notify,
+    gate: OnceLock<Gate>,
     started: Instant,
 }
 
@@ -122,6 +124,7 @@
             wanted,
             planned,
             loaded: Notify::new(),
+            gate: OnceLock::new(),
             started: Instant::now(),
         };
         let gateway = Arc::new(gateway);
@@ -195,6 +198,22 @@
                 "instance={} pause_ms={PAUSE_MS}",
                 self.settings.name
             );
+            self.tend_gate();
+        }
+    }
+
+    /// Sets what lets callers' connections in.
+    pub fn set_gate(&self, gate: Gate) {
+        // Set once, when the listener starts.
+        let _ = self.gate.set(gate);
+    }
+
+    /// Keeps new connections of callers out for a while once they are sent away.
+    pub fn tend_gate(&self) {
+        let now_ms = self.now_ms();
+        let open = !self.state().intake.is_shut(now_ms);
+        if let Some(gate) = self.gate.get() {
+            gate.set(open);
         }
     }
 
--- a/crates/fescuewell_http/src/listener/accept.rs
+++ b/crates/fescuewell_http/src/listener/accept.rs
@@ -18,6 +18,9 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause after the socket could not be bound again.
+const REBIND_PAUSE: Duration = Duration::from_millis(500);
+
 /// While accepting keeps failing, every so many failures are logged once.
 const FAILURES_PER_LOG: u64 = 100;
 
@@ -60,37 +63,64 @@
     Ok(socket.into())
 }
 
-/// Accepts connections and deals them out in turn until the listener stops accepting.
+/// Accepts connections and deals them out in turn until the listener stops accepting; while the gate is closed the
+/// socket is closed too.
 pub(super) async fn run(
     socket: std::net::TcpListener,
     workers: Vec<flume::Sender<Arrival>>,
     shared: Arc<Shared>,
 ) {
-    let listener = match TcpListener::from_std(socket) {
-        Ok(listener) => listener,
-        Err(error) => {
-            fescuewell_core::log_event!(Event::InternalFault, "part=listener error={error}");
-            return;
-        }
-    };
     let mut stage = shared.stage.subscribe();
-    let mut failures = 0u64;
-    for turn in 0usize.. {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stage.wait_for(|stage| *stage >= Stage::Closed) => return,
+    let mut gate = shared.gate.open.subscribe();
+    let address = socket.local_addr();
+    let mut socket = Some(socket);
+    let mut turn = 0;
+    loop {
+        let opened = match (socket.take(), &address) {
+            (Some(socket), _) => Ok(socket),
+            (None, Ok(address)) => bind(*address),
+            (None, Err(error)) => Err(io::Error::from(error.kind())),
         };
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
+        match opened.and_then(TcpListener::from_std) {
+            Ok(listener) => {
+                tokio::select! {
+                    () = accept(&listener, &workers, &mut turn, &shared) => {}
+                    _ = gate.wait_for(|open| !open) => {}
+                    _ = stage.wait_for(|stage| *stage >= Stage::Closed) => return,
+                }
+            }
+            Err(error) => {
+                fescuewell_core::log_event!(Event::AcceptFailed, "error={error} failures=1");
+                tokio::time::sleep(REBIND_PAUSE).await;
+            }
+        }
+        tokio::select! {
+            _ = gate.wait_for(|open| *open) => {}
+            _ = stage.wait_for(|stage| *stage >= Stage::Closed) => return,
+        }
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    workers: &[flume::Sender<Arrival>],
+    turn: &mut usize,
+    shared: &Arc<Shared>,
+) {
+    let mut failures = 0u64;
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                failures = 0;
+                let worker = &workers[*turn % workers.len()];
+                *turn += 1;
+                admit(stream, peer, worker, shared).await;
+            }
             Err(error) => {
                 survive(&error, failures).await;
                 failures += 1;
-                continue;
             }
-        };
-        failures = 0;
-        let worker = &workers[turn % workers.len()];
-        admit(stream, peer, worker, &shared).await;
+        }
     }
 }
 
--- a/crates/fescuewell_http/src/listener/mod.rs
+++ b/crates/fescuewell_http/src/listener/mod.rs
@@ -132,6 +132,34 @@
     body_bytes: AtomicUsize,
     refusal_log: refusal_log::RefusalLog,
     stage: watch::Sender<Stage>,
+    gate: Gate,
+}
+
+/// Lets new connections in or keeps them out; open connections go on either way.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    open: Arc<watch::Sender<bool>>,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        let (open, _) = watch::channel(true);
+        Self {
+            open: Arc::new(open),
+        }
+    }
+}
+
+impl Gate {
+    /// Opens or closes the listening socket. While it is closed the operating system refuses new connections, so that
+    /// callers try another address at once. Returns whether that is news.
+    pub fn set(&self, open: bool) -> bool {
+        self.open.send_if_modified(|current| {
+            let changed = *current != open;
+            *current = open;
+            changed
+        })
+    }
 }
 
 /// A connection on its way to the thread that will serve it.
@@ -176,6 +204,7 @@
             body_bytes: AtomicUsize::new(0),
             refusal_log: refusal_log::RefusalLog::default(),
             stage,
+            gate: Gate::default(),
         });
         let mut listener = Self {
             address,
@@ -221,6 +250,11 @@
         self.shared.exchanges.load(Ordering::Relaxed)
     }
 
+    /// What lets new connections in and keeps them out.
+    pub fn gate(&self) -> Gate {
+        self.shared.gate.clone()
+    }
+
     /// Closes the listening socket: new connections are refused by the operating system, those that
     /// are open go on and may bring more requests.
     pub fn stop_accepting(&self) {
--- a/crates/fescuewell_http/tests/listener.rs
+++ b/crates/fescuewell_http/tests/listener.rs
@@ -358,6 +358,30 @@
     );
 }
 
+/// Symptom: callers queued for seconds at an instance whose link was full. Sequence: it says that it takes no more; callers
+/// keep its address and open further connections. Cause: its listener took them in.
+#[test]
+fn a_closed_gate_keeps_new_connections_out_and_open_ones_go_on() {
+    let listener = listen(local(), echo());
+    let address = listener.address();
+    let mut open = connect(address);
+    open.write_all(post("/a", "first").as_bytes()).unwrap();
+    read_until(&mut open, "first");
+
+    assert!(listener.gate().set(false));
+    eventually("connections are refused", || {
+        std::net::TcpStream::connect(address).is_err()
+    });
+    open.write_all(post("/b", "second").as_bytes()).unwrap();
+    let second = read_until(&mut open, "second");
+
+    assert!(second.starts_with("HTTP/1.1 200 OK"));
+    assert!(listener.gate().set(true));
+    eventually("connections are taken again", || {
+        std::net::TcpStream::connect(address).is_ok()
+    });
+}
+
 #[test]
 fn a_head_request_leaves_no_exchange_open() {
     // Symptom: a drain waits for an exchange that has ended. Cause: the body of an answer to HEAD is never read.
