Wait for a call that is under way before refusing its repeat

Cause: a router answers its caller and tells the slot's holder after that. A repeat of the confirmation at another router, sent as soon as the first answer is there, reaches the holder before the outcome does; it was refused at once with 3002 "under way".

Ruled out: telling the holder first would delay every confirmation by a group commit (50 ms) and a message.

--- a/crates/fescuewell_node/src/admit.rs
+++ b/crates/fescuewell_node/src/admit.rs
@@ -20,6 +20,8 @@
 
 /// When to ask again for a request that is under way somewhere, in seconds.
 const RETRY_IN_PROGRESS: u64 = 1;
+/// How long a repeat waits for the call that is under way: a group commit takes 50 ms and a slow table's answer a second.
+const WAIT_IN_PROGRESS: std::time::Duration = std::time::Duration::from_secs(2);
 /// Part of the requests that an instance takes at once which may be other than urgent, in percent.
 const BULK_PERCENT: usize = 80;
 
@@ -180,6 +182,9 @@
                 Some(assignment) if self.is_model(ticket) => {
                     self.attach(ticket, Some(owner), &assignment.server, &assignment.stream);
                 }
+                _ if self.may_end_soon(ticket) => {
+                    self.reclaims.insert(ticket);
+                }
                 _ => self.refuse(
                     ticket,
                     Refusal::new(Code::InProgress).with_retry_after(wait),
@@ -218,7 +223,18 @@
         owner.holder == self.me.holder && !self.book.has_attempt(owner.attempt)
     }
 
-    /// Claims once more what a release of this instance stood in the way of.
+    /// Whether a call that is under way at another instance is waited for.
+    ///
+    /// That instance answers its caller first and tells the slot's holder then. A repeat that overtakes it would be
+    /// refused as being under way, although its caller has seen the answer.
+    fn may_end_soon(&self, ticket: Ticket) -> bool {
+        let record = self.book.get(ticket);
+        record.is_some_and(|record| {
+            self.now < (record.arrived + WAIT_IN_PROGRESS).min(record.deadline)
+        })
+    }
+
+    /// Claims once more what a release of this instance, or a call elsewhere, stood in the way of.
     pub(crate) fn claim_again(&mut self) {
         for ticket in std::mem::take(&mut self.reclaims) {
             let Some(record) = self.book.get(ticket) else {
--- a/crates/fescuewell_node/tests/paths.rs
+++ b/crates/fescuewell_node/tests/paths.rs
@@ -65,6 +65,40 @@
     assert!(answered >= 1 && answered + told == 2);
 }
 
+#[test]
+fn a_repeat_of_a_call_that_is_about_to_end_gets_its_answer() {
+    // Symptom: a confirmation was answered, and its repeat at another router was refused as being under way. Sequence: the
+    // first router answers its caller and then tells the slot's holder; the repeat reaches the holder before that. Cause: a
+    // call under way was refused at once.
+    let mut world = world();
+    world.backend.reactions.push_back(Reaction::Take(300));
+    let first = world.call(0, "file-1", false);
+    let sent = world.run_until(5_000, |world| !world.backend.sent.is_empty());
+
+    let repeat = world.call(2, "file-1", false);
+    let settled = world.run_until(5_000, is_settled);
+
+    assert!(sent && settled);
+    assert!(world.is_answered(first));
+    assert!(world.is_answered(repeat), "{:?}", world.code(repeat));
+    assert_eq!(world.backend.sent.len(), 1);
+    assert_eq!(world.bills("file-1"), [20]);
+}
+
+#[test]
+fn a_repeat_of_a_call_that_lasts_is_told_so_within_seconds() {
+    let mut world = world();
+    world.backend.reactions.push_back(Reaction::Take(8_000));
+    world.call(0, "file-1", false);
+    world.run_until(5_000, |world| !world.backend.sent.is_empty());
+
+    let repeat = world.call(2, "file-1", false);
+    world.run_for(4_000);
+
+    assert_eq!(world.code(repeat), Some(Code::InProgress));
+    assert_eq!(world.backend.sent.len(), 1);
+}
+
 #[test]
 fn a_repeat_of_a_finished_call_gets_the_kept_answer() {
     let mut world = world();
