Keep out what any instance cannot pass on, if others have room

Change: an instance that is pressed keeps new connections out for 300 ms at a time whether or not callers are sent to it, as long as the others to which they are sent carry less than they can.

Where the others are full too, callers are let in and refused with a time to come back.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -120,6 +120,18 @@
         self.named().iter().any(|(named, _)| &***named == name)
     }
 
+    /// Whether the other instances that callers are sent to have room for more.
+    pub fn has_room_beside(&self, name: &str) -> bool {
+        let named = self.named();
+        let others = named.iter().filter(|(other, _)| &***other != name);
+        let (mut requests, mut carried) = (0, 0);
+        for (_, member) in others {
+            requests += member.requests;
+            carried += member.carries();
+        }
+        requests < carried
+    }
+
     /// How much longer an instance stays out by its own row, in milliseconds.
     pub fn out_left_ms(&self, name: &str) -> u64 {
         let own = self.members.get(name);
--- a/crates/fescuewell_forward/src/intake.rs
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -49,6 +49,7 @@
     requests_each_s: f64,
     bytes: Window,
     requests: Window,
+    has_room_beside: bool,
     spared_until_ms: u64,
     pressed_until_ms: u64,
     needed_since_ms: Option<u64>,
@@ -64,6 +65,7 @@
             requests_each_s: cores * PROCESSOR_PART / PROCESSOR_EACH,
             bytes: Window::new(SPAN_MS),
             requests: Window::new(SPAN_MS),
+            has_room_beside: false,
             spared_until_ms: 0,
             pressed_until_ms: 0,
             needed_since_ms: None,
@@ -78,6 +80,12 @@
         self.spared_until_ms = until_ms;
     }
 
+    /// Sets whether callers that find no way in here find one elsewhere; see
+    /// [`crate::directory::Directory::has_room_beside`].
+    pub fn set_room_beside(&mut self, has_room: bool) {
+        self.has_room_beside = has_room;
+    }
+
     /// Sets whether callers are sent to this instance. One that is needed for a while takes callers again; for a moment it
     /// may seem to be, when the others' signs are late.
     pub fn set_needed(&mut self, now_ms: u64, is_needed: bool) {
@@ -95,8 +103,8 @@
     pub fn take(&mut self, now_ms: u64, body: usize) -> Course {
         self.bytes.add(now_ms, body as u64 + HEAD_BYTES);
         self.requests.add(now_ms, 1);
-        // Callers that were sent here have nowhere else to go.
-        if self.needed_since_ms.is_some() || !self.is_pressed(now_ms) {
+        // Where all others are as full, a refusal that says when to come back is better than none.
+        if !self.has_room_beside || !self.is_pressed(now_ms) {
             return Course::Stay;
         }
         self.pressed_until_ms = now_ms + BREATH_MS;
--- a/crates/fescuewell_forward/tests/intake.rs
+++ b/crates/fescuewell_forward/tests/intake.rs
@@ -9,8 +9,14 @@
 /// Bodies of the size that long prompts have, in bytes.
 const BODY: usize = 17_000;
 
-fn spared(link_mbps: f64, cores: f64) -> Intake {
+fn beside_others(link_mbps: f64, cores: f64) -> Intake {
     let mut intake = Intake::new(link_mbps, cores);
+    intake.set_room_beside(true);
+    intake
+}
+
+fn spared(link_mbps: f64, cores: f64) -> Intake {
+    let mut intake = beside_others(link_mbps, cores);
     intake.set_spared(u64::MAX);
     intake
 }
@@ -111,7 +117,7 @@
 /// out. Cause: it went on to let in more than its link passes on.
 #[test]
 fn an_instance_that_has_to_stay_lets_in_what_it_passes_on() {
-    let mut intake = Intake::new(10.0, 0.12);
+    let mut intake = beside_others(10.0, 0.12);
 
     let mut let_in = 0;
     for request in 0..1_500u64 {
@@ -127,17 +133,35 @@
 }
 
 #[test]
-fn an_instance_that_callers_are_sent_to_lets_them_in() {
+fn where_the_others_are_full_too_callers_are_let_in() {
     let mut intake = Intake::new(10.0, 0.12);
-    intake.set_needed(0, true);
+    intake.set_room_beside(false);
 
     assert!(!press(&mut intake, 150, BODY));
     assert!(!intake.is_shut(2_000));
 }
 
+#[test]
+fn the_others_have_room_until_they_carry_what_they_can() {
+    let busy = |requests: u32| {
+        let mut members: BTreeMap<Arc<str>, Member> = BTreeMap::new();
+        for index in 0..3 {
+            let mut strong = member(index, "a", 500, 0);
+            strong.requests = requests;
+            members.insert(format!("strong-{index}").into(), strong);
+        }
+        let mut directory = Directory::default();
+        directory.replace(members, 10_000);
+        directory
+    };
+
+    assert!(busy(100).has_room_beside("strong-0"));
+    assert!(!busy(400).has_room_beside("strong-0"));
+}
+
 #[test]
 fn a_breath_ends_by_itself() {
-    let mut intake = Intake::new(10.0, 0.12);
+    let mut intake = beside_others(10.0, 0.12);
     press(&mut intake, 50, BODY);
 
     assert!(intake.is_shut(2_000));
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -126,6 +126,8 @@
         false => 0,
     };
     state.intake.set_spared(now_ms + spared_ms);
+    let has_room = state.directory.has_room_beside(name);
+    state.intake.set_room_beside(has_room);
     let is_needed = state.directory.is_named(name);
     state.intake.set_needed(now_ms, is_needed);
 }
