Let a third of a zone at most stay out, and only while that is of use

Change: a third of a zone at most, going by signs no older than two periods; an instance that callers come to 8 s after it went out is ready again, and counts no more against the others.

A refusal has crossed the full link already, its repeat crosses it again; a refused connection costs a packet.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -46,6 +46,8 @@
 const WEAKEST_PART: u32 = 3;
 /// One instance in so many is named however low the traffic is, so that a sudden rise finds them with tokens.
 const LEAST_PART: usize = 6;
+/// One instance in so many of an availability zone may stay out.
+const MOST_OUT_PART: usize = 3;
 /// Most addresses in one answer.
 const MOST: usize = 64;
 
@@ -96,8 +98,8 @@
     }
 
     /// Whether an instance may stay out: callers are not sent to it, its availability zone has one to which they are, and
-    /// no more than two fifths of the zone's instances would be out. Where most are not ready, readiness tells callers
-    /// nothing any more: they then go on as if all were. Signs are late, so the bound is below a half.
+    /// no more than a third of the zone's instances would be out. Where half are not ready, readiness tells callers nothing
+    /// any more: they then go on as if all were. Signs are late, so the bound is below a half.
     pub fn can_spare(&self, name: &str) -> bool {
         let Some(own) = self.members.get(name) else {
             return false;
@@ -111,7 +113,7 @@
             .collect();
         let now = self.read_at_ms;
         let out = beside.iter().filter(|member| now < member.out_until_ms);
-        let is_few = (out.count() + 1) * 5 <= (beside.len() + 1) * 2;
+        let is_few = (out.count() + 1) * MOST_OUT_PART <= beside.len() + 1;
         !self.is_named(name) && has_other && is_few
     }
 
--- a/crates/fescuewell_forward/src/intake.rs
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -21,8 +21,8 @@
 const HEAD_BYTES: u64 = 500;
 /// Time after which an instance that is needed takes callers again, in milliseconds: several signs of the others.
 const NEEDED_MS: u64 = 5_000;
-/// Time for which new connections are kept out, in milliseconds: an address answer is kept for six seconds by some, and two
-/// questions after readiness take two more. Whoever comes after that knows no other instance.
+/// Time for which new connections are kept out at first, in milliseconds: an address answer is kept for six seconds by some,
+/// and two questions after readiness take two more. Whoever comes after that knows no other instance.
 const SHUT_MS: u64 = 8_000;
 /// Time for which new connections are kept out after a request that was too much, in milliseconds. Short, so that what is
 /// let in stays near the bound, and far below the seconds after which a ready instance would be missed.
@@ -80,7 +80,7 @@
         self.spared_until_ms = until_ms;
     }
 
-    /// Sets whether callers that find no way in here find one elsewhere; see
+    /// Sets whether callers that are kept out here find room elsewhere; see
     /// [`crate::directory::Directory::has_room_beside`].
     pub fn set_room_beside(&mut self, has_room: bool) {
         self.has_room_beside = has_room;
@@ -108,7 +108,13 @@
             return Course::Stay;
         }
         self.pressed_until_ms = now_ms + BREATH_MS;
-        if now_ms >= self.spared_until_ms || self.out_left_ms(now_ms) > 0 {
+        let is_out = self.out_left_ms(now_ms) > 0;
+        if is_out && now_ms >= self.left_at_ms + SHUT_MS {
+            // Callers come although it says that it is not ready: to stay out is of no use, and counts against the others.
+            self.out_until_ms = 0;
+            self.spared_until_ms = 0;
+        }
+        if now_ms >= self.spared_until_ms || is_out {
             return Course::Breathe;
         }
         self.leave(now_ms, PAUSE_MS);
@@ -135,8 +141,10 @@
         self.out_until_ms.saturating_sub(now_ms)
     }
 
-    /// Whether new connections are kept out. Callers whose connection is refused try another address at once, where a
-    /// full link would delay them for seconds until they ask for addresses again.
+    /// Whether new connections are kept out.
+    ///
+    /// A request that is refused has crossed the link already, and its repeat crosses it once more, so that refusals do not
+    /// empty a full link. A connection that is refused costs one packet, and what is let in is answered in time.
     pub fn is_shut(&self, now_ms: u64) -> bool {
         let is_leaving = self.out_left_ms(now_ms) > 0 && now_ms < self.left_at_ms + SHUT_MS;
         is_leaving || now_ms < self.pressed_until_ms
--- a/crates/fescuewell_forward/tests/intake.rs
+++ b/crates/fescuewell_forward/tests/intake.rs
@@ -159,6 +159,21 @@
     assert!(!busy(400).has_room_beside("strong-0"));
 }
 
+/// Symptom: callers of one availability zone were refused for half a minute of a quiet day. Sequence: half of its instances are
+/// out, callers go by readiness no more and come back to those that are. Cause: each stayed out although that was of no use.
+#[test]
+fn an_instance_that_callers_come_to_anyway_is_ready_again() {
+    let mut intake = spared(10.0, 0.12);
+    press(&mut intake, 50, BODY);
+    assert!(intake.out_left_ms(9_000) > 0);
+
+    for request in 0..100 {
+        intake.take(11_000 + request * 10, BODY);
+    }
+
+    assert_eq!(intake.out_left_ms(12_000), 0);
+}
+
 #[test]
 fn a_breath_ends_by_itself() {
     let mut intake = beside_others(10.0, 0.12);
@@ -228,7 +243,7 @@
 /// the weak instances of an availability zone go out one after the other; with most of the zone not ready, callers go by
 /// readiness no more. Cause: nothing bounded how many went out.
 #[test]
-fn two_fifths_of_an_availability_zone_stay_out_at_most() {
+fn a_third_of_an_availability_zone_stays_out_at_most() {
     assert!(fleet(0).can_spare("weak-a-1"));
     assert!(!fleet(60_000).can_spare("weak-a-1"));
     assert!(fleet(60_000).can_spare("weak-b-1"));
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -122,7 +122,8 @@
     let left_ms = state.directory.out_left_ms(name);
     state.intake.leave(now_ms, left_ms);
     let spared_ms = match state.directory.can_spare(name) {
-        true => state.directory.lapse_ms(),
+        // Half of the time after which a sign is missed: two signs.
+        true => state.directory.lapse_ms() / 2,
         false => 0,
     };
     state.intake.set_spared(now_ms + spared_ms);
--- a/crates/fescuewell_http/src/listener/mod.rs
+++ b/crates/fescuewell_http/src/listener/mod.rs
@@ -151,8 +151,8 @@
 }
 
 impl Gate {
-    /// Opens or closes the listening socket. While it is closed the operating system refuses new connections, so that
-    /// callers try another address at once. Returns whether that is news.
+    /// Opens or closes the listening socket. While it is closed the operating system refuses new connections: that costs the
+    /// link one packet, where a refusal costs a whole request first. Returns whether that is news.
     pub fn set(&self, open: bool) -> bool {
         self.open.send_if_modified(|current| {
             let changed = *current != open;
