Keep out what a starting instance cannot pass on

Change: until an instance knows the others it takes it that they have room, and keeps out what its link cannot pass on.

The new test fails without the change.

--- a/crates/fescuewell_forward/src/intake.rs
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -65,7 +65,8 @@
             requests_each_s: cores * PROCESSOR_PART / PROCESSOR_EACH,
             bytes: Window::new(SPAN_MS),
             requests: Window::new(SPAN_MS),
-            has_room_beside: false,
+            // Until the others are known: a process that starts behind a full link could not read who they are.
+            has_room_beside: true,
             spared_until_ms: 0,
             pressed_until_ms: 0,
             needed_since_ms: None,
--- a/crates/fescuewell_forward/tests/intake.rs
+++ b/crates/fescuewell_forward/tests/intake.rs
@@ -141,6 +141,17 @@
     assert!(!intake.is_shut(2_000));
 }
 
+/// Symptom: a restarted instance was not ready for eight seconds and refused 958 requests. Sequence: its callers come back as
+/// soon as it listens; behind the full link it cannot read the configuration. Cause: before it knew the others it let all in.
+#[test]
+fn an_instance_that_starts_keeps_out_what_it_cannot_pass_on() {
+    let mut intake = Intake::new(10.0, 0.12);
+
+    press(&mut intake, 150, BODY);
+
+    assert!(intake.is_shut(2_000));
+}
+
 #[test]
 fn the_others_have_room_until_they_carry_what_they_can() {
     let busy = |requests: u32| {
