--- a/crates/fescuewell_forward/src/intake.rs
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -26,18 +26,18 @@
 const SHUT_MS: u64 = 8_000;
 /// Time for which new connections are kept out after a request that was too much, in milliseconds. Short, so that what is
 /// let in stays near the bound, and far below the seconds after which a ready instance would be missed.
-pub const BREATH_MS: u64 = 300;
+pub const THROTTLE_MS: u64 = 300;
 /// Time for which an instance stays out, in milliseconds. Its callers would come back at once, so it is long against
 /// the seconds in which they fill the link again.
 pub const PAUSE_MS: u64 = 300_000;
 
 /// What follows from a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Course {
-    /// Nothing.
-    Stay,
-    /// Callers send too much: new connections are kept out for [`BREATH_MS`].
-    Breathe,
+pub enum Action {
+    /// It is taken; nothing else.
+    Admit,
+    /// Callers send too much: new connections are kept out for [`THROTTLE_MS`].
+    Throttle,
     /// The instance stays out for [`PAUSE_MS`].
     Leave,
 }
@@ -51,7 +51,7 @@
     requests: Window,
     has_room_beside: bool,
     spared_until_ms: u64,
-    pressed_until_ms: u64,
+    throttled_until_ms: u64,
     needed_since_ms: Option<u64>,
     left_at_ms: u64,
     out_until_ms: u64,
@@ -68,7 +68,7 @@
             // Until the others are known: a process that starts behind a full link could not read who they are.
             has_room_beside: true,
             spared_until_ms: 0,
-            pressed_until_ms: 0,
+            throttled_until_ms: 0,
             needed_since_ms: None,
             left_at_ms: 0,
             out_until_ms: 0,
@@ -101,14 +101,14 @@
     }
 
     /// A request came whose body has so many bytes.
-    pub fn take(&mut self, now_ms: u64, body: usize) -> Course {
+    pub fn take(&mut self, now_ms: u64, body: usize) -> Action {
         self.bytes.add(now_ms, body as u64 + HEAD_BYTES);
         self.requests.add(now_ms, 1);
         // Where all others are as full, a refusal that says when to come back is better than none.
         if !self.has_room_beside || !self.is_pressed(now_ms) {
-            return Course::Stay;
+            return Action::Admit;
         }
-        self.pressed_until_ms = now_ms + BREATH_MS;
+        self.throttled_until_ms = now_ms + THROTTLE_MS;
         let is_out = self.out_left_ms(now_ms) > 0;
         if is_out && now_ms >= self.left_at_ms + SHUT_MS {
             // Callers come although it says that it is not ready: to stay out is of no use, and counts against the others.
@@ -116,10 +116,10 @@
             self.spared_until_ms = 0;
         }
         if now_ms >= self.spared_until_ms || is_out {
-            return Course::Breathe;
+            return Action::Throttle;
         }
         self.leave(now_ms, PAUSE_MS);
-        Course::Leave
+        Action::Leave
     }
 
     fn is_pressed(&mut self, now_ms: u64) -> bool {
@@ -148,6 +148,6 @@
     /// empty a full link. A connection that is refused costs one packet, and what is let in is answered in time.
     pub fn is_shut(&self, now_ms: u64) -> bool {
         let is_leaving = self.out_left_ms(now_ms) > 0 && now_ms < self.left_at_ms + SHUT_MS;
-        is_leaving || now_ms < self.pressed_until_ms
+        is_leaving || now_ms < self.throttled_until_ms
     }
 }
--- a/crates/fescuewell_forward/tests/intake.rs
+++ b/crates/fescuewell_forward/tests/intake.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use fescuewell_forward::directory::{Directory, Member};
-use fescuewell_forward::intake::{BREATH_MS, Course, Intake, PAUSE_MS};
+use fescuewell_forward::intake::{Action, Intake, PAUSE_MS, THROTTLE_MS};
 
 /// Bodies of the size that long prompts have, in bytes.
 const BODY: usize = 17_000;
@@ -25,7 +25,7 @@
 fn press(intake: &mut Intake, each_second: u64, body: usize) -> bool {
     let mut went = false;
     for request in 0..each_second * 2 {
-        went |= intake.take(request * 1_000 / each_second, body) == Course::Leave;
+        went |= intake.take(request * 1_000 / each_second, body) == Action::Leave;
     }
     went
 }
@@ -106,7 +106,7 @@
 
     let mut went = false;
     for request in 0..200 {
-        went |= intake.take(4_000 + request * 10, BODY) == Course::Leave;
+        went |= intake.take(4_000 + request * 10, BODY) == Action::Leave;
     }
 
     assert!(!went);
@@ -186,12 +186,12 @@
 }
 
 #[test]
-fn a_breath_ends_by_itself() {
+fn throttling_ends_by_itself() {
     let mut intake = beside_others(10.0, 0.12);
     press(&mut intake, 50, BODY);
 
     assert!(intake.is_shut(2_000));
-    assert!(!intake.is_shut(2_000 + BREATH_MS));
+    assert!(!intake.is_shut(2_000 + THROTTLE_MS));
 }
 
 #[test]
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use fescuewell_forward::config::Table;
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::Health;
-use fescuewell_forward::intake::{BREATH_MS, Course, Intake, PAUSE_MS};
+use fescuewell_forward::intake::{Action, Intake, PAUSE_MS, THROTTLE_MS};
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::retry::Budget;
 use fescuewell_forward::server::Registry;
@@ -192,11 +192,11 @@
     /// Notes a caller's request. An instance that is sent too much keeps new connections out, and asks its callers to leave
     /// if the others have room. Runs inside a listener's runtime.
     pub fn take_in(self: &Arc<Self>, body: usize) {
-        let course = self.state().intake.take(self.now_ms(), body);
-        match course {
-            Course::Stay => return,
-            Course::Breathe => {}
-            Course::Leave => log_event!(
+        let action = self.state().intake.take(self.now_ms(), body);
+        match action {
+            Action::Admit => return,
+            Action::Throttle => {}
+            Action::Leave => log_event!(
                 Event::CallersSentAway,
                 "instance={} pause_ms={PAUSE_MS}",
                 self.settings.name
@@ -212,7 +212,7 @@
         let gateway = self.clone();
         spawn(async move {
             loop {
-                tokio::time::sleep(Duration::from_millis(BREATH_MS)).await;
+                tokio::time::sleep(Duration::from_millis(THROTTLE_MS)).await;
                 let now_ms = gateway.now_ms();
                 if !gateway.state().intake.is_shut(now_ms) {
                     gateway.tend_gate();
