Log and show when new connections are kept out

Cause: a caller who found no connection could not be explained from the logs: nothing was written when the gate closed.

A second copy of ARRIVALS_S goes.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -96,6 +96,7 @@
     LinkSilent = 5009, Warn, "link.silent", "A connection to an instance stopped acknowledging messages and is replaced.";
     InstancesNamed = 5014, Info, "instances.named", "Callers are sent to these instances from now on.";
     CallersSentAway = 5015, Warn, "callers.sent_away", "Callers send this instance more than it passes on; it says that it is not ready for a while.";
+    ConnectionsKeptOut = 5016, Info, "connections.kept_out", "New connections of callers are refused until what is being sent fits again.";
     JournalAdopted = 5011, Info, "journal.adopted", "What the former process of this instance may have spent was taken over.";
     JournalLost = 5012, Error, "journal.lost", "Another process writes this instance's journal; nothing more is spent here.";
     SettingsReloaded = 5013, Info, "settings.reloaded", "The settings were read again.";
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -157,9 +157,6 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// Span over which arrivals are counted, in seconds.
-    pub const ARRIVALS_S: u32 = 4;
-
     /// Time since the process started.
     pub fn uptime(&self) -> Duration {
         self.started.elapsed()
@@ -203,6 +200,11 @@
             ),
         }
         if self.tend_gate() {
+            log_event!(
+                Event::ConnectionsKeptOut,
+                "instance={} cause={action:?}",
+                self.settings.name
+            );
             self.reopen_later();
         }
     }
@@ -213,8 +215,7 @@
         spawn(async move {
             loop {
                 tokio::time::sleep(Duration::from_millis(THROTTLE_MS)).await;
-                let now_ms = gateway.now_ms();
-                if !gateway.state().intake.is_shut(now_ms) {
+                if gateway.is_open() {
                     gateway.tend_gate();
                     return;
                 }
@@ -228,10 +229,14 @@
         let _ = self.gate.set(gate);
     }
 
+    /// Whether new connections of callers are let in.
+    pub fn is_open(&self) -> bool {
+        !self.state().intake.is_shut(self.now_ms())
+    }
+
     /// Keeps new connections of callers out while they are too many; returns whether that is news.
     pub fn tend_gate(&self) -> bool {
-        let now_ms = self.now_ms();
-        let open = !self.state().intake.is_shut(now_ms);
+        let open = self.is_open();
         self.gate.get().is_some_and(|gate| gate.set(open))
     }
 
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -170,6 +170,7 @@
                 ("servers", servers as f64),
                 ("instances", instances as f64),
                 ("ready", f64::from(u8::from(gateway.takes_callers()))),
+                ("accepting", f64::from(u8::from(gateway.is_open()))),
             ];
             for (kind, value) in values {
                 gauge.observe(value, &[KeyValue::new("of", kind)]);
