Hand on every accepted connection when the gate closes

Cause: found in reading: the wait for a place in a full ring was given up together with the wait for a connection, so that a connection accepted at that moment would have been dropped.

Change: only the wait for a connection is given up.

--- a/crates/fescuewell_http/src/listener/accept.rs
+++ b/crates/fescuewell_http/src/listener/accept.rs
@@ -83,10 +83,8 @@
         };
         match opened.and_then(TcpListener::from_std) {
             Ok(listener) => {
-                tokio::select! {
-                    () = accept(&listener, &workers, &mut turn, &shared) => {}
-                    _ = gate.wait_for(|open| !open) => {}
-                    _ = stage.wait_for(|stage| *stage >= Stage::Closed) => return,
+                if accept(&listener, &workers, &mut turn, &shared).await == Stage::Closed {
+                    return;
                 }
                 take_waiting(listener, &workers, &mut turn, &shared).await;
             }
@@ -132,26 +130,36 @@
     }
 }
 
+/// Accepts until the gate or the listener closes; returns [`Stage::Closed`] for the listener.
+///
+/// Only the wait for a connection is given up then: one that was accepted is always handed on.
 async fn accept(
     listener: &TcpListener,
     workers: &[flume::Sender<Arrival>],
     turn: &mut usize,
     shared: &Arc<Shared>,
-) {
+) -> Stage {
+    let mut stage = shared.stage.subscribe();
+    let mut gate = shared.gate.open.subscribe();
     let mut failures = 0u64;
     loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                failures = 0;
-                let worker = &workers[*turn % workers.len()];
-                *turn += 1;
-                admit(stream, peer, worker, shared).await;
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = gate.wait_for(|open| !open) => return Stage::Open,
+            _ = stage.wait_for(|stage| *stage >= Stage::Closed) => return Stage::Closed,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
             Err(error) => {
                 survive(&error, failures).await;
                 failures += 1;
+                continue;
             }
-        }
+        };
+        failures = 0;
+        let worker = &workers[*turn % workers.len()];
+        *turn += 1;
+        admit(stream, peer, worker, shared).await;
     }
 }
 
