--- a/crates/fescuewell_forward/tests/quota.rs
+++ b/crates/fescuewell_forward/tests/quota.rs
@@ -221,13 +221,8 @@
     assert!(held >= 10, "{held} of 16");
 }
 
-/// Symptom: an overspend after a lost reply. Sequence: a return of tokens is on its way, late; the instance reads its
-/// row, which still shows the old grant; the return takes effect and others take the tokens. Cause: the
-/// instance went back to the grant that it had read.
-#[test]
-fn a_return_that_may_still_take_effect_binds() {
-    let mut world = running(2, 400_000);
-    let before = world.instances[0].quota.view(ACCOUNT).unwrap().granted();
+/// Two seconds in which only the second instance is asked for tokens, until the first one hears of it.
+fn move_demand(world: &mut World) {
     for _ in 0..20 {
         world.store.now_ms += 100;
         world.hold(1, 9_000);
@@ -237,6 +232,16 @@
     }
     world.read_ledger(0);
     world.hear(0);
+}
+
+/// Symptom: an overspend after a lost reply. Sequence: a return of tokens is on its way, late; the instance reads its
+/// row, which still shows the old grant; the return takes effect and others take the tokens. Cause: the
+/// instance went back to the grant that it had read.
+#[test]
+fn a_return_that_may_still_take_effect_binds() {
+    let mut world = running(2, 400_000);
+    let before = world.instances[0].quota.view(ACCOUNT).unwrap().granted();
+    move_demand(&mut world);
 
     world.plan(0, Fate::Late);
 
@@ -255,15 +260,7 @@
 #[test]
 fn a_later_plan_does_not_loosen_a_return_on_its_way() {
     let mut world = running(2, 400_000);
-    for _ in 0..20 {
-        world.store.now_ms += 100;
-        world.hold(1, 9_000);
-        world.settle(1, 100);
-        world.journal(1, Fate::Done);
-        world.plan(1, Fate::Done);
-    }
-    world.read_ledger(0);
-    world.hear(0);
+    move_demand(&mut world);
     world.plan(0, Fate::Late);
     let returned = world.instances[0].quota.view(ACCOUNT).unwrap().granted();
 
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -4,29 +4,20 @@
 use std::time::Duration;
 
 use fescuewell_core::prelude::*;
+pub use fescuewell_metrics::Error;
+use fescuewell_metrics::Page;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-use snafu::Snafu;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
 
 use crate::gateway::Gateway;
 
-/// The exporter could not be set up.
-#[derive(Debug, Snafu)]
-#[snafu(display("metrics cannot be set up: {reason}"))]
-pub struct Error {
-    reason: Arc<str>,
-}
-
 /// Accounts whose tokens are shown one by one; a fleet with more shows the first of them by name, so that the page stays
 /// small.
 const MOST_ACCOUNTS: usize = 64;
 
 /// Everything that one instance counts.
 pub struct Metrics {
-    registry: Registry,
-    provider: SdkMeterProvider,
+    page: Page,
     requests: Counter<u64>,
     attempts: Counter<u64>,
     store_calls: Counter<u64>,
@@ -39,19 +30,11 @@
     ///
     /// # Errors
     ///
-    /// When the exporter cannot be built.
+    /// When the page cannot be set up.
     pub fn new() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| Error {
-                reason: error.to_string().into(),
-            })?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("fescuewell");
+        let page = Page::new()?;
+        let meter = page.meter();
         Ok(Self {
-            registry,
             requests: meter.u64_counter("fescuewell_forward_requests").build(),
             attempts: meter.u64_counter("fescuewell_forward_attempts").build(),
             store_calls: meter.u64_counter("fescuewell_store_calls").build(),
@@ -59,13 +42,13 @@
                 .f64_histogram("fescuewell_first_event_seconds")
                 .build(),
             whole: meter.f64_histogram("fescuewell_request_seconds").build(),
-            provider,
+            page,
         })
     }
 
     /// Shows what the gateway holds: tokens by account, and the ages of what it believes.
     pub fn watch(&self, gateway: &Arc<Gateway>) {
-        let meter = self.provider.meter("fescuewell");
+        let meter = self.page.meter();
         watch_tokens(&meter, Arc::downgrade(gateway));
         watch_beliefs(&meter, Arc::downgrade(gateway));
     }
@@ -111,10 +94,7 @@
 
     /// The present values in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        // Writing to memory fails for no other reason than a broken metric, which is then left out.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        text
+        self.page.text()
     }
 }
 
--- a/crates/fescuewell_router/src/metrics.rs
+++ b/crates/fescuewell_router/src/metrics.rs
@@ -1,23 +1,14 @@
 //! Counters and gauges of one instance, kept by `opentelemetry` and shown as Prometheus text.
 
 use fescuewell_core::prelude::*;
+pub use fescuewell_metrics::Error;
+use fescuewell_metrics::Page;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-use snafu::Snafu;
-
-/// The exporter could not be set up.
-#[derive(Debug, Snafu)]
-#[snafu(display("metrics cannot be set up: {reason}"))]
-pub struct Error {
-    reason: String,
-}
+use opentelemetry::metrics::{Counter, Histogram};
 
 /// Everything that one instance counts.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    page: Page,
     /// Requests that reached the callers' listener.
     pub requests: Counter<u64>,
     /// Tokens billed here.
@@ -33,25 +24,17 @@
     ///
     /// # Errors
     ///
-    /// When the exporter cannot be built.
+    /// When the page cannot be set up.
     pub fn new() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| Error {
-                reason: error.to_string(),
-            })?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("fescuewell");
+        let page = Page::new()?;
+        let meter = page.meter();
         Ok(Self {
-            registry,
             requests: meter.u64_counter("fescuewell_requests").build(),
             tokens: meter.u64_counter("fescuewell_tokens").build(),
             verdict_seconds: meter.f64_histogram("fescuewell_verdict_seconds").build(),
             refusals: meter.u64_counter("fescuewell_refusals").build(),
             events: meter.u64_counter("fescuewell_events").build(),
-            _provider: provider,
+            page,
         })
     }
 
@@ -71,9 +54,6 @@
 
     /// The present values in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        // Writing to memory fails for no other reason than a broken metric, which is then left out.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        text
+        self.page.text()
     }
 }
--- a/tests/forward/answers.rs
+++ b/tests/forward/answers.rs
@@ -5,6 +5,7 @@
 use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
 
 use crate::fixture::{Fixture, GROUP, KEY, Request, read_answer};
+use crate::wire;
 
 #[test]
 fn a_request_arrives_unchanged_and_its_answer_too() {
@@ -19,15 +20,15 @@
 
     assert_eq!(answer.status, 200);
     assert_eq!(answer.text(), "r-1 ran");
-    assert_eq!(answer.header("x-fescuewell-response-seal"), Some("i-0.r-1"));
+    assert_eq!(answer.header(wire::SEAL), Some("i-0.r-1"));
     let run = &fixture.workers[0].runs()[0];
     assert_eq!(&*run.target, "POST /unsafe/a%20b/?x=1&y=%2F");
     assert_eq!(&run.body[..], b"body");
     assert_eq!(run.headers["x-own"], "kept");
-    assert_eq!(run.headers["x-fescuewell-tenant"], GROUP);
-    assert_eq!(run.headers["x-fescuewell-expect-instance"], "i-0");
+    assert_eq!(run.headers[wire::ACCOUNT], GROUP);
+    assert_eq!(run.headers[wire::EXPECTED_SERVER], "i-0");
     assert!(!run.headers.contains_key("x-hop"));
-    assert!(!run.headers.contains_key("x-fescuewell-key"));
+    assert!(!run.headers.contains_key(wire::KEY));
 }
 
 /// Symptom: a caller took another account's name, or memory that was reserved for somebody else. Sequence: it sends the
@@ -36,24 +37,19 @@
 fn headers_of_the_system_are_not_taken_from_callers() {
     let fixture = Fixture::ready(1, 1_000_000);
     let request = Request::new("GET /safe/x", "r-1")
-        .with("X-Fescuewell-Tenant", "other")
-        .with("X-Fescuewell-Expect-Instance", "i-9")
-        .with("X-Fescuewell-Hold", "h")
-        .with("X-Fescuewell-Pin-Ms", "9")
-        .with("X-Fescuewell-Kv-Backup", "1.2.3.4:5")
-        .with("Kv-From", "1.2.3.4:5/6");
+        .with(wire::ACCOUNT, "other")
+        .with(wire::EXPECTED_SERVER, "i-9")
+        .with(wire::HOLD, "h")
+        .with(wire::KEEP, "9")
+        .with(wire::COPY_TO, "1.2.3.4:5")
+        .with(wire::COPY_FROM, "1.2.3.4:5/6");
 
     let answer = fixture.send(&request);
 
     assert_eq!(answer.status, 200);
     let run = &fixture.workers[0].runs()[0];
-    assert_eq!(run.headers["x-fescuewell-tenant"], GROUP);
-    for name in [
-        "x-fescuewell-hold",
-        "x-fescuewell-pin-ms",
-        "x-fescuewell-kv-backup",
-        "kv-from",
-    ] {
+    assert_eq!(run.headers[wire::ACCOUNT], GROUP);
+    for name in [wire::HOLD, wire::KEEP, wire::COPY_TO, wire::COPY_FROM] {
         assert!(!run.headers.contains_key(name), "{name}");
     }
 }
@@ -114,7 +110,7 @@
     let answer = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
 
     assert_eq!(answer.status, 502);
-    assert_eq!(answer.header("x-fescuewell-response-seal"), None);
+    assert_eq!(answer.header(wire::SEAL), None);
 }
 
 /// Symptom: a stream had a piece twice, or half a piece. Sequence: a server breaks off in the middle of an event.
@@ -207,7 +203,7 @@
 
     for number in 0..5 {
         let id = format!("r-{number}");
-        let request = Request::new("GET /safe/x", &id).with("X-Fescuewell-Key", KEY);
+        let request = Request::new("GET /safe/x", &id).with(wire::KEY, KEY);
         connection.write_all(&request.bytes()).unwrap();
         let answer = read_answer(&mut connection).unwrap();
         assert_eq!(answer.text(), format!("{id} ran"));
--- a/tests/forward/configuration.rs
+++ b/tests/forward/configuration.rs
@@ -60,17 +60,7 @@
     let fixture = Fixture::ready(2, 1_000_000);
 
     fixture.register(0, "draining");
-    let state = || {
-        !fixture
-            .daemon
-            .as_ref()
-            .unwrap()
-            .gateway()
-            .state()
-            .registry
-            .is_ready("i-0")
-    };
-    assert!(wait_until(state));
+    fixture.wait_server("i-0", false);
     for number in 0..20 {
         fixture.send(&Request::new("GET /safe/x", &format!("r-{number}")));
     }
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -15,6 +15,8 @@
 use fescuewell::standin::worker::{Worker, wait_until};
 use serde_json::Value;
 
+use crate::wire;
+
 pub use fescuewell::standin::sample::{GROUP, HOST, KEY, configuration};
 
 /// Any free address.
@@ -128,17 +130,31 @@
         assert!(wait_until(listed), "the backend servers were never listed");
     }
 
+    /// Waits until a backend server is listed and takes requests, or not.
+    pub fn wait_server(&self, id: &str, is_ready: bool) {
+        let daemon = self.daemon.as_ref().unwrap();
+        let is_so = || daemon.gateway().state().registry.is_ready(id) == is_ready;
+        assert!(wait_until(is_so), "{id} never became ready={is_ready}");
+    }
+
+    /// Waits until a backend server is not listed any more.
+    pub fn wait_server_gone(&self, id: &str) {
+        let daemon = self.daemon.as_ref().unwrap();
+        let is_gone = || !daemon.gateway().state().registry.is_known(id);
+        assert!(wait_until(is_gone), "{id} is still listed");
+    }
+
     pub fn readiness(&self) -> u16 {
-        status(self.ready, "/-/readyz").unwrap_or_default()
+        status(self.ready, wire::READY_PATH).unwrap_or_default()
     }
 
     /// Status of an address answer.
     pub fn directory_status(&self) -> Option<u16> {
-        status(self.directory, "/-/resolve?name=x&region=r&zone=a")
+        status(self.directory, &wire::directory_path("x"))
     }
 
     pub fn addresses(&self) -> Vec<String> {
-        let path = format!("/-/resolve?name={HOST}&region=r&zone=a");
+        let path = wire::directory_path(HOST);
         assert!(wait_until(|| status(self.directory, &path) == Some(200)));
         let answer = get(self.directory, &path).unwrap();
         let body: Value = serde_json::from_slice(&answer.body).unwrap();
@@ -207,9 +223,9 @@
         };
         request
             .with("Host", HOST)
-            .with("X-Fescuewell-Request-Id", id)
-            .with("X-Fescuewell-Deadline-Ms", "5000")
-            .with("X-Fescuewell-Key", KEY)
+            .with(wire::REQUEST_ID, id)
+            .with(wire::DEADLINE, "5000")
+            .with(wire::KEY, KEY)
     }
 
     /// Replaces or adds a header; an empty value removes it.
@@ -222,8 +238,8 @@
     }
 
     pub fn with_tokens(self, prompt: u64, output: u64) -> Self {
-        self.with("X-Fescuewell-Token-Counts", &format!("{prompt},{output}"))
-            .with("X-Fescuewell-Model", "m")
+        self.with(wire::TOKENS, &format!("{prompt},{output}"))
+            .with(wire::MODEL, "m")
     }
 
     pub fn with_body(mut self, body: &[u8]) -> Self {
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -7,3 +7,4 @@
 mod money;
 mod pressure;
 mod refusals;
+mod wire;
--- a/tests/forward/refusals.rs
+++ b/tests/forward/refusals.rs
@@ -5,14 +5,14 @@
 use proptest::prelude::*;
 
 use crate::fixture::{Fixture, Request, read_answer};
+use crate::wire;
 
 #[test]
 fn without_a_configuration_everything_is_refused_for_now_only() {
     let mut fixture = Fixture::empty(1);
     fixture.start();
 
-    let answer =
-        fixture.send(&Request::new("GET /safe/x", "r-1").with("X-Fescuewell-Key", "wrong"));
+    let answer = fixture.send(&Request::new("GET /safe/x", "r-1").with(wire::KEY, "wrong"));
 
     assert_eq!(answer.status, 503);
     assert!(answer.header("retry-after").is_some());
@@ -24,11 +24,11 @@
     let fixture = Fixture::ready(1, 1_000_000);
     let good = || Request::new("GET /safe/x", "r-1");
     let cases = [
-        (good().with("X-Fescuewell-Key", ""), 401),
-        (good().with("X-Fescuewell-Key", "wrong"), 401),
+        (good().with(wire::KEY, ""), 401),
+        (good().with(wire::KEY, "wrong"), 401),
         (good().with("Host", "other.example"), 404),
         (Request::new("GET /nowhere/x", "r-1"), 404),
-        (good().with("X-Fescuewell-Request-Id", ""), 400),
+        (good().with(wire::REQUEST_ID, ""), 400),
         (good().with("Content-Length", "99999999"), 413),
     ];
 
@@ -70,28 +70,8 @@
         .store
         .put("servers", "", "i-gone", entry.to_string().as_bytes());
     fixture.store.remove("servers", "", "i-0");
-    let state = || {
-        fixture
-            .daemon
-            .as_ref()
-            .unwrap()
-            .gateway()
-            .state()
-            .registry
-            .is_ready("i-gone")
-    };
-    assert!(fescuewell::standin::worker::wait_until(state));
-    let gone = || {
-        !fixture
-            .daemon
-            .as_ref()
-            .unwrap()
-            .gateway()
-            .state()
-            .registry
-            .is_known("i-0")
-    };
-    assert!(fescuewell::standin::worker::wait_until(gone));
+    fixture.wait_server("i-gone", true);
+    fixture.wait_server_gone("i-0");
 
     let answer = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
 
--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -82,7 +82,7 @@
     }
 
     pub fn wait_ready(&self) -> bool {
-        wait_until(|| crate::fixture::status(self.ready, "/-/readyz") == Some(200))
+        wait_until(|| crate::fixture::status(self.ready, crate::wire::READY_PATH) == Some(200))
     }
 
     fn signal(&self, signal: Signal) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,6 +16,9 @@
 #[allow(dead_code, reason = "the soak uses a part of the proxy")]
 mod proxy;
 mod verdict;
+#[path = "../forward/wire.rs"]
+#[allow(dead_code, reason = "the soak uses a part of the names")]
+mod wire;
 mod world;
 
 use world::World;
