Hold the port of the callers' listener while its gate is closed

Two ways lead there. In the fixture: free() looked a port up and let go of it.

Change: a second socket that never listens holds the port for as long as the listener lives; the fixture holds its addresses in the same way. The other listeners of an instance go on listening while the gate is closed, so that no second process can start under the same name.

--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -84,6 +84,8 @@
         let handler: Arc<dyn Handler> = Arc::new(Front::new(gateway.clone()));
         let front = Listener::start(front, handler).context(ListenSnafu)?;
         gateway.set_gate(front.gate());
+        // These listen without a break, also while the callers' listener keeps connections out, so that no second process
+        // under the same name can start beside this one.
         let mut sides = Vec::new();
         for (name, address) in side_addresses(settings) {
             let listen = listener::Settings::new(address)
--- a/crates/fescuewell_http/src/listener/accept.rs
+++ b/crates/fescuewell_http/src/listener/accept.rs
@@ -49,8 +49,42 @@
     }
 }
 
-/// Binds a listening socket that a tokio runtime can take over.
-pub(super) fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+/// An address that stays taken while nobody listens on it.
+///
+/// Without this the operating system gives the port to the next connection that any program opens, once the listening
+/// socket is closed; listening again then fails for as long as that connection lives.
+pub(super) struct Port {
+    address: SocketAddr,
+    // Bound and never listening, so that it accepts nothing and stands in no listener's way.
+    _held: Socket,
+}
+
+impl Port {
+    /// Takes an address; port 0 stands for any free one.
+    pub(super) fn take(address: SocketAddr) -> io::Result<Self> {
+        let held = bound(address)?;
+        let address = held.local_addr()?.as_socket().unwrap_or(address);
+        Ok(Self {
+            address,
+            _held: held,
+        })
+    }
+
+    /// The address, with the port that was given out.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// A listening socket that a tokio runtime can take over.
+    pub(super) fn listen(&self) -> io::Result<std::net::TcpListener> {
+        let socket = bound(self.address)?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        Ok(socket.into())
+    }
+}
+
+fn bound(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
@@ -58,29 +92,23 @@
     )?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    socket.set_nonblocking(true)?;
-    Ok(socket.into())
+    Ok(socket)
 }
 
 /// Accepts connections and deals them out in turn until the listener stops accepting; while the gate is closed the
 /// socket is closed too.
 pub(super) async fn run(
+    port: Port,
     socket: std::net::TcpListener,
     workers: Vec<flume::Sender<Arrival>>,
     shared: Arc<Shared>,
 ) {
     let mut stage = shared.stage.subscribe();
     let mut gate = shared.gate.open.subscribe();
-    let address = socket.local_addr();
     let mut socket = Some(socket);
     let mut turn = 0;
     loop {
-        let opened = match (socket.take(), &address) {
-            (Some(socket), _) => Ok(socket),
-            (None, Ok(address)) => bind(*address),
-            (None, Err(error)) => Err(io::Error::from(error.kind())),
-        };
+        let opened = socket.take().map_or_else(|| port.listen(), Ok);
         match opened.and_then(TcpListener::from_std) {
             Ok(listener) => {
                 if accept(&listener, &workers, &mut turn, &shared).await == Stage::Closed {
--- a/crates/fescuewell_http/src/listener/mod.rs
+++ b/crates/fescuewell_http/src/listener/mod.rs
@@ -190,8 +190,9 @@
     /// When the address cannot be listened on, the certificate cannot be used or a thread cannot be started.
     pub fn start(settings: Settings, handler: Arc<dyn Handler>) -> Result<Self, Error> {
         let address = settings.address;
-        let socket = accept::bind(address).context(BindSnafu { address })?;
-        let address = socket.local_addr().context(BindSnafu { address })?;
+        let port = accept::Port::take(address).context(BindSnafu { address })?;
+        let socket = port.listen().context(BindSnafu { address })?;
+        let address = port.address();
         let acceptor = settings.tls.as_ref().map(tls::acceptor).transpose()?;
         let (stage, _) = watch::channel(Stage::Open);
         let shared = Arc::new(Shared {
@@ -211,15 +212,19 @@
             shared,
             threads: Vec::new(),
         };
-        listener.start_threads(socket).context(ThreadSnafu)?;
+        listener.start_threads(port, socket).context(ThreadSnafu)?;
         Ok(listener)
     }
 
-    fn start_threads(&mut self, socket: std::net::TcpListener) -> std::io::Result<()> {
+    fn start_threads(
+        &mut self,
+        port: accept::Port,
+        socket: std::net::TcpListener,
+    ) -> std::io::Result<()> {
         let count = self.shared.settings.threads.max(1);
         let (senders, receivers): (Vec<_>, Vec<_>) =
             (0..count).map(|_| flume::bounded(ARRIVALS)).unzip();
-        let mut acceptor = Some((socket, senders));
+        let mut acceptor = Some((port, socket, senders));
         for (index, arrivals) in receivers.into_iter().enumerate() {
             let runtime = tokio::runtime::Builder::new_current_thread()
                 .enable_all()
@@ -301,8 +306,12 @@
     }
 }
 
-/// What the accepting thread gets besides: the socket and the way to each serving thread.
-type Acceptor = (std::net::TcpListener, Vec<flume::Sender<Arrival>>);
+/// What the accepting thread gets besides: the port, its socket and the way to each serving thread.
+type Acceptor = (
+    accept::Port,
+    std::net::TcpListener,
+    Vec<flume::Sender<Arrival>>,
+);
 
 async fn run_thread(
     shared: &Arc<Shared>,
@@ -310,8 +319,8 @@
     arrivals: &flume::Receiver<Arrival>,
 ) {
     let mut stage = shared.stage.subscribe();
-    if let Some((socket, workers)) = duty {
-        tokio::spawn(accept::run(socket, workers, shared.clone()));
+    if let Some((port, socket, workers)) = duty {
+        tokio::spawn(accept::run(port, socket, workers, shared.clone()));
     }
     let serve = async {
         while let Ok(arrival) = arrivals.recv_async().await {
--- a/crates/fescuewell_http/tests/listener.rs
+++ b/crates/fescuewell_http/tests/listener.rs
@@ -382,6 +382,38 @@
     });
 }
 
+/// Symptom: an instance that had kept connections out for a moment could not listen again: "address already in use". Sequence:
+/// the gate closes, a connection that another program opens gets the free port as its own, the gate opens. Cause: the port was
+/// given up together with the listening socket.
+#[test]
+fn a_closed_gate_keeps_the_port() {
+    let listener = listen(local(), echo());
+    let address = listener.address();
+    listener.gate().set(false);
+    // No connection is tried: one that is accepted would hold the port as well.
+    eventually("the socket is closed", || !is_listened_on(address));
+
+    let other = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let taken = other.bind(&address.into());
+
+    assert_eq!(
+        taken.map_err(|error| error.kind()),
+        Err(std::io::ErrorKind::AddrInUse)
+    );
+}
+
+/// Whether the operating system lists a listening socket at the port.
+fn is_listened_on(address: std::net::SocketAddr) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let local = format!(":{:04X} ", address.port());
+    let mut lines = table.lines().skip(1);
+    lines.any(|line| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        // Columns of proc_pid_net(5): number, local address, remote address, state; 0A is "listening".
+        format!("{} ", words[1]).ends_with(&local) && words[3] == "0A"
+    })
+}
+
 #[test]
 fn a_head_request_leaves_no_exchange_open() {
     // Symptom: a drain waits for an exchange that has ended. Cause: the body of an answer to HEAD is never read.
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -1,7 +1,7 @@
 //! A store, backend servers and an instance on loopback, and a caller.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use fescuewell::standin::sample;
 use fescuewell::standin::worker::{Worker, wait_until};
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 
 use crate::wire;
 
@@ -24,12 +25,36 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// An address that is free now, for what must be known before it is bound.
-pub fn free() -> SocketAddr {
-    let probe = TcpListener::bind(any()).unwrap();
-    probe.local_addr().unwrap()
+/// Addresses that are known before anybody listens on them.
+///
+/// An address that is merely looked up may be given to the next connection of another test, and the instance then cannot
+/// listen. So each is held by a socket that does not listen.
+pub struct Addresses {
+    held: Vec<Socket>,
 }
 
+impl Addresses {
+    pub fn take(count: usize) -> Self {
+        let held = (0..count).map(|_| {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            socket.set_reuse_address(true).unwrap();
+            socket.bind(&any().into()).unwrap();
+            socket
+        });
+        Self {
+            held: held.collect(),
+        }
+    }
+
+    pub fn get(&self, index: usize) -> SocketAddr {
+        let address = self.held[index].local_addr().unwrap();
+        address.as_socket().unwrap()
+    }
+}
+
+/// Listeners of an instance.
+const LISTENERS: usize = 4;
+
 pub struct Fixture {
     pub store: Rows,
     pub workers: Vec<Worker>,
@@ -38,6 +63,7 @@
     ready: SocketAddr,
     directory: SocketAddr,
     metrics: SocketAddr,
+    _addresses: Addresses,
     name: &'static str,
     /// The instance's link in Mbit/s, from its next start on.
     pub link_mbps: f64,
@@ -54,14 +80,16 @@
     /// The same without a configuration.
     pub fn empty(workers: usize) -> Self {
         let store = Rows::start(any()).unwrap();
+        let addresses = Addresses::take(LISTENERS);
         let mut fixture = Self {
             store,
             workers: Vec::new(),
             daemon: None,
-            front: free(),
-            ready: free(),
-            directory: free(),
-            metrics: free(),
+            front: addresses.get(0),
+            ready: addresses.get(1),
+            directory: addresses.get(2),
+            metrics: addresses.get(3),
+            _addresses: addresses,
             name: "entry-1",
             link_mbps: 1_000.0,
         };
