Know a backend server by its start; pass over rows of other writers; keep entries that lapsed in an outage

A server may start again under its id (`born` tells one start from another); the list may hold rows that something else wrote. As it was, (a) `born` was not read: prompt copies, failures and times of the former process counted for the new one, and a request under way there waited for its deadline when the connection stayed silent; (b) one row that could not be read made the whole list unreadable, so that a new process knew no server and an old one no change; (c) entries that lapsed while the store was away were gone at the first reading after its return, two seconds before the heartbeats; (d) an account whose ledger could not be read at a start was journaled as if nothing had been consumed.

Ruled out: a 421's mark that outlives a restart; any later entry replaces it, as the code reads (test added; it was not run on the code before).

Tests: an existing one of the registry takes the clock as an argument now, and one of refusals registers with the sample's entry, since an entry that lacks fields names no server any more; both ask for as much as before.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -71,6 +71,8 @@
     ServerLeaving = 2008, Info, "server.leaving", "A backend server is leaving and gets no new work.";
     AttemptFailed = 2011, Info, "attempt.failed", "A request sent to a backend server was turned away, failed, or got no whole answer.";
     ServerListed = 2009, Info, "server.listed", "A backend server appeared in the list, or its entry changed.";
+    ServerEnded = 2012, Info, "server.ended", "A backend server started again under its name, or is gone: what was observed of it is forgotten.";
+    ServerUnreadable = 2013, Warn, "server.unreadable", "A row of the list of backend servers names none; it is passed over.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
     AllowanceDrawn = 3001, Info, "allowance.drawn", "Allowances were drawn from prepaid budgets.";
--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -190,6 +190,14 @@
         self.peers.insert(report.instance, heard);
     }
 
+    /// Forgets the prompt parts that a server kept: it has started again, or is gone.
+    pub fn forget(&mut self, id: &str) {
+        for copies in self.kept.parts.values_mut() {
+            copies.retain(|copy| &*copy.server != id);
+        }
+        self.kept.fresh.retain(|(_, server, _)| &**server != id);
+    }
+
     /// Forgets reports that are too old.
     pub fn expire(&mut self, now_ms: u64) {
         self.peers
--- a/crates/fescuewell_forward/src/health.rs
+++ b/crates/fescuewell_forward/src/health.rs
@@ -128,6 +128,11 @@
         self.scores.get(id).map_or(0.0, |score| score.bad)
     }
 
+    /// Forgets a server: it has started again, or is gone.
+    pub fn forget(&mut self, id: &str) {
+        self.scores.remove(id);
+    }
+
     /// Forgets servers that are no longer listed.
     pub fn retain<Listed>(&mut self, listed: Listed)
     where
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -25,5 +25,5 @@
 pub mod prelude {
     pub use crate::config::{Configuration, Kind, Limits, Route, Service, Table, Tenant};
     pub use crate::quota::{Quota, Verdict};
-    pub use crate::server::{Entry, Registry, State};
+    pub use crate::server::{Entry, Movement, Registry, Said, State};
 }
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -181,6 +181,12 @@
         self.unanswered = None;
         self.may_be_written = false;
         let holder = self.holder.clone();
+        // An account whose ledger cannot be read now keeps what the journal says of it. Otherwise the next journal would
+        // record nothing consumed, and once the ledger can be read again all of it would be spent a second time.
+        for entry in journal.map_or(&[][..], |journal| &journal.entries) {
+            let consumed = journal.map_or(0, |journal| journal.bound(&entry.account, ended_ms));
+            self.account(&entry.account).inherit(consumed);
+        }
         for (name, row_version, ledger) in ledgers {
             let granted = ledger.granted(&holder);
             let consumed = match journal {
--- a/crates/fescuewell_forward/tests/quota.rs
+++ b/crates/fescuewell_forward/tests/quota.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{ACCOUNT, Fate, World};
-use fescuewell_forward::quota::Verdict;
 use fescuewell_forward::quota::row::{Entry, Grant, Journal, Ledger};
+use fescuewell_forward::quota::{Quota, Verdict};
 use proptest::prelude::*;
 
 /// One thing that happens.
@@ -380,3 +380,40 @@
         let _ = Journal::decode(&bytes);
     }
 }
+
+/// Symptom: an account would get more than its total. Sequence: a process starts while an account's ledger cannot be read
+/// (another program version wrote it), takes over and journals; later the ledger can be read again. Cause: an account
+/// without a readable ledger counted as one of which nothing was consumed.
+#[test]
+fn an_unreadable_ledger_is_not_taken_for_an_empty_one() {
+    let account: std::sync::Arc<str> = ACCOUNT.into();
+    let former = Journal {
+        incarnation: 1,
+        at_ms: 1_000,
+        entries: vec![Entry {
+            account: account.clone(),
+            consumed: 9_000,
+            burst: 0,
+            rate: 0,
+            later_rate: 0,
+        }],
+    };
+    let mut quota = Quota::new("entry-0".into(), 0);
+    quota.prepaid(&account, Some(10_000));
+    quota.clock(2_000, 0);
+
+    let journal = quota.adopt(Some(&former), 1, Vec::new(), 2_000, 0);
+    quota.journal_written(&journal, 2);
+    let mut ledger = Ledger::default();
+    ledger.set(Grant {
+        holder: "entry-0".into(),
+        granted: 10_000,
+    });
+    quota.learn(&account, 3, ledger, 2_000);
+
+    assert_eq!(
+        journal.entry(ACCOUNT).map(|entry| entry.consumed),
+        Some(9_000)
+    );
+    assert_ne!(quota.hold(&account, 2_000, 10), Verdict::Held);
+}
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -4,11 +4,12 @@
 
 use fescuewell_forward::choice::{Load, Query, pick};
 use fescuewell_forward::health::{Health, Outcome};
-use fescuewell_forward::server::{Entry, Registry, State};
+use fescuewell_forward::server::{Entry, LAPSING_SILENCE_MS, Movement, Registry, Said, State};
 
 fn entry(id: &str, state: State) -> Entry {
     Entry {
         id: id.into(),
+        born: None,
         service: "pool".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "a".into(),
@@ -17,6 +18,39 @@
     }
 }
 
+fn born(id: &str, born: u64) -> Entry {
+    Entry {
+        born: Some(born),
+        ..entry(id, State::Ready)
+    }
+}
+
+fn row(version: u64, entry: Entry) -> Movement {
+    Movement {
+        id: entry.id.clone(),
+        version,
+        said: Said::Entry(entry),
+    }
+}
+
+fn removal(id: &str, version: u64) -> Movement {
+    Movement {
+        id: id.into(),
+        version,
+        said: Said::Removed,
+    }
+}
+
+fn unreadable(id: &str, version: u64) -> Movement {
+    Movement {
+        id: id.into(),
+        version,
+        said: Said::Unreadable {
+            reason: "not an entry".into(),
+        },
+    }
+}
+
 fn entries(count: usize) -> Vec<Arc<Entry>> {
     let ids = (0..count).map(|index| format!("i-{index}"));
     ids.map(|id| Arc::new(entry(&id, State::Ready))).collect()
@@ -47,44 +81,166 @@
     registry.snapshot(
         5,
         vec![
-            (3, entry("i-0", State::Ready)),
-            (4, entry("i-1", State::Ready)),
+            row(3, entry("i-0", State::Ready)),
+            row(4, entry("i-1", State::Ready)),
         ],
+        0,
     );
-    registry.change(&"i-0".into(), 9, None);
+    registry.change(removal("i-0", 9), 0);
 
     registry.snapshot(
         6,
         vec![
-            (3, entry("i-0", State::Ready)),
-            (4, entry("i-1", State::Ready)),
+            row(3, entry("i-0", State::Ready)),
+            row(4, entry("i-1", State::Ready)),
         ],
+        0,
     );
 
     assert!(!registry.is_known("i-0"));
-    assert!(registry.is_ready("i-1"));
+    assert!(registry.is_ready("i-1", 0));
 }
 
 #[test]
 fn an_older_entry_does_not_undo_a_drain() {
     let mut registry = Registry::default();
-    registry.change(&"i-0".into(), 7, Some(entry("i-0", State::Draining)));
+    registry.change(row(7, entry("i-0", State::Draining)), 0);
 
-    registry.change(&"i-0".into(), 6, Some(entry("i-0", State::Ready)));
+    registry.change(row(6, entry("i-0", State::Ready)), 0);
 
-    assert!(!registry.is_ready("i-0"));
+    assert!(!registry.is_ready("i-0", 0));
 }
 
 #[test]
 fn a_server_that_a_newer_list_lacks_is_gone() {
     let mut registry = Registry::default();
-    registry.snapshot(5, vec![(3, entry("i-0", State::Ready))]);
+    registry.snapshot(5, vec![row(3, entry("i-0", State::Ready))], 0);
+
+    registry.snapshot(8, Vec::new(), 0);
+
+    assert!(!registry.is_known("i-0"));
+}
+
+/// Symptom: prompts were sent to a server as if it kept their parts, and it was left out for failures of a process that was
+/// gone. Sequence: a server crashes and starts again under its name. Cause: what was observed went by the name alone.
+#[test]
+fn a_server_that_started_again_is_known_for_nothing() {
+    let mut registry = Registry::default();
+    let mut health = Health::default();
+    let mut load = Load::default();
+    let before = born("i-0", 1_000);
+    registry.change(row(1, before.clone()), 0);
+    health.outcome(&before.id, Outcome::Bad, 0);
+    health.outcome(&before.id, Outcome::Bad, 0);
+    load.keep("a", &before.id, 0);
+
+    registry.change(row(2, born("i-0", 2_000)), 10);
+    for id in registry.take_ended() {
+        health.forget(&id);
+        load.forget(&id);
+    }
+
+    assert!(registry.is_reborn(&before));
+    assert!(registry.is_ready("i-0", 10));
+    assert!(!health.is_out("i-0", 10));
+    let candidates = entries(6);
+    let fresh = chosen(&candidates, &shared("a"), &Load::default(), &health);
+    assert_eq!(chosen(&candidates, &shared("a"), &load, &health), fresh);
+}
+
+#[test]
+fn a_heartbeat_of_the_same_start_ends_nothing() {
+    let mut registry = Registry::default();
+    registry.change(row(1, born("i-0", 1_000)), 0);
+
+    registry.change(row(2, born("i-0", 1_000)), 10);
+
+    assert!(registry.take_ended().is_empty());
+    assert!(!registry.is_reborn(&born("i-0", 1_000)));
+}
+
+/// Symptom: a server got no work for as long as it lived. Sequence: its address answers for another server, which marks it as
+/// leaving; it starts again under its name. Cause looked for: a mark that outlives the start that it was made for.
+#[test]
+fn a_mark_of_leaving_ends_with_the_start() {
+    let mut registry = Registry::default();
+    registry.change(row(1, born("i-0", 1_000)), 0);
+    registry.mark_draining("i-0");
+    assert!(!registry.is_ready("i-0", 0));
+
+    registry.change(row(2, born("i-0", 2_000)), 0);
 
-    registry.snapshot(8, Vec::new());
+    assert!(registry.is_ready("i-0", 0));
+}
+
+/// Symptom: requests were refused for want of a server for two seconds after each long outage of the store. Sequence: the
+/// store is away, entries lapse since no heartbeat arrives; it returns and its list is empty until the next heartbeats.
+/// Cause: an entry that is missing counted as gone at once.
+#[test]
+fn entries_that_lapsed_in_an_outage_hold_for_two_seconds() {
+    let mut registry = Registry::default();
+    registry.snapshot(
+        5,
+        vec![
+            row(3, entry("i-0", State::Ready)),
+            row(4, entry("i-1", State::Ready)),
+        ],
+        0,
+    );
+
+    registry.store_returned(LAPSING_SILENCE_MS, 10_000);
+    registry.snapshot(8, Vec::new(), 10_000);
+    registry.change(removal("i-1", 9), 10_100);
+    let early = registry.ready("pool", 11_900).count();
+    registry.change(row(10, entry("i-0", State::Ready)), 11_950);
+
+    assert_eq!(early, 2);
+    assert!(registry.is_ready("i-0", 60_000));
+    assert!(!registry.is_ready("i-1", 12_000));
+    assert_eq!(registry.ready("pool", 12_000).count(), 1);
+}
+
+#[test]
+fn after_a_short_silence_a_missing_server_is_gone_at_once() {
+    let mut registry = Registry::default();
+    registry.snapshot(5, vec![row(3, entry("i-0", State::Ready))], 0);
+
+    registry.store_returned(LAPSING_SILENCE_MS - 1, 10_000);
+    registry.change(removal("i-0", 9), 10_000);
 
     assert!(!registry.is_known("i-0"));
 }
 
+/// Symptom: no server at all was known, and every request was refused. Sequence: something else writes a row into the list.
+/// Cause: one row that could not be read made the whole list unreadable.
+#[test]
+fn a_row_that_names_no_server_leaves_the_others() {
+    let mut registry = Registry::default();
+    let rows = vec![row(3, entry("i-0", State::Ready)), unreadable("i-1", 4)];
+
+    let news = registry.snapshot(5, rows, 0);
+    let repeated = registry.change(unreadable("i-1", 4), 0);
+
+    assert!(registry.is_ready("i-0", 0));
+    assert!(!registry.is_known("i-1"));
+    assert_eq!(news.len(), 2);
+    assert!(!repeated, "it would be logged with every reading");
+}
+
+#[test]
+fn a_server_whose_row_was_overwritten_gets_no_work_until_it_writes_again() {
+    let mut registry = Registry::default();
+    registry.change(row(3, entry("i-0", State::Ready)), 0);
+
+    registry.store_returned(LAPSING_SILENCE_MS, 0);
+    registry.change(unreadable("i-0", 4), 0);
+    let between = registry.is_ready("i-0", 0);
+    registry.change(row(5, entry("i-0", State::Ready)), 0);
+
+    assert!(!between);
+    assert!(registry.is_ready("i-0", 0));
+}
+
 /// Symptom: requests went on failing at a server whose health check was good. Sequence: it fails what it is sent. Cause: only
 /// the health check was believed.
 #[test]
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -9,11 +9,11 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::{Configuration, Table};
-use fescuewell_forward::server::Entry;
+use fescuewell_forward::server::{Movement, Said};
 
 use super::{CALL, Control, PAUSE};
-use crate::gateway::Stage;
-use crate::source::{Movement, News};
+use crate::gateway::{Stage, State};
+use crate::source::News;
 
 /// How long a call waits for changes. Short, since a connection that has gone silent shows only when the
 /// answer is overdue, and a change must be in force within two seconds.
@@ -135,36 +135,69 @@
 }
 
 fn list(control: &Control, news: News<Vec<Movement>>) {
-    let rows = news.content.into_iter();
-    let rows = rows.filter_map(|change| Some((change.version, change.entry?)));
-    let rows: Vec<(u64, Entry)> = rows.collect();
-    let count = rows.len();
+    let count = news.content.len();
+    let now_ms = control.gateway.now_ms();
     let mut state = control.gateway.state();
-    let counted = state.registry.snapshot(news.version, rows);
+    let changed = state.registry.snapshot(news.version, news.content, now_ms);
     let state = &mut *state;
     state.health.retain(|id| state.registry.is_known(id));
     log_event!(
         Event::ServerListed,
-        "servers={count} version={} counted={counted}",
-        news.version
+        "servers={count} version={} changed={}",
+        news.version,
+        changed.len()
     );
+    tell_unreadable(&changed);
+    forget_ended(control, state);
 }
 
-fn follow(control: &Control, change: Movement) {
-    let Movement { id, version, entry } = change;
-    let leaving = entry
-        .as_ref()
-        .is_none_or(|entry| entry.state == fescuewell_forward::server::State::Draining);
+fn follow(control: &Control, movement: Movement) {
+    let id = movement.id.clone();
+    let version = movement.version;
+    let now_ms = control.gateway.now_ms();
     let mut state = control.gateway.state();
-    let was_ready = state.registry.is_ready(&id);
-    if !state.registry.change(&id, version, entry) {
+    let was_ready = state.registry.is_ready(&id, now_ms);
+    if !state.registry.change(movement.clone(), now_ms) {
         return;
     }
-    let is_ready = state.registry.is_ready(&id);
-    drop(state);
-    if was_ready && leaving {
+    let is_ready = state.registry.is_ready(&id, now_ms);
+    tell_unreadable(&[movement]);
+    if was_ready && !is_ready {
         log_event!(Event::ServerLeaving, "server={id} version={version}");
     } else if !was_ready && is_ready {
         log_event!(Event::ServerListed, "server={id} version={version}");
     }
+    forget_ended(control, &mut state);
+}
+
+/// Logs rows that name no server, once for each of their versions. One such row must not hide the others: it is passed over.
+fn tell_unreadable(news: &[Movement]) {
+    for movement in news {
+        let Said::Unreadable { reason } = &movement.said else {
+            continue;
+        };
+        log_event!(
+            Event::ServerUnreadable,
+            "server={} version={} reason={}",
+            movement.id,
+            movement.version,
+            reason.replace(' ', "_")
+        );
+    }
+}
+
+/// Forgets what was observed of servers that started again: they keep no prompt part, and their failures and times were
+/// those of another process. Requests under way at the former process are told.
+fn forget_ended(control: &Control, state: &mut State) {
+    let ended = state.registry.take_ended();
+    if ended.is_empty() {
+        return;
+    }
+    for id in &ended {
+        state.health.forget(id);
+        state.load.forget(id);
+        let restarted = state.registry.is_known(id);
+        log_event!(Event::ServerEnded, "server={id} restarted={restarted}");
+    }
+    control.gateway.tell_ended();
 }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use fescuewell_forward::intake::{Action, Intake, PAUSE_MS, THROTTLE_MS};
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::retry::Budget;
-use fescuewell_forward::server::Registry;
+use fescuewell_forward::server::{LAPSING_SILENCE_MS, Registry};
 use fescuewell_forward::window::Window;
 use fescuewell_http::listener::{Gate, spawn};
 use fescuewell_http::upstream;
@@ -82,6 +82,7 @@
     open: AtomicUsize,
     wanted: flume::Sender<()>,
     planned: watch::Sender<u64>,
+    ended: watch::Sender<u64>,
     loaded: Notify,
     gate: OnceLock<Gate>,
     started: Instant,
@@ -99,6 +100,7 @@
     ) -> Result<(Arc<Self>, flume::Receiver<()>), metrics::Error> {
         let (wanted, wants) = flume::bounded(1);
         let (planned, _) = watch::channel(0);
+        let (ended, _) = watch::channel(0);
         let state = State {
             registry: Registry::default(),
             health: Health::default(),
@@ -123,6 +125,7 @@
             open: AtomicUsize::new(0),
             wanted,
             planned,
+            ended,
             loaded: Notify::new(),
             gate: OnceLock::new(),
             started: Instant::now(),
@@ -260,7 +263,12 @@
     /// Notes whether the store answers; returns whether that is news.
     pub fn set_store_up(&self, up: bool) -> bool {
         if up {
-            self.store_heard_ms.store(self.now_ms(), Ordering::Relaxed);
+            let now_ms = self.now_ms();
+            let heard_ms = self.store_heard_ms.swap(now_ms, Ordering::Relaxed);
+            let silence_ms = now_ms.saturating_sub(heard_ms);
+            if silence_ms >= LAPSING_SILENCE_MS {
+                self.state().registry.store_returned(silence_ms, now_ms);
+            }
         }
         self.store_up.swap(up, Ordering::Relaxed) != up
     }
@@ -281,6 +289,16 @@
         self.planned.send_modify(|count| *count += 1);
     }
 
+    /// Tells requests under way that backend servers have started again or are gone.
+    pub fn tell_ended(&self) {
+        self.ended.send_modify(|count| *count += 1);
+    }
+
+    /// Wakes when backend servers have started again or are gone.
+    pub fn ends(&self) -> watch::Receiver<u64> {
+        self.ended.subscribe()
+    }
+
     /// Tells that the own load has changed.
     pub fn tell_loaded(&self) {
         self.loaded.notify_one();
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -187,7 +187,7 @@
         let now_ms = self.gateway.now_ms();
         let draw = self.gateway.draw();
         let mut state = self.gateway.state();
-        let all: Vec<&Arc<Entry>> = state.registry.ready(&self.service.name).collect();
+        let all: Vec<&Arc<Entry>> = state.registry.ready(&self.service.name, now_ms).collect();
         let listed = all.len();
         let fresh: Vec<&Arc<Entry>> = all
             .into_iter()
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -63,11 +63,17 @@
         };
         let target = Target::new(place.server.address).with_deadline(until);
         let sent_at = Instant::now();
-        let opened = self
-            .gateway
-            .client
-            .open(&target, request, self.timeouts())
-            .await;
+        let lost = place.lost();
+        tokio::pin!(lost);
+        let client = &self.gateway.client;
+        let opened = tokio::select! {
+            biased;
+            opened = client.open(&target, request, self.timeouts()) => opened,
+            () = &mut lost => {
+                self.sends += 1;
+                return self.lost(place);
+            }
+        };
         let exchange = match opened {
             Ok(exchange) => exchange,
             Err(Error::NotSent { reason }) => {
@@ -81,7 +87,19 @@
                 return self.unknown(place, &error);
             }
         };
-        self.receive(place, exchange, sent_at).await
+        let received = tokio::select! {
+            biased;
+            received = self.receive(place, exchange, sent_at) => Some(received),
+            () = &mut lost => None,
+        };
+        received.unwrap_or_else(|| self.lost(place))
+    }
+
+    /// The server has started again while the request was under way there.
+    fn lost(&mut self, place: &Place) -> Attempt {
+        self.mark_run();
+        self.note(place, "unknown", "the server has started again");
+        Attempt::Unknown
     }
 
     async fn receive(
@@ -231,7 +249,7 @@
         Attempt::Unknown
     }
 
-    fn note(&self, place: &Place, what: &'static str, reason: &str) {
+    pub(crate) fn note(&self, place: &Place, what: &'static str, reason: &str) {
         self.gateway.metrics.attempt(&self.service.name, what);
         let reason = reason.replace(' ', "_");
         log_event!(
--- a/crates/fescuewell_gateway/src/job/place.rs
+++ b/crates/fescuewell_gateway/src/job/place.rs
@@ -35,22 +35,41 @@
         self.gateway.tell_loaded();
     }
 
+    /// Waits until the server has started again: it then knows nothing of the request, and an answer that has not come
+    /// never will. Without this a connection that has gone silent is waited for until the deadline.
+    pub(crate) fn lost(&self) -> impl Future<Output = ()> + use<> {
+        let gateway = self.gateway.clone();
+        let server = self.server.clone();
+        async move {
+            let mut ends = gateway.ends();
+            while !gateway.state().registry.is_reborn(&server) {
+                if ends.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        }
+    }
+
     /// Notes how long the server took: for a whole answer, or between two events.
     pub(crate) fn time(&self, time: Duration) {
         let now_ms = self.gateway.now_ms();
         let time_ms = time.as_secs_f64() * 1_000.0;
         let mut state = self.gateway.state();
-        state.health.time(&self.server.id, time_ms, now_ms);
+        if !state.registry.is_reborn(&self.server) {
+            state.health.time(&self.server.id, time_ms, now_ms);
+        }
     }
 
     /// Notes how the request ended at this server.
     pub(crate) fn judge(&self, outcome: Outcome) {
         let now_ms = self.gateway.now_ms();
-        let ejected = self
-            .gateway
-            .state()
-            .health
-            .outcome(&self.server.id, outcome, now_ms);
+        let mut state = self.gateway.state();
+        if state.registry.is_reborn(&self.server) {
+            // How the former process ended says nothing of the new one.
+            return;
+        }
+        let ejected = state.health.outcome(&self.server.id, outcome, now_ms);
+        drop(state);
         if ejected {
             log_event!(
                 Event::ServerEjected,
--- a/crates/fescuewell_gateway/src/source.rs
+++ b/crates/fescuewell_gateway/src/source.rs
@@ -1,24 +1,12 @@
 //! Where the configuration and the list of backend servers come from.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use fescuewell_forward::config::Configuration;
-use fescuewell_forward::server::Entry;
+use fescuewell_forward::server::Movement;
 
 use crate::store::Pending;
 
-/// One backend server's change: its entry, or its removal.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Movement {
-    /// The server.
-    pub id: Arc<str>,
-    /// Version of the change.
-    pub version: u64,
-    /// What it now says of itself; nothing once it is gone.
-    pub entry: Option<Entry>,
-}
-
 /// A reading of the source.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct News<Content> {
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -145,7 +145,7 @@
                 return self.done(&place, "broken_off");
             };
             let begun = (Instant::now(), cutter.taken());
-            match self.pump(&sink, &mut cutter, exchange, first).await {
+            match self.pump(&sink, &mut cutter, exchange, first, &place).await {
                 Ending::Whole => {
                     place.judge(Outcome::Good);
                     let events = cutter.taken().saturating_sub(begun.1 + 1);
@@ -184,8 +184,11 @@
         cutter: &mut Cutter,
         mut exchange: Exchange,
         first: Bytes,
+        place: &Place,
     ) -> Ending {
         let mut chunk = first;
+        let lost = place.lost();
+        tokio::pin!(lost);
         loop {
             let before = cutter.taken();
             let Ok(events) = cutter.push(&chunk) else {
@@ -195,7 +198,15 @@
             if !events.is_empty() && sink.send(events).await.is_err() {
                 return Ending::CallerGone;
             }
-            chunk = match exchange.next_chunk().await {
+            let next = tokio::select! {
+                biased;
+                next = exchange.next_chunk() => next,
+                () = &mut lost => {
+                    self.note(place, "broken", "the server has started again");
+                    return Ending::Broken;
+                }
+            };
+            chunk = match next {
                 Some(Ok(chunk)) => chunk,
                 Some(Err(error)) => {
                     log_event!(
--- a/crates/fescuewell_standin/src/sample.rs
+++ b/crates/fescuewell_standin/src/sample.rs
@@ -44,7 +44,7 @@
 pub fn entry(address: SocketAddr, state: &str) -> Value {
     json!({
         "service": "pool", "address": address.to_string(), "zone": "a", "version": "v1",
-        "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1
+        "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1, "born": 1_000
     })
 }
 
--- a/tests/forward/configuration.rs
+++ b/tests/forward/configuration.rs
@@ -1,9 +1,10 @@
 //! The configuration in force, and the list of backend servers.
 
 use fescuewell::standin::rows::Fault;
-use fescuewell::standin::worker::wait_until;
+use fescuewell::standin::sample;
+use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
 
-use crate::fixture::{Fixture, Request, configuration};
+use crate::fixture::{Fixture, Request, configuration, send};
 
 #[test]
 fn an_accepted_configuration_is_in_force_without_a_restart() {
@@ -103,3 +104,66 @@
 
     assert_eq!(addresses, [fixture.front.to_string()]);
 }
+
+/// Symptom: every request was refused for want of a server. Sequence: something else writes rows into the list of backend
+/// servers: bytes, another type, a state that does not exist. Cause: one such row made the whole list unreadable.
+#[test]
+fn rows_of_another_writer_leave_the_list_in_use() {
+    let mut fixture = Fixture::platform(2, 1_000_000);
+    fixture
+        .store
+        .put("servers", "", "i-bytes", &[0xff, 0xfe, 0x00]);
+    fixture.store.put("servers", "", "i-list", b"[1, 2]");
+    fixture.start();
+    fixture.wait_ready();
+
+    let mut resting = sample::entry(fixture.workers[1].address(), "resting");
+    fixture
+        .store
+        .put("servers", "", "i-1", resting.to_string().as_bytes());
+    fixture.wait_server_gone("i-1");
+    let answer = fixture.send(&Request::new("GET /safe/x", "r-1"));
+    resting["state"] = "ready".into();
+    fixture
+        .store
+        .put("servers", "", "i-1", resting.to_string().as_bytes());
+
+    fixture.wait_server("i-1", true);
+    assert_eq!(answer.status, 200);
+    assert!(fixture.workers[1].runs().is_empty());
+}
+
+/// Symptom: a caller waited for its whole deadline. Sequence: a server gets a request, crashes and starts again under its name,
+/// and the connection stays silent. Cause: a start was told by the name alone.
+#[test]
+fn a_request_at_a_server_that_started_again_goes_on_elsewhere() {
+    let fixture = Fixture::ready(2, 1_000_000);
+    for worker in &fixture.workers {
+        worker.next(&[Behaviour::Pause(2)]);
+    }
+    let front = fixture.front;
+    let request = Request::new("POST /stream/x", "r-1").with("X-Fescuewell-Deadline-Ms", "20000");
+    let asked = std::thread::spawn(move || send(front, &request));
+    let at = || {
+        fixture
+            .workers
+            .iter()
+            .position(|worker| !worker.runs().is_empty())
+    };
+    assert!(wait_until(|| at().is_some()));
+    let first = at().unwrap();
+    // The other one answers without a pause.
+    fixture.workers[1 - first].release();
+
+    let mut entry = sample::entry(fixture.workers[first].address(), "ready");
+    entry["born"] = 9_000.into();
+    let key = format!("i-{first}");
+    fixture
+        .store
+        .put("servers", "", &key, entry.to_string().as_bytes());
+
+    let answer = asked.join().unwrap().unwrap();
+    assert!(answer.whole);
+    assert_eq!(answer.events(), (1..=EVENTS).collect::<Vec<u64>>());
+    assert_eq!(fixture.workers[1 - first].runs().len(), 1);
+}
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -152,16 +152,21 @@
             "the instance never became ready"
         );
         let listed = || {
-            let state = self.daemon.as_ref().unwrap().gateway().state();
-            state.registry.ready("pool").count() == self.workers.len()
+            let gateway = self.daemon.as_ref().unwrap().gateway();
+            let now_ms = gateway.now_ms();
+            let state = gateway.state();
+            state.registry.ready("pool", now_ms).count() == self.workers.len()
         };
         assert!(wait_until(listed), "the backend servers were never listed");
     }
 
     /// Waits until a backend server is listed and takes requests, or not.
     pub fn wait_server(&self, id: &str, is_ready: bool) {
-        let daemon = self.daemon.as_ref().unwrap();
-        let is_so = || daemon.gateway().state().registry.is_ready(id) == is_ready;
+        let gateway = self.daemon.as_ref().unwrap().gateway();
+        let is_so = || {
+            let now_ms = gateway.now_ms();
+            gateway.state().registry.is_ready(id, now_ms) == is_ready
+        };
         assert!(wait_until(is_so), "{id} never became ready={is_ready}");
     }
 
--- a/tests/forward/refusals.rs
+++ b/tests/forward/refusals.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 
+use fescuewell::standin::sample;
 use proptest::prelude::*;
 
 use crate::fixture::{Fixture, Request, read_answer};
@@ -62,10 +63,7 @@
 #[test]
 fn a_server_at_a_reused_address_does_not_run_the_request() {
     let fixture = Fixture::ready(1, 1_000_000);
-    let entry = serde_json::json!({
-        "service": "pool", "address": fixture.workers[0].address().to_string(), "zone": "a",
-        "slots": 8, "state": "ready"
-    });
+    let entry = sample::entry(fixture.workers[0].address(), "ready");
     fixture
         .store
         .put("servers", "", "i-gone", entry.to_string().as_bytes());
