Try: refuse at arrival what the forecast says would wait too long

Change: a forecast of the first event from tokens that wait at the chosen server and the speed that first events have shown; a stream expected after twice its target is refused before it is sent, with the time at which its prompt could be read.

--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod choice;
 pub mod config;
 pub mod directory;
+pub mod forecast;
 pub mod health;
 pub mod intake;
 pub mod quota;
