Take the forecast back

What would be needed: tokens that wait counted without the parts that the server keeps, and a speed for each server.

--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod choice;
 pub mod config;
 pub mod directory;
-pub mod forecast;
 pub mod health;
 pub mod intake;
 pub mod quota;
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -10,7 +10,6 @@
 use fescuewell_forward::choice::Load;
 use fescuewell_forward::config::Table;
 use fescuewell_forward::directory::Directory;
-use fescuewell_forward::forecast::Forecast;
 use fescuewell_forward::health::Health;
 use fescuewell_forward::intake::{Action, Intake, PAUSE_MS, THROTTLE_MS};
 use fescuewell_forward::quota::Quota;
@@ -51,8 +50,6 @@
     pub health: Health,
     /// Requests under way at them.
     pub load: Load,
-    /// How soon they would answer.
-    pub forecast: Forecast,
     /// Prepaid tokens.
     pub quota: Quota,
     /// Repeats.
@@ -108,7 +105,6 @@
             registry: Registry::default(),
             health: Health::default(),
             load: Load::default(),
-            forecast: Forecast::default(),
             quota: Quota::new(settings.name.clone(), 0),
             retry: Budget::new(settings.retry),
             directory: Directory::default(),
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -50,7 +50,6 @@
     tried: Vec<Arc<str>>,
     may_have_run: bool,
     has_repeat: bool,
-    come_back: Option<Duration>,
     timed_out: bool,
     held_ms: u128,
     first_ms: u128,
@@ -85,7 +84,6 @@
             tried: Vec::new(),
             may_have_run: false,
             has_repeat: false,
-            come_back: None,
             timed_out: false,
             held_ms: 0,
             first_ms: 0,
@@ -209,19 +207,6 @@
             draw,
         };
         let chosen = choice::pick(&fresh, &query, &state.load, &state.health, now_ms).cloned();
-        if let Some(server) = &chosen
-            && self.sends == 0
-            && self.route.kind.is_stream()
-        {
-            let own = self.facts.tokens.map_or(0, |tokens| tokens.prompt);
-            let ahead = state.load.unread(&server.id) + own;
-            let target = self.route.target_latency;
-            let service = &self.service.name;
-            self.come_back = state.forecast.come_back(service, ahead, target, now_ms);
-            if self.come_back.is_some() {
-                return Err(Code::QueueFull);
-            }
-        }
         if let (Some(server), Some(part)) = (&chosen, query.affinity) {
             state.load.keep(part, &server.id, now_ms);
         }
@@ -294,7 +279,7 @@
     }
 
     fn refuse(&self, reply: Reply, code: Code) {
-        self.refuse_as(reply, code, self.come_back);
+        self.refuse_as(reply, code, None);
     }
 
     fn refuse_as(&self, reply: Reply, code: Code, wait: Option<Duration>) {
--- a/crates/fescuewell_gateway/src/job/place.rs
+++ b/crates/fescuewell_gateway/src/job/place.rs
@@ -1,7 +1,7 @@
 //! A request's place at a backend server.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
@@ -15,38 +15,23 @@
     gateway: Arc<Gateway>,
     pub(crate) server: Arc<Entry>,
     unread: u64,
-    /// Prompt tokens that were to be read there when this request came, its own included.
-    ahead: u64,
-    taken: Instant,
 }
 
 impl Place {
     pub(super) fn take(gateway: &Arc<Gateway>, server: Arc<Entry>, unread: u64) -> Self {
-        let ahead = {
-            let mut state = gateway.state();
-            state.load.begin(&server.id, unread);
-            state.load.unread(&server.id)
-        };
+        gateway.state().load.begin(&server.id, unread);
         gateway.tell_loaded();
         Self {
             gateway: gateway.clone(),
             server,
             unread,
-            ahead,
-            taken: Instant::now(),
         }
     }
 
     /// The first event shows that the prompt has been read.
     pub(super) fn first_event(&mut self) {
         let unread = std::mem::take(&mut self.unread);
-        let now_ms = self.gateway.now_ms();
-        let took_ms = self.taken.elapsed().as_secs_f64() * 1_000.0;
-        let mut state = self.gateway.state();
-        state.load.read(&self.server.id, unread);
-        let service = &self.server.service;
-        state.forecast.observe(service, self.ahead, took_ms, now_ms);
-        drop(state);
+        self.gateway.state().load.read(&self.server.id, unread);
         self.gateway.tell_loaded();
     }
 
