Count as waiting at a server only what it has to read

Cause: the choice of a server weighs the prompt tokens that wait there against reading a shared part again. It counted whole prompts, also the shared part that the server keeps: four fifths of a prompt with 13,300 shared and 3,720 own tokens. A server that keeps a part that many ask for therefore looked busy, and the part was read again elsewhere.

Change: a request counts its prompt without the shared part where its server is known to keep that.

Test: replays five requests of one part; the choice before would have read 10,000 tokens again for 50,000 that did not wait.

--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -149,6 +149,17 @@
         }
     }
 
+    /// Tokens that a server would have to read for a prompt of `prompt` tokens: without the shared part that it keeps.
+    pub fn to_read(&self, prompt: u64, query: &Query<'_>, id: &str) -> u64 {
+        let is_kept = query
+            .affinity
+            .is_some_and(|part| self.kept.holds(part_number(part), id));
+        match is_kept {
+            true => prompt.saturating_sub(query.shared_tokens),
+            false => prompt,
+        }
+    }
+
     /// The own load, for the others.
     pub fn report(&mut self, instance: Arc<str>, number: u64, now_ms: u64) -> Report {
         self.kept
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -373,6 +373,28 @@
     assert_eq!(&*server, "i-1");
 }
 
+/// Symptom: shared parts were read again at one server while another kept them and had little to read. Sequence: five requests
+/// of one part are under way at the server that keeps it. Cause: their whole prompts counted as tokens to be read there, though all
+/// but their own ends was kept.
+#[test]
+fn what_a_server_keeps_does_not_count_as_waiting_there() {
+    let candidates = entries(4);
+    let health = Health::default();
+    let query = shared("a");
+    let mut load = Load::default();
+    let keeper = chosen(&candidates, &query, &load, &health);
+    load.keep("a", &keeper, 0);
+
+    for _ in 0..5 {
+        let unread = load.to_read(12_000, &query, &keeper);
+        load.begin(&keeper, unread);
+    }
+
+    assert_eq!(load.unread(&keeper), 5 * 2_000);
+    assert_eq!(load.to_read(12_000, &query, "i-other"), 12_000);
+    assert_eq!(chosen(&candidates, &query, &load, &health), keeper);
+}
+
 /// Symptom: on a fleet with 140 backend servers instances knew nothing of each other's load. Sequence: an instance has requests at
 /// a hundred of them. Cause: its report was larger than a packet and was not sent.
 #[test]
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -207,6 +207,10 @@
             draw,
         };
         let chosen = choice::pick(&fresh, &query, &state.load, &state.health, now_ms).cloned();
+        let prompt = self.facts.tokens.map_or(0, |tokens| tokens.prompt);
+        let unread = chosen
+            .as_ref()
+            .map_or(0, |server| state.load.to_read(prompt, &query, &server.id));
         if let (Some(server), Some(part)) = (&chosen, query.affinity) {
             state.load.keep(part, &server.id, now_ms);
         }
@@ -230,7 +234,6 @@
             self.tenant.as_ref().map_or("-", |tenant| &tenant.name)
         );
         self.tried.push(server.id.clone());
-        let unread = self.facts.tokens.map_or(0, |tokens| tokens.prompt);
         Ok(Place::take(&self.gateway, server, unread))
     }
 
