Tell from log files which requests were not served, when and why

Change: the command losses counts refused, failed and abandoned requests by cause, span of time and account, and what restarts charged without a record; explain shares its reading of lines and shows servers that started again. Tests run the program.

It does not tell late answers, since lines do not say the target, nor prices.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -26,6 +26,7 @@
   router --settings FILE       one entry instance with the product's own interface
   console --settings FILE      the operators' console
   explain ID FILE...           the story of one request from log files
+  losses FILE...               which requests were not served, when and why, from log files
   check FILE                   check a settings file or a configuration document
   config get|check|apply ...   read, check or replace the document through the console
   hash-key                     read a key from standard input, print the hash that documents keep
--- a/src/command.rs
+++ b/src/command.rs
@@ -9,7 +9,9 @@
 mod entry;
 mod explain;
 mod issue;
+mod lines;
 mod log;
+mod losses;
 mod router;
 mod standin;
 mod stop;
@@ -29,6 +31,7 @@
         "entry" => Some(entry::HELP),
         "explain" => Some(explain::HELP),
         "issue-certificates" => Some(issue::HELP),
+        "losses" => Some(losses::HELP),
         "router" => Some(router::HELP),
         "stand-in" => Some(standin::HELP),
         _ => None,
@@ -56,6 +59,7 @@
             fescuewell::console::password::hash(password).map_err(Error::failed)
         }),
         "issue-certificates" => issue::run(arguments),
+        "losses" => losses::run(arguments),
         "router" => router::run(arguments),
         "stand-in" => standin::run(arguments),
         _ => Err(usage(format!("there is no command {command}"))),
