--- a/tools/reference/tests/hazards.rs
+++ b/tools/reference/tests/hazards.rs
@@ -21,6 +21,8 @@
         "fescuewell_crate::module",
         "crate::file::test",
         "path::file::test",
+        "program::file::test",
+        "adapter::file::test",
         "scenario::name",
     ];
     let paths = quoted.filter(|text| text.contains("::") && !examples.contains(text));
@@ -47,23 +49,24 @@
         [krate, module @ ..] if krate.starts_with("fescuewell_") => {
             file(&root().join("crates").join(krate).join("src"), module).is_some()
         }
-        ["path", tests, test] => {
-            file(&root().join("tests/forward"), &[tests]).is_some_and(|file| {
-                let text = fs::read_to_string(file).unwrap_or_default();
-                text.contains(&format!("fn {test}("))
-            })
-        }
+        ["path", tests, test] => has_test(&root().join("tests/forward"), tests, test),
+        ["program", tests, test] => has_test(&root().join("tests"), tests, test),
+        ["adapter", tests, test] => has_test(&root().join("platform/tests"), tests, test),
         [krate, tests, test] => {
             let directory = root().join(format!("crates/fescuewell_{krate}/tests"));
-            file(&directory, &[tests]).is_some_and(|file| {
-                let text = fs::read_to_string(file).unwrap_or_default();
-                text.contains(&format!("fn {test}("))
-            })
+            has_test(&directory, tests, test)
         }
         _ => false,
     }
 }
 
+fn has_test(directory: &Path, tests: &str, test: &str) -> bool {
+    file(directory, &[tests]).is_some_and(|file| {
+        let text = fs::read_to_string(file).unwrap_or_default();
+        text.contains(&format!("fn {test}("))
+    })
+}
+
 // Symptom: the page says that a hazard is tested, and nothing tests it.
 // Sequence: a test or module was renamed or taken out; the page stayed as it was.
 // Cause: names that nobody looks up.
