--- a/crates/fescuewell_forward/src/intake.rs
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -34,8 +34,8 @@
 /// are; they would lose two seconds at each move, and most instances that they may come to are as small. Always to send
 /// them away served a large account at 0.11 to 0.15, and all others at 0.75 or more, where its callers send 1.8 times what is let in.
 ///
-/// A full link is left at once: connections to backend servers and calls to the store fail behind it too. To wait for this part there
-/// as well lost 0.04 of mean worth on a fleet whose callers fill the links.
+/// A full link is left at once: connections to backend servers and calls to the store fail behind it too. That no play has
+/// shown apart yet.
 const HOPELESS_PART: f64 = 0.6;
 /// Time for which new connections are kept out after a request that was too much, in milliseconds. Short, so that what is
 /// let in stays near the bound, and far below the seconds after which a ready instance would be missed.
--- a/crates/fescuewell_forward/tests/intake.rs
+++ b/crates/fescuewell_forward/tests/intake.rs
@@ -115,9 +115,7 @@
     assert!(went);
 }
 
-/// Symptom: on a fleet with narrow links a fifth of the requests of a quiet day failed. Sequence: callers fill a link; the instance
-/// stays until most of three seconds were lost, and nothing that it has under way gets through meanwhile. Cause: a full link was
-/// borne as long as a busy processor.
+/// What is under way at an instance does not get through a full link, so that a full link is not borne as a busy processor is.
 #[test]
 fn a_full_link_is_left_at_once() {
     let mut intake = spared(10.0, 0.12);
