--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -101,6 +101,9 @@
     ConnectionsKeptOut = 5016, Info, "connections.kept_out", "New connections of callers are refused until what is being sent fits again.";
     JournalAdopted = 5011, Info, "journal.adopted", "What the former process of this instance may have spent was taken over.";
     JournalLost = 5012, Error, "journal.lost", "Another process writes this instance's journal; nothing more is spent here.";
+    JournalOverdue = 5017, Warn, "journal.overdue", "The journal cannot be renewed; a restart now would be charged what was promised since the last one.";
+    JournalRenewed = 5018, Info, "journal.renewed", "An overdue journal was written; the charge of a restart is small again.";
+    TableSilent = 5019, Info, "table.silent", "A call to the table service failed while it was known to be down.";
     SettingsReloaded = 5013, Info, "settings.reloaded", "The settings were read again.";
     KeysReloaded = 5010, Info, "keys.reloaded", "Certificate, key and authority were read again and are in use.";
 
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -22,6 +22,7 @@
 
 mod account;
 pub mod clock;
+pub mod exposure;
 pub mod pace;
 pub mod plan;
 pub mod row;
@@ -31,6 +32,7 @@
 
 pub use account::Account;
 use clock::StoreClock;
+use exposure::Exposure;
 use plan::{Peer, Peers};
 use row::{Journal, Ledger, Usage};
 
@@ -55,6 +57,7 @@
     accounts: HashMap<Arc<str>, Account>,
     clock: StoreClock,
     journal_version: u64,
+    journal_at_ms: u64,
     adopted: bool,
     closing: bool,
     is_named: bool,
@@ -72,6 +75,7 @@
             accounts: HashMap::new(),
             clock: StoreClock::default(),
             journal_version: 0,
+            journal_at_ms: 0,
             adopted: false,
             closing: false,
             is_named: true,
@@ -154,6 +158,21 @@
         self.accounts.get(account)
     }
 
+    /// What a restart at `now_ms` would be charged, against what has been consumed.
+    pub fn exposure(&self, now_ms: u64) -> Exposure {
+        let store_ms = self.clock.at(now_ms);
+        let mut exposure = Exposure {
+            age_ms: store_ms.saturating_sub(self.journal_at_ms),
+            ..Exposure::default()
+        };
+        for account in self.accounts.values() {
+            exposure.recorded += account.recorded();
+            exposure.consumed += account.consumed();
+            exposure.promised += account.promised(store_ms).max(account.consumed());
+        }
+        exposure
+    }
+
     /// Whether the former incarnation's journal has been taken over.
     pub fn is_adopted(&self) -> bool {
         self.adopted
@@ -269,6 +288,7 @@
         self.unanswered = None;
         self.may_be_written = false;
         self.journal_version = version;
+        self.journal_at_ms = journal.at_ms;
         self.adopted = true;
         for entry in &journal.entries {
             if let Some(account) = self.accounts.get_mut(&entry.account) {
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -58,6 +58,7 @@
     granted: u64,
     returning: Option<Returning>,
     consumed: u64,
+    recorded: u64,
     paces: Vec<Pace>,
     version: u64,
     ledger: Ledger,
@@ -77,6 +78,7 @@
             granted: 0,
             returning: None,
             consumed: 0,
+            recorded: 0,
             paces: Vec::new(),
             version: 0,
             ledger: Ledger::default(),
@@ -110,6 +112,16 @@
         }
     }
 
+    /// Consumed or held back as of the last journal that was written.
+    pub fn recorded(&self) -> u64 {
+        self.recorded
+    }
+
+    /// Most that a restart of this process at `store_ms` would be charged.
+    pub fn promised(&self, store_ms: u64) -> u64 {
+        self.ceiling(store_ms).min(self.granted)
+    }
+
     /// What is left of the grant.
     pub fn left(&self) -> u64 {
         self.granted().saturating_sub(self.consumed)
@@ -189,9 +201,13 @@
 
     /// What the paces that may be in force leave.
     fn paced(&self, store_ms: u64) -> u64 {
+        self.ceiling(store_ms).saturating_sub(self.consumed)
+    }
+
+    /// What the paces that may be in force allow in all.
+    fn ceiling(&self, store_ms: u64) -> u64 {
         let ceilings = self.paces.iter().map(|pace| pace.ceiling(store_ms));
-        let ceiling = ceilings.min().unwrap_or(0);
-        ceiling.saturating_sub(self.consumed)
+        ceilings.min().unwrap_or(0)
     }
 
     /// Whether the fleet as a whole has not enough for the request, as far as the rows tell. A row that was read
@@ -271,6 +287,7 @@
 
     /// A journal with this entry is in force, and no earlier one can be any more.
     pub(super) fn rebind(&mut self, entry: &Entry, at_ms: u64) {
+        self.recorded = entry.consumed;
         self.paces.clear();
         self.paces.push(Pace::new(entry, at_ms));
     }
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -4,16 +4,20 @@
 mod ledger;
 mod members;
 mod money;
+mod overdue;
 mod peers;
 mod rows;
 mod watch;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 
+use tokio::time::Instant;
+
 use crate::gateway::Gateway;
 use crate::source::Source;
 use crate::store::{Error, Store};
@@ -25,11 +29,15 @@
     store: Arc<dyn Store>,
     source: Arc<dyn Source>,
     wants: flume::Receiver<()>,
+    next_silent_ms: Arc<AtomicU64>,
 }
 
 /// Longest time for one call to the store. It answers within milliseconds; one that was slowed down fiftyfold still
 /// fits, and a connection that has gone silent costs no more than this.
 const CALL: Duration = Duration::from_millis(1_200);
+/// Least time between two lines on calls that fail while the store is known to be down, in milliseconds: enough to see
+/// when it was tried, and a bounded volume however often it is.
+const SILENT_EVERY_MS: u64 = 500;
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -46,6 +54,7 @@
             store,
             source,
             wants,
+            next_silent_ms: Arc::default(),
         }
     }
 
@@ -55,28 +64,50 @@
         let servers = watch::servers(&self);
         let money = money::run(&self);
         let peers = peers::run(&self);
-        tokio::join!(configuration, servers, money, peers);
+        let overdue = overdue::run(&self);
+        tokio::join!(configuration, servers, money, peers, overdue);
     }
 
-    /// Notes what a call to the store came to.
-    fn heard<Answer>(&self, answer: &Result<Answer, Error>, call: &str) {
+    /// Notes what a call to the store came to, and the time that it took.
+    fn heard<Answer>(&self, answer: &Result<Answer, Error>, call: &str, took: Duration) {
         let up = matches!(answer, Ok(_) | Err(Error::Compacted));
-        if !self.gateway.set_store_up(up) {
-            return;
-        }
+        let silence = self.gateway.store_silence();
+        let is_news = self.gateway.set_store_up(up);
+        let took_ms = took.as_millis();
         match answer {
-            Err(error) if !up => {
+            Err(error) if !up && is_news => {
                 let reason = error.to_string().replace(' ', "_");
                 log_event!(Event::TableDown, "call={call} reason={reason}");
             }
+            Err(error) if !up => self.still_down(error, call, took_ms),
+            _ if !is_news => {}
             _ => {
-                log_event!(Event::TableUp, "call={call}");
+                log_event!(
+                    Event::TableUp,
+                    "call={call} took_ms={took_ms} silent_ms={}",
+                    silence.as_millis()
+                );
                 // The journal is as old as the outage, and a restart now would be charged for all of that.
                 self.gateway.want_tokens();
             }
         }
     }
 
+    /// Logs a call that failed while the store was known to be down.
+    fn still_down(&self, error: &Error, call: &str, took_ms: u128) {
+        let now_ms = self.gateway.now_ms();
+        if now_ms < self.next_silent_ms.load(Ordering::Relaxed) {
+            return;
+        }
+        let next_ms = now_ms + SILENT_EVERY_MS;
+        self.next_silent_ms.store(next_ms, Ordering::Relaxed);
+        let reason = error.to_string().replace(' ', "_");
+        log_event!(
+            Event::TableSilent,
+            "call={call} took_ms={took_ms} reason={reason}"
+        );
+    }
+
     /// Limits a call's time: an answer that does not come in time is missing.
     async fn call<Answer, Call>(
         &self,
@@ -87,6 +118,7 @@
     where
         Call: Future<Output = Result<Answer, Error>>,
     {
+        let begun = Instant::now();
         let answer = tokio::time::timeout(limit, call).await;
         let answer = answer.unwrap_or_else(|_| {
             Err(Error::Unknown {
@@ -100,7 +132,7 @@
             Err(Error::Compacted) => "compacted",
         };
         self.gateway.metrics.store_call(name, outcome);
-        self.heard(&answer, name);
+        self.heard(&answer, name, begun.elapsed());
         answer
     }
 }
--- a/crates/fescuewell_gateway/src/control/journal.rs
+++ b/crates/fescuewell_gateway/src/control/journal.rs
@@ -6,6 +6,7 @@
 use fescuewell_forward::quota::row::Journal;
 
 use super::ledger::{LEDGERS, MONEY, decode_ledger};
+use super::overdue::OVERDUE_MS;
 use super::rows::{decode, place, read};
 use super::{CALL, Control, PAUSE};
 use crate::store::{Change, Error, Outcome, Place, Row};
@@ -100,7 +101,17 @@
         }
         state.quota.journal(now_ms)
     };
-    write_journal(control, &journal).await;
+    let before = control.gateway.state().quota.exposure(now_ms);
+    let was_overdue = before.age_ms >= OVERDUE_MS && before.consumed > before.recorded;
+    if write_journal(control, &journal).await && was_overdue {
+        log_event!(
+            Event::JournalRenewed,
+            "journal_age_ms={} recorded={} consumed={}",
+            before.age_ms,
+            before.recorded,
+            before.consumed
+        );
+    }
 }
 
 async fn write_journal(control: &Control, journal: &Journal) -> bool {
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -3,7 +3,9 @@
 //! Two kinds of transactions: the *journal* of this instance and its member row, which nobody else writes, and
 //! the *ledgers* of the client accounts, which all instances change on condition of their versions.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 use super::Control;
 use super::journal::{adopt, journal};
@@ -65,7 +67,7 @@
 impl Duty<'_> {
     async fn step(&mut self) {
         let next = self.journal_at.min(self.plan_at);
-        let wanted = tokio::time::timeout_at(next.into(), self.control.wants.recv_async()).await;
+        let wanted = tokio::time::timeout_at(next, self.control.wants.recv_async()).await;
         if matches!(wanted, Ok(Ok(()))) {
             self.serve_waiting().await;
         }
@@ -92,11 +94,11 @@
         let gateway = &self.control.gateway;
         let needs_plan = gateway.state().quota.needs_plan();
         if needs_plan || gateway.is_leaving() {
-            tokio::time::sleep_until((self.planned_at + PLAN_PAUSE).into()).await;
+            tokio::time::sleep_until(self.planned_at + PLAN_PAUSE).await;
             self.plan().await;
         } else {
             let pause = self.journal_pause();
-            tokio::time::sleep_until((self.journaled_at + pause).into()).await;
+            tokio::time::sleep_until(self.journaled_at + pause).await;
         }
         self.journal().await;
         self.control.gateway.tell_planned();
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -4,12 +4,13 @@
 //! while changes are made, and a whole reading can be old; so the whole is read again now and then, and nothing
 //! older than what is known counts.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::{Configuration, Table};
 use fescuewell_forward::server::{Movement, Said};
+use tokio::time::Instant;
 
 use super::{CALL, Control, PAUSE};
 use crate::gateway::{Stage, State};
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use fescuewell_core::log_event;
@@ -21,6 +21,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use crate::dialect::Dialect;
 use crate::metrics::{self, Metrics};
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -137,9 +137,12 @@
             let version = gateway
                 .table()
                 .map_or(0, |table| table.configuration().version);
-            let (servers, instances) = {
+            let now_ms = gateway.now_ms();
+            let (servers, instances, exposure) = {
                 let state = gateway.state();
-                (state.registry.entries().count(), state.directory.count())
+                let servers = state.registry.entries().count();
+                let exposure = state.quota.exposure(now_ms);
+                (servers, state.directory.count(), exposure)
             };
             let values = [
                 ("configuration_version", version as f64),
@@ -147,6 +150,10 @@
                     "store_silent_seconds",
                     gateway.store_silence().as_secs_f64(),
                 ),
+                ("journal_age_seconds", exposure.age_ms as f64 / 1_000.0),
+                ("tokens_recorded", exposure.recorded as f64),
+                ("tokens_consumed", exposure.consumed as f64),
+                ("tokens_promised", exposure.promised as f64),
                 ("servers", servers as f64),
                 ("instances", instances as f64),
                 ("ready", f64::from(u8::from(gateway.takes_callers()))),
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -19,7 +19,7 @@
 ";
 
 /// Titles of lines that tell of a change of belief.
-const BELIEFS: [&str; 19] = [
+const BELIEFS: [&str; 22] = [
     "process.started",
     "process.ready",
     "drain.started",
@@ -35,6 +35,9 @@
     "allowance.reclaimed",
     "journal.adopted",
     "journal.lost",
+    "journal.overdue",
+    "journal.renewed",
+    "table.silent",
     "peer.lost",
     "peer.joined",
     "settings.reloaded",
