--- a/crates/fescuewell_forward/tests/common/mod.rs
+++ b/crates/fescuewell_forward/tests/common/mod.rs
@@ -1,4 +1,6 @@
 //! A store in memory and instances that spend from it, driven step by step.
+// Each test file uses a part of it.
+#![allow(dead_code)]
 
 use std::sync::Arc;
 
@@ -274,6 +276,17 @@
         verdict
     }
 
+    /// A request asks for tokens wherever the fleet can find them at once.
+    pub fn serve(&mut self, index: usize, tokens: u64) -> bool {
+        self.hold(index, tokens) == Verdict::Held
+    }
+
+    /// What an instance counts as consumed.
+    pub fn consumed(&self, index: usize) -> u64 {
+        let view = self.instances[index].quota.view(ACCOUNT);
+        view.map_or(0, |account| account.consumed())
+    }
+
     /// The oldest request of an instance ends, having used a part of its tokens.
     pub fn settle(&mut self, index: usize, percent: u64) {
         let instance = &mut self.instances[index];
--- /dev/null
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -0,0 +1,295 @@
+//! One instance's duties in virtual time, against a store in memory that can fall silent.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fescuewell_forward::config::{Configuration, Tenant};
+use fescuewell_forward::quota::row::Journal;
+use fescuewell_forward::server::Movement;
+use fescuewell_gateway::control::Control;
+use fescuewell_gateway::dialect::{Dialect, Facts, Names};
+use fescuewell_gateway::gateway::Gateway;
+use fescuewell_gateway::settings::Settings;
+use fescuewell_gateway::source::{News, Source};
+use fescuewell_gateway::store::{Change, Error, Outcome, Pending, Place, Reading, Row, Store};
+use http::{HeaderMap, HeaderName};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+/// The only client account.
+pub const ACCOUNT: &str = "group";
+/// The instance's name.
+pub const INSTANCE: &str = "entry-1";
+/// Time of one call to the store while it answers.
+const LATENCY: Duration = Duration::from_millis(4);
+
+/// How the store behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Answers each call.
+    Answer,
+    /// Never answers a call that reaches it now, not even once it is back.
+    Silent,
+    /// Refuses each call at once.
+    Refuse,
+}
+
+struct Content {
+    behaviour: Behaviour,
+    version: u64,
+    rows: BTreeMap<(Arc<str>, Arc<str>, Arc<str>), (Vec<u8>, u64)>,
+}
+
+/// A store of rows in memory, and the configuration in it.
+pub struct Memory {
+    content: Mutex<Content>,
+    started: Instant,
+    configuration: Configuration,
+}
+
+impl Memory {
+    pub fn new(prepaid: u64) -> Arc<Self> {
+        let tenant = Tenant {
+            name: ACCOUNT.into(),
+            keys: vec!["key".into()],
+            priority: None,
+            prepaid: Some(prepaid),
+        };
+        Arc::new(Self {
+            content: Mutex::new(Content {
+                behaviour: Behaviour::Answer,
+                version: 1,
+                rows: BTreeMap::new(),
+            }),
+            started: Instant::now(),
+            configuration: Configuration {
+                version: 1,
+                tenants: vec![Arc::new(tenant)],
+                ..Configuration::default()
+            },
+        })
+    }
+
+    pub fn set(&self, behaviour: Behaviour) {
+        self.content().behaviour = behaviour;
+    }
+
+    /// The store's clock in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        1_000_000 + self.started.elapsed().as_millis() as u64
+    }
+
+    /// The instance's journal as it stands.
+    pub fn journal(&self) -> Journal {
+        let content = self.content();
+        let key = ("journal".into(), INSTANCE.into(), INSTANCE.into());
+        let (value, _) = &content.rows[&key];
+        Journal::decode(value).unwrap()
+    }
+
+    fn content(&self) -> MutexGuard<'_, Content> {
+        self.content.lock().unwrap()
+    }
+
+    /// One call: how the store behaves at its arrival decides.
+    async fn arrive(&self) -> Result<(), Error> {
+        let behaviour = self.content().behaviour;
+        match behaviour {
+            Behaviour::Answer => {}
+            Behaviour::Silent => std::future::pending().await,
+            Behaviour::Refuse => {
+                return Err(Error::NotDone {
+                    reason: "refused".into(),
+                });
+            }
+        }
+        tokio::time::sleep(LATENCY).await;
+        Ok(())
+    }
+
+    async fn news<Content>(&self, content: Content) -> Result<News<Content>, Error> {
+        self.arrive().await?;
+        Ok(News {
+            content,
+            version: 1,
+            now_ms: self.now_ms(),
+        })
+    }
+
+    fn reading(&self, places: &[Place]) -> Reading {
+        let content = self.content();
+        let rows = places.iter().filter_map(|place| {
+            let (value, version) = content.rows.get(&key(place))?;
+            Some(Row {
+                place: place.clone(),
+                value: Some(value.clone()),
+                version: *version,
+            })
+        });
+        Reading {
+            rows: rows.collect(),
+            version: content.version,
+            now_ms: self.now_ms(),
+        }
+    }
+
+    fn places(&self, table: &str, part: &str) -> Vec<Place> {
+        let content = self.content();
+        let keys = content.rows.keys();
+        let wanted = keys.filter(|(of, within, _)| **of == *table && **within == *part);
+        wanted
+            .map(|(table, part, key)| Place {
+                table: table.clone(),
+                part: part.clone(),
+                key: key.clone(),
+            })
+            .collect()
+    }
+
+    fn apply(&self, change: &Change) -> Outcome {
+        let mut content = self.content();
+        for (place, wanted) in &change.expects {
+            let version = content.rows.get(&key(place)).map_or(0, |row| row.1);
+            if version == *wanted {
+                continue;
+            }
+            drop(content);
+            let places: Vec<Place> = change.expects.iter().map(|(at, _)| at.clone()).collect();
+            return Outcome::Conflict(self.reading(&places));
+        }
+        content.version += 1;
+        let version = content.version;
+        for (place, value) in &change.puts {
+            content.rows.insert(key(place), (value.clone(), version));
+        }
+        for place in &change.removes {
+            content.rows.remove(&key(place));
+        }
+        Outcome::Done {
+            version,
+            now_ms: self.now_ms(),
+        }
+    }
+}
+
+fn key(place: &Place) -> (Arc<str>, Arc<str>, Arc<str>) {
+    (place.table.clone(), place.part.clone(), place.key.clone())
+}
+
+impl Store for Memory {
+    fn read<'a>(&'a self, table: &'a str, part: &'a str) -> Pending<'a, Reading> {
+        Box::pin(async move {
+            self.arrive().await?;
+            Ok(self.reading(&self.places(table, part)))
+        })
+    }
+
+    fn commit<'a>(&'a self, change: &'a Change) -> Pending<'a, Outcome> {
+        Box::pin(async move {
+            self.arrive().await?;
+            Ok(self.apply(change))
+        })
+    }
+}
+
+impl Source for Memory {
+    fn configuration(&self) -> Pending<'_, News<Option<Configuration>>> {
+        Box::pin(self.news(Some(self.configuration.clone())))
+    }
+
+    fn configuration_after(
+        &self,
+        _: u64,
+        wait: Duration,
+    ) -> Pending<'_, News<Option<Configuration>>> {
+        Box::pin(async move {
+            tokio::time::sleep(wait).await;
+            self.news(None).await
+        })
+    }
+
+    fn servers(&self) -> Pending<'_, News<Vec<Movement>>> {
+        Box::pin(self.news(Vec::new()))
+    }
+
+    fn servers_after(&self, _: u64, wait: Duration) -> Pending<'_, News<Vec<Movement>>> {
+        Box::pin(async move {
+            tokio::time::sleep(wait).await;
+            self.news(Vec::new()).await
+        })
+    }
+}
+
+/// A manner of speaking that no caller uses here.
+struct Silence(Names);
+
+fn names() -> Names {
+    let name = HeaderName::from_static("x-unused");
+    Names {
+        request_id: name.clone(),
+        deadline: name.clone(),
+        key: name.clone(),
+        tenant: name.clone(),
+        expected_server: name.clone(),
+        urgency: name.clone(),
+        seal: name.clone(),
+        not_run: name.clone(),
+        last_event: name,
+        reserved: Vec::new(),
+    }
+}
+
+impl Dialect for Silence {
+    fn names(&self) -> &Names {
+        &self.0
+    }
+
+    fn facts(&self, _: &HeaderMap) -> Facts {
+        Facts::default()
+    }
+
+    fn directory_path(&self) -> &str {
+        "/"
+    }
+
+    fn ready_path(&self) -> &str {
+        "/"
+    }
+
+    fn addresses(&self, _: &[SocketAddr], _: Duration) -> Bytes {
+        Bytes::new()
+    }
+
+    fn content_type(&self) -> &str {
+        ""
+    }
+}
+
+/// Plays a scenario beside the duties of one instance, in virtual time that jumps from event to event. `seed` decides what
+/// the instance draws at random.
+pub fn play<Scenario, Play>(prepaid: u64, seed: u64, scenario: Scenario) -> Play::Output
+where
+    Scenario: FnOnce(Arc<Gateway>, Arc<Memory>) -> Play,
+    Play: Future,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(async move {
+        let store = Memory::new(prepaid);
+        let settings = Settings::new(INSTANCE, "127.0.0.1:0".parse().unwrap());
+        let (gateway, wants) = Gateway::new(settings, Arc::new(Silence(names()))).unwrap();
+        gateway.state().random = SmallRng::seed_from_u64(seed);
+        let control = Control::new(gateway.clone(), store.clone(), store.clone(), wants);
+        tokio::select! {
+            () = control.run() => unreachable!("the duties end with the process"),
+            output = scenario(gateway, store) => output,
+        }
+    })
+}
