--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -233,6 +233,11 @@
         journal
     }
 
+    /// Whether the answer to an earlier journal is missing.
+    pub fn is_journal_unanswered(&self) -> bool {
+        self.unanswered.is_some()
+    }
+
     fn new_journal(&mut self, now_ms: u64) -> Journal {
         let at_ms = self.clock.at(now_ms);
         let closing = self.closing;
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -6,6 +6,7 @@
 mod money;
 mod overdue;
 mod peers;
+mod probe;
 mod rows;
 mod watch;
 
@@ -35,9 +36,20 @@
 /// Longest time for one call to the store. It answers within milliseconds; one that was slowed down fiftyfold still
 /// fits, and a connection that has gone silent costs no more than this.
 const CALL: Duration = Duration::from_millis(1_200);
+/// Times between calls vary from this part,
+const SPREAD_FROM: f64 = 0.9;
+/// to this part of what they should be.
+const SPREAD_TO: f64 = 1.1;
 /// Least time between two lines on calls that fail while the store is known to be down, in milliseconds: enough to see
 /// when it was tried, and a bounded volume however often it is.
 const SILENT_EVERY_MS: u64 = 500;
+/// Time that a call which was sent into an outage is still waited for once another one has been answered, counted from its
+/// beginning: an answer takes some milliseconds.
+///
+/// Without this each duty waited for its own lost call first, up to [`CALL`] long and one after the other: the journal was as
+/// old as the outage for more than 0.2 s after the store's return in 23 of 25 outages played in virtual time, and a loss of
+/// power then was charged for all of it.
+const OVERTAKEN: Duration = Duration::from_millis(60);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -65,7 +77,8 @@
         let money = money::run(&self);
         let peers = peers::run(&self);
         let overdue = overdue::run(&self);
-        tokio::join!(configuration, servers, money, peers, overdue);
+        let probe = probe::run(&self);
+        tokio::join!(configuration, servers, money, peers, overdue, probe);
     }
 
     /// Notes what a call to the store came to, and the time that it took.
@@ -93,6 +106,22 @@
         }
     }
 
+    /// Ends when the store is back and a call that was begun before has had its time.
+    async fn overtaken(&self, begun: Instant) {
+        let mut returns = self.gateway.returns();
+        if returns.changed().await.is_err() {
+            // The gateway is gone, and nobody waits for calls any more.
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep_until(begun + OVERTAKEN).await;
+    }
+
+    /// Varies a time, so that instances that started together do not call at the same moment for ever.
+    fn spread(&self, time: Duration) -> Duration {
+        let part = self.gateway.draw() as f64 / u64::MAX as f64;
+        time.mul_f64(SPREAD_FROM + (SPREAD_TO - SPREAD_FROM) * part)
+    }
+
     /// Logs a call that failed while the store was known to be down.
     fn still_down(&self, error: &Error, call: &str, took_ms: u128) {
         let now_ms = self.gateway.now_ms();
@@ -119,12 +148,16 @@
         Call: Future<Output = Result<Answer, Error>>,
     {
         let begun = Instant::now();
-        let answer = tokio::time::timeout(limit, call).await;
-        let answer = answer.unwrap_or_else(|_| {
-            Err(Error::Unknown {
-                reason: "no answer in time".into(),
-            })
-        });
+        let into_outage = !self.gateway.is_store_up();
+        let answer = tokio::select! {
+            answer = tokio::time::timeout(limit, call) => answer,
+            () = self.overtaken(begun), if into_outage => {
+                // It says nothing of the store as it is now.
+                self.gateway.metrics.store_call(name, "overtaken");
+                return Err(missing("another call was answered"));
+            }
+        };
+        let answer = answer.unwrap_or_else(|_| Err(missing("no answer in time")));
         let outcome = match &answer {
             Ok(_) => "answered",
             Err(Error::NotDone { .. }) => "not_done",
@@ -136,3 +169,9 @@
         answer
     }
 }
+
+fn missing(reason: &str) -> Error {
+    Error::Unknown {
+        reason: reason.into(),
+    }
+}
--- a/crates/fescuewell_gateway/src/control/journal.rs
+++ b/crates/fescuewell_gateway/src/control/journal.rs
@@ -1,5 +1,7 @@
 //! The journal of this instance: what its next process may have to be charged for.
 
+use std::time::Duration;
+
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::quota::Account;
@@ -7,9 +9,9 @@
 
 use super::ledger::{LEDGERS, MONEY, decode_ledger};
 use super::overdue::OVERDUE_MS;
-use super::rows::{decode, place, read};
+use super::rows::{decode, place, read, read_within};
 use super::{CALL, Control, PAUSE};
-use crate::store::{Change, Error, Outcome, Place, Row};
+use crate::store::{Change, Error, Outcome, Place, Reading, Row};
 
 /// Table of the instances' journals.
 const JOURNALS: &str = "journal";
@@ -20,6 +22,11 @@
     place(JOURNALS, name, name)
 }
 
+/// Reads the own journal, and waits for it so long.
+pub(super) async fn read_own(control: &Control, limit: Duration) -> Result<Reading, Error> {
+    read_within(control, JOURNALS, &control.gateway.settings.name, limit).await
+}
+
 /// Takes over what the former process of this instance may have spent. Until that has succeeded nothing may be
 /// spent, so it is tried until it does.
 pub(super) async fn adopt(control: &Control) {
@@ -34,7 +41,7 @@
     };
     let gateway = &control.gateway;
     let asked_ms = gateway.now_ms();
-    let Ok(journals) = read(control, JOURNALS, &gateway.settings.name).await else {
+    let Ok(journals) = read_own(control, CALL).await else {
         return false;
     };
     // The own clock began when this process started, and the former one had ended by then. Counting back from
@@ -93,25 +100,35 @@
 
 /// Writes the journal as it stands.
 pub(super) async fn journal(control: &Control) {
+    if !control.gateway.state().quota.is_adopted() {
+        return;
+    }
     let now_ms = control.gateway.now_ms();
-    let journal = {
-        let mut state = control.gateway.state();
-        if !state.quota.is_adopted() {
-            return;
-        }
-        state.quota.journal(now_ms)
-    };
     let before = control.gateway.state().quota.exposure(now_ms);
-    let was_overdue = before.age_ms >= OVERDUE_MS && before.consumed > before.recorded;
-    if write_journal(control, &journal).await && was_overdue {
-        log_event!(
-            Event::JournalRenewed,
-            "journal_age_ms={} recorded={} consumed={}",
-            before.age_ms,
-            before.recorded,
-            before.consumed
-        );
+    // An earlier try whose answer is missing is given again, and speaks of the time of that try.
+    let is_given_again = control.gateway.state().quota.is_journal_unanswered();
+    if !write(control).await {
+        return;
+    }
+    if is_given_again && !write(control).await {
+        return;
+    }
+    if before.age_ms < OVERDUE_MS || before.consumed == before.recorded {
+        return;
     }
+    log_event!(
+        Event::JournalRenewed,
+        "journal_age_ms={} recorded={} consumed={}",
+        before.age_ms,
+        before.recorded,
+        before.consumed
+    );
+}
+
+async fn write(control: &Control) -> bool {
+    let now_ms = control.gateway.now_ms();
+    let journal = control.gateway.state().quota.journal(now_ms);
+    write_journal(control, &journal).await
 }
 
 async fn write_journal(control: &Control, journal: &Journal) -> bool {
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -11,6 +11,7 @@
 use super::journal::{adopt, journal};
 use super::ledger::{ledgers, plan};
 use super::members::{members, sign};
+use super::overdue::is_overdue;
 use super::watch::ready_if_complete;
 
 /// Time between two journals in a small fleet. What a process may have spent is known to its successor as of the
@@ -32,10 +33,6 @@
 const WRITE_SHARE: f64 = 0.4;
 /// Part of one part's transactions that all journals, and all plans, may take.
 const PART_SHARE: f64 = 0.3;
-/// Times between writes vary from this part,
-const SPREAD_FROM: f64 = 0.9;
-/// to this part of what they should be.
-const SPREAD_TO: f64 = 1.1;
 
 struct Duty<'a> {
     control: &'a Control,
@@ -72,6 +69,10 @@
             self.serve_waiting().await;
         }
         let now = Instant::now();
+        if is_overdue(self.control) {
+            // Behind an outage this cannot wait for the plan: a kill now would be charged for all of that time.
+            self.journal().await;
+        }
         if now >= self.plan_at {
             self.plan_at = now + self.every(PLAN_EVERY);
             sign(self.control).await;
@@ -127,10 +128,8 @@
         let gateway = &self.control.gateway;
         let instances = gateway.state().directory.count() as f64;
         let share = instances / (gateway.settings.part_writes * PART_SHARE);
-        // Spread out, so that instances that started together do not write at the same moment for ever.
-        let spread =
-            SPREAD_FROM + (SPREAD_TO - SPREAD_FROM) * (gateway.draw() as f64 / u64::MAX as f64);
-        least.max(Duration::from_secs_f64(share)).mul_f64(spread)
+        self.control
+            .spread(least.max(Duration::from_secs_f64(share)))
     }
 
     async fn plan(&mut self) {
--- a/crates/fescuewell_gateway/src/control/overdue.rs
+++ b/crates/fescuewell_gateway/src/control/overdue.rs
@@ -23,17 +23,20 @@
     }
 }
 
-fn tell(control: &Control) {
+/// Whether the journal could not be renewed for long. While nothing is held it is renewed rarely, and a kill costs nothing.
+pub(super) fn is_overdue(control: &Control) -> bool {
     let gateway = &control.gateway;
-    // While nothing is held the journal is renewed rarely, and a kill costs nothing.
-    if gateway.is_store_up() {
-        return;
-    }
     let now_ms = gateway.now_ms();
-    let exposure = gateway.state().quota.exposure(now_ms);
-    if exposure.age_ms < OVERDUE_MS {
+    let quota = &gateway.state().quota;
+    !quota.is_idle() && quota.exposure(now_ms).age_ms >= OVERDUE_MS
+}
+
+fn tell(control: &Control) {
+    if control.gateway.is_store_up() || !is_overdue(control) {
         return;
     }
+    let now_ms = control.gateway.now_ms();
+    let exposure = control.gateway.state().quota.exposure(now_ms);
     log_event!(
         Event::JournalOverdue,
         "journal_age_ms={} recorded={} consumed={} promised={}",
--- a/crates/fescuewell_gateway/src/control/rows.rs
+++ b/crates/fescuewell_gateway/src/control/rows.rs
@@ -1,5 +1,7 @@
 //! Reading rows, and what is said of rows that cannot be read.
 
+use std::time::Duration;
+
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 
@@ -20,8 +22,18 @@
 }
 
 pub(super) async fn read(control: &Control, table: &str, part: &str) -> Result<Reading, Error> {
+    read_within(control, table, part, CALL).await
+}
+
+/// Reads the rows of a part, and waits for them so long.
+pub(super) async fn read_within(
+    control: &Control,
+    table: &str,
+    part: &str,
+    limit: Duration,
+) -> Result<Reading, Error> {
     let reading = control.store.read(table, part);
-    let reading = control.call(table, CALL, reading).await?;
+    let reading = control.call(table, limit, reading).await?;
     let now_ms = control.gateway.now_ms();
     control.gateway.state().quota.clock(reading.now_ms, now_ms);
     Ok(reading)
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -84,6 +84,7 @@
     wanted: flume::Sender<()>,
     planned: watch::Sender<u64>,
     ended: watch::Sender<u64>,
+    returned: watch::Sender<u64>,
     loaded: Notify,
     gate: OnceLock<Gate>,
     started: Instant,
@@ -102,6 +103,7 @@
         let (wanted, wants) = flume::bounded(1);
         let (planned, _) = watch::channel(0);
         let (ended, _) = watch::channel(0);
+        let (returned, _) = watch::channel(0);
         let state = State {
             registry: Registry::default(),
             health: Health::default(),
@@ -127,6 +129,7 @@
             wanted,
             planned,
             ended,
+            returned,
             loaded: Notify::new(),
             gate: OnceLock::new(),
             started: Instant::now(),
@@ -271,7 +274,16 @@
                 self.state().registry.store_returned(silence_ms, now_ms);
             }
         }
-        self.store_up.swap(up, Ordering::Relaxed) != up
+        let is_news = self.store_up.swap(up, Ordering::Relaxed) != up;
+        if up && is_news {
+            self.returned.send_modify(|count| *count += 1);
+        }
+        is_news
+    }
+
+    /// Wakes when the store answers again.
+    pub fn returns(&self) -> watch::Receiver<u64> {
+        self.returned.subscribe()
     }
 
     /// Requests under way.
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! One instance's duties in virtual time, against a store in memory that can fall silent.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -41,7 +41,7 @@
 struct Content {
     behaviour: Behaviour,
     version: u64,
-    rows: BTreeMap<(Arc<str>, Arc<str>, Arc<str>), (Vec<u8>, u64)>,
+    rows: HashMap<Place, (Vec<u8>, u64)>,
 }
 
 /// A store of rows in memory, and the configuration in it.
@@ -63,7 +63,7 @@
             content: Mutex::new(Content {
                 behaviour: Behaviour::Answer,
                 version: 1,
-                rows: BTreeMap::new(),
+                rows: HashMap::new(),
             }),
             started: Instant::now(),
             configuration: Configuration {
@@ -86,8 +86,12 @@
     /// The instance's journal as it stands.
     pub fn journal(&self) -> Journal {
         let content = self.content();
-        let key = ("journal".into(), INSTANCE.into(), INSTANCE.into());
-        let (value, _) = &content.rows[&key];
+        let place = Place {
+            table: "journal".into(),
+            part: INSTANCE.into(),
+            key: INSTANCE.into(),
+        };
+        let (value, _) = &content.rows[&place];
         Journal::decode(value).unwrap()
     }
 
@@ -123,7 +127,7 @@
     fn reading(&self, places: &[Place]) -> Reading {
         let content = self.content();
         let rows = places.iter().filter_map(|place| {
-            let (value, version) = content.rows.get(&key(place))?;
+            let (value, version) = content.rows.get(place)?;
             Some(Row {
                 place: place.clone(),
                 value: Some(value.clone()),
@@ -139,21 +143,15 @@
 
     fn places(&self, table: &str, part: &str) -> Vec<Place> {
         let content = self.content();
-        let keys = content.rows.keys();
-        let wanted = keys.filter(|(of, within, _)| **of == *table && **within == *part);
-        wanted
-            .map(|(table, part, key)| Place {
-                table: table.clone(),
-                part: part.clone(),
-                key: key.clone(),
-            })
-            .collect()
+        let places = content.rows.keys();
+        let wanted = places.filter(|place| *place.table == *table && *place.part == *part);
+        wanted.cloned().collect()
     }
 
     fn apply(&self, change: &Change) -> Outcome {
         let mut content = self.content();
         for (place, wanted) in &change.expects {
-            let version = content.rows.get(&key(place)).map_or(0, |row| row.1);
+            let version = content.rows.get(place).map_or(0, |row| row.1);
             if version == *wanted {
                 continue;
             }
@@ -164,10 +162,10 @@
         content.version += 1;
         let version = content.version;
         for (place, value) in &change.puts {
-            content.rows.insert(key(place), (value.clone(), version));
+            content.rows.insert(place.clone(), (value.clone(), version));
         }
         for place in &change.removes {
-            content.rows.remove(&key(place));
+            content.rows.remove(place);
         }
         Outcome::Done {
             version,
@@ -176,10 +174,6 @@
     }
 }
 
-fn key(place: &Place) -> (Arc<str>, Arc<str>, Arc<str>) {
-    (place.table.clone(), place.part.clone(), place.key.clone())
-}
-
 impl Store for Memory {
     fn read<'a>(&'a self, table: &'a str, part: &'a str) -> Pending<'a, Reading> {
         Box::pin(async move {
