Promise what the fleet needs, not what each instance may; never wait without an end for a loan

Change: lump of 0.5 requests and 2 deviations, then 80% of the demand; requests wait for the pace for 300 ms at most; a loan is waited for 150 ms at most and not at all without an address. Failed: a test of two instances over their sockets hung in three forms and was not committed; why is not traced, so the way of a loan between two processes is covered by plays only.

--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -249,7 +249,7 @@
             if account.prepaid().is_none() && account.consumed() == 0 {
                 continue;
             }
-            entries.push(account.entry(name.clone(), now_ms, burst_ms, closing));
+            entries.push(account.entry(name.clone(), now_ms, at_ms, burst_ms, closing));
         }
         entries.sort_by(|left, right| left.account.cmp(&right.account));
         let journal = Journal {
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -29,18 +29,24 @@
 const USE_UP_S: u64 = 5;
 /// The lump: requests of the usual size that an instance may serve from its grant in a cut, however little demand it has
 /// measured,
-const LUMP_REQUESTS: f64 = 2.0;
+const LUMP_REQUESTS: f64 = 0.5;
 /// and so many standard deviations of the requests that it expects in [`LUMP_S`]: those of one account come one by one,
 /// so that their number varies by its square root.
-const LUMP_DEVIATIONS: f64 = 3.0;
+const LUMP_DEVIATIONS: f64 = 2.0;
 /// Time for which the lump allows for that, in seconds: a usual cut.
 const LUMP_S: f64 = 8.0;
 /// Pace promised beyond the lump, in percent of the measured demand.
 ///
-/// Without this bound the whole grant was charged when a process was killed after 6.5 s without the store: a third of an
-/// account's total where all were killed, after which most of its requests were refused for good. A wider one (16 requests
-/// and 300%) gains 0.006 over 66 plays (standard error 0.005) and loses 0.05 to 0.1 on days with such a kill.
-const STEADY_PERCENT: u64 = 150;
+/// A restart is charged for all that its process had promised, so the promise is no wider than the whole fleet needs: an
+/// instance whose luck exceeds it borrows from the others. With 2 requests, 3 deviations and 150% a fleet killed after 12 s
+/// without the store was charged 0.31 of what was left beyond its use (20 seeds in virtual time), now 0.147, and served 0.985 of the
+/// requests meanwhile, now 0.973. 18 days with such a kill gain 0.070 of worth (standard error 0.007), 36 others -0.002 (0.005).
+const STEADY_PERCENT: u64 = 80;
+/// Time, in milliseconds, for which a request that waits for the pace counts: as long as most of them wait.
+///
+/// Without it the first journal after an outage made room for all that had been refused in it, 8.7 million tokens of 10 million in
+/// eight seconds of ten times the usual traffic, and a kill behind it was charged for them.
+const WAITING_MS: u64 = 300;
 /// Age of a row up to which it tells that an account is exhausted, in milliseconds: two plans.
 const FRESH_MS: u64 = 2_500;
 /// A request of this size is expected before any has been seen, in tokens.
@@ -55,6 +61,32 @@
     granted: u64,
 }
 
+/// Tokens of requests that wait for the pace.
+#[derive(Debug, Default, Clone, Copy)]
+struct Waiting {
+    tokens: u64,
+    since_ms: u64,
+}
+
+impl Waiting {
+    fn add(&mut self, tokens: u64, store_ms: u64) {
+        if store_ms > self.since_ms + WAITING_MS {
+            self.tokens = 0;
+            self.since_ms = store_ms;
+        }
+        self.tokens += tokens;
+    }
+
+    /// What waits at a moment; it is made room for once.
+    fn take(&mut self, store_ms: u64) -> u64 {
+        let waiting = std::mem::take(self);
+        match store_ms > waiting.since_ms + WAITING_MS {
+            true => 0,
+            false => waiting.tokens,
+        }
+    }
+}
+
 /// Grants, consumption and demand of one account.
 #[derive(Debug)]
 pub struct Account {
@@ -69,7 +101,7 @@
     pub(super) peers: Peers,
     demand: Window,
     need: Option<Need>,
-    waiting: u64,
+    waiting: Waiting,
     requests: Window,
     started_ms: Option<u64>,
     read_ms: u64,
@@ -92,7 +124,7 @@
             peers: Peers::default(),
             demand: Window::new(DEMAND_MS),
             need: None,
-            waiting: 0,
+            waiting: Waiting::default(),
             requests: Window::new(DEMAND_MS),
             started_ms: None,
             read_ms: 0,
@@ -176,7 +208,7 @@
             return Verdict::Held;
         }
         if granted {
-            self.waiting += tokens;
+            self.waiting.add(tokens, store_ms);
             let total = self.consumed + tokens;
             let times = self.paces.iter().map(|pace| pace.when(total));
             let when = times.collect::<Option<Vec<u64>>>();
@@ -260,6 +292,7 @@
         &mut self,
         account: Arc<str>,
         now_ms: u64,
+        at_ms: u64,
         burst_ms: u64,
         closing: bool,
     ) -> Entry {
@@ -267,7 +300,7 @@
         let left = self.left();
         let typical = self.typical(now_ms);
         let consumed = self.consumed;
-        let waiting = std::mem::take(&mut self.waiting);
+        let waiting = self.waiting.take(at_ms);
         if closing {
             return Entry {
                 account,
--- a/crates/fescuewell_forward/tests/quota.rs
+++ b/crates/fescuewell_forward/tests/quota.rs
@@ -198,6 +198,26 @@
     assert!(charged < 300_000, "{charged} of {granted}");
 }
 
+/// Symptom: the first journal after an outage let through most of the grant at once, and a kill right behind it was charged for
+/// that. Sequence: requests beyond the pace come and are refused while the store is away; it comes back. Cause: the journal made room
+/// for each of them as if they still waited.
+#[test]
+fn requests_refused_in_an_outage_do_not_loosen_the_next_journal() {
+    let mut world = running(1, 10_000_000);
+    ask_for_a_while(&mut world, 5_000, 500);
+    for _ in 0..400 {
+        world.store.now_ms += 20;
+        world.hold(0, 20_000);
+    }
+    world.store.now_ms += 1_000;
+
+    world.journal(0, Fate::Done);
+
+    let exposure = world.instances[0].quota.exposure(world.local(0));
+    let promised = exposure.promised - exposure.consumed;
+    assert!(promised <= 1_000_000, "{promised}");
+}
+
 /// Symptom: the first second and a half of each cut refused most requests of busy accounts that had much left. Sequence: the
 /// store goes out of reach right behind a journal. Cause: what a journal let through at once was two requests, however
 /// many came.
--- a/crates/fescuewell_gateway/src/control/lending.rs
+++ b/crates/fescuewell_gateway/src/control/lending.rs
@@ -131,16 +131,13 @@
             return reply(shortage, false);
         };
         let now_ms = gateway.now_ms();
+        let missing = self.missing(&shortage, now_ms);
+        if missing == 0 {
+            return reply(shortage, true);
+        }
         while let Some(lender) = lenders.pop_front() {
             let id = gateway.draw();
             let state = gateway.state();
-            let missing = state
-                .quota
-                .missing(&shortage.account, shortage.tokens, now_ms);
-            if missing == 0 {
-                drop(state);
-                return reply(shortage, true);
-            }
             let Some(address) = state.directory.peer(&lender) else {
                 continue;
             };
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -86,6 +86,10 @@
     pub shortages: flume::Receiver<Shortage>,
 }
 
+/// Longest time for which a request waits for tokens of other instances: three lenders have 30 ms each.
+///
+/// Where nobody takes shortages, since the instance has no address for the words of others, a request would wait for ever.
+const BORROWING: Duration = Duration::from_millis(150);
 /// Requests that may wait to have their tokens borrowed. More of them at once could not be served before their time is up.
 const MOST_SHORTAGES: usize = 256;
 
@@ -338,8 +342,12 @@
             tokens,
             reply,
         };
-        // A full channel means that others wait already, and a closed one that the process ends.
-        self.shortages.try_send(shortage).is_ok() && answer.await.unwrap_or(false)
+        if self.settings.peer.is_none() || self.shortages.try_send(shortage).is_err() {
+            // A full channel means that many wait already, and a closed one that the process ends.
+            return false;
+        }
+        let answer = tokio::time::timeout(BORROWING, answer).await;
+        matches!(answer, Ok(Ok(true)))
     }
 
     /// The key that proves instances to each other, once it was read.
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -1,4 +1,6 @@
-//! One instance's duties in virtual time, against a store in memory that can fall silent.
+//! Instances' duties against a store in memory that can fall silent.
+// Each test file uses a part of it.
+#![allow(dead_code)]
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -263,6 +265,19 @@
     }
 }
 
+/// Settings of an instance that listens nowhere.
+pub fn settings(name: &str) -> Settings {
+    Settings::new(name, "127.0.0.1:0".parse().unwrap())
+}
+
+/// An instance and its duties; `seed` decides what it draws at random.
+pub fn instance(settings: Settings, store: &Arc<Memory>, seed: u64) -> (Arc<Gateway>, Control) {
+    let (gateway, inbox) = Gateway::new(settings, Arc::new(Silence(names()))).unwrap();
+    gateway.state().random = SmallRng::seed_from_u64(seed);
+    let control = Control::new(gateway.clone(), store.clone(), store.clone(), inbox);
+    (gateway, control)
+}
+
 /// Plays a scenario beside the duties of one instance, in virtual time that jumps from event to event. `seed` decides what
 /// the instance draws at random.
 pub fn play<Scenario, Play>(prepaid: u64, seed: u64, scenario: Scenario) -> Play::Output
@@ -277,10 +292,7 @@
         .unwrap();
     runtime.block_on(async move {
         let store = Memory::new(prepaid);
-        let settings = Settings::new(INSTANCE, "127.0.0.1:0".parse().unwrap());
-        let (gateway, inbox) = Gateway::new(settings, Arc::new(Silence(names()))).unwrap();
-        gateway.state().random = SmallRng::seed_from_u64(seed);
-        let control = Control::new(gateway.clone(), store.clone(), store.clone(), inbox);
+        let (gateway, control) = instance(settings(INSTANCE), &store, seed);
         tokio::select! {
             () = control.run() => unreachable!("the duties end with the process"),
             output = scenario(gateway, store) => output,
