--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -27,6 +27,7 @@
 pub mod pace;
 pub mod plan;
 pub mod row;
+mod waiting;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -8,6 +8,7 @@
 use super::pace::{Pace, TIGHT_MS};
 use super::plan::{self, Need, Own, Peers};
 use super::row::{Entry, Grant, Ledger, Usage};
+use super::waiting::Waiting;
 use crate::window::Window;
 
 /// Span over which demand is measured, in milliseconds: long enough for a few requests of an
@@ -42,11 +43,6 @@
 /// without the store was charged 0.31 of what was left beyond its use (20 seeds in virtual time), now 0.147, and served 0.985 of the
 /// requests meanwhile, now 0.973. 18 days with such a kill gain 0.070 of worth (standard error 0.007), 36 others -0.002 (0.005).
 const STEADY_PERCENT: u64 = 80;
-/// Time, in milliseconds, for which a request that waits for the pace counts: as long as most of them wait.
-///
-/// Without it the first journal after an outage made room for all that had been refused in it, 8.7 million tokens of 10 million in
-/// eight seconds of ten times the usual traffic, and a kill behind it was charged for them.
-const WAITING_MS: u64 = 300;
 /// Age of a row up to which it tells that an account is exhausted, in milliseconds: two plans.
 const FRESH_MS: u64 = 2_500;
 /// A request of this size is expected before any has been seen, in tokens.
@@ -61,32 +57,6 @@
     granted: u64,
 }
 
-/// Tokens of requests that wait for the pace.
-#[derive(Debug, Default, Clone, Copy)]
-struct Waiting {
-    tokens: u64,
-    since_ms: u64,
-}
-
-impl Waiting {
-    fn add(&mut self, tokens: u64, store_ms: u64) {
-        if store_ms > self.since_ms + WAITING_MS {
-            self.tokens = 0;
-            self.since_ms = store_ms;
-        }
-        self.tokens += tokens;
-    }
-
-    /// What waits at a moment; it is made room for once.
-    fn take(&mut self, store_ms: u64) -> u64 {
-        let waiting = std::mem::take(self);
-        match store_ms > waiting.since_ms + WAITING_MS {
-            true => 0,
-            false => waiting.tokens,
-        }
-    }
-}
-
 /// Grants, consumption and demand of one account.
 #[derive(Debug)]
 pub struct Account {
--- a/crates/fescuewell_forward/tests/outage.rs
+++ b/crates/fescuewell_forward/tests/outage.rs
@@ -31,7 +31,7 @@
     /// Tokens left when the outage began.
     left: u64,
     /// Tokens charged at the restart and used by nobody.
-    burnt: u64,
+    unused: u64,
 }
 
 impl std::ops::AddAssign for Outcome {
@@ -39,7 +39,7 @@
         self.asked += other.asked;
         self.served += other.served;
         self.left += other.left;
-        self.burnt += other.burnt;
+        self.unused += other.unused;
     }
 }
 
@@ -142,7 +142,7 @@
         let charged: u64 = (0..PARTS.len())
             .map(|index| self.world.consumed(index))
             .sum();
-        outcome.burnt = charged
+        outcome.unused = charged
             .checked_sub(used)
             .expect("nothing that was used is free");
         outcome
@@ -182,7 +182,7 @@
     let outcome = play_all(&seeds);
 
     let served = outcome.served as f64 / outcome.asked as f64;
-    let burnt = outcome.burnt as f64 / outcome.left as f64;
-    assert!(served >= 0.85, "served {served:.3}, burnt {burnt:.3}");
-    assert!(burnt <= 0.15, "served {served:.3}, burnt {burnt:.3}");
+    let unused = outcome.unused as f64 / outcome.left as f64;
+    assert!(served >= 0.85, "served {served:.3}, unused {unused:.3}");
+    assert!(unused <= 0.15, "served {served:.3}, unused {unused:.3}");
 }
