Hold both ports of a soak's instance until both are known

Cause: seed 12036 of the long soak ended with "an instance never became ready"; the process had said "cannot listen on 127.59.58.2:43745: Address already in use". The two ports of an instance were taken one after the other, each let go at once, so that the second could be the first. Ruled out: the seed itself, which passed in four of four runs after it. Not shown: that it was this and not another process's socket; the same port twice was not seen in a log.

--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -16,9 +16,11 @@
     IpAddr::from([127, high + 1, low + 1, index as u8 + 1])
 }
 
-fn free_at(address: IpAddr) -> SocketAddr {
-    let probe = TcpListener::bind((address, 0)).unwrap();
-    probe.local_addr().unwrap()
+/// Two free ports of an address. Both are held until both are known: one that is let go at once may be given out again, and a
+/// process that is told to listen on it twice ends at its start.
+fn free_ports(address: IpAddr) -> [SocketAddr; 2] {
+    let probes = [(); 2].map(|()| TcpListener::bind((address, 0)).unwrap());
+    probes.map(|probe| probe.local_addr().unwrap())
 }
 
 pub struct Instance {
@@ -34,7 +36,7 @@
     /// Writes the settings; nothing runs yet.
     pub fn new(index: usize, seed: u64, store: SocketAddr) -> Self {
         let proxy = Proxy::start(store);
-        let (front, ready) = (free_at(own_address(index)), free_at(own_address(index)));
+        let [front, ready] = free_ports(own_address(index));
         let name = format!("fescuewell-soak-{}-{seed}-{index}.conf", std::process::id());
         let settings = std::env::temp_dir().join(name);
         let text = format!(
