Let a paused process go on before the soak waits for its end

Ruled out: the product; its threads wait for events, and all three instances drain when they may. Change: it is resumed behind the request to stop.

--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -110,9 +110,11 @@
         self.reap();
     }
 
-    /// Asks it to stop, and waits for its end.
+    /// Asks it to stop, and waits for its end. One that is paused goes on first: the request would wait as long as the pause, which
+    /// nobody ends meanwhile.
     pub fn stop(&mut self) {
         self.signal(Signal::TERM);
+        self.resume();
         self.reap();
     }
 
