Read only the ledgers in use; tell callers to come back after about as long as an outage has lasted

Cause: each instance read the ledgers of all accounts in each plan, some 35 kB with 40 accounts, though most instances of a large fleet serve two or three.

In an outage in which nobody can lend, Retry-After is the time that the outage has lasted, between 0.15 and 4 s, varied by half.

--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod choice;
+pub mod comeback;
 pub mod config;
 pub mod directory;
 pub mod health;
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -149,6 +149,12 @@
         self.accounts.values().all(|account| account.left() == 0)
     }
 
+    /// Accounts with a prepaid total that were asked for lately, or of which something is held or was used.
+    pub fn names_in_use(&mut self, now_ms: u64) -> Vec<Arc<str>> {
+        let usages = self.usage(now_ms).into_iter();
+        usages.map(|usage| usage.account).collect()
+    }
+
     /// Accounts of which requests want more than the own grants cover.
     pub fn short_names(&self) -> Vec<Arc<str>> {
         let accounts = self.accounts.iter();
--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -8,7 +8,7 @@
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::quota::row::Ledger;
 
-use super::rows::{decode, place, read};
+use super::rows::{decode, place, read, read_row};
 use super::{CALL, Control};
 use crate::store::{Change, Outcome, Reading, Row};
 
@@ -16,6 +16,9 @@
 pub(super) const LEDGERS: &str = "ledger";
 /// Part of the ledgers.
 pub(super) const MONEY: &str = "money";
+/// Accounts up to which their rows are read one by one: together they are smaller than the rows of all accounts, of which a call
+/// that reads everything has some 35 kB with 40 accounts and 25 holders.
+const MOST_SINGLE: usize = 5;
 /// Rows in one transaction: one that is in conflict holds up the others, and each costs a call.
 const ROWS: usize = 10;
 /// Tries to change ledgers that others change at the same time.
@@ -36,12 +39,25 @@
     }
 }
 
-/// Reads the accounts' rows.
+/// Reads the rows of the accounts in use here: one by one where they are few, as at most instances of a large fleet.
 pub(super) async fn ledgers(control: &Control) {
-    let Ok(reading) = read(control, LEDGERS, MONEY).await else {
-        return;
+    let names = {
+        let now_ms = control.gateway.now_ms();
+        control.gateway.state().quota.names_in_use(now_ms)
     };
-    learn(&mut control.gateway.state().quota, &reading);
+    if names.len() > MOST_SINGLE {
+        let Ok(reading) = read(control, LEDGERS, MONEY).await else {
+            return;
+        };
+        return learn(&mut control.gateway.state().quota, &reading);
+    }
+    for name in names {
+        let place = place(LEDGERS, MONEY, &name);
+        let Ok(reading) = read_row(control, &place).await else {
+            return;
+        };
+        learn(&mut control.gateway.state().quota, &reading);
+    }
 }
 
 /// Brings the ledgers of the accounts to what the plan says, against others who do the same.
--- a/crates/fescuewell_gateway/src/control/rows.rs
+++ b/crates/fescuewell_gateway/src/control/rows.rs
@@ -25,6 +25,15 @@
     read_within(control, table, part, CALL).await
 }
 
+/// Reads one row.
+pub(super) async fn read_row(control: &Control, at: &Place) -> Result<Reading, Error> {
+    let reading = control.store.read_row(at);
+    let reading = control.call(&at.table, CALL, reading).await?;
+    let now_ms = control.gateway.now_ms();
+    control.gateway.state().quota.clock(reading.now_ms, now_ms);
+    Ok(reading)
+}
+
 /// Reads the rows of a part, and waits for them so long.
 pub(super) async fn read_within(
     control: &Control,
--- a/crates/fescuewell_gateway/src/hold.rs
+++ b/crates/fescuewell_gateway/src/hold.rs
@@ -5,6 +5,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
+use fescuewell_forward::comeback::outage_left_ms;
 use fescuewell_forward::quota::Verdict;
 
 use crate::dialect::Tokens;
@@ -14,18 +15,10 @@
 /// their repeats.
 const WAIT: Duration = Duration::from_millis(250);
 
-/// Shortest and longest time after which a caller is told to come back where only the store can give more.
-const OUTAGE_LEAST: Duration = Duration::from_millis(150);
-const OUTAGE_MOST: Duration = Duration::from_secs(4);
-
-/// How long an outage may still last: as long as it has lasted, since most are over within some ten seconds and nothing else is
-/// known. Drawn from half to one and a half of that, so that callers do not come back all at once.
-///
-/// With 0.15 s in its place nearly all who came back in a cut of the whole fleet were refused again.
+/// How long callers are told to stay away where only the store can give more.
 fn outage_left(gateway: &Gateway) -> Duration {
-    let part = 0.5 + gateway.draw() as f64 / u64::MAX as f64;
-    let silence = gateway.store_silence().mul_f64(part);
-    silence.clamp(OUTAGE_LEAST, OUTAGE_MOST)
+    let silence_ms = gateway.store_silence().as_millis() as u64;
+    Duration::from_millis(outage_left_ms(silence_ms, gateway.draw()))
 }
 
 /// Tokens held back for one request. Dropped, it charges what was delivered.
--- a/crates/fescuewell_gateway/src/store.rs
+++ b/crates/fescuewell_gateway/src/store.rs
@@ -92,6 +92,9 @@
     /// Reads the rows of a part.
     fn read<'a>(&'a self, table: &'a str, part: &'a str) -> Pending<'a, Reading>;
 
+    /// Reads one row.
+    fn read_row<'a>(&'a self, place: &'a Place) -> Pending<'a, Reading>;
+
     /// Carries out a change.
     fn commit<'a>(&'a self, change: &'a Change) -> Pending<'a, Outcome>;
 }
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -184,6 +184,13 @@
         })
     }
 
+    fn read_row<'a>(&'a self, place: &'a Place) -> Pending<'a, Reading> {
+        Box::pin(async move {
+            self.arrive().await?;
+            Ok(self.reading(std::slice::from_ref(place)))
+        })
+    }
+
     fn commit<'a>(&'a self, change: &'a Change) -> Pending<'a, Outcome> {
         Box::pin(async move {
             self.arrive().await?;
