--- a/crates/fescuewell_forward/src/relay.rs
+++ b/crates/fescuewell_forward/src/relay.rs
@@ -70,8 +70,12 @@
         };
     }
 
-    /// Adds the changes up to a version, read at `now_ms` of the own clock.
-    pub fn add(&mut self, rows: Vec<Movement>, version: u64, now_ms: u64) {
+    /// Adds the changes after one version up to another, read at `now_ms` of the own clock. Where they do not follow on those before,
+    /// since the instance was told of some by others, all begins anew: a digest with a gap inside would hide it from who hears it.
+    pub fn add(&mut self, rows: Vec<Movement>, after: u64, version: u64, now_ms: u64) {
+        if after != self.until {
+            self.restart(after);
+        }
         self.rows.extend(rows.into_iter().map(|row| (now_ms, row)));
         self.until = self.until.max(version);
         while let Some((at_ms, row)) = self.rows.front() {
--- a/crates/fescuewell_forward/tests/relay.rs
+++ b/crates/fescuewell_forward/tests/relay.rs
@@ -52,6 +52,7 @@
 
     /// Reads the changes up to a version.
     fn read(&mut self, rows: &[Movement], version: u64, now_ms: u64) {
+        let after = self.cursor.version();
         let mut news = Vec::new();
         for row in rows {
             if self.registry.is_news(row) {
@@ -59,7 +60,7 @@
             }
             self.registry.change(row.clone(), now_ms);
         }
-        self.outbox.add(news, version, now_ms);
+        self.outbox.add(news, after, version, now_ms);
         self.cursor.read(version);
     }
 
@@ -187,6 +188,8 @@
     Reread(usize),
     Send(usize),
     Deliver(usize),
+    /// A reader that another instance takes for a follower hears a digest.
+    Mistake(usize, usize),
     Pass(u64),
 }
 
@@ -202,6 +205,7 @@
         1 => (0usize..2).prop_map(Step::Reread),
         6 => (0usize..2).prop_map(Step::Send),
         6 => (0usize..6).prop_map(Step::Deliver),
+        2 => (0usize..2, 0usize..6).prop_map(|(who, which)| Step::Mistake(who, which)),
         2 => (1u64..900).prop_map(Step::Pass),
     ]
 }
@@ -281,6 +285,12 @@
                         follower.hear(&digest, now_ms);
                     }
                 }
+                Step::Mistake(who, which) => {
+                    let digest = sent.len().checked_sub(1 + which).map(|at| sent[at].clone());
+                    if let Some(digest) = digest {
+                        readers[who].hear(&digest, now_ms);
+                    }
+                }
                 Step::Pass(ms) => now_ms += ms,
             }
             let listed = store.listed(follower.cursor.version());
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -168,8 +168,15 @@
         follow(control, change);
     }
     let now_ms = gateway.now_ms();
-    outbox.add(rows, version.max(news.version), now_ms);
-    gateway.state().cursor.read(news.version);
+    outbox.add(rows, version, version.max(news.version), now_ms);
+    {
+        let mut state = gateway.state();
+        state.cursor.read(news.version);
+        if !state.directory.is_reader(&gateway.settings.name) {
+            // It reads for itself alone, until readers are heard again.
+            return Ok(());
+        }
+    }
     let configuration = gateway.table().map(|table| table.configuration().version);
     let name = gateway.settings.name.clone();
     let digest = outbox.digest(name, news.now_ms, configuration.unwrap_or_default());
