--- /dev/null
+++ b/crates/fescuewell_gateway/src/gateway/gate.rs
@@ -0,0 +1,73 @@
+//! Whether callers may come to this instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::intake::{Action, PAUSE_MS, THROTTLE_MS};
+use fescuewell_http::listener::{Gate, spawn};
+
+use super::Gateway;
+
+impl Gateway {
+    /// Notes a caller's request. An instance that is sent too much keeps new connections out, and asks its callers to leave
+    /// if the others have room. Runs inside a listener's runtime.
+    pub fn take_in(self: &Arc<Self>, body: usize) {
+        let action = self.state().intake.take(self.now_ms(), body);
+        match action {
+            Action::Admit => return,
+            Action::Throttle => {}
+            Action::Leave => log_event!(
+                Event::CallersSentAway,
+                "instance={} pause_ms={PAUSE_MS}",
+                self.settings.name
+            ),
+        }
+        if self.tend_gate() {
+            log_event!(
+                Event::ConnectionsKeptOut,
+                "instance={} cause={action:?}",
+                self.settings.name
+            );
+            self.reopen_later();
+        }
+    }
+
+    /// Looks after the gate until it is open again.
+    fn reopen_later(self: &Arc<Self>) {
+        let gateway = self.clone();
+        spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(THROTTLE_MS)).await;
+                if gateway.is_open() {
+                    gateway.tend_gate();
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Sets what lets callers' connections in.
+    pub fn set_gate(&self, gate: Gate) {
+        // Set once, when the listener starts.
+        let _ = self.gate.set(gate);
+    }
+
+    /// Whether new connections of callers are let in.
+    pub fn is_open(&self) -> bool {
+        !self.state().intake.is_shut(self.now_ms())
+    }
+
+    /// Keeps new connections of callers out while they are too many; returns whether that is news.
+    pub fn tend_gate(&self) -> bool {
+        let open = self.is_open();
+        self.gate.get().is_some_and(|gate| gate.set(open))
+    }
+
+    /// Whether callers may come: it takes requests, and passes on what it is sent.
+    pub fn takes_callers(&self) -> bool {
+        let now_ms = self.now_ms();
+        self.is_ready() && self.state().intake.out_left_ms(now_ms) == 0
+    }
+}
