--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -42,6 +42,8 @@
 
 struct Content {
     behaviour: Behaviour,
+    /// Time that calls on the accounts' ledgers take beyond the usual.
+    ledger_delay: Duration,
     version: u64,
     rows: HashMap<Place, (Vec<u8>, u64)>,
 }
@@ -64,6 +66,7 @@
         Arc::new(Self {
             content: Mutex::new(Content {
                 behaviour: Behaviour::Answer,
+                ledger_delay: Duration::ZERO,
                 version: 1,
                 rows: HashMap::new(),
             }),
@@ -80,6 +83,18 @@
         self.content().behaviour = behaviour;
     }
 
+    /// Lets calls on the accounts' ledgers wait, as behind the transactions of a large fleet.
+    pub fn delay_ledgers(&self, delay: Duration) {
+        self.content().ledger_delay = delay;
+    }
+
+    async fn wait_for(&self, table: &str) {
+        if table == "ledger" {
+            let delay = self.content().ledger_delay;
+            tokio::time::sleep(delay).await;
+        }
+    }
+
     /// The store's clock in milliseconds.
     pub fn now_ms(&self) -> u64 {
         1_000_000 + self.started.elapsed().as_millis() as u64
@@ -180,6 +195,7 @@
     fn read<'a>(&'a self, table: &'a str, part: &'a str) -> Pending<'a, Reading> {
         Box::pin(async move {
             self.arrive().await?;
+            self.wait_for(table).await;
             Ok(self.reading(&self.places(table, part)))
         })
     }
@@ -187,6 +203,7 @@
     fn read_row<'a>(&'a self, place: &'a Place) -> Pending<'a, Reading> {
         Box::pin(async move {
             self.arrive().await?;
+            self.wait_for(&place.table).await;
             Ok(self.reading(std::slice::from_ref(place)))
         })
     }
@@ -194,6 +211,9 @@
     fn commit<'a>(&'a self, change: &'a Change) -> Pending<'a, Outcome> {
         Box::pin(async move {
             self.arrive().await?;
+            let first = change.puts.first();
+            self.wait_for(first.map_or("", |(place, _)| &place.table))
+                .await;
             Ok(self.apply(change))
         })
     }
