Evacuated zones get no work, and cold servers no more than they bear

Cause: nothing read op/evacuate/ZONE, and the cold time that a server tells was decoded and thrown away.

Ruled out: counting by each instance alone (six wide and some 30 narrow instances choose the same idle servers at once), and one credit for each instance's share of the fleet (73 shares of 6.6 requests a second serve nobody).

Change: the operator's orders on zones travel with the configuration's feed and in the readers' digests, each with the version that it stems from, so that they merge in any order. A zone that is taken back counts as cold. A cold server is sent to by two introducers only, found by rendezvous hashing among the named instances, each with half of the rate and one request at once. A request whose service has no server at all is refused before it waits for tokens.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -73,6 +73,8 @@
     ServerListed = 2009, Info, "server.listed", "A backend server appeared in the list, or its entry changed.";
     ServerEnded = 2012, Info, "server.ended", "A backend server started again under its name, or is gone: what was observed of it is forgotten.";
     ServerUnreadable = 2013, Warn, "server.unreadable", "A row of the list of backend servers names none; it is passed over.";
+    ZoneEvacuated = 2014, Warn, "zone.evacuated", "The operator evacuates an availability zone: its backend servers get no new work.";
+    ZoneReturned = 2015, Info, "zone.returned", "The operator has taken an evacuation back; the zone's backend servers count as cold at first.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
     AllowanceDrawn = 3001, Info, "allowance.drawn", "Allowances were drawn from prepaid budgets.";
--- a/crates/fescuewell_forward/src/config.rs
+++ b/crates/fescuewell_forward/src/config.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::warmup;
+
 /// What a request of a route may suffer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -107,6 +109,8 @@
     pub max_connections: usize,
     /// Set where the backend servers are model engines.
     pub engine: Option<Engine>,
+    /// Set where its backend servers bear few requests after their start.
+    pub warmup: Option<warmup::Bound>,
 }
 
 /// A client account.
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod comeback;
 pub mod config;
 pub mod directory;
+pub mod evacuation;
 pub mod health;
 pub mod intake;
 pub mod loan;
@@ -23,6 +24,7 @@
 pub mod relay;
 pub mod retry;
 pub mod server;
+pub mod warmup;
 pub mod window;
 
 /// What nearly every user of this crate needs.
--- a/crates/fescuewell_forward/src/relay.rs
+++ b/crates/fescuewell_forward/src/relay.rs
@@ -19,6 +19,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::evacuation::Order;
 use crate::server::Movement;
 
 /// Instances of an availability zone that read the list for all of it: one may fail at any time.
@@ -32,6 +33,8 @@
 const STALE_MS: u64 = 1_000;
 /// Rows in one digest: it has to fit one packet of an Ethernet, and a row takes some 70 bytes.
 const MOST_ROWS: usize = 14;
+/// Most orders on availability zones in one digest. A fleet has fewer zones.
+const MOST_ORDERS: usize = 16;
 /// Time for which a change is repeated in each digest, in milliseconds: some ten digests, of which all may be lost but one.
 const REPEATED_MS: u64 = 2_500;
 
@@ -48,6 +51,8 @@
     pub at_ms: u64,
     /// Version of the configuration that the reader has in force.
     pub configuration: u64,
+    /// Orders on availability zones that the reader knows.
+    pub evacuations: Vec<Order>,
     /// The changes, in their order.
     pub rows: Vec<Movement>,
 }
@@ -88,14 +93,22 @@
         }
     }
 
-    /// The changes, with the times and the configuration that they are told with.
-    pub fn digest(&self, reader: Arc<str>, at_ms: u64, configuration: u64) -> Digest {
+    /// The changes, with the time, the configuration and the orders that they are told with.
+    pub fn digest(
+        &self,
+        reader: Arc<str>,
+        at_ms: u64,
+        configuration: u64,
+        mut evacuations: Vec<Order>,
+    ) -> Digest {
+        evacuations.truncate(MOST_ORDERS);
         Digest {
             reader,
             after: self.after,
             until: self.until,
             at_ms,
             configuration,
+            evacuations,
             rows: self.rows.iter().map(|(_, row)| row.clone()).collect(),
         }
     }
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -6,6 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::evacuation::{Order, Zones};
+use crate::warmup;
+
 /// What a backend server says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -31,10 +34,23 @@
     pub zone: Arc<str>,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// How much longer it stays cold, in milliseconds, as of the writing of the entry; see [`crate::warmup`].
+    pub cold_left_ms: u64,
     /// Whether it takes work.
     pub state: State,
 }
 
+impl Entry {
+    /// Whether another entry says the same, but for the time that runs off.
+    fn is_alike(&self, other: &Self) -> bool {
+        let other = Self {
+            cold_left_ms: self.cold_left_ms,
+            ..other.clone()
+        };
+        *self == other
+    }
+}
+
 /// What a row of the list says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Said {
@@ -69,6 +85,9 @@
     is_marked: bool,
     /// The row has vanished, and from this moment the server counts as gone, in milliseconds of the own clock.
     lapses_at_ms: Option<u64>,
+    /// Until when it may be cold, in milliseconds of the own clock. Its entry is seconds old when it is read, so this is later than
+    /// the truth.
+    cold_until_ms: u64,
 }
 
 /// All backend servers as last read.
@@ -83,6 +102,8 @@
     snapshot: u64,
     spared_until_ms: u64,
     ended: Vec<Arc<str>>,
+    zones: Zones,
+    warmups: HashMap<Arc<str>, warmup::Bound>,
 }
 
 /// Removed names that are remembered, so that an older read cannot bring them back.
@@ -93,14 +114,20 @@
 /// Time after the store's return within which the entries of servers that live are back, in milliseconds. Without it an
 /// instance has no backend server at all until the first heartbeats arrive, and refuses what they could serve.
 const RETURN_MS: u64 = 2_000;
+/// Difference from which a later end of a server's cold time is news, in milliseconds: entries are written about once a second and
+/// take up to another one to be read.
+const COLD_NEWS_MS: u64 = 1_500;
 
 impl Registry {
-    /// Whether a row says anything that is not known: most say only that their servers live.
-    pub fn is_news(&self, movement: &Movement) -> bool {
+    /// Whether a row says anything that is not known at `now_ms` of the own clock: most say only that their servers live.
+    pub fn is_news(&self, movement: &Movement, now_ms: u64) -> bool {
         match (&movement.said, self.known.get(&movement.id)) {
             (Said::Entry(entry), Some(known)) => {
+                let is_colder = now_ms + entry.cold_left_ms > known.cold_until_ms + COLD_NEWS_MS;
+                let turns_cold = entry.cold_left_ms > 0 && is_colder;
                 // What it told this instance alone is news to the others.
-                *known.entry != *entry || known.is_marked || known.lapses_at_ms.is_some()
+                let was_told = known.is_marked || known.lapses_at_ms.is_some();
+                !known.entry.is_alike(entry) || was_told || turns_cold
             }
             (Said::Entry(_), None) => true,
             (_, known) => known.is_some(),
@@ -122,7 +149,7 @@
             return false;
         }
         match said {
-            Said::Entry(entry) => self.put(entry, version),
+            Said::Entry(entry) => self.put(entry, version, now_ms),
             Said::Removed => self.remove(&id, version, now_ms),
             Said::Unreadable { .. } => self.bury(id, version),
         }
@@ -190,7 +217,69 @@
     /// Whether the server is still known and takes work.
     pub fn is_ready(&self, id: &str, now_ms: u64) -> bool {
         let known = self.known.get(id);
-        known.is_some_and(|known| known.takes_work(now_ms))
+        known.is_some_and(|known| self.takes_work(known, now_ms))
+    }
+
+    /// Whether the server may be cold; see [`crate::warmup`].
+    pub fn is_cold(&self, id: &str, now_ms: u64) -> bool {
+        let known = self.known.get(id);
+        known.is_some_and(|known| now_ms < known.cold_until_ms)
+    }
+
+    /// Sets for how long servers are cold, by their service.
+    pub fn set_warmups<Bounds>(&mut self, bounds: Bounds)
+    where
+        Bounds: Iterator<Item = (Arc<str>, warmup::Bound)>,
+    {
+        self.warmups = bounds.collect();
+    }
+
+    /// The availability zones that are evacuated.
+    pub fn zones(&self) -> &Zones {
+        &self.zones
+    }
+
+    /// Takes the operator's order on an availability zone at `now_ms` of the own clock; returns whether the zone changes by it.
+    pub fn evacuate(&mut self, order: Order, now_ms: u64) -> bool {
+        let zone = order.zone.clone();
+        let is_back = !order.is_evacuated;
+        let is_news = self.zones.take(order);
+        if is_news && is_back {
+            self.chill(&zone, now_ms);
+        }
+        is_news
+    }
+
+    /// Takes all orders as of `version`; returns those by which zones change.
+    pub fn evacuations(&mut self, version: u64, listed: Vec<Order>, now_ms: u64) -> Vec<Order> {
+        let missing = self.zones.missing(version, &listed);
+        let orders = listed.into_iter().chain(missing);
+        let mut news = Vec::new();
+        for order in orders {
+            if self.evacuate(order.clone(), now_ms) {
+                news.push(order);
+            }
+        }
+        news
+    }
+
+    /// Counts the servers of a zone as cold from now on. They may have become so while they got nothing, and what they say of it
+    /// is read a second or two after the end of the evacuation: until then all instances would send to them at once.
+    fn chill(&mut self, zone: &str, now_ms: u64) {
+        for known in self.known.values_mut() {
+            if &*known.entry.zone != zone {
+                continue;
+            }
+            let Some(bound) = self.warmups.get(&known.entry.service) else {
+                continue;
+            };
+            let until_ms = now_ms + bound.time.as_millis() as u64;
+            known.cold_until_ms = known.cold_until_ms.max(until_ms);
+        }
+    }
+
+    fn takes_work(&self, known: &Known, now_ms: u64) -> bool {
+        known.takes_work(now_ms) && !self.zones.is_evacuated(&known.entry.zone)
     }
 
     /// Servers of a service that take work.
@@ -201,7 +290,7 @@
     ) -> impl Iterator<Item = &'a Arc<Entry>> + 'a {
         self.known
             .values()
-            .filter(move |known| known.takes_work(now_ms))
+            .filter(move |known| self.takes_work(known, now_ms))
             .map(|known| &known.entry)
             .filter(move |entry| &*entry.service == service)
     }
@@ -211,15 +300,21 @@
         self.known.values().map(|known| &known.entry)
     }
 
-    fn put(&mut self, entry: Entry, version: u64) {
+    fn put(&mut self, entry: Entry, version: u64, now_ms: u64) {
         let id = entry.id.clone();
         self.gone.remove(&id);
+        let before_ms = self.known.get(&id).map_or(0, |known| known.cold_until_ms);
+        let cold_until_ms = match entry.cold_left_ms {
+            0 => before_ms,
+            left_ms => before_ms.max(now_ms + left_ms),
+        };
         let entry = Arc::new(entry);
         let known = Known {
             entry: entry.clone(),
             version,
             is_marked: false,
             lapses_at_ms: None,
+            cold_until_ms,
         };
         let before = self.known.insert(id.clone(), known);
         if before.is_some_and(|before| is_birth(&before.entry, &entry)) {
--- a/crates/fescuewell_forward/tests/relay.rs
+++ b/crates/fescuewell_forward/tests/relay.rs
@@ -18,6 +18,7 @@
         address: "127.0.0.1:80".parse().unwrap(),
         zone: "a".into(),
         slots: 8,
+        cold_left_ms: 0,
         state,
     }
 }
@@ -55,7 +56,7 @@
         let after = self.cursor.version();
         let mut news = Vec::new();
         for row in rows {
-            if self.registry.is_news(row) {
+            if self.registry.is_news(row, now_ms) {
                 news.push(row.clone());
             }
             self.registry.change(row.clone(), now_ms);
@@ -65,7 +66,12 @@
     }
 
     fn digest(&self, now_ms: u64) -> Digest {
-        self.outbox.digest("reader".into(), STORE_MS + now_ms, 3)
+        self.outbox.digest(
+            "reader".into(),
+            STORE_MS + now_ms,
+            3,
+            self.registry.zones().orders(),
+        )
     }
 
     fn hear(&mut self, digest: &Digest, now_ms: u64) -> bool {
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -14,6 +14,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "a".into(),
         slots: 8,
+        cold_left_ms: 0,
         state,
     }
 }
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -9,13 +9,14 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::{Configuration, Table};
+use fescuewell_forward::evacuation::Order;
 use fescuewell_forward::relay::{Digest, Outbox};
 use fescuewell_forward::server::{Movement, Said};
 use tokio::time::Instant;
 
 use super::{CALL, Control, PAUSE};
 use crate::gateway::{Stage, State};
-use crate::source::News;
+use crate::source::{News, Word};
 use crate::store::Error;
 
 /// How long a call waits for changes. Short, since a connection that has gone silent shows only when the
@@ -42,27 +43,27 @@
 /// Follows the configuration.
 pub(super) async fn configuration(control: &Control) {
     loop {
-        let read = control.source.configuration();
+        let read = control.source.word();
         let Ok(news) = control.call("configuration", CALL, read).await else {
             tokio::time::sleep(PAUSE).await;
             continue;
         };
         let mut version = news.version;
-        apply(control, news);
+        whole(control, news);
         let read_at = Instant::now();
         while !is_due(control, read_at, version) {
             if is_fed(control) {
                 tokio::time::sleep(FED_LOOK).await;
                 continue;
             }
-            let changes = control.source.configuration_after(version, WAIT);
+            let changes = control.source.word_after(version, WAIT);
             match control
                 .call("configuration_after", WAIT_LIMIT, changes)
                 .await
             {
                 Ok(news) => {
                     version = version.max(news.version);
-                    apply(control, news);
+                    changed(control, news);
                 }
                 Err(_) => break,
             }
@@ -84,11 +85,50 @@
     told > known.unwrap_or(version) || read_at.elapsed() >= FED_REREAD
 }
 
-fn apply(control: &Control, news: News<Option<Configuration>>) {
+/// Takes all that the operator has written.
+fn whole(control: &Control, news: News<Word>) {
+    let now_ms = control.gateway.now_ms();
+    apply(control, news.now_ms, news.content.configuration);
+    let mut state = control.gateway.state();
+    let orders = news.content.evacuations;
+    for order in state.registry.evacuations(news.version, orders, now_ms) {
+        tell_evacuation(&order);
+    }
+}
+
+/// Takes what the operator has changed.
+fn changed(control: &Control, news: News<Word>) {
+    apply(control, news.now_ms, news.content.configuration);
+    evacuate(control, news.content.evacuations);
+}
+
+fn evacuate(control: &Control, orders: Vec<Order>) {
+    let now_ms = control.gateway.now_ms();
+    for order in orders {
+        if control
+            .gateway
+            .state()
+            .registry
+            .evacuate(order.clone(), now_ms)
+        {
+            tell_evacuation(&order);
+        }
+    }
+}
+
+fn tell_evacuation(order: &Order) {
+    let event = match order.is_evacuated {
+        true => Event::ZoneEvacuated,
+        false => Event::ZoneReturned,
+    };
+    log_event!(event, "zone={} version={}", order.zone, order.version);
+}
+
+fn apply(control: &Control, store_ms: u64, configuration: Option<Configuration>) {
     let gateway = &control.gateway;
     let now_ms = gateway.now_ms();
-    gateway.state().quota.clock(news.now_ms, now_ms);
-    let Some(configuration) = news.content else {
+    gateway.state().quota.clock(store_ms, now_ms);
+    let Some(configuration) = configuration else {
         return;
     };
     // A version never goes back, whatever an old reading says.
@@ -110,6 +150,9 @@
         for tenant in &configuration.tenants {
             state.quota.prepaid(&tenant.name, tenant.prepaid);
         }
+        let services = configuration.services.iter();
+        let warmups = services.filter_map(|service| Some((service.name.clone(), service.warmup?)));
+        state.registry.set_warmups(warmups);
     }
     gateway.set_table(Table::new(configuration));
     gateway.want_tokens();
@@ -162,7 +205,8 @@
     let mut rows = Vec::new();
     for change in news.content {
         // Row by row: one server may come and go within one reading.
-        if gateway.state().registry.is_news(&change) {
+        let now_ms = gateway.now_ms();
+        if gateway.state().registry.is_news(&change, now_ms) {
             rows.push(change.clone());
         }
         follow(control, change);
@@ -179,7 +223,9 @@
     }
     let configuration = gateway.table().map(|table| table.configuration().version);
     let name = gateway.settings.name.clone();
-    let digest = outbox.digest(name, news.now_ms, configuration.unwrap_or_default());
+    let evacuations = gateway.state().registry.zones().orders();
+    let configuration = configuration.unwrap_or_default();
+    let digest = outbox.digest(name, news.now_ms, configuration, evacuations);
     // Where the last ones have not been sent yet this one is not needed.
     let _ = control.digests.0.try_send(digest);
     Ok(())
@@ -189,6 +235,8 @@
 pub(super) fn hear(control: &Control, digest: Digest) {
     let gateway = &control.gateway;
     let now_ms = gateway.now_ms();
+    // Each order stands for itself, also in a digest that is late or follows a lost one.
+    evacuate(control, digest.evacuations.clone());
     {
         let mut state = gateway.state();
         let store_ms = state.quota.store_time(now_ms);
@@ -242,6 +290,7 @@
     let changed = state.registry.snapshot(news.version, news.content, now_ms);
     let state = &mut *state;
     state.health.retain(|id| state.registry.is_known(id));
+    state.warmup.retain(|id| state.registry.is_cold(id, now_ms));
     log_event!(
         Event::ServerListed,
         "servers={count} version={} changed={}",
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod gate;
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -16,7 +17,8 @@
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
-use fescuewell_forward::server::{LAPSING_SILENCE_MS, Registry};
+use fescuewell_forward::server::{Entry, LAPSING_SILENCE_MS, Registry};
+use fescuewell_forward::warmup::{self, Warmup};
 use fescuewell_forward::window::Window;
 use fescuewell_http::listener::Gate;
 use fescuewell_http::upstream;
@@ -51,6 +53,8 @@
     pub registry: Registry,
     /// How far the list of them is known.
     pub cursor: relay::Cursor,
+    /// What may be sent to those that are cold.
+    pub warmup: Warmup,
     /// How they do.
     pub health: Health,
     /// Requests under way at them.
@@ -69,6 +73,33 @@
     pub random: SmallRng,
 }
 
+impl State {
+    /// The cold ones of these servers to which an instance may send, and how many instances share each; see
+    /// [`fescuewell_forward::warmup`].
+    pub fn introducers(
+        &self,
+        servers: &[&Arc<Entry>],
+        instance: &str,
+        now_ms: u64,
+    ) -> HashMap<Arc<str>, usize> {
+        let is_cold = |entry: &&&Arc<Entry>| self.registry.is_cold(&entry.id, now_ms);
+        let cold: Vec<&Arc<Entry>> = servers.iter().filter(is_cold).copied().collect();
+        let mut shares = HashMap::new();
+        if cold.is_empty() {
+            return shares;
+        }
+        let named = self.directory.named();
+        let named: Vec<&Arc<str>> = named.iter().map(|(name, _)| *name).collect();
+        for server in cold {
+            let introducers = warmup::introducers(&server.id, &named);
+            if introducers.iter().any(|name| &***name == instance) {
+                shares.insert(server.id.clone(), introducers.len());
+            }
+        }
+        shares
+    }
+}
+
 /// A request that misses tokens which another instance may lend.
 #[derive(Debug)]
 pub struct Shortage {
@@ -145,6 +176,7 @@
         let state = State {
             registry: Registry::default(),
             cursor: relay::Cursor::default(),
+            warmup: Warmup::default(),
             health: Health::default(),
             load: Load::default(),
             quota: Quota::new(settings.name.clone(), 0),
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod place;
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -68,6 +69,7 @@
                 name: "".into(),
                 max_connections: 0,
                 engine: None,
+                warmup: None,
             },
             hold: None,
             tenant: None,
@@ -118,6 +120,10 @@
 
     /// Serves the request.
     pub async fn run(mut self, reply: Reply) {
+        if !self.has_server() {
+            // Known already: no use in waiting for tokens.
+            return self.refuse(reply, Code::NoServer);
+        }
         if let Err(refusal) = self.reserve().await {
             return self.refuse_as(reply, refusal.code, refusal.retry_after);
         }
@@ -161,6 +167,17 @@
         }
     }
 
+    /// Whether any backend server of the service may get work.
+    fn has_server(&self) -> bool {
+        let now_ms = self.gateway.now_ms();
+        let state = self.gateway.state();
+        state
+            .registry
+            .ready(&self.service.name, now_ms)
+            .next()
+            .is_some()
+    }
+
     /// Holds the tokens that the request may cost at most.
     async fn reserve(&mut self) -> Result<(), Refusal> {
         let Some(tokens) = self.facts.tokens else {
@@ -191,9 +208,22 @@
         let mut state = self.gateway.state();
         let all: Vec<&Arc<Entry>> = state.registry.ready(&self.service.name, now_ms).collect();
         let listed = all.len();
+        let introducers = match self.service.warmup {
+            Some(_) => state.introducers(&all, &self.gateway.settings.name, now_ms),
+            None => HashMap::new(),
+        };
+        let is_open = |entry: &Arc<Entry>| {
+            let Some(bound) = &self.service.warmup else {
+                return true;
+            };
+            let Some(share) = introducers.get(&entry.id) else {
+                return !state.registry.is_cold(&entry.id, now_ms);
+            };
+            state.warmup.has_credit(&entry.id, bound, *share, now_ms)
+        };
         let fresh: Vec<&Arc<Entry>> = all
             .into_iter()
-            .filter(|entry| !self.tried.contains(&entry.id))
+            .filter(|entry| !self.tried.contains(&entry.id) && is_open(entry))
             .collect();
         let shared = self
             .facts
@@ -214,6 +244,12 @@
         if let (Some(server), Some(part)) = (&chosen, query.affinity) {
             state.load.keep(part, &server.id, now_ms);
         }
+        let share = chosen
+            .as_ref()
+            .and_then(|server| introducers.get(&server.id));
+        if let (Some(server), Some(bound), Some(share)) = (&chosen, &self.service.warmup, share) {
+            state.warmup.send(&server.id, bound, *share, now_ms);
+        }
         let running = chosen.as_ref().map(|entry| state.load.running(&entry.id));
         drop(state);
         let Some(server) = chosen else {
--- a/crates/fescuewell_gateway/src/source.rs
+++ b/crates/fescuewell_gateway/src/source.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fescuewell_forward::config::Configuration;
+use fescuewell_forward::evacuation::Order;
 use fescuewell_forward::server::Movement;
 
 use crate::store::Pending;
@@ -18,17 +19,22 @@
     pub now_ms: u64,
 }
 
+/// What the operator has written.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Word {
+    /// The newest configuration, if the reading holds one.
+    pub configuration: Option<Configuration>,
+    /// Evacuations of availability zones that the reading holds.
+    pub evacuations: Vec<Order>,
+}
+
 /// The configuration and the list of backend servers.
 pub trait Source: Send + Sync {
-    /// The newest configuration, if there is one.
-    fn configuration(&self) -> Pending<'_, News<Option<Configuration>>>;
-
-    /// The newest configuration accepted after `version`, waiting up to `wait` for one.
-    fn configuration_after(
-        &self,
-        version: u64,
-        wait: Duration,
-    ) -> Pending<'_, News<Option<Configuration>>>;
+    /// All that the operator has written and not taken back.
+    fn word(&self) -> Pending<'_, News<Word>>;
+
+    /// What the operator has written or taken back after `version`, waiting up to `wait` for something.
+    fn word_after(&self, version: u64, wait: Duration) -> Pending<'_, News<Word>>;
 
     /// All backend servers.
     fn servers(&self) -> Pending<'_, News<Vec<Movement>>>;
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use fescuewell_gateway::dialect::{Dialect, Facts, Names};
 use fescuewell_gateway::gateway::Gateway;
 use fescuewell_gateway::settings::Settings;
-use fescuewell_gateway::source::{News, Source};
+use fescuewell_gateway::source::{News, Source, Word};
 use fescuewell_gateway::store::{Change, Error, Outcome, Pending, Place, Reading, Row, Store};
 use http::{HeaderMap, HeaderName};
 use rand::SeedableRng;
@@ -220,18 +220,17 @@
 }
 
 impl Source for Memory {
-    fn configuration(&self) -> Pending<'_, News<Option<Configuration>>> {
-        Box::pin(self.news(Some(self.configuration.clone())))
+    fn word(&self) -> Pending<'_, News<Word>> {
+        Box::pin(self.news(Word {
+            configuration: Some(self.configuration.clone()),
+            ..Word::default()
+        }))
     }
 
-    fn configuration_after(
-        &self,
-        _: u64,
-        wait: Duration,
-    ) -> Pending<'_, News<Option<Configuration>>> {
+    fn word_after(&self, _: u64, wait: Duration) -> Pending<'_, News<Word>> {
         Box::pin(async move {
             tokio::time::sleep(wait).await;
-            self.news(None).await
+            self.news(Word::default()).await
         })
     }
 
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -177,6 +177,17 @@
         assert!(wait_until(is_so), "{id} never became ready={is_ready}");
     }
 
+    /// Waits until the instance is ready and a backend server is listed, whether or not it takes requests.
+    pub fn wait_listed(&self, id: &str) {
+        let daemon = self.daemon.as_ref().unwrap();
+        let is_listed = || daemon.gateway().state().registry.is_known(id);
+        assert!(wait_until(is_listed), "{id} was never listed");
+        assert!(
+            wait_until(|| self.readiness() == 200),
+            "the instance never became ready"
+        );
+    }
+
     /// Waits until a backend server is not listed any more.
     pub fn wait_server_gone(&self, id: &str) {
         let daemon = self.daemon.as_ref().unwrap();
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -8,3 +8,4 @@
 mod pressure;
 mod refusals;
 mod wire;
+mod zones;
