--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -107,6 +107,8 @@
     JournalOverdue = 5017, Warn, "journal.overdue", "The journal cannot be renewed; a restart now would be charged what was promised since the last one.";
     JournalRenewed = 5018, Info, "journal.renewed", "An overdue journal was written; the charge of a restart is small again.";
     TableSilent = 5019, Info, "table.silent", "A call to the table service failed while it was known to be down.";
+    StoreRestored = 5020, Warn, "store.restored", "The store has come back from a copy; grants and journals are written anew.";
+    EraSettled = 5021, Info, "era.settled", "All instances have confirmed their grants since the store came back, or had the time for it; those named have not.";
     SettingsReloaded = 5013, Info, "settings.reloaded", "The settings were read again.";
     KeysReloaded = 5010, Info, "keys.reloaded", "Certificate, key and authority were read again and are in use.";
 
--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -1,12 +1,13 @@
 //! Which addresses callers are told to use.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use crate::quota::era::Sign;
 use crate::quota::row::Usage;
 use crate::relay::{MOST_READING, READERS};
 
@@ -30,8 +31,15 @@
     /// Until when it stays out because callers sent it too much, by the store's clock, in milliseconds; see
     /// [`crate::intake`].
     pub out_until_ms: u64,
+    /// Era of the store in which it has confirmed its grants; see [`crate::quota::era`].
+    pub era: u32,
+    /// Whether it knew what it was granted when it started.
+    pub is_certain: bool,
 }
 
+/// What the program version before did not write: era 0, and certain.
+const NO_ERA: [u8; 2] = [0, 1];
+
 /// Age of a member's last sign, in milliseconds, from which it counts as absent and its grants count as
 /// spent. Large fleets sign less often than small ones; see [`Directory::set_lapse`].
 pub const MEMBER_LAPSE_MS: u64 = 3_500;
@@ -59,6 +67,7 @@
     members: BTreeMap<Arc<str>, Member>,
     read_at_ms: u64,
     lapse_ms: u64,
+    era: u32,
 }
 
 impl Directory {
@@ -83,6 +92,46 @@
         self.read_at_ms = now_ms;
     }
 
+    /// Takes the list of an era of the store. The first one of an era is a copy some seconds old: signs that are known and newer count
+    /// on, or most instances would seem to be gone until they have signed again.
+    pub fn replace_in(&mut self, era: u32, mut members: BTreeMap<Arc<str>, Member>, now_ms: u64) {
+        if self.era < era {
+            self.era = era;
+            let known = std::mem::take(&mut self.members);
+            for (name, member) in known {
+                let listed = members.get(&name);
+                if listed.is_none_or(|listed| listed.at_ms < member.at_ms) {
+                    members.insert(name, member);
+                }
+            }
+        }
+        self.replace(members, now_ms);
+    }
+
+    /// What all instances say of their grants. Those without a fresh sign count only if they lived when the copy was made from which the
+    /// store has come back: whoever was gone by then can have drawn nothing since.
+    pub fn signs(&self) -> Vec<Sign> {
+        let live: BTreeSet<&Arc<str>> = self.live().map(|(name, _)| name).collect();
+        let former = self.members.values().filter(|member| member.era < self.era);
+        let copied_ms = former.map(|member| member.at_ms).max().unwrap_or_default();
+        let mut signs = Vec::new();
+        for (name, member) in &self.members {
+            let is_live = live.contains(name);
+            let is_former = member.at_ms > 0 && member.era < self.era;
+            let lived = is_former && member.at_ms + self.lapse_ms() >= copied_ms;
+            if !(is_live || lived) {
+                continue;
+            }
+            signs.push(Sign {
+                holder: name.clone(),
+                era: member.era,
+                is_certain: member.is_certain,
+                is_live,
+            });
+        }
+        signs
+    }
+
     /// The instances that gave a sign lately, as of the last reading.
     ///
     /// While the store cannot be reached nobody's sign gets newer; the list then stays as it was last read.
@@ -251,6 +300,22 @@
 }
 
 impl Member {
+    /// The row's bytes; the program version before passes over what it does not know at their end.
+    pub fn encode(&self) -> Vec<u8> {
+        // Only a type that cannot be written at all fails here.
+        postcard::to_extend(self, Vec::new()).unwrap_or_default()
+    }
+
+    /// Reads a row, also one of the program version before.
+    ///
+    /// # Errors
+    ///
+    /// What the decoder says of it.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+            .or_else(|_| postcard::from_bytes(&[bytes, NO_ERA.as_slice()].concat()))
+    }
+
     /// Requests a second that it carries with ease.
     fn carries(&self) -> u32 {
         (self.weight / WEIGHT_EACH).max(1)
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod relay;
 pub mod retry;
 pub mod server;
+pub mod version;
 pub mod warmup;
 pub mod window;
 
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -54,6 +54,11 @@
         Self(bytes)
     }
 
+    /// The bytes, for the row that keeps them.
+    pub fn bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
     /// A message as it is sent.
     pub fn seal(&self, message: &Message) -> Vec<u8> {
         // Only a type that cannot be written at all fails here.
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -22,6 +22,7 @@
 
 mod account;
 pub mod clock;
+pub mod era;
 pub mod exposure;
 mod journals;
 mod loans;
@@ -35,11 +36,14 @@
 
 pub use account::Account;
 use clock::StoreClock;
+use era::{Fence, Roll, Sign};
 use exposure::Exposure;
 pub use loans::Candidate;
 use plan::{Peer, Peers};
 use row::{Journal, Ledger, Usage};
 
+use crate::version;
+
 /// Age of a row up to which it tells that an account is exhausted, in milliseconds, in a small fleet.
 const FRESH_MS: u64 = 2_500;
 
@@ -74,6 +78,10 @@
     fresh_ms: u64,
     unanswered: Option<Journal>,
     may_be_written: bool,
+    roll: Roll,
+    /// Whether this process knows what it was granted; see [`era::Sign`].
+    is_certain: bool,
+    is_first: bool,
 }
 
 impl Quota {
@@ -94,6 +102,96 @@
             fresh_ms: FRESH_MS,
             unanswered: None,
             may_be_written: false,
+            roll: Roll::default(),
+            is_certain: true,
+            is_first: false,
+        }
+    }
+
+    /// The store's era that is gone by.
+    pub fn era(&self) -> u32 {
+        self.roll.era()
+    }
+
+    /// The store was first read in this era; see [`era`].
+    pub fn begin_era(&mut self, era: u32, now_ms: u64) {
+        self.roll.enter(era, now_ms);
+    }
+
+    /// Tells whether the whole fleet starts for the first time, so that no former process can have drawn anything.
+    pub fn set_first(&mut self, is_first: bool) {
+        self.is_first = is_first;
+    }
+
+    /// Takes the fence as read.
+    pub fn learn_fence(&mut self, version: u64, fence: Fence) {
+        if version::era(version) == self.roll.era() || version == 0 {
+            self.roll.learn_fence(version, fence);
+        }
+    }
+
+    /// The fence and the version of its row: each transaction on ledgers expects it.
+    pub fn fence(&self) -> (u64, &Fence) {
+        self.roll.fence()
+    }
+
+    /// The fence that should be written now.
+    pub fn next_fence(&self, now_ms: u64) -> Option<Fence> {
+        match self.adopted {
+            true => self.roll.next_fence(self.is_first, now_ms),
+            false => None,
+        }
+    }
+
+    /// The store has come back from a copy in which the own journal's row has this version and content, and the accounts these rows.
+    /// Grants and journals are written anew from here on.
+    pub fn restore(
+        &mut self,
+        era: u32,
+        journal: Option<(u64, Journal)>,
+        ledgers: Vec<(Arc<str>, u64, Ledger)>,
+        now_ms: u64,
+    ) {
+        if !self.roll.enter(era, now_ms) {
+            return;
+        }
+        let (version, journal) = journal.unwrap_or_default();
+        self.journal_version = version;
+        if journal.incarnation > self.incarnation {
+            // A next process has begun.
+            self.adopted = false;
+        }
+        let mut rows: HashMap<Arc<str>, (u64, Ledger)> = ledgers
+            .into_iter()
+            .map(|(name, version, ledger)| (name, (version, ledger)))
+            .collect();
+        let names: Vec<Arc<str>> = rows.keys().cloned().collect();
+        for name in &names {
+            self.account(name);
+        }
+        let holder = self.holder.clone();
+        for (name, account) in &mut self.accounts {
+            account.restore(&holder, rows.remove(name), era);
+        }
+    }
+
+    /// Takes the holders' signs; `lapse_ms` is the time in which one that lives gives the next.
+    pub fn hear(&mut self, signs: Vec<Sign>, lapse_ms: u64) {
+        self.roll.hear(signs, lapse_ms);
+    }
+
+    /// The own sign of what was confirmed.
+    pub fn sign(&self) -> Sign {
+        let is_confirmed = !self.accounts.values().any(Account::is_unconfirmed);
+        let era = self.roll.era();
+        Sign {
+            holder: self.holder.clone(),
+            era: match self.adopted && is_confirmed {
+                true => era,
+                false => era.saturating_sub(1),
+            },
+            is_certain: self.is_certain,
+            is_live: true,
         }
     }
 
@@ -139,8 +237,9 @@
         let holder = self.holder.clone();
         let stale_ms = store_ms.saturating_sub(self.fresh_ms);
         let usable = usable.then_some(stale_ms);
+        let era = self.roll.era();
         self.account(account)
-            .hold(&holder, tokens, usable, store_ms)
+            .hold(&holder, tokens, usable, store_ms, era)
     }
 
     /// Counts a request's demand, once, before it is held.
@@ -212,9 +311,14 @@
 
     /// Takes an account's row as it was in the store at `store_ms` of its clock.
     pub fn learn(&mut self, account: &Arc<str>, version: u64, ledger: Ledger, store_ms: u64) {
+        let era = self.roll.era();
+        if version::era(version) != era {
+            // Of a former era, or of one that is not gone by yet; see [`Quota::restore`].
+            return;
+        }
         let holder = self.holder.clone();
         let account = self.account(account);
-        account.learn(&holder, version, ledger, store_ms);
+        account.learn(&holder, version, ledger, store_ms, era);
     }
 
     /// What the holders that gave a sign lately say of their use. `named` are those to which callers are sent.
@@ -272,7 +376,7 @@
         let closing = self.closing;
         let is_named = self.is_named;
         let account = self.accounts.get_mut(account)?;
-        account.plan(&holder, now_ms, (is_named, self.named), closing)
+        account.plan(&holder, now_ms, (is_named, self.named), closing, &self.roll)
     }
 
     fn account(&mut self, name: &Arc<str>) -> &mut Account {
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::Verdict;
+use super::era::{self, Roll};
 use super::loans::Said;
 use super::pace::{Pace, TIGHT_MS};
 use super::plan::{self, Need, Own, Peers};
@@ -55,11 +56,25 @@
     granted: u64,
 }
 
+/// Where the own grant is known from; see [`super::era`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// From the row.
+    Row,
+    /// From before the store came back from a copy: the row is to say the same.
+    Own,
+    /// From nowhere: a former process may have been granted more than the row says. All of it counts as consumed.
+    Unknown,
+}
+
 /// Grants, consumption and demand of one account.
 #[derive(Debug)]
 pub struct Account {
     prepaid: Option<u64>,
     granted: u64,
+    origin: Origin,
+    /// Grants of others as they were known in former eras.
+    known: Ledger,
     returning: Option<Returning>,
     pub(super) consumed: u64,
     recorded: u64,
@@ -83,6 +98,8 @@
         Self {
             prepaid: None,
             granted: 0,
+            origin: Origin::Row,
+            known: Ledger::default(),
             returning: None,
             consumed: 0,
             recorded: 0,
@@ -155,6 +172,78 @@
         self.consumed = consumed;
     }
 
+    /// What the former process had consumed is known, and the row says what it was granted.
+    pub(super) fn inherit_row(&mut self, consumed: u64, granted: u64) {
+        self.consumed = consumed;
+        self.granted = granted;
+        self.origin = Origin::Row;
+    }
+
+    /// What the former process had consumed is known, and its grant is not: it gets no more than that.
+    pub(super) fn inherit_own(&mut self, consumed: u64) {
+        self.consumed = consumed;
+        self.granted = consumed;
+        self.origin = Origin::Own;
+    }
+
+    /// Nothing is known of the former process: all that the row grants it counts as consumed.
+    pub(super) fn inherit_unknown(&mut self, granted: u64) {
+        self.consumed = granted;
+        self.granted = granted;
+        self.origin = Origin::Unknown;
+    }
+
+    /// The store has come back from a copy, in which the account has this row, or none.
+    pub(super) fn restore(&mut self, holder: &str, row: Option<(u64, Ledger)>, era: u32) {
+        self.granted = self.granted();
+        self.returning = None;
+        let former = std::mem::take(&mut self.ledger);
+        for grant in former.grants {
+            if self.known.granted(&grant.holder) < grant.granted {
+                self.known.set(grant);
+            }
+        }
+        if self.origin == Origin::Row {
+            self.origin = Origin::Own;
+        }
+        let (version, ledger) = row.unwrap_or_default();
+        self.version = version;
+        self.take_grant(holder, &ledger, era);
+        self.ledger = ledger;
+    }
+
+    /// Whether the own grant is yet to be confirmed.
+    pub(super) fn is_unconfirmed(&self) -> bool {
+        self.origin == Origin::Own && self.granted > 0
+    }
+
+    /// Takes the own grant from a row, unless the row is older than what is known.
+    fn take_grant(&mut self, holder: &str, ledger: &Ledger, era: u32) {
+        let listed = ledger.grant(holder);
+        if let Some(grant) = listed.filter(|grant| grant.era >= era) {
+            self.granted = grant.granted;
+            self.origin = Origin::Row;
+            return;
+        }
+        let granted = listed.map_or(0, |grant| grant.granted);
+        match self.origin {
+            Origin::Own => {}
+            Origin::Row if granted == 0 => self.granted = 0,
+            Origin::Row | Origin::Unknown => {
+                let more = granted.saturating_sub(self.granted);
+                self.granted += more;
+                self.consumed += more;
+                // Once the account is settled the row holds all that it may have been granted.
+                let is_settled = ledger.era >= era;
+                self.origin = if is_settled {
+                    Origin::Own
+                } else {
+                    Origin::Unknown
+                };
+            }
+        }
+    }
+
     /// Holds tokens back. The own grant is not usable before it was taken over; a row that was read before `stale_ms` does not
     /// tell that the account is exhausted.
     pub(super) fn hold(
@@ -163,6 +252,7 @@
         tokens: u64,
         stale_ms: Option<u64>,
         store_ms: u64,
+        era: u32,
     ) -> Verdict {
         if self.prepaid.is_none() {
             // Nothing is counted against an account without a total.
@@ -185,7 +275,7 @@
             let when = when.and_then(|times| times.into_iter().max());
             return Verdict::Later(when.map(|when| when.saturating_sub(store_ms)));
         }
-        if stale_ms.is_some_and(|stale_ms| self.is_exhausted(holder, tokens, stale_ms)) {
+        if stale_ms.is_some_and(|stale_ms| self.is_exhausted(holder, tokens, stale_ms, era)) {
             return Verdict::Exhausted;
         }
         let known = self.need.map_or(0, |need| need.tokens);
@@ -227,11 +317,11 @@
 
     /// Whether the fleet as a whole has not enough for the request, as far as the rows tell. A row that was read
     /// too long ago tells nothing: others may have returned their parts, or the total may have been raised.
-    fn is_exhausted(&self, holder: &str, tokens: u64, stale_ms: u64) -> bool {
+    fn is_exhausted(&self, holder: &str, tokens: u64, stale_ms: u64, era: u32) -> bool {
         let Some(prepaid) = self.prepaid else {
             return false;
         };
-        if self.version == 0 || self.read_ms < stale_ms {
+        if self.version == 0 || self.read_ms < stale_ms || self.ledger.era < era {
             return false;
         }
         let used = plan::used_by_others(&self.ledger, holder, &self.peers);
@@ -239,7 +329,14 @@
     }
 
     /// Takes the row as read at `store_ms` of the store's clock.
-    pub(super) fn learn(&mut self, holder: &str, version: u64, ledger: Ledger, store_ms: u64) {
+    pub(super) fn learn(
+        &mut self,
+        holder: &str,
+        version: u64,
+        ledger: Ledger,
+        store_ms: u64,
+        era: u32,
+    ) {
         self.read_ms = self.read_ms.max(store_ms);
         if version < self.version {
             return;
@@ -251,7 +348,7 @@
             self.returning = None;
         }
         self.version = version;
-        self.granted = ledger.granted(holder);
+        self.take_grant(holder, &ledger, era);
         self.ledger = ledger;
     }
 
@@ -328,8 +425,25 @@
         now_ms: u64,
         (is_named, named): (bool, u64),
         closing: bool,
+        roll: &Roll,
     ) -> Option<(u64, Ledger)> {
         let prepaid = self.prepaid?;
+        let era = roll.era();
+        if !roll.is_fenced() {
+            return None;
+        }
+        if self.is_unconfirmed() {
+            return Some((self.version, self.confirmed(holder, era)));
+        }
+        let is_settled = self.ledger.era >= era;
+        let ledger = match (roll.missed(), closing) {
+            (Some(missed), _) if is_settled => era::released(&self.ledger, era, missed),
+            _ if is_settled => self.ledger.clone(),
+            (Some(missed), _) => era::settle(&self.ledger, &self.known, era, prepaid, missed),
+            // A holder that ends may always give back; it draws nothing before the era is settled.
+            (None, true) => self.ledger.clone(),
+            (None, false) => return None,
+        };
         let own = Own {
             holder: holder.clone(),
             granted: self.granted(),
@@ -339,12 +453,15 @@
             is_named,
             named,
         };
-        let need = self.need.take();
+        let may_draw = ledger.era >= era;
+        let need = self.need.take().filter(|_| may_draw);
         let granted = match closing {
-            true => plan::closing(&self.ledger, &own, prepaid, need),
-            false => plan::grant(&self.ledger, &self.peers, &own, prepaid, need),
+            true => plan::closing(&ledger, &own, prepaid, need),
+            false => plan::grant(&ledger, &self.peers, &own, prepaid, need),
         };
-        if granted == self.granted {
+        // The row is settled for those who need it, so that they learn whether anything is left.
+        let is_news = need.is_some() && !is_settled;
+        if granted == self.granted && !is_news {
             return None;
         }
         if granted < self.granted {
@@ -355,14 +472,25 @@
                 granted: granted.min(earlier),
             });
         }
-        let mut ledger = self.ledger.clone();
+        let mut ledger = ledger;
         ledger.set(Grant {
             holder: holder.clone(),
             granted,
+            era,
         });
         Some((self.version, ledger))
     }
 
+    /// The row with the own grant as it is known here.
+    fn confirmed(&self, holder: &Arc<str>, era: u32) -> Ledger {
+        let own = Grant {
+            holder: holder.clone(),
+            granted: self.granted(),
+            era,
+        };
+        era::confirm(&self.ledger, &self.known, own)
+    }
+
     pub(super) fn rate(&mut self, now_ms: u64) -> u64 {
         let since = self
             .started_ms
--- a/crates/fescuewell_forward/src/quota/journals.rs
+++ b/crates/fescuewell_forward/src/quota/journals.rs
@@ -23,21 +23,39 @@
         self.unanswered = None;
         self.may_be_written = false;
         let holder = self.holder.clone();
+        let era = self.roll.era();
+        // A journal of a former era may have been followed by others, which the copy of the store lacks.
+        let is_current = journal.is_some_and(|journal| journal.era == era);
+        self.is_certain = match journal {
+            Some(journal) => is_current && journal.is_certain,
+            None => era == 0 || self.is_first,
+        };
+        let is_certain = self.is_certain;
         // An account whose ledger cannot be read now keeps what the journal says of it. Otherwise the next journal would
         // record nothing consumed, and once the ledger can be read again all of it would be spent a second time.
         for entry in journal.map_or(&[][..], |journal| &journal.entries) {
             let consumed = journal.map_or(0, |journal| journal.bound(&entry.account, ended_ms));
-            self.account(&entry.account).inherit(consumed);
+            let account = self.account(&entry.account);
+            match (era, is_certain) {
+                (0, _) => account.inherit(consumed),
+                (_, true) => account.inherit_own(consumed),
+                (_, false) => account.inherit_unknown(consumed),
+            }
         }
         for (name, row_version, ledger) in ledgers {
+            let confirmed = ledger.grant(&holder).filter(|grant| grant.era >= era);
+            let is_confirmed = confirmed.is_some() || ledger.era >= era;
             let granted = ledger.granted(&holder);
-            let consumed = match journal {
-                Some(journal) => journal.bound(&name, ended_ms).min(granted),
-                None => granted,
-            };
+            let bound = journal.map_or(granted, |journal| journal.bound(&name, ended_ms));
             let account = self.account(&name);
-            account.inherit(consumed);
-            account.learn(&holder, row_version, ledger, ended_ms);
+            match (is_confirmed, is_certain) {
+                (true, _) if is_current || journal.is_none() => {
+                    account.inherit_row(bound.min(granted), granted);
+                }
+                (false, true) => account.inherit_own(bound),
+                _ => account.inherit_unknown(granted.max(bound)),
+            }
+            account.learn(&holder, row_version, ledger, ended_ms, era);
         }
         self.incarnation = journal.map_or(1, |journal| journal.incarnation + 1);
         self.journal(now_ms)
@@ -76,6 +94,8 @@
         let journal = Journal {
             incarnation: self.incarnation,
             at_ms,
+            era: self.roll.era(),
+            is_certain: self.is_certain,
             entries,
         };
         for entry in &journal.entries {
--- a/crates/fescuewell_forward/src/quota/row.rs
+++ b/crates/fescuewell_forward/src/quota/row.rs
@@ -5,14 +5,19 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use super::era::Fence;
 use super::pace::Pace;
 
-/// Leading byte of every ledger, so that another program version is told from damage.
-const LEDGER: u8 = 1;
+/// Leading byte of a ledger without eras, which the program version before reads as well: [`former`].
+const FORMER_LEDGER: u8 = 1;
+/// Leading byte of a ledger, so that another program version is told from damage.
+const LEDGER: u8 = 2;
+/// Leading byte of the first journals: [`former`].
+const FIRST_JOURNAL: u8 = 1;
 /// Leading byte of the journals of the program version before: [`former`].
-const FORMER_JOURNAL: u8 = 1;
+const FORMER_JOURNAL: u8 = 2;
 /// Leading byte of every journal.
-const JOURNAL: u8 = 2;
+const JOURNAL: u8 = 3;
 
 /// A row that cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -38,6 +43,8 @@
     pub holder: Arc<str>,
     /// Total that it may ever consume, over all its incarnations.
     pub granted: u64,
+    /// Era of the store in which the holder itself wrote this last; see [`super::era`].
+    pub era: u32,
 }
 
 /// What a holder tells the others of its use of one account, beside the rows that are changed on condition: it changes all
@@ -55,6 +62,8 @@
 /// All grants of one account.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
+    /// Era of the store in which it was settled; see [`super::era`].
+    pub era: u32,
     /// One for each holder that was ever granted something.
     pub grants: Vec<Grant>,
 }
@@ -62,8 +71,12 @@
 impl Ledger {
     /// What a holder may consume.
     pub fn granted(&self, holder: &str) -> u64 {
-        let own = self.grants.iter().find(|grant| &*grant.holder == holder);
-        own.map_or(0, |grant| grant.granted)
+        self.grant(holder).map_or(0, |grant| grant.granted)
+    }
+
+    /// A holder's part, if it was ever granted something.
+    pub fn grant(&self, holder: &str) -> Option<&Grant> {
+        self.grants.iter().find(|grant| &*grant.holder == holder)
     }
 
     /// What all holders together may consume.
@@ -82,7 +95,32 @@
 
     /// The row's bytes.
     pub fn encode(&self) -> Vec<u8> {
-        encode(self, LEDGER)
+        match former::Ledger::new(self) {
+            Some(ledger) => encode(&ledger, FORMER_LEDGER),
+            None => encode(self, LEDGER),
+        }
+    }
+
+    /// Reads a row.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] when it is not such a row.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        match bytes.first() {
+            Some(&FORMER_LEDGER) => decode::<former::Ledger>(bytes, FORMER_LEDGER).map(Self::from),
+            _ => decode(bytes, LEDGER),
+        }
+    }
+}
+
+/// Leading byte of the fence.
+const FENCE: u8 = 1;
+
+impl Fence {
+    /// The row's bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        encode(self, FENCE)
     }
 
     /// Reads a row.
@@ -91,7 +129,7 @@
     ///
     /// [`Error`] when it is not such a row.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        decode(bytes, LEDGER)
+        decode(bytes, FENCE)
     }
 }
 
@@ -119,6 +157,10 @@
     pub incarnation: u64,
     /// The moment it speaks of, by the store's clock in milliseconds; never later than the truth.
     pub at_ms: u64,
+    /// Era of the store in which it was written. One of a former era may have been followed by others that are lost.
+    pub era: u32,
+    /// Whether the writer knew what it was granted; see [`super::era::Sign`].
+    pub is_certain: bool,
     /// One for each account.
     pub entries: Vec<Entry>,
 }
@@ -140,13 +182,16 @@
         encode(self, JOURNAL)
     }
 
-    /// Reads a row, also one of the program version before: instances are replaced one after the other.
+    /// Reads a row, also one of the program versions before: instances are replaced one after the other.
     ///
     /// # Errors
     ///
     /// [`Error`] when it is not such a row.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
         match bytes.first() {
+            Some(&FIRST_JOURNAL) => {
+                decode::<former::FirstJournal>(bytes, FIRST_JOURNAL).map(Self::from)
+            }
             Some(&FORMER_JOURNAL) => {
                 decode::<former::Journal>(bytes, FORMER_JOURNAL).map(Self::from)
             }
@@ -155,14 +200,56 @@
     }
 }
 
-/// The journal of the program version before, whose promise ended at the grant alone.
+/// The rows of the program versions before, which knew no eras of the store.
 mod former {
     use std::sync::Arc;
 
-    use serde::Deserialize;
+    use serde::{Deserialize, Serialize};
+
+    use super::Entry;
 
+    #[derive(Serialize, Deserialize)]
+    pub struct Grant {
+        holder: Arc<str>,
+        granted: u64,
+    }
+
+    #[derive(Serialize, Deserialize)]
+    pub struct Ledger {
+        grants: Vec<Grant>,
+    }
+
+    impl Ledger {
+        /// The ledger as that version reads it; nothing where an era would be lost.
+        pub fn new(ledger: &super::Ledger) -> Option<Self> {
+            let has_eras = ledger.era > 0 || ledger.grants.iter().any(|grant| grant.era > 0);
+            let grants = ledger.grants.iter().map(|grant| Grant {
+                holder: grant.holder.clone(),
+                granted: grant.granted,
+            });
+            (!has_eras).then(|| Self {
+                grants: grants.collect(),
+            })
+        }
+    }
+
+    impl From<Ledger> for super::Ledger {
+        fn from(ledger: Ledger) -> Self {
+            let grants = ledger.grants.into_iter().map(|grant| super::Grant {
+                holder: grant.holder,
+                granted: grant.granted,
+                era: 0,
+            });
+            Self {
+                era: 0,
+                grants: grants.collect(),
+            }
+        }
+    }
+
+    /// An entry whose promise ended at the grant alone.
     #[derive(Deserialize)]
-    pub struct Entry {
+    pub struct FirstEntry {
         account: Arc<str>,
         consumed: u64,
         burst: u64,
@@ -172,15 +259,15 @@
     }
 
     #[derive(Deserialize)]
-    pub struct Journal {
+    pub struct FirstJournal {
         incarnation: u64,
         at_ms: u64,
-        entries: Vec<Entry>,
+        entries: Vec<FirstEntry>,
     }
 
-    impl From<Journal> for super::Journal {
-        fn from(journal: Journal) -> Self {
-            let entries = journal.entries.into_iter().map(|entry| super::Entry {
+    impl From<FirstJournal> for super::Journal {
+        fn from(journal: FirstJournal) -> Self {
+            let entries = journal.entries.into_iter().map(|entry| Entry {
                 account: entry.account,
                 consumed: entry.consumed,
                 burst: entry.burst,
@@ -191,10 +278,31 @@
             Self {
                 incarnation: journal.incarnation,
                 at_ms: journal.at_ms,
+                era: 0,
+                is_certain: true,
                 entries: entries.collect(),
             }
         }
     }
+
+    #[derive(Deserialize)]
+    pub struct Journal {
+        incarnation: u64,
+        at_ms: u64,
+        entries: Vec<Entry>,
+    }
+
+    impl From<Journal> for super::Journal {
+        fn from(journal: Journal) -> Self {
+            Self {
+                incarnation: journal.incarnation,
+                at_ms: journal.at_ms,
+                era: 0,
+                is_certain: true,
+                entries: journal.entries,
+            }
+        }
+    }
 }
 
 fn encode<Content>(content: &Content, format: u8) -> Vec<u8>
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::evacuation::{Order, Zones};
-use crate::warmup;
+use crate::{version, warmup};
 
 /// What a backend server says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -95,6 +95,9 @@
 /// Reads of the list can be stale by seconds while writes go on. A snapshot or a change that is older than what
 /// is known would bring a server back that has left, and requests would run into its end; versions
 /// therefore only rise.
+///
+/// A store that comes back from a copy shows what was true some seconds before, under newer versions. Servers that have left or
+/// said so since then, and zones that were evacuated, stay so until they or the operator write again.
 #[derive(Debug, Default)]
 pub struct Registry {
     known: HashMap<Arc<str>, Known>,
@@ -104,6 +107,8 @@
     ended: Vec<Arc<str>>,
     zones: Zones,
     warmups: HashMap<Arc<str>, warmup::Bound>,
+    era: u32,
+    restored_until_ms: u64,
 }
 
 /// Removed names that are remembered, so that an older read cannot bring them back.
@@ -114,6 +119,9 @@
 /// Time after the store's return within which the entries of servers that live are back, in milliseconds. Without it an
 /// instance has no backend server at all until the first heartbeats arrive, and refuses what they could serve.
 const RETURN_MS: u64 = 2_000;
+/// Time after the store's return from a copy within which the operator's word that was lost is written again, in milliseconds. Until
+/// then an evacuation that the copy lacks goes on.
+const REWRITTEN_MS: u64 = 5_000;
 /// Difference from which a later end of a server's cold time is news, in milliseconds: entries are written about once a second and
 /// take up to another one to be read.
 const COLD_NEWS_MS: u64 = 1_500;
@@ -148,6 +156,13 @@
         if version <= newest {
             return false;
         }
+        self.enter(version::era(version), now_ms);
+        let is_ghost = gone.is_some_and(|gone| version::era(gone) < version::era(version));
+        if is_ghost && matches!(said, Said::Entry(_)) {
+            // It stands in the copy and has left since. A server that lives writes again.
+            self.gone.insert(id, version);
+            return false;
+        }
         match said {
             Said::Entry(entry) => self.put(entry, version, now_ms),
             Said::Removed => self.remove(&id, version, now_ms),
@@ -162,6 +177,7 @@
             return Vec::new();
         }
         self.snapshot = version;
+        self.enter(version::era(version), now_ms);
         let listed: HashSet<Arc<str>> = rows.iter().map(|row| row.id.clone()).collect();
         let news = rows
             .into_iter()
@@ -177,6 +193,16 @@
         news
     }
 
+    /// The store has come back from a copy: entries that it lacks are written again by the servers that live.
+    fn enter(&mut self, era: u32, now_ms: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.spared_until_ms = self.spared_until_ms.max(now_ms + RETURN_MS);
+        self.restored_until_ms = now_ms + REWRITTEN_MS;
+    }
+
     /// The store answers again after `silence_ms`. Entries may have lapsed meanwhile, since heartbeats did not arrive
     /// either; those of servers that live come back.
     pub fn store_returned(&mut self, silence_ms: u64, now_ms: u64) {
@@ -252,7 +278,11 @@
 
     /// Takes all orders as of `version`; returns those by which zones change.
     pub fn evacuations(&mut self, version: u64, listed: Vec<Order>, now_ms: u64) -> Vec<Order> {
-        let missing = self.zones.missing(version, &listed);
+        self.enter(version::era(version), now_ms);
+        let missing = match now_ms < self.restored_until_ms {
+            true => Vec::new(),
+            false => self.zones.missing(version, &listed),
+        };
         let orders = listed.into_iter().chain(missing);
         let mut news = Vec::new();
         for order in orders {
@@ -300,10 +330,14 @@
         self.known.values().map(|known| &known.entry)
     }
 
-    fn put(&mut self, entry: Entry, version: u64, now_ms: u64) {
+    fn put(&mut self, mut entry: Entry, version: u64, now_ms: u64) {
         let id = entry.id.clone();
         self.gone.remove(&id);
-        let before_ms = self.known.get(&id).map_or(0, |known| known.cold_until_ms);
+        let known = self.known.get(&id);
+        if known.is_some_and(|known| known.has_left_before(&entry, version)) {
+            entry.state = State::Draining;
+        }
+        let before_ms = known.map_or(0, |known| known.cold_until_ms);
         let cold_until_ms = match entry.cold_left_ms {
             0 => before_ms,
             left_ms => before_ms.max(now_ms + left_ms),
@@ -345,6 +379,13 @@
 }
 
 impl Known {
+    /// Whether it said in a former era of the store that it leaves, and the copy does not know it yet. A server that is about to
+    /// leave does not come back under its name.
+    fn has_left_before(&self, entry: &Entry, version: u64) -> bool {
+        let is_former = version::era(self.version) < version::era(version);
+        is_former && self.entry.state == State::Draining && !is_birth(&self.entry, entry)
+    }
+
     fn takes_work(&self, now_ms: u64) -> bool {
         let is_lapsed = self.lapses_at_ms.is_some_and(|at| at <= now_ms);
         self.entry.state == State::Ready && !is_lapsed
--- a/crates/fescuewell_forward/tests/common/mod.rs
+++ b/crates/fescuewell_forward/tests/common/mod.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 
 use fescuewell_forward::loan::{Answer, Borrower, Lender};
+use fescuewell_forward::quota::era::{Fence, Sign};
 use fescuewell_forward::quota::row::{Journal, Ledger};
 use fescuewell_forward::quota::{Quota, Verdict};
+use fescuewell_forward::version;
 
 /// The only account.
 pub const ACCOUNT: &str = "group";
@@ -24,7 +26,9 @@
 /// A write that may take effect later if its condition still holds.
 #[derive(Debug, Clone)]
 pub enum Late {
-    Ledger(u64, Ledger),
+    /// Versions of the ledger and the fence, the ledger.
+    Ledger(u64, u64, Ledger),
+    Fence(u64, Fence),
     Journal(usize, u64, Journal),
 }
 
@@ -41,9 +45,25 @@
     Refused,
 }
 
+/// What the store holds at a moment.
+#[derive(Debug, Clone, Default)]
+pub struct Copy {
+    number: u64,
+    ledger: Cell<Ledger>,
+    journals: Vec<Cell<Journal>>,
+    fence: Cell<Fence>,
+    signs: Vec<Option<(Sign, u64)>>,
+}
+
 #[derive(Debug, Default)]
 pub struct Store {
-    pub version: u64,
+    pub era: u32,
+    /// The count of writes.
+    pub number: u64,
+    /// The row that each transaction on the ledger expects.
+    pub fence: Cell<Fence>,
+    /// The instances' signs, and when they were given.
+    pub signs: Vec<Option<(Sign, u64)>>,
     pub now_ms: u64,
     pub ledger: Cell<Ledger>,
     pub journals: Vec<Cell<Journal>>,
@@ -51,25 +71,72 @@
 }
 
 impl Store {
-    fn put_ledger(&mut self, expected: u64, ledger: Ledger) -> bool {
-        if self.ledger.version != expected {
+    fn next_version(&mut self) -> u64 {
+        self.number += 1;
+        version::join(self.era, self.number)
+    }
+
+    /// Whether a row has the version that a write expects. The store compares the count only.
+    fn fits(&self, now: u64, expected: u64) -> bool {
+        version::number(now) == version::number(expected)
+    }
+
+    fn put_ledger(&mut self, expected: u64, fence: u64, ledger: Ledger) -> bool {
+        if !self.fits(self.ledger.version, expected) || !self.fits(self.fence.version, fence) {
             return false;
         }
-        self.version += 1;
+        let version = self.next_version();
         self.ledger = Cell {
-            version: self.version,
+            version,
             content: Some(ledger),
         };
         true
     }
 
+    fn put_fence(&mut self, expected: u64, fence: Fence) {
+        if self.fits(self.fence.version, expected) {
+            self.fence = Cell {
+                version: self.next_version(),
+                content: Some(fence),
+            };
+        }
+    }
+
+    /// All that the store holds.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            number: self.number,
+            ledger: self.ledger.clone(),
+            journals: self.journals.clone(),
+            fence: self.fence.clone(),
+            signs: self.signs.clone(),
+        }
+    }
+
+    /// The store comes back from a copy, in its next era: counts go back.
+    pub fn restore(&mut self, copy: &Copy) {
+        self.era += 1;
+        let era = self.era;
+        let renew = |known: u64| version::join(era, version::number(known));
+        self.number = copy.number;
+        self.ledger = copy.ledger.clone();
+        self.ledger.version = renew(self.ledger.version);
+        self.journals = copy.journals.clone();
+        for journal in &mut self.journals {
+            journal.version = renew(journal.version);
+        }
+        self.fence = copy.fence.clone();
+        self.fence.version = renew(self.fence.version);
+        self.signs = copy.signs.clone();
+    }
+
     fn put_journal(&mut self, index: usize, expected: u64, journal: Journal) -> bool {
-        if self.journals[index].version != expected {
+        if !self.fits(self.journals[index].version, expected) {
             return false;
         }
-        self.version += 1;
+        let version = self.next_version();
         self.journals[index] = Cell {
-            version: self.version,
+            version,
             content: Some(journal),
         };
         true
@@ -78,9 +145,10 @@
     /// A write that was held up arrives.
     pub fn deliver_late(&mut self) {
         match self.late.pop() {
-            Some(Late::Ledger(expected, ledger)) => {
-                self.put_ledger(expected, ledger);
+            Some(Late::Ledger(expected, fence, ledger)) => {
+                self.put_ledger(expected, fence, ledger);
             }
+            Some(Late::Fence(expected, fence)) => self.put_fence(expected, fence),
             Some(Late::Journal(index, expected, journal)) => {
                 self.put_journal(index, expected, journal);
             }
@@ -101,6 +169,9 @@
     borrower: Borrower,
 }
 
+/// Time in which an instance that lives gives its next sign, in milliseconds.
+const LAPSE_MS: u64 = 3_500;
+
 pub struct World {
     pub store: Store,
     pub instances: Vec<Instance>,
@@ -119,6 +190,7 @@
             store: Store {
                 now_ms: 1_000,
                 journals: vec![Cell::default(); count],
+                signs: vec![None; count],
                 ..Store::default()
             },
             instances: Vec::new(),
@@ -148,6 +220,65 @@
         }
     }
 
+    /// The instance learns that the store has come back from a copy, and reads what it has of its own.
+    pub fn notice(&mut self, index: usize) {
+        let era = self.store.era;
+        if self.instances[index].quota.era() == era {
+            return;
+        }
+        let now_ms = self.local(index);
+        let cell = &self.store.journals[index];
+        let journal = cell.content.clone().map(|content| (cell.version, content));
+        let ledger = &self.store.ledger;
+        let row = ledger.content.clone();
+        let rows = row.map(|row| (self.account.clone(), ledger.version, row));
+        let quota = &mut self.instances[index].quota;
+        quota.restore(era, journal, rows.into_iter().collect(), now_ms);
+        self.read_fence(index);
+    }
+
+    fn read_fence(&mut self, index: usize) {
+        let fence = self.store.fence.clone();
+        let quota = &mut self.instances[index].quota;
+        quota.learn_fence(fence.version, fence.content.unwrap_or_default());
+    }
+
+    /// The instance writes the fence if that is due.
+    fn put_fence(&mut self, index: usize, fate: Fate) {
+        let now_ms = self.local(index);
+        let quota = &self.instances[index].quota;
+        let expected = quota.fence().0;
+        let Some(fence) = quota.next_fence(now_ms) else {
+            return;
+        };
+        match fate {
+            Fate::Late => return self.store.late.push(Late::Fence(expected, fence)),
+            Fate::Refused => return,
+            Fate::Done | Fate::Lost => self.store.put_fence(expected, fence),
+        }
+        if fate == Fate::Done {
+            self.read_fence(index);
+        }
+    }
+
+    /// The instance gives its sign and reads those of the others.
+    pub fn sign(&mut self, index: usize) {
+        if !self.instances[index].quota.is_adopted() {
+            return;
+        }
+        self.notice(index);
+        let sign = self.instances[index].quota.sign();
+        self.store.signs[index] = Some((sign, self.store.now_ms));
+        let now_ms = self.store.now_ms;
+        let signs = self.store.signs.iter().flatten();
+        let signs = signs.map(|(sign, at_ms)| Sign {
+            is_live: now_ms < at_ms + LAPSE_MS,
+            ..sign.clone()
+        });
+        let signs = signs.collect();
+        self.instances[index].quota.hear(signs, LAPSE_MS);
+    }
+
     /// The own clock of an instance: it began with its process.
     pub fn local(&self, index: usize) -> u64 {
         self.store.now_ms - self.instances[index].started_ms
@@ -175,8 +306,12 @@
             .collect();
         let store_ms = self.store.now_ms;
         let ended_ms = store_ms.saturating_sub(now_ms);
+        let era = self.store.era;
+        let fence = self.store.fence.clone();
         let quota = &mut self.instances[index].quota;
         quota.clock(store_ms, now_ms);
+        quota.begin_era(era, now_ms);
+        quota.learn_fence(fence.version, fence.content.unwrap_or_default());
         let journal = quota.adopt(
             known.content.as_ref(),
             known.version,
@@ -192,6 +327,7 @@
         if !self.instances[index].quota.is_adopted() {
             return;
         }
+        self.notice(index);
         let now_ms = self.local(index);
         let journal = self.instances[index].quota.journal(now_ms);
         self.write_journal(index, journal, fate);
@@ -242,19 +378,26 @@
 
     /// The instance brings its grant to what its plan says.
     pub fn plan(&mut self, index: usize, fate: Fate) {
+        if !self.instances[index].quota.is_adopted() {
+            return;
+        }
+        self.notice(index);
         let now_ms = self.local(index);
         let account = self.account.clone();
+        self.put_fence(index, fate);
         let quota = &mut self.instances[index].quota;
+        let fence = quota.fence().0;
         let Some((expected, ledger)) = quota.plan(&account, now_ms) else {
             return;
         };
         if fate == Fate::Late {
-            return self.store.late.push(Late::Ledger(expected, ledger));
+            let late = Late::Ledger(expected, fence, ledger);
+            return self.store.late.push(late);
         }
         if fate == Fate::Refused {
             return;
         }
-        self.store.put_ledger(expected, ledger);
+        self.store.put_ledger(expected, fence, ledger);
         if fate == Fate::Lost {
             return;
         }
@@ -268,6 +411,7 @@
 
     /// The instance reads the account's row.
     pub fn read_ledger(&mut self, index: usize) {
+        self.notice(index);
         let cell = self.store.ledger.clone();
         let ledger = cell.content.unwrap_or_default();
         let store_ms = self.store.now_ms;
--- a/crates/fescuewell_forward/tests/intake.rs
+++ b/crates/fescuewell_forward/tests/intake.rs
@@ -42,6 +42,8 @@
         weight,
         requests: 5,
         usage: Vec::new(),
+        era: 0,
+        is_certain: true,
         at_ms: 10_000,
         out_until_ms,
     }
--- a/crates/fescuewell_forward/tests/limits.rs
+++ b/crates/fescuewell_forward/tests/limits.rs
@@ -123,6 +123,8 @@
         requests,
         usage: Vec::new(),
         out_until_ms: 0,
+        era: 0,
+        is_certain: true,
         at_ms,
     }
 }
@@ -213,3 +215,16 @@
     assert_eq!(Directory::default().addresses(Some(own), 0), [own]);
     assert!(Directory::default().addresses(None, 0).is_empty());
 }
+
+/// Symptom looked for: during a roll of the program the new instances take the others for gone. Sequence: rows of the version before lack the
+/// last fields.
+#[test]
+fn a_sign_of_the_version_before_is_read() {
+    let member = member(1, "a", 5, 1_000);
+    let bytes = member.encode();
+
+    let former = Member::decode(&bytes[..bytes.len() - 2]).unwrap();
+
+    assert_eq!(former, member);
+    assert_eq!(Member::decode(&bytes).unwrap(), member);
+}
--- a/crates/fescuewell_forward/tests/quota.rs
+++ b/crates/fescuewell_forward/tests/quota.rs
@@ -257,6 +257,17 @@
     assert_eq!(journal.bound(ACCOUNT, 5 + 1_500 + 2_000), 3 + 6);
 }
 
+#[test]
+fn a_journal_of_the_version_between_is_read() {
+    // Format 2; incarnation 4; moment 5; one entry: "group", consumed 1, burst 2, rate 3, lump 9, steady 0.
+    let bytes = [2, 4, 5, 1, 5, b'g', b'r', b'o', b'u', b'p', 1, 2, 3, 9, 0];
+
+    let journal = Journal::decode(&bytes).unwrap();
+
+    assert_eq!((journal.incarnation, journal.era), (4, 0));
+    assert_eq!(journal.bound(ACCOUNT, 5 + 1_500 + 2_000), 3 + 6);
+}
+
 /// Symptom: a request of a dead process and one of its successor were paid from the same tokens. Sequence: the store
 /// is out of reach, the process spends on for eight seconds and is killed. Cause: the successor believed the
 /// last journal and not the pace.
@@ -451,14 +462,18 @@
 #[test]
 fn rows_read_back_as_written() {
     let ledger = Ledger {
+        era: 2,
         grants: vec![Grant {
             holder: "entry-1".into(),
             granted: 7,
+            era: 1,
         }],
     };
     let journal = Journal {
         incarnation: 4,
         at_ms: 5,
+        era: 3,
+        is_certain: false,
         entries: vec![Entry {
             account: ACCOUNT.into(),
             consumed: 1,
@@ -471,6 +486,11 @@
 
     assert_eq!(Ledger::decode(&ledger.encode()).unwrap(), ledger);
     assert_eq!(Journal::decode(&journal.encode()).unwrap(), journal);
+    let mut former = ledger.clone();
+    former.era = 0;
+    former.grants[0].era = 0;
+    assert_eq!(Ledger::decode(&former.encode()).unwrap(), former);
+    assert_eq!(former.encode().first(), Some(&1));
     assert!(Ledger::decode(&[]).is_err());
     assert!(Journal::decode(&[9, 9, 9]).is_err());
 }
@@ -494,6 +514,8 @@
     let former = Journal {
         incarnation: 1,
         at_ms: 1_000,
+        era: 0,
+        is_certain: true,
         entries: vec![Entry {
             account: account.clone(),
             consumed: 9_000,
@@ -513,6 +535,7 @@
     ledger.set(Grant {
         holder: "entry-0".into(),
         granted: 10_000,
+        era: 0,
     });
     quota.learn(&account, 3, ledger, 2_000);
 
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! The duties of the control thread: the configuration, the list of backend servers, grants and membership.
 
+mod fence;
 mod journal;
 mod ledger;
 mod lending;
--- a/crates/fescuewell_gateway/src/control/journal.rs
+++ b/crates/fescuewell_gateway/src/control/journal.rs
@@ -6,7 +6,9 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::quota::Account;
 use fescuewell_forward::quota::row::Journal;
+use fescuewell_forward::version;
 
+use super::fence::{learn_fence, read_fence};
 use super::ledger::{LEDGERS, MONEY, decode_ledger};
 use super::overdue::OVERDUE_MS;
 use super::rows::{decode, place, read, read_within};
@@ -39,6 +41,9 @@
     let Ok(ledgers) = read(control, LEDGERS, MONEY).await else {
         return false;
     };
+    let Ok(fence) = read_fence(control).await else {
+        return false;
+    };
     let gateway = &control.gateway;
     let asked_ms = gateway.now_ms();
     let Ok(journals) = read_own(control, CALL).await else {
@@ -59,10 +64,18 @@
         .collect();
     let accounts = rows.len();
     let now_ms = gateway.now_ms();
-    let journal = gateway
-        .state()
-        .quota
-        .adopt(known.as_ref(), version, rows, ended_ms, now_ms);
+    let era = version::era(journals.version);
+    if [&ledgers, &fence].map(|reading| version::era(reading.version)) != [era, era] {
+        // The store came back from a copy meanwhile.
+        return false;
+    }
+    let journal = {
+        let quota = &mut gateway.state().quota;
+        quota.set_first(gateway.settings.is_first_start);
+        quota.begin_era(era, now_ms);
+        learn_fence(quota, &fence);
+        quota.adopt(known.as_ref(), version, rows, ended_ms, now_ms)
+    };
     let written = write_journal(control, &journal).await;
     if written {
         inherited(control, known.as_ref(), &journal);
@@ -94,7 +107,7 @@
     }
 }
 
-fn decode_journal(row: &Row) -> Option<Journal> {
+pub(super) fn decode_journal(row: &Row) -> Option<Journal> {
     decode(row, Journal::decode)
 }
 
--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -8,6 +8,7 @@
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::quota::row::Ledger;
 
+use super::fence::{fence_place, learn_fence, renew};
 use super::rows::{decode, place, read, read_row};
 use super::{CALL, Control};
 use crate::store::{Change, Outcome, Reading, Row};
@@ -32,7 +33,11 @@
 
 /// Takes the rows of a reading.
 fn learn(quota: &mut Quota, reading: &Reading) {
+    learn_fence(quota, reading);
     for row in &reading.rows {
+        if &*row.place.table != LEDGERS {
+            continue;
+        }
         let Some(ledger) = decode_ledger(row) else {
             continue;
         };
@@ -66,6 +71,7 @@
 /// Brings the ledgers of the accounts to what the plan says, against others who do the same.
 pub(super) async fn plan(control: &Control, names: &[Arc<str>]) {
     for _ in 0..TRIES {
+        renew(control).await;
         let drafts = draft(control, names);
         if drafts.is_empty() {
             return;
@@ -112,6 +118,8 @@
 /// Writes some ledgers in one transaction: whether it took effect, or nothing when that is not known.
 async fn write_ledgers(control: &Control, drafts: &[Draft]) -> Option<bool> {
     let mut change = Change::default();
+    let fence = control.gateway.state().quota.fence().0;
+    change.expects.push((fence_place(), fence));
     for draft in drafts {
         let place = place(LEDGERS, MONEY, &draft.account);
         change.expects.push((place.clone(), draft.version));
--- a/crates/fescuewell_gateway/src/control/lending.rs
+++ b/crates/fescuewell_gateway/src/control/lending.rs
@@ -10,6 +10,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::loan::{Answer, Ask, Borrower, Lender};
 use fescuewell_forward::message::{Key, Message};
+use fescuewell_forward::version;
 use rand::TryRngCore;
 use rand::rngs::OsRng;
 use tokio::net::UdpSocket;
@@ -32,34 +33,37 @@
 const ANSWER: Duration = Duration::from_millis(30);
 
 /// Reads the fleet's key, or makes it where there is none. Without it nothing is lent or borrowed; it is tried again later.
+///
+/// A store that comes back from a copy may lack it: whoever knows it writes it again. Otherwise instances that start later would make
+/// another one, and the fleet would fall into two that do not believe each other.
 pub(super) async fn learn_key(control: &Control) {
-    if control.gateway.fleet_key().is_some() {
+    let gateway = &control.gateway;
+    let known = gateway.fleet_key();
+    if known.is_some() && gateway.fleet_key_era() == control.store.era() {
         return;
     }
     let Ok(reading) = read(control, KEYS, FLEET_KEY).await else {
         return;
     };
+    let era = version::era(reading.version);
     if let Some(row) = reading.rows.first() {
-        return take_key(control, row);
+        return take_key(control, row, era);
     }
-    let mut bytes = [0; 32];
-    if let Err(error) = OsRng.try_fill_bytes(&mut bytes) {
-        let reason = error.to_string().replace(' ', "_");
-        log_event!(Event::InternalFault, "part=key reason={reason}");
+    let Some(key) = known.map(|key| Key::clone(&key)).or_else(new_key) else {
         return;
-    }
+    };
     let row = place(KEYS, FLEET_KEY, FLEET_KEY);
     let change = Change {
         expects: vec![(row.clone(), 0)],
-        puts: vec![(row, bytes.to_vec())],
+        puts: vec![(row, key.bytes().to_vec())],
         removes: Vec::new(),
     };
     let commit = control.store.commit(&change);
     match control.call("key", super::CALL, commit).await {
-        Ok(Outcome::Done { .. }) => control.gateway.set_fleet_key(Key::new(bytes)),
+        Ok(Outcome::Done { .. }) => gateway.set_fleet_key(key, era),
         Ok(Outcome::Conflict(reading)) => {
             for row in &reading.rows {
-                take_key(control, row);
+                take_key(control, row, era);
             }
         }
         // It may have been written all the same: the next look reads it.
@@ -67,10 +71,22 @@
     }
 }
 
-fn take_key(control: &Control, row: &Row) {
+fn new_key() -> Option<Key> {
+    let mut bytes = [0; 32];
+    match OsRng.try_fill_bytes(&mut bytes) {
+        Ok(()) => Some(Key::new(bytes)),
+        Err(error) => {
+            let reason = error.to_string().replace(' ', "_");
+            log_event!(Event::InternalFault, "part=key reason={reason}");
+            None
+        }
+    }
+}
+
+fn take_key(control: &Control, row: &Row, era: u32) {
     let bytes = row.value.as_deref().unwrap_or_default();
     match <[u8; 32]>::try_from(bytes) {
-        Ok(bytes) => control.gateway.set_fleet_key(Key::new(bytes)),
+        Ok(bytes) => control.gateway.set_fleet_key(Key::new(bytes), era),
         Err(error) => unreadable(row, &error.to_string()),
     }
 }
@@ -267,7 +283,7 @@
             let deferred = std::mem::take(&mut *self.deferred.borrow_mut());
             let now_ms = gateway.now_ms();
             for (ask, from) in deferred {
-                self.answer(key, &ask, from, now_ms);
+                self.answer(&key, &ask, from, now_ms);
             }
         }
     }
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -6,6 +6,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::directory::{Directory, Member};
+use fescuewell_forward::version;
 
 use super::rows::{FLEET, place, read, unreadable};
 use super::{CALL, Control};
@@ -30,9 +31,7 @@
     if gateway.is_leaving() && member.out_until_ms == 0 {
         change.removes.push(place);
     } else {
-        // Only a type that cannot be written at all fails here.
-        let value = postcard::to_extend(&member, Vec::new()).unwrap_or_default();
-        change.puts.push((place, value));
+        change.puts.push((place, member.encode()));
     }
     let commit = control.store.commit(&change);
     // A sign that is lost is followed by the next one; `call` has noted the failure.
@@ -45,6 +44,7 @@
     let now_ms = gateway.now_ms();
     let mut state = gateway.state();
     let store_ms = state.quota.store_time(now_ms);
+    let sign = state.quota.sign();
     Member {
         address: settings.front,
         peer: settings.peer,
@@ -52,6 +52,8 @@
         weight: weight(settings),
         requests: state.arrivals.sum(now_ms) as u32 / ARRIVALS_S,
         usage: state.quota.usage(now_ms),
+        era: sign.era,
+        is_certain: sign.is_certain,
         at_ms: if gateway.is_leaving() { 0 } else { store_ms },
         out_until_ms: match state.intake.out_left_ms(now_ms) {
             0 => 0,
@@ -74,7 +76,7 @@
     let mut members: BTreeMap<Arc<str>, Member> = BTreeMap::new();
     for row in reading.rows {
         let Some(value) = &row.value else { continue };
-        match postcard::from_bytes(value) {
+        match Member::decode(value) {
             Ok(member) => {
                 members.insert(row.place.key.clone(), member);
             }
@@ -89,7 +91,11 @@
         .map(|(name, _)| name.clone())
         .collect();
     let named_before = names(&state.directory);
-    state.directory.replace(members, reading.now_ms);
+    let era = version::era(reading.version);
+    state.directory.replace_in(era, members, reading.now_ms);
+    let signs = state.directory.signs();
+    let lapse_ms = state.directory.lapse_ms();
+    state.quota.hear(signs, lapse_ms);
     stay_out(&mut state, &control.gateway.settings.name, now_ms);
     let after: Vec<Arc<str>> = state
         .directory
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::Control;
+use super::fence::enter;
 use super::journal::{adopt, journal};
 use super::ledger::{ledgers, plan};
 use super::lending;
@@ -68,7 +69,9 @@
         let every = if idle { IDLE_JOURNAL } else { JOURNAL_EVERY };
         let burst_ms = (pause * BURST_PAUSES).as_millis() as u64;
         gateway.state().quota.set_burst(burst_ms);
-        journal(control).await;
+        if enter(control).await {
+            journal(control).await;
+        }
         written_at = Instant::now();
         next = written_at + control.spread(every.max(journal_share(control)));
         gateway.tell_planned();
@@ -84,7 +87,9 @@
             true => gateway.state().quota.names(),
             false => gateway.state().quota.short_names(),
         };
-        plan(control, &names).await;
+        if enter(control).await {
+            plan(control, &names).await;
+        }
         if is_leaving {
             journal(control).await;
         }
@@ -102,9 +107,11 @@
         sign(control).await;
         members(control).await;
         gateway.tend_gate();
-        ledgers(control, number).await;
-        let names = gateway.state().quota.names();
-        plan(control, &names).await;
+        if enter(control).await {
+            ledgers(control, number).await;
+            let names = gateway.state().quota.names();
+            plan(control, &names).await;
+        }
         lending::learn_key(control).await;
         set_periods(control, every);
         tokio::time::sleep_until(next).await;
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -117,7 +117,7 @@
         return;
     };
     match key.open(bytes) {
-        Some(Message::Ask(ask)) => lending.lend(key, ask, from),
+        Some(Message::Ask(ask)) => lending.lend(&key, ask, from),
         Some(Message::Answer(answer)) => lending.take(&answer),
         Some(Message::Digest(digest)) => watch::hear(control, digest),
         None => {}
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 mod gate;
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -148,7 +148,8 @@
     wanted_plans: flume::Sender<()>,
     wanted_journals: flume::Sender<()>,
     shortages: flume::Sender<Shortage>,
-    fleet_key: OnceLock<Key>,
+    fleet_key: ArcSwapOption<Key>,
+    fleet_key_era: AtomicU32,
     planned: watch::Sender<u64>,
     ended: watch::Sender<u64>,
     returned: watch::Sender<u64>,
@@ -200,7 +201,8 @@
             wanted_plans,
             wanted_journals,
             shortages,
-            fleet_key: OnceLock::new(),
+            fleet_key: ArcSwapOption::empty(),
+            fleet_key_era: AtomicU32::new(0),
             planned,
             ended,
             returned,
@@ -345,14 +347,19 @@
     }
 
     /// The key that proves instances to each other, once it was read.
-    pub fn fleet_key(&self) -> Option<&Key> {
-        self.fleet_key.get()
+    pub fn fleet_key(&self) -> Option<Arc<Key>> {
+        self.fleet_key.load_full()
     }
 
-    /// Sets that key.
-    pub fn set_fleet_key(&self, key: Key) {
-        // Set once: the row is never replaced.
-        let _ = self.fleet_key.set(key);
+    /// Era of the store in which that key was read.
+    pub fn fleet_key_era(&self) -> u32 {
+        self.fleet_key_era.load(Ordering::Relaxed)
+    }
+
+    /// Sets that key as it was read in an era of the store. The row is replaced only where the store has lost it.
+    pub fn set_fleet_key(&self, key: Key, era: u32) {
+        self.fleet_key.store(Some(Arc::new(key)));
+        self.fleet_key_era.store(era, Ordering::Relaxed);
     }
 
     /// Tells waiting requests that a plan was carried out.
--- a/crates/fescuewell_gateway/src/settings.rs
+++ b/crates/fescuewell_gateway/src/settings.rs
@@ -13,6 +13,8 @@
     pub name: Arc<str>,
     /// Availability zone.
     pub zone: Arc<str>,
+    /// Whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
     /// Where callers connect.
     pub front: SocketAddr,
     /// Where readiness is asked for.
@@ -54,6 +56,7 @@
         Self {
             name: name.into(),
             zone: "".into(),
+            is_first_start: false,
             front,
             ready: None,
             directory: None,
--- a/crates/fescuewell_gateway/src/store.rs
+++ b/crates/fescuewell_gateway/src/store.rs
@@ -88,7 +88,12 @@
 }
 
 /// The platform's rows.
+///
+/// Versions are those of [`fescuewell_forward::version`].
 pub trait Store: Send + Sync {
+    /// How often the store has come back from a copy, as far as its answers told.
+    fn era(&self) -> u32;
+
     /// Reads the rows of a part.
     fn read<'a>(&'a self, table: &'a str, part: &'a str) -> Pending<'a, Reading>;
 
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -192,6 +192,10 @@
 }
 
 impl Store for Memory {
+    fn era(&self) -> u32 {
+        0
+    }
+
     fn read<'a>(&'a self, table: &'a str, part: &'a str) -> Pending<'a, Reading> {
         Box::pin(async move {
             self.arrive().await?;
--- a/crates/fescuewell_standin/src/rows.rs
+++ b/crates/fescuewell_standin/src/rows.rs
@@ -23,7 +23,7 @@
 use bytes::Bytes;
 use fescuewell_http::listener::{self, Handler, Listener, Reply, Request, spawn};
 use http::header::{CONTENT_TYPE, HeaderValue};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -61,8 +61,17 @@
     value: Option<Arc<[u8]>>,
 }
 
+/// All rows at a moment; see [`Rows::copy`].
+#[derive(Debug, Clone)]
+pub struct Copy {
+    version: u64,
+    rows: BTreeMap<Place, Cell>,
+    history: Vec<Event>,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    era: u32,
     version: u64,
     rows: BTreeMap<Place, Cell>,
     history: Vec<Event>,
@@ -111,6 +120,8 @@
     remove: Vec<WireRow>,
 }
 
+/// Header of all answers: how often the store has come back from a copy.
+const ERA: HeaderName = HeaderName::from_static("store-era");
 /// Longest wait of a feed.
 const MOST_WAIT: Duration = Duration::from_secs(30);
 /// Rows in one reading.
@@ -180,6 +191,27 @@
         state.history.clear();
     }
 
+    /// Everything that is stored, for [`Rows::restore`].
+    pub fn copy(&self) -> Copy {
+        let state = self.shared.state();
+        Copy {
+            version: state.version,
+            rows: state.rows.clone(),
+            history: state.history.clone(),
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its versions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.shared.state();
+        state.era += 1;
+        state.version = copy.version;
+        state.rows = copy.rows.clone();
+        state.history = copy.history.clone();
+        drop(state);
+        self.shared.changed.send_modify(|count| *count += 1);
+    }
+
     /// Calls so far, by path.
     pub fn calls(&self, path: &str) -> u64 {
         let state = self.shared.state();
@@ -253,8 +285,9 @@
     }
 }
 
-fn send(reply: Reply, status: StatusCode, body: &Value) {
+fn send(reply: Reply, status: StatusCode, era: u32, body: &Value) {
     let mut headers = HeaderMap::new();
+    headers.insert(ERA, HeaderValue::from(era));
     let json = HeaderValue::from_static("application/json");
     headers.insert(CONTENT_TYPE, json);
     reply.whole(status, headers, Bytes::from(body.to_string()));
@@ -262,15 +295,15 @@
 
 impl Shared {
     async fn serve(&self, request: Request, reply: Reply) {
-        let fault = {
+        let (fault, era) = {
             let mut state = self.state();
             *state.calls.entry(request.path.clone()).or_default() += 1;
-            state.fault
+            (state.fault, state.era)
         };
         match fault {
             Fault::Silent => return self.hold(reply).await,
             Fault::Reset => return reply.abort(),
-            Fault::Busy => return send(reply, StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+            Fault::Busy => return send(reply, StatusCode::SERVICE_UNAVAILABLE, era, &json!({})),
             Fault::None | Fault::LostReplies | Fault::SilentFeeds => {}
         }
         let query: HashMap<String, String> = form_urlencoded::parse(request.query.as_bytes())
@@ -285,7 +318,8 @@
         if fault == Fault::LostReplies && &*request.path == "/-/rows-tx" {
             return reply.abort();
         }
-        send(reply, status, &body);
+        let era = self.state().era;
+        send(reply, status, era, &body);
     }
 
     /// Answers nothing until the caller has gone.
@@ -368,7 +402,7 @@
         if state.fault == Fault::SilentFeeds {
             return None;
         }
-        if after < state.dropped {
+        if after < state.dropped || after > state.version {
             return Some((StatusCode::GONE, json!({})));
         }
         let events = state.history.iter();
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod configuration;
+mod eras;
 mod fixture;
 mod money;
 mod pressure;
--- a/tests/forward/pressure.rs
+++ b/tests/forward/pressure.rs
@@ -24,6 +24,8 @@
             weight: 1_000,
             requests: 0,
             usage: Vec::new(),
+            era: 0,
+            is_certain: true,
             at_ms: u64::MAX / 2,
             out_until_ms: 0,
         };
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -20,6 +20,8 @@
 const CALLERS: usize = 6;
 /// Faults of one seed.
 const FAULTS: usize = 10;
+/// Most faults between a copy of the store and its return.
+const MOST_LOST: usize = 4;
 /// The account's first total, in tokens: gone after some hundred requests.
 const PREPAID: u64 = 150_000;
 /// What a top-up adds.
@@ -27,6 +29,10 @@
 
 pub struct World {
     random: SmallRng,
+    /// The faults after which the store is copied and comes back from the copy. Drawn apart, so that the faults of a seed stay the
+    /// same.
+    drill: (usize, usize),
+    copy: Option<rows::Copy>,
     platform: Fixture,
     instances: Vec<Instance>,
     callers: Vec<Caller>,
@@ -56,8 +62,13 @@
         let callers = (0..CALLERS)
             .map(|name| Caller::start(seed, name, fronts.clone(), stop.clone()))
             .collect();
+        let mut apart = SmallRng::seed_from_u64(!seed);
+        let copied = apart.random_range(0..FAULTS - 1);
+        let returned = (copied + apart.random_range(1..=MOST_LOST)).min(FAULTS - 1);
         Self {
             random: SmallRng::seed_from_u64(seed),
+            drill: (copied, returned),
+            copy: None,
             platform,
             instances,
             callers,
@@ -70,7 +81,8 @@
     /// Faults in series, some of which overlap.
     pub fn play(&mut self) {
         let mut open: Vec<Fault> = Vec::new();
-        for _ in 0..FAULTS {
+        for number in 0..FAULTS {
+            self.drill(number);
             let fault = fault::draw(&mut self.random, INSTANCES, WORKERS);
             self.begin(fault);
             open.push(fault);
@@ -87,6 +99,26 @@
         }
     }
 
+    /// The store is copied, and some faults later it comes back from the copy. Then the operator and the servers write again what they
+    /// wrote since.
+    fn drill(&mut self, number: usize) {
+        let (copied, returned) = self.drill;
+        if number == copied {
+            self.copy = Some(self.platform.store.copy());
+        }
+        if number != returned {
+            return;
+        }
+        if let Some(copy) = &self.copy {
+            self.platform.store.restore(copy);
+        }
+        let now = configuration(self.version, self.prepaid);
+        self.platform.configure(&now);
+        for at in 0..WORKERS {
+            self.platform.register(at, "ready");
+        }
+    }
+
     fn begin(&mut self, fault: Fault) {
         match fault {
             Fault::Pause(at) => self.instances[at].pause(),
