Say what requests without an answer were charged; what a caller that left has cost, found out

Change: event 3008, `losses` sums both, tests for a caller that leaves before and after the first event. No change of what is charged.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -81,6 +81,7 @@
     AllowanceReturned = 3002, Info, "allowance.returned", "Unused allowances were returned.";
     AllowanceReclaimed = 3003, Info, "allowance.reclaimed", "Allowances of a terminated instance were returned after its streams were settled.";
     TokensLent = 3007, Info, "tokens.lent", "Tokens of an account were lent to another instance, or refused.";
+    TokensCharged = 3008, Info, "tokens.charged", "A request that was not answered was charged: it may have run, or its caller left after the first events.";
     BillsCommitted = 3004, Info, "bills.committed", "Bills became durable.";
     BillAbsorbed = 3005, Warn, "bill.absorbed", "A second bill for a request was dropped.";
     BillInDoubt = 3006, Warn, "bill.in_doubt", "The cost of a request could not be learned; its hold was charged.";
--- a/crates/fescuewell_gateway/src/hold.rs
+++ b/crates/fescuewell_gateway/src/hold.rs
@@ -25,9 +25,11 @@
 pub struct Hold {
     gateway: Arc<Gateway>,
     account: Arc<str>,
+    request: Arc<str>,
     tokens: Tokens,
     ran: bool,
     delivered: u64,
+    is_told: bool,
 }
 
 impl Hold {
@@ -41,7 +43,7 @@
         gateway: &Arc<Gateway>,
         account: &Arc<str>,
         tokens: Tokens,
-        id: &str,
+        id: &Arc<str>,
         patience: Duration,
     ) -> Result<Self, Refusal> {
         let most = tokens.prompt + tokens.most_output;
@@ -62,7 +64,7 @@
             let now_ms = gateway.now_ms();
             let verdict = gateway.state().quota.hold(account, most, now_ms);
             match verdict {
-                Verdict::Held => return Ok(Self::new(gateway, account, tokens)),
+                Verdict::Held => return Ok(Self::new(gateway, account, id, tokens)),
                 Verdict::Exhausted => return Err(refuse(Code::BudgetExhausted, None)),
                 Verdict::Short | Verdict::Later(_) => {}
             }
@@ -108,13 +110,15 @@
         }
     }
 
-    fn new(gateway: &Arc<Gateway>, account: &Arc<str>, tokens: Tokens) -> Self {
+    fn new(gateway: &Arc<Gateway>, account: &Arc<str>, request: &Arc<str>, tokens: Tokens) -> Self {
         Self {
             gateway: gateway.clone(),
             account: account.clone(),
+            request: request.clone(),
             tokens,
             ran: false,
             delivered: 0,
+            is_told: false,
         }
     }
 
@@ -128,6 +132,11 @@
         self.delivered += tokens;
     }
 
+    /// The request's last log line tells what it cost.
+    pub fn tell(&mut self) {
+        self.is_told = true;
+    }
+
     /// What the request costs so far.
     pub fn cost(&self) -> u64 {
         let output = self.delivered.min(self.tokens.most_output);
@@ -142,6 +151,16 @@
     fn drop(&mut self) {
         let held = self.tokens.prompt + self.tokens.most_output;
         let cost = self.cost();
+        // Log lines and ledger are to come to the same sum: a request whose caller left has no line with its cost.
+        if !self.is_told && cost > 0 {
+            log_event!(
+                Event::TokensCharged,
+                "request={} account={} tokens={cost} delivered={}",
+                self.request,
+                self.account,
+                self.delivered
+            );
+        }
         self.gateway.state().quota.settle(&self.account, held, cost);
     }
 }
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -351,7 +351,10 @@
         self.done(place, answer.status.as_str());
     }
 
-    pub(crate) fn done(&self, place: &Place, outcome: &str) {
+    pub(crate) fn done(&mut self, place: &Place, outcome: &str) {
+        if let Some(hold) = &mut self.hold {
+            hold.tell();
+        }
         let took = self.arrived.elapsed();
         let metrics = &self.gateway.metrics;
         metrics.request(&self.route.name, outcome, took);
--- a/src/command/losses.rs
+++ b/src/command/losses.rs
@@ -16,8 +16,8 @@
 usage: fescuewell losses [--span SECONDS] [--accounts COUNT] FILE...
 
 Counts the requests that were refused, failed or left by their callers, by cause and in spans of time (4 seconds unless told
-otherwise) from the first line on, with the client account that each cause met most. Tokens that restarts charged without a
-record of their use stand below. With --accounts the client accounts that were refused most follow, with what was prepaid,
+otherwise) from the first line on, with the client account that each cause met most. What answers cost, what requests cost that
+got none, and what restarts charged without a record of its use stand below. With --accounts the client accounts that were refused most follow, with what was prepaid,
 granted and used by the last line, and whether the missing tokens were used up, stood at other instances, or at none.
 
 example: fescuewell losses --span 2 entry-1.log entry-2.log
@@ -77,6 +77,7 @@
     let mut losses: BTreeMap<String, Loss> = BTreeMap::new();
     let mut accounts: HashMap<&str, &str> = HashMap::new();
     let (mut served, mut recorded, mut charged) = (0, 0, 0);
+    let (mut answered, mut unanswered) = (0, 0);
     for line in &lines {
         if line.title() == "route.chosen" {
             accounts.insert(line.field("request"), line.field("account"));
@@ -85,6 +86,11 @@
             recorded += number(line, "recorded");
             charged += number(line, "charged");
         }
+        match line.title() {
+            "request.done" => answered += number(line, "tokens"),
+            "tokens.charged" => unanswered += number(line, "tokens"),
+            _ => {}
+        }
         let Some(cause) = cause(line) else {
             served += u64::from(line.title() == "request.done");
             continue;
@@ -103,6 +109,7 @@
     for (cause, loss) in ranked {
         loss.print(cause, span_s);
     }
+    println!("tokens of answers {answered}, of requests without one {unanswered}");
     println!("tokens charged at restarts {charged}, of them recorded {recorded}");
     if let Some(most) = most {
         accounts::print(&lines, most);
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -188,6 +188,13 @@
         );
     }
 
+    /// Waits until callers are sent to the instance.
+    pub fn wait_named(&self) {
+        let daemon = self.daemon.as_ref().unwrap();
+        let is_named = || daemon.gateway().state().directory.is_named(self.name);
+        assert!(wait_until(is_named), "the instance is never named");
+    }
+
     /// Waits until a backend server is not listed any more.
     pub fn wait_server_gone(&self, id: &str) {
         let daemon = self.daemon.as_ref().unwrap();
--- a/tests/forward/money.rs
+++ b/tests/forward/money.rs
@@ -1,5 +1,7 @@
 //! Prepaid tokens through the whole path.
 
+use std::io::{Read, Write};
+
 use fescuewell::standin::rows::Fault;
 use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
 
@@ -48,6 +50,44 @@
     assert!(wait_until(|| fixture.consumed() == 0));
 }
 
+/// What a caller got before it left is charged with its prompt, and what is held beyond that is free again.
+#[test]
+fn a_caller_that_leaves_after_some_events_pays_for_these() {
+    let fixture = Fixture::ready(1, 100_000);
+    fixture.workers[0].next(&[Behaviour::Pause(2)]);
+    let mut connection = fixture.connect();
+
+    connection
+        .write_all(&stream("r-1", 1_000, 5_000).bytes())
+        .unwrap();
+    let mut seen = Vec::new();
+    while !String::from_utf8_lossy(&seen).contains("id: 2") {
+        let mut bytes = [0; 256];
+        let count = connection.read(&mut bytes).unwrap();
+        assert!(count > 0, "the stream ended");
+        seen.extend_from_slice(&bytes[..count]);
+    }
+    drop(connection);
+
+    assert!(wait_until(|| fixture.consumed() == 1_000 + 2 * 7));
+}
+
+/// A request runs from its first token on: one whose caller leaves before that has cost nothing.
+#[test]
+fn a_caller_that_leaves_before_the_first_event_pays_nothing() {
+    let fixture = Fixture::ready(1, 100_000);
+    fixture.workers[0].next(&[Behaviour::Hang]);
+    let mut connection = fixture.connect();
+
+    connection
+        .write_all(&stream("r-1", 1_000, 5_000).bytes())
+        .unwrap();
+    assert!(wait_until(|| fixture.consumed() == 6_000));
+    drop(connection);
+
+    assert!(wait_until(|| fixture.consumed() == 0));
+}
+
 #[test]
 fn what_is_left_does_not_cover_a_large_request() {
     let fixture = Fixture::ready(1, 10_000);
--- a/tests/forward/zones.rs
+++ b/tests/forward/zones.rs
@@ -76,6 +76,8 @@
     fixture.store.put("servers", "", "i-0", row.as_bytes());
     fixture.start();
     fixture.wait_ready();
+    // Only an instance that callers are sent to introduces cold servers.
+    fixture.wait_named();
 
     let first = fixture.send(&safe("r-1"));
     let second = fixture.send(&safe("r-2"));
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -47,6 +47,23 @@
     );
 }
 
+/// Symptom: the log lines of an account came to 13.97 million tokens, its row to 15.96 million. Cause: requests whose callers had left were
+/// charged and had no line that said so.
+#[test]
+fn tokens_of_requests_without_an_answer_are_told() {
+    let log = concat!(
+        r#"{"time":"2026-05-30T10:35:01.100Z","title":"request.done","request":"r-1","outcome":"whole","tokens":"700"}"#,
+        "\n",
+        r#"{"time":"2026-05-30T10:35:02.000Z","title":"tokens.charged","request":"r-2","account":"group","tokens":"120"}"#,
+        "\n",
+    );
+
+    let output = run("charged", &[], log);
+
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("tokens of answers 700, of requests without one 120"));
+}
+
 #[test]
 fn a_span_of_nothing_is_refused() {
     let output = run("span", &["--span", "0"], LOG);
