--- a/crates/fescuewell_forward/src/comeback.rs
+++ b/crates/fescuewell_forward/src/comeback.rs
@@ -8,10 +8,7 @@
 
 /// How much longer an outage of the store may last, in milliseconds, after `silence_ms` of it: as long as it has lasted, since
 /// nothing else is known. It varies from half to one and a half of that with `draw`, a random number, so that callers do not come back
-/// all at once.
-///
-/// In two cuts of a fleet of 195, 16 s in all, 1,258 requests were refused at once; with 0.15 s in its place their callers come back
-/// into the same cut. What it gains alone has not been measured.
+/// all at once. A short fixed time brings them back into the same outage.
 pub fn outage_left_ms(silence_ms: u64, draw: u64) -> u64 {
     let part = 0.5 + draw as f64 / u64::MAX as f64;
     let left_ms = (silence_ms as f64 * part) as u64;
--- a/crates/fescuewell_forward/src/intake.rs
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -17,7 +17,7 @@
 const LINK_PART: f64 = 0.6;
 /// Part of the processor from which they are too many.
 const PROCESSOR_PART: f64 = 0.6;
-/// Processor time of one request, in seconds, from a profile of an instance at 300 requests a second.
+/// Processor time of one request, in seconds.
 const PROCESSOR_EACH: f64 = 0.000_9;
 /// Bytes of a request beside its body: the request line and some ten headers.
 const HEAD_BYTES: u64 = 500;
@@ -31,11 +31,9 @@
 /// [`THROTTLE_MS`].
 const SHUT_SPAN_MS: u64 = 3_000;
 /// Part of that span from which a busy instance sends its callers away. Below it the instance serves most of them where they
-/// are; they would lose two seconds at each move, and most instances that they may come to are as small. Always to send
-/// them away served a large account at 0.11 to 0.15, and all others at 0.75 or more, where its callers send 1.8 times what is let in.
+/// are; they would lose two seconds at each move, and most instances that they may come to are as small.
 ///
-/// A full link is left at once: connections to backend servers and calls to the store fail behind it too. That no play has
-/// shown apart yet.
+/// A full link is left at once: connections to backend servers and calls to the store fail behind it too.
 const HOPELESS_PART: f64 = 0.6;
 /// Time for which new connections are kept out after a request that was too much, in milliseconds. Short, so that what is
 /// let in stays near the bound, and far below the seconds after which a ready instance would be missed.
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -266,8 +266,8 @@
     }
 
     /// Sets the age up to which a row tells that an account is exhausted, in milliseconds: some plans. Large fleets plan less
-    /// often than small ones; with the time of a small one 11,675 requests of accounts at their end were told to come back, and
-    /// 433 that nothing is left.
+    /// often than small ones; with the time of a small one they tell callers of accounts at their end to come back in place of that
+    /// nothing is left.
     pub fn set_fresh(&mut self, fresh_ms: u64) {
         self.fresh_ms = fresh_ms.max(FRESH_MS);
     }
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -16,12 +16,11 @@
 /// account that sends one a second, short enough to follow a surge of a few seconds.
 const DEMAND_MS: u64 = 6_000;
 /// Part of the grant's rest, in percent, that a journal lets through at once: what a restart may cost where an account
-/// has much left, so that a cut does not begin with refusals. 5 in its place: 0.003 less mean worth over 66 plays.
+/// has much left, so that a cut does not begin with refusals.
 const SPARE_PERCENT: u64 = 8;
 /// That part is at most so many requests of the usual size,
 const SPARE_REQUESTS: u64 = 2;
-/// or the demand of the tight time, which the account then lives on. It gains 0.03 to 0.045 of worth on days whose only
-/// trouble is two cuts of the whole fleet.
+/// or the demand of the tight time, which the account then lives on.
 const SPARE_MS: u64 = TIGHT_MS;
 /// Pace promised after the tight time, in percent of the measured demand. Demand in a cut may be twice what it was; a
 /// restart at the end of an outage of the store is charged all of it.
@@ -40,9 +39,7 @@
 /// Pace promised beyond the lump, in percent of the measured demand.
 ///
 /// A restart is charged for all that its process had promised, so the promise is no wider than the whole fleet needs: an
-/// instance whose luck exceeds it borrows from the others. With 2 requests, 3 deviations and 150% a fleet killed after 12 s
-/// without the store was charged 0.31 of what was left beyond its use (20 seeds in virtual time), now 0.147, and served 0.985 of the
-/// requests meanwhile, now 0.973. 18 days with such a kill gain 0.070 of worth (standard error 0.007), 36 others -0.002 (0.005).
+/// instance whose luck exceeds it borrows from the others.
 const STEADY_PERCENT: u64 = 80;
 /// A request of this size is expected before any has been seen, in tokens.
 const FIRST_TYPICAL: u64 = 8_000;
--- a/crates/fescuewell_forward/src/quota/loans.rs
+++ b/crates/fescuewell_forward/src/quota/loans.rs
@@ -115,9 +115,7 @@
     /// What is borrowed pays for what was consumed of the own grant, and only the rest is credit. So it stands in the next journal,
     /// goes back with the next plan if it is not needed, and can be lent in turn.
     ///
-    /// Without this a kill of the borrower loses it, though the lender's row counts it as consumed. On a day on which all of 195
-    /// instances are killed once, an account of 1.16 million tokens used 0.86 million before and 1.03 million with it, one play each and with one
-    /// more change; other accounts differed by less.
+    /// Without this a kill of the borrower loses it, though the lender's row counts it as consumed.
     fn borrow(&mut self, tokens: u64) {
         let paid = tokens.min(self.consumed);
         self.consumed -= paid;
--- a/crates/fescuewell_forward/src/quota/waiting.rs
+++ b/crates/fescuewell_forward/src/quota/waiting.rs
@@ -2,8 +2,7 @@
 
 /// Time, in milliseconds, for which a request that waits for the pace counts: as long as most of them wait.
 ///
-/// Without it the first journal after an outage made room for all that had been refused in it, 8.7 million tokens of 10 million in
-/// eight seconds of ten times the usual traffic, and a kill behind it was charged for them.
+/// Without it the first journal after an outage makes room for all that was refused in it, and a kill behind it is charged for them.
 const WAITING_MS: u64 = 300;
 
 /// Tokens of requests that wait for the pace.
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -51,9 +51,8 @@
 /// Time that a call which was sent into an outage is still waited for once another one has been answered, counted from its
 /// beginning: an answer takes some milliseconds.
 ///
-/// Without this each duty waited for its own lost call first, up to [`CALL`] long and one after the other: the journal was as
-/// old as the outage for more than 0.2 s after the store's return in 23 of 25 outages played in virtual time, and a loss of
-/// power then was charged for all of it.
+/// Without this each duty waits for its own lost call first, up to [`CALL`] long and one after the other: the journal stays as
+/// old as the outage for that long, and a loss of power then is charged for all of it.
 const OVERTAKEN: Duration = Duration::from_millis(60);
 /// Digests that wait to be sent. Each holds what the one before held, so that one that finds no room is no loss.
 const MOST_DIGESTS: usize = 2;
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -4,8 +4,8 @@
 //! the *ledgers* of the client accounts, which all instances change on condition of their versions.
 //!
 //! Three loops run beside each other, so that none waits for another: the journal, draws that requests wait for, and the
-//! plan of all accounts with the signs of life. In one loop a journal that requests waited for stood behind the conflicts of a
-//! plan of 40 ledgers: a holder of 13 million tokens refused 356 requests in five seconds of twice the usual traffic.
+//! plan of all accounts with the signs of life. In one loop a journal that requests wait for stands behind the conflicts of a
+//! plan of all ledgers, and a holder with tokens refuses them.
 
 use std::time::Duration;
 
@@ -135,8 +135,8 @@
 /// Time between two journals at which the whole fleet keeps to its share of the store's writes. Each journal stands in a part
 /// of its own.
 ///
-/// With the share of one part in its place a fleet of 195 wrote them 3 s apart, and a cut that began 2.8 s after one refused
-/// up to a third of the requests.
+/// With the share of one part in its place those of a large fleet are seconds apart, and a cut that begins between two finds
+/// promises made for the former demand.
 fn journal_share(control: &Control) -> Duration {
     let gateway = &control.gateway;
     let instances = gateway.state().directory.count() as f64;
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -288,8 +288,7 @@
     }
 
     /// Whether a send that is under way may be given up for another one. It takes the repeat first: a send that is given
-    /// up without one ends the request, although its server may be about to answer. At three times the traffic 257 of 2,060
-    /// requests ended so, their prompts read and charged.
+    /// up without one ends the request, although its server may be about to answer and its prompt is read and charged.
     pub(crate) fn may_give_up(&mut self) -> bool {
         let may_repeat = self.route.kind.is_idempotent() && Instant::now() < self.limit;
         self.has_repeat = may_repeat && self.take_repeat();
