--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -26,6 +26,7 @@
 pub mod exposure;
 mod journals;
 mod loans;
+mod origin;
 pub mod pace;
 pub mod plan;
 pub mod row;
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -6,6 +6,7 @@
 use super::Verdict;
 use super::era::{self, Roll};
 use super::loans::Said;
+use super::origin::Origin;
 use super::pace::{Pace, TIGHT_MS};
 use super::plan::{self, Need, Own, Peers};
 use super::row::{Entry, Grant, Ledger, Usage};
@@ -46,37 +47,26 @@
 
 /// A return of tokens whose write may still take effect.
 #[derive(Debug, Clone, Copy)]
-struct Returning {
+pub(super) struct Returning {
     /// The row's version on which the write is conditional.
     version: u64,
     /// What the grant would be afterwards.
     granted: u64,
 }
 
-/// Where the own grant is known from; see [`super::era`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Origin {
-    /// From the row.
-    Row,
-    /// From before the store came back from a copy: the row is to say the same.
-    Own,
-    /// From nowhere: a former process may have been granted more than the row says. All of it counts as consumed.
-    Unknown,
-}
-
 /// Grants, consumption and demand of one account.
 #[derive(Debug)]
 pub struct Account {
     prepaid: Option<u64>,
-    granted: u64,
-    origin: Origin,
+    pub(super) granted: u64,
+    pub(super) origin: Origin,
     /// Grants of others as they were known in former eras.
-    known: Ledger,
-    returning: Option<Returning>,
+    pub(super) known: Ledger,
+    pub(super) returning: Option<Returning>,
     pub(super) consumed: u64,
     recorded: u64,
     paces: Vec<Pace>,
-    version: u64,
+    pub(super) version: u64,
     pub(super) ledger: Ledger,
     pub(super) peers: Peers,
     demand: Window,
@@ -169,78 +159,6 @@
         self.consumed = consumed;
     }
 
-    /// What the former process had consumed is known, and the row says what it was granted.
-    pub(super) fn inherit_row(&mut self, consumed: u64, granted: u64) {
-        self.consumed = consumed;
-        self.granted = granted;
-        self.origin = Origin::Row;
-    }
-
-    /// What the former process had consumed is known, and its grant is not: it gets no more than that.
-    pub(super) fn inherit_own(&mut self, consumed: u64) {
-        self.consumed = consumed;
-        self.granted = consumed;
-        self.origin = Origin::Own;
-    }
-
-    /// Nothing is known of the former process: all that the row grants it counts as consumed.
-    pub(super) fn inherit_unknown(&mut self, granted: u64) {
-        self.consumed = granted;
-        self.granted = granted;
-        self.origin = Origin::Unknown;
-    }
-
-    /// The store has come back from a copy, in which the account has this row, or none.
-    pub(super) fn restore(&mut self, holder: &str, row: Option<(u64, Ledger)>, era: u32) {
-        self.granted = self.granted();
-        self.returning = None;
-        let former = std::mem::take(&mut self.ledger);
-        for grant in former.grants {
-            if self.known.granted(&grant.holder) < grant.granted {
-                self.known.set(grant);
-            }
-        }
-        if self.origin == Origin::Row {
-            self.origin = Origin::Own;
-        }
-        let (version, ledger) = row.unwrap_or_default();
-        self.version = version;
-        self.take_grant(holder, &ledger, era);
-        self.ledger = ledger;
-    }
-
-    /// Whether the own grant is yet to be confirmed.
-    pub(super) fn is_unconfirmed(&self) -> bool {
-        self.origin == Origin::Own && self.granted > 0
-    }
-
-    /// Takes the own grant from a row, unless the row is older than what is known.
-    fn take_grant(&mut self, holder: &str, ledger: &Ledger, era: u32) {
-        let listed = ledger.grant(holder);
-        if let Some(grant) = listed.filter(|grant| grant.era >= era) {
-            self.granted = grant.granted;
-            self.origin = Origin::Row;
-            return;
-        }
-        let granted = listed.map_or(0, |grant| grant.granted);
-        match self.origin {
-            Origin::Own => {}
-            Origin::Row if granted == 0 => self.granted = 0,
-            Origin::Row | Origin::Unknown => {
-                let more = granted.saturating_sub(self.granted);
-                self.granted += more;
-                self.consumed += more;
-                // Once the account is settled the row holds all that it may have been granted.
-                let is_settled = ledger.era >= era;
-                self.origin = if is_settled {
-                    Origin::Own
-                } else {
-                    Origin::Unknown
-                };
-            }
-        }
-    }
-
     /// Holds tokens back. The own grant is not usable before it was taken over; a row that was read before `stale_ms` does not
     /// tell that the account is exhausted.
     pub(super) fn hold(
@@ -478,16 +396,6 @@
         Some((self.version, ledger))
     }
 
-    /// The row with the own grant as it is known here.
-    fn confirmed(&self, holder: &Arc<str>, era: u32) -> Ledger {
-        let own = Grant {
-            holder: holder.clone(),
-            granted: self.granted(),
-            era,
-        };
-        era::confirm(&self.ledger, &self.known, own)
-    }
-
     pub(super) fn rate(&mut self, now_ms: u64) -> u64 {
         let since = self
             .started_ms
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -1,9 +1,9 @@
 //! One request on its way: which backend server it is sent to, and what is done when that fails.
 
 mod attempt;
+mod candidates;
 mod place;
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,6 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::choice::{self, Query};
 use fescuewell_forward::config::{Kind, Route, Service, Tenant};
-use fescuewell_forward::server::Entry;
 use fescuewell_http::listener::{Reply, Request};
 use http::{HeaderMap, Method, Uri};
 
@@ -21,6 +20,8 @@
 use crate::hold::Hold;
 use crate::{header, refusal};
 
+use candidates::Candidates;
+
 pub(crate) use attempt::{Answer, Attempt};
 pub(crate) use place::Place;
 
@@ -206,25 +207,8 @@
         let now_ms = self.gateway.now_ms();
         let draw = self.gateway.draw();
         let mut state = self.gateway.state();
-        let all: Vec<&Arc<Entry>> = state.registry.ready(&self.service.name, now_ms).collect();
-        let listed = all.len();
-        let introducers = match self.service.warmup {
-            Some(_) => state.introducers(&all, &self.gateway.settings.name, now_ms),
-            None => HashMap::new(),
-        };
-        let is_open = |entry: &Arc<Entry>| {
-            let Some(bound) = &self.service.warmup else {
-                return true;
-            };
-            let Some(share) = introducers.get(&entry.id) else {
-                return !state.registry.is_cold(&entry.id, now_ms);
-            };
-            state.warmup.has_credit(&entry.id, bound, *share, now_ms)
-        };
-        let fresh: Vec<&Arc<Entry>> = all
-            .into_iter()
-            .filter(|entry| !self.tried.contains(&entry.id) && is_open(entry))
-            .collect();
+        let candidates = Candidates::new(&state, self, now_ms);
+        let listed = candidates.listed;
         let shared = self
             .facts
             .parts
@@ -236,18 +220,19 @@
             zone: &self.gateway.settings.zone,
             draw,
         };
-        let chosen = choice::pick(&fresh, &query, &state.load, &state.health, now_ms).cloned();
+        let chosen = choice::pick(&candidates.open, &query, &state.load, &state.health, now_ms);
+        let chosen = chosen.cloned();
         let prompt = self.facts.tokens.map_or(0, |tokens| tokens.prompt);
         let unread = chosen
             .as_ref()
             .map_or(0, |server| state.load.to_read(prompt, &query, &server.id));
+        let shares = candidates.shares;
         if let (Some(server), Some(part)) = (&chosen, query.affinity) {
             state.load.keep(part, &server.id, now_ms);
         }
-        let share = chosen
-            .as_ref()
-            .and_then(|server| introducers.get(&server.id));
-        if let (Some(server), Some(bound), Some(share)) = (&chosen, &self.service.warmup, share) {
+        if let (Some(server), Some(bound)) = (&chosen, &self.service.warmup)
+            && let Some(share) = shares.get(&server.id)
+        {
             state.warmup.send(&server.id, bound, *share, now_ms);
         }
         let running = chosen.as_ref().map(|entry| state.load.running(&entry.id));
