--- a/crates/fescuewell_forward/src/intake.rs
+++ b/crates/fescuewell_forward/src/intake.rs
@@ -14,7 +14,7 @@
 const SPAN_S: f64 = SPAN_MS as f64 / 1_000.0;
 /// Part of the link from which callers' requests are too many: each body goes out once more to a backend server, and
 /// answers, repeats and calls to the store need room beside it.
-const LINK_PART: f64 = 0.6;
+const LINK_PART: f64 = 0.4;
 /// Part of the processor from which they are too many.
 const PROCESSOR_PART: f64 = 0.6;
 /// Processor time of one request, in seconds.
