--- a/crates/fescuewell_forward/tests/limits.rs
+++ b/crates/fescuewell_forward/tests/limits.rs
@@ -228,3 +228,21 @@
     assert_eq!(former, member);
     assert_eq!(Member::decode(&bytes).unwrap(), member);
 }
+
+/// Symptom looked for: callers are sent to an address where nobody listens any more. Sequence: an instance is killed; the others go on
+/// reading its last sign.
+#[test]
+fn an_instance_that_is_gone_is_not_named_six_seconds_after_its_last_sign() {
+    let mut members: BTreeMap<Arc<str>, Member> = BTreeMap::new();
+    members.insert("gone".into(), member(1, "a", 5, 1_000));
+    members.insert("live".into(), member(2, "a", 5, 6_900));
+    let mut directory = Directory::default();
+
+    directory.replace(members.clone(), 6_999);
+    let just_before = directory.is_named("gone");
+    directory.replace(members, 7_000);
+
+    assert!(just_before);
+    assert!(!directory.is_named("gone"));
+    assert!(directory.is_named("live"));
+}
