Reckon the introducers of a cold server once for each list of instances

Cause: each request ranked all named instances for each cold server, hundreds of them after the loss of a zone at 300 instances with 3,000 servers. Change: the share is kept by server until the list of named instances changes; the same decisions. A test that a share follows the list.

--- a/crates/fescuewell_forward/src/warmup.rs
+++ b/crates/fescuewell_forward/src/warmup.rs
@@ -39,9 +39,34 @@
 #[derive(Debug, Default)]
 pub struct Warmup {
     credits: HashMap<Arc<str>, Credit>,
+    named: Vec<Arc<str>>,
+    /// By server: how many instances share it if this one is among them. Ranking the instances for each of hundreds of cold servers at
+    /// each request would cost a narrow instance more than the request itself.
+    shares: HashMap<Arc<str>, Option<usize>>,
 }
 
 impl Warmup {
+    /// Sets the instances that callers are sent to.
+    pub fn set_named(&mut self, named: Vec<Arc<str>>) {
+        if self.named != named {
+            self.named = named;
+            self.shares.clear();
+        }
+    }
+
+    /// How many instances share a cold server, if `instance` is one of them.
+    pub fn share(&mut self, server: &Arc<str>, instance: &str) -> Option<usize> {
+        if let Some(share) = self.shares.get(server) {
+            return *share;
+        }
+        let named: Vec<&Arc<str>> = self.named.iter().collect();
+        let chosen = introducers(server, &named);
+        let is_own = chosen.iter().any(|name| &***name == instance);
+        let share = is_own.then_some(chosen.len());
+        self.shares.insert(server.clone(), share);
+        share
+    }
+
     /// Whether a cold server may be sent a request now, by an introducer of it that is one of `introducers`.
     pub fn has_credit(&self, server: &str, bound: &Bound, introducers: usize, now_ms: u64) -> bool {
         self.left(server, bound, introducers, now_ms) >= 1.0
@@ -63,6 +88,7 @@
         Cold: Fn(&str) -> bool,
     {
         self.credits.retain(|id, _| cold(id));
+        self.shares.retain(|id, _| cold(id));
     }
 
     fn left(&self, server: &str, bound: &Bound, introducers: usize, now_ms: u64) -> f64 {
--- a/crates/fescuewell_forward/tests/warmup.rs
+++ b/crates/fescuewell_forward/tests/warmup.rs
@@ -163,3 +163,22 @@
     assert_eq!(one, other);
     assert_eq!(one.len(), INTRODUCERS);
 }
+
+/// Symptom looked for: an instance goes on introducing servers that others introduce by now. Sequence: the list of instances changes after
+/// its share was reckoned.
+#[test]
+fn a_share_follows_the_list_of_instances() {
+    let instances = names("instance", 9);
+    let server: Arc<str> = "server".into();
+    let first = introducers(&server, &instances.iter().collect::<Vec<_>>())[0].clone();
+    let mut warmup = Warmup::default();
+    warmup.set_named(instances.clone());
+    let before = warmup.share(&server, &first);
+
+    let others = instances.into_iter().filter(|name| *name != first);
+    warmup.set_named(others.collect());
+    let after = warmup.share(&server, &first);
+
+    assert_eq!(before, Some(INTRODUCERS));
+    assert_eq!(after, None);
+}
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -108,6 +108,7 @@
         .collect();
     let named: Vec<Arc<str>> = names(&state.directory);
     state.quota.set_peers(&said, &named);
+    state.warmup.set_named(named.clone());
     drop(state);
     if named != named_before {
         log_event!(Event::InstancesNamed, "named={}", named.join(","));
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -17,8 +17,8 @@
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
-use fescuewell_forward::server::{Entry, LAPSING_SILENCE_MS, Registry};
-use fescuewell_forward::warmup::{self, Warmup};
+use fescuewell_forward::server::{LAPSING_SILENCE_MS, Registry};
+use fescuewell_forward::warmup::Warmup;
 use fescuewell_forward::window::Window;
 use fescuewell_http::listener::Gate;
 use fescuewell_http::upstream;
@@ -74,26 +74,21 @@
 }
 
 impl State {
-    /// The cold ones of these servers to which an instance may send, and how many instances share each; see
+    /// The cold servers of a service to which this instance may send, and how many instances share each; see
     /// [`fescuewell_forward::warmup`].
-    pub fn introducers(
-        &self,
-        servers: &[&Arc<Entry>],
+    pub fn introduced(
+        &mut self,
+        service: &str,
         instance: &str,
         now_ms: u64,
     ) -> HashMap<Arc<str>, usize> {
-        let is_cold = |entry: &&&Arc<Entry>| self.registry.is_cold(&entry.id, now_ms);
-        let cold: Vec<&Arc<Entry>> = servers.iter().filter(is_cold).copied().collect();
         let mut shares = HashMap::new();
-        if cold.is_empty() {
-            return shares;
-        }
-        let named = self.directory.named();
-        let named: Vec<&Arc<str>> = named.iter().map(|(name, _)| *name).collect();
-        for server in cold {
-            let introducers = warmup::introducers(&server.id, &named);
-            if introducers.iter().any(|name| &***name == instance) {
-                shares.insert(server.id.clone(), introducers.len());
+        for entry in self.registry.ready(service, now_ms) {
+            if !self.registry.is_cold(&entry.id, now_ms) {
+                continue;
+            }
+            if let Some(share) = self.warmup.share(&entry.id, instance) {
+                shares.insert(entry.id.clone(), share);
             }
         }
         shares
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -4,6 +4,7 @@
 mod candidates;
 mod place;
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -207,7 +208,11 @@
         let now_ms = self.gateway.now_ms();
         let draw = self.gateway.draw();
         let mut state = self.gateway.state();
-        let candidates = Candidates::new(&state, self, now_ms);
+        let shares = match self.service.warmup {
+            Some(_) => state.introduced(&self.service.name, &self.gateway.settings.name, now_ms),
+            None => HashMap::new(),
+        };
+        let candidates = Candidates::new(&state, self, &shares, now_ms);
         let listed = candidates.listed;
         let shared = self
             .facts
@@ -226,7 +231,6 @@
         let unread = chosen
             .as_ref()
             .map_or(0, |server| state.load.to_read(prompt, &query, &server.id));
-        let shares = candidates.shares;
         if let (Some(server), Some(part)) = (&chosen, query.affinity) {
             state.load.keep(part, &server.id, now_ms);
         }
--- a/crates/fescuewell_gateway/src/job/candidates.rs
+++ b/crates/fescuewell_gateway/src/job/candidates.rs
@@ -14,33 +14,29 @@
     pub(super) listed: usize,
     /// Those that were not tried, and are warm or have credit here.
     pub(super) open: Vec<&'a Arc<Entry>>,
-    /// The cold ones to which this instance may send, and how many instances share each.
-    pub(super) shares: HashMap<Arc<str>, usize>,
 }
 
 impl<'a> Candidates<'a> {
-    pub(super) fn new(state: &'a State, job: &'a Job, now_ms: u64) -> Self {
+    /// `shares` are the cold servers to which this instance may send, with the number of instances that share each.
+    pub(super) fn new(
+        state: &'a State,
+        job: &'a Job,
+        shares: &HashMap<Arc<str>, usize>,
+        now_ms: u64,
+    ) -> Self {
         let all: Vec<&Arc<Entry>> = state.registry.ready(&job.service.name, now_ms).collect();
         let listed = all.len();
-        let shares = match job.service.warmup {
-            Some(_) => state.introducers(&all, &job.gateway.settings.name, now_ms),
-            None => HashMap::new(),
-        };
         let mut open = Vec::with_capacity(listed);
         for entry in all {
             if job.tried.contains(&entry.id) {
                 continue;
             }
-            if !may_send(state, job, &shares, entry, now_ms) {
+            if !may_send(state, job, shares, entry, now_ms) {
                 continue;
             }
             open.push(entry);
         }
-        Self {
-            listed,
-            open,
-            shares,
-        }
+        Self { listed, open }
     }
 }
 
