Tell which requests were running when a backend server crashed

Cause looked for: the incident's logs cannot tell whether the requests under which servers crashed are the same one, nor a crash from a lost connection, so its hypotheses cannot be told apart.

A fingerprint (account, method, host, target, body; blake3, 128 bits) identifies a request over all tries. A broken connection to a server that the list shows as ready is followed by one connection attempt: refused means that the server has crashed, accepted that only the connection was lost; a restart or a removal without draining shows it where neither was seen. server.crashed names what was running there; attempt.failed has the fingerprint; losses and explain use both.

Ruled out: nothing yet.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -75,6 +75,7 @@
     ServerUnreadable = 2013, Warn, "server.unreadable", "A row of the list of backend servers names none; it is passed over.";
     ZoneEvacuated = 2014, Warn, "zone.evacuated", "The operator evacuates an availability zone: its backend servers get no new work.";
     ZoneReturned = 2015, Info, "zone.returned", "The operator has taken an evacuation back; the zone's backend servers count as cold at first.";
+    ServerCrashed = 2016, Warn, "server.crashed", "A backend server crashed: its connections broke and nothing listens there, or it has started again. Names what it was running for this instance.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
     AllowanceDrawn = 3001, Info, "allowance.drawn", "Allowances were drawn from prepaid budgets.";
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod choice;
 pub mod comeback;
 pub mod config;
+pub mod crash;
 pub mod directory;
 pub mod evacuation;
 pub mod health;
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -40,7 +40,27 @@
     pub state: State,
 }
 
+fescuewell_core::key! {
+    /// One start of a backend server: a hash of its name and of the moment of its start, equal on all instances.
+    pub struct Incarnation(u64);
+}
+
 impl Entry {
+    /// Which start of the server this entry is of.
+    pub fn incarnation(&self) -> Incarnation {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.id.as_bytes());
+        hasher.update(&self.born.unwrap_or_default().to_le_bytes());
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Incarnation(u64::from_le_bytes(bytes))
+    }
+
+    /// Whether the server is about to leave.
+    pub fn is_draining(&self) -> bool {
+        self.state == State::Draining
+    }
+
     /// Whether another entry says the same, but for the time that runs off.
     fn is_alike(&self, other: &Self) -> bool {
         let other = Self {
@@ -104,7 +124,7 @@
     gone: HashMap<Arc<str>, u64>,
     snapshot: u64,
     spared_until_ms: u64,
-    ended: Vec<Arc<str>>,
+    ended: Vec<Arc<Entry>>,
     zones: Zones,
     warmups: HashMap<Arc<str>, warmup::Bound>,
     era: u32,
@@ -223,9 +243,9 @@
         known.is_marked = true;
     }
 
-    /// Servers that have started again under their names, or were removed, since the last call: what was observed of
-    /// them says nothing of whoever bears the name next.
-    pub fn take_ended(&mut self) -> Vec<Arc<str>> {
+    /// Last entries of servers that have started again under their names, or were removed, since the last call: what was
+    /// observed of them says nothing of whoever bears the name next.
+    pub fn take_ended(&mut self) -> Vec<Arc<Entry>> {
         std::mem::take(&mut self.ended)
     }
 
@@ -350,9 +370,9 @@
             lapses_at_ms: None,
             cold_until_ms,
         };
-        let before = self.known.insert(id.clone(), known);
-        if before.is_some_and(|before| is_birth(&before.entry, &entry)) {
-            self.ended.push(id);
+        let before = self.known.insert(id, known);
+        if let Some(before) = before.filter(|before| is_birth(&before.entry, &entry)) {
+            self.ended.push(before.entry);
         }
     }
 
@@ -368,8 +388,8 @@
     }
 
     fn bury(&mut self, id: Arc<str>, version: u64) {
-        if self.known.remove(&id).is_some() {
-            self.ended.push(id.clone());
+        if let Some(known) = self.known.remove(&id) {
+            self.ended.push(known.entry);
         }
         if self.gone.len() >= GONE_KEPT {
             self.gone.clear();
--- /dev/null
+++ b/crates/fescuewell_forward/tests/crashes.rs
@@ -0,0 +1,143 @@
+//! Which backend servers crashed, and what they were running.
+
+use fescuewell_forward::crash::{Content, Evidence, Finding, Fingerprint, Watch};
+use fescuewell_forward::server::{Entry, State};
+use std::sync::Arc;
+
+fn entry(id: &str, born: u64) -> Entry {
+    Entry {
+        id: id.into(),
+        born: Some(born),
+        service: "pool".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "a".into(),
+        slots: 8,
+        cold_left_ms: 0,
+        state: State::Ready,
+    }
+}
+
+fn content(account: &str) -> Content<'_> {
+    Content {
+        account,
+        method: "POST",
+        host: "desk.example",
+        target: "/stream/x?y=1",
+        body: b"prompt",
+    }
+}
+
+fn request(number: u64) -> Fingerprint {
+    let body = number.to_le_bytes();
+    Fingerprint::new(&Content {
+        body: &body,
+        ..content("group")
+    })
+}
+
+#[test]
+fn each_part_of_a_request_tells_it_from_others() {
+    let own = Fingerprint::new(&content("group"));
+    let others = [
+        content("other"),
+        Content {
+            method: "PUT",
+            ..content("group")
+        },
+        Content {
+            host: "desk.example2",
+            ..content("group")
+        },
+        Content {
+            target: "/stream/x",
+            ..content("group")
+        },
+        Content {
+            body: b"prompt2",
+            ..content("group")
+        },
+    ];
+
+    assert_eq!(own, Fingerprint::new(&content("group")));
+    for other in others {
+        assert_ne!(own, Fingerprint::new(&other), "{other:?}");
+    }
+}
+
+/// Guards against a caller that moves bytes between fields to pass for another account.
+#[test]
+fn a_field_does_not_run_into_the_next_one() {
+    let left = Content {
+        account: "ab",
+        method: "c",
+        ..content("")
+    };
+    let right = Content {
+        account: "a",
+        method: "bc",
+        ..content("")
+    };
+
+    assert_ne!(Fingerprint::new(&left), Fingerprint::new(&right));
+}
+
+#[test]
+fn a_crash_names_each_request_that_was_running_once() {
+    let mut watch = Watch::default();
+    let server = entry("i-0", 1);
+
+    let first = watch.broke(&server, request(1), 0);
+    let second = watch.broke(&server, request(2), 1);
+    watch.broke(&server, request(2), 2);
+    let running = watch.crashed(server.incarnation(), 3);
+
+    assert_eq!(first, Finding::Doubted { is_first: true });
+    assert_eq!(second, Finding::Doubted { is_first: false });
+    assert_eq!(running, [request(1), request(2)]);
+    assert_eq!(watch.broke(&server, request(3), 4), Finding::Crashed);
+}
+
+#[test]
+fn a_server_that_accepts_connections_has_not_crashed() {
+    let mut watch = Watch::default();
+    let server = entry("i-0", 1);
+    watch.broke(&server, request(1), 0);
+
+    watch.accepted(server.incarnation());
+
+    assert!(!watch.has_crashed(server.incarnation()));
+    assert_eq!(watch.ended(&Arc::new(server), false), None);
+}
+
+#[test]
+fn a_start_under_the_same_name_is_another_incarnation() {
+    assert_ne!(entry("i-0", 1).incarnation(), entry("i-0", 2).incarnation());
+    assert_eq!(entry("i-0", 1).incarnation(), entry("i-0", 1).incarnation());
+}
+
+#[test]
+fn the_list_shows_a_crash_only_of_servers_that_did_not_drain() {
+    let mut watch = Watch::default();
+    let sound = Arc::new(entry("i-0", 1));
+    let leaving = Arc::new(Entry {
+        state: State::Draining,
+        ..entry("i-1", 1)
+    });
+
+    assert_eq!(watch.ended(&sound, true), Some(Evidence::Restarted));
+    assert_eq!(watch.ended(&sound, false), None);
+    assert_eq!(watch.ended(&leaving, true), None);
+    watch.broke(&sound, request(1), 0);
+    assert_eq!(watch.ended(&sound, false), Some(Evidence::Removed));
+}
+
+#[test]
+fn a_doubt_ends_after_a_while() {
+    let mut watch = Watch::default();
+    let server = Arc::new(entry("i-0", 1));
+    watch.broke(&server, request(1), 0);
+
+    watch.broke(&entry("i-1", 1), request(2), 60_000);
+
+    assert_eq!(watch.ended(&server, false), None);
+}
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -136,9 +136,9 @@
     load.keep("a", &before.id, 0);
 
     registry.change(row(2, born("i-0", 2_000)), 10);
-    for id in registry.take_ended() {
-        health.forget(&id);
-        load.forget(&id);
+    for former in registry.take_ended() {
+        health.forget(&former.id);
+        load.forget(&former.id);
     }
 
     assert!(registry.is_reborn(&before));
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -4,14 +4,16 @@
 //! while changes are made, and a whole reading can be old; so the whole is read again now and then, and nothing
 //! older than what is known counts.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::{Configuration, Table};
+use fescuewell_forward::crash::Evidence;
 use fescuewell_forward::evacuation::Order;
 use fescuewell_forward::relay::{Digest, Outbox};
-use fescuewell_forward::server::{Movement, Said};
+use fescuewell_forward::server::{Entry, Movement, Said};
 use tokio::time::Instant;
 
 use super::{CALL, Control, PAUSE};
@@ -286,9 +288,9 @@
 fn list(control: &Control, news: News<Vec<Movement>>) {
     let count = news.content.len();
     let now_ms = control.gateway.now_ms();
-    let mut state = control.gateway.state();
+    let mut guard = control.gateway.state();
+    let state = &mut *guard;
     let changed = state.registry.snapshot(news.version, news.content, now_ms);
-    let state = &mut *state;
     state.health.retain(|id| state.registry.is_known(id));
     state.warmup.retain(|id| state.registry.is_cold(id, now_ms));
     log_event!(
@@ -298,7 +300,11 @@
         changed.len()
     );
     tell_unreadable(&changed);
-    forget_ended(control, state);
+    let crashed = forget_ended(control, state);
+    drop(guard);
+    for (server, evidence) in crashed {
+        control.gateway.crashed(&server, evidence);
+    }
 }
 
 fn follow(control: &Control, movement: Movement) {
@@ -317,7 +323,11 @@
     } else if !was_ready && is_ready {
         log_event!(Event::ServerListed, "server={id} version={version}");
     }
-    forget_ended(control, &mut state);
+    let crashed = forget_ended(control, &mut state);
+    drop(state);
+    for (server, evidence) in crashed {
+        control.gateway.crashed(&server, evidence);
+    }
 }
 
 /// Logs rows that name no server, once for each of their versions. One such row must not hide the others: it is passed over.
@@ -337,17 +347,23 @@
 }
 
 /// Forgets what was observed of servers that started again: they keep no prompt part, and their failures and times were
-/// those of another process. Requests under way at the former process are told.
-fn forget_ended(control: &Control, state: &mut State) {
+/// those of another process. Requests under way at the former process are told. Returns those that have crashed.
+fn forget_ended(control: &Control, state: &mut State) -> Vec<(Arc<Entry>, Evidence)> {
     let ended = state.registry.take_ended();
     if ended.is_empty() {
-        return;
+        return Vec::new();
     }
-    for id in &ended {
+    let mut crashed = Vec::new();
+    for former in ended {
+        let id = &former.id;
         state.health.forget(id);
         state.load.forget(id);
         let restarted = state.registry.is_known(id);
         log_event!(Event::ServerEnded, "server={id} restarted={restarted}");
+        if let Some(evidence) = state.crashes.ended(&former, restarted) {
+            crashed.push((former, evidence));
+        }
     }
     control.gateway.tell_ended();
+    crashed
 }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! What the threads of one instance share.
 
+mod crash;
 mod gate;
 
 use std::collections::HashMap;
@@ -10,6 +11,7 @@
 use arc_swap::ArcSwapOption;
 use fescuewell_forward::choice::Load;
 use fescuewell_forward::config::Table;
+use fescuewell_forward::crash::Watch;
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::Health;
 use fescuewell_forward::intake::Intake;
@@ -57,6 +59,8 @@
     pub warmup: Warmup,
     /// How they do.
     pub health: Health,
+    /// Which of them have crashed, and under what.
+    pub crashes: Watch,
     /// Requests under way at them.
     pub load: Load,
     /// Prepaid tokens.
@@ -174,6 +178,7 @@
             cursor: relay::Cursor::default(),
             warmup: Warmup::default(),
             health: Health::default(),
+            crashes: Watch::default(),
             load: Load::default(),
             quota: Quota::new(settings.name.clone(), 0),
             retry: Budget::new(settings.retry),
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod candidates;
+mod crash;
 mod place;
 
 use std::collections::HashMap;
@@ -13,6 +14,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::choice::{self, Query};
 use fescuewell_forward::config::{Kind, Route, Service, Tenant};
+use fescuewell_forward::crash::Fingerprint;
 use fescuewell_http::listener::{Reply, Request};
 use http::{HeaderMap, Method, Uri};
 
@@ -45,6 +47,7 @@
     target: Uri,
     headers: HeaderMap,
     body: Bytes,
+    fingerprint: Fingerprint,
     arrived: Instant,
     deadline: Instant,
     limit: Instant,
@@ -80,6 +83,7 @@
             target: path_only(request.target),
             headers,
             body: request.body,
+            fingerprint: Fingerprint::default(),
             arrived: request.arrived,
             deadline: request.arrived,
             limit: request.arrived,
@@ -105,6 +109,7 @@
     /// Sets the client account.
     pub fn with_tenant(mut self, tenant: Option<Arc<Tenant>>) -> Self {
         self.tenant = tenant;
+        self.fingerprint = self.identify();
         self
     }
 
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -95,6 +95,7 @@
             }
             Err(error) => {
                 self.sent();
+                self.broke(place, error.is_broken());
                 return self.unknown(place, &error);
             }
         };
@@ -158,7 +159,10 @@
                     self.gateway.metrics.first_event(&self.route.name, took);
                     Attempt::Events(Box::new(exchange), first)
                 }
-                Some(Err(error)) => self.unknown(place, &error),
+                Some(Err(error)) => {
+                    self.broke(place, error.is_broken());
+                    self.unknown(place, &error)
+                }
                 None => self.unknown(place, &"a stream without events"),
             };
         }
@@ -179,7 +183,10 @@
                 place.time(sent_at.elapsed());
                 Attempt::Whole(answer)
             }
-            Err(error) => self.unknown(place, &error),
+            Err(error) => {
+                self.broke(place, error.is_broken());
+                self.unknown(place, &error)
+            }
         }
     }
 
@@ -278,10 +285,11 @@
         let reason = reason.replace(' ', "_");
         log_event!(
             Event::AttemptFailed,
-            "request={} server={} outcome={what} sends={} reason={reason}",
+            "request={} server={} outcome={what} sends={} fingerprint={} reason={reason}",
             self.id,
             place.server.id,
-            self.sends
+            self.sends,
+            self.fingerprint
         );
     }
 }
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     store_calls: Counter<u64>,
+    crashes: Counter<u64>,
     first_event: Histogram<f64>,
     whole: Histogram<f64>,
 }
@@ -38,6 +39,7 @@
             requests: meter.u64_counter("fescuewell_forward_requests").build(),
             attempts: meter.u64_counter("fescuewell_forward_attempts").build(),
             store_calls: meter.u64_counter("fescuewell_store_calls").build(),
+            crashes: meter.u64_counter("fescuewell_server_crashes").build(),
             first_event: meter
                 .f64_histogram("fescuewell_first_event_seconds")
                 .build(),
@@ -77,6 +79,12 @@
         self.attempts.add(1, &attributes);
     }
 
+    /// Counts a crash of a backend server of a service.
+    pub fn server_crashed(&self, service: &str) {
+        let attributes = [KeyValue::new("service", service.to_owned())];
+        self.crashes.add(1, &attributes);
+    }
+
     /// Counts a call to the store.
     pub fn store_call(&self, call: &str, outcome: &'static str) {
         let attributes = [
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -209,16 +209,15 @@
             chunk = match next {
                 Some(Ok(chunk)) => chunk,
                 Some(Err(error)) => {
-                    log_event!(
-                        Event::AttemptFailed,
-                        "request={} outcome=broken after={:?} reason={}",
-                        self.id,
-                        cutter.last(),
-                        error.to_string().replace(' ', "_")
-                    );
+                    self.broke(place, error.is_broken());
+                    self.note(place, "broken", &error.to_string());
+                    return Ending::Broken;
+                }
+                None if cutter.has_rest() => {
+                    // A body without a length ends like this when the server crashes.
+                    self.broke(place, true);
                     return Ending::Broken;
                 }
-                None if cutter.has_rest() => return Ending::Broken,
                 None => return Ending::Whole,
             };
         }
--- a/crates/fescuewell_http/src/upstream/mod.rs
+++ b/crates/fescuewell_http/src/upstream/mod.rs
@@ -98,6 +98,8 @@
     Unknown {
         /// How far the exchange had come.
         phase: Phase,
+        /// Whether the connection broke, rather than that no answer came in time.
+        is_broken: bool,
         /// What failed.
         reason: Arc<str>,
     },
@@ -116,6 +118,28 @@
     DeadlinePassed,
 }
 
+impl Error {
+    /// Whether the connection broke while the request was under way, rather than that the server was slow.
+    pub fn is_broken(&self) -> bool {
+        match self {
+            Self::Unknown { is_broken, .. } => *is_broken,
+            Self::Closed { .. } => true,
+            Self::NotSent { .. } | Self::Stalled | Self::DeadlinePassed => false,
+        }
+    }
+}
+
+/// What a connection attempt shows of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It accepts connections.
+    Accepted,
+    /// Nothing listens at its address.
+    Refused,
+    /// Neither was seen in time.
+    Silent,
+}
+
 /// Bounds of a [`Client`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
@@ -185,6 +209,22 @@
         self.attempt(connection, request, target, timeouts).await
     }
 
+    /// Finds out whether a backend server accepts connections, within `limit`. A connection that it accepts is kept for the
+    /// next request.
+    pub async fn probe(&self, address: SocketAddr, limit: Duration) -> Reach {
+        let stream = match timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return Reach::Refused;
+            }
+            _ => return Reach::Silent,
+        };
+        if let Ok(connection) = self.handshake(stream, address).await {
+            self.pool.keep(connection, self.settings.max_idle);
+        }
+        Reach::Accepted
+    }
+
     /// Closes the unused connections to an address.
     ///
     /// When one connection has gone silent, others that were idle for as long have probably been forgotten
@@ -205,6 +245,10 @@
             Ok(Err(error)) => return Err(not_sent(&error)),
             Err(_) => return Err(not_sent(&"connecting took too long")),
         };
+        self.handshake(stream, target.address).await
+    }
+
+    async fn handshake(&self, stream: TcpStream, address: SocketAddr) -> Result<Connection, Error> {
         let _ = stream.set_nodelay(true);
         let gate = Arc::new(Gate::default());
         let io = TokioIo::new(Gated::new(stream, gate.clone()));
@@ -216,12 +260,7 @@
         let task = tokio::spawn(async move {
             let _ = driver.await;
         });
-        Ok(Connection::new(
-            target.address,
-            sender,
-            gate,
-            task.abort_handle(),
-        ))
+        Ok(Connection::new(address, sender, gate, task.abort_handle()))
     }
 
     async fn attempt(
@@ -239,6 +278,7 @@
             remaining(target).map_or(timeouts.first_byte, |left| left.min(timeouts.first_byte));
         let until = tokio::time::Instant::now() + limit;
         let answer = timeout_at(until, connection.send(request.map(Full::new))).await;
+        let is_broken = answer.is_ok();
         let reason: Arc<str> = match answer {
             Ok(Ok(response)) => {
                 let pool = self.pool.clone();
@@ -253,11 +293,11 @@
         self.forget(target.address);
         // Shut first, then count: after this no byte can leave, so the count is final.
         let count = connection.gate().shut();
-        Err(classify(count, before, reason))
+        Err(classify(count, before, is_broken, reason))
     }
 }
 
-fn classify(count: Count, before: u64, reason: Arc<str>) -> Error {
+fn classify(count: Count, before: u64, is_broken: bool, reason: Arc<str>) -> Error {
     if count.written == before {
         return Error::NotSent { reason };
     }
@@ -265,7 +305,11 @@
         true => Phase::AwaitingHead,
         false => Phase::Sending,
     };
-    Error::Unknown { phase, reason }
+    Error::Unknown {
+        phase,
+        is_broken,
+        reason,
+    }
 }
 
 fn not_sent<Cause>(cause: &Cause) -> Error
--- a/crates/fescuewell_http/tests/upstream.rs
+++ b/crates/fescuewell_http/tests/upstream.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use common::{PATIENCE, read_until};
-use fescuewell_http::upstream::{Client, Error, Phase, Target, Timeouts};
+use fescuewell_http::upstream::{Client, Error, Phase, Reach, Target, Timeouts};
 
 const SHORT: Duration = Duration::from_millis(40);
 
@@ -384,3 +384,23 @@
     stream.write_all(b"GET /x HTTP/1.1\r\n\r\n").unwrap();
     read_until(&mut stream, "/x");
 }
+
+#[tokio::test]
+async fn a_probe_tells_a_server_that_accepts_from_one_that_does_not() {
+    let server = Server::start(echo);
+    // Holds a port on which nobody listens.
+    let held = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    held.bind(&any.into()).unwrap();
+    let gone = held.local_addr().unwrap().as_socket().unwrap();
+    let client = Client::default();
+
+    let accepted = client.probe(server.address, PATIENCE).await;
+    let refused = client.probe(gone, PATIENCE).await;
+    let answer = fetch(&client, &Target::new(server.address), "/a", patient()).await;
+
+    assert_eq!(accepted, Reach::Accepted);
+    assert_eq!(refused, Reach::Refused);
+    assert_eq!(answer.unwrap(), "/a");
+    assert_eq!(server.connections(), 1);
+}
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -13,13 +13,14 @@
 
 Prints the log lines of the request with this id from the files of several instances, in the order of time, and
 between them the lines of the same instance that changed what it believed in the seconds before: configuration,
-backend servers, tokens of the account, the store, starts and stops.
+backend servers, tokens of the account, the store, starts and stops. ID may also be a request's fingerprint, as the
+lines name it: the story then covers all of its tries.
 
 example: fescuewell explain 9c41d07be2a35f68 entry-1.log entry-2.log
 ";
 
 /// Titles of lines that tell of a change of belief.
-const BELIEFS: [&str; 22] = [
+const BELIEFS: [&str; 23] = [
     "process.started",
     "process.ready",
     "drain.started",
@@ -28,6 +29,7 @@
     "server.leaving",
     "server.ejected",
     "server.ended",
+    "server.crashed",
     "table.down",
     "table.up",
     "allowance.drawn",
--- a/src/command/lines.rs
+++ b/src/command/lines.rs
@@ -31,9 +31,12 @@
         self.field("title")
     }
 
-    /// Whether the line tells of this request.
+    /// Whether the line tells of the request with this id or fingerprint.
     pub(super) fn is_of(&self, id: &str) -> bool {
+        let mut named = self.field("fingerprints").split(',');
         self.field("request") == id
+            || self.field("fingerprint") == id
+            || named.any(|name| name == id)
     }
 
     /// Prints the line behind a mark.
--- a/src/command/losses.rs
+++ b/src/command/losses.rs
@@ -1,6 +1,7 @@
 //! `losses`: which requests were not served, when and why, from log files alone.
 
 mod accounts;
+mod crashes;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -17,7 +18,8 @@
 
 Counts the requests that were refused, failed or left by their callers, by cause and in spans of time (4 seconds unless told
 otherwise) from the first line on, with the client account that each cause met most. What answers cost, what requests cost that
-got none, and what restarts charged without a record of its use stand below. With --accounts the client accounts that were refused most follow, with what was prepaid,
+got none, what restarts charged without a record of its use, and the requests that were running when backend
+servers crashed stand below. With --accounts the client accounts that were refused most follow, with what was prepaid,
 granted and used by the last line, and whether the missing tokens were used up, stood at other instances, or at none.
 
 example: fescuewell losses --span 2 entry-1.log entry-2.log
@@ -111,6 +113,7 @@
     }
     println!("tokens of answers {answered}, of requests without one {unanswered}");
     println!("tokens charged at restarts {charged}, of them recorded {recorded}");
+    crashes::print(&lines);
     if let Some(most) = most {
         accounts::print(&lines, most);
     }
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -100,3 +100,21 @@
         ]
     );
 }
+
+#[test]
+fn requests_that_were_running_at_several_crashes_are_named() {
+    let log = concat!(
+        r#"{"time":"2026-05-30T10:35:01.000Z","title":"server.crashed","server":"i-1","fingerprints":"aa,bb"}"#,
+        "\n",
+        r#"{"time":"2026-05-30T10:35:01.010Z","title":"server.crashed","server":"i-1","fingerprints":"aa"}"#,
+        "\n",
+        r#"{"time":"2026-05-30T10:35:02.000Z","title":"server.crashed","server":"i-2","fingerprints":"cc,aa"}"#,
+        "\n",
+    );
+
+    let output = run("crashes", &[], log);
+
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("servers crashed 2\n  request aa was running at 2 of them\n"));
+    assert!(!text.contains("request bb"));
+}
