Failing tests: one request crashes server after server

What callers see: streams beside the request break off, one group of callers after the other, for as long as the request is tried again; other requests are answered 502 and 503.

Cause suspected: nothing remembers under which request servers crashed, over the tries of one caller, between instances, or over a restart.

Change: the stand-in of backend servers crashes on a body (all connections break, new ones are refused, it starts again under the same name when the test says so); fixture with a second instance.

--- a/crates/fescuewell_standin/src/sample.rs
+++ b/crates/fescuewell_standin/src/sample.rs
@@ -11,6 +11,9 @@
 /// Name of the only client account.
 pub const GROUP: &str = "group";
 
+/// Moment of the first start of each backend server, in Unix milliseconds.
+pub const BORN: u64 = 1_000;
+
 /// The configuration; `prepaid` is the account's total.
 pub fn configuration(version: u64, prepaid: u64) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, resumable: bool, attempts: u32| {
@@ -44,7 +47,7 @@
 pub fn entry(address: SocketAddr, state: &str) -> Value {
     json!({
         "service": "pool", "address": address.to_string(), "zone": "a", "version": "v1",
-        "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1, "born": 1_000
+        "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1, "born": BORN
     })
 }
 
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -4,6 +4,9 @@
 //! A path that holds `/stream` is answered by events, any other by a short body. Every request is noted with its
 //! headers, so that a test can tell what really ran.
 //!
+//! A request whose body is the one of [`Worker::crash_on`] crashes the worker as soon as it runs: all connections break, and
+//! new ones are refused until [`Worker::revive`] is called.
+//!
 //! ```
 //! use fescuewell_standin::worker::Worker;
 //! let worker = Worker::start("127.0.0.1:0".parse().unwrap(), "i-1").unwrap();
@@ -18,6 +21,7 @@
 use bytes::Bytes;
 use fescuewell_http::listener::{self, Handler, Listener, Reply, Request, spawn};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use socket2::{Domain, Socket, Type};
 use tokio::sync::watch;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-fescuewell-request-id");
@@ -68,20 +72,30 @@
     refused: Vec<Run>,
     next: VecDeque<Behaviour>,
     gone: u64,
+    name: Arc<str>,
+    crashes_on: Option<Bytes>,
+    crashes: u64,
+    revivals: u64,
 }
 
 struct Shared {
-    name: Arc<str>,
     events: u64,
     state: Mutex<State>,
     arrived: watch::Sender<u64>,
     released: watch::Sender<bool>,
+    crashed: flume::Sender<()>,
 }
 
+/// The listener while the worker runs.
+type Slot = Arc<Mutex<Option<Listener>>>;
+
 /// A running stand-in.
 pub struct Worker {
     shared: Arc<Shared>,
-    listener: Listener,
+    listener: Slot,
+    address: SocketAddr,
+    // Keeps the address while the worker is down, so that connections to it are refused.
+    _held: Socket,
 }
 
 /// Events of a whole stream.
@@ -94,22 +108,79 @@
     ///
     /// When the address cannot be listened on.
     pub fn start(address: SocketAddr, name: &str) -> Result<Self, listener::Error> {
+        let held = held(address).map_err(|source| listener::Error::Bind { address, source })?;
+        let address = held.local_addr().ok().and_then(|held| held.as_socket());
+        let address = address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let (crashed, crashes) = flume::bounded(1);
         let shared = Arc::new(Shared {
-            name: name.into(),
             events: EVENTS,
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                name: name.into(),
+                ..State::default()
+            }),
             arrived: watch::channel(0).0,
             released: watch::channel(false).0,
+            crashed,
+        });
+        let listener = listen(&shared, address)?;
+        let listener: Slot = Arc::new(Mutex::new(Some(listener)));
+        let slot = listener.clone();
+        // A listener's own thread cannot end it.
+        std::thread::spawn(move || {
+            while crashes.recv().is_ok() {
+                take(&slot);
+            }
         });
-        let handler = Arc::new(Server(shared.clone()));
-        let settings = listener::Settings::new(address).with_name("worker");
-        let listener = Listener::start(settings, handler)?;
-        Ok(Self { shared, listener })
+        Ok(Self {
+            shared,
+            listener,
+            address,
+            _held: held,
+        })
     }
 
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
-        self.listener.address()
+        self.address
+    }
+
+    /// Requests with this body crash it from now on.
+    pub fn crash_on(&self, body: &[u8]) {
+        self.shared.state().crashes_on = Some(Bytes::copy_from_slice(body));
+    }
+
+    /// How often it has crashed.
+    pub fn crashes(&self) -> u64 {
+        self.shared.state().crashes
+    }
+
+    /// Whether it has crashed and was not started again since.
+    pub fn has_crashed(&self) -> bool {
+        let state = self.shared.state();
+        state.crashes > state.revivals
+    }
+
+    /// Whether nothing listens at its address.
+    pub fn is_down(&self) -> bool {
+        lock(&self.listener).is_none()
+    }
+
+    /// Starts it again after a crash, as an incarnation of this name.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be listened on.
+    pub fn revive(&self, name: &str) -> Result<(), listener::Error> {
+        {
+            let mut state = self.shared.state();
+            state.name = name.into();
+            state.revivals = state.crashes;
+        }
+        let mut slot = lock(&self.listener);
+        if slot.is_none() {
+            *slot = Some(listen(&self.shared, self.address)?);
+        }
+        Ok(())
     }
 
     /// What becomes of the next requests, in order; later ones are answered.
@@ -144,6 +215,35 @@
     }
 }
 
+impl Drop for Worker {
+    fn drop(&mut self) {
+        take(&self.listener);
+    }
+}
+
+fn held(address: SocketAddr) -> std::io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+fn listen(shared: &Arc<Shared>, address: SocketAddr) -> Result<Listener, listener::Error> {
+    let handler = Arc::new(Server(shared.clone()));
+    let settings = listener::Settings::new(address).with_name("worker");
+    Listener::start(settings, handler)
+}
+
+fn lock(slot: &Slot) -> MutexGuard<'_, Option<Listener>> {
+    slot.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Ends the listener, if there is one, and all of its connections.
+fn take(slot: &Slot) {
+    let listener = lock(slot).take();
+    drop(listener);
+}
+
 /// Longest wait for an event of a test.
 const PATIENCE: Duration = Duration::from_secs(20);
 /// Time between two looks.
@@ -181,7 +281,7 @@
     async fn serve(&self, request: Request, reply: Reply) {
         let run = note(&request);
         if let Some(expected) = request.headers.get(EXPECT_INSTANCE)
-            && expected.as_bytes() != self.name.as_bytes()
+            && expected.as_bytes() != self.state().name.as_bytes()
         {
             self.state().refused.push(run);
             return reply.whole(
@@ -202,6 +302,9 @@
         self.state().runs.push(run.clone());
         self.arrived.send_modify(|count| *count += 1);
         let headers = self.headers(&run, behaviour);
+        if self.crashes_on(&run) {
+            return self.crash(&request, reply, headers).await;
+        }
         if behaviour == Behaviour::Wait {
             // An error means that the stand-in is being dropped.
             let _ = self
@@ -230,13 +333,31 @@
         }
     }
 
+    fn crashes_on(&self, run: &Run) -> bool {
+        self.state().crashes_on.as_ref() == Some(&run.body)
+    }
+
+    /// A stream's head goes out before the end, as it does from a server that begins to answer.
+    async fn crash(&self, request: &Request, reply: Reply, headers: HeaderMap) {
+        self.state().crashes += 1;
+        let mut reply = Some(reply);
+        let is_stream = request.path.contains("/stream");
+        let _sink = is_stream
+            .then(|| reply.take())
+            .flatten()
+            .map(|reply| reply.stream(StatusCode::OK, headers));
+        // A full channel means that it is ending already.
+        let _ = self.crashed.try_send(());
+        std::future::pending::<()>().await;
+    }
+
     fn headers(&self, run: &Run, behaviour: Behaviour) -> HeaderMap {
         let id = match behaviour {
             Behaviour::WrongId => "somebody-else",
             _ => &run.id,
         };
         let mut headers = HeaderMap::new();
-        let seal = format!("{}.{}", self.name, run.id);
+        let seal = format!("{}.{}", self.state().name, run.id);
         for (name, value) in [(REQUEST_ID, id), (SEAL, &seal)] {
             if let Ok(value) = HeaderValue::from_str(value) {
                 headers.insert(name, value);
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -1,7 +1,7 @@
 //! A store, backend servers and an instance on loopback, and a caller.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,11 +52,16 @@
     }
 }
 
+fn free_datagram_address() -> SocketAddr {
+    let socket = UdpSocket::bind(any()).unwrap();
+    socket.local_addr().unwrap()
+}
+
 /// Listeners of an instance.
 const LISTENERS: usize = 4;
 
 pub struct Fixture {
-    pub store: Rows,
+    pub store: Arc<Rows>,
     pub workers: Vec<Worker>,
     pub daemon: Option<Daemon>,
     pub front: SocketAddr,
@@ -69,6 +74,8 @@
     pub link_mbps: f64,
     /// Repeats that the fleet may make beside a part of its requests, from the next start on.
     pub repeats: f64,
+    /// Where it takes messages of other instances, from the next start on.
+    peer: Option<SocketAddr>,
 }
 
 impl Fixture {
@@ -81,9 +88,20 @@
 
     /// The same without a configuration.
     pub fn empty(workers: usize) -> Self {
-        let store = Rows::start(any()).unwrap();
+        let store = Arc::new(Rows::start(any()).unwrap());
+        let mut fixture = Self::at(store, "entry-1");
+        for index in 0..workers {
+            let worker = Worker::start(any(), &format!("i-{index}")).unwrap();
+            fixture.workers.push(worker);
+            fixture.register(index, "ready");
+        }
+        fixture
+    }
+
+    /// An instance of this name at a store; it does not run yet.
+    fn at(store: Arc<Rows>, name: &'static str) -> Self {
         let addresses = Addresses::take(LISTENERS);
-        let mut fixture = Self {
+        Self {
             store,
             workers: Vec::new(),
             daemon: None,
@@ -92,16 +110,20 @@
             directory: addresses.get(2),
             metrics: addresses.get(3),
             _addresses: addresses,
-            name: "entry-1",
+            name,
             link_mbps: 1_000.0,
             repeats: 50.0,
-        };
-        for index in 0..workers {
-            let worker = Worker::start(any(), &format!("i-{index}")).unwrap();
-            fixture.workers.push(worker);
-            fixture.register(index, "ready");
+            peer: None,
         }
-        fixture
+    }
+
+    /// Another instance at the same store and backend servers; both can reach each other once they run.
+    pub fn beside(&mut self) -> Self {
+        let mut other = Self::at(self.store.clone(), "entry-2");
+        for fixture in [self, &mut other] {
+            fixture.peer = Some(free_datagram_address());
+        }
+        other
     }
 
     /// All of it, ready for requests.
@@ -138,6 +160,7 @@
         let mut boot = settings::read(&text, "boot.conf").unwrap();
         boot.instance.metrics = Some(self.metrics);
         boot.instance.link_mbps = self.link_mbps;
+        boot.instance.peer = self.peer;
         if self.repeats == 0.0 {
             boot.instance.retry.ratio = 0.0;
         }
@@ -148,6 +171,42 @@
         self.daemon = Some(daemon.unwrap());
     }
 
+    /// Requests with this body crash each backend server that runs them.
+    pub fn crash_on(&self, body: &[u8]) {
+        for worker in &self.workers {
+            worker.crash_on(body);
+        }
+    }
+
+    /// Crashes of all backend servers.
+    pub fn crashes(&self) -> u64 {
+        self.workers.iter().map(Worker::crashes).sum()
+    }
+
+    /// Starts the backend servers that have crashed again, under their names, and waits until the instance knows it.
+    pub fn revive(&self) {
+        for (index, worker) in self.workers.iter().enumerate() {
+            if !worker.has_crashed() {
+                continue;
+            }
+            assert!(wait_until(|| worker.is_down()), "i-{index} never ended");
+            let id = format!("i-{index}");
+            worker.revive(&id).unwrap();
+            let mut entry = sample::entry(worker.address(), "ready");
+            let born = sample::BORN + worker.crashes();
+            entry["born"] = born.into();
+            let row = entry.to_string();
+            self.store.put("servers", "", &id, row.as_bytes());
+            let gateway = self.daemon.as_ref().unwrap().gateway();
+            let is_back = || {
+                let state = gateway.state();
+                let mut entries = state.registry.entries();
+                entries.any(|entry| *entry.id == *id && entry.born == Some(born))
+            };
+            assert!(wait_until(is_back), "{id} was never listed again");
+        }
+    }
+
     /// The process ends without a word.
     pub fn kill(&mut self) {
         self.daemon = None;
@@ -223,6 +282,30 @@
             .collect()
     }
 
+    /// Waits until the metrics page shows so many quarantined requests.
+    pub fn wait_quarantined(&self, count: u64) {
+        let line = format!("of=\"quarantined\",otel_scope_name=\"fescuewell\"}} {count}\n");
+        let is_so = || self.metrics().contains(&line);
+        assert!(wait_until(is_so), "never {count} requests quarantined");
+    }
+
+    /// Waits until a quarantine stands in the store.
+    pub fn wait_recorded(&self) {
+        let is_so = || !self.store.table("quarantine").is_empty();
+        assert!(wait_until(is_so), "the store never has the quarantine");
+    }
+
+    /// Waits until two instances know and believe each other.
+    pub fn wait_acquainted(&self, other: &Self) {
+        let both = [self, other].map(|fixture| fixture.daemon.as_ref().unwrap().gateway());
+        let is_so = || {
+            both.iter().all(|gateway| {
+                gateway.fleet_key().is_some() && gateway.state().directory.count() == both.len()
+            })
+        };
+        assert!(wait_until(is_so), "the instances never knew each other");
+    }
+
     /// The metrics page.
     pub fn metrics(&self) -> String {
         get(self.metrics, "/metrics").unwrap().text()
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod configuration;
+mod crashes;
 mod eras;
 mod fixture;
 mod money;
