Quarantine a request under which three backend servers have crashed

What callers saw: one request was sent again and again, each time to one or two servers that crashed under it; 30 servers ended, and with each the streams beside it.

Cause: crash evidence was kept nowhere. Retries were counted by number within one try; the next try has another id and comes to any instance, and a server that starts again is known for nothing.

Change: - fescuewell_forward::crash: records of crashes by fingerprint, merged in any order; quarantine from the third crash; a suspect runs on no more servers at a time than may still crash, from the second crash on at the server with the fewest requests; a whole answer clears it everywhere; one probe after 10 min, 70 min and 7 h. - A broken connection is settled (refused, accepted) before the request is retried. - Records go to eight instances at once and on from those to which they are new, a sample to one other each 300 ms, all sealed with the fleet's key; an instance that starts asks; the store keeps quarantines for instances that start or hear nobody, and gives leave for a probe. - Code 4015 (502, no Retry-After), refused before tokens are held; events 2017 to 2019; gauges.

Why it works: the count belongs to the request, not to the try or the instance, and is known everywhere in milliseconds, within the time that the rule grants.

Ruled out on the way: a bound on retries alone (each try is a new request); quarantine by one crash (a crash takes up to all slots with it).

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -76,6 +76,9 @@
     ZoneEvacuated = 2014, Warn, "zone.evacuated", "The operator evacuates an availability zone: its backend servers get no new work.";
     ZoneReturned = 2015, Info, "zone.returned", "The operator has taken an evacuation back; the zone's backend servers count as cold at first.";
     ServerCrashed = 2016, Warn, "server.crashed", "A backend server crashed: its connections broke and nothing listens there, or it has started again. Names what it was running for this instance.";
+    RequestQuarantined = 2017, Warn, "request.quarantined", "Backend servers crashed under a request again and again; it is sent to none any more.";
+    RequestProbed = 2018, Info, "request.probed", "A quarantined request is sent once more, to find out whether servers still crash under it.";
+    RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
     AllowanceDrawn = 3001, Info, "allowance.drawn", "Allowances were drawn from prepaid budgets.";
--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -265,6 +265,20 @@
     }
 }
 
+/// The one of the candidates with the fewest requests under way, for a request that may crash it; `None` when there are none.
+pub fn quietest<'a>(
+    candidates: &[&'a Arc<Entry>],
+    load: &Load,
+    health: &Health,
+    now_ms: u64,
+) -> Option<&'a Arc<Entry>> {
+    let cost = |entry: &Arc<Entry>| {
+        let is_out = health.is_out(&entry.id, now_ms);
+        (is_out, load.running(&entry.id), entry.id.clone())
+    };
+    candidates.iter().copied().min_by_key(|entry| cost(entry))
+}
+
 /// Those that are not much slower than the others. Only where nothing is kept for the request: reading a
 /// long prompt again costs more than a slow server does.
 fn not_slow<'a>(from: &[&'a Arc<Entry>], health: &Health, now_ms: u64) -> Vec<&'a Arc<Entry>> {
--- a/crates/fescuewell_forward/src/crash/watch.rs
+++ b/crates/fescuewell_forward/src/crash/watch.rs
@@ -52,6 +52,8 @@
 #[derive(Debug)]
 struct Doubt {
     since_ms: u64,
+    /// Whether it may still be settled by a connection attempt.
+    is_open: bool,
     requests: Vec<Fingerprint>,
 }
 
@@ -73,6 +75,7 @@
         let is_first = !self.doubted.contains_key(&incarnation);
         let doubt = self.doubted.entry(incarnation).or_insert_with(|| Doubt {
             since_ms: now_ms,
+            is_open: true,
             requests: Vec::new(),
         });
         if doubt.requests.len() < MOST_REQUESTS && !doubt.requests.contains(&request) {
@@ -98,9 +101,17 @@
         self.crashed.contains_key(&incarnation)
     }
 
-    /// Whether it is still open if the server has crashed.
-    pub fn is_doubted(&self, incarnation: Incarnation) -> bool {
-        self.doubted.contains_key(&incarnation)
+    /// A connection attempt showed nothing: only the list can tell now.
+    pub fn silent(&mut self, incarnation: Incarnation) {
+        if let Some(doubt) = self.doubted.get_mut(&incarnation) {
+            doubt.is_open = false;
+        }
+    }
+
+    /// Whether a connection attempt may still tell if the server has crashed.
+    pub fn is_open(&self, incarnation: Incarnation) -> bool {
+        let doubt = self.doubted.get(&incarnation);
+        doubt.is_some_and(|doubt| doubt.is_open)
     }
 
     /// Takes what the list says of a server's former entry: it is gone, or has started again. Returns the evidence where that
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -19,6 +19,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::crash;
 use crate::loan::{Answer, Ask};
 use crate::relay::Digest;
 
@@ -36,6 +37,10 @@
     Answer(Answer),
     /// What changed in the list of backend servers.
     Digest(Digest),
+    /// Requests that crash backend servers.
+    Crashes(Vec<crash::Update>),
+    /// An instance that has just started asks for those.
+    CrashesWanted,
 }
 
 /// The fleet's key: only who knows it can ask for tokens, give any, or tell of backend servers.
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -45,6 +45,13 @@
     pub struct Incarnation(u64);
 }
 
+impl Incarnation {
+    /// The incarnation with this number.
+    pub fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+}
+
 impl Entry {
     /// Which start of the server this entry is of.
     pub fn incarnation(&self) -> Incarnation {
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! The duties of the control thread: the configuration, the list of backend servers, grants and membership.
 
+mod crashes;
 mod fence;
 mod journal;
 mod ledger;
@@ -85,7 +86,16 @@
         let peers = peers::run(&self);
         let overdue = overdue::run(&self);
         let probe = probe::run(&self);
-        tokio::join!(configuration, servers, money, peers, overdue, probe);
+        let crashes = crashes::keep(&self);
+        tokio::join!(
+            configuration,
+            servers,
+            money,
+            peers,
+            overdue,
+            probe,
+            crashes
+        );
     }
 
     /// Notes what a call to the store came to, and the time that it took.
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use super::lending::Lending;
-use super::{Control, watch};
+use super::{Control, crashes, watch};
 
 /// Least time between two reports.
 const PAUSE: Duration = Duration::from_millis(10);
@@ -44,6 +44,7 @@
         send(control, &socket),
         pass_on(control, &socket),
         receive(control, &socket, &lending),
+        crashes::exchange(control, &socket),
         lending.run()
     );
 }
@@ -111,15 +112,27 @@
 }
 
 /// Takes a message that is sealed; one that is not from this fleet, or damaged, is left alone.
-fn hear(control: &Control, lending: &Lending<'_>, bytes: &[u8], from: SocketAddr) {
+fn hear(
+    control: &Control,
+    socket: &UdpSocket,
+    lending: &Lending<'_>,
+    bytes: &[u8],
+    from: SocketAddr,
+) {
     let gateway = &control.gateway;
     let Some(key) = gateway.fleet_key() else {
         return;
     };
-    match key.open(bytes) {
+    let message = key.open(bytes);
+    if message.is_some() {
+        gateway.set_peer_heard();
+    }
+    match message {
         Some(Message::Ask(ask)) => lending.lend(&key, ask, from),
         Some(Message::Answer(answer)) => lending.take(&answer),
         Some(Message::Digest(digest)) => watch::hear(control, digest),
+        Some(Message::Crashes(updates)) => crashes::receive(control, updates, from),
+        Some(Message::CrashesWanted) => crashes::answer(control, socket, from),
         None => {}
     }
 }
@@ -132,7 +145,7 @@
             continue;
         };
         if buffer.first() == Some(&message::FORMAT) {
-            hear(control, lending, &buffer[..length], from);
+            hear(control, socket, lending, &buffer[..length], from);
             continue;
         }
         // Anything that is no report is left alone.
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -161,10 +161,14 @@
     ready_if_complete(control);
 }
 
-/// The instance is ready once it knows the configuration and what its former process may have spent.
+/// The instance is ready once it knows the configuration, what its former process may have spent, and which requests are
+/// quarantined.
 pub(super) fn ready_if_complete(control: &Control) {
     let gateway = &control.gateway;
-    let complete = gateway.table().is_some() && gateway.state().quota.is_adopted();
+    let complete = {
+        let state = gateway.state();
+        gateway.table().is_some() && state.quota.is_adopted() && state.quarantine.is_loaded()
+    };
     if complete && gateway.advance(Stage::Ready) {
         log_event!(Event::Ready, "instance={}", gateway.settings.name);
     }
@@ -300,11 +304,9 @@
         changed.len()
     );
     tell_unreadable(&changed);
-    let crashed = forget_ended(control, state);
+    let ended = forget_ended(state);
     drop(guard);
-    for (server, evidence) in crashed {
-        control.gateway.crashed(&server, evidence);
-    }
+    tell_ended(control, ended);
 }
 
 fn follow(control: &Control, movement: Movement) {
@@ -323,11 +325,9 @@
     } else if !was_ready && is_ready {
         log_event!(Event::ServerListed, "server={id} version={version}");
     }
-    let crashed = forget_ended(control, &mut state);
+    let ended = forget_ended(&mut state);
     drop(state);
-    for (server, evidence) in crashed {
-        control.gateway.crashed(&server, evidence);
-    }
+    tell_ended(control, ended);
 }
 
 /// Logs rows that name no server, once for each of their versions. One such row must not hide the others: it is passed over.
@@ -347,23 +347,31 @@
 }
 
 /// Forgets what was observed of servers that started again: they keep no prompt part, and their failures and times were
-/// those of another process. Requests under way at the former process are told. Returns those that have crashed.
-fn forget_ended(control: &Control, state: &mut State) -> Vec<(Arc<Entry>, Evidence)> {
+/// those of another process. Returns them, with the evidence where they have crashed.
+fn forget_ended(state: &mut State) -> Vec<(Arc<Entry>, Option<Evidence>)> {
     let ended = state.registry.take_ended();
-    if ended.is_empty() {
-        return Vec::new();
-    }
-    let mut crashed = Vec::new();
+    let mut findings = Vec::with_capacity(ended.len());
     for former in ended {
         let id = &former.id;
         state.health.forget(id);
         state.load.forget(id);
         let restarted = state.registry.is_known(id);
         log_event!(Event::ServerEnded, "server={id} restarted={restarted}");
-        if let Some(evidence) = state.crashes.ended(&former, restarted) {
-            crashed.push((former, evidence));
+        let evidence = state.crashes.ended(&former, restarted);
+        findings.push((former, evidence));
+    }
+    findings
+}
+
+/// Counts the crashes, and then tells the requests that were under way at these servers: they ask whether it was one.
+fn tell_ended(control: &Control, ended: Vec<(Arc<Entry>, Option<Evidence>)>) {
+    if ended.is_empty() {
+        return;
+    }
+    for (server, evidence) in ended {
+        if let Some(evidence) = evidence {
+            control.gateway.crashed(&server, evidence);
         }
     }
     control.gateway.tell_ended();
-    crashed
 }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwapOption;
 use fescuewell_forward::choice::Load;
 use fescuewell_forward::config::Table;
-use fescuewell_forward::crash::Watch;
+use fescuewell_forward::crash::{Quarantine, Watch};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::Health;
 use fescuewell_forward::intake::Intake;
@@ -33,6 +33,8 @@
 use crate::metrics::{self, Metrics};
 use crate::settings::Settings;
 
+pub use crash::Probe;
+
 /// Span over which arrivals are counted, in seconds.
 pub const ARRIVALS_S: u32 = 4;
 
@@ -61,6 +63,8 @@
     pub health: Health,
     /// Which of them have crashed, and under what.
     pub crashes: Watch,
+    /// Requests that are to blame for it.
+    pub quarantine: Quarantine,
     /// Requests under way at them.
     pub load: Load,
     /// Prepaid tokens.
@@ -119,6 +123,8 @@
     pub journals: flume::Receiver<()>,
     /// Tokens are to be borrowed.
     pub shortages: flume::Receiver<Shortage>,
+    /// Quarantined requests that may be sent once more.
+    pub probes: flume::Receiver<Probe>,
 }
 
 /// Longest time for which a request waits for tokens of other instances: a silent lender costs 30 ms, one that answers a few.
@@ -128,6 +134,9 @@
 /// Requests that may wait to have their tokens borrowed. More of them at once could not be served before their time is up.
 const MOST_SHORTAGES: usize = 256;
 
+/// Quarantined requests that may wait for leave to be sent once.
+const MOST_PROBES: usize = 16;
+
 /// The shared part of one instance.
 pub struct Gateway {
     /// Its settings.
@@ -147,6 +156,9 @@
     wanted_plans: flume::Sender<()>,
     wanted_journals: flume::Sender<()>,
     shortages: flume::Sender<Shortage>,
+    probes: flume::Sender<Probe>,
+    crash_count: watch::Sender<u64>,
+    peer_heard_ms: AtomicU64,
     fleet_key: ArcSwapOption<Key>,
     fleet_key_era: AtomicU32,
     planned: watch::Sender<u64>,
@@ -170,6 +182,8 @@
         let (wanted_plans, plans) = flume::bounded(1);
         let (wanted_journals, journals) = flume::bounded(1);
         let (shortages, short) = flume::bounded(MOST_SHORTAGES);
+        let (probes, wanted_probes) = flume::bounded(MOST_PROBES);
+        let (crash_count, _) = watch::channel(0);
         let (planned, _) = watch::channel(0);
         let (ended, _) = watch::channel(0);
         let (returned, _) = watch::channel(0);
@@ -179,6 +193,7 @@
             warmup: Warmup::default(),
             health: Health::default(),
             crashes: Watch::default(),
+            quarantine: Quarantine::default(),
             load: Load::default(),
             quota: Quota::new(settings.name.clone(), 0),
             retry: Budget::new(settings.retry),
@@ -201,6 +216,9 @@
             wanted_plans,
             wanted_journals,
             shortages,
+            probes,
+            crash_count,
+            peer_heard_ms: AtomicU64::new(0),
             fleet_key: ArcSwapOption::empty(),
             fleet_key_era: AtomicU32::new(0),
             planned,
@@ -216,6 +234,7 @@
             plans,
             journals,
             shortages: short,
+            probes: wanted_probes,
         };
         Ok((gateway, inbox))
     }
@@ -307,6 +326,17 @@
         self.returned.subscribe()
     }
 
+    /// Notes that another instance's message has come.
+    pub fn set_peer_heard(&self) {
+        self.peer_heard_ms.store(self.now_ms(), Ordering::Relaxed);
+    }
+
+    /// Time since the last message of another instance.
+    pub fn peer_silence(&self) -> Duration {
+        let heard = self.peer_heard_ms.load(Ordering::Relaxed);
+        Duration::from_millis(self.now_ms().saturating_sub(heard))
+    }
+
     /// Requests under way.
     pub fn open(&self) -> &AtomicUsize {
         &self.open
--- a/crates/fescuewell_gateway/src/gateway/crash.rs
+++ b/crates/fescuewell_gateway/src/gateway/crash.rs
@@ -1,20 +1,58 @@
-//! Crashes of backend servers, as far as this instance can tell.
+//! Crashes of backend servers, and the requests under which they happen.
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::crash::{Evidence, Fingerprint};
+use fescuewell_forward::crash::{Evidence, Fingerprint, THRESHOLD, Update, Verdict};
 use fescuewell_forward::server::Entry;
+use tokio::sync::{oneshot, watch};
 
-use super::Gateway;
+use super::{Gateway, State};
 
 /// Most requests that one log line names.
 const MOST_NAMED: usize = 8;
 
+/// A quarantined request whose time is over waits for leave to be sent once.
+#[derive(Debug)]
+pub struct Probe {
+    /// The request.
+    pub request: Fingerprint,
+    /// Receives whether it may be sent.
+    pub reply: oneshot::Sender<bool>,
+}
+
+impl State {
+    /// Milliseconds of the store's clock.
+    pub fn store_ms(&self, now_ms: u64) -> u64 {
+        self.quota.store_time(now_ms)
+    }
+
+    /// Whether a request may be sent now.
+    pub fn verdict(&self, request: Fingerprint, now_ms: u64) -> Verdict {
+        self.quarantine.verdict(request, self.store_ms(now_ms))
+    }
+
+    fn crash(&mut self, server: &Entry, request: Fingerprint, now_ms: u64) -> Option<usize> {
+        let store_ms = self.store_ms(now_ms);
+        let server = server.incarnation();
+        self.quarantine.crash(request, server, store_ms)
+    }
+}
+
 impl Gateway {
-    /// A backend server has crashed.
+    /// A backend server has crashed: each request that it was running is a suspect.
     pub fn crashed(&self, server: &Entry, evidence: Evidence) {
         let now_ms = self.now_ms();
-        let requests = self.state().crashes.crashed(server.incarnation(), now_ms);
+        let mut quarantined = Vec::new();
+        let requests = {
+            let mut state = self.state();
+            let requests = state.crashes.crashed(server.incarnation(), now_ms);
+            for request in &requests {
+                if state.crash(server, *request, now_ms) == Some(THRESHOLD) {
+                    quarantined.push(*request);
+                }
+            }
+            requests
+        };
         self.metrics.server_crashed(&server.service);
         log_event!(
             Event::ServerCrashed,
@@ -24,6 +62,84 @@
             requests.len(),
             named(&requests)
         );
+        log_quarantined(&quarantined, &server.id);
+        self.announce_crashes();
+    }
+
+    /// A request turns out to have been running at a server that is known to have crashed.
+    pub fn ran_at_crash(&self, server: &Entry, request: Fingerprint) {
+        let now_ms = self.now_ms();
+        let count = self.state().crash(server, request, now_ms);
+        if count == Some(THRESHOLD) {
+            log_quarantined(&[request], &server.id);
+        }
+        self.announce_crashes();
+    }
+
+    /// A backend server answered a request whole.
+    pub fn answered(&self, server: &Entry, request: Fingerprint) {
+        let now_ms = self.now_ms();
+        let is_cleared = {
+            let mut state = self.state();
+            let store_ms = state.store_ms(now_ms);
+            state.quarantine.answered(request, store_ms)
+        };
+        if !is_cleared {
+            return;
+        }
+        log_event!(
+            Event::RequestCleared,
+            "fingerprint={request} server={}",
+            server.id
+        );
+        self.announce_crashes();
+    }
+
+    /// Takes what other instances, or former processes, know of such requests.
+    pub fn learn_crashes<Updates>(&self, updates: Updates, source: &str)
+    where
+        Updates: IntoIterator<Item = Update>,
+    {
+        let now_ms = self.now_ms();
+        let (quarantined, has_fresh) = {
+            let mut state = self.state();
+            let store_ms = state.store_ms(now_ms);
+            let quarantined = state.quarantine.merge(updates, store_ms);
+            (quarantined, state.quarantine.has_fresh())
+        };
+        log_quarantined(&quarantined, source);
+        if has_fresh {
+            self.announce_crashes();
+        }
+    }
+
+    /// Asks for leave to send a quarantined request whose time is over.
+    pub async fn may_probe(&self, request: Fingerprint) -> bool {
+        let (reply, answer) = oneshot::channel();
+        if self.probes.try_send(Probe { request, reply }).is_err() {
+            // A full channel means that others wait already, and a closed one that the process ends.
+            return false;
+        }
+        answer.await.unwrap_or(false)
+    }
+
+    /// Wakes requests that wait for a finding, and the exchange with other instances.
+    pub fn announce_crashes(&self) {
+        self.crash_count.send_modify(|count| *count += 1);
+    }
+
+    /// Wakes at each change of what is known about crashes.
+    pub fn crash_changes(&self) -> watch::Receiver<u64> {
+        self.crash_count.subscribe()
+    }
+}
+
+fn log_quarantined(requests: &[Fingerprint], source: &str) {
+    for request in requests {
+        log_event!(
+            Event::RequestQuarantined,
+            "fingerprint={request} source={source}"
+        );
     }
 }
 
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -24,6 +24,7 @@
 use crate::{header, refusal};
 
 use candidates::Candidates;
+use crash::Turn;
 
 pub(crate) use attempt::{Answer, Attempt};
 pub(crate) use place::Place;
@@ -47,7 +48,8 @@
     target: Uri,
     headers: HeaderMap,
     body: Bytes,
-    fingerprint: Fingerprint,
+    pub(crate) fingerprint: Fingerprint,
+    is_probe: bool,
     arrived: Instant,
     deadline: Instant,
     limit: Instant,
@@ -84,6 +86,7 @@
             headers,
             body: request.body,
             fingerprint: Fingerprint::default(),
+            is_probe: false,
             arrived: request.arrived,
             deadline: request.arrived,
             limit: request.arrived,
@@ -127,6 +130,9 @@
 
     /// Serves the request.
     pub async fn run(mut self, reply: Reply) {
+        if let Err(code) = self.admit().await {
+            return self.refuse(reply, code);
+        }
         if !self.has_server() {
             // Known already: no use in waiting for tokens.
             return self.refuse(reply, Code::NoServer);
@@ -143,7 +149,7 @@
             state.arrivals.add(now_ms, 1);
         }
         loop {
-            let mut place = match self.pick() {
+            let mut place = match self.pick().await {
                 Ok(place) => place,
                 Err(code) => return self.refuse(reply, code),
             };
@@ -203,7 +209,8 @@
     }
 
     /// Chooses a backend server that has not been tried.
-    pub(crate) fn pick(&mut self) -> Result<Place, Code> {
+    pub(crate) async fn pick(&mut self) -> Result<Place, Code> {
+        self.turn().await?;
         if Instant::now() >= self.limit {
             return Err(match self.may_have_run {
                 true => Code::TimedOut,
@@ -230,7 +237,10 @@
             zone: &self.gateway.settings.zone,
             draw,
         };
-        let chosen = choice::pick(&candidates.open, &query, &state.load, &state.health, now_ms);
+        let chosen = match self.is_isolated(&state, now_ms) {
+            true => choice::quietest(&candidates.open, &state.load, &state.health, now_ms),
+            false => choice::pick(&candidates.open, &query, &state.load, &state.health, now_ms),
+        };
         let chosen = chosen.cloned();
         let prompt = self.facts.tokens.map_or(0, |tokens| tokens.prompt);
         let unread = chosen
@@ -264,11 +274,15 @@
             self.tenant.as_ref().map_or("-", |tenant| &tenant.name)
         );
         self.tried.push(server.id.clone());
-        Ok(Place::take(&self.gateway, server, unread))
+        let turn = Turn::begin(&self.gateway, self.fingerprint);
+        Ok(Place::take(&self.gateway, server, unread, turn))
     }
 
     /// Whether another backend server may get the request now; takes a repeat of the fleet's budget.
     pub(crate) fn may_repeat(&mut self) -> bool {
+        if self.is_quarantined() {
+            return false;
+        }
         if self.may_have_run && !self.route.kind.is_idempotent() {
             return false;
         }
@@ -302,6 +316,9 @@
         if self.may_repeat() {
             return None;
         }
+        if self.is_quarantined() {
+            return Some(Code::Quarantined);
+        }
         Some(match (self.may_have_run, self.timed_out) {
             (true, true) => Code::TimedOut,
             (true, false) => Code::OutcomeUnknown,
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -75,7 +75,7 @@
                 opened = &mut opened => break opened,
                 () = &mut lost => {
                     self.sends += 1;
-                    return self.lost(place);
+                    return self.lost(place).await;
                 }
                 () = wait_out(patience) => {
                     if self.may_give_up() {
@@ -95,7 +95,7 @@
             }
             Err(error) => {
                 self.sent();
-                self.broke(place, error.is_broken());
+                self.broke(place, error.is_broken()).await;
                 return self.unknown(place, &error);
             }
         };
@@ -104,12 +104,16 @@
             received = self.receive(place, exchange, sent_at) => Some(received),
             () = &mut lost => None,
         };
-        received.unwrap_or_else(|| self.lost(place))
+        match received {
+            Some(received) => received,
+            None => self.lost(place).await,
+        }
     }
 
     /// The server has started again while the request was under way there.
-    fn lost(&mut self, place: &Place) -> Attempt {
+    async fn lost(&mut self, place: &Place) -> Attempt {
         self.mark_run();
+        self.broke(place, true).await;
         self.note(place, "unknown", "the server has started again");
         Attempt::Unknown
     }
@@ -160,7 +164,7 @@
                     Attempt::Events(Box::new(exchange), first)
                 }
                 Some(Err(error)) => {
-                    self.broke(place, error.is_broken());
+                    self.broke(place, error.is_broken()).await;
                     self.unknown(place, &error)
                 }
                 None => self.unknown(place, &"a stream without events"),
@@ -169,6 +173,8 @@
         let headers = std::mem::take(&mut exchange.headers);
         match exchange.whole(MOST_ANSWER).await {
             Ok(body) => {
+                // Whatever it says, the server has survived the request.
+                self.gateway.answered(&place.server, self.fingerprint);
                 let answer = Answer {
                     status,
                     headers,
@@ -184,7 +190,7 @@
                 Attempt::Whole(answer)
             }
             Err(error) => {
-                self.broke(place, error.is_broken());
+                self.broke(place, error.is_broken()).await;
                 self.unknown(place, &error)
             }
         }
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -1,17 +1,47 @@
-//! What a broken connection to a backend server shows: a crash of the server, or a lost connection.
+//! Requests that crash backend servers: when one may be sent, and what a broken connection shows.
 
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use fescuewell_forward::crash::{Content, Evidence, Finding, Fingerprint};
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::crash::{Content, Evidence, Finding, Fingerprint, Verdict};
 use fescuewell_http::listener::spawn;
 use fescuewell_http::upstream::Reach;
 
 use super::{Job, Place};
+use crate::gateway::{Gateway, State};
 use crate::header;
 
 /// Time for finding out whether a server still accepts connections.
 const PROBE: Duration = Duration::from_millis(300);
 
+/// A try that is under way, for as long as this lives.
+pub(crate) struct Turn {
+    gateway: Arc<Gateway>,
+    request: Fingerprint,
+}
+
+impl Turn {
+    /// Begins a try.
+    pub(super) fn begin(gateway: &Arc<Gateway>, request: Fingerprint) -> Self {
+        gateway.state().quarantine.begin(request);
+        Self {
+            gateway: gateway.clone(),
+            request,
+        }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        let is_awaited = self.gateway.state().quarantine.end(self.request);
+        if is_awaited {
+            self.gateway.announce_crashes();
+        }
+    }
+}
+
 impl Job {
     /// Identity of the request over all of its tries.
     pub(super) fn identify(&self) -> Fingerprint {
@@ -26,32 +56,124 @@
         })
     }
 
-    /// The connection to a server broke, or the server stayed silent, while it may have been running the request.
-    pub(crate) fn broke(&self, place: &Place, is_broken: bool) {
-        let gateway = &self.gateway;
-        let server = place.server.clone();
+    fn verdict(&self) -> Verdict {
+        let now_ms = self.gateway.now_ms();
+        self.gateway.state().verdict(self.fingerprint, now_ms)
+    }
+
+    /// Refuses a request that is known to crash servers, before it waits for anything.
+    pub(super) async fn admit(&mut self) -> Result<(), Code> {
+        let Verdict::Quarantined { may_probe } = self.verdict() else {
+            return Ok(());
+        };
+        if !may_probe || !self.gateway.may_probe(self.fingerprint).await {
+            return Err(Code::Quarantined);
+        }
+        log_event!(
+            Event::RequestProbed,
+            "request={} fingerprint={}",
+            self.id,
+            self.fingerprint
+        );
+        self.is_probe = true;
+        Ok(())
+    }
+
+    /// Whether the request must not be sent any more.
+    pub(super) fn is_quarantined(&self) -> bool {
+        matches!(self.verdict(), Verdict::Quarantined { .. })
+    }
+
+    /// Whether the request is kept apart from others.
+    pub(super) fn is_isolated(&self, state: &State, now_ms: u64) -> bool {
+        let verdict = state.verdict(self.fingerprint, now_ms);
+        self.is_probe || verdict == (Verdict::Suspect { is_isolated: true })
+    }
+
+    /// Waits until few enough tries of a suspect are under way here. Most requests do not wait at all.
+    pub(crate) async fn turn(&mut self) -> Result<(), Code> {
+        let mut changes = self.gateway.crash_changes();
+        let until = self.arrived + self.route.target_latency;
+        let until = until.min(self.limit);
+        loop {
+            changes.mark_unchanged();
+            match self.verdict() {
+                Verdict::Busy => {}
+                Verdict::Quarantined { .. } if !self.is_probe => return Err(Code::Quarantined),
+                _ => return Ok(()),
+            }
+            let changed = changes.changed();
+            let left = until.saturating_duration_since(Instant::now());
+            if !matches!(tokio::time::timeout(left, changed).await, Ok(Ok(()))) {
+                return Err(match self.may_have_run {
+                    true => Code::OutcomeUnknown,
+                    false => Code::NoServer,
+                });
+            }
+        }
+    }
+
+    /// The connection to a server broke, or the server stayed silent, while it may have been running the request. Waits until it
+    /// is known whether the server has crashed, where that takes a moment only: a request that crashes servers must not be
+    /// retried before its crash is counted.
+    pub(crate) async fn broke(&mut self, place: &Place, is_broken: bool) {
+        // A probe is one try.
+        self.is_probe = false;
+        let gateway = self.gateway.clone();
+        let server = &place.server;
         let now_ms = gateway.now_ms();
         let finding = {
             let mut state = gateway.state();
             let is_sound = state.registry.is_ready(&server.id, now_ms);
-            if !is_sound || state.registry.is_reborn(&server) {
-                // Servers that leave close their connections; a restart is found by the list.
-                return;
+            if state.registry.is_reborn(server) {
+                let has_crashed = state.crashes.has_crashed(server.incarnation());
+                has_crashed.then_some(Finding::Crashed)
+            } else if is_sound {
+                Some(state.crashes.broke(server, self.fingerprint, now_ms))
+            } else {
+                // Servers that leave close their connections.
+                None
             }
-            state.crashes.broke(&server, self.fingerprint, now_ms)
         };
-        if !is_broken || finding != (Finding::Doubted { is_first: true }) {
-            return;
+        match finding {
+            Some(Finding::Crashed) => gateway.ran_at_crash(server, self.fingerprint),
+            Some(Finding::Doubted { is_first }) if is_broken => {
+                if is_first {
+                    self.probe(place);
+                }
+                self.finding(place).await;
+            }
+            _ => {}
         }
-        // A task of its own: the caller may leave before the finding, which concerns others too.
-        let gateway = gateway.clone();
+    }
+
+    /// Finds out whether a server still accepts connections. A task of its own: the caller may leave before the finding, which
+    /// concerns others too.
+    fn probe(&self, place: &Place) {
+        let gateway = self.gateway.clone();
+        let server = place.server.clone();
         spawn(async move {
             match gateway.client.probe(server.address, PROBE).await {
-                Reach::Refused => gateway.crashed(&server, Evidence::Refused),
+                Reach::Refused => return gateway.crashed(&server, Evidence::Refused),
                 Reach::Accepted => gateway.state().crashes.accepted(server.incarnation()),
                 // The list may still tell.
-                Reach::Silent => {}
+                Reach::Silent => gateway.state().crashes.silent(server.incarnation()),
             }
+            gateway.announce_crashes();
         });
     }
+
+    async fn finding(&self, place: &Place) {
+        let mut changes = self.gateway.crash_changes();
+        let server = place.server.incarnation();
+        let found = async {
+            while self.gateway.state().crashes.is_open(server) {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // Without a finding the request goes on; the list may still tell.
+        let _ = tokio::time::timeout(PROBE, found).await;
+    }
 }
--- a/crates/fescuewell_gateway/src/job/place.rs
+++ b/crates/fescuewell_gateway/src/job/place.rs
@@ -8,6 +8,7 @@
 use fescuewell_forward::health::Outcome;
 use fescuewell_forward::server::Entry;
 
+use super::crash::Turn;
 use crate::gateway::Gateway;
 
 /// A request under way at a backend server, for as long as this lives.
@@ -15,16 +16,23 @@
     gateway: Arc<Gateway>,
     pub(crate) server: Arc<Entry>,
     unread: u64,
+    turn: Option<Turn>,
 }
 
 impl Place {
-    pub(super) fn take(gateway: &Arc<Gateway>, server: Arc<Entry>, unread: u64) -> Self {
+    pub(super) fn take(
+        gateway: &Arc<Gateway>,
+        server: Arc<Entry>,
+        unread: u64,
+        turn: Turn,
+    ) -> Self {
         gateway.state().load.begin(&server.id, unread);
         gateway.tell_loaded();
         Self {
             gateway: gateway.clone(),
             server,
             unread,
+            turn: Some(turn),
         }
     }
 
@@ -80,12 +88,23 @@
     }
 }
 
-impl Drop for Place {
-    fn drop(&mut self) {
+impl Place {
+    /// The request is not under way here any more.
+    pub(crate) fn release(&mut self) {
+        let Some(turn) = self.turn.take() else {
+            return;
+        };
         let mut state = self.gateway.state();
         state.load.read(&self.server.id, self.unread);
         state.load.end(&self.server.id);
         drop(state);
+        drop(turn);
         self.gateway.tell_loaded();
     }
 }
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -146,11 +146,14 @@
                 .table()
                 .map_or(0, |table| table.configuration().version);
             let now_ms = gateway.now_ms();
-            let (servers, instances, exposure) = {
+            let (servers, instances, exposure, suspects, quarantined) = {
                 let state = gateway.state();
                 let servers = state.registry.entries().count();
                 let exposure = state.quota.exposure(now_ms);
-                (servers, state.directory.count(), exposure)
+                let suspects = state.quarantine.suspects();
+                let quarantined = state.quarantine.quarantined().len();
+                let instances = state.directory.count();
+                (servers, instances, exposure, suspects, quarantined)
             };
             let values = [
                 ("configuration_version", version as f64),
@@ -163,6 +166,8 @@
                 ("tokens_consumed", exposure.consumed as f64),
                 ("tokens_promised", exposure.promised as f64),
                 ("servers", servers as f64),
+                ("suspects", suspects as f64),
+                ("quarantined", quarantined as f64),
                 ("instances", instances as f64),
                 ("ready", f64::from(u8::from(gateway.takes_callers()))),
                 ("accepting", f64::from(u8::from(gateway.is_open()))),
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -148,6 +148,7 @@
             match self.pump(&sink, &mut cutter, exchange, first, &place).await {
                 Ending::Whole => {
                     place.judge(Outcome::Good);
+                    self.gateway.answered(&place.server, self.fingerprint);
                     let events = cutter.taken().saturating_sub(begun.1 + 1);
                     if let Some(gap) = begun.0.elapsed().checked_div(events as u32) {
                         place.time(gap);
@@ -160,8 +161,9 @@
             }
             cutter.restart();
             while current.is_none() && self.may_repeat() {
-                // The former place is given up first: its request must not count beside the new one.
-                let Ok(next) = self.pick() else { break };
+                // Given up first: the former try must not count beside the new one.
+                place.release();
+                let Ok(next) = self.pick().await else { break };
                 place = next;
                 log_event!(
                     Event::StreamResumed,
@@ -202,6 +204,7 @@
                 biased;
                 next = exchange.next_chunk() => next,
                 () = &mut lost => {
+                    self.broke(place, true).await;
                     self.note(place, "broken", "the server has started again");
                     return Ending::Broken;
                 }
@@ -209,13 +212,13 @@
             chunk = match next {
                 Some(Ok(chunk)) => chunk,
                 Some(Err(error)) => {
-                    self.broke(place, error.is_broken());
+                    self.broke(place, error.is_broken()).await;
                     self.note(place, "broken", &error.to_string());
                     return Ending::Broken;
                 }
                 None if cutter.has_rest() => {
                     // A body without a length ends like this when the server crashes.
-                    self.broke(place, true);
+                    self.broke(place, true).await;
                     return Ending::Broken;
                 }
                 None => return Ending::Whole,
