An unreadable configuration is no outage of the store

What one would have seen: a configuration that this program cannot read (a newer form, for instance) counted as a failed call to the store at every instance. They took the store for down and up in turn, read the whole operator table again at once, for as long as it stood there, and lost the evacuations of the same reading.

Change: the reading is taken without the configuration; document.unreadable (E6004) says so once for each version; the configuration before stays in force.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -121,6 +121,8 @@
     DocumentInForce = 6002, Info, "document.in_force", "This instance now acts by a newer document.";
     DocumentRefused = 6003, Warn, "document.refused", "A document did not pass, with its result code.";
 
+    DocumentUnreadable = 6004, Error, "document.unreadable", "This program cannot read the operator's configuration; the one before stays in force.";
+
     OrderPlaced = 7001, Info, "order.placed", "A backend server was ordered to load, unload or change role, and why.";
     OrderRefused = 7002, Warn, "order.refused", "A backend server refused an order, for instance for its fencing number.";
     OrderRepaired = 7003, Warn, "order.repaired", "A read-back differed from what was ordered and was put right.";
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -35,6 +35,8 @@
     source: Arc<dyn Source>,
     inbox: Inbox,
     next_silent_ms: Arc<AtomicU64>,
+    /// Version of the last configuration that could not be read.
+    unreadable: Arc<AtomicU64>,
     /// What this instance, as a reader, passes on.
     digests: (flume::Sender<Digest>, flume::Receiver<Digest>),
 }
@@ -74,6 +76,7 @@
             source,
             inbox,
             next_silent_ms: Arc::default(),
+            unreadable: Arc::default(),
             digests: flume::bounded(MOST_DIGESTS),
         }
     }
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -5,6 +5,7 @@
 //! older than what is known counts.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fescuewell_core::log_event;
@@ -18,7 +19,7 @@
 
 use super::{CALL, Control, PAUSE};
 use crate::gateway::{Stage, State};
-use crate::source::{News, Word};
+use crate::source::{News, Unreadable, Word};
 use crate::store::Error;
 
 /// How long a call waits for changes. Short, since a connection that has gone silent shows only when the
@@ -91,6 +92,7 @@
 fn whole(control: &Control, news: News<Word>) {
     let now_ms = control.gateway.now_ms();
     apply(control, news.now_ms, news.content.configuration);
+    log_unreadable(control, news.content.unreadable);
     let mut state = control.gateway.state();
     let orders = news.content.evacuations;
     for order in state.registry.evacuations(news.version, orders, now_ms) {
@@ -101,9 +103,25 @@
 /// Takes what the operator has changed.
 fn changed(control: &Control, news: News<Word>) {
     apply(control, news.now_ms, news.content.configuration);
+    log_unreadable(control, news.content.unreadable);
     evacuate(control, news.content.evacuations);
 }
 
+/// Logs a configuration that cannot be read, once. The one before stays in force.
+fn log_unreadable(control: &Control, unreadable: Option<Unreadable>) {
+    let Some(Unreadable { version, reason }) = unreadable else {
+        return;
+    };
+    if control.unreadable.fetch_max(version, Ordering::Relaxed) >= version {
+        return;
+    }
+    let reason = reason.replace(' ', "_");
+    log_event!(
+        Event::DocumentUnreadable,
+        "version={version} reason={reason}"
+    );
+}
+
 fn evacuate(control: &Control, orders: Vec<Order>) {
     let now_ms = control.gateway.now_ms();
     for order in orders {
--- a/crates/fescuewell_gateway/src/source.rs
+++ b/crates/fescuewell_gateway/src/source.rs
@@ -1,5 +1,6 @@
 //! Where the configuration and the list of backend servers come from.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fescuewell_forward::config::Configuration;
@@ -19,11 +20,22 @@
     pub now_ms: u64,
 }
 
+/// A configuration that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Version of its row.
+    pub version: u64,
+    /// What is wrong with it.
+    pub reason: Arc<str>,
+}
+
 /// What the operator has written.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Word {
     /// The newest configuration, if the reading holds one.
     pub configuration: Option<Configuration>,
+    /// A configuration that the reading holds and that this program cannot read.
+    pub unreadable: Option<Unreadable>,
     /// Evacuations of availability zones that the reading holds.
     pub evacuations: Vec<Order>,
 }
--- a/tests/forward/configuration.rs
+++ b/tests/forward/configuration.rs
@@ -167,3 +167,26 @@
     assert_eq!(answer.events(), (1..=EVENTS).collect::<Vec<u64>>());
     assert_eq!(fixture.workers[1 - first].runs().len(), 1);
 }
+
+/// Guards against a configuration that no instance can read and that each takes for an outage of the store.
+#[test]
+fn an_unreadable_configuration_leaves_the_one_before_in_force() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    let mut unreadable = configuration(2, 1_000_000);
+    unreadable["routes"][0]["timeoutMs"] = "soon".into();
+
+    fixture.configure(&unreadable);
+    fixture.store.put("op", "", "evacuate/a", b"{}");
+    // Part of the same reading: that it is in force shows that the reading was taken.
+    fixture.wait_server("i-0", false);
+    let gateway = fixture.daemon.as_ref().unwrap().gateway();
+    let is_store_up = gateway.is_store_up();
+    fixture.store.remove("op", "", "evacuate/a");
+    fixture.wait_server("i-0", true);
+    let answer = fixture.send(&Request::new("GET /safe/x", "r-1"));
+    fixture.configure(&configuration(3, 1_000_000));
+
+    assert!(is_store_up);
+    assert_eq!(answer.status, 200);
+    assert!(wait_until(|| fixture.version() == 3));
+}
