Crash records of the end of time do not overflow

A crash at moment 0 counted as cleared, since nothing cleared and cleared at 0 were the same.

Change: saturating sums; the moment of the last answer is optional.

Measured: a_record_of_the_end_of_time_is_left_alone; tests/quarantine.rs passes (14).

--- a/crates/fescuewell_forward/src/crash/record.rs
+++ b/crates/fescuewell_forward/src/crash/record.rs
@@ -40,7 +40,7 @@
         /// Newest first, each server once.
         crashes: Vec<Crash>,
         /// Crashes up to this moment count no more: a server has answered the request since.
-        cleared_ms: u64,
+        cleared_ms: Option<u64>,
         /// How often it was sent though quarantined, and when last.
         probes: (u32, u64),
     }
@@ -64,13 +64,13 @@
 
     /// A server has answered the request whole at this moment.
     pub fn clear(&mut self, at_ms: u64) {
-        self.cleared_ms = self.cleared_ms.max(at_ms);
+        self.cleared_ms = self.cleared_ms.max(Some(at_ms));
         self.normalize();
     }
 
     /// Notes a probe at this moment.
     pub fn probe(&mut self, at_ms: u64) {
-        self.probes = (self.probes.0 + 1, at_ms);
+        self.probes = (self.probes.0.saturating_add(1), at_ms);
     }
 
     /// Takes what another instance knows; returns whether some of it is new.
@@ -106,7 +106,7 @@
         let pause_ms = FIRST_MS * GROWTH.pow(probes.min(MOST_PROBES));
         self.is_quarantined()
             && probes < MOST_PROBES
-            && now_ms >= self.last_crash_ms().max(probed_ms) + pause_ms
+            && now_ms >= self.last_crash_ms().max(probed_ms).saturating_add(pause_ms)
     }
 
     /// Whether it says nothing any more.
@@ -116,14 +116,12 @@
             THRESHOLD.. => QUARANTINED_MS,
             _ => SUSPECT_MS,
         };
-        let last_ms = self.last_crash_ms().max(self.cleared_ms).max(self.probes.1);
-        now_ms >= last_ms + kept_ms
+        now_ms >= self.last_ms().saturating_add(kept_ms)
     }
 
     /// Whether it claims what has not happened yet: its writer's clock cannot be trusted.
     pub fn is_ahead(&self, now_ms: u64) -> bool {
-        let last_ms = self.last_crash_ms().max(self.cleared_ms).max(self.probes.1);
-        last_ms > now_ms + SKEW_MS
+        self.last_ms() > now_ms.saturating_add(SKEW_MS)
     }
 
     /// Moment of the newest crash.
@@ -131,9 +129,15 @@
         self.crashes.first().map_or(0, |crash| crash.at_ms)
     }
 
+    /// Moment of the newest of all that it tells.
+    fn last_ms(&self) -> u64 {
+        let cleared_ms = self.cleared_ms.unwrap_or_default();
+        self.last_crash_ms().max(cleared_ms).max(self.probes.1)
+    }
+
     fn normalize(&mut self) {
         let cleared_ms = self.cleared_ms;
-        self.crashes.retain(|crash| crash.at_ms > cleared_ms);
+        self.crashes.retain(|crash| Some(crash.at_ms) > cleared_ms);
         self.crashes.sort_by_key(|crash| std::cmp::Reverse(*crash));
         self.crashes.truncate(MOST_CRASHES);
     }
--- a/crates/fescuewell_forward/tests/quarantine.rs
+++ b/crates/fescuewell_forward/tests/quarantine.rs
@@ -391,3 +391,24 @@
         }
     }
 }
+
+/// Guards against an overflow, which would end the instances that read it one after the other.
+#[test]
+fn a_record_of_the_end_of_time_is_left_alone() {
+    let mut far = Record::default();
+    for number in 0..3 {
+        let at_ms = u64::MAX - number;
+        let server = server(number);
+        far.add(Crash { at_ms, server });
+    }
+    far.probe(u64::MAX);
+    let update = Update {
+        request: request(0),
+        record: far,
+    };
+    let mut own = Quarantine::default();
+
+    own.merge([update], START_MS);
+
+    assert_eq!(own.verdict(request(0), START_MS), Verdict::Clear);
+}
