Read the quarantines at a bounded pace, and before the instance is ready

Cause: the first form read the table whenever the store was back. Instances that nobody sends load reports read it each second, since they heard nobody. An instance was ready after its first reading had failed as well.

A row that cannot be read stays: it may be of a newer program.

Not traced: a_quarantine_outlives_a_kill_of_all_instances failed once (another status than 502) in a run of tests/forward before this change, in none of ten runs alone and six runs of all after it; the reading that failed before readiness is suspected, no run shows it.

--- a/crates/fescuewell_forward/src/crash/quarantine.rs
+++ b/crates/fescuewell_forward/src/crash/quarantine.rs
@@ -265,12 +265,12 @@
         self.records.is_empty()
     }
 
-    /// Whether the store was asked for quarantines of former processes.
+    /// Whether the quarantines that former processes have left in the store were read.
     pub fn is_loaded(&self) -> bool {
         self.is_loaded
     }
 
-    /// Notes that it was, with or without an answer.
+    /// Notes that they were.
     pub fn set_loaded(&mut self) {
         self.is_loaded = true;
     }
--- a/crates/fescuewell_gateway/src/control/crashes.rs
+++ b/crates/fescuewell_gateway/src/control/crashes.rs
@@ -15,7 +15,7 @@
 
 use super::rows::{FLEET, place, read, read_row, unreadable};
 use super::watch::ready_if_complete;
-use super::{CALL, Control};
+use super::{CALL, Control, PAUSE};
 use crate::gateway::Probe;
 use crate::store::{Change, Outcome, Place, Row};
 
@@ -30,19 +30,21 @@
 /// Bytes a second that changes may take on the average.
 const BYTES_S: f64 = 4_096.0;
 /// Least time between two messages with changes.
-const PAUSE: Duration = Duration::from_millis(10);
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(10);
 /// Time between two samples.
 const SAMPLE_EVERY: Duration = Duration::from_millis(300);
 /// Time between two questions of an instance that has just started,
 const ASK_EVERY: Duration = Duration::from_millis(200);
 /// and how often it asks.
 const ASKS: usize = 10;
-/// Time between two readings of the table.
+/// Most time between two readings of the table.
 const READ_EVERY: Duration = Duration::from_secs(60);
-/// The same for an instance that hears no other one, in a small fleet.
-const READ_ALONE: Duration = Duration::from_secs(1);
-/// Part of the store's readings that such instances may take if that is all of them.
+/// Least time between two readings, in a small fleet.
+const READ_PAUSE: Duration = Duration::from_secs(2);
+/// Part of the store's readings that all instances take if none hears another one.
 const READ_SHARE: f64 = 0.05;
+/// Silence of all others after which an instance is alone: several samples.
+const ALONE_AFTER: Duration = Duration::from_millis(2_500);
 /// Expired rows that one reading removes.
 const MOST_REMOVED: usize = 32;
 
@@ -82,7 +84,7 @@
         let peers = peers(control, FANOUT);
         let bytes = send(control, socket, Message::Crashes(updates), &peers);
         let pause = Duration::from_secs_f64(bytes as f64 / BYTES_S);
-        tokio::time::sleep(pause.max(PAUSE)).await;
+        tokio::time::sleep(pause.max(ANNOUNCE_PAUSE)).await;
     }
 }
 
@@ -90,10 +92,8 @@
 async fn sample(control: &Control, socket: &UdpSocket) {
     loop {
         tokio::time::sleep(control.spread(SAMPLE_EVERY)).await;
+        // An empty one says that this instance can be heard.
         let updates = control.gateway.state().quarantine.sample(MOST_RECORDS);
-        if updates.is_empty() {
-            continue;
-        }
         let peers = peers(control, 1);
         send(control, socket, Message::Crashes(updates), &peers);
     }
@@ -144,21 +144,24 @@
 async fn read_again(control: &Control) {
     let gateway = &control.gateway;
     let mut returns = gateway.returns();
+    while !reconcile(control).await {
+        tokio::time::sleep(PAUSE).await;
+    }
+    gateway.state().quarantine.set_loaded();
+    ready_if_complete(control);
     loop {
-        returns.mark_unchanged();
-        reconcile(control).await;
-        if !gateway.state().quarantine.is_loaded() {
-            gateway.state().quarantine.set_loaded();
-            ready_if_complete(control);
-        }
-        let read_at = Instant::now();
-        let every = control.spread(READ_EVERY);
-        while read_at.elapsed() < every {
-            let is_back = tokio::time::timeout(read_alone(control), returns.changed()).await;
-            if is_back.is_ok() || is_alone(control) {
+        let due = Instant::now() + control.spread(READ_EVERY);
+        loop {
+            // Also between two returns: a store that answers now and then would be read at each of them.
+            tokio::time::sleep(read_pause(control)).await;
+            let is_back = returns.has_changed().unwrap_or(true);
+            let is_due = is_back || is_alone(control) || Instant::now() >= due;
+            if is_due && gateway.is_store_up() {
                 break;
             }
         }
+        returns.mark_unchanged();
+        reconcile(control).await;
     }
 }
 
@@ -166,27 +169,30 @@
 fn is_alone(control: &Control) -> bool {
     let gateway = &control.gateway;
     let others = gateway.state().directory.count() - 1;
-    others > 0 && gateway.is_store_up() && gateway.peer_silence() > read_alone(control)
+    others > 0 && gateway.peer_silence() > ALONE_AFTER
 }
 
-fn read_alone(control: &Control) -> Duration {
+/// Least time between two readings.
+fn read_pause(control: &Control) -> Duration {
     let gateway = &control.gateway;
     let instances = gateway.state().directory.count() as f64;
     let share = instances / (gateway.settings.reads * READ_SHARE);
-    READ_ALONE.max(Duration::from_secs_f64(share))
+    READ_PAUSE.max(Duration::from_secs_f64(share))
 }
 
-/// Takes what the table holds, writes what it lacks, and removes what has expired.
-async fn reconcile(control: &Control) {
+/// Takes what the table holds, writes what it lacks, and removes what has expired; returns whether it could be read.
+async fn reconcile(control: &Control) -> bool {
     let Ok(reading) = read(control, TABLE, FLEET).await else {
-        return;
+        return false;
     };
     let mut known = Vec::new();
     let mut expired = Vec::new();
     for row in &reading.rows {
+        // One that cannot be read may be of a newer program, and stays.
         match decode(row) {
-            Some(update) if !update.record.is_expired(reading.now_ms) => known.push(update),
-            _ => expired.push(row),
+            Some(update) if update.record.is_expired(reading.now_ms) => expired.push(row),
+            Some(update) => known.push(update),
+            None => {}
         }
     }
     control.gateway.learn_crashes(known.clone(), "store");
@@ -206,6 +212,7 @@
         // Another instance may have removed it.
         let _ = control.call(TABLE, CALL, commit).await;
     }
+    true
 }
 
 /// Writes quarantines that this instance has found.
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -46,6 +46,7 @@
     ledger_delay: Duration,
     version: u64,
     rows: HashMap<Place, (Vec<u8>, u64)>,
+    readings: HashMap<String, usize>,
 }
 
 /// A store of rows in memory, and the configuration in it.
@@ -69,6 +70,7 @@
                 ledger_delay: Duration::ZERO,
                 version: 1,
                 rows: HashMap::new(),
+                readings: HashMap::new(),
             }),
             started: Instant::now(),
             configuration: Configuration {
@@ -88,6 +90,19 @@
         self.content().ledger_delay = delay;
     }
 
+    /// How often a table was to be read whole, with or without an answer.
+    pub fn readings(&self, table: &str) -> usize {
+        let content = self.content();
+        content.readings.get(table).copied().unwrap_or_default()
+    }
+
+    /// Rows of a table.
+    pub fn rows(&self, table: &str) -> usize {
+        let content = self.content();
+        let places = content.rows.keys();
+        places.filter(|place| *place.table == *table).count()
+    }
+
     async fn wait_for(&self, table: &str) {
         if table == "ledger" {
             let delay = self.content().ledger_delay;
@@ -197,6 +212,7 @@
     }
 
     fn read<'a>(&'a self, table: &'a str, part: &'a str) -> Pending<'a, Reading> {
+        *self.content().readings.entry(table.into()).or_default() += 1;
         Box::pin(async move {
             self.arrive().await?;
             self.wait_for(table).await;
