Find a crash also behind a silent server, and one that accepts a last connection

Cause: (1) A request that had waited in vain left a doubt on its server for 8 s, and a connection that broke there was then neither probed nor counted, while its retry waited 300 ms for a finding. (2) A server that is ending may close its connections before its listening socket; the probe is accepted then, and the crash was not counted. The second was seen beside load: an_instance_learns_from_the_crashes_of_another, 4 crashes where 3 are allowed, in two of seven runs beside four busy processes.

Change: silence and a broken connection are told apart (Loss); a connection that was accepted is looked at again after 50 ms, without holding up the retry. The stand-in closes its listening socket first, as a process does; the test's bound stays as it was.

--- a/crates/fescuewell_forward/src/crash.rs
+++ b/crates/fescuewell_forward/src/crash.rs
@@ -12,4 +12,4 @@
 pub use fingerprint::{Content, Fingerprint};
 pub use quarantine::{Quarantine, Update, Verdict};
 pub use record::{Crash, Record, THRESHOLD};
-pub use watch::{Evidence, Finding, Watch};
+pub use watch::{Evidence, Finding, Loss, Watch};
--- a/crates/fescuewell_forward/src/crash/watch.rs
+++ b/crates/fescuewell_forward/src/crash/watch.rs
@@ -8,7 +8,7 @@
 //! ```
 //!
 //! A server that drains, has left the list or stands in an evacuated zone may close its connections at any time: callers of
-//! [`Watch::broke`] pass over those.
+//! [`Watch::lost`] pass over those.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -35,25 +35,41 @@
     Removed,
 }
 
-/// What a broken connection means so far.
+/// How a request's exchange with a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loss {
+    /// The connection broke.
+    Broken,
+    /// The server stayed silent for too long.
+    Silent,
+}
+
+/// What that means so far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
     /// The server has crashed.
     Crashed,
-    /// Not known yet. `is_first` marks the first one of this server: it is to be found out whether the server still accepts
-    /// connections.
-    Doubted {
-        /// Whether nobody has begun to find out.
-        is_first: bool,
-    },
+    /// The caller is to find out whether the server still accepts connections.
+    Probe,
+    /// Another request finds it out already.
+    Awaited,
+    /// Only the list can tell.
+    Open,
+}
+
+/// Whether a connection attempt may tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Attempt {
+    None,
+    UnderWay,
+    Silent,
 }
 
 /// A server that may have crashed.
 #[derive(Debug)]
 struct Doubt {
     since_ms: u64,
-    /// Whether it may still be settled by a connection attempt.
-    is_open: bool,
+    attempt: Attempt,
     requests: Vec<Fingerprint>,
 }
 
@@ -65,23 +81,35 @@
 }
 
 impl Watch {
-    /// Notes that a request's connection to a server broke, or that the server stayed silent, at `now_ms` of the own clock.
-    pub fn broke(&mut self, server: &Entry, request: Fingerprint, now_ms: u64) -> Finding {
+    /// Notes how a request's exchange with a server ended, at `now_ms` of the own clock.
+    pub fn lost(
+        &mut self,
+        server: &Entry,
+        request: Fingerprint,
+        loss: Loss,
+        now_ms: u64,
+    ) -> Finding {
         self.expire(now_ms);
         let incarnation = server.incarnation();
         if self.crashed.contains_key(&incarnation) {
             return Finding::Crashed;
         }
-        let is_first = !self.doubted.contains_key(&incarnation);
         let doubt = self.doubted.entry(incarnation).or_insert_with(|| Doubt {
             since_ms: now_ms,
-            is_open: true,
+            attempt: Attempt::None,
             requests: Vec::new(),
         });
         if doubt.requests.len() < MOST_REQUESTS && !doubt.requests.contains(&request) {
             doubt.requests.push(request);
         }
-        Finding::Doubted { is_first }
+        match (loss, doubt.attempt) {
+            (Loss::Broken, Attempt::None) => {
+                doubt.attempt = Attempt::UnderWay;
+                Finding::Probe
+            }
+            (Loss::Broken, Attempt::UnderWay) => Finding::Awaited,
+            (Loss::Broken, Attempt::Silent) | (Loss::Silent, _) => Finding::Open,
+        }
     }
 
     /// The server has crashed: returns the requests that it was running, each once.
@@ -104,14 +132,14 @@
     /// A connection attempt showed nothing: only the list can tell now.
     pub fn silent(&mut self, incarnation: Incarnation) {
         if let Some(doubt) = self.doubted.get_mut(&incarnation) {
-            doubt.is_open = false;
+            doubt.attempt = Attempt::Silent;
         }
     }
 
-    /// Whether a connection attempt may still tell if the server has crashed.
-    pub fn is_open(&self, incarnation: Incarnation) -> bool {
+    /// Whether a connection attempt is under way that tells if the server has crashed.
+    pub fn is_probed(&self, incarnation: Incarnation) -> bool {
         let doubt = self.doubted.get(&incarnation);
-        doubt.is_some_and(|doubt| doubt.is_open)
+        doubt.is_some_and(|doubt| doubt.attempt == Attempt::UnderWay)
     }
 
     /// Takes what the list says of a server's former entry: it is gone, or has started again. Returns the evidence where that
--- a/crates/fescuewell_forward/tests/crashes.rs
+++ b/crates/fescuewell_forward/tests/crashes.rs
@@ -1,6 +1,6 @@
 //! Which backend servers crashed, and what they were running.
 
-use fescuewell_forward::crash::{Content, Evidence, Finding, Fingerprint, Watch};
+use fescuewell_forward::crash::{Content, Evidence, Finding, Fingerprint, Loss, Watch};
 use fescuewell_forward::server::{Entry, State};
 use std::sync::Arc;
 
@@ -86,22 +86,25 @@
     let mut watch = Watch::default();
     let server = entry("i-0", 1);
 
-    let first = watch.broke(&server, request(1), 0);
-    let second = watch.broke(&server, request(2), 1);
-    watch.broke(&server, request(2), 2);
+    let first = watch.lost(&server, request(1), Loss::Broken, 0);
+    let second = watch.lost(&server, request(2), Loss::Broken, 1);
+    watch.lost(&server, request(2), Loss::Broken, 2);
     let running = watch.crashed(server.incarnation(), 3);
 
-    assert_eq!(first, Finding::Doubted { is_first: true });
-    assert_eq!(second, Finding::Doubted { is_first: false });
+    assert_eq!(first, Finding::Probe);
+    assert_eq!(second, Finding::Awaited);
     assert_eq!(running, [request(1), request(2)]);
-    assert_eq!(watch.broke(&server, request(3), 4), Finding::Crashed);
+    assert_eq!(
+        watch.lost(&server, request(3), Loss::Broken, 4),
+        Finding::Crashed
+    );
 }
 
 #[test]
 fn a_server_that_accepts_connections_has_not_crashed() {
     let mut watch = Watch::default();
     let server = entry("i-0", 1);
-    watch.broke(&server, request(1), 0);
+    watch.lost(&server, request(1), Loss::Broken, 0);
 
     watch.accepted(server.incarnation());
 
@@ -127,7 +130,7 @@
     assert_eq!(watch.ended(&sound, true), Some(Evidence::Restarted));
     assert_eq!(watch.ended(&sound, false), None);
     assert_eq!(watch.ended(&leaving, true), None);
-    watch.broke(&sound, request(1), 0);
+    watch.lost(&sound, request(1), Loss::Broken, 0);
     assert_eq!(watch.ended(&sound, false), Some(Evidence::Removed));
 }
 
@@ -135,9 +138,39 @@
 fn a_doubt_ends_after_a_while() {
     let mut watch = Watch::default();
     let server = Arc::new(entry("i-0", 1));
-    watch.broke(&server, request(1), 0);
+    watch.lost(&server, request(1), Loss::Broken, 0);
 
-    watch.broke(&entry("i-1", 1), request(2), 60_000);
+    watch.lost(&entry("i-1", 1), request(2), Loss::Broken, 60_000);
 
     assert_eq!(watch.ended(&server, false), None);
 }
+
+/// Guards against a crash that nobody looks for since another request had waited for an answer in vain.
+#[test]
+fn a_broken_connection_is_followed_by_a_probe_though_the_server_was_silent_before() {
+    let mut watch = Watch::default();
+    let server = entry("i-0", 1);
+
+    let silent = watch.lost(&server, request(1), Loss::Silent, 0);
+    let is_probed = watch.is_probed(server.incarnation());
+    let broken = watch.lost(&server, request(2), Loss::Broken, 1);
+
+    assert_eq!(silent, Finding::Open);
+    assert!(!is_probed);
+    assert_eq!(broken, Finding::Probe);
+}
+
+#[test]
+fn a_probe_without_a_finding_is_not_awaited() {
+    let mut watch = Watch::default();
+    let server = entry("i-0", 1);
+    watch.lost(&server, request(1), Loss::Broken, 0);
+
+    watch.silent(server.incarnation());
+
+    assert!(!watch.is_probed(server.incarnation()));
+    assert_eq!(
+        watch.lost(&server, request(2), Loss::Broken, 1),
+        Finding::Open
+    );
+}
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -27,6 +27,7 @@
 use crash::Turn;
 
 pub(crate) use attempt::{Answer, Attempt};
+pub(crate) use crash::loss;
 pub(crate) use place::Place;
 
 /// Part of the target latency for which a request waits for tokens: the rest is enough for a backend server.
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -6,12 +6,14 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::Kind;
+use fescuewell_forward::crash::Loss;
 use fescuewell_forward::health::Outcome;
 use fescuewell_forward::server::Entry;
 use fescuewell_http::upstream::{Error, Exchange, Target, Timeouts};
 use http::header::HeaderValue;
 use http::{HeaderMap, StatusCode};
 
+use super::crash::loss;
 use super::{Job, Place};
 
 /// Time for opening a connection; backend servers are a few milliseconds away.
@@ -95,7 +97,7 @@
             }
             Err(error) => {
                 self.sent();
-                self.broke(place, error.is_broken()).await;
+                self.lost_at(place, loss(&error)).await;
                 return self.unknown(place, &error);
             }
         };
@@ -113,7 +115,7 @@
     /// The server has started again while the request was under way there.
     async fn lost(&mut self, place: &Place) -> Attempt {
         self.mark_run();
-        self.broke(place, true).await;
+        self.lost_at(place, Loss::Broken).await;
         self.note(place, "unknown", "the server has started again");
         Attempt::Unknown
     }
@@ -164,7 +166,7 @@
                     Attempt::Events(Box::new(exchange), first)
                 }
                 Some(Err(error)) => {
-                    self.broke(place, error.is_broken()).await;
+                    self.lost_at(place, loss(&error)).await;
                     self.unknown(place, &error)
                 }
                 None => self.unknown(place, &"a stream without events"),
@@ -190,7 +192,7 @@
                 Attempt::Whole(answer)
             }
             Err(error) => {
-                self.broke(place, error.is_broken()).await;
+                self.lost_at(place, loss(&error)).await;
                 self.unknown(place, &error)
             }
         }
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -5,9 +5,10 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::crash::{Content, Evidence, Finding, Fingerprint, Verdict};
+use fescuewell_forward::crash::{Content, Evidence, Finding, Fingerprint, Loss, Verdict};
+use fescuewell_forward::server::Entry;
 use fescuewell_http::listener::spawn;
-use fescuewell_http::upstream::Reach;
+use fescuewell_http::upstream::{Error, Reach};
 
 use super::{Job, Place};
 use crate::gateway::{Gateway, State};
@@ -15,6 +16,8 @@
 
 /// Time for finding out whether a server still accepts connections.
 const PROBE: Duration = Duration::from_millis(300);
+/// Time after which a connection that the server has accepted is looked at again.
+const SECOND_LOOK: Duration = Duration::from_millis(50);
 
 /// A try that is under way, for as long as this lives.
 pub(crate) struct Turn {
@@ -42,6 +45,25 @@
     }
 }
 
+/// A server may accept a connection while it is ending. The connection breaks then as well.
+async fn look_again(gateway: &Gateway, server: &Entry) {
+    tokio::time::sleep(SECOND_LOOK).await;
+    let is_sound = gateway.client.has_idle(server.address)
+        || gateway.client.probe(server.address, PROBE).await != Reach::Refused;
+    match is_sound {
+        true => gateway.state().crashes.accepted(server.incarnation()),
+        false => gateway.crashed(server, Evidence::Refused),
+    }
+}
+
+/// How an exchange ended.
+pub(crate) fn loss(error: &Error) -> Loss {
+    match error.is_broken() {
+        true => Loss::Broken,
+        false => Loss::Silent,
+    }
+}
+
 impl Job {
     /// Identity of the request over all of its tries.
     pub(super) fn identify(&self) -> Fingerprint {
@@ -113,10 +135,10 @@
         }
     }
 
-    /// The connection to a server broke, or the server stayed silent, while it may have been running the request. Waits until it
-    /// is known whether the server has crashed, where that takes a moment only: a request that crashes servers must not be
-    /// retried before its crash is counted.
-    pub(crate) async fn broke(&mut self, place: &Place, is_broken: bool) {
+    /// The exchange with a server ended while the server may have been running the request. Waits until it is known whether the
+    /// server has crashed, where that takes a moment only: a request that crashes servers must not be retried before its crash is
+    /// counted.
+    pub(crate) async fn lost_at(&mut self, place: &Place, loss: Loss) {
         // A probe is one try.
         self.is_probe = false;
         let gateway = self.gateway.clone();
@@ -129,7 +151,7 @@
                 let has_crashed = state.crashes.has_crashed(server.incarnation());
                 has_crashed.then_some(Finding::Crashed)
             } else if is_sound {
-                Some(state.crashes.broke(server, self.fingerprint, now_ms))
+                Some(state.crashes.lost(server, self.fingerprint, loss, now_ms))
             } else {
                 // Servers that leave close their connections.
                 None
@@ -137,13 +159,12 @@
         };
         match finding {
             Some(Finding::Crashed) => gateway.ran_at_crash(server, self.fingerprint),
-            Some(Finding::Doubted { is_first }) if is_broken => {
-                if is_first {
-                    self.probe(place);
-                }
+            Some(Finding::Probe) => {
+                self.probe(place);
                 self.finding(place).await;
             }
-            _ => {}
+            Some(Finding::Awaited) => self.finding(place).await,
+            Some(Finding::Open) | None => {}
         }
     }
 
@@ -153,13 +174,16 @@
         let gateway = self.gateway.clone();
         let server = place.server.clone();
         spawn(async move {
-            match gateway.client.probe(server.address, PROBE).await {
-                Reach::Refused => return gateway.crashed(&server, Evidence::Refused),
-                Reach::Accepted => gateway.state().crashes.accepted(server.incarnation()),
-                // The list may still tell.
-                Reach::Silent => gateway.state().crashes.silent(server.incarnation()),
+            let reach = gateway.client.probe(server.address, PROBE).await;
+            if reach == Reach::Refused {
+                return gateway.crashed(&server, Evidence::Refused);
             }
+            // The list, or the second look, may still tell.
+            gateway.state().crashes.silent(server.incarnation());
             gateway.announce_crashes();
+            if reach == Reach::Accepted {
+                look_again(&gateway, &server).await;
+            }
         });
     }
 
@@ -167,7 +191,7 @@
         let mut changes = self.gateway.crash_changes();
         let server = place.server.incarnation();
         let found = async {
-            while self.gateway.state().crashes.is_open(server) {
+            while self.gateway.state().crashes.is_probed(server) {
                 if changes.changed().await.is_err() {
                     return;
                 }
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -6,12 +6,13 @@
 use bytes::{Buf, Bytes, BytesMut};
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
+use fescuewell_forward::crash::Loss;
 use fescuewell_forward::health::Outcome;
 use fescuewell_http::listener::{Reply, Sink};
 use fescuewell_http::upstream::Exchange;
 
 use crate::header;
-use crate::job::{Attempt, Job, Place};
+use crate::job::{Attempt, Job, Place, loss};
 
 /// Largest event, in bytes.
 const MOST_EVENT: usize = 256 * 1024;
@@ -204,7 +205,7 @@
                 biased;
                 next = exchange.next_chunk() => next,
                 () = &mut lost => {
-                    self.broke(place, true).await;
+                    self.lost_at(place, Loss::Broken).await;
                     self.note(place, "broken", "the server has started again");
                     return Ending::Broken;
                 }
@@ -212,13 +213,13 @@
             chunk = match next {
                 Some(Ok(chunk)) => chunk,
                 Some(Err(error)) => {
-                    self.broke(place, error.is_broken()).await;
+                    self.lost_at(place, loss(&error)).await;
                     self.note(place, "broken", &error.to_string());
                     return Ending::Broken;
                 }
                 None if cutter.has_rest() => {
                     // A body without a length ends like this when the server crashes.
-                    self.broke(place, true).await;
+                    self.lost_at(place, Loss::Broken).await;
                     return Ending::Broken;
                 }
                 None => return Ending::Whole,
--- a/crates/fescuewell_http/src/upstream/mod.rs
+++ b/crates/fescuewell_http/src/upstream/mod.rs
@@ -233,6 +233,11 @@
         self.pool.forget(address);
     }
 
+    /// Whether an unused connection to an address is open.
+    pub fn has_idle(&self, address: SocketAddr) -> bool {
+        self.pool.has(address)
+    }
+
     /// How many unused connections are open, over all addresses.
     pub fn idle_connections(&self) -> usize {
         self.pool.len()
--- a/crates/fescuewell_http/src/upstream/pool.rs
+++ b/crates/fescuewell_http/src/upstream/pool.rs
@@ -103,6 +103,13 @@
         self.idle().remove(&address);
     }
 
+    /// Whether one to `address` is kept that its server has not closed.
+    pub(super) fn has(&self, address: SocketAddr) -> bool {
+        let idle = self.idle();
+        let kept = idle.get(&address);
+        kept.is_some_and(|kept| kept.iter().any(|idle| !idle.connection.sender.is_closed()))
+    }
+
     /// How many are kept that their servers have not closed.
     pub(super) fn len(&self) -> usize {
         let idle = self.idle();
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -14,7 +14,7 @@
 //! ```
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -128,6 +128,7 @@
         // A listener's own thread cannot end it.
         std::thread::spawn(move || {
             while crashes.recv().is_ok() {
+                refuse(&slot, address);
                 take(&slot);
             }
         });
@@ -238,6 +239,16 @@
     slot.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Closes the listening socket. A process that ends closes it before its connections, which it has opened later.
+fn refuse(slot: &Slot, address: SocketAddr) {
+    if let Some(listener) = &*lock(slot) {
+        listener.stop_accepting();
+    }
+    while TcpStream::connect(address).is_ok() {
+        std::thread::sleep(LOOK);
+    }
+}
+
 /// Ends the listener, if there is one, and all of its connections.
 fn take(slot: &Slot) {
     let listener = lock(slot).take();
