Soak: a request that crashes servers, beside all other faults

Change: each seed sends one request that crashes each backend server, from a thread of its own, to all instances; servers that crashed start again at the next fault. After the faults the request must be quarantined within six tries, known at every instance, and crash nothing more; no other request may be quarantined. Instances have a port for each other now, as on the platform.

--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -155,6 +155,11 @@
         self.shared.state().crashes
     }
 
+    /// How often it was started again.
+    pub fn revivals(&self) -> u64 {
+        self.shared.state().revivals
+    }
+
     /// Whether it has crashed and was not started again since.
     pub fn has_crashed(&self) -> bool {
         let state = self.shared.state();
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -141,7 +141,9 @@
 
     /// A backend server's own entry.
     pub fn register(&self, index: usize, state: &str) {
-        let entry = sample::entry(self.workers[index].address(), state);
+        let worker = &self.workers[index];
+        let mut entry = sample::entry(worker.address(), state);
+        entry["born"] = (sample::BORN + worker.revivals()).into();
         let key = format!("i-{index}");
         self.store
             .put("servers", "", &key, entry.to_string().as_bytes());
@@ -178,6 +180,12 @@
         }
     }
 
+    /// Starts a backend server that has crashed again, under its name.
+    pub fn start_again(&self, index: usize) {
+        self.workers[index].revive(&format!("i-{index}")).unwrap();
+        self.register(index, "ready");
+    }
+
     /// Crashes of all backend servers.
     pub fn crashes(&self) -> u64 {
         self.workers.iter().map(Worker::crashes).sum()
@@ -190,13 +198,9 @@
                 continue;
             }
             assert!(wait_until(|| worker.is_down()), "i-{index} never ended");
+            self.start_again(index);
             let id = format!("i-{index}");
-            worker.revive(&id).unwrap();
-            let mut entry = sample::entry(worker.address(), "ready");
-            let born = sample::BORN + worker.crashes();
-            entry["born"] = born.into();
-            let row = entry.to_string();
-            self.store.put("servers", "", &id, row.as_bytes());
+            let born = sample::BORN + worker.revivals();
             let gateway = self.daemon.as_ref().unwrap().gateway();
             let is_back = || {
                 let state = gateway.state();
@@ -447,7 +451,7 @@
     get(address, path).map(|answer| answer.status)
 }
 
-fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+pub fn get(address: SocketAddr, path: &str) -> Option<Answer> {
     let mut connection = TcpStream::connect(address).ok()?;
     connection
         .set_read_timeout(Some(Duration::from_secs(20)))
--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -23,6 +23,11 @@
     probes.map(|probe| probe.local_addr().unwrap())
 }
 
+/// Port for messages between instances. Each has an address of its own.
+const PEER_PORT: u16 = 18_500;
+/// Port of the metrics.
+const METRICS_PORT: u16 = 9_464;
+
 pub struct Instance {
     pub front: SocketAddr,
     ready: SocketAddr,
@@ -41,7 +46,8 @@
         let settings = std::env::temp_dir().join(name);
         let text = format!(
             "node=entry-{index}\nzone=z{index}\nlisten.front={front}\nlisten.ready={ready}\n\
-             limits.maxFds=4100\nlimits.memoryMb=110\nbounds.graceS=3\nplatform.address={}\n",
+             limits.maxFds=4100\nlimits.memoryMb=110\nbounds.graceS=3\nportRange={PEER_PORT},{PEER_PORT}\n\
+             platform.address={}\n",
             proxy.address
         );
         std::fs::write(&settings, text).unwrap();
@@ -87,6 +93,16 @@
         wait_until(|| crate::fixture::status(self.ready, crate::wire::READY_PATH) == Some(200))
     }
 
+    /// Waits until its metrics show so many quarantined requests.
+    pub fn wait_quarantined(&self, count: u64) -> bool {
+        let address = SocketAddr::new(self.front.ip(), METRICS_PORT);
+        let line = format!("of=\"quarantined\",otel_scope_name=\"fescuewell\"}} {count}\n");
+        wait_until(|| {
+            let page = crate::fixture::get(address, "/metrics");
+            page.is_some_and(|page| page.text().contains(&line))
+        })
+    }
+
     fn signal(&self, signal: Signal) {
         let Some(child) = &self.child else {
             return;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 #[allow(dead_code, reason = "the soak uses a part of the fixture")]
 mod fixture;
 mod instance;
+mod poison;
 #[path = "../scenario/proxy.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the proxy")]
 mod proxy;
--- a/tests/soak/verdict.rs
+++ b/tests/soak/verdict.rs
@@ -5,6 +5,7 @@
 use fescuewell::standin::worker::{EVENTS, Run};
 
 use crate::caller::{Kind, Note, PROMPT};
+use crate::poison;
 
 /// Output tokens of one event, as the configuration says.
 const TOKENS_PER_EVENT: u64 = 7;
@@ -43,6 +44,9 @@
         return Some(format!("{} ran {ran} times", note.id));
     }
     let answer = note.answer.as_ref()?;
+    if poison::is_quarantined(answer) {
+        return Some(format!("{} crashes nothing and is quarantined", note.id));
+    }
     let says_not_run = matches!(answer.status, 402 | 408 | 421 | 429 | 503);
     if says_not_run && !may_repeat && ran > 0 {
         return Some(format!(
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -13,11 +13,14 @@
 use crate::fault::{self, Fault};
 use crate::fixture::{Fixture, configuration, send};
 use crate::instance::Instance;
+use crate::poison::{self, Poisoner};
 use crate::verdict;
 
 const INSTANCES: usize = 3;
 const WORKERS: usize = 3;
 const CALLERS: usize = 6;
+/// Tries within which a request that crashes each server is quarantined at an instance that hears of nothing else.
+const MOST_TRIES: usize = 6;
 /// Faults of one seed.
 const FAULTS: usize = 10;
 /// Most faults between a copy of the store and its return.
@@ -36,6 +39,7 @@
     platform: Fixture,
     instances: Vec<Instance>,
     callers: Vec<Caller>,
+    poisoner: Poisoner,
     stop: Arc<AtomicBool>,
     version: u64,
     prepaid: u64,
@@ -62,6 +66,8 @@
         let callers = (0..CALLERS)
             .map(|name| Caller::start(seed, name, fronts.clone(), stop.clone()))
             .collect();
+        platform.crash_on(poison::BODY);
+        let poisoner = Poisoner::start(seed, fronts, stop.clone());
         let mut apart = SmallRng::seed_from_u64(!seed);
         let copied = apart.random_range(0..FAULTS - 1);
         let returned = (copied + apart.random_range(1..=MOST_LOST)).min(FAULTS - 1);
@@ -72,6 +78,7 @@
             platform,
             instances,
             callers,
+            poisoner,
             stop,
             version: 1,
             prepaid: PREPAID,
@@ -83,6 +90,7 @@
         let mut open: Vec<Fault> = Vec::new();
         for number in 0..FAULTS {
             self.drill(number);
+            self.revive();
             let fault = fault::draw(&mut self.random, INSTANCES, WORKERS);
             self.begin(fault);
             open.push(fault);
@@ -148,6 +156,43 @@
         }
     }
 
+    /// Starts the backend servers that have crashed again.
+    fn revive(&self) {
+        for (index, worker) in self.platform.workers.iter().enumerate() {
+            if worker.has_crashed() && wait_until(|| worker.is_down()) {
+                self.platform.start_again(index);
+            }
+        }
+    }
+
+    /// A request under which servers crash is quarantined at all instances, and reaches no server then.
+    fn check_quarantine(&self) -> Option<String> {
+        let mut tries = 0..MOST_TRIES;
+        let is_quarantined = |number| {
+            let answer = send(
+                self.instances[0].front,
+                &poison::request(&format!("q-{number}")),
+            );
+            self.revive();
+            answer.is_some_and(|answer| poison::is_quarantined(&answer))
+        };
+        if !tries.any(is_quarantined) {
+            return Some(format!("not quarantined after {MOST_TRIES} tries"));
+        }
+        for (at, instance) in self.instances.iter().enumerate() {
+            if !instance.wait_quarantined(1) {
+                return Some(format!("instance {at} never knows the quarantine"));
+            }
+        }
+        let before = self.platform.crashes();
+        for (at, instance) in self.instances.iter().enumerate() {
+            // The answer is of no interest: no server must have crashed.
+            let _ = send(instance.front, &poison::request(&format!("after-{at}")));
+        }
+        let crashes = self.platform.crashes() - before;
+        (crashes > 0).then(|| format!("{crashes} crashes by a quarantined request"))
+    }
+
     fn start_missing(&mut self) {
         let missing = self.instances.iter_mut();
         for instance in missing.filter(|instance| !instance.is_running()) {
@@ -165,6 +210,8 @@
     /// Ends the faults, waits for the recovery, and returns the promises that were broken.
     pub fn finish(mut self) -> Vec<String> {
         self.start_missing();
+        self.poisoner.stop();
+        self.revive();
         let mut broken = Vec::new();
         for (at, instance) in self.instances.iter().enumerate() {
             if !instance.wait_ready() {
@@ -179,6 +226,7 @@
                 broken.push(format!("instance {at} serves nothing after the faults"));
             }
         }
+        broken.extend(self.check_quarantine());
         self.stop.store(true, Ordering::Release);
         let notes = self
             .callers
