--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -265,7 +265,7 @@
     }
 }
 
-/// The one of the candidates with the fewest requests under way, for a request that may crash it; `None` when there are none.
+/// Picks the candidate with the fewest in-flight requests, or `None` without candidates.
 pub fn quietest<'a>(
     candidates: &[&'a Arc<Entry>],
     load: &Load,
--- a/crates/fescuewell_forward/src/crash.rs
+++ b/crates/fescuewell_forward/src/crash.rs
@@ -1,8 +1,9 @@
 //! Requests that crash the backend servers which run them.
 //!
-//! A caller's tries have ids of their own and may reach any instance, so nothing in a single try shows that the servers before
-//! crashed under the same request. A [`Fingerprint`] identifies the request over all tries; a [`Watch`] tells the crash of a server
-//! from a lost connection; a [`Quarantine`] counts crashes by request, over all instances, and decides whether it is sent again.
+//! Each attempt of a caller has its own id and may reach any instance, so a single attempt does not show that earlier servers
+//! crashed under the same request. A [`Fingerprint`] identifies the request across attempts, a [`Watch`] distinguishes a server
+//! crash from a lost connection, and a [`Quarantine`] counts crashes per request across instances and decides whether the request
+//! may be sent again.
 
 mod fingerprint;
 mod quarantine;
--- a/crates/fescuewell_forward/src/crash/fingerprint.rs
+++ b/crates/fescuewell_forward/src/crash/fingerprint.rs
@@ -1,16 +1,16 @@
-//! Identity of a request over all of its tries.
+//! Identity of a request across attempts.
 
 use std::fmt;
 
-/// Separates this hash from other uses of the same function.
+/// Domain separation.
 const CONTEXT: &str = "fescuewell request fingerprint 1";
 /// Bytes of a fingerprint.
 const LENGTH: usize = 16;
 
-/// What makes two tries the same request.
+/// Content that two attempts of the same request share.
 #[derive(Debug, Clone, Copy)]
 pub struct Content<'a> {
-    /// Name of the client account; empty on a public route. It keeps a caller from producing another account's fingerprints.
+    /// Name of the client account, empty on a public route. Prevents collisions with requests of other accounts.
     pub account: &'a str,
     /// Method of the request line.
     pub method: &'a str,
@@ -23,12 +23,12 @@
 }
 
 fescuewell_core::key! {
-    /// 128 bits of a hash of a request's [`Content`]; equal on all instances.
+    /// 128-bit hash of a request's [`Content`], equal on all instances.
     pub struct Fingerprint([u8; LENGTH]);
 }
 
 impl Fingerprint {
-    /// The fingerprint of a request.
+    /// Computes the fingerprint of a request.
     pub fn new(content: &Content<'_>) -> Self {
         let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
         let texts = [
@@ -38,7 +38,7 @@
             content.target,
         ];
         for text in texts {
-            // The length keeps the end of one field from passing for the beginning of the next.
+            // The length prefix keeps field boundaries unambiguous.
             hasher.update(&(text.len() as u64).to_le_bytes());
             hasher.update(text.as_bytes());
         }
--- a/crates/fescuewell_forward/src/crash/quarantine.rs
+++ b/crates/fescuewell_forward/src/crash/quarantine.rs
@@ -1,16 +1,16 @@
-//! Which requests are not sent any more, or only with care.
+//! Requests that are not sent, or only with restrictions.
 //!
 //! ```text
 //!            crash                      third crash
 //!   Clear ---------> Suspect -----------------------------> Quarantined
 //!     ^                 |                                    |       ^
-//!     +--whole answer---+                          after its time    | crash, or no answer
+//!     +-full response---+                          period elapsed    | crash or no response
 //!     |                                                      v       |
-//!     +------------------whole answer--------------------- Probed ---+
+//!     +-----------------full response--------------------- Probed ---+
 //! ```
 //!
-//! A suspect is sent to no more servers at a time than may still crash before it is quarantined, and from its second crash on to
-//! the server with the fewest requests beside it. Requests that ran beside the one to blame are cleared by their next answer.
+//! The number of in-flight attempts of a suspect is limited to the crashes left before quarantine, and after its second crash it
+//! goes to the least loaded server. Requests that merely shared a server with the culprit are cleared by their next response.
 
 use std::collections::{HashMap, HashSet};
 use std::num::NonZeroUsize;
@@ -21,22 +21,21 @@
 use super::record::{Crash, Record, THRESHOLD};
 use crate::server::Incarnation;
 
-/// Most requests with a record. The ones with the fewest and oldest crashes yield.
+/// Maximum number of records; those with the fewest and oldest crashes are evicted.
 const MOST_RECORDS: usize = 512;
-/// Most requests that are remembered as answered.
+/// Maximum number of recently answered requests.
 const MOST_ANSWERED: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
-/// Time for which a whole answer speaks for a request, in milliseconds: it did not crash that server, so it is not to blame for the
-/// next one either.
+/// Time in milliseconds for which a complete response exonerates a request.
 const ANSWERED_MS: u64 = 10_000;
-/// Crashes from which a suspect is kept apart from other requests.
+/// Number of crashes from which a suspect is isolated from other requests.
 const ISOLATED_FROM: usize = 2;
 
 fescuewell_core::data! {
-    /// A record as instances exchange it.
+    /// Record of one request, as exchanged between instances.
     pub struct Update {
         /// The request.
         pub request: Fingerprint,
-        /// What is known of it.
+        /// Its crash history.
         pub record: Record,
     }
 }
@@ -44,23 +43,23 @@
 /// Whether a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// Like any other.
+    /// Without restrictions.
     Clear,
-    /// Servers crashed while they ran it. It may share them with others, or not.
+    /// Servers have crashed while running it.
     Suspect {
-        /// Whether it goes to the server with the fewest requests.
+        /// Whether it must go to the least loaded server.
         is_isolated: bool,
     },
-    /// So many of its tries are under way that all of them together could crash too many servers.
+    /// The limit of in-flight attempts is reached.
     Busy,
-    /// Not at all.
+    /// It must not be sent.
     Quarantined {
-        /// Whether its time is over; it may be sent once if the store agrees.
+        /// Whether a probe may be requested from the store.
         may_probe: bool,
     },
 }
 
-/// What one instance knows of requests that crash servers.
+/// Crash records of one instance.
 #[derive(Debug)]
 pub struct Quarantine {
     records: HashMap<Fingerprint, Record>,
@@ -68,7 +67,7 @@
     answered: LruCache<Fingerprint, u64>,
     fresh: Vec<Fingerprint>,
     unrecorded: Vec<Fingerprint>,
-    /// Requests with a crash that this instance has seen itself. These instances write the record; all of them would be too many.
+    /// Requests whose crashes this instance detected itself. Only such instances write the store's record.
     witnessed: HashSet<Fingerprint>,
     next_sample: usize,
     is_loaded: bool,
@@ -90,7 +89,7 @@
 }
 
 impl Quarantine {
-    /// Whether a request may be sent at `now_ms` of the store's clock.
+    /// Decides whether a request may be sent at `now_ms` of the store's clock.
     pub fn verdict(&self, request: Fingerprint, now_ms: u64) -> Verdict {
         let Some(record) = self.records.get(&request) else {
             return Verdict::Clear;
@@ -111,12 +110,12 @@
         Verdict::Suspect { is_isolated }
     }
 
-    /// The request is sent to a server.
+    /// Adds an in-flight attempt.
     pub fn begin(&mut self, request: Fingerprint) {
         *self.running.entry(request).or_default() += 1;
     }
 
-    /// It is not under way there any more. Returns whether others of its tries may wait for that.
+    /// Removes an in-flight attempt. Returns `true` if other attempts may be waiting for it.
     pub fn end(&mut self, request: Fingerprint) -> bool {
         if let Some(running) = self.running.get_mut(&request) {
             *running -= 1;
@@ -127,7 +126,8 @@
         self.records.contains_key(&request)
     }
 
-    /// A server crashed while it was running the request. Returns how many have by now, if this one was not known.
+    /// Records a server crash while the request was running. Returns the number of crashes, or `None` if the crash was known or the
+    /// request is exonerated.
     pub fn crash(
         &mut self,
         request: Fingerprint,
@@ -139,7 +139,7 @@
             return None;
         }
         let record = self.records.entry(request).or_default();
-        if record.names(server) {
+        if record.contains(server) {
             return None;
         }
         let crash = Crash {
@@ -157,7 +157,7 @@
         Some(count)
     }
 
-    /// A server answered the request whole. Returns whether that clears it.
+    /// Records a complete response. Returns `true` if it clears the request.
     pub fn answered(&mut self, request: Fingerprint, now_ms: u64) -> bool {
         self.answered.put(request, now_ms);
         let Some(record) = self.records.get_mut(&request) else {
@@ -175,7 +175,7 @@
         true
     }
 
-    /// Notes that a quarantined request is sent once.
+    /// Records a probe of a quarantined request.
     pub fn probe(&mut self, request: Fingerprint, now_ms: u64) {
         if let Some(record) = self.records.get_mut(&request) {
             record.probe(now_ms);
@@ -183,7 +183,7 @@
         }
     }
 
-    /// Takes what others know. Returns the requests that are quarantined by it.
+    /// Merges updates of other instances. Returns the requests that become quarantined.
     pub fn merge<Updates>(&mut self, updates: Updates, now_ms: u64) -> Vec<Fingerprint>
     where
         Updates: IntoIterator<Item = Update>,
@@ -210,7 +210,7 @@
         quarantined
     }
 
-    /// What changed since the last call, at most so many: those with the most crashes first.
+    /// Takes up to `most` changed records, those with the most crashes first.
     pub fn take_fresh(&mut self, most: usize) -> Vec<Update> {
         let mut fresh = std::mem::take(&mut self.fresh);
         fresh.sort_by_key(|request| {
@@ -221,12 +221,12 @@
         self.updates(fresh)
     }
 
-    /// Whether something changed that others were not told.
+    /// Returns `true` if there are changes to announce.
     pub fn has_fresh(&self) -> bool {
         !self.fresh.is_empty()
     }
 
-    /// At most so many records, others at each call: what a message that was lost would have told.
+    /// Returns up to `most` records, rotating through all of them, to repair lost updates.
     pub fn sample(&mut self, most: usize) -> Vec<Update> {
         let mut requests: Vec<Fingerprint> = self.records.keys().copied().collect();
         requests.sort_unstable();
@@ -240,7 +240,7 @@
         self.updates(requests)
     }
 
-    /// Requests whose record in the store is behind.
+    /// Takes the records to be written to the store.
     pub fn take_unrecorded(&mut self) -> Vec<Update> {
         let mut requests = std::mem::take(&mut self.unrecorded);
         requests.sort_unstable();
@@ -248,7 +248,7 @@
         self.updates(requests)
     }
 
-    /// The requests that are quarantined.
+    /// Returns the quarantined requests.
     pub fn quarantined(&self) -> Vec<Update> {
         let records = self.records.iter();
         let quarantined = records.filter(|(_, record)| record.is_quarantined());
@@ -260,7 +260,7 @@
             .collect()
     }
 
-    /// Number of requests under which servers crashed and that are not quarantined.
+    /// Number of suspects.
     pub fn suspects(&self) -> usize {
         let records = self.records.values();
         records
@@ -268,17 +268,12 @@
             .count()
     }
 
-    /// Whether there is anything to tell others.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
-    }
-
-    /// Whether the quarantines that former processes have left in the store were read.
+    /// Returns `true` once the store's records have been read.
     pub fn is_loaded(&self) -> bool {
         self.is_loaded
     }
 
-    /// Notes that they were.
+    /// Marks the store's records as read.
     pub fn set_loaded(&mut self) {
         self.is_loaded = true;
     }
@@ -300,7 +295,7 @@
         }
     }
 
-    /// Forgets what has expired, and the least of what does not fit.
+    /// Drops expired records and evicts surplus ones.
     fn shrink(&mut self, now_ms: u64) {
         self.records.retain(|_, record| !record.is_expired(now_ms));
         while self.records.len() > MOST_RECORDS {
--- a/crates/fescuewell_forward/src/crash/watch.rs
+++ b/crates/fescuewell_forward/src/crash/watch.rs
@@ -1,14 +1,14 @@
-//! Tells the crash of a backend server from a lost connection.
+//! Distinguishes a backend server crash from a lost connection.
 //!
 //! ```text
-//!             connection broke            refused, or started again
-//!   Sound ----------------------> Doubted -------------------------> Crashed
+//!             connection broke            refused, or restarted
+//!   Healthy --------------------> Suspected ----------------------> Crashed
 //!     ^                              |
 //!     +--- accepted, or 8 s ---------+
 //! ```
 //!
-//! A server that drains, has left the list or stands in an evacuated zone may close its connections at any time: callers of
-//! [`Watch::lost`] pass over those.
+//! Servers that are draining, delisted or in an evacuated zone may close connections at any time and must not be reported to
+//! [`Watch::lost`].
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -16,48 +16,47 @@
 use super::Fingerprint;
 use crate::server::{Entry, Incarnation};
 
-/// Time for which a broken connection may still turn out to be a crash, in milliseconds: longer than the list takes to drop a
-/// server that is silent.
+/// Time in milliseconds for which a lost exchange may still turn out to be a crash; exceeds the expiry of list entries.
 const DOUBT_MS: u64 = 8_000;
-/// Time for which a crash is remembered, in milliseconds: connections of one server do not all break at the same moment.
+/// Retention of a crash in milliseconds; the connections of one server do not all break at once.
 const CRASHED_MS: u64 = 10_000;
-/// Most requests that are remembered for one server.
+/// Maximum number of requests per suspected server.
 const MOST_REQUESTS: usize = 1_024;
 
-/// What showed that a server has crashed.
+/// Evidence of a server crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
-    /// Nothing listens at its address.
+    /// It refuses connections.
     Refused,
-    /// It has started again under its name.
+    /// It restarted under the same id.
     Restarted,
     /// It left the list without draining.
     Removed,
 }
 
-/// How a request's exchange with a server ended.
+/// How an exchange with a server was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Loss {
     /// The connection broke.
     Broken,
-    /// The server stayed silent for too long.
+    /// The server did not respond in time.
     Silent,
 }
 
-/// What that means so far.
+/// Conclusion from a lost exchange.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
     /// The server has crashed.
     Crashed,
-    /// The caller is to find out whether the server still accepts connections.
+    /// Undecided; the caller has to probe the server's address.
     Probe,
-    /// Another request finds it out already.
+    /// Undecided; a probe is in progress.
     Awaited,
-    /// Only the list can tell.
+    /// Undecided; only the server list can settle it.
     Open,
 }
 
-/// Whether a connection attempt may tell.
+/// State of the connection probe.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Attempt {
     None,
@@ -65,23 +64,23 @@
     Silent,
 }
 
-/// A server that may have crashed.
+/// A server that may have crashed, with the requests it was running.
 #[derive(Debug)]
-struct Doubt {
+struct Suspicion {
     since_ms: u64,
     attempt: Attempt,
     requests: Vec<Fingerprint>,
 }
 
-/// Servers whose connections broke, and what they were running for this instance.
+/// Suspected and crashed servers, as seen by one instance.
 #[derive(Debug, Default)]
 pub struct Watch {
-    doubted: HashMap<Incarnation, Doubt>,
+    suspected: HashMap<Incarnation, Suspicion>,
     crashed: HashMap<Incarnation, u64>,
 }
 
 impl Watch {
-    /// Notes how a request's exchange with a server ended, at `now_ms` of the own clock.
+    /// Reports a lost exchange at `now_ms` of the local clock.
     pub fn lost(
         &mut self,
         server: &Entry,
@@ -94,17 +93,20 @@
         if self.crashed.contains_key(&incarnation) {
             return Finding::Crashed;
         }
-        let doubt = self.doubted.entry(incarnation).or_insert_with(|| Doubt {
-            since_ms: now_ms,
-            attempt: Attempt::None,
-            requests: Vec::new(),
-        });
-        if doubt.requests.len() < MOST_REQUESTS && !doubt.requests.contains(&request) {
-            doubt.requests.push(request);
+        let suspicion = self
+            .suspected
+            .entry(incarnation)
+            .or_insert_with(|| Suspicion {
+                since_ms: now_ms,
+                attempt: Attempt::None,
+                requests: Vec::new(),
+            });
+        if suspicion.requests.len() < MOST_REQUESTS && !suspicion.requests.contains(&request) {
+            suspicion.requests.push(request);
         }
-        match (loss, doubt.attempt) {
+        match (loss, suspicion.attempt) {
             (Loss::Broken, Attempt::None) => {
-                doubt.attempt = Attempt::UnderWay;
+                suspicion.attempt = Attempt::UnderWay;
                 Finding::Probe
             }
             (Loss::Broken, Attempt::UnderWay) => Finding::Awaited,
@@ -112,38 +114,39 @@
         }
     }
 
-    /// The server has crashed: returns the requests that it was running, each once.
+    /// Marks a server as crashed. Returns the distinct requests it was running.
     pub fn crashed(&mut self, incarnation: Incarnation, now_ms: u64) -> Vec<Fingerprint> {
         self.crashed.entry(incarnation).or_insert(now_ms);
-        let doubt = self.doubted.remove(&incarnation);
-        doubt.map(|doubt| doubt.requests).unwrap_or_default()
+        let suspicion = self.suspected.remove(&incarnation);
+        suspicion
+            .map(|suspicion| suspicion.requests)
+            .unwrap_or_default()
     }
 
-    /// The server accepts connections: only the connection was lost.
+    /// Clears the suspicion: the server accepts connections.
     pub fn accepted(&mut self, incarnation: Incarnation) {
-        self.doubted.remove(&incarnation);
+        self.suspected.remove(&incarnation);
     }
 
-    /// Whether the server is known to have crashed.
+    /// Returns `true` if the server is known to have crashed.
     pub fn has_crashed(&self, incarnation: Incarnation) -> bool {
         self.crashed.contains_key(&incarnation)
     }
 
-    /// A connection attempt showed nothing: only the list can tell now.
+    /// Ends a probe without a conclusion.
     pub fn silent(&mut self, incarnation: Incarnation) {
-        if let Some(doubt) = self.doubted.get_mut(&incarnation) {
-            doubt.attempt = Attempt::Silent;
+        if let Some(suspicion) = self.suspected.get_mut(&incarnation) {
+            suspicion.attempt = Attempt::Silent;
         }
     }
 
-    /// Whether a connection attempt is under way that tells if the server has crashed.
+    /// Returns `true` while a probe is in progress.
     pub fn is_probed(&self, incarnation: Incarnation) -> bool {
-        let doubt = self.doubted.get(&incarnation);
-        doubt.is_some_and(|doubt| doubt.attempt == Attempt::UnderWay)
+        let suspicion = self.suspected.get(&incarnation);
+        suspicion.is_some_and(|suspicion| suspicion.attempt == Attempt::UnderWay)
     }
 
-    /// Takes what the list says of a server's former entry: it is gone, or has started again. Returns the evidence where that
-    /// shows a crash.
+    /// Evaluates the removal or restart of a listed server. Returns the evidence if it crashed.
     pub fn ended(&self, former: &Arc<Entry>, is_restarted: bool) -> Option<Evidence> {
         let incarnation = former.incarnation();
         if former.is_draining() || self.crashed.contains_key(&incarnation) {
@@ -152,14 +155,14 @@
         if is_restarted {
             return Some(Evidence::Restarted);
         }
-        // A server may leave the list and go on with its work for a while.
-        let is_doubted = self.doubted.contains_key(&incarnation);
-        is_doubted.then_some(Evidence::Removed)
+        // Removal alone is no evidence: a delisted server may continue serving.
+        let is_suspected = self.suspected.contains_key(&incarnation);
+        is_suspected.then_some(Evidence::Removed)
     }
 
     fn expire(&mut self, now_ms: u64) {
-        self.doubted
-            .retain(|_, doubt| now_ms < doubt.since_ms + DOUBT_MS);
+        self.suspected
+            .retain(|_, suspicion| now_ms < suspicion.since_ms + DOUBT_MS);
         self.crashed.retain(|_, at_ms| now_ms < *at_ms + CRASHED_MS);
     }
 }
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -12,7 +12,6 @@
 //! ```
 
 pub mod choice;
-pub mod comeback;
 pub mod config;
 pub mod crash;
 pub mod directory;
@@ -24,6 +23,7 @@
 pub mod quota;
 pub mod relay;
 pub mod retry;
+pub mod retry_after;
 pub mod server;
 pub mod version;
 pub mod warmup;
--- a/crates/fescuewell_forward/src/retry.rs
+++ b/crates/fescuewell_forward/src/retry.rs
@@ -1,8 +1,7 @@
-//! The budget of repeats that all instances share.
+//! The retry budget that all instances share.
 //!
-//! Repeats make an overload last: each failed request comes back as two. Every instance may repeat a part of
-//! its own requests, and its part of a fixed allowance for the fleet, so that the sum over all instances keeps
-//! within the fleet's budget without a word between them.
+//! Retries prolong an overload. Each instance may retry a fraction of its own requests plus its share of a fixed allowance, so that
+//! the fleet stays within its budget without coordination.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,9 +11,9 @@
 /// Bounds of the fleet's budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
-    /// Repeats allowed for each request of the window.
+    /// Retries allowed per request of the window.
     pub ratio: f64,
-    /// Repeats allowed beside that, in the whole fleet.
+    /// Additional retries allowed for the whole fleet.
     pub slack: f64,
     /// Length of the window in milliseconds.
     pub window_ms: u64,
@@ -24,11 +23,11 @@
 /// counted by those that take over its callers.
 const USED_PART: f64 = 0.6;
 
-/// Requests and repeats of one service.
+/// Requests and retries of one service.
 #[derive(Debug)]
 struct Counts {
     requests: Window,
-    repeats: Window,
+    retries: Window,
 }
 
 /// The part of one instance.
@@ -52,17 +51,17 @@
         self.counts(service).requests.add(now_ms, 1);
     }
 
-    /// Takes one repeat, if there is one left for an instance among `instances`.
-    pub fn repeat(&mut self, service: &Arc<str>, instances: usize, now_ms: u64) -> bool {
+    /// Takes one retry from the share of an instance among `instances`. Returns `false` if none is left.
+    pub fn try_retry(&mut self, service: &Arc<str>, instances: usize, now_ms: u64) -> bool {
         let Bounds { ratio, slack, .. } = self.bounds;
         let counts = self.counts(service);
         let requests = counts.requests.sum(now_ms) as f64;
-        let repeats = counts.repeats.sum(now_ms) as f64;
+        let retries = counts.retries.sum(now_ms) as f64;
         let allowed = USED_PART * (ratio * requests + slack / instances.max(1) as f64);
-        if repeats + 1.0 > allowed {
+        if retries + 1.0 > allowed {
             return false;
         }
-        counts.repeats.add(now_ms, 1);
+        counts.retries.add(now_ms, 1);
         true
     }
 
@@ -72,7 +71,7 @@
             .entry(service.clone())
             .or_insert_with(|| Counts {
                 requests: Window::new(span),
-                repeats: Window::new(span),
+                retries: Window::new(span),
             })
     }
 }
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -41,19 +41,19 @@
 }
 
 fescuewell_core::key! {
-    /// One start of a backend server: a hash of its name and of the moment of its start, equal on all instances.
+    /// Incarnation of a backend server: a hash of its id and start time, equal on all instances.
     pub struct Incarnation(u64);
 }
 
 impl Incarnation {
-    /// The incarnation with this number.
+    /// Creates an incarnation from its number.
     pub fn from_number(number: u64) -> Self {
         Self(number)
     }
 }
 
 impl Entry {
-    /// Which start of the server this entry is of.
+    /// Returns the incarnation that this entry describes.
     pub fn incarnation(&self) -> Incarnation {
         let mut hasher = blake3::Hasher::new();
         hasher.update(self.id.as_bytes());
@@ -63,7 +63,7 @@
         Incarnation(u64::from_le_bytes(bytes))
     }
 
-    /// Whether the server is about to leave.
+    /// Returns `true` if the server is draining.
     pub fn is_draining(&self) -> bool {
         self.state == State::Draining
     }
--- a/crates/fescuewell_forward/tests/limits.rs
+++ b/crates/fescuewell_forward/tests/limits.rs
@@ -29,7 +29,7 @@
         for budget in &mut fleet {
             budget.request(&service, now_ms);
             requests += 1;
-            repeats += u32::from(budget.repeat(&service, instances, now_ms));
+            repeats += u32::from(budget.try_retry(&service, instances, now_ms));
         }
     }
 
@@ -42,10 +42,10 @@
 fn a_budget_comes_back_when_the_window_has_passed() {
     let service: Arc<str> = "pool".into();
     let mut budget = Budget::new(BOUNDS);
-    while budget.repeat(&service, 1, 0) {}
+    while budget.try_retry(&service, 1, 0) {}
 
-    assert!(!budget.repeat(&service, 1, 5_000));
-    assert!(budget.repeat(&service, 1, 11_000));
+    assert!(!budget.try_retry(&service, 1, 5_000));
+    assert!(budget.try_retry(&service, 1, 11_000));
 }
 
 #[test]
--- a/crates/fescuewell_forward/tests/comeback.rs
+++ b/crates/fescuewell_forward/tests/retry_after.rs
@@ -1,6 +1,6 @@
 //! When callers are told to come back.
 
-use fescuewell_forward::comeback::{OUTAGE_LEAST_MS, OUTAGE_MOST_MS, outage_left_ms};
+use fescuewell_forward::retry_after::{OUTAGE_LEAST_MS, OUTAGE_MOST_MS, outage_left_ms};
 
 /// Symptom looked for: callers that come back into the same cut and are refused again. Sequence: the store has been away for seconds,
 /// nobody can lend. Cause: a time to come back that does not depend on how long it has been away.
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -102,7 +102,7 @@
     }
 
     /// Notes what a call to the store came to, and the time that it took.
-    fn heard<Answer>(&self, answer: &Result<Answer, Error>, call: &str, took: Duration) {
+    fn note_outcome<Answer>(&self, answer: &Result<Answer, Error>, call: &str, took: Duration) {
         let up = matches!(answer, Ok(_) | Err(Error::Compacted));
         let silence = self.gateway.store_silence();
         let is_news = self.gateway.set_store_up(up);
@@ -185,7 +185,7 @@
             Err(Error::Compacted) => "compacted",
         };
         self.gateway.metrics.store_call(name, outcome);
-        self.heard(&answer, name, begun.elapsed());
+        self.note_outcome(&answer, name, begun.elapsed());
         answer
     }
 }
--- a/crates/fescuewell_gateway/src/control/crashes.rs
+++ b/crates/fescuewell_gateway/src/control/crashes.rs
@@ -1,8 +1,7 @@
 //! Exchange of crash records with other instances and with the store.
 //!
-//! A change goes to a few instances at once, which pass on what is new to them; a sample of all records goes to one instance
-//! after the other, for those that missed it. The store keeps the quarantined requests only, for instances that start while no
-//! other one runs, or that no other one reaches.
+//! Changes are gossiped to a few random peers, which forward what is new to them; periodic samples repair lost updates. The store
+//! holds quarantined requests only, for instances that start alone or are cut off from their peers.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,29 +22,29 @@
 const TABLE: &str = "quarantine";
 /// Leading byte of a row.
 const FORMAT: u8 = 1;
-/// Records in one message: it has to fit one packet of an Ethernet.
+/// Records per message; fits one Ethernet frame.
 const MOST_RECORDS: usize = 8;
-/// Instances that a change is sent to by each one to which it is new: so many reach all of a large fleet in a few steps.
+/// Gossip fan-out of a change.
 const FANOUT: usize = 8;
-/// Bytes a second that changes may take on the average.
+/// Average bandwidth of changes in bytes per second.
 const BYTES_S: f64 = 4_096.0;
-/// Least time between two messages with changes.
+/// Minimum interval between two messages with changes.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(10);
-/// Time between two samples.
+/// Interval between two samples.
 const SAMPLE_EVERY: Duration = Duration::from_millis(300);
-/// Time between two questions of an instance that has just started,
+/// Interval between two requests for records after a start.
 const ASK_EVERY: Duration = Duration::from_millis(200);
-/// and how often it asks.
+/// Number of such requests.
 const ASKS: usize = 10;
-/// Most time between two readings of the table.
+/// Maximum interval between two reads of the table.
 const READ_EVERY: Duration = Duration::from_secs(60);
-/// Least time between two readings, in a small fleet.
+/// Minimum interval between two reads of the table in a small fleet.
 const READ_PAUSE: Duration = Duration::from_secs(2);
-/// Part of the store's readings that all instances take if none hears another one.
+/// Fraction of the store's read capacity that isolated instances may use together.
 const READ_SHARE: f64 = 0.05;
-/// Silence of all others after which an instance is alone: several samples.
-const ALONE_AFTER: Duration = Duration::from_millis(2_500);
-/// Expired rows that one reading removes.
+/// Time without any message after which an instance counts as isolated; several samples.
+const ISOLATED_AFTER: Duration = Duration::from_millis(2_500);
+/// Maximum number of expired rows removed per read.
 const MOST_REMOVED: usize = 32;
 
 /// Exchanges records with other instances.
@@ -57,19 +56,19 @@
     );
 }
 
-/// Takes another instance's records.
+/// Merges a peer's records.
 pub(super) fn receive(control: &Control, updates: Vec<Update>, from: SocketAddr) {
     let updates = updates.into_iter().take(MOST_RECORDS);
     control.gateway.learn_crashes(updates, &from.to_string());
 }
 
-/// Answers an instance that has just started.
+/// Sends records to a peer that has just started.
 pub(super) fn answer(control: &Control, socket: &UdpSocket, from: SocketAddr) {
     let updates = control.gateway.state().quarantine.sample(MOST_RECORDS);
     send(control, socket, Message::Crashes(updates), &[from]);
 }
 
-/// Sends what has changed.
+/// Gossips changed records.
 async fn announce(control: &Control, socket: &UdpSocket) {
     let gateway = &control.gateway;
     let mut changes = gateway.crash_changes();
@@ -88,18 +87,17 @@
     }
 }
 
-/// Sends some records to one instance after the other.
+/// Sends periodic samples, which also serve as keep-alive messages.
 async fn sample(control: &Control, socket: &UdpSocket) {
     loop {
         tokio::time::sleep(control.spread(SAMPLE_EVERY)).await;
-        // An empty one says that this instance can be heard.
         let updates = control.gateway.state().quarantine.sample(MOST_RECORDS);
         let peers = peers(control, 1);
         send(control, socket, Message::Crashes(updates), &peers);
     }
 }
 
-/// Asks others for their records after a start.
+/// Requests records from peers after a start.
 async fn ask(control: &Control, socket: &UdpSocket) {
     let mut asked = 0;
     while asked < ASKS {
@@ -111,7 +109,7 @@
     }
 }
 
-/// Sends a message; returns its bytes over all receivers. One that is lost is made up for by the samples.
+/// Sends a message and returns the bytes sent. Losses are repaired by samples.
 fn send(control: &Control, socket: &UdpSocket, message: Message, peers: &[SocketAddr]) -> usize {
     let Some(key) = control.gateway.fleet_key() else {
         return 0;
@@ -123,7 +121,7 @@
     bytes.len() * peers.len()
 }
 
-/// Some other instances, drawn at random.
+/// Selects random peers.
 fn peers(control: &Control, most: usize) -> Vec<SocketAddr> {
     let gateway = &control.gateway;
     let own = gateway.settings.peer;
@@ -135,12 +133,12 @@
     others.choose_multiple(&mut state.random, most)
 }
 
-/// Keeps quarantined requests in the store, and reads those of former processes.
+/// Synchronizes quarantined requests with the store.
 pub(super) async fn keep(control: &Control) {
     tokio::join!(read_again(control), record(control), probe(control));
 }
 
-/// Reads the table at the start, when the store is back, now and then, and often where no other instance is heard.
+/// Reads the table at start, after store outages, periodically, and frequently while isolated.
 async fn read_again(control: &Control) {
     let gateway = &control.gateway;
     let mut returns = gateway.returns();
@@ -152,10 +150,10 @@
     loop {
         let due = Instant::now() + control.spread(READ_EVERY);
         loop {
-            // Also between two returns: a store that answers now and then would be read at each of them.
+            // Bounds reads of a store that is flapping.
             tokio::time::sleep(read_pause(control)).await;
             let is_back = returns.has_changed().unwrap_or(true);
-            let is_due = is_back || is_alone(control) || Instant::now() >= due;
+            let is_due = is_back || is_isolated(control) || Instant::now() >= due;
             if is_due && gateway.is_store_up() {
                 break;
             }
@@ -165,14 +163,14 @@
     }
 }
 
-/// Whether other instances live and none is heard.
-fn is_alone(control: &Control) -> bool {
+/// Returns `true` if other instances are alive but none can be received.
+fn is_isolated(control: &Control) -> bool {
     let gateway = &control.gateway;
     let others = gateway.state().directory.count() - 1;
-    others > 0 && gateway.peer_silence() > ALONE_AFTER
+    others > 0 && gateway.peer_silence() > ISOLATED_AFTER
 }
 
-/// Least time between two readings.
+/// Returns the minimum interval between two reads.
 fn read_pause(control: &Control) -> Duration {
     let gateway = &control.gateway;
     let instances = gateway.state().directory.count() as f64;
@@ -180,7 +178,7 @@
     READ_PAUSE.max(Duration::from_secs_f64(share))
 }
 
-/// Takes what the table holds, writes what it lacks, and removes what has expired; returns whether it could be read.
+/// Merges the table, writes missing records and removes expired ones. Returns `false` if the table could not be read.
 async fn reconcile(control: &Control) -> bool {
     let Ok(reading) = read(control, TABLE, FLEET).await else {
         return false;
@@ -188,7 +186,7 @@
     let mut known = Vec::new();
     let mut expired = Vec::new();
     for row in &reading.rows {
-        // One that cannot be read may be of a newer program, and stays.
+        // Unreadable rows may stem from a newer version and are kept.
         match decode(row) {
             Some(update) if update.record.is_expired(reading.now_ms) => expired.push(row),
             Some(update) => known.push(update),
@@ -209,13 +207,13 @@
             ..Change::default()
         };
         let commit = control.store.commit(&change);
-        // Another instance may have removed it.
+        // A conflict means that another instance removed it.
         let _ = control.call(TABLE, CALL, commit).await;
     }
     true
 }
 
-/// Writes quarantines that this instance has found.
+/// Writes quarantines detected by this instance.
 async fn record(control: &Control) {
     let gateway = &control.gateway;
     let mut changes = gateway.crash_changes();
@@ -230,7 +228,7 @@
     }
 }
 
-/// Writes one record beside what others have written; what fails is written when the table is read next.
+/// Merges one record into the store. Failed writes are repeated by the next reconciliation.
 async fn write(control: &Control, update: Update) {
     let Some((row, version, mut record)) = read_record(control, &update).await else {
         return;
@@ -240,10 +238,10 @@
     commit(control, row, version, &update).await;
 }
 
-/// Gives leave for one try of a quarantined request in the whole fleet, by writing it down first.
+/// Permits one probe per quarantine period in the whole fleet by committing it to the store first.
 async fn probe(control: &Control) {
     while let Ok(Probe { request, reply }) = control.inbox.probes.recv_async().await {
-        // Whoever asked may have left.
+        // The caller may have disconnected.
         let _ = reply.send(is_probed(control, request).await);
     }
 }
@@ -276,7 +274,7 @@
     is_written
 }
 
-/// What the store has of a request, and where.
+/// Reads the store's record of a request, with its place and version.
 async fn read_record(control: &Control, update: &Update) -> Option<(Place, u64, Record)> {
     let row = place(TABLE, FLEET, &update.request.to_string());
     let reading = read_row(control, &row).await.ok()?;
--- a/crates/fescuewell_gateway/src/control/lending.rs
+++ b/crates/fescuewell_gateway/src/control/lending.rs
@@ -317,7 +317,7 @@
             borrower.take(&mut state.quota, answer, now_ms);
         }
         // Others of the account may have been waiting for the same, and for a late answer.
-        self.control.gateway.tell_planned();
+        self.control.gateway.notify_planned();
         let request = self.requests.borrow_mut().remove(&answer.id);
         let Some(request) = request else { return };
         match self.missing(&request.shortage, now_ms) {
--- a/crates/fescuewell_gateway/src/control/money.rs
+++ b/crates/fescuewell_gateway/src/control/money.rs
@@ -74,7 +74,7 @@
         }
         written_at = Instant::now();
         next = written_at + control.spread(every.max(journal_share(control)));
-        gateway.tell_planned();
+        gateway.notify_planned();
     }
 }
 
@@ -93,7 +93,7 @@
         if is_leaving {
             journal(control).await;
         }
-        gateway.tell_planned();
+        gateway.notify_planned();
         tokio::time::sleep(PLAN_PAUSE).await;
     }
 }
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -1,5 +1,5 @@
-//! Words between instances: reports of load, which are hints that make the choice of a backend server better and that nothing
-//! depends on, and loans of tokens. A report that is lost, late or withheld by a cut leaves each instance with its own load.
+//! Messages between instances: load reports, which are optional hints for load balancing, token transfers, server list digests and
+//! crash records.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,17 +13,16 @@
 use super::lending::Lending;
 use super::{Control, crashes, watch};
 
-/// Least time between two reports.
+/// Minimum interval between two load reports.
 const PAUSE: Duration = Duration::from_millis(10);
-/// Peers up to which that is the time; with more of them reports are sent less often, so that the bytes that one
-/// instance sends do not grow with their number.
+/// Number of peers up to which that interval applies; it grows with more peers, so that the bandwidth stays constant.
 const PEERS_AT_PAUSE: u32 = 4;
-/// A report is repeated after this time even if nothing changed, so that one that was lost does not last.
+/// Interval after which an unchanged report is repeated, to repair losses.
 const REPEAT: Duration = Duration::from_millis(500);
-/// Largest report in bytes: one packet of an Ethernet.
+/// Maximum message size in bytes; fits one Ethernet frame.
 const MOST: usize = 1_400;
 
-/// Tells the own load, hears that of others, and lends and borrows tokens.
+/// Exchanges messages with other instances.
 pub(super) async fn run(control: &Control) {
     let Some(address) = control.gateway.settings.peer else {
         return;
@@ -75,7 +74,7 @@
     }
 }
 
-/// The own load, and those whom it helps: the instances that callers are sent to.
+/// Builds the load report and lists its receivers, the instances that callers are sent to.
 fn report(control: &Control, number: u64) -> (Report, Vec<SocketAddr>) {
     let gateway = &control.gateway;
     let now_ms = gateway.now_ms();
@@ -91,7 +90,7 @@
     (report, peers)
 }
 
-/// Tells the others of the availability zone what changed in the list of backend servers.
+/// Relays server list digests to the subscribers of the availability zone.
 async fn pass_on(control: &Control, socket: &UdpSocket) {
     let gateway = &control.gateway;
     while let Ok(digest) = control.digests.1.recv_async().await {
@@ -111,8 +110,8 @@
     }
 }
 
-/// Takes a message that is sealed; one that is not from this fleet, or damaged, is left alone.
-fn hear(
+/// Dispatches an authenticated message; others are ignored.
+fn handle(
     control: &Control,
     socket: &UdpSocket,
     lending: &Lending<'_>,
@@ -130,7 +129,7 @@
     match message {
         Some(Message::Ask(ask)) => lending.lend(&key, ask, from),
         Some(Message::Answer(answer)) => lending.take(&answer),
-        Some(Message::Digest(digest)) => watch::hear(control, digest),
+        Some(Message::Digest(digest)) => watch::receive_digest(control, digest),
         Some(Message::Crashes(updates)) => crashes::receive(control, updates, from),
         Some(Message::CrashesWanted) => crashes::answer(control, socket, from),
         None => {}
@@ -145,10 +144,10 @@
             continue;
         };
         if buffer.first() == Some(&message::FORMAT) {
-            hear(control, socket, lending, &buffer[..length], from);
+            handle(control, socket, lending, &buffer[..length], from);
             continue;
         }
-        // Anything that is no report is left alone.
+        // Malformed reports are ignored.
         let Ok(report) = postcard::from_bytes::<Report>(&buffer[..length]) else {
             continue;
         };
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -96,7 +96,7 @@
     let mut state = control.gateway.state();
     let orders = news.content.evacuations;
     for order in state.registry.evacuations(news.version, orders, now_ms) {
-        tell_evacuation(&order);
+        log_evacuation(&order);
     }
 }
 
@@ -131,12 +131,12 @@
             .registry
             .evacuate(order.clone(), now_ms)
         {
-            tell_evacuation(&order);
+            log_evacuation(&order);
         }
     }
 }
 
-fn tell_evacuation(order: &Order) {
+fn log_evacuation(order: &Order) {
     let event = match order.is_evacuated {
         true => Event::ZoneEvacuated,
         false => Event::ZoneReturned,
@@ -256,7 +256,7 @@
 }
 
 /// Takes what a reader tells.
-pub(super) fn hear(control: &Control, digest: Digest) {
+pub(super) fn receive_digest(control: &Control, digest: Digest) {
     let gateway = &control.gateway;
     let now_ms = gateway.now_ms();
     // Each order stands for itself, also in a digest that is late or follows a lost one.
@@ -321,10 +321,10 @@
         news.version,
         changed.len()
     );
-    tell_unreadable(&changed);
+    log_unreadable_rows(&changed);
     let ended = forget_ended(state);
     drop(guard);
-    tell_ended(control, ended);
+    conclude_ended(control, ended);
 }
 
 fn follow(control: &Control, movement: Movement) {
@@ -337,7 +337,7 @@
         return;
     }
     let is_ready = state.registry.is_ready(&id, now_ms);
-    tell_unreadable(&[movement]);
+    log_unreadable_rows(&[movement]);
     if was_ready && !is_ready {
         log_event!(Event::ServerLeaving, "server={id} version={version}");
     } else if !was_ready && is_ready {
@@ -345,11 +345,11 @@
     }
     let ended = forget_ended(&mut state);
     drop(state);
-    tell_ended(control, ended);
+    conclude_ended(control, ended);
 }
 
 /// Logs rows that name no server, once for each of their versions. One such row must not hide the others: it is passed over.
-fn tell_unreadable(news: &[Movement]) {
+fn log_unreadable_rows(news: &[Movement]) {
     for movement in news {
         let Said::Unreadable { reason } = &movement.said else {
             continue;
@@ -382,7 +382,7 @@
 }
 
 /// Counts the crashes, and then tells the requests that were under way at these servers: they ask whether it was one.
-fn tell_ended(control: &Control, ended: Vec<(Arc<Entry>, Option<Evidence>)>) {
+fn conclude_ended(control: &Control, ended: Vec<(Arc<Entry>, Option<Evidence>)>) {
     if ended.is_empty() {
         return;
     }
@@ -391,5 +391,5 @@
             control.gateway.crashed(&server, evidence);
         }
     }
-    control.gateway.tell_ended();
+    control.gateway.notify_ended();
 }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -393,12 +393,12 @@
     }
 
     /// Tells waiting requests that a plan was carried out.
-    pub fn tell_planned(&self) {
+    pub fn notify_planned(&self) {
         self.planned.send_modify(|count| *count += 1);
     }
 
     /// Tells requests under way that backend servers have started again or are gone.
-    pub fn tell_ended(&self) {
+    pub fn notify_ended(&self) {
         self.ended.send_modify(|count| *count += 1);
     }
 
@@ -408,7 +408,7 @@
     }
 
     /// Tells that the own load has changed.
-    pub fn tell_loaded(&self) {
+    pub fn notify_load_changed(&self) {
         self.loaded.notify_one();
     }
 
--- a/crates/fescuewell_gateway/src/gateway/crash.rs
+++ b/crates/fescuewell_gateway/src/gateway/crash.rs
@@ -11,22 +11,22 @@
 /// Most requests that one log line names.
 const MOST_NAMED: usize = 8;
 
-/// A quarantined request whose time is over waits for leave to be sent once.
+/// Request for permission to probe a quarantined request.
 #[derive(Debug)]
 pub struct Probe {
     /// The request.
     pub request: Fingerprint,
-    /// Receives whether it may be sent.
+    /// Receives `true` if the probe may be sent.
     pub reply: oneshot::Sender<bool>,
 }
 
 impl State {
-    /// Milliseconds of the store's clock.
+    /// Converts local time to the store's clock, in milliseconds.
     pub fn store_ms(&self, now_ms: u64) -> u64 {
         self.quota.store_time(now_ms)
     }
 
-    /// Whether a request may be sent now.
+    /// Decides whether a request may be sent.
     pub fn verdict(&self, request: Fingerprint, now_ms: u64) -> Verdict {
         self.quarantine.verdict(request, self.store_ms(now_ms))
     }
@@ -39,7 +39,7 @@
 }
 
 impl Gateway {
-    /// A backend server has crashed: each request that it was running is a suspect.
+    /// Records the crash of a backend server for each request it was running.
     pub fn crashed(&self, server: &Entry, evidence: Evidence) {
         let now_ms = self.now_ms();
         let mut quarantined = Vec::new();
@@ -66,7 +66,7 @@
         self.announce_crashes();
     }
 
-    /// A request turns out to have been running at a server that is known to have crashed.
+    /// Records a known crash for another request that the server was running.
     pub fn ran_at_crash(&self, server: &Entry, request: Fingerprint) {
         let now_ms = self.now_ms();
         let count = self.state().crash(server, request, now_ms);
@@ -76,7 +76,7 @@
         self.announce_crashes();
     }
 
-    /// A backend server answered a request whole.
+    /// Records a complete response.
     pub fn answered(&self, server: &Entry, request: Fingerprint) {
         let now_ms = self.now_ms();
         let is_cleared = {
@@ -95,7 +95,7 @@
         self.announce_crashes();
     }
 
-    /// Takes what other instances, or former processes, know of such requests.
+    /// Merges records of other instances or of the store.
     pub fn learn_crashes<Updates>(&self, updates: Updates, source: &str)
     where
         Updates: IntoIterator<Item = Update>,
@@ -113,22 +113,22 @@
         }
     }
 
-    /// Asks for leave to send a quarantined request whose time is over.
+    /// Requests permission to probe a quarantined request.
     pub async fn may_probe(&self, request: Fingerprint) -> bool {
         let (reply, answer) = oneshot::channel();
         if self.probes.try_send(Probe { request, reply }).is_err() {
-            // A full channel means that others wait already, and a closed one that the process ends.
+            // Full: other probes are pending. Closed: the process is shutting down.
             return false;
         }
         answer.await.unwrap_or(false)
     }
 
-    /// Wakes requests that wait for a finding, and the exchange with other instances.
+    /// Notifies waiting requests and the exchange of a change.
     pub fn announce_crashes(&self) {
         self.crash_count.send_modify(|count| *count += 1);
     }
 
-    /// Wakes at each change of what is known about crashes.
+    /// Subscribes to changes of crash records.
     pub fn crash_changes(&self) -> watch::Receiver<u64> {
         self.crash_count.subscribe()
     }
--- a/crates/fescuewell_gateway/src/hold.rs
+++ b/crates/fescuewell_gateway/src/hold.rs
@@ -5,8 +5,8 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::comeback::outage_left_ms;
 use fescuewell_forward::quota::Verdict;
+use fescuewell_forward::retry_after::outage_left_ms;
 
 use crate::dialect::Tokens;
 use crate::gateway::Gateway;
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -1,9 +1,9 @@
-//! One request on its way: which backend server it is sent to, and what is done when that fails.
+//! A proxied request: choice of a backend server, retries and the final answer.
 
 mod attempt;
 mod candidates;
 mod crash;
-mod place;
+mod permit;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -24,11 +24,11 @@
 use crate::{header, refusal};
 
 use candidates::Candidates;
-use crash::Turn;
+use crash::InFlight;
 
 pub(crate) use attempt::{Answer, Attempt};
 pub(crate) use crash::loss;
-pub(crate) use place::Place;
+pub(crate) use permit::Permit;
 
 /// Part of the target latency for which a request waits for tokens: the rest is enough for a backend server.
 const TOKENS_PART: f64 = 0.5;
@@ -57,8 +57,8 @@
     sends: u32,
     unsent: u32,
     tried: Vec<Arc<str>>,
-    may_have_run: bool,
-    has_repeat: bool,
+    possibly_executed: bool,
+    has_retry: bool,
     timed_out: bool,
     held_ms: u128,
     first_ms: u128,
@@ -94,8 +94,8 @@
             sends: 0,
             unsent: 0,
             tried: Vec::new(),
-            may_have_run: false,
-            has_repeat: false,
+            possibly_executed: false,
+            has_retry: false,
             timed_out: false,
             held_ms: 0,
             first_ms: 0,
@@ -135,7 +135,7 @@
             return self.refuse(reply, code);
         }
         if !self.has_server() {
-            // Known already: no use in waiting for tokens.
+            // Waiting for tokens would be pointless.
             return self.refuse(reply, Code::NoServer);
         }
         if let Err(refusal) = self.reserve().await {
@@ -150,27 +150,27 @@
             state.arrivals.add(now_ms, 1);
         }
         loop {
-            let mut place = match self.pick().await {
-                Ok(place) => place,
+            let mut permit = match self.pick().await {
+                Ok(permit) => permit,
                 Err(code) => return self.refuse(reply, code),
             };
-            let attempt = self.attempt(&mut place, None).await;
+            let attempt = self.attempt(&mut permit, None).await;
             match attempt {
-                Attempt::Whole(answer) => return self.answer(reply, answer, &place),
+                Attempt::Whole(answer) => return self.answer(reply, answer, &permit),
                 Attempt::Events(exchange, first) => {
-                    return self.stream(reply, *exchange, first, place).await;
+                    return self.stream(reply, *exchange, first, permit).await;
                 }
-                Attempt::Failed(answer) if !self.may_repeat() => {
-                    return self.answer(reply, answer, &place);
+                Attempt::Failed(answer) if !self.may_retry() => {
+                    return self.answer(reply, answer, &permit);
                 }
                 Attempt::Failed(_) => {}
-                Attempt::TurnedAway | Attempt::NotSent | Attempt::Unknown => {
+                Attempt::Rejected | Attempt::NotSent | Attempt::Unknown => {
                     if let Some(code) = self.gives_up() {
                         return self.refuse(reply, code);
                     }
                 }
             }
-            drop(place);
+            drop(permit);
             log_event!(
                 Event::RouteRetried,
                 "request={} sends={} tried={}",
@@ -210,10 +210,10 @@
     }
 
     /// Chooses a backend server that has not been tried.
-    pub(crate) async fn pick(&mut self) -> Result<Place, Code> {
-        self.turn().await?;
+    pub(crate) async fn pick(&mut self) -> Result<Permit, Code> {
+        self.await_capacity().await?;
         if Instant::now() >= self.limit {
-            return Err(match self.may_have_run {
+            return Err(match self.possibly_executed {
                 true => Code::TimedOut,
                 false => Code::DeadlineTooNear,
             });
@@ -258,7 +258,7 @@
         let running = chosen.as_ref().map(|entry| state.load.running(&entry.id));
         drop(state);
         let Some(server) = chosen else {
-            return Err(match self.may_have_run {
+            return Err(match self.possibly_executed {
                 true => Code::OutcomeUnknown,
                 false => Code::NoServer,
             });
@@ -275,16 +275,16 @@
             self.tenant.as_ref().map_or("-", |tenant| &tenant.name)
         );
         self.tried.push(server.id.clone());
-        let turn = Turn::begin(&self.gateway, self.fingerprint);
-        Ok(Place::take(&self.gateway, server, unread, turn))
+        let in_flight = InFlight::begin(&self.gateway, self.fingerprint);
+        Ok(Permit::take(&self.gateway, server, unread, in_flight))
     }
 
-    /// Whether another backend server may get the request now; takes a repeat of the fleet's budget.
-    pub(crate) fn may_repeat(&mut self) -> bool {
+    /// Returns `true` if the request may be sent to another backend server; takes a retry from the fleet's budget.
+    pub(crate) fn may_retry(&mut self) -> bool {
         if self.is_quarantined() {
             return false;
         }
-        if self.may_have_run && !self.route.kind.is_idempotent() {
+        if self.possibly_executed && !self.route.kind.is_idempotent() {
             return false;
         }
         if self.sends >= self.route.max_attempts || Instant::now() >= self.limit {
@@ -293,34 +293,34 @@
         if self.sends == 0 {
             return self.unsent < MOST_UNSENT;
         }
-        std::mem::take(&mut self.has_repeat) || self.take_repeat()
+        std::mem::take(&mut self.has_retry) || self.take_retry()
     }
 
-    /// Whether a send that is under way may be given up for another one. It takes the repeat first: a send that is given
-    /// up without one ends the request, although its server may be about to answer and its prompt is read and charged.
+    /// Returns `true` if an attempt may be abandoned for another one. Takes the retry first, since abandoning an attempt without one
+    /// would fail a request that its server may be about to answer.
     pub(crate) fn may_give_up(&mut self) -> bool {
-        let may_repeat = self.route.kind.is_idempotent() && Instant::now() < self.limit;
-        self.has_repeat = may_repeat && self.take_repeat();
-        self.has_repeat
+        let may_retry = self.route.kind.is_idempotent() && Instant::now() < self.limit;
+        self.has_retry = may_retry && self.take_retry();
+        self.has_retry
     }
 
-    /// Takes a repeat of the fleet's budget.
-    fn take_repeat(&mut self) -> bool {
+    /// Takes a retry from the fleet's budget.
+    fn take_retry(&mut self) -> bool {
         let now_ms = self.gateway.now_ms();
         let mut state = self.gateway.state();
         let instances = state.directory.count();
-        state.retry.repeat(&self.service.name, instances, now_ms)
+        state.retry.try_retry(&self.service.name, instances, now_ms)
     }
 
     /// The code of the answer where no further attempt is made.
     fn gives_up(&mut self) -> Option<Code> {
-        if self.may_repeat() {
+        if self.may_retry() {
             return None;
         }
         if self.is_quarantined() {
             return Some(Code::Quarantined);
         }
-        Some(match (self.may_have_run, self.timed_out) {
+        Some(match (self.possibly_executed, self.timed_out) {
             (true, true) => Code::TimedOut,
             (true, false) => Code::OutcomeUnknown,
             (false, _) if self.sends > 0 => Code::TurnedAway,
@@ -351,7 +351,7 @@
         refusal::answer(reply, code, wait, self.gateway.is_leaving());
     }
 
-    fn answer(mut self, reply: Reply, answer: Answer, place: &Place) {
+    fn answer(mut self, reply: Reply, answer: Answer, permit: &Permit) {
         if let (Some(hold), Some(tokens)) = (&mut self.hold, self.facts.tokens)
             && answer.status.is_success()
         {
@@ -360,10 +360,10 @@
         let closing = self.gateway.is_leaving();
         let headers = header::answer(&answer.headers, closing);
         reply.whole(answer.status, headers, answer.body);
-        self.done(place, answer.status.as_str());
+        self.done(permit, answer.status.as_str());
     }
 
-    pub(crate) fn done(&mut self, place: &Place, outcome: &str) {
+    pub(crate) fn done(&mut self, permit: &Permit, outcome: &str) {
         if let Some(hold) = &mut self.hold {
             hold.tell();
         }
@@ -376,7 +376,7 @@
             "request={} route={} server={} outcome={outcome} sends={} tokens={} held_ms={} first_ms={} age_ms={}",
             self.id,
             self.route.name,
-            place.server.id,
+            permit.server.id,
             self.sends,
             self.hold.as_ref().map_or(0, Hold::cost),
             self.held_ms,
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt at one backend server: what is sent, how long it is waited for, and what an answer is worth.
+//! One attempt at a backend server: the request sent, its timeouts and the evaluation of the answer.
 
 use std::time::{Duration, Instant};
 
@@ -14,18 +14,17 @@
 use http::{HeaderMap, StatusCode};
 
 use super::crash::loss;
-use super::{Job, Place};
+use super::{Job, Permit};
 
 /// Time for opening a connection; backend servers are a few milliseconds away.
 const CONNECT: Duration = Duration::from_millis(300);
-/// A safe request is tried elsewhere after so many times its target latency without an answer,
+/// Hedging delay of a safe request, in multiples of its target latency,
 const SAFE_PATIENCE: u32 = 2;
-/// but not before this time.
+/// and its minimum.
 const SAFE_LEAST: Duration = Duration::from_millis(200);
-/// A resumable stream is tried elsewhere after so many times its target latency without an event.
+/// Hedging delay of a resumable stream before its first event, in multiples of its target latency.
 const STREAM_PATIENCE: u32 = 2;
-/// A stream that may be resumed is taken up elsewhere after a pause of so many times the longest one that is still
-/// on time.
+/// Gap between events after which a resumable stream is resumed elsewhere, in multiples of the route's gap objective.
 const GAP_PATIENCE: f64 = 1.25;
 /// Largest answer that is read whole, in bytes.
 const MOST_ANSWER: usize = 4 * 1024 * 1024;
@@ -46,26 +45,26 @@
     /// Events have begun to come.
     Events(Box<Exchange>, Bytes),
     /// The server did not run it.
-    TurnedAway,
+    Rejected,
     /// No byte of it left.
     NotSent,
-    /// It may have run.
+    /// It was possibly executed.
     Unknown,
 }
 
 impl Job {
     /// Sends the request to a backend server; `after` is the last event that the caller already has.
-    pub(crate) async fn attempt(&mut self, place: &mut Place, after: Option<u64>) -> Attempt {
-        let Some(request) = self.request(&place.server, after) else {
+    pub(crate) async fn attempt(&mut self, permit: &mut Permit, after: Option<u64>) -> Attempt {
+        let Some(request) = self.request(&permit.server, after) else {
             return Attempt::NotSent;
         };
         let until = match self.route.kind.is_stream() {
             true => self.deadline,
             false => self.limit,
         };
-        let target = Target::new(place.server.address).with_deadline(until);
+        let target = Target::new(permit.server.address).with_deadline(until);
         let sent_at = Instant::now();
-        let lost = place.lost();
+        let lost = permit.lost();
         tokio::pin!(lost);
         let gateway = self.gateway.clone();
         let opened = gateway.client.open(&target, request, self.timeouts());
@@ -77,12 +76,12 @@
                 opened = &mut opened => break opened,
                 () = &mut lost => {
                     self.sends += 1;
-                    return self.lost(place).await;
+                    return self.lost(permit).await;
                 }
                 () = wait_out(patience) => {
                     if self.may_give_up() {
                         self.sent();
-                        return self.unknown(place, "no answer for so long, and a repeat is in hand");
+                        return self.unknown(permit, "no answer for so long, and a retry is available");
                     }
                 }
             }
@@ -91,38 +90,38 @@
             Ok(exchange) => exchange,
             Err(Error::NotSent { reason }) => {
                 self.unsent += 1;
-                place.judge(Outcome::Bad);
-                self.note(place, "not_sent", &reason);
+                permit.judge(Outcome::Bad);
+                self.note(permit, "not_sent", &reason);
                 return Attempt::NotSent;
             }
             Err(error) => {
                 self.sent();
-                self.lost_at(place, loss(&error)).await;
-                return self.unknown(place, &error);
+                self.lost_at(permit, loss(&error)).await;
+                return self.unknown(permit, &error);
             }
         };
         let received = tokio::select! {
             biased;
-            received = self.receive(place, exchange, sent_at) => Some(received),
+            received = self.receive(permit, exchange, sent_at) => Some(received),
             () = &mut lost => None,
         };
         match received {
             Some(received) => received,
-            None => self.lost(place).await,
+            None => self.lost(permit).await,
         }
     }
 
     /// The server has started again while the request was under way there.
-    async fn lost(&mut self, place: &Place) -> Attempt {
-        self.mark_run();
-        self.lost_at(place, Loss::Broken).await;
-        self.note(place, "unknown", "the server has started again");
+    async fn lost(&mut self, permit: &Permit) -> Attempt {
+        self.mark_executed();
+        self.lost_at(permit, Loss::Broken).await;
+        self.note(permit, "unknown", "the server has started again");
         Attempt::Unknown
     }
 
     async fn receive(
         &mut self,
-        place: &mut Place,
+        permit: &mut Permit,
         mut exchange: Exchange,
         sent_at: Instant,
     ) -> Attempt {
@@ -136,64 +135,64 @@
                 self.gateway
                     .state()
                     .registry
-                    .mark_draining(&place.server.id);
+                    .mark_draining(&permit.server.id);
             } else {
-                place.judge(Outcome::Full);
+                permit.judge(Outcome::Full);
             }
-            self.note(place, "turned_away", status.as_str());
+            self.note(permit, "turned_away", status.as_str());
             // Read to its end, so that the connection can be used again.
             if let Err(error) = exchange.whole(MOST_ANSWER).await {
-                self.note(place, "refusal_broken", &error.to_string());
+                self.note(permit, "refusal_broken", &error.to_string());
             }
-            return Attempt::TurnedAway;
+            return Attempt::Rejected;
         }
-        self.mark_run();
+        self.mark_executed();
         let echoed = exchange.headers.get(&names.request_id);
         let own = echoed.is_some_and(|value| value.as_bytes() == self.id.as_bytes());
         let sealed = exchange.headers.contains_key(&names.seal);
         if !own || (status.is_success() && !sealed) {
             // An answer to another request that came late, or bytes that no server sealed: its connection
             // is dropped with it.
-            return self.unknown(place, &"the answer belongs to another request");
+            return self.unknown(permit, &"the answer belongs to another request");
         }
         if self.route.kind.is_stream() && status.is_success() {
             return match exchange.next_chunk().await {
                 Some(Ok(first)) => {
-                    place.first_event();
+                    permit.first_event();
                     let took = self.arrived.elapsed();
                     self.first_ms = took.as_millis();
                     self.gateway.metrics.first_event(&self.route.name, took);
                     Attempt::Events(Box::new(exchange), first)
                 }
                 Some(Err(error)) => {
-                    self.lost_at(place, loss(&error)).await;
-                    self.unknown(place, &error)
+                    self.lost_at(permit, loss(&error)).await;
+                    self.unknown(permit, &error)
                 }
-                None => self.unknown(place, &"a stream without events"),
+                None => self.unknown(permit, &"a stream without events"),
             };
         }
         let headers = std::mem::take(&mut exchange.headers);
         match exchange.whole(MOST_ANSWER).await {
             Ok(body) => {
-                // Whatever it says, the server has survived the request.
-                self.gateway.answered(&place.server, self.fingerprint);
+                // Any complete response shows that the server survived the request.
+                self.gateway.answered(&permit.server, self.fingerprint);
                 let answer = Answer {
                     status,
                     headers,
                     body,
                 };
                 if status.is_server_error() {
-                    place.judge(Outcome::Failed);
-                    self.note(place, "failed", status.as_str());
+                    permit.judge(Outcome::Failed);
+                    self.note(permit, "failed", status.as_str());
                     return Attempt::Failed(answer);
                 }
-                place.judge(Outcome::Good);
-                place.time(sent_at.elapsed());
+                permit.judge(Outcome::Good);
+                permit.time(sent_at.elapsed());
                 Attempt::Whole(answer)
             }
             Err(error) => {
-                self.lost_at(place, loss(&error)).await;
-                self.unknown(place, &error)
+                self.lost_at(permit, loss(&error)).await;
+                self.unknown(permit, &error)
             }
         }
     }
@@ -251,7 +250,7 @@
         self.sends + 1 >= self.route.max_attempts
     }
 
-    /// How long a server may stay silent before another one is thought of; nothing where there can be none.
+    /// Hedging delay, or `None` if no other server may be tried.
     fn patience(&self) -> Option<Duration> {
         if self.is_last() {
             return None;
@@ -266,36 +265,36 @@
 
     fn sent(&mut self) {
         self.sends += 1;
-        self.mark_run();
+        self.mark_executed();
     }
 
-    fn mark_run(&mut self) {
-        self.may_have_run = true;
+    fn mark_executed(&mut self) {
+        self.possibly_executed = true;
         if let Some(hold) = &mut self.hold {
             hold.ran();
         }
     }
 
-    fn unknown<Reason>(&mut self, place: &Place, reason: &Reason) -> Attempt
+    fn unknown<Reason>(&mut self, permit: &Permit, reason: &Reason) -> Attempt
     where
         Reason: std::fmt::Display + ?Sized,
     {
         self.timed_out = Instant::now() >= self.limit;
         if !self.timed_out {
-            place.judge(Outcome::Bad);
+            permit.judge(Outcome::Bad);
         }
-        self.note(place, "unknown", &reason.to_string());
+        self.note(permit, "unknown", &reason.to_string());
         Attempt::Unknown
     }
 
-    pub(crate) fn note(&self, place: &Place, what: &'static str, reason: &str) {
+    pub(crate) fn note(&self, permit: &Permit, what: &'static str, reason: &str) {
         self.gateway.metrics.attempt(&self.service.name, what);
         let reason = reason.replace(' ', "_");
         log_event!(
             Event::AttemptFailed,
             "request={} server={} outcome={what} sends={} fingerprint={} reason={reason}",
             self.id,
-            place.server.id,
+            permit.server.id,
             self.sends,
             self.fingerprint
         );
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -1,4 +1,4 @@
-//! Requests that crash backend servers: when one may be sent, and what a broken connection shows.
+//! Handling of requests that crash backend servers: admission, and evidence from lost connections.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,23 +10,23 @@
 use fescuewell_http::listener::spawn;
 use fescuewell_http::upstream::{Error, Reach};
 
-use super::{Job, Place};
+use super::{Job, Permit};
 use crate::gateway::{Gateway, State};
 use crate::header;
 
-/// Time for finding out whether a server still accepts connections.
+/// Timeout of a connection probe.
 const PROBE: Duration = Duration::from_millis(300);
-/// Time after which a connection that the server has accepted is looked at again.
-const SECOND_LOOK: Duration = Duration::from_millis(50);
+/// Delay before an accepted probe connection is checked again.
+const SECOND_PROBE_DELAY: Duration = Duration::from_millis(50);
 
-/// A try that is under way, for as long as this lives.
-pub(crate) struct Turn {
+/// Guard of an in-flight attempt.
+pub(crate) struct InFlight {
     gateway: Arc<Gateway>,
     request: Fingerprint,
 }
 
-impl Turn {
-    /// Begins a try.
+impl InFlight {
+    /// Registers an in-flight attempt.
     pub(super) fn begin(gateway: &Arc<Gateway>, request: Fingerprint) -> Self {
         gateway.state().quarantine.begin(request);
         Self {
@@ -36,7 +36,7 @@
     }
 }
 
-impl Drop for Turn {
+impl Drop for InFlight {
     fn drop(&mut self) {
         let is_awaited = self.gateway.state().quarantine.end(self.request);
         if is_awaited {
@@ -45,9 +45,9 @@
     }
 }
 
-/// A server may accept a connection while it is ending. The connection breaks then as well.
-async fn look_again(gateway: &Gateway, server: &Entry) {
-    tokio::time::sleep(SECOND_LOOK).await;
+/// Repeats a probe, since a crashing server may accept one more connection.
+async fn probe_again(gateway: &Gateway, server: &Entry) {
+    tokio::time::sleep(SECOND_PROBE_DELAY).await;
     let is_sound = gateway.client.has_idle(server.address)
         || gateway.client.probe(server.address, PROBE).await != Reach::Refused;
     match is_sound {
@@ -56,7 +56,7 @@
     }
 }
 
-/// How an exchange ended.
+/// Classifies a failed exchange.
 pub(crate) fn loss(error: &Error) -> Loss {
     match error.is_broken() {
         true => Loss::Broken,
@@ -65,7 +65,7 @@
 }
 
 impl Job {
-    /// Identity of the request over all of its tries.
+    /// Computes the request's fingerprint.
     pub(super) fn identify(&self) -> Fingerprint {
         let account = self.tenant.as_ref().map_or("", |tenant| &tenant.name);
         let target = self.target.path_and_query();
@@ -83,7 +83,7 @@
         self.gateway.state().verdict(self.fingerprint, now_ms)
     }
 
-    /// Refuses a request that is known to crash servers, before it waits for anything.
+    /// Rejects a quarantined request unless the store permits a probe.
     pub(super) async fn admit(&mut self) -> Result<(), Code> {
         let Verdict::Quarantined { may_probe } = self.verdict() else {
             return Ok(());
@@ -101,19 +101,19 @@
         Ok(())
     }
 
-    /// Whether the request must not be sent any more.
+    /// Returns `true` if the request must not be sent.
     pub(super) fn is_quarantined(&self) -> bool {
         matches!(self.verdict(), Verdict::Quarantined { .. })
     }
 
-    /// Whether the request is kept apart from others.
+    /// Returns `true` if the request must go to the least loaded server.
     pub(super) fn is_isolated(&self, state: &State, now_ms: u64) -> bool {
         let verdict = state.verdict(self.fingerprint, now_ms);
         self.is_probe || verdict == (Verdict::Suspect { is_isolated: true })
     }
 
-    /// Waits until few enough tries of a suspect are under way here. Most requests do not wait at all.
-    pub(crate) async fn turn(&mut self) -> Result<(), Code> {
+    /// Waits while a suspect has too many attempts in flight. Other requests do not wait.
+    pub(crate) async fn await_capacity(&mut self) -> Result<(), Code> {
         let mut changes = self.gateway.crash_changes();
         let until = self.arrived + self.route.target_latency;
         let until = until.min(self.limit);
@@ -127,7 +127,7 @@
             let changed = changes.changed();
             let left = until.saturating_duration_since(Instant::now());
             if !matches!(tokio::time::timeout(left, changed).await, Ok(Ok(()))) {
-                return Err(match self.may_have_run {
+                return Err(match self.possibly_executed {
                     true => Code::OutcomeUnknown,
                     false => Code::NoServer,
                 });
@@ -135,14 +135,12 @@
         }
     }
 
-    /// The exchange with a server ended while the server may have been running the request. Waits until it is known whether the
-    /// server has crashed, where that takes a moment only: a request that crashes servers must not be retried before its crash is
-    /// counted.
-    pub(crate) async fn lost_at(&mut self, place: &Place, loss: Loss) {
-        // A probe is one try.
+    /// Reports a lost exchange and waits for the probe's result, so that a crash is counted before the request is retried.
+    pub(crate) async fn lost_at(&mut self, permit: &Permit, loss: Loss) {
+        // A probe permits a single attempt.
         self.is_probe = false;
         let gateway = self.gateway.clone();
-        let server = &place.server;
+        let server = &permit.server;
         let now_ms = gateway.now_ms();
         let finding = {
             let mut state = gateway.state();
@@ -153,43 +151,42 @@
             } else if is_sound {
                 Some(state.crashes.lost(server, self.fingerprint, loss, now_ms))
             } else {
-                // Servers that leave close their connections.
+                // Leaving servers close their connections.
                 None
             }
         };
         match finding {
             Some(Finding::Crashed) => gateway.ran_at_crash(server, self.fingerprint),
             Some(Finding::Probe) => {
-                self.probe(place);
-                self.finding(place).await;
+                self.probe(permit);
+                self.probe_finished(permit).await;
             }
-            Some(Finding::Awaited) => self.finding(place).await,
+            Some(Finding::Awaited) => self.probe_finished(permit).await,
             Some(Finding::Open) | None => {}
         }
     }
 
-    /// Finds out whether a server still accepts connections. A task of its own: the caller may leave before the finding, which
-    /// concerns others too.
-    fn probe(&self, place: &Place) {
+    /// Probes a server in a task of its own, since the result also concerns other requests and the caller may disconnect.
+    fn probe(&self, permit: &Permit) {
         let gateway = self.gateway.clone();
-        let server = place.server.clone();
+        let server = permit.server.clone();
         spawn(async move {
             let reach = gateway.client.probe(server.address, PROBE).await;
             if reach == Reach::Refused {
                 return gateway.crashed(&server, Evidence::Refused);
             }
-            // The list, or the second look, may still tell.
+            // The server list or the second probe may still settle it.
             gateway.state().crashes.silent(server.incarnation());
             gateway.announce_crashes();
             if reach == Reach::Accepted {
-                look_again(&gateway, &server).await;
+                probe_again(&gateway, &server).await;
             }
         });
     }
 
-    async fn finding(&self, place: &Place) {
+    async fn probe_finished(&self, permit: &Permit) {
         let mut changes = self.gateway.crash_changes();
-        let server = place.server.incarnation();
+        let server = permit.server.incarnation();
         let found = async {
             while self.gateway.state().crashes.is_probed(server) {
                 if changes.changed().await.is_err() {
@@ -197,7 +194,7 @@
                 }
             }
         };
-        // Without a finding the request goes on; the list may still tell.
+        // The server list may still settle it later.
         let _ = tokio::time::timeout(PROBE, found).await;
     }
 }
--- a/crates/fescuewell_gateway/src/job/place.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -1,4 +1,4 @@
-//! A request's place at a backend server.
+//! In-flight permit of a request at a backend server.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,31 +8,31 @@
 use fescuewell_forward::health::Outcome;
 use fescuewell_forward::server::Entry;
 
-use super::crash::Turn;
+use super::crash::InFlight;
 use crate::gateway::Gateway;
 
-/// A request under way at a backend server, for as long as this lives.
-pub(crate) struct Place {
+/// Guard of an in-flight request at a backend server.
+pub(crate) struct Permit {
     gateway: Arc<Gateway>,
     pub(crate) server: Arc<Entry>,
     unread: u64,
-    turn: Option<Turn>,
+    in_flight: Option<InFlight>,
 }
 
-impl Place {
+impl Permit {
     pub(super) fn take(
         gateway: &Arc<Gateway>,
         server: Arc<Entry>,
         unread: u64,
-        turn: Turn,
+        in_flight: InFlight,
     ) -> Self {
         gateway.state().load.begin(&server.id, unread);
-        gateway.tell_loaded();
+        gateway.notify_load_changed();
         Self {
             gateway: gateway.clone(),
             server,
             unread,
-            turn: Some(turn),
+            in_flight: Some(in_flight),
         }
     }
 
@@ -40,7 +40,7 @@
     pub(super) fn first_event(&mut self) {
         let unread = std::mem::take(&mut self.unread);
         self.gateway.state().load.read(&self.server.id, unread);
-        self.gateway.tell_loaded();
+        self.gateway.notify_load_changed();
     }
 
     /// Waits until the server has started again: it then knows nothing of the request, and an answer that has not come
@@ -88,22 +88,22 @@
     }
 }
 
-impl Place {
-    /// The request is not under way here any more.
+impl Permit {
+    /// Ends the in-flight request.
     pub(crate) fn release(&mut self) {
-        let Some(turn) = self.turn.take() else {
+        let Some(in_flight) = self.in_flight.take() else {
             return;
         };
         let mut state = self.gateway.state();
         state.load.read(&self.server.id, self.unread);
         state.load.end(&self.server.id);
         drop(state);
-        drop(turn);
-        self.gateway.tell_loaded();
+        drop(in_flight);
+        self.gateway.notify_load_changed();
     }
 }
 
-impl Drop for Place {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.release();
     }
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -12,7 +12,7 @@
 use fescuewell_http::upstream::Exchange;
 
 use crate::header;
-use crate::job::{Attempt, Job, Place, loss};
+use crate::job::{Attempt, Job, Permit, loss};
 
 /// Largest event, in bytes.
 const MOST_EVENT: usize = 256 * 1024;
@@ -133,47 +133,50 @@
         reply: Reply,
         exchange: Exchange,
         first: Bytes,
-        place: Place,
+        permit: Permit,
     ) {
         let closing = self.gateway.is_leaving();
         let headers = header::answer(&exchange.headers, closing);
         let sink = reply.stream(exchange.status, headers);
         let mut cutter = Cutter::new(self.facts.last_event);
         let mut current = Some((exchange, first));
-        let mut place = place;
+        let mut permit = permit;
         loop {
             let Some((exchange, first)) = current.take() else {
-                return self.done(&place, "broken_off");
+                return self.done(&permit, "broken_off");
             };
             let begun = (Instant::now(), cutter.taken());
-            match self.pump(&sink, &mut cutter, exchange, first, &place).await {
+            match self
+                .pump(&sink, &mut cutter, exchange, first, &permit)
+                .await
+            {
                 Ending::Whole => {
-                    place.judge(Outcome::Good);
-                    self.gateway.answered(&place.server, self.fingerprint);
+                    permit.judge(Outcome::Good);
+                    self.gateway.answered(&permit.server, self.fingerprint);
                     let events = cutter.taken().saturating_sub(begun.1 + 1);
                     if let Some(gap) = begun.0.elapsed().checked_div(events as u32) {
-                        place.time(gap);
+                        permit.time(gap);
                     }
                     sink.finish();
-                    return self.done(&place, "whole");
+                    return self.done(&permit, "whole");
                 }
-                Ending::CallerGone => return self.done(&place, "caller_gone"),
-                Ending::Broken => place.judge(Outcome::Bad),
+                Ending::CallerGone => return self.done(&permit, "caller_gone"),
+                Ending::Broken => permit.judge(Outcome::Bad),
             }
             cutter.restart();
-            while current.is_none() && self.may_repeat() {
+            while current.is_none() && self.may_retry() {
                 // Given up first: the former try must not count beside the new one.
-                place.release();
+                permit.release();
                 let Ok(next) = self.pick().await else { break };
-                place = next;
+                permit = next;
                 log_event!(
                     Event::StreamResumed,
                     "request={} server={} after={:?}",
                     self.id,
-                    place.server.id,
+                    permit.server.id,
                     cutter.last()
                 );
-                let attempt = self.attempt(&mut place, cutter.last()).await;
+                let attempt = self.attempt(&mut permit, cutter.last()).await;
                 if let Attempt::Events(exchange, first) = attempt {
                     current = Some((*exchange, first));
                 }
@@ -187,10 +190,10 @@
         cutter: &mut Cutter,
         mut exchange: Exchange,
         first: Bytes,
-        place: &Place,
+        permit: &Permit,
     ) -> Ending {
         let mut chunk = first;
-        let lost = place.lost();
+        let lost = permit.lost();
         tokio::pin!(lost);
         loop {
             let before = cutter.taken();
@@ -205,21 +208,21 @@
                 biased;
                 next = exchange.next_chunk() => next,
                 () = &mut lost => {
-                    self.lost_at(place, Loss::Broken).await;
-                    self.note(place, "broken", "the server has started again");
+                    self.lost_at(permit, Loss::Broken).await;
+                    self.note(permit, "broken", "the server has started again");
                     return Ending::Broken;
                 }
             };
             chunk = match next {
                 Some(Ok(chunk)) => chunk,
                 Some(Err(error)) => {
-                    self.lost_at(place, loss(&error)).await;
-                    self.note(place, "broken", &error.to_string());
+                    self.lost_at(permit, loss(&error)).await;
+                    self.note(permit, "broken", &error.to_string());
                     return Ending::Broken;
                 }
                 None if cutter.has_rest() => {
                     // A body without a length ends like this when the server crashes.
-                    self.lost_at(place, Loss::Broken).await;
+                    self.lost_at(permit, Loss::Broken).await;
                     return Ending::Broken;
                 }
                 None => return Ending::Whole,
--- a/crates/fescuewell_node/src/suspect.rs
+++ b/crates/fescuewell_node/src/suspect.rs
@@ -1,7 +1,6 @@
-//! Requests under which backend servers lose their answers again and again.
+//! Requests that repeatedly make backend servers lose their answers.
 //!
-//! Counted by what is asked, not by the request's id: a caller's next try may have another one. What this instance has seen
-//! counts here alone.
+//! Counted by content rather than request id, since a caller's next attempt may have another id. Counts are local to the instance.
 
 use fescuewell_core::prelude::*;
 use fescuewell_forward::crash::{Content, Fingerprint, THRESHOLD, Verdict};
@@ -11,7 +10,7 @@
 use crate::record::Record;
 use crate::request::{Arrival, Ticket};
 
-/// Identity of what a group asks, over all of its tries.
+/// Fingerprint of a group's request across attempts.
 fn fingerprint(arrival: &Arrival) -> Fingerprint {
     Fingerprint::new(&Content {
         account: &arrival.group,
@@ -22,7 +21,7 @@
     })
 }
 
-/// One run of a request: the same server counts again with its next run.
+/// Identifies one run, so that repeated losses at the same server count separately.
 fn run(record: &Record) -> Option<Incarnation> {
     let server = u64::from(record.server?.0);
     let attempt = u64::from(record.grant?.attempt);
@@ -35,7 +34,7 @@
         time.as_millis() as u64
     }
 
-    /// Refuses a request that is known to make backend servers lose their answers.
+    /// Rejects a quarantined request.
     pub(crate) fn check_suspect(&mut self, arrival: &Arrival) -> Result<(), Refusal> {
         let request = fingerprint(arrival);
         let now_ms = self.now_ms();
@@ -49,7 +48,7 @@
         Err(Refusal::new(Code::Quarantined))
     }
 
-    /// A backend server lost the answer to a request.
+    /// Records a lost answer.
     pub(crate) fn note_lost(&mut self, ticket: Ticket) {
         let Some(record) = self.book.get(ticket) else {
             return;
@@ -66,7 +65,7 @@
         }
     }
 
-    /// A backend server answered a request.
+    /// Records a complete answer.
     pub(crate) fn note_answered(&mut self, ticket: Ticket) {
         let Some(record) = self.book.get(ticket) else {
             return;
@@ -76,7 +75,7 @@
         self.quarantine.answered(request, now_ms);
     }
 
-    /// Whether a request must not be sent any more.
+    /// Returns `true` if a request must not be sent.
     pub(crate) fn is_quarantined(&self, ticket: Ticket) -> bool {
         let Some(record) = self.book.get(ticket) else {
             return false;
