A failure does not clear a request, and a caller that leaves does not hide a crash

Cause, both found by asking how the rule could still break beside other disruptions: (1) any whole answer cleared a request, also a failure; a server that fails part of its requests answers one before it would crash, and three more servers were lost each time. (2) A request whose caller left, or that was sent elsewhere after a delay, may still crash its server, and nobody was left to see the connection break.

Change: only a success clears. An attempt that ends without an outcome at its server leaves a suspicion there, which the list, or the broken connection of another request, settles. A server that leaves the list is asked for a connection first: one that leaves as planned goes on for a while, and has not crashed.

Measured: with the changes taken out a_failure_does_not_clear_a_request_that_crashes_servers sees 8 crashes where 3 are allowed, a_crash_counts_after_the_caller_has_left none, and (with the connection attempt alone taken out) a_server_that_leaves_the_list_and_still_accepts_connections_has_not_crashed one too many; all pass with them.

--- a/crates/fescuewell_forward/src/crash/watch.rs
+++ b/crates/fescuewell_forward/src/crash/watch.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Returns `true` while it is undecided whether the server has crashed.
+    pub fn is_suspected(&self, incarnation: Incarnation) -> bool {
+        self.suspected.contains_key(&incarnation)
+    }
+
     /// Returns `true` while a probe is in progress.
     pub fn is_probed(&self, incarnation: Incarnation) -> bool {
         let suspicion = self.suspected.get(&incarnation);
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -15,6 +15,7 @@
 use fescuewell_forward::evacuation::Order;
 use fescuewell_forward::relay::{Digest, Outbox};
 use fescuewell_forward::server::{Entry, Movement, Said};
+use fescuewell_http::upstream::{self, Reach};
 use tokio::time::Instant;
 
 use super::{CALL, Control, PAUSE};
@@ -43,6 +44,9 @@
 /// every write would answer the call. A server that leaves is still noticed within this time.
 const SERVERS_PAUSE: Duration = Duration::from_millis(250);
 
+/// Timeout for connecting to a delisted server.
+const REACHED_WITHIN: Duration = Duration::from_millis(300);
+
 /// Follows the configuration.
 pub(super) async fn configuration(control: &Control) {
     loop {
@@ -381,14 +385,28 @@
     findings
 }
 
+/// Counts the crash of a delisted server unless it still accepts connections: a server that leaves without draining continues
+/// serving for a while.
+fn confirm_removed(control: &Control, server: Arc<Entry>) {
+    let gateway = control.gateway.clone();
+    tokio::spawn(async move {
+        match upstream::reach(server.address, REACHED_WITHIN).await {
+            Reach::Accepted => gateway.state().crashes.accepted(server.incarnation()),
+            Reach::Refused | Reach::Silent => gateway.crashed(&server, Evidence::Removed),
+        }
+    });
+}
+
 /// Counts the crashes, and then tells the requests that were under way at these servers: they ask whether it was one.
 fn conclude_ended(control: &Control, ended: Vec<(Arc<Entry>, Option<Evidence>)>) {
     if ended.is_empty() {
         return;
     }
     for (server, evidence) in ended {
-        if let Some(evidence) = evidence {
-            control.gateway.crashed(&server, evidence);
+        match evidence {
+            Some(Evidence::Removed) => confirm_removed(control, server),
+            Some(evidence) => control.gateway.crashed(&server, evidence),
+            None => {}
         }
     }
     control.gateway.notify_ended();
--- a/crates/fescuewell_gateway/src/gateway/crash.rs
+++ b/crates/fescuewell_gateway/src/gateway/crash.rs
@@ -2,7 +2,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::crash::{Evidence, Fingerprint, THRESHOLD, Update, Verdict};
+use fescuewell_forward::crash::{Evidence, Finding, Fingerprint, Loss, THRESHOLD, Update, Verdict};
 use fescuewell_forward::server::Entry;
 use tokio::sync::{oneshot, watch};
 
@@ -31,6 +31,23 @@
         self.quarantine.verdict(request, self.store_ms(now_ms))
     }
 
+    /// Reports a lost exchange with a server, unless the server is leaving.
+    pub fn lost(
+        &mut self,
+        server: &Entry,
+        request: Fingerprint,
+        loss: Loss,
+        now_ms: u64,
+    ) -> Option<Finding> {
+        if self.registry.is_reborn(server) {
+            let has_crashed = self.crashes.has_crashed(server.incarnation());
+            return has_crashed.then_some(Finding::Crashed);
+        }
+        // Leaving servers close their connections.
+        let is_ready = self.registry.is_ready(&server.id, now_ms);
+        is_ready.then(|| self.crashes.lost(server, request, loss, now_ms))
+    }
+
     fn crash(&mut self, server: &Entry, request: Fingerprint, now_ms: u64) -> Option<usize> {
         let store_ms = self.store_ms(now_ms);
         let server = server.incarnation();
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -56,6 +56,7 @@
     /// Sends the request to a backend server; `after` is the last event that the caller already has.
     pub(crate) async fn attempt(&mut self, permit: &mut Permit, after: Option<u64>) -> Attempt {
         let Some(request) = self.request(&permit.server, after) else {
+            permit.settle();
             return Attempt::NotSent;
         };
         let until = match self.route.kind.is_stream() {
@@ -89,6 +90,7 @@
         let exchange = match opened {
             Ok(exchange) => exchange,
             Err(Error::NotSent { reason }) => {
+                permit.settle();
                 self.unsent += 1;
                 permit.judge(Outcome::Bad);
                 self.note(permit, "not_sent", &reason);
@@ -130,6 +132,7 @@
         let status = exchange.status;
         let refused = exchange.headers.contains_key(&names.not_run);
         if refused || status == StatusCode::MISDIRECTED_REQUEST {
+            permit.settle();
             if status == StatusCode::MISDIRECTED_REQUEST {
                 // The address belongs to another server now; the entry is of no use until it changes.
                 self.gateway
@@ -174,8 +177,11 @@
         let headers = std::mem::take(&mut exchange.headers);
         match exchange.whole(MOST_ANSWER).await {
             Ok(body) => {
-                // Any complete response shows that the server survived the request.
-                self.gateway.answered(&permit.server, self.fingerprint);
+                permit.settle();
+                if status.is_success() {
+                    // A server that fails some of its requests may fail this one before it would crash.
+                    self.gateway.answered(&permit.server, self.fingerprint);
+                }
                 let answer = Answer {
                     status,
                     headers,
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -34,6 +34,11 @@
             request,
         }
     }
+
+    /// The request's fingerprint.
+    pub(super) fn request(&self) -> Fingerprint {
+        self.request
+    }
 }
 
 impl Drop for InFlight {
@@ -142,19 +147,8 @@
         let gateway = self.gateway.clone();
         let server = &permit.server;
         let now_ms = gateway.now_ms();
-        let finding = {
-            let mut state = gateway.state();
-            let is_sound = state.registry.is_ready(&server.id, now_ms);
-            if state.registry.is_reborn(server) {
-                let has_crashed = state.crashes.has_crashed(server.incarnation());
-                has_crashed.then_some(Finding::Crashed)
-            } else if is_sound {
-                Some(state.crashes.lost(server, self.fingerprint, loss, now_ms))
-            } else {
-                // Leaving servers close their connections.
-                None
-            }
-        };
+        permit.settle();
+        let finding = gateway.state().lost(server, self.fingerprint, loss, now_ms);
         match finding {
             Some(Finding::Crashed) => gateway.ran_at_crash(server, self.fingerprint),
             Some(Finding::Probe) => {
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -1,10 +1,12 @@
 //! In-flight permit of a request at a backend server.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
+use fescuewell_forward::crash::Loss;
 use fescuewell_forward::health::Outcome;
 use fescuewell_forward::server::Entry;
 
@@ -17,6 +19,7 @@
     pub(crate) server: Arc<Entry>,
     unread: u64,
     in_flight: Option<InFlight>,
+    is_settled: AtomicBool,
 }
 
 impl Permit {
@@ -33,9 +36,16 @@
             server,
             unread,
             in_flight: Some(in_flight),
+            is_settled: AtomicBool::new(false),
         }
     }
 
+    /// Marks the outcome at the server as known. An attempt that ends without one, since the caller disconnected or another server
+    /// was tried, may still crash the server.
+    pub(crate) fn settle(&self) {
+        self.is_settled.store(true, Ordering::Relaxed);
+    }
+
     /// The first event shows that the prompt has been read.
     pub(super) fn first_event(&mut self) {
         let unread = std::mem::take(&mut self.unread);
@@ -94,9 +104,14 @@
         let Some(in_flight) = self.in_flight.take() else {
             return;
         };
+        let now_ms = self.gateway.now_ms();
         let mut state = self.gateway.state();
         state.load.read(&self.server.id, self.unread);
         state.load.end(&self.server.id);
+        if !self.is_settled.load(Ordering::Relaxed) {
+            let request = in_flight.request();
+            state.lost(&self.server, request, Loss::Silent, now_ms);
+        }
         drop(state);
         drop(in_flight);
         self.gateway.notify_load_changed();
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -152,6 +152,7 @@
             {
                 Ending::Whole => {
                     permit.judge(Outcome::Good);
+                    permit.settle();
                     self.gateway.answered(&permit.server, self.fingerprint);
                     let events = cutter.taken().saturating_sub(begun.1 + 1);
                     if let Some(gap) = begun.0.elapsed().checked_div(events as u32) {
--- a/crates/fescuewell_http/src/upstream/mod.rs
+++ b/crates/fescuewell_http/src/upstream/mod.rs
@@ -209,15 +209,11 @@
         self.attempt(connection, request, target, timeouts).await
     }
 
-    /// Finds out whether a backend server accepts connections, within `limit`. A connection that it accepts is kept for the
-    /// next request.
+    /// Probes whether a backend server accepts connections, within `limit`. An accepted connection is kept for the next request.
     pub async fn probe(&self, address: SocketAddr, limit: Duration) -> Reach {
-        let stream = match timeout(limit, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                return Reach::Refused;
-            }
-            _ => return Reach::Silent,
+        let stream = match connect(address, limit).await {
+            Ok(stream) => stream,
+            Err(reach) => return reach,
         };
         if let Ok(connection) = self.handshake(stream, address).await {
             self.pool.keep(connection, self.settings.max_idle);
@@ -302,6 +298,24 @@
     }
 }
 
+/// Probes whether a backend server accepts connections, within `limit`, and closes the connection.
+pub async fn reach(address: SocketAddr, limit: Duration) -> Reach {
+    match connect(address, limit).await {
+        Ok(_) => Reach::Accepted,
+        Err(reach) => reach,
+    }
+}
+
+async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, Reach> {
+    match timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            Err(Reach::Refused)
+        }
+        _ => Err(Reach::Silent),
+    }
+}
+
 fn classify(count: Count, before: u64, is_broken: bool, reason: Arc<str>) -> Error {
     if count.written == before {
         return Error::NotSent { reason };
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -4,8 +4,8 @@
 //! A path that holds `/stream` is answered by events, any other by a short body. Every request is noted with its
 //! headers, so that a test can tell what really ran.
 //!
-//! A request whose body is the one of [`Worker::crash_on`] crashes the worker as soon as it runs: all connections break, and
-//! new ones are refused until [`Worker::revive`] is called.
+//! A request whose body is the one of [`Worker::crash_on`] crashes the worker as soon as it runs, unless [`Behaviour::Fail`] comes
+//! first: all connections break, and new ones are refused until [`Worker::revive`] is called.
 //!
 //! ```
 //! use fescuewell_standin::worker::Worker;
@@ -318,9 +318,6 @@
         self.state().runs.push(run.clone());
         self.arrived.send_modify(|count| *count += 1);
         let headers = self.headers(&run, behaviour);
-        if self.crashes_on(&run) {
-            return self.crash(&request, reply, headers).await;
-        }
         if behaviour == Behaviour::Wait {
             // An error means that the stand-in is being dropped.
             let _ = self
@@ -329,6 +326,9 @@
                 .wait_for(|released| *released)
                 .await;
         }
+        if behaviour != Behaviour::Fail && self.crashes_on(&run) {
+            return self.crash(&request, reply, headers).await;
+        }
         match behaviour {
             Behaviour::Lose => reply.abort(),
             Behaviour::Fail => {
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -3,12 +3,14 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fescuewell::adapter::dialect::Wire;
 use fescuewell::adapter::rows::Rows as Client;
 use fescuewell::adapter::settings;
 use fescuewell::adapter::source::Registry;
+use fescuewell::forward::server::Incarnation;
 use fescuewell::gateway::daemon::Daemon;
 use fescuewell::standin::rows::Rows;
 use fescuewell::standin::sample;
@@ -288,9 +290,42 @@
 
     /// Waits until the metrics page shows so many quarantined requests.
     pub fn wait_quarantined(&self, count: u64) {
-        let line = format!("of=\"quarantined\",otel_scope_name=\"fescuewell\"}} {count}\n");
+        self.wait_gauge("quarantined", count);
+    }
+
+    /// Waits until the metrics page shows so many requests under which a server crashed.
+    pub fn wait_suspects(&self, count: u64) {
+        self.wait_gauge("suspects", count);
+    }
+
+    fn wait_gauge(&self, name: &str, value: u64) {
+        let line = format!("of=\"{name}\",otel_scope_name=\"fescuewell\"}} {value}\n");
         let is_so = || self.metrics().contains(&line);
-        assert!(wait_until(is_so), "never {count} requests quarantined");
+        assert!(wait_until(is_so), "{name} was never {value}");
+    }
+
+    /// Present incarnation of a listed backend server.
+    pub fn incarnation(&self, id: &str) -> Incarnation {
+        let state = self.daemon.as_ref().unwrap().gateway().state();
+        let mut entries = state.registry.entries();
+        entries
+            .find(|entry| &*entry.id == id)
+            .unwrap()
+            .incarnation()
+    }
+
+    /// Waits until a backend server is not suspected of a crash any more.
+    pub fn wait_settled(&self, incarnation: Incarnation) {
+        let gateway = self.daemon.as_ref().unwrap().gateway();
+        let is_so = || !gateway.state().crashes.is_suspected(incarnation);
+        assert!(wait_until(is_so), "the server stays suspected");
+    }
+
+    /// Waits until no request is open.
+    pub fn wait_idle(&self) {
+        let gateway = self.daemon.as_ref().unwrap().gateway();
+        let is_so = || gateway.open().load(Ordering::Acquire) == 0;
+        assert!(wait_until(is_so), "a request stayed open");
     }
 
     /// Waits until a quarantine stands in the store.
