Console: room is free when a rejected caller sees the end of its connection

Cause, traced: a rejected connection was closed by serve, and counted until its thread had returned from it. A caller that came back at once met its own last connection in the count; under a cap of two, two such in a row make the third one too many.

Ruled out: the served path. It ends its answer before it stops listening to the caller on purpose (a caller that still sends would lose the answer), and counts for as long.

Change: the count is released before a rejected connection is closed.

--- a/crates/fescuewell_console/src/gate.rs
+++ b/crates/fescuewell_console/src/gate.rs
@@ -209,8 +209,7 @@
         .name("console-connection".into())
         .spawn(move || {
             let shared = place.0.clone();
-            let _place = place;
-            serve(stream, peer, &shared);
+            serve(stream, peer, &shared, place);
         });
     if let Err(error) = spawned {
         log_event!(
@@ -220,18 +219,24 @@
     }
 }
 
-fn serve(mut stream: TcpStream, peer: SocketAddr, shared: &Arc<Shared>) {
+/// Serves one connection. `place` is released before a rejected connection is closed, so that a caller finds room as soon as it
+/// sees the end of the answer.
+fn serve(mut stream: TcpStream, peer: SocketAddr, shared: &Arc<Shared>, place: Place) {
     let started = Instant::now();
     let request = match head::read(&mut stream, &shared.limits, started) {
         Ok(request) => request,
-        Err(problem) => return refuse(&mut stream, peer, problem),
+        Err(problem) => {
+            refuse(&mut stream, peer, problem);
+            return drop(place);
+        }
     };
     let Some(passed_on) = head::rewrite(&request.head, peer, &shared.token) else {
-        return refuse(&mut stream, peer, head::Problem::Malformed);
+        refuse(&mut stream, peer, head::Problem::Malformed);
+        return drop(place);
     };
     let Some(mut inner) = connect_inner(shared) else {
         let _ = stream.write_all(INNER_DOWN);
-        return;
+        return drop(place);
     };
     if inner.write_all(&passed_on).is_err() || inner.write_all(&request.rest).is_err() {
         return;
--- a/crates/fescuewell_console/tests/gate.rs
+++ b/crates/fescuewell_console/tests/gate.rs
@@ -93,6 +93,19 @@
     }
 }
 
+/// Guards against a caller that is refused for want of room right after its own last connection was rejected.
+#[test]
+fn room_is_free_once_a_rejected_caller_has_seen_the_end() {
+    let world = start_with(Limits {
+        connections: 1,
+        ..strict()
+    });
+    for _ in 0..200 {
+        let malformed = exchange(&world, "GET / HTTP/1.1\r\nno colon\r\n\r\n");
+        assert!(malformed.starts_with("HTTP/1.1 400"), "{malformed}");
+    }
+}
+
 #[test]
 fn an_oversized_body_gets_its_numbered_error() {
     let world = start_with(strict());
