Own interface: transactions fit the 100 entries that the store takes

Cause: a hand-over of slots wrote up to 40 slots in one commit, two conditions and two writes each: 160 entries. The table that the own interface ran on until now takes 128 conditions and 128 writes; the users' store takes 100 entries in all and answers 400. Ruled out: the client's thread (idle in a debugger), lost replies, time limits. A document that changes more than 48 prepaid totals is refused at once with that number, where it was tried again and then reported as 'unavailable' (before: from 127 on).

--- a/crates/fescuewell_claims/src/arbiter/settings.rs
+++ b/crates/fescuewell_claims/src/arbiter/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use fescuewell_core::table::MOST_ENTRIES;
+
 use crate::ledger::Retention;
 
 /// How an arbiter behaves.
@@ -30,7 +32,7 @@
     pub pending_limit: usize,
     /// Most requests kept in memory; beyond it claims and bills are answered `Unavailable`.
     pub entry_limit: usize,
-    /// Most slots in one commit: two writes each at most, and the table limits the writes of a transaction.
+    /// Most slots in one commit: two conditions and two writes each at most, and the table limits a transaction's entries.
     pub slots_per_commit: usize,
     /// Bytes of records in one commit, roughly; the table limits the size of a transaction.
     pub bytes_per_commit: usize,
@@ -42,6 +44,9 @@
     pub expire_limit: usize,
 }
 
+/// Conditions and writes of one slot in a commit.
+const ENTRIES_PER_SLOT: usize = 4;
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
@@ -55,7 +60,7 @@
             chunk_bytes: 256 * 1024,
             pending_limit: 50_000,
             entry_limit: 200_000,
-            slots_per_commit: 40,
+            slots_per_commit: MOST_ENTRIES / ENTRIES_PER_SLOT,
             bytes_per_commit: 512 * 1024,
             retry: Duration::from_millis(100),
             retry_limit: Duration::from_secs(5),
--- a/crates/fescuewell_claims/tests/support/mod.rs
+++ b/crates/fescuewell_claims/tests/support/mod.rs
@@ -35,6 +35,8 @@
     pub revision: u64,
     pub commits: u64,
     pub writes: u64,
+    /// Conditions and writes of the largest transaction.
+    pub most_entries: usize,
     pub fault: Fault,
     pub delayed: Vec<Transaction>,
 }
@@ -46,6 +48,7 @@
             revision: 0,
             commits: 0,
             writes: 0,
+            most_entries: 0,
             fault: Fault::None,
             delayed: Vec::new(),
         }
@@ -107,6 +110,7 @@
     }
 
     fn commit(&mut self, transaction: &Transaction) -> Outcome {
+        self.most_entries = self.most_entries.max(transaction.entries());
         let mut holds = true;
         let mut current = Vec::new();
         for compare in &transaction.compares {
--- a/crates/fescuewell_claims/tests/table_faults.rs
+++ b/crates/fescuewell_claims/tests/table_faults.rs
@@ -11,7 +11,7 @@
 use fescuewell_claims::note::Note;
 use fescuewell_claims::record::{Batch, Record};
 use fescuewell_core::prelude::*;
-use fescuewell_core::table::Row;
+use fescuewell_core::table::{MOST_ENTRIES, Row};
 
 use support::*;
 
@@ -387,6 +387,27 @@
     assert!(node.notes.iter().any(is_released), "{:?}", node.notes);
 }
 
+// Guards against a hand-over of many slots that the table refuses for its size, so that a drain never ends.
+#[test]
+fn a_hand_back_of_all_slots_fits_the_tables_transactions() {
+    let (mut now, mut table) = (Instant::from_millis(0), Table::default());
+    let settings = Settings::default();
+    let slots: Vec<SlotKey> = (0..settings.slots).map(SlotKey).collect();
+    let mut node = Node::new("a.1", settings);
+    node.arbiter.want(now, &slots);
+    node.run(&mut now, &mut table, 2_000);
+    for slot in slots {
+        let claim = Request::Claim(claim("a request", "a.1", 1));
+        node.ask_slot(now, slot, &claim);
+    }
+
+    node.arbiter.want(now, &[]);
+    node.run(&mut now, &mut table, 2_000);
+
+    assert!(node.arbiter.is_idle());
+    assert!(table.most_entries <= MOST_ENTRIES, "{}", table.most_entries);
+}
+
 #[test]
 fn an_old_copy_of_a_bill_is_not_charged_after_its_entry_was_dropped() {
     // Symptom: a group is charged twice for one request, minutes apart.
--- a/crates/fescuewell_core/src/table.rs
+++ b/crates/fescuewell_core/src/table.rs
@@ -1,7 +1,6 @@
-//! The platform's table service as decisions see it: rows, transactions with conditions.
+//! The platform's rows as decisions see them, and transactions with conditions.
 //!
-//! The model follows the key-value API of etcd v3: a row has a *revision* that changes with each
-//! write; a transaction compares revisions and, if all match, writes. Decisions build
+//! A row has a *revision* that rises with each write; a transaction compares revisions and, if all match, writes. Decisions build
 //! [`Transaction`]s as plain data; an adapter carries them out behind [`Table`].
 
 use std::sync::Arc;
@@ -88,7 +87,15 @@
     }
 }
 
+/// Most conditions and writes of a transaction together.
+pub const MOST_ENTRIES: usize = 100;
+
 impl Transaction {
+    /// Number of its conditions and writes; at most [`MOST_ENTRIES`] are taken.
+    pub fn entries(&self) -> usize {
+        self.compares.len() + self.writes.len()
+    }
+
     /// Adds a condition on a row's revision; 0 for "absent".
     pub fn with_compare(mut self, key: impl Into<Arc<str>>, revision: u64) -> Self {
         let key = key.into();
--- a/crates/fescuewell_document/src/head.rs
+++ b/crates/fescuewell_document/src/head.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 
 use fescuewell_core::prelude::*;
-use fescuewell_core::table::{Row, Transaction};
+use fescuewell_core::table::{MOST_ENTRIES, Row, Transaction};
 
 pub use budget::{PREFIX as BUDGET_PREFIX, changed as changed_budgets, key as budget_key};
 
@@ -137,6 +137,11 @@
     pub transaction: Transaction,
 }
 
+/// Conditions and writes of an acceptance besides those on budgets.
+const HEAD_ENTRIES: usize = 4;
+/// Conditions and writes on one budget.
+const ENTRIES_PER_BUDGET: usize = 2;
+
 /// Builds the transaction that accepts a document.
 ///
 /// `head` is the `head` row as it was just read and `budgets` are the rows of [`changed_budgets`].
@@ -185,6 +190,7 @@
         let row = rows.get(&*key).copied();
         transaction = budget::write(transaction, key, prepaid, row)?;
     }
+    refuse_large(&transaction)?;
     Ok(Acceptance {
         head,
         bundle,
@@ -192,6 +198,17 @@
     })
 }
 
+/// The head, the history and the budgets change together or not at all, and a transaction is bounded.
+fn refuse_large(transaction: &Transaction) -> Result<(), Refusal> {
+    if transaction.entries() <= MOST_ENTRIES {
+        return Ok(());
+    }
+    let most = (MOST_ENTRIES - HEAD_ENTRIES) / ENTRIES_PER_BUDGET;
+    let detail =
+        format!("At most {most} prepaid totals can change at once; change the others next.");
+    Err(Refusal::new(Code::DocumentInvalid).with_detail(detail))
+}
+
 fn refuse_faults(document: &Document) -> Result<(), Refusal> {
     let faults = check::check(document);
     let Some(first) = faults.first() else {
--- a/crates/fescuewell_document/tests/head.rs
+++ b/crates/fescuewell_document/tests/head.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use fescuewell_core::prelude::*;
-use fescuewell_core::table::{Compare, Row, Transaction, Write};
+use fescuewell_core::table::{Compare, MOST_ENTRIES, Row, Transaction, Write};
 use fescuewell_document::head::{
     Acceptance, Head, Proposal, Verdict, accept, changed_budgets, history_key,
 };
@@ -155,6 +155,29 @@
     );
 }
 
+// Guards against an acceptance that the store can never take, and that is tried again for ever.
+#[test]
+fn totals_that_do_not_fit_one_transaction_are_refused_at_once() {
+    let before = fixture::document();
+    let mut after = before.clone();
+    let group = after.groups[0].clone();
+    for index in 0..MOST_ENTRIES {
+        let mut more = group.clone();
+        more.name = format!("group-{index}").into();
+        after.groups.push(more);
+    }
+    let head = head_row(&first(&before).head, 5);
+
+    let refusal = accept(Some(&head), &proposal(1, &before, &after), &[]).unwrap_err();
+
+    assert_eq!(refusal.code, Code::DocumentInvalid);
+    assert!(
+        refusal.message.contains("At most 48"),
+        "{}",
+        refusal.message
+    );
+}
+
 #[test]
 fn removed_groups_keep_their_rows_and_returning_ones_meet_them() {
     let before = fixture::document();
--- a/crates/fescuewell_platform/src/memory/table.rs
+++ b/crates/fescuewell_platform/src/memory/table.rs
@@ -4,7 +4,9 @@
 use std::ops::Bound;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use fescuewell_core::table::{self, Compare, Error, Outcome, Range, Row, Transaction, Write};
+use fescuewell_core::table::{
+    self, Compare, Error, MOST_ENTRIES, Outcome, Range, Row, Transaction, Write,
+};
 
 use super::fault::{Fate, Fault};
 
@@ -163,6 +165,10 @@
 
 impl table::Table for Table {
     fn commit(&self, transaction: &Transaction) -> Result<Outcome, Error> {
+        if transaction.entries() > MOST_ENTRIES {
+            let reason = "too many entries in a transaction".into();
+            return Err(Error::Unreachable { reason });
+        }
         match self.fault.on_transaction(transaction.writes.len()) {
             Fate::Answered => Ok(self.apply(transaction)),
             Fate::ReplyLost => {
