Names: intake becomes admission::Limiter

Comments say what the reader cannot see from names. No change of logic: the constants and conditions are the same, line by line. Log lines and rows keep their form. Ruled out: renaming Member::out_until_ms with it, a field of stored rows.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -29,7 +29,7 @@
     /// When it wrote this, by the store's clock, in milliseconds; 0 once it has left.
     pub at_ms: u64,
     /// Until when it stays out because callers sent it too much, by the store's clock, in milliseconds; see
-    /// [`crate::intake`].
+    /// [`crate::admission`].
     pub out_until_ms: u64,
     /// Era of the store in which it has confirmed its grants; see [`crate::quota::era`].
     pub era: u32,
@@ -173,8 +173,8 @@
         self.named().iter().any(|(named, _)| &***named == name)
     }
 
-    /// Whether the other instances that callers are sent to have room for more.
-    pub fn has_room_beside(&self, name: &str) -> bool {
+    /// Returns `true` if the other instances that address answers name have spare capacity.
+    pub fn has_capacity_beside(&self, name: &str) -> bool {
         let named = self.named();
         let others = named.iter().filter(|(other, _)| &***other != name);
         let (mut requests, mut carried) = (0, 0);
@@ -230,7 +230,7 @@
     }
 
     /// How much longer an instance stays out by its own row, in milliseconds.
-    pub fn out_left_ms(&self, name: &str) -> u64 {
+    pub fn unready_left_ms(&self, name: &str) -> u64 {
         let own = self.members.get(name);
         own.map_or(0, |own| own.out_until_ms.saturating_sub(self.read_at_ms))
     }
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -11,13 +11,13 @@
 //! assert!(table.route("desk.example", "/status/1").is_none());
 //! ```
 
+pub mod admission;
 pub mod choice;
 pub mod config;
 pub mod crash;
 pub mod directory;
 pub mod evacuation;
 pub mod health;
-pub mod intake;
 pub mod loan;
 pub mod message;
 pub mod quota;
--- a/crates/fescuewell_forward/tests/intake.rs
+++ b/crates/fescuewell_forward/tests/admission.rs
@@ -3,22 +3,22 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use fescuewell_forward::admission::{Action, Limiter, THROTTLE_MS, UNREADY_MS};
 use fescuewell_forward::directory::{Directory, Member};
-use fescuewell_forward::intake::{Action, Intake, PAUSE_MS, THROTTLE_MS};
 
 /// Bodies of the size that long prompts have, in bytes.
 const BODY: usize = 17_000;
 
-fn beside_others(link_mbps: f64, cores: f64) -> Intake {
-    let mut intake = Intake::new(link_mbps, cores);
-    intake.set_room_beside(true);
-    intake
+fn beside_others(link_mbps: f64, cores: f64) -> Limiter {
+    let mut limiter = Limiter::new(link_mbps, cores);
+    limiter.set_fleet_has_capacity(true);
+    limiter
 }
 
-fn spared(link_mbps: f64, cores: f64) -> Intake {
-    let mut intake = beside_others(link_mbps, cores);
-    intake.set_spared(u64::MAX);
-    intake
+fn spared(link_mbps: f64, cores: f64) -> Limiter {
+    let mut limiter = beside_others(link_mbps, cores);
+    limiter.set_spare(u64::MAX);
+    limiter
 }
 
 /// How long requests press on an instance, in seconds and milliseconds.
@@ -26,10 +26,10 @@
 const PRESSED_MS: u64 = PRESS_S * 1_000;
 
 /// Takes requests evenly over four seconds, on connections that are open; returns whether the instance went out.
-fn press(intake: &mut Intake, each_second: u64, body: usize) -> bool {
+fn press(limiter: &mut Limiter, each_second: u64, body: usize) -> bool {
     let mut went = false;
     for request in 0..each_second * PRESS_S {
-        went |= intake.take(request * 1_000 / each_second, body) == Action::Leave;
+        went |= limiter.admit(request * 1_000 / each_second, body) == Action::Leave;
     }
     went
 }
@@ -73,21 +73,21 @@
 /// fills; connections to backend servers and calls to the store time out. Cause: it went on to say that it was ready.
 #[test]
 fn a_full_link_sends_its_callers_away() {
-    let mut intake = spared(10.0, 0.12);
+    let mut limiter = spared(10.0, 0.12);
 
-    assert!(press(&mut intake, 50, BODY));
-    assert!(intake.out_left_ms(PRESSED_MS) > 0);
+    assert!(press(&mut limiter, 50, BODY));
+    assert!(limiter.unready_left_ms(PRESSED_MS) > 0);
 }
 
 /// Requests of callers that open a connection for each: while new connections are kept out they find none. Returns how many
 /// were let in and whether the instance went out.
-fn knock(intake: &mut Intake, each_second: u64, seconds: u64, body: usize) -> (u64, bool) {
+fn knock(limiter: &mut Limiter, each_second: u64, seconds: u64, body: usize) -> (u64, bool) {
     let mut let_in = 0;
     let mut went = false;
     for request in 0..each_second * seconds {
         let now_ms = request * 1_000 / each_second;
-        if !intake.is_shut(now_ms) {
-            went |= intake.take(now_ms, body) == Action::Leave;
+        if !limiter.is_closed(now_ms) {
+            went |= limiter.admit(now_ms, body) == Action::Leave;
             let_in += 1;
         }
     }
@@ -99,9 +99,9 @@
 /// instance sent its callers away as soon as it was pressed at all.
 #[test]
 fn callers_that_can_mostly_be_served_stay() {
-    let mut intake = spared(1_000.0, 0.12);
+    let mut limiter = spared(1_000.0, 0.12);
 
-    let (let_in, went) = knock(&mut intake, 145, 10, 100);
+    let (let_in, went) = knock(&mut limiter, 145, 10, 100);
 
     assert!(!went);
     // 0.6 of 0.12 cores are 80 requests a second.
@@ -110,9 +110,9 @@
 
 #[test]
 fn callers_of_whom_most_find_no_connection_are_sent_away() {
-    let mut intake = spared(1_000.0, 0.12);
+    let mut limiter = spared(1_000.0, 0.12);
 
-    let (_, went) = knock(&mut intake, 400, 4, 100);
+    let (_, went) = knock(&mut limiter, 400, 4, 100);
 
     assert!(went);
 }
@@ -120,34 +120,34 @@
 /// What is under way at an instance does not get through a full link, so that a full link is not borne as a busy processor is.
 #[test]
 fn a_full_link_is_left_at_once() {
-    let mut intake = spared(10.0, 0.12);
+    let mut limiter = spared(10.0, 0.12);
 
-    let (_, went) = knock(&mut intake, 50, 2, BODY);
+    let (_, went) = knock(&mut limiter, 50, 2, BODY);
 
     assert!(went);
 }
 
 #[test]
 fn a_wide_link_takes_the_same_callers() {
-    let mut intake = spared(200.0, 0.5);
+    let mut limiter = spared(200.0, 0.5);
 
-    assert!(!press(&mut intake, 50, BODY));
+    assert!(!press(&mut limiter, 50, BODY));
 }
 
 #[test]
 fn a_busy_processor_sends_callers_away_too() {
-    let mut intake = spared(1_000.0, 0.12);
+    let mut limiter = spared(1_000.0, 0.12);
 
-    assert!(press(&mut intake, 120, 100));
+    assert!(press(&mut limiter, 120, 100));
 }
 
 /// Symptom: no instance was ready. Sequence: the traffic of a whole fleet doubles. Cause: each went out by itself.
 #[test]
 fn an_instance_that_cannot_be_spared_stays() {
-    let mut intake = Intake::new(10.0, 0.12);
+    let mut limiter = Limiter::new(10.0, 0.12);
 
-    assert!(!press(&mut intake, 150, BODY));
-    assert_eq!(intake.out_left_ms(PRESSED_MS), 0);
+    assert!(!press(&mut limiter, 150, BODY));
+    assert_eq!(limiter.unready_left_ms(PRESSED_MS), 0);
 }
 
 /// Symptom: nine of sixteen instances of an availability zone were out, and callers found none of them for half a minute.
@@ -155,12 +155,12 @@
 /// held for ever.
 #[test]
 fn an_instance_that_has_not_heard_of_the_others_stays() {
-    let mut intake = Intake::new(10.0, 0.12);
-    intake.set_spared(3_500);
+    let mut limiter = Limiter::new(10.0, 0.12);
+    limiter.set_spare(3_500);
 
     let mut went = false;
     for request in 0..200 {
-        went |= intake.take(4_000 + request * 10, BODY) == Action::Leave;
+        went |= limiter.admit(4_000 + request * 10, BODY) == Action::Leave;
     }
 
     assert!(!went);
@@ -171,13 +171,13 @@
 /// out. Cause: it went on to let in more than its link passes on.
 #[test]
 fn an_instance_that_has_to_stay_lets_in_what_it_passes_on() {
-    let mut intake = beside_others(10.0, 0.12);
+    let mut limiter = beside_others(10.0, 0.12);
 
     let mut let_in = 0;
     for request in 0..1_500u64 {
         let now_ms = request * 1_000 / 150;
-        if !intake.is_shut(now_ms) {
-            intake.take(now_ms, BODY / 2);
+        if !limiter.is_closed(now_ms) {
+            limiter.admit(now_ms, BODY / 2);
             let_in += 1;
         }
     }
@@ -188,22 +188,22 @@
 
 #[test]
 fn where_the_others_are_full_too_callers_are_let_in() {
-    let mut intake = Intake::new(10.0, 0.12);
-    intake.set_room_beside(false);
+    let mut limiter = Limiter::new(10.0, 0.12);
+    limiter.set_fleet_has_capacity(false);
 
-    assert!(!press(&mut intake, 150, BODY));
-    assert!(!intake.is_shut(PRESSED_MS));
+    assert!(!press(&mut limiter, 150, BODY));
+    assert!(!limiter.is_closed(PRESSED_MS));
 }
 
 /// Symptom: a restarted instance was not ready for eight seconds and refused 958 requests. Sequence: its callers come back as
 /// soon as it listens; behind the full link it cannot read the configuration. Cause: before it knew the others it let all in.
 #[test]
 fn an_instance_that_starts_keeps_out_what_it_cannot_pass_on() {
-    let mut intake = Intake::new(10.0, 0.12);
+    let mut limiter = Limiter::new(10.0, 0.12);
 
-    press(&mut intake, 150, BODY);
+    press(&mut limiter, 150, BODY);
 
-    assert!(intake.is_shut(PRESSED_MS));
+    assert!(limiter.is_closed(PRESSED_MS));
 }
 
 #[test]
@@ -220,68 +220,68 @@
         directory
     };
 
-    assert!(busy(100).has_room_beside("strong-0"));
-    assert!(!busy(400).has_room_beside("strong-0"));
+    assert!(busy(100).has_capacity_beside("strong-0"));
+    assert!(!busy(400).has_capacity_beside("strong-0"));
 }
 
 /// Symptom: callers of one availability zone were refused for half a minute of a quiet day. Sequence: half of its instances are
 /// out, callers go by readiness no more and come back to those that are. Cause: each stayed out although that was of no use.
 #[test]
 fn an_instance_that_callers_come_to_anyway_is_ready_again() {
-    let mut intake = spared(10.0, 0.12);
-    press(&mut intake, 50, BODY);
-    assert!(intake.out_left_ms(9_000) > 0);
+    let mut limiter = spared(10.0, 0.12);
+    press(&mut limiter, 50, BODY);
+    assert!(limiter.unready_left_ms(9_000) > 0);
 
     for request in 0..100 {
-        intake.take(11_000 + request * 10, BODY);
+        limiter.admit(11_000 + request * 10, BODY);
     }
 
-    assert_eq!(intake.out_left_ms(12_000), 0);
+    assert_eq!(limiter.unready_left_ms(12_000), 0);
 }
 
 #[test]
 fn throttling_ends_by_itself() {
-    let mut intake = beside_others(10.0, 0.12);
-    press(&mut intake, 50, BODY);
+    let mut limiter = beside_others(10.0, 0.12);
+    press(&mut limiter, 50, BODY);
 
-    assert!(intake.is_shut(PRESSED_MS));
-    assert!(!intake.is_shut(PRESSED_MS + THROTTLE_MS));
+    assert!(limiter.is_closed(PRESSED_MS));
+    assert!(!limiter.is_closed(PRESSED_MS + THROTTLE_MS));
 }
 
 #[test]
 fn new_connections_are_kept_out_for_a_while_only() {
-    let mut intake = spared(10.0, 0.12);
-    press(&mut intake, 50, BODY);
+    let mut limiter = spared(10.0, 0.12);
+    press(&mut limiter, 50, BODY);
 
-    assert!(intake.is_shut(PRESSED_MS));
-    assert!(!intake.is_shut(12_000));
-    assert!(intake.out_left_ms(12_000) > 0);
+    assert!(limiter.is_closed(PRESSED_MS));
+    assert!(!limiter.is_closed(12_000));
+    assert!(limiter.unready_left_ms(12_000) > 0);
 }
 
 #[test]
 fn it_takes_callers_again_after_the_pause() {
-    let mut intake = spared(10.0, 0.12);
+    let mut limiter = spared(10.0, 0.12);
 
-    press(&mut intake, 50, BODY);
+    press(&mut limiter, 50, BODY);
 
-    assert!(intake.out_left_ms(PRESSED_MS + PAUSE_MS / 2) > 0);
-    assert_eq!(intake.out_left_ms(PRESSED_MS + PAUSE_MS), 0);
+    assert!(limiter.unready_left_ms(PRESSED_MS + UNREADY_MS / 2) > 0);
+    assert_eq!(limiter.unready_left_ms(PRESSED_MS + UNREADY_MS), 0);
 }
 
 #[test]
 fn one_that_is_needed_takes_callers_again() {
-    let mut intake = spared(10.0, 0.12);
-    press(&mut intake, 50, BODY);
-
-    intake.set_needed(PRESSED_MS, true);
-    assert!(intake.out_left_ms(PRESSED_MS) > 0);
-    intake.set_needed(PRESSED_MS + 1_000, false);
-    intake.set_needed(PRESSED_MS + 2_000, true);
-    intake.set_needed(PRESSED_MS + 6_000, true);
-    assert!(intake.out_left_ms(PRESSED_MS + 6_000) > 0);
-    intake.set_needed(PRESSED_MS + 7_000, true);
-
-    assert_eq!(intake.out_left_ms(PRESSED_MS + 7_000), 0);
+    let mut limiter = spared(10.0, 0.12);
+    press(&mut limiter, 50, BODY);
+
+    limiter.set_required(PRESSED_MS, true);
+    assert!(limiter.unready_left_ms(PRESSED_MS) > 0);
+    limiter.set_required(PRESSED_MS + 1_000, false);
+    limiter.set_required(PRESSED_MS + 2_000, true);
+    limiter.set_required(PRESSED_MS + 6_000, true);
+    assert!(limiter.unready_left_ms(PRESSED_MS + 6_000) > 0);
+    limiter.set_required(PRESSED_MS + 7_000, true);
+
+    assert_eq!(limiter.unready_left_ms(PRESSED_MS + 7_000), 0);
 }
 
 #[test]
@@ -312,7 +312,7 @@
     assert!(fleet(0).can_spare("weak-a-1"));
     assert!(!fleet(60_000).can_spare("weak-a-1"));
     assert!(fleet(60_000).can_spare("weak-b-1"));
-    assert_eq!(fleet(60_000).out_left_ms("weak-a-0"), 50_000);
+    assert_eq!(fleet(60_000).unready_left_ms("weak-a-0"), 50_000);
 }
 
 #[test]
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -55,7 +55,7 @@
         era: sign.era,
         is_certain: sign.is_certain,
         at_ms: if gateway.is_leaving() { 0 } else { store_ms },
-        out_until_ms: match state.intake.out_left_ms(now_ms) {
+        out_until_ms: match state.admission.unready_left_ms(now_ms) {
             0 => 0,
             left_ms => store_ms + left_ms,
         },
@@ -140,16 +140,16 @@
 
 /// Stays out as long as the former process was to, unless the instance is needed.
 fn stay_out(state: &mut State, name: &str, now_ms: u64) {
-    let left_ms = state.directory.out_left_ms(name);
-    state.intake.leave(now_ms, left_ms);
+    let left_ms = state.directory.unready_left_ms(name);
+    state.admission.set_unready(now_ms, left_ms);
     let spared_ms = match state.directory.can_spare(name) {
         // Half of the time after which a sign is missed: two signs.
         true => state.directory.lapse_ms() / 2,
         false => 0,
     };
-    state.intake.set_spared(now_ms + spared_ms);
-    let has_room = state.directory.has_room_beside(name);
-    state.intake.set_room_beside(has_room);
+    state.admission.set_spare(now_ms + spared_ms);
+    let has_room = state.directory.has_capacity_beside(name);
+    state.admission.set_fleet_has_capacity(has_room);
     let is_needed = state.directory.is_named(name);
-    state.intake.set_needed(now_ms, is_needed);
+    state.admission.set_required(now_ms, is_needed);
 }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use fescuewell_forward::admission;
 use fescuewell_forward::choice::Load;
 use fescuewell_forward::config::Table;
 use fescuewell_forward::crash::{Quarantine, Watch};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::Health;
-use fescuewell_forward::intake::Intake;
 use fescuewell_forward::message::Key;
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
@@ -76,7 +76,7 @@
     /// Requests of callers in the last seconds.
     pub arrivals: Window,
     /// What callers send against what this instance can pass on.
-    pub intake: Intake,
+    pub admission: admission::Limiter,
     /// Random choices.
     pub random: SmallRng,
 }
@@ -199,7 +199,7 @@
             retry: Budget::new(settings.retry),
             directory: Directory::default(),
             arrivals: Window::new(u64::from(ARRIVALS_S) * 1_000),
-            intake: Intake::new(settings.link_mbps, settings.cores),
+            admission: admission::Limiter::new(settings.link_mbps, settings.cores),
             random: SmallRng::from_os_rng(),
         };
         let gateway = Self {
--- a/crates/fescuewell_gateway/src/gateway/gate.rs
+++ b/crates/fescuewell_gateway/src/gateway/gate.rs
@@ -5,7 +5,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::intake::{Action, PAUSE_MS, THROTTLE_MS};
+use fescuewell_forward::admission::{Action, THROTTLE_MS, UNREADY_MS};
 use fescuewell_http::listener::{Gate, spawn};
 
 use super::Gateway;
@@ -14,13 +14,13 @@
     /// Notes a caller's request. An instance that is sent too much keeps new connections out, and asks its callers to leave
     /// if the others have room. Runs inside a listener's runtime.
     pub fn take_in(self: &Arc<Self>, body: usize) {
-        let action = self.state().intake.take(self.now_ms(), body);
+        let action = self.state().admission.admit(self.now_ms(), body);
         match action {
             Action::Admit => return,
             Action::Throttle => {}
             Action::Leave => log_event!(
                 Event::CallersSentAway,
-                "instance={} pause_ms={PAUSE_MS}",
+                "instance={} pause_ms={UNREADY_MS}",
                 self.settings.name
             ),
         }
@@ -56,7 +56,7 @@
 
     /// Whether new connections of callers are let in.
     pub fn is_open(&self) -> bool {
-        !self.state().intake.is_shut(self.now_ms())
+        !self.state().admission.is_closed(self.now_ms())
     }
 
     /// Keeps new connections of callers out while they are too many; returns whether that is news.
@@ -68,6 +68,6 @@
     /// Whether callers may come: it takes requests, and passes on what it is sent.
     pub fn takes_callers(&self) -> bool {
         let now_ms = self.now_ms();
-        self.is_ready() && self.state().intake.out_left_ms(now_ms) == 0
+        self.is_ready() && self.state().admission.unready_left_ms(now_ms) == 0
     }
 }
