--- a/crates/fescuewell_platform/src/settings.rs
+++ b/crates/fescuewell_platform/src/settings.rs
@@ -1,4 +1,4 @@
-//! Where the platform's store is and how long to wait for it.
+//! Address, credentials and timeouts of the platform's store.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/fescuewell_standin/src/rows.rs
+++ b/crates/fescuewell_standin/src/rows.rs
@@ -7,8 +7,8 @@
 //! | `GET /-/rows-feed` | changes of a table after a version, waited for |
 //! | `PUT /-/blob-put/ID`, `GET /-/blob-get/ID` | an object |
 //!
-//! Two stand-ins over one [`Content`] are two doors of one store: each has its own [`Fault`], so that one of them turns its callers
-//! away while the other serves.
+//! Two stand-ins over one [`Content`] are two endpoints of one store. Each has its own [`Fault`], so that one can reject its callers while
+//! the other serves.
 //!
 //! ```
 //! use fescuewell_standin::rows::Rows;
@@ -32,7 +32,7 @@
 /// Largest object, in bytes.
 const MOST_BODY: usize = 64 * 1024 * 1024;
 
-/// What the store does to calls.
+/// Fault injected into calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Fault {
     /// Nothing.
@@ -46,7 +46,7 @@
     Busy,
     /// It does what is asked and does not answer writes.
     LostReplies,
-    /// It does what is asked and answers so much later.
+    /// It executes calls and replies after a delay.
     Late(Duration),
     /// Feeds hear nothing; all else works.
     SilentFeeds,
@@ -58,9 +58,9 @@
     pub address: SocketAddr,
     /// The bearer token that every request must carry, if any.
     pub token: Option<Arc<str>>,
-    /// What it serves.
+    /// The store's content.
     pub content: Content,
-    /// What answers requests that are not the store's.
+    /// Handler of requests outside the store's protocol.
     pub others: Option<Arc<dyn Handler>>,
 }
 
@@ -75,7 +75,7 @@
         }
     }
 
-    /// Sets what it serves.
+    /// Sets the store's content.
     pub fn with_content(mut self, content: Content) -> Self {
         self.content = content;
         self
@@ -127,7 +127,7 @@
         self.listener.address()
     }
 
-    /// What it serves.
+    /// The store's content.
     pub fn content(&self) -> &Content {
         &self.content
     }
@@ -155,7 +155,7 @@
         rows.map(|row| (row.key, row.value)).collect()
     }
 
-    /// Sets what this door does to calls from now on.
+    /// Sets the fault of this endpoint.
     pub fn set_fault(&self, fault: Fault) {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
         self.content.wake();
--- a/crates/fescuewell_standin/src/rows/content.rs
+++ b/crates/fescuewell_standin/src/rows/content.rs
@@ -1,4 +1,4 @@
-//! What a store holds.
+//! Content of a store.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -46,12 +46,12 @@
     pub(super) calls: HashMap<Arc<str>, u64>,
 }
 
-/// How long calls wait before they are looked at, in milliseconds.
+/// Delay before a call is processed, in milliseconds.
 #[derive(Debug, Default)]
 pub struct Delay(AtomicU64);
 
 impl Delay {
-    /// Sets it for later calls.
+    /// Sets the delay of later calls.
     pub fn set(&self, millis: u64) {
         self.0.store(millis, Ordering::Relaxed);
     }
@@ -104,17 +104,17 @@
 }
 
 impl Content {
-    /// The controls of faults that all doors share, and the counters of calls on rows.
+    /// Controls of faults that all endpoints share, and counters of calls on rows.
     pub fn fault(&self) -> &memory::Fault {
         &self.shared.fault
     }
 
-    /// How long calls on rows wait.
+    /// Delay of calls on rows.
     pub fn delay(&self) -> &Delay {
         &self.shared.delay
     }
 
-    /// How long calls on objects wait.
+    /// Delay of calls on objects.
     pub fn objects_delay(&self) -> &Delay {
         &self.shared.objects_delay
     }
--- a/crates/fescuewell_standin/src/rows/serve.rs
+++ b/crates/fescuewell_standin/src/rows/serve.rs
@@ -23,7 +23,7 @@
 /// Begin of the paths of the store.
 const STORE: &str = "/-/";
 const ROWS_TX: &str = "/-/rows-tx";
-/// Header of all answers: how often the store has come back from a copy.
+/// Response header with the store's epoch.
 const ERA: HeaderName = HeaderName::from_static("store-era");
 /// Longest wait of a feed.
 const MOST_WAIT: Duration = Duration::from_secs(30);
@@ -92,7 +92,7 @@
     }
 }
 
-/// One door of a store.
+/// Handler of one endpoint.
 pub(super) struct Server {
     pub(super) content: Content,
     pub(super) fault: Arc<Mutex<Fault>>,
@@ -102,17 +102,17 @@
 
 impl Handler for Server {
     fn handle(&self, request: Request, reply: Reply) {
-        let door = Door {
+        let endpoint = Endpoint {
             content: self.content.clone(),
             fault: *self.fault.lock().unwrap_or_else(PoisonError::into_inner),
             mode: self.fault.clone(),
         };
         if !self.is_allowed(&request) {
-            return door.send(reply, StatusCode::UNAUTHORIZED, &json!({}));
+            return endpoint.send(reply, StatusCode::UNAUTHORIZED, &json!({}));
         }
         match &self.others {
             Some(others) if !request.path.starts_with(STORE) => others.handle(request, reply),
-            _ => spawn(async move { door.serve(request, reply).await }),
+            _ => spawn(async move { endpoint.serve(request, reply).await }),
         }
     }
 }
@@ -137,10 +137,10 @@
     row
 }
 
-/// What one call needs.
-struct Door {
+/// Context of one call.
+struct Endpoint {
     content: Content,
-    /// As it was when the call came.
+    /// Fault at the arrival of the call.
     fault: Fault,
     mode: Arc<Mutex<Fault>>,
 }
@@ -148,7 +148,7 @@
 /// Status and body of an answer; none if the connection is closed instead.
 type Answer = Option<(StatusCode, Value)>;
 
-impl Door {
+impl Endpoint {
     fn send(&self, reply: Reply, status: StatusCode, body: &Value) {
         let mut headers = HeaderMap::new();
         headers.insert(ERA, HeaderValue::from(self.content.state().era));
@@ -359,7 +359,7 @@
     Some(name.into_owned())
 }
 
-/// Answers nothing until the caller has gone.
+/// Holds the connection without a reply until the caller closes it.
 async fn hold(reply: Reply) {
     reply.closed().wait().await;
     reply.abort();
--- a/tests/scenario/process.rs
+++ b/tests/scenario/process.rs
@@ -6,10 +6,10 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// Time between two looks at whether a process has ended.
-const LOOK: Duration = Duration::from_millis(10);
-/// Looks at it: 20 s of a machine that runs, however long it stands still meanwhile.
-const LOOKS: u32 = 2_000;
+/// Interval between polls of a process's status.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum number of polls; 20 s unless the whole machine is suspended.
+const POLLS: u32 = 2_000;
 /// Longest wait for anything that must happen.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -65,11 +65,11 @@
 
     /// Waits until the process has ended; returns whether it ended well.
     pub fn wait(&mut self) -> bool {
-        for _ in 0..LOOKS {
+        for _ in 0..POLLS {
             if let Some(status) = self.child.try_wait().expect("the process can be asked") {
                 return status.success();
             }
-            std::thread::sleep(LOOK);
+            std::thread::sleep(POLL_INTERVAL);
         }
         panic!("the process did not end");
     }
