Choice of a server: a subset of the service, sums of the peers' reports

Cause: each choice walked all registrations of all services, sorted the ready ones by two string hashes a comparison and asked each peer's report for each server, under the state's lock: requests x servers x advertised peers.

Ruled out: keeping the walk and caching only the sums (the sort of 9,795 servers stays); a fixed subset for each instance (two instances would keep the same prefix at two servers).

Change: ready servers of a service stand on a hash ring that follows the registry. A request considers the 64 servers that follow its prefix (its instance without one), up to 256 while all of them are ejected or full, and the servers that are known to cache the prefix. `ready()` walks one service. Criteria lost its zone, which nothing read. server.rs and choice.rs are split.

Services of up to 64 servers choose among all of them, as before.

--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -5,11 +5,13 @@
 //! so that they agree without coordination. The first in that order is picked unless it is clearly
 //! busier than the others.
 
-use std::collections::HashMap;
+mod load;
+mod prefix;
+
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+pub use load::{Load, Report};
 
 use crate::health::Health;
 use crate::server::Entry;
@@ -21,248 +23,15 @@
     pub affinity: Option<&'a str>,
     /// Number of tokens in that prefix.
     pub shared_tokens: u64,
-    /// Availability zone of the instance.
-    pub zone: &'a str,
     /// Random number that breaks ties.
     pub random: u64,
 }
 
-/// Load that one instance places on a backend server.
-#[derive(Debug, Default, Clone, Copy)]
-struct ServerLoad {
-    in_flight: u32,
-    pending_prefill: u64,
-}
-
-/// Load of the backend servers and the prefixes that they cache, from own requests and from reports
-/// of other instances.
-#[derive(Debug, Default)]
-pub struct Load {
-    servers: HashMap<Arc<str>, ServerLoad>,
-    peers: HashMap<Arc<str>, PeerLoad>,
-    prefixes: PrefixIndex,
-}
-
-/// Index of the servers that cache a prompt prefix, from own requests and reports of other
-/// instances.
-#[derive(Debug, Default)]
-struct PrefixIndex {
-    locations: HashMap<u64, Vec<Location>>,
-    /// New locations to report: prefix, server, time.
-    unreported: Vec<(u64, Arc<str>, u64)>,
-}
-
-/// A server that caches a prefix and the time of the last use.
-#[derive(Debug)]
-struct Location {
-    server: Arc<str>,
-    used_at_ms: u64,
-}
-
-/// Time after its last use from which a prefix may have been evicted, in milliseconds.
-const PREFIX_TTL_MS: u64 = 20_000;
-/// Time for which a new location is repeated in reports, in milliseconds, since reports may be
-/// lost.
-const LOCATION_REPEAT_MS: u64 = 300;
-/// Maximum number of servers in a report, the busiest first; each takes some 20 bytes. A report of
-/// a hundred servers does not fit a packet and is not sent at all.
-const MAX_REPORTED_SERVERS: usize = 40;
-/// Maximum number of prefix locations in a report, which must fit a packet.
-const MAX_REPORTED_LOCATIONS: usize = 24;
-/// Maximum number of prefixes in the index.
-const MAX_PREFIXES: usize = 20_000;
-
-impl PrefixIndex {
-    /// Records a use. Returns `true` if the location is new.
-    fn record(&mut self, prefix: u64, server: &Arc<str>, now_ms: u64) -> bool {
-        if self.locations.len() >= MAX_PREFIXES {
-            self.locations.clear();
-        }
-        let locations = self.locations.entry(prefix).or_default();
-        locations.retain(|location| now_ms < location.used_at_ms + PREFIX_TTL_MS);
-        if let Some(location) = locations
-            .iter_mut()
-            .find(|location| location.server == *server)
-        {
-            location.used_at_ms = now_ms;
-            return false;
-        }
-        locations.push(Location {
-            server: server.clone(),
-            used_at_ms: now_ms,
-        });
-        true
-    }
-
-    fn contains(&self, prefix: u64, server: &str) -> bool {
-        let locations = self.locations.get(&prefix);
-        locations
-            .is_some_and(|locations| locations.iter().any(|location| &*location.server == server))
-    }
-}
-
-/// Load reported by another instance.
-#[derive(Debug)]
-struct PeerLoad {
-    received_at_ms: u64,
-    sequence: u64,
-    servers: HashMap<Arc<str>, ServerLoad>,
-}
-
-/// Age from which a report of another instance is ignored, in milliseconds; instances repeat their
-/// reports more often.
-const REPORT_TTL_MS: u64 = 1_500;
-
-/// Load report of one instance.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report {
-    /// Name of the instance.
-    pub instance: Arc<str>,
-    /// Sequence number; increases for the lifetime of the process.
-    pub sequence: u64,
-    /// Server, number of in-flight requests, prompt tokens pending prefill.
-    pub servers: Vec<(Arc<str>, u32, u64)>,
-    /// New prefix locations: prefix and server.
-    pub locations: Vec<(u64, Arc<str>)>,
-}
-
-impl Load {
-    /// Adds an in-flight request with `pending_prefill` prompt tokens to process.
-    pub fn begin(&mut self, id: &Arc<str>, pending_prefill: u64) {
-        let load = self.servers.entry(id.clone()).or_default();
-        load.in_flight += 1;
-        load.pending_prefill += pending_prefill;
-    }
-
-    /// Removes prompt tokens that the server has processed, or that belong to an abandoned request.
-    pub fn finish_prefill(&mut self, id: &str, pending_prefill: u64) {
-        if let Some(load) = self.servers.get_mut(id) {
-            load.pending_prefill = load.pending_prefill.saturating_sub(pending_prefill);
-        }
-    }
-
-    /// Removes an in-flight request, after [`Load::finish_prefill`].
-    pub fn end(&mut self, id: &str) {
-        let Some(load) = self.servers.get_mut(id) else {
-            return;
-        };
-        load.in_flight = load.in_flight.saturating_sub(1);
-        if load.in_flight == 0 {
-            self.servers.remove(id);
-        }
-    }
-
-    /// Records that a server receives a prompt with this prefix.
-    pub fn record_prefix(&mut self, prefix: &str, server: &Arc<str>, now_ms: u64) {
-        let prefix = prefix_hash(prefix);
-        if self.prefixes.record(prefix, server, now_ms) {
-            self.prefixes
-                .unreported
-                .push((prefix, server.clone(), now_ms));
-        }
-    }
-
-    /// Number of tokens of a prompt that a server has to process: all of them, less the shared
-    /// prefix if it is cached there.
-    pub fn uncached_tokens(&self, prompt: u64, criteria: &Criteria<'_>, id: &str) -> u64 {
-        let is_cached = criteria
-            .affinity
-            .is_some_and(|prefix| self.prefixes.contains(prefix_hash(prefix), id));
-        match is_cached {
-            true => prompt.saturating_sub(criteria.shared_tokens),
-            false => prompt,
-        }
-    }
-
-    /// Builds the report of the own load.
-    pub fn report(&mut self, instance: Arc<str>, sequence: u64, now_ms: u64) -> Report {
-        self.prefixes
-            .unreported
-            .retain(|(_, _, at)| now_ms < at + LOCATION_REPEAT_MS);
-        let locations = self
-            .prefixes
-            .unreported
-            .iter()
-            .rev()
-            .take(MAX_REPORTED_LOCATIONS);
-        let locations = locations.map(|(prefix, server, _)| (*prefix, server.clone()));
-        let locations = locations.collect();
-        let mut busiest: Vec<(&Arc<str>, &ServerLoad)> = self.servers.iter().collect();
-        busiest.sort_by_key(|(_, load)| std::cmp::Reverse((load.pending_prefill, load.in_flight)));
-        let servers = busiest.into_iter().take(MAX_REPORTED_SERVERS);
-        let servers = servers.map(|(id, load)| (id.clone(), load.in_flight, load.pending_prefill));
-        Report {
-            instance,
-            sequence,
-            servers: servers.collect(),
-            locations,
-        }
-    }
-
-    /// Applies another instance's report. Older reports than the last one are ignored until that
-    /// one expires.
-    pub fn apply_report(&mut self, report: Report, now_ms: u64) {
-        let known = self.peers.get(&report.instance);
-        let is_old = known.is_some_and(|known| {
-            report.sequence <= known.sequence && now_ms < known.received_at_ms + REPORT_TTL_MS
-        });
-        if is_old {
-            return;
-        }
-        for (prefix, server) in &report.locations {
-            self.prefixes.record(*prefix, server, now_ms);
-        }
-        let servers = report.servers.into_iter();
-        let servers = servers.map(|(id, in_flight, pending_prefill)| {
-            (
-                id,
-                ServerLoad {
-                    in_flight,
-                    pending_prefill,
-                },
-            )
-        });
-        let peer = PeerLoad {
-            received_at_ms: now_ms,
-            sequence: report.sequence,
-            servers: servers.collect(),
-        };
-        self.peers.insert(report.instance, peer);
-    }
-
-    /// Forgets the prefixes cached by a server that has restarted or is gone.
-    pub fn forget(&mut self, id: &str) {
-        for locations in self.prefixes.locations.values_mut() {
-            locations.retain(|location| &*location.server != id);
-        }
-        self.prefixes
-            .unreported
-            .retain(|(_, server, _)| &**server != id);
-    }
-
-    /// Drops expired reports.
-    pub fn expire(&mut self, now_ms: u64) {
-        self.peers
-            .retain(|_, peer| now_ms < peer.received_at_ms + REPORT_TTL_MS);
-    }
-
-    /// Returns the loads that this instance and others place on a server.
-    fn loads(&self, id: &str) -> impl Iterator<Item = &ServerLoad> {
-        let reported = self
-            .peers
-            .values()
-            .filter_map(move |peer| peer.servers.get(id));
-        self.servers.get(id).into_iter().chain(reported)
-    }
-
-    /// Number of in-flight requests at a server, including reported ones.
-    pub fn in_flight(&self, id: &str) -> u32 {
-        self.loads(id).map(|load| load.in_flight).sum()
-    }
-
-    /// Number of prompt tokens pending prefill at a server, including reported ones.
-    pub fn pending_prefill(&self, id: &str) -> u64 {
-        self.loads(id).map(|load| load.pending_prefill).sum()
+impl Criteria<'_> {
+    /// Hash of the prefix, if it is long enough to prefer the servers that cache it.
+    pub fn affinity_hash(&self) -> Option<u64> {
+        let prefix = self.affinity?;
+        (self.shared_tokens >= MIN_SHARED_TOKENS).then(|| hash(prefix))
     }
 }
 
@@ -278,6 +47,18 @@
 /// Minimum number of shared tokens for which reuse of the prefix is worth more than an even load.
 const MIN_SHARED_TOKENS: u64 = 1_000;
 
+/// Number of servers among which a request chooses at first.
+pub const SUBSET_SIZE: usize = 64;
+/// Maximum number of servers among which a request chooses if the first ones are busy.
+pub const MAX_SUBSET_SIZE: usize = 4 * SUBSET_SIZE;
+
+/// Returns `true` if every candidate is ejected or uses all its slots, or if there is none.
+pub fn is_saturated(candidates: &[&Arc<Entry>], load: &Load, health: &Health, now_ms: u64) -> bool {
+    candidates.iter().all(|entry| {
+        health.is_ejected(&entry.id, now_ms) || load.in_flight(&entry.id) >= entry.slots
+    })
+}
+
 /// Picks one of the candidates, or returns `None` without candidates.
 pub fn pick<'a>(
     candidates: &[&'a Arc<Entry>],
@@ -297,11 +78,9 @@
     } else {
         &healthy
     };
-    match criteria.affinity {
-        Some(prefix) if criteria.shared_tokens >= MIN_SHARED_TOKENS => {
-            pick_by_cost(from, prefix, criteria, load)
-        }
-        _ => pick_by_load(&without_slow(from, health, now_ms), criteria, load, health),
+    match criteria.affinity_hash() {
+        Some(prefix) => pick_by_cost(from, prefix, criteria, load),
+        None => pick_by_load(&without_slow(from, health, now_ms), criteria, load, health),
     }
 }
 
@@ -345,20 +124,19 @@
 /// requests, and the prefix tokens to process again.
 fn pick_by_cost<'a>(
     from: &[&'a Arc<Entry>],
-    prefix: &str,
+    prefix: u64,
     criteria: &Criteria<'_>,
     load: &Load,
 ) -> Option<&'a Arc<Entry>> {
     let mut ranked: Vec<&Arc<Entry>> = from.to_vec();
-    ranked.sort_by_key(|entry| std::cmp::Reverse(rendezvous_weight(prefix, &entry.id)));
-    let hash = prefix_hash(prefix);
+    ranked.sort_by_cached_key(|entry| std::cmp::Reverse(rendezvous_weight(prefix, &entry.id)));
     let is_cached = ranked
         .iter()
-        .any(|entry| load.prefixes.contains(hash, &entry.id));
+        .any(|entry| load.caches_prefix(prefix, &entry.id));
     let recompute = criteria.shared_tokens * RECOMPUTE_PERCENT / 100;
     let cost = |rank: usize, entry: &Arc<Entry>| {
         let recompute = match (is_cached, rank) {
-            (true, _) if load.prefixes.contains(hash, &entry.id) => 0,
+            (true, _) if load.caches_prefix(prefix, &entry.id) => 0,
             (true, _) => recompute,
             // Every server has to process the prefix.
             (false, 0) => 0,
@@ -386,22 +164,27 @@
         let utilization = in_flight / f64::from(entry.slots.max(1));
         utilization + health.penalty(&entry.id)
     };
-    let tie = |entry: &Arc<Entry>| rendezvous_weight(&criteria.random.to_string(), &entry.id);
-    from.iter().copied().min_by(|left, right| {
-        let order = cost(left).total_cmp(&cost(right));
-        order.then_with(|| tie(left).cmp(&tie(right)))
-    })
+    let mut costs: Vec<(f64, u64, &Arc<Entry>)> = Vec::with_capacity(from.len());
+    for entry in from {
+        let tie = rendezvous_weight(criteria.random, &entry.id);
+        costs.push((cost(entry), tie, entry));
+    }
+    let lowest = costs.into_iter().min_by(|left, right| {
+        let order = left.0.total_cmp(&right.0);
+        order.then_with(|| left.1.cmp(&right.1))
+    });
+    lowest.map(|(_, _, entry)| entry)
 }
 
-/// Hash of a prefix's identity; equal on all instances of one program version.
-fn prefix_hash(prefix: &str) -> u64 {
+/// Hash of a key, such as a prefix; equal on all instances of one program version.
+pub fn hash(key: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
-    prefix.hash(&mut hasher);
+    key.hash(&mut hasher);
     hasher.finish()
 }
 
-/// Rendezvous weight of a server for a key; equal on all instances of one program version.
-fn rendezvous_weight(key: &str, id: &str) -> u64 {
+/// Rendezvous weight of a server for a hashed key; equal on all instances of one program version.
+fn rendezvous_weight(key: u64, id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     key.hash(&mut hasher);
     id.hash(&mut hasher);
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -1,109 +1,18 @@
 //! Registry of the backend servers: their entries and which of them may receive new work.
 
+mod entry;
+mod ring;
+
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use entry::is_restart;
+pub use entry::{Change, Entry, Incarnation, State, Update};
+use ring::Ring;
 
 use crate::evacuation::{Order, Zones};
 use crate::{version, warmup};
 
-/// State that a backend server reports of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum State {
-    /// It accepts work.
-    Ready,
-    /// It is shutting down and must not receive new work.
-    Draining,
-}
-
-/// Entry of a backend server in the server list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// Unique name; may be the same after a restart.
-    pub id: Arc<str>,
-    /// Start time in Unix milliseconds of the server's clock, if reported. Only used to distinguish
-    /// incarnations.
-    pub started_at_ms: Option<u64>,
-    /// Service that it belongs to.
-    pub service: Arc<str>,
-    /// Address it listens on.
-    pub address: SocketAddr,
-    /// Availability zone.
-    pub zone: Arc<str>,
-    /// Number of requests that it processes concurrently.
-    pub slots: u32,
-    /// Remaining time for which it is cold when the entry is written, in milliseconds; see
-    /// [`crate::warmup`].
-    pub cold_left_ms: u64,
-    /// Whether it accepts work.
-    pub state: State,
-}
-
-fescuewell_core::key! {
-    /// Incarnation of a backend server: a hash of its id and start time, equal on all instances.
-    pub struct Incarnation(u64);
-}
-
-impl Incarnation {
-    /// Creates an incarnation from its number.
-    pub fn from_number(number: u64) -> Self {
-        Self(number)
-    }
-}
-
-impl Entry {
-    /// Returns the incarnation that this entry describes.
-    pub fn incarnation(&self) -> Incarnation {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(self.id.as_bytes());
-        hasher.update(&self.started_at_ms.unwrap_or_default().to_le_bytes());
-        let mut bytes = [0; 8];
-        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        Incarnation(u64::from_le_bytes(bytes))
-    }
-
-    /// Returns `true` if the server is draining.
-    pub fn is_draining(&self) -> bool {
-        self.state == State::Draining
-    }
-
-    /// Returns `true` if another entry equals this one, ignoring the remaining cold time.
-    fn is_equivalent(&self, other: &Self) -> bool {
-        let other = Self {
-            cold_left_ms: self.cold_left_ms,
-            ..other.clone()
-        };
-        *self == other
-    }
-}
-
-/// Content of a server list update.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Change {
-    /// The server's entry was written.
-    Entry(Entry),
-    /// The row was removed.
-    Removed,
-    /// The row is not a valid server entry.
-    Unreadable {
-        /// Decoding error.
-        reason: Arc<str>,
-    },
-}
-
-/// Update of one row of the server list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Update {
-    /// Id of the server.
-    pub id: Arc<str>,
-    /// Version of the row's last write.
-    pub version: u64,
-    /// Content of the row.
-    pub change: Change,
-}
-
 /// A registered server.
 #[derive(Debug, Clone)]
 struct Registration {
@@ -132,6 +41,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     registrations: HashMap<Arc<str>, Registration>,
+    /// Servers in state [`State::Ready`], by service.
+    rings: HashMap<Arc<str>, Ring>,
     /// Versions at which servers were removed.
     tombstones: HashMap<Arc<str>, u64>,
     snapshot_version: u64,
@@ -265,8 +176,10 @@
         };
         let mut entry = Entry::clone(&known.entry);
         entry.state = State::Draining;
-        known.entry = Arc::new(entry);
+        let entry = Arc::new(entry);
+        let former = std::mem::replace(&mut known.entry, entry.clone());
         known.is_marked_draining = true;
+        self.reindex(Some(&former), Some(&entry));
     }
 
     /// Takes the last entries of servers that were removed or restarted since the last call.
@@ -371,11 +284,54 @@
         service: &'a str,
         now_ms: u64,
     ) -> impl Iterator<Item = &'a Arc<Entry>> + 'a {
-        self.registrations
-            .values()
-            .filter(move |known| self.is_available(known, now_ms))
-            .map(|known| &known.entry)
-            .filter(move |entry| &*entry.service == service)
+        let ring = self.rings.get(service).into_iter();
+        ring.flat_map(|ring| ring.walk(0))
+            .filter(move |entry| self.is_ready(&entry.id, now_ms))
+    }
+
+    /// Returns up to `limit` servers of a service that may receive new work: those that follow
+    /// `key` on the service's hash ring. Instances that know the same servers get the same ones.
+    pub fn subset(&self, service: &str, key: u64, limit: usize, now_ms: u64) -> Vec<&Arc<Entry>> {
+        let Some(ring) = self.rings.get(service) else {
+            return Vec::new();
+        };
+        let available = ring
+            .walk(key)
+            .filter(|entry| self.is_ready(&entry.id, now_ms));
+        available.take(limit).collect()
+    }
+
+    /// Returns the entry of a server that may receive new work of a service.
+    pub fn ready_entry(&self, service: &str, id: &str, now_ms: u64) -> Option<&Arc<Entry>> {
+        let known = self.registrations.get(id)?;
+        let is_usable = &*known.entry.service == service && self.is_available(known, now_ms);
+        is_usable.then_some(&known.entry)
+    }
+
+    /// Number of servers of a service that are listed as ready, in whatever zone.
+    pub fn listed_count(&self, service: &str) -> usize {
+        self.rings.get(service).map_or(0, Ring::len)
+    }
+
+    /// Replaces a server's former entry in the rings by its present one.
+    fn reindex(&mut self, former: Option<&Arc<Entry>>, present: Option<&Arc<Entry>>) {
+        let is_replaced = |former: &Arc<Entry>| {
+            present.is_some_and(|present| {
+                present.service == former.service && present.state == State::Ready
+            })
+        };
+        if let Some(former) = former.filter(|former| !is_replaced(former))
+            && let Some(ring) = self.rings.get_mut(&former.service)
+        {
+            ring.remove(&former.id);
+            if ring.len() == 0 {
+                self.rings.remove(&former.service);
+            }
+        }
+        if let Some(present) = present.filter(|entry| entry.state == State::Ready) {
+            let ring = self.rings.entry(present.service.clone()).or_default();
+            ring.insert(present.clone());
+        }
     }
 
     /// Returns the entries of all registered servers.
@@ -404,6 +360,8 @@
             cold_until_ms,
         };
         let former = self.registrations.insert(id, registration);
+        let former_entry = former.as_ref().map(|former| &former.entry);
+        self.reindex(former_entry, Some(&entry));
         if let Some(former) = former.filter(|former| is_restart(&former.entry, &entry)) {
             self.ended.push(former.entry);
         }
@@ -424,6 +382,7 @@
     /// Deletes a registration at once and leaves a tombstone.
     fn delete(&mut self, id: Arc<str>, version: u64) {
         if let Some(known) = self.registrations.remove(&id) {
+            self.reindex(Some(&known.entry), None);
             self.ended.push(known.entry);
         }
         if self.tombstones.len() >= MAX_TOMBSTONES {
@@ -446,8 +405,3 @@
         self.entry.state == State::Ready && !is_expired
     }
 }
-
-/// Returns `true` if two entries with the same id belong to different incarnations.
-fn is_restart(before: &Entry, after: &Entry) -> bool {
-    matches!((before.started_at_ms, after.started_at_ms), (Some(before), Some(after)) if before != after)
-}
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -61,7 +61,6 @@
     Criteria {
         affinity: Some(prefix),
         shared_tokens: 10_000,
-        zone: "a",
         random: 1,
     }
 }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::ArcSwapOption;
 use fescuewell_forward::admission;
-use fescuewell_forward::choice::Load;
+use fescuewell_forward::choice::{Load, MAX_SUBSET_SIZE};
 use fescuewell_forward::config::Table;
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
@@ -85,16 +85,18 @@
 }
 
 impl State {
-    /// Returns the cold servers of a service that this instance may use, each with the number of
+    /// Returns the cold servers near `key` that this instance may use, each with the number of
     /// instances that share its request rate; see [`fescuewell_forward::warmup`].
     pub fn cold_shares(
         &mut self,
         service: &str,
+        key: u64,
         instance: &str,
         now_ms: u64,
     ) -> HashMap<Arc<str>, usize> {
         let mut shares = HashMap::new();
-        for entry in self.registry.ready(service, now_ms) {
+        let subset = self.registry.subset(service, key, MAX_SUBSET_SIZE, now_ms);
+        for entry in subset {
             if !self.registry.is_cold(&entry.id, now_ms) {
                 continue;
             }
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -229,12 +229,6 @@
         let now_ms = self.gateway.now_ms();
         let random = self.gateway.random_u64();
         let mut state = self.gateway.state();
-        let shares = match self.service.warmup {
-            Some(_) => state.cold_shares(&self.service.name, &self.gateway.settings.name, now_ms),
-            None => HashMap::new(),
-        };
-        let candidates = Candidates::new(&state, self, &shares, now_ms);
-        let ready_count = candidates.ready_count;
         let shared_parts = self
             .metadata
             .prompt_parts
@@ -243,9 +237,18 @@
         let criteria = Criteria {
             affinity: shared_parts.last().map(|part| &*part.id),
             shared_tokens: shared_parts.iter().map(|part| part.tokens).sum(),
-            zone: &self.gateway.settings.zone,
             random,
         };
+        let shares = match self.service.warmup {
+            Some(_) => {
+                let instance = &self.gateway.settings.name;
+                let key = self.subset_key(&criteria);
+                state.cold_shares(&self.service.name, key, instance, now_ms)
+            }
+            None => HashMap::new(),
+        };
+        let candidates = Candidates::new(&state, self, &criteria, &shares, now_ms);
+        let listed_count = candidates.listed_count;
         let chosen = match self.is_isolated(&state, now_ms) {
             true => choice::least_loaded(&candidates.eligible, &state.load, &state.health, now_ms),
             false => choice::pick(
@@ -279,7 +282,7 @@
         };
         log_event!(
             Event::RouteChosen,
-            "request={} route={} service={} server={} candidates={ready_count} running={} configuration={} account={}",
+            "request={} route={} service={} server={} candidates={listed_count} running={} configuration={} account={}",
             self.id,
             self.route.name,
             self.service.name,
@@ -298,6 +301,14 @@
         ))
     }
 
+    /// Returns the key of the servers among which the request chooses: its prefix if servers cache
+    /// it, else the instance, so that its connections are used again.
+    fn subset_key(&self, criteria: &Criteria<'_>) -> u64 {
+        let instance = &self.gateway.settings.name;
+        let prefix = criteria.affinity_hash();
+        prefix.unwrap_or_else(|| choice::hash(instance))
+    }
+
     /// Returns `true` if the request may be sent to another backend server, in which case a retry
     /// is taken from the fleet's retry budget.
     pub(crate) fn may_retry(&mut self) -> bool {
--- a/crates/fescuewell_gateway/src/job/candidates.rs
+++ b/crates/fescuewell_gateway/src/job/candidates.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use fescuewell_forward::choice::{self, Criteria, MAX_SUBSET_SIZE, SUBSET_SIZE};
 use fescuewell_forward::server::Entry;
 
 use super::Job;
@@ -10,41 +11,64 @@
 
 /// Backend servers that a request may be sent to now.
 pub(super) struct Candidates<'a> {
-    /// Number of servers of the service that accept new requests.
-    pub(super) ready_count: usize,
+    /// Number of servers of the service that are listed as ready.
+    pub(super) listed_count: usize,
     /// Servers that have not been tried, and are warm or have credit at this instance.
     pub(super) eligible: Vec<&'a Arc<Entry>>,
 }
 
 impl<'a> Candidates<'a> {
-    /// Selects the candidates for a job. `shares` maps the cold servers that this instance may use
-    /// to the number of instances that share each.
+    /// Selects the candidates for a job: the servers that cache its prefix, and a subset of the
+    /// others that grows while all of it is saturated. `shares` maps the cold servers that this
+    /// instance may use to the number of instances that share each.
     pub(super) fn new(
         state: &'a State,
         job: &'a Job,
+        criteria: &Criteria<'_>,
         shares: &HashMap<Arc<str>, usize>,
         now_ms: u64,
     ) -> Self {
-        let all: Vec<&Arc<Entry>> = state.registry.ready(&job.service.name, now_ms).collect();
-        let ready_count = all.len();
-        let mut eligible = Vec::with_capacity(ready_count);
-        for entry in all {
-            if job.tried.contains(&entry.id) {
-                continue;
+        let service = &job.service.name;
+        let key = job.subset_key(criteria);
+        let mut size = SUBSET_SIZE;
+        let eligible = loop {
+            let mut servers = state.registry.subset(service, key, size, now_ms);
+            let is_whole_service = servers.len() < size;
+            add_caching(&mut servers, state, service, criteria, now_ms);
+            servers.retain(|entry| is_eligible(state, job, shares, entry, now_ms));
+            let is_saturated = choice::is_saturated(&servers, &state.load, &state.health, now_ms);
+            if !is_saturated || is_whole_service || size >= MAX_SUBSET_SIZE {
+                break servers;
             }
-            if !is_eligible(state, job, shares, entry, now_ms) {
-                continue;
-            }
-            eligible.push(entry);
-        }
+            size *= 2;
+        };
         Self {
-            ready_count,
+            listed_count: state.registry.listed_count(service),
             eligible,
         }
     }
 }
 
-/// Returns `true` if a server is warm, or cold with credit at this instance.
+/// Adds the servers that cache the request's prefix; they may be outside the subset.
+fn add_caching<'a>(
+    servers: &mut Vec<&'a Arc<Entry>>,
+    state: &'a State,
+    service: &str,
+    criteria: &Criteria<'_>,
+    now_ms: u64,
+) {
+    let Some(prefix) = criteria.affinity_hash() else {
+        return;
+    };
+    for id in state.load.servers_caching(prefix) {
+        if servers.iter().any(|entry| entry.id == *id) {
+            continue;
+        }
+        servers.extend(state.registry.ready_entry(service, id, now_ms));
+    }
+}
+
+/// Returns `true` if a server has not been tried, and is warm or has credit at this instance.
 fn is_eligible(
     state: &State,
     job: &Job,
@@ -52,6 +76,9 @@
     entry: &Entry,
     now_ms: u64,
 ) -> bool {
+    if job.tried.contains(&entry.id) {
+        return false;
+    }
     let Some(limit) = &job.service.warmup else {
         return true;
     };
