--- /dev/null
+++ b/crates/fescuewell_forward/src/cadence.rs
@@ -0,0 +1,68 @@
+//! How often an instance writes its heartbeat and reads the state of the fleet.
+//!
+//! All heartbeats are written to one partition of the store, and an instance that reads all members
+//! and ledgers reads more with each of them. In a large fleet most instances are *idle*: they
+//! neither serve callers nor relay the server list. These write rarely and read only the
+//! [`Summary`](crate::directory::summary::Summary), so that the few *active* ones can do both often.
+
+use std::time::Duration;
+
+/// Interval between two reconciliations and heartbeats in a small fleet.
+const MIN_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval between two reads of the summary.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(4);
+/// Fraction of one partition's write capacity that the heartbeats of all idle instances, or of a
+/// small fleet, use together. Their reconciliations use as much of another partition.
+const PARTITION_SHARE: f64 = 0.3;
+/// The same for the heartbeats of the active instances of a large fleet.
+const ACTIVE_SHARE: f64 = 0.15;
+/// Bytes per second that an active instance reads of members and ledgers.
+const ROUND_BYTES_S: f64 = 150_000.0;
+
+/// What the intervals of an instance follow from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cadence {
+    /// Number of live instances.
+    pub instances: usize,
+    /// Number of advertised instances.
+    pub advertised: usize,
+    /// Whether most instances know only a summary of the members.
+    pub is_large: bool,
+    /// Whether this instance serves callers or relays the server list.
+    pub is_active: bool,
+    /// Transactions per second that one partition of the store can commit.
+    pub partition_writes_per_s: f64,
+}
+
+impl Cadence {
+    /// Returns `true` if this instance reconciles its grants periodically.
+    pub fn reconciles(&self) -> bool {
+        self.is_active || !self.is_large
+    }
+
+    /// Returns the interval between two heartbeats.
+    pub fn heartbeat(&self) -> Duration {
+        match self.is_large && self.is_active {
+            true => self.fair(self.advertised, ACTIVE_SHARE),
+            false => self.fair(self.instances, PARTITION_SHARE),
+        }
+    }
+
+    /// Returns the interval between two reconciliations, the last of which read `bytes`.
+    pub fn round(&self, bytes: usize) -> Duration {
+        if !self.is_large {
+            return self.fair(self.instances, PARTITION_SHARE);
+        }
+        if !self.is_active {
+            return SUMMARY_INTERVAL;
+        }
+        let transfer = Duration::from_secs_f64(bytes as f64 / ROUND_BYTES_S);
+        self.fair(self.advertised, PARTITION_SHARE).max(transfer)
+    }
+
+    /// Interval at which so many instances keep to a fraction of one partition's writes.
+    fn fair(&self, instances: usize, share: f64) -> Duration {
+        let writes_per_s = self.partition_writes_per_s * share;
+        MIN_INTERVAL.max(Duration::from_secs_f64(instances as f64 / writes_per_s))
+    }
+}
--- a/crates/fescuewell_forward/src/config.rs
+++ b/crates/fescuewell_forward/src/config.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::warmup;
 
 /// Retry and streaming semantics of a route's requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// May be executed more than once.
     Safe,
@@ -33,7 +35,7 @@
 }
 
 /// A service of a route and its share of the route's requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Split {
     /// Name of the service.
     pub service: Arc<str>,
@@ -42,7 +44,7 @@
 }
 
 /// How requests of one host and path prefix are served.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Unique name.
     pub name: Arc<str>,
@@ -91,7 +93,7 @@
 }
 
 /// Properties of a service's model engines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Engine {
     /// Maximum batch size in requests.
     pub slots: u32,
@@ -102,7 +104,7 @@
 }
 
 /// A group of interchangeable backend servers.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Unique name.
     pub name: Arc<str>,
@@ -115,7 +117,7 @@
 }
 
 /// A client account.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
     /// Unique name.
     pub name: Arc<str>,
@@ -128,7 +130,7 @@
 }
 
 /// Limits on the size and duration of callers' requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Maximum size of a request head in bytes.
     pub head_bytes: usize,
@@ -141,7 +143,7 @@
 }
 
 /// A complete configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Configuration {
     /// Increases with each change.
     pub version: u64,
--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -1,77 +1,49 @@
 //! Membership of the fleet, and the instance addresses advertised to callers.
 
-use std::cmp::Reverse;
+mod member;
+mod selection;
+pub mod summary;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+pub use member::{MAX_MISSED_HEARTBEATS, Member};
+use selection::{Members, Selection, rank};
+use summary::Summary;
 
 use crate::quota::era;
-use crate::quota::row::Usage;
-use crate::relay::{MAX_ALL_READERS, READERS};
-
-/// Heartbeat of an instance, as written to the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// Address for callers.
-    pub address: SocketAddr,
-    /// Address for messages of other instances, if it accepts them.
-    pub peer: Option<SocketAddr>,
-    /// Availability zone.
-    pub zone: Arc<str>,
-    /// Traffic capacity relative to other instances, in thousandths of a core with a link to match.
-    pub weight: u32,
-    /// Requests of callers that it accepts per second; those refused before a server is picked are
-    /// not counted.
-    pub requests_per_s: u32,
-    /// Its usage of the prepaid accounts.
-    pub usage: Vec<Usage>,
-    /// When it wrote this heartbeat, in milliseconds of the store's clock; 0 once it has left.
-    pub heartbeat_at_ms: u64,
-    /// Until when it is unready because callers overloaded it, in milliseconds of the store's
-    /// clock; see [`crate::admission`].
-    pub unready_until_ms: u64,
-    /// Era of the store in which it has confirmed its grants; see [`crate::quota::era`].
-    pub era: u32,
-    /// Whether it knew its grants when it started.
-    pub knows_grants: bool,
-}
-
-/// Encoded defaults of the last two fields, which the previous program version does not write:
-/// `era` 0 and `knows_grants` true.
-const LEGACY_DEFAULTS: [u8; 2] = [0, 1];
 
 /// Age of its last heartbeat, in milliseconds, from which a member counts as failed and its grants
 /// as spent. Longer in large fleets, which send heartbeats less often; see
 /// [`Directory::set_member_timeout`].
 pub const MEMBER_TIMEOUT_MS: u64 = 3_500;
-/// Age of its last heartbeat, in milliseconds, from which a member is no longer advertised. Longer
-/// than [`MEMBER_TIMEOUT_MS`]: an instance without a connection to the store still serves requests,
-/// with tokens that no other instance holds.
-const ADVERTISED_TIMEOUT_MS: u64 = 6_000;
-/// Weight, in thousandths of a core, per request a second: a request takes about 0.9 ms of
-/// processor time, and half of the processor is left free.
-const WEIGHT_PER_REQUEST: u32 = 2;
-/// Ratio of the advertised instances' capacity to the present traffic, to absorb bursts and the
-/// loss of some instances.
-const HEADROOM_FACTOR: u32 = 2;
-/// An instance whose weight is below the highest weight divided by this is not advertised just to
-/// represent its zone: a narrow link that receives an equal share of the callers would delay all of
-/// them.
-const WEAK_DIVISOR: u32 = 3;
-/// One instance in this many is advertised even without traffic, so that a sudden rise finds
-/// instances that hold tokens.
-const MIN_ADVERTISED_DIVISOR: usize = 6;
 /// One instance in this many of an availability zone may be unready.
 const MAX_UNREADY_DIVISOR: usize = 3;
 /// Maximum number of addresses in a response.
 const MAX_ADDRESSES: usize = 64;
 
+/// Number of instances that read the server list in a large fleet; one may fail at any time.
+const PRIMARY_READERS: usize = 2;
+
+/// How an instance learns of changes of the server list; see [`crate::relay`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It reads them from the store.
+    Primary,
+    /// It receives them from the primary readers and forwards them in its availability zone.
+    Relay,
+    /// It receives them from the readers of its availability zone.
+    Follower,
+}
+
 /// Members of the fleet as of the last read.
 #[derive(Debug, Default)]
 pub struct Directory {
-    members: BTreeMap<Arc<str>, Member>,
+    members: Members,
+    selection: Selection,
+    /// Number of live members according to a summary; 0 if all members are known.
+    summary_count: usize,
     read_at_ms: u64,
     member_timeout_ms: u64,
     era: u32,
@@ -85,7 +57,11 @@
 
     /// Sets the age of the last heartbeat from which a member counts as failed, in milliseconds.
     pub fn set_member_timeout(&mut self, timeout_ms: u64) {
+        let former_ms = self.member_timeout_ms();
         self.member_timeout_ms = timeout_ms;
+        if self.summary_count == 0 && self.member_timeout_ms() != former_ms {
+            self.select();
+        }
     }
 
     /// Age of the last heartbeat from which a member counts as failed, in milliseconds.
@@ -97,6 +73,67 @@
     pub fn replace(&mut self, members: BTreeMap<Arc<str>, Member>, now_ms: u64) {
         self.members = members;
         self.read_at_ms = now_ms;
+        self.summary_count = 0;
+        self.select();
+    }
+
+    fn select(&mut self) {
+        self.selection = Selection::new(&self.members, self.read_at_ms, self.member_timeout_ms());
+    }
+
+    /// Replaces the members with those of a summary.
+    pub fn apply_summary(&mut self, summary: Summary) {
+        self.read_at_ms = summary.at_ms;
+        self.summary_count = summary.count as usize;
+        self.selection = Selection {
+            live: summary.members.keys().cloned().collect(),
+            advertised: summary.advertised,
+            readers: summary.readers,
+            peers: summary
+                .members
+                .values()
+                .filter_map(|member| member.peer)
+                .collect(),
+        };
+        self.members = summary.members;
+    }
+
+    /// Returns the summary of all members, or `None` if this instance does not know all of them.
+    pub fn summarize(&self) -> Option<Summary> {
+        if self.summary_count > 0 || !self.is_loaded() {
+            return None;
+        }
+        let advertised = self.selection.advertised.iter();
+        let advertised: Vec<Arc<str>> = advertised.take(summary::MAX_ADVERTISED).cloned().collect();
+        let readers = self.selection.readers.values().flatten();
+        let mut members = BTreeMap::new();
+        for name in advertised.iter().chain(readers) {
+            let Some(member) = self.members.get(name) else {
+                continue;
+            };
+            let member = Member {
+                usage: Vec::new(),
+                ..member.clone()
+            };
+            members.insert(name.clone(), member);
+        }
+        Some(Summary {
+            at_ms: self.read_at_ms,
+            count: self.selection.live.len() as u32,
+            advertised,
+            readers: self.selection.readers.clone(),
+            members,
+        })
+    }
+
+    /// Returns `true` if only a summary of the members is known.
+    pub fn is_summary(&self) -> bool {
+        self.summary_count > 0
+    }
+
+    /// Returns `true` if the fleet is so large that most instances know only a summary.
+    pub fn is_large(&self) -> bool {
+        self.count() >= summary::MIN_MEMBERS
     }
 
     /// Replaces the members with those read in an era of the store. The first read of an era
@@ -150,20 +187,29 @@
         statuses
     }
 
-    /// Returns the members with a recent heartbeat as of the last read.
+    /// Returns the members with a recent heartbeat as of the last read, or those in the summary.
     ///
     /// During a store outage the result does not change, since no newer heartbeats can be read.
     pub fn live(&self) -> impl Iterator<Item = (&Arc<str>, &Member)> {
-        let now_ms = self.read_at_ms;
-        let timeout_ms = self.member_timeout_ms();
-        self.members.iter().filter(move |(_, member)| {
-            member.heartbeat_at_ms > 0 && now_ms < member.heartbeat_at_ms + timeout_ms
-        })
+        self.with_members(&self.selection.live)
+    }
+
+    fn with_members<'a>(
+        &'a self,
+        names: &'a [Arc<str>],
+    ) -> impl Iterator<Item = (&'a Arc<str>, &'a Member)> {
+        let members = names.iter();
+        members.filter_map(|name| self.members.get_key_value(name))
     }
 
     /// Number of live members, at least 1.
     pub fn count(&self) -> usize {
-        self.live().count().max(1)
+        self.summary_count.max(self.selection.live.len()).max(1)
+    }
+
+    /// Returns the addresses of the live members for messages.
+    pub fn peers(&self) -> &[SocketAddr] {
+        &self.selection.peers
     }
 
     /// Returns `true` if an instance may be unready: it is not advertised, its availability zone
@@ -191,9 +237,8 @@
 
     /// Returns `true` if an instance is advertised to callers.
     pub fn is_advertised(&self, name: &str) -> bool {
-        self.advertised()
-            .iter()
-            .any(|(advertised, _)| &***advertised == name)
+        let advertised = &self.selection.advertised;
+        advertised.iter().any(|advertised| **advertised == *name)
     }
 
     /// Returns `true` if the other advertised instances have spare capacity.
@@ -208,44 +253,70 @@
         requests < capacity
     }
 
-    /// Returns the readers of an availability zone (see [`crate::relay`]): the instances with the
-    /// highest weights, with ties broken the same way on all instances. Empty if all instances are
-    /// readers.
-    pub fn readers(&self, zone: &str) -> Vec<&Arc<str>> {
-        let mut members = self.live_in_zone(zone);
-        if members.len() <= MAX_ALL_READERS {
-            return Vec::new();
+    /// Returns the readers of an availability zone (see [`crate::relay`]). Empty if all instances
+    /// are readers.
+    pub fn readers(&self, zone: &str) -> &[Arc<str>] {
+        let readers = self.selection.readers.get(zone);
+        readers.map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the role of an instance. In a large fleet two of all readers are primary, otherwise
+    /// each of them.
+    pub fn role(&self, name: &str, zone: &str) -> Role {
+        let readers = self.readers(zone);
+        if readers.is_empty() {
+            return Role::Primary;
+        }
+        if !readers.iter().any(|reader| **reader == *name) {
+            return Role::Follower;
+        }
+        let primary = self.primary_readers();
+        let is_primary = primary.iter().any(|primary| ***primary == *name);
+        match self.is_large() && !is_primary {
+            true => Role::Relay,
+            false => Role::Primary,
         }
-        members.sort_by_key(|(name, member)| (Reverse(member.weight), name_hash(name)));
-        let first = members.into_iter().take(READERS);
-        first.map(|(name, _)| name).collect()
     }
 
-    /// Returns `true` if an instance is a reader.
-    pub fn is_reader(&self, name: &str) -> bool {
-        let Some(own) = self.members.get(name) else {
-            return true;
-        };
-        let readers = self.readers(&own.zone);
-        readers.is_empty() || readers.iter().any(|reader| &***reader == name)
+    fn primary_readers(&self) -> Vec<&Arc<str>> {
+        let readers = self.selection.readers.values().flatten();
+        let readers = readers.filter_map(|name| self.members.get_key_value(name));
+        let mut readers: Vec<(&Arc<str>, &Member)> = readers.collect();
+        readers.sort_by_cached_key(|(name, member)| rank(name, member));
+        let first = readers.into_iter().take(PRIMARY_READERS);
+        first.map(|(name, _)| name).collect()
     }
 
-    /// Returns the addresses of an availability zone's followers.
-    pub fn followers(&self, zone: &str) -> Vec<SocketAddr> {
+    /// Returns the addresses to which a reader sends or forwards digests: the other instances of
+    /// its availability zone, and from a primary reader of a large fleet the relays of all zones.
+    pub fn digest_receivers(&self, name: &str, zone: &str) -> Vec<SocketAddr> {
         let readers = self.readers(zone);
         if readers.is_empty() {
             return Vec::new();
         }
-        let members = self.live_in_zone(zone).into_iter();
-        let others = members.filter(|(name, _)| !readers.contains(name));
-        others.filter_map(|(_, member)| member.peer).collect()
+        let mut receivers = Vec::new();
+        for (other, member) in self.live() {
+            if *member.zone == *zone && !readers.contains(other) {
+                receivers.extend(member.peer);
+            }
+        }
+        if self.is_large() && self.role(name, zone) == Role::Primary {
+            receivers.extend(self.relays().filter_map(|(_, member)| member.peer));
+        }
+        receivers
+    }
+
+    fn relays(&self) -> impl Iterator<Item = (&Arc<str>, &Member)> {
+        let primary = self.primary_readers();
+        let readers = self.selection.readers.values().flatten();
+        let relays = readers.filter(move |name| !primary.contains(name));
+        relays.filter_map(|name| self.members.get_key_value(name))
     }
 
-    fn live_in_zone(&self, zone: &str) -> Vec<(&Arc<str>, &Member)> {
-        let members = self.live();
-        members
-            .filter(|(_, member)| &*member.zone == zone)
-            .collect()
+    /// Returns the addresses of the readers of an availability zone for messages.
+    pub fn reader_peers(&self, zone: &str) -> Vec<SocketAddr> {
+        let readers = self.with_members(self.readers(zone));
+        readers.filter_map(|(_, member)| member.peer).collect()
     }
 
     /// Returns the address at which an instance accepts messages of others.
@@ -280,81 +351,9 @@
         addresses
     }
 
-    /// Returns the instances advertised to callers: as many as the traffic requires, and one in
-    /// each availability zone that has one of sufficient weight.
-    ///
-    /// Prepaid tokens are divided among the instances that receive requests. With more of them than
-    /// the traffic requires, the share of each covers only a few requests, and requests are
-    /// rejected although the account has tokens at other instances. All instances select the same
-    /// ones, since they read the same rows.
+    /// Returns the instances advertised to callers. All instances select the same ones, since they
+    /// read the same rows.
     pub fn advertised(&self) -> Vec<(&Arc<str>, &Member)> {
-        let mut known: Vec<(&Arc<str>, &Member)> = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.heartbeat_at_ms > 0)
-            .filter(|(_, member)| self.read_at_ms < member.heartbeat_at_ms + ADVERTISED_TIMEOUT_MS)
-            .collect();
-        let now_ms = self.read_at_ms;
-        known.sort_by_key(|(name, member)| {
-            let is_unready = now_ms < member.unready_until_ms;
-            (is_unready, Reverse(member.weight), name_hash(name))
-        });
-        let requests: u32 = known.iter().map(|(_, member)| member.requests_per_s).sum();
-        let required = requests * HEADROOM_FACTOR;
-        let min_count = known.len() / MIN_ADVERTISED_DIVISOR;
-        let weights = known.iter().map(|(_, member)| member.weight);
-        let highest = weights.max().unwrap_or(0);
-        let mut zones: Vec<&Arc<str>> = Vec::new();
-        let mut selected = Vec::new();
-        let mut rest = Vec::new();
-        for (name, member) in known {
-            let is_strong = member.weight >= highest / WEAK_DIVISOR;
-            if zones.contains(&&member.zone) || !is_strong {
-                rest.push((name, member));
-            } else {
-                zones.push(&member.zone);
-                selected.push((name, member));
-            }
-        }
-        let mut capacity: u32 = selected.iter().map(|(_, member)| member.capacity()).sum();
-        for (name, member) in rest {
-            let is_strong = member.weight >= highest / WEAK_DIVISOR;
-            if capacity >= required && (selected.len() >= min_count || !is_strong) {
-                break;
-            }
-            capacity += member.capacity();
-            selected.push((name, member));
-        }
-        selected
-    }
-}
-
-impl Member {
-    /// Encodes the row. The previous program version ignores trailing fields that it does not know.
-    pub fn encode(&self) -> Vec<u8> {
-        // Fails only for types that cannot be serialized at all.
-        postcard::to_extend(self, Vec::new()).unwrap_or_default()
+        self.with_members(&self.selection.advertised).collect()
     }
-
-    /// Decodes a row, including one of the previous program version.
-    ///
-    /// # Errors
-    ///
-    /// Returns the decoder's error.
-    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
-            .or_else(|_| postcard::from_bytes(&[bytes, LEGACY_DEFAULTS.as_slice()].concat()))
-    }
-
-    /// Capacity in requests per second.
-    fn capacity(&self) -> u32 {
-        (self.weight / WEIGHT_PER_REQUEST).max(1)
-    }
-}
-
-/// Hash of an instance's name; equal on all instances.
-fn name_hash(name: &str) -> u64 {
-    let mut hasher = std::hash::DefaultHasher::new();
-    std::hash::Hash::hash(name, &mut hasher);
-    std::hash::Hasher::finish(&hasher)
 }
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 pub mod admission;
+pub mod cadence;
 pub mod choice;
 pub mod config;
 pub mod crash;
@@ -24,6 +25,7 @@
 pub mod retry;
 pub mod retry_after;
 pub mod server;
+pub mod snapshot;
 pub mod version;
 pub mod warmup;
 pub mod window;
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -19,11 +19,13 @@
 //! assert_eq!(Key::new([8; 32]).open(&bytes), None);
 //! ```
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::crash;
 use crate::loan;
 use crate::relay::Digest;
+use crate::snapshot;
 
 /// First byte of every authenticated message. Load reports are not authenticated and begin with the
 /// length of a name, which is never 0.
@@ -44,6 +46,8 @@
     Crashes(Vec<crash::Update>),
     /// Asks for these records after a start.
     CrashesWanted,
+    /// Asks for a snapshot; see [`crate::snapshot`].
+    SnapshotWanted(snapshot::Request),
 }
 
 /// Secret key of the fleet; messages of senders without it are ignored.
@@ -69,17 +73,35 @@
 
     /// Encodes and authenticates a message.
     pub fn seal(&self, message: &Message) -> Vec<u8> {
+        self.seal_content(message)
+    }
+
+    /// Verifies and decodes a message. Returns `None` if it is malformed or was not sealed with
+    /// this key.
+    pub fn open(&self, bytes: &[u8]) -> Option<Message> {
+        self.open_content(bytes)
+    }
+
+    /// Encodes and authenticates content that is not sent as a message.
+    pub fn seal_content<Content>(&self, content: &Content) -> Vec<u8>
+    where
+        Content: Serialize,
+    {
         // Fails only for types that cannot be serialized at all.
-        let content = postcard::to_allocvec(message).unwrap_or_default();
-        let mut bytes = vec![FORMAT];
+        let content = postcard::to_allocvec(content).unwrap_or_default();
+        let mut bytes = Vec::with_capacity(1 + TAG_BYTES + content.len());
+        bytes.push(FORMAT);
         bytes.extend_from_slice(&self.tag(&content));
         bytes.extend_from_slice(&content);
         bytes
     }
 
-    /// Verifies and decodes a message. Returns `None` if it is malformed or was not sealed with
+    /// Verifies and decodes such content. Returns `None` if it is malformed or was not sealed with
     /// this key.
-    pub fn open(&self, bytes: &[u8]) -> Option<Message> {
+    pub fn open_content<Content>(&self, bytes: &[u8]) -> Option<Content>
+    where
+        Content: DeserializeOwned,
+    {
         let authenticated = bytes.strip_prefix(&[FORMAT])?;
         let (tag, content) = authenticated.split_at_checked(TAG_BYTES)?;
         // `Hash` compares in constant time.
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -80,6 +80,8 @@
     is_advertised: bool,
     /// Number of holders that callers are directed to.
     advertised_count: u64,
+    /// Whether the usage of the other holders is known.
+    knows_peers: bool,
     burst_ms: u64,
     ledger_max_age_ms: u64,
     pending_journal: Option<Journal>,
@@ -104,6 +106,7 @@
             is_closing: false,
             is_advertised: true,
             advertised_count: 1,
+            knows_peers: true,
             burst_ms: 0,
             ledger_max_age_ms: LEDGER_MAX_AGE_MS,
             pending_journal: None,
@@ -245,7 +248,11 @@
         let store_ms = self.clock.at(now_ms);
         let usable = self.adopted;
         let holder = self.holder.clone();
-        let oldest_read_ms = store_ms.saturating_sub(self.ledger_max_age_ms);
+        // Without the usage of the others, their whole grants would count as spent.
+        let oldest_read_ms = match self.knows_peers {
+            true => store_ms.saturating_sub(self.ledger_max_age_ms),
+            false => u64::MAX,
+        };
         let usable = usable.then_some(oldest_read_ms);
         let era = self.era_state.era();
         self.account_mut(account)
@@ -345,6 +352,7 @@
     /// Sets the usage last reported by each live holder. Callers are directed to the holders in
     /// `advertised`; if it is empty, to all of them.
     pub fn set_peers(&mut self, reported: &[(Arc<str>, Vec<Usage>)], advertised: &[Arc<str>]) {
+        self.knows_peers = true;
         self.is_advertised = advertised.is_empty() || advertised.contains(&self.holder);
         let advertised_count = if advertised.is_empty() {
             reported.len()
@@ -372,6 +380,14 @@
         }
     }
 
+    /// Records that the usage of the other holders is unknown, until [`Quota::set_peers`]. No
+    /// account then counts as exhausted.
+    pub fn forget_peers(&mut self) {
+        self.set_peers(&[], &[]);
+        self.is_advertised = false;
+        self.knows_peers = false;
+    }
+
     /// Returns the usage that this instance reports to the other holders.
     ///
     /// Only accounts that were used or granted here are included, because every instance reads the
--- a/crates/fescuewell_forward/src/relay.rs
+++ b/crates/fescuewell_forward/src/relay.rs
@@ -4,8 +4,11 @@
 //! these writes. In a large fleet only a few *readers* per availability zone read it; the other
 //! instances are *followers*. Readers send them a [`Digest`] of the changes: servers that joined,
 //! left, are draining or restarted. A digest states the range of store versions that it covers
-//! completely, so that a follower detects a gap. It then reads the list itself, as it does without
-//! digests.
+//! completely, so that a follower detects a gap. It then requests the whole list from a reader, or
+//! reads it itself, as it does without digests.
+//!
+//! In a fleet of hundreds of instances only two *primary* readers read the store. The other readers
+//! are *relays*: they follow the primary ones and forward their digests in their zone.
 //!
 //! ```text
 //!             fresh digest without a gap
@@ -38,6 +41,8 @@
 const STALE_DIGEST_MS: u64 = 1_000;
 /// Maximum number of rows in a digest, which must fit an Ethernet frame; a row takes some 70 bytes.
 const MAX_ROWS: usize = 14;
+/// Maximum number of changes that wait to be sent besides the digest.
+const MAX_OVERFLOW_ROWS: usize = 4_096;
 /// Maximum number of evacuation orders in a digest; a fleet has fewer zones.
 const MAX_ORDERS: usize = 16;
 /// Time for which each digest repeats a change, in milliseconds; about ten digests, all but one of
@@ -69,6 +74,8 @@
     after: u64,
     until: u64,
     rows: VecDeque<(u64, Update)>,
+    /// Changes that no longer fit the digest, and the version after which they begin.
+    overflow: (u64, Vec<Update>),
 }
 
 impl Outbox {
@@ -77,7 +84,7 @@
         *self = Self {
             after: version,
             until: version,
-            rows: VecDeque::new(),
+            ..Self::default()
         };
     }
 
@@ -95,9 +102,52 @@
             if !is_old && self.rows.len() <= MAX_ROWS {
                 break;
             }
+            let before = self.after;
             self.after = self.after.max(row.version);
-            self.rows.pop_front();
+            let Some((_, row)) = self.rows.pop_front() else {
+                break;
+            };
+            if !is_old {
+                self.push_overflow(before, row);
+            }
+        }
+    }
+
+    fn push_overflow(&mut self, after: u64, row: Update) {
+        let (start, rows) = &mut self.overflow;
+        if rows.len() >= MAX_OVERFLOW_ROWS {
+            rows.clear();
+        }
+        if rows.is_empty() {
+            *start = after;
+        }
+        rows.push(row);
+    }
+
+    /// Takes the changes that did not fit the digest, as digests that precede it without a gap. They
+    /// are sent only once.
+    pub fn take_overflow(
+        &mut self,
+        reader: &Arc<str>,
+        at_ms: u64,
+        configuration: u64,
+    ) -> Vec<Digest> {
+        let (mut after, rows) = std::mem::take(&mut self.overflow);
+        let mut digests = Vec::new();
+        for rows in rows.chunks(MAX_ROWS) {
+            let until = rows.iter().map(|row| row.version).fold(after, u64::max);
+            digests.push(Digest {
+                reader: reader.clone(),
+                after,
+                until,
+                at_ms,
+                configuration,
+                evacuations: Vec::new(),
+                rows: rows.to_vec(),
+            });
+            after = until;
         }
+        digests
     }
 
     /// Builds the next digest.
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -148,6 +148,26 @@
         applied
     }
 
+    /// Returns the rows of all listed servers, for [`Registry::apply_snapshot`] of another instance.
+    pub fn snapshot(&self, now_ms: u64) -> Vec<Update> {
+        let mut rows = Vec::with_capacity(self.registrations.len());
+        for (id, known) in &self.registrations {
+            if known.expires_at_ms.is_some() {
+                continue;
+            }
+            let entry = Entry {
+                cold_left_ms: known.cold_until_ms.saturating_sub(now_ms),
+                ..Entry::clone(&known.entry)
+            };
+            rows.push(Update {
+                id: id.clone(),
+                version: known.version,
+                change: Change::Entry(entry),
+            });
+        }
+        rows
+    }
+
     /// Starts the grace periods if the store was restored from a backup. Live servers write entries
     /// again that the backup lacks.
     fn enter_era(&mut self, era: u32, now_ms: u64) {
--- /dev/null
+++ b/crates/fescuewell_forward/src/snapshot.rs
@@ -0,0 +1,70 @@
+//! Snapshots of the server list and the configuration that instances request from each other.
+//!
+//! Reading both from the store costs it bytes in proportion to the fleet's size times the size of
+//! the list. The readers of an availability zone (see [`crate::relay`]) have them already.
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::Configuration;
+use crate::server::Update;
+
+/// Version of the encoding of all snapshots. An instance does not respond to a request for another
+/// version, and the other one reads the store.
+pub const FORMAT: u32 = 1;
+/// Difference in milliseconds between the clocks of request and response up to which a request is
+/// answered.
+const MAX_AGE_MS: u64 = 10_000;
+
+/// What a snapshot contains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Subject {
+    /// The server list.
+    Servers,
+    /// The configuration.
+    Configuration,
+}
+
+/// Request for a snapshot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// Encoding that the requester can read.
+    pub format: u32,
+    /// What it requests.
+    pub subject: Subject,
+    /// When it was sent, in milliseconds of the store's clock.
+    pub sent_at_ms: u64,
+}
+
+impl Request {
+    /// Creates a request at `store_ms` of the store's clock.
+    pub fn new(subject: Subject, store_ms: u64) -> Self {
+        Self {
+            format: FORMAT,
+            subject,
+            sent_at_ms: store_ms,
+        }
+    }
+
+    /// Returns `true` if this program version may respond at `store_ms` of the store's clock.
+    pub fn is_acceptable(&self, store_ms: u64) -> bool {
+        self.format == FORMAT && self.sent_at_ms.abs_diff(store_ms) < MAX_AGE_MS
+    }
+}
+
+/// The server list as of a version of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Servers {
+    /// Version up to which it is complete.
+    pub version: u64,
+    /// All registered servers.
+    pub rows: Vec<Update>,
+}
+
+/// Content of a response.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Snapshot {
+    /// The server list.
+    Servers(Servers),
+    /// The configuration in force.
+    Configuration(Configuration),
+}
--- a/crates/fescuewell_forward/src/warmup.rs
+++ b/crates/fescuewell_forward/src/warmup.rs
@@ -14,8 +14,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Rate limit for cold servers of a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limit {
     /// Time for which a server is cold after its start.
     pub duration: Duration,
--- a/crates/fescuewell_forward/tests/admission.rs
+++ b/crates/fescuewell_forward/tests/admission.rs
@@ -45,6 +45,7 @@
         usage: Vec::new(),
         era: 0,
         knows_grants: true,
+        interval_ms: 0,
         heartbeat_at_ms: 10_000,
         unready_until_ms,
     }
--- /dev/null
+++ b/crates/fescuewell_forward/tests/fleet.rs
@@ -0,0 +1,219 @@
+//! Membership and relays of a large fleet: who reads what, and how much of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell_forward::cadence::Cadence;
+use fescuewell_forward::directory::summary::Summary;
+use fescuewell_forward::directory::{Directory, Member, Role};
+use fescuewell_forward::quota::row::Usage;
+
+/// Number of availability zones.
+const ZONES: usize = 5;
+/// One instance in this many is strong.
+const STRONG_DIVISOR: usize = 20;
+/// Time of the last heartbeats and of the read, in milliseconds of the store's clock.
+const NOW_MS: u64 = 100_000;
+/// Largest value of a row of the store in bytes.
+const MAX_ROW_BYTES: usize = 65_536;
+
+fn zone(index: usize) -> String {
+    format!("zone-{}", index % ZONES)
+}
+
+fn name(index: usize) -> Arc<str> {
+    format!("entry-{index}").into()
+}
+
+fn peer(index: usize) -> SocketAddr {
+    ([10, 0, (index / 250) as u8, (index % 250) as u8], 7_340).into()
+}
+
+fn member(index: usize, interval_ms: u32) -> Member {
+    let usage = Usage {
+        account: "group".into(),
+        consumed: 1,
+        demand_per_s: 1,
+    };
+    Member {
+        address: peer(index),
+        peer: Some(peer(index)),
+        zone: zone(index).into(),
+        weight: match (index / ZONES).is_multiple_of(STRONG_DIVISOR) {
+            true => 1_000,
+            false => 100,
+        },
+        requests_per_s: 1,
+        usage: vec![usage; 50],
+        heartbeat_at_ms: NOW_MS,
+        unready_until_ms: 0,
+        era: 0,
+        knows_grants: true,
+        interval_ms,
+    }
+}
+
+fn directory(instances: usize) -> Directory {
+    let members = (0..instances).map(|index| (name(index), member(index, 1_000)));
+    let mut directory = Directory::default();
+    directory.replace(members.collect(), NOW_MS);
+    directory
+}
+
+fn cadence(instances: usize, is_active: bool) -> Cadence {
+    let directory = directory(instances);
+    Cadence {
+        instances,
+        advertised: directory.advertised().len(),
+        is_large: directory.is_large(),
+        is_active,
+        partition_writes_per_s: 200.0,
+    }
+}
+
+/// Guards against two thirds of a live fleet that count as too old to be advertised at any time:
+/// with 985 instances the heartbeats are 16 s apart, and only the last six seconds counted.
+#[test]
+fn a_member_is_advertised_between_two_heartbeats_however_rare() {
+    let interval = cadence(2_000, false).heartbeat();
+    let interval_ms = interval.as_millis() as u32;
+    let mut members: BTreeMap<Arc<str>, Member> = BTreeMap::new();
+    members.insert(name(0), member(0, interval_ms));
+    let mut directory = Directory::default();
+
+    directory.replace(members, NOW_MS + u64::from(interval_ms) + 1_000);
+
+    assert!(interval > Duration::from_secs(30));
+    assert!(directory.is_advertised(&name(0)));
+    assert_eq!(directory.live().count(), 1);
+}
+
+/// Guards against a killed instance that serves callers and counts as alive for a minute, as long as
+/// four heartbeats of the idle ones take.
+#[test]
+fn an_active_instance_is_missed_within_seconds_in_any_fleet() {
+    for instances in [100, 985, 2_000] {
+        let interval = cadence(instances, true).heartbeat();
+
+        let missed_after = interval * 4;
+
+        assert!(
+            missed_after <= Duration::from_secs(14),
+            "{instances}: {missed_after:?}"
+        );
+    }
+}
+
+#[test]
+fn all_heartbeats_together_keep_to_half_of_a_partition() {
+    for instances in [100, 985, 2_000] {
+        let active = cadence(instances, true);
+        let idle = cadence(instances, false);
+
+        let of_active = active.advertised as f64 / active.heartbeat().as_secs_f64();
+        let of_idle = (instances - active.advertised) as f64 / idle.heartbeat().as_secs_f64();
+
+        assert!(of_active + of_idle <= 100.0, "{instances}");
+    }
+}
+
+/// Guards against reading all members at each instance: 985 rows each 16 s at each of 985.
+#[test]
+fn a_summary_does_not_grow_with_the_fleet() {
+    let size = |instances| {
+        let summary = directory(instances).summarize().unwrap();
+        summary.encode().len()
+    };
+
+    let sizes = [2_000, 4_000, 20_000].map(size);
+
+    // Names and addresses of the advertised instances and two readers of each zone.
+    assert!(
+        sizes.iter().all(|size| *size < MAX_ROW_BYTES / 5),
+        "{sizes:?}"
+    );
+    assert!(sizes[2] < sizes[1] + 1_000, "{sizes:?}");
+}
+
+/// Guards against instances that send callers elsewhere than those that read all members.
+#[test]
+fn a_summary_names_what_all_members_name() {
+    let all = directory(985);
+    let summary = all.summarize().unwrap();
+    let decoded = Summary::decode(&summary.encode()).unwrap();
+    let mut other = Directory::default();
+
+    other.apply_summary(decoded);
+
+    let names = |directory: &Directory| -> Vec<Arc<str>> {
+        let advertised = directory.advertised();
+        advertised.iter().map(|(name, _)| (*name).clone()).collect()
+    };
+    assert_eq!(names(&all), names(&other));
+    assert_eq!(all.addresses(None, 5), other.addresses(None, 5));
+    assert_eq!(all.count(), other.count());
+    for zone in (0..ZONES).map(zone) {
+        assert_eq!(all.readers(&zone), other.readers(&zone));
+    }
+    assert!(other.summarize().is_none(), "a copy is not passed on");
+}
+
+#[test]
+fn a_small_fleet_needs_no_summary() {
+    let directory = directory(90);
+
+    assert!(!directory.is_large());
+    assert!(!directory.summarize().unwrap().is_usable(NOW_MS));
+}
+
+/// Guards against ten readers of a list of 10,000 servers, 1.25 MB a second each.
+#[test]
+fn two_instances_read_the_server_list_however_many_there_are() {
+    for instances in [100, 985, 2_000] {
+        let directory = directory(instances);
+        let roles = |role: Role| {
+            let all = 0..instances;
+            let with = all.filter(|index| directory.role(&name(*index), &zone(*index)) == role);
+            with.count()
+        };
+
+        assert_eq!(roles(Role::Primary), 2, "{instances}");
+        assert_eq!(roles(Role::Relay), 2 * ZONES - 2, "{instances}");
+    }
+}
+
+/// Guards against an instance that no digest reaches.
+#[test]
+fn digests_of_a_primary_reader_reach_every_instance() {
+    const INSTANCES: usize = 985;
+    let directory = directory(INSTANCES);
+    let receivers = |index: usize| directory.digest_receivers(&name(index), &zone(index));
+    let index_of = |address: SocketAddr| (0..INSTANCES).find(|index| peer(*index) == address);
+    let all = 0..INSTANCES;
+    let primaries: Vec<usize> = all
+        .filter(|index| directory.role(&name(*index), &zone(*index)) == Role::Primary)
+        .collect();
+    let mut reached: BTreeSet<usize> = primaries.iter().copied().collect();
+
+    for received in receivers(primaries[0]) {
+        let index = index_of(received).unwrap();
+        reached.insert(index);
+        if directory.role(&name(index), &zone(index)) == Role::Relay {
+            reached.extend(receivers(index).into_iter().filter_map(index_of));
+        }
+    }
+
+    assert_eq!(reached.len(), INSTANCES);
+}
+
+#[test]
+fn bytes_read_by_an_active_instance_are_bounded() {
+    const BYTES: usize = 1_500_000;
+    let cadence = cadence(2_000, true);
+
+    let rate = BYTES as f64 / cadence.round(BYTES).as_secs_f64();
+
+    assert!(rate <= 150_000.0, "{rate}");
+}
--- a/crates/fescuewell_forward/tests/limits.rs
+++ b/crates/fescuewell_forward/tests/limits.rs
@@ -125,6 +125,7 @@
         unready_until_ms: 0,
         era: 0,
         knows_grants: true,
+        interval_ms: 0,
         heartbeat_at_ms,
     }
 }
@@ -216,16 +217,19 @@
     assert!(Directory::default().addresses(None, 0).is_empty());
 }
 
-/// Guards against new instances that cannot decode heartbeats of the previous program version,
-/// which lack the last fields, and treat those members as failed during a rolling update.
+/// Guards against new instances that cannot decode heartbeats of the two previous program versions,
+/// which lack the last field and the last three, and treat those members as failed during a rolling
+/// update.
 #[test]
 fn a_sign_of_the_version_before_is_read() {
     let member = member(1, "a", 5, 1_000);
     let bytes = member.encode();
 
-    let former = Member::decode(&bytes[..bytes.len() - 2]).unwrap();
+    let former = Member::decode(&bytes[..bytes.len() - 1]).unwrap();
+    let earlier = Member::decode(&bytes[..bytes.len() - 3]).unwrap();
 
     assert_eq!(former, member);
+    assert_eq!(earlier, member);
     assert_eq!(Member::decode(&bytes).unwrap(), member);
 }
 
--- a/crates/fescuewell_forward/tests/relay.rs
+++ b/crates/fescuewell_forward/tests/relay.rs
@@ -310,3 +310,57 @@
         }
     }
 }
+
+/// Guards against followers that all read the list when many servers change at once: a release of
+/// 300 servers does not fit a digest.
+#[test]
+fn more_changes_than_fit_a_digest_follow_without_a_gap() {
+    const CHANGES: u64 = 300;
+    let mut reader = Instance::started();
+    let mut follower = Instance::started();
+    let rows: Vec<Update> = (0..CHANGES)
+        .map(|number| row(&format!("new-{number}"), 11 + number, State::Ready))
+        .collect();
+
+    reader.read(&rows, 11 + CHANGES, 100);
+    let overflow = reader
+        .outbox
+        .take_overflow(&"reader".into(), STORE_MS + 100, 3);
+    let largest = overflow.iter().map(|digest| digest.rows.len()).max();
+    for digest in &overflow {
+        assert!(follower.receive(digest, 101));
+    }
+    let is_applied = follower.receive(&reader.digest(100), 102);
+
+    assert!(is_applied);
+    assert_eq!(follower.registry.count(), 1 + CHANGES as usize);
+    assert!(largest <= Some(14), "{largest:?}");
+    assert!(
+        reader
+            .outbox
+            .take_overflow(&"reader".into(), STORE_MS, 3)
+            .is_empty()
+    );
+}
+
+/// Guards against a lost part of many changes that nobody notices.
+#[test]
+fn a_lost_digest_of_many_changes_leaves_a_gap() {
+    let mut reader = Instance::started();
+    let mut follower = Instance::started();
+    let rows: Vec<Update> = (0..100)
+        .map(|number| row(&format!("new-{number}"), 11 + number, State::Ready))
+        .collect();
+
+    reader.read(&rows, 120, 100);
+    let overflow = reader
+        .outbox
+        .take_overflow(&"reader".into(), STORE_MS + 100, 3);
+    follower.receive(&overflow[0], 101);
+    let is_applied = overflow[2..]
+        .iter()
+        .any(|digest| follower.receive(digest, 101));
+
+    assert!(!is_applied);
+    assert!(!follower.receive(&reader.digest(100), 102));
+}
--- a/crates/fescuewell_forward/tests/scale.rs
+++ b/crates/fescuewell_forward/tests/scale.rs
@@ -10,6 +10,9 @@
 
 const SERVICE: &str = "pool";
 
+/// Servers of a report: number of the server, requests, tokens.
+type Loads = Vec<(u8, u32, u64)>;
+
 fn update(index: usize, version: u64) -> Update {
     let entry = Entry {
         id: format!("i-{index:05}").into(),
@@ -150,7 +153,7 @@
         )
     ) {
         let mut load = Load::default();
-        let mut in_force: HashMap<u8, (u64, Vec<(u8, u32, u64)>)> = HashMap::new();
+        let mut in_force: HashMap<u8, (u64, Loads)> = HashMap::new();
         let mut now_ms = 0;
 
         for (sequence, (instance, servers, pause_ms)) in reports.into_iter().enumerate() {
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod probe;
 mod rows;
+mod snapshots;
 mod sync;
 mod watch;
 
@@ -20,8 +21,11 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
+use fescuewell_forward::cadence::Cadence;
+use fescuewell_forward::directory::Role;
 use fescuewell_forward::relay::Digest;
 
+use tokio::sync::watch as watch_channel;
 use tokio::time::Instant;
 
 use crate::gateway::{Gateway, Inbox};
@@ -40,6 +44,11 @@
     last_invalid_version: Arc<AtomicU64>,
     /// Digests that this instance relays if it is a reader.
     digests: (flume::Sender<Digest>, flume::Receiver<Digest>),
+    /// Set once the members are known, at the first start of the fleet after they have written
+    /// their first heartbeats.
+    members_known: watch_channel::Sender<bool>,
+    /// Time of the last forwarded digest on the clock of [`Gateway::now_ms`].
+    forwarded_at_ms: Arc<AtomicU64>,
 }
 
 /// Timeout of one store call. The store normally responds within milliseconds; the timeout still
@@ -59,9 +68,12 @@
 /// other. The journal stays as old as the outage for that long, and a power loss is charged for all
 /// of that time.
 const SUPERSEDED_TIMEOUT: Duration = Duration::from_millis(60);
-/// Maximum number of queued digests. Each digest contains the changes of the previous one, so one
-/// that does not fit in the queue can be dropped.
-const MAX_QUEUED_DIGESTS: usize = 2;
+/// Maximum number of queued digests; several hundred changes at once take some tens. Followers
+/// request a snapshot if one does not fit in the queue.
+const MAX_QUEUED_DIGESTS: usize = 512;
+/// Maximum time for which the first reads of the configuration and the server list wait for the
+/// members.
+const MEMBERS_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -81,6 +93,8 @@
             next_silent_log_ms: Arc::default(),
             last_invalid_version: Arc::default(),
             digests: flume::bounded(MAX_QUEUED_DIGESTS),
+            members_known: watch_channel::Sender::new(false),
+            forwarded_at_ms: Arc::default(),
         }
     }
 
@@ -96,6 +110,47 @@
         tokio::join!(configuration, servers, sync, peers, overdue, probe, crashes);
     }
 
+    /// Waits until the members are known, but not for long: the store may be unreachable.
+    async fn wait_for_members(&self) {
+        let mut known = self.members_known.subscribe();
+        let known = known.wait_for(|known| *known);
+        let _ = tokio::time::timeout(MEMBERS_TIMEOUT, known).await;
+    }
+
+    /// Returns `true` if this instance serves callers, holds tokens or relays the server list.
+    ///
+    /// After the store was restored from a backup, each instance counts as active: the statuses of
+    /// all members decide who may draw tokens; see [`fescuewell_forward::quota::era`].
+    fn is_active(&self) -> bool {
+        let settings = &self.gateway.settings;
+        let now_ms = self.gateway.now_ms();
+        let mut state = self.gateway.state();
+        state.directory.is_advertised(&settings.name)
+            || state.directory.role(&settings.name, &settings.zone) != Role::Follower
+            || state.quota.era() > 0
+            || !state.quota.active_accounts(now_ms).is_empty()
+    }
+
+    /// Returns how this instance learns of changes of the server list.
+    fn role(&self) -> Role {
+        let settings = &self.gateway.settings;
+        let state = self.gateway.state();
+        state.directory.role(&settings.name, &settings.zone)
+    }
+
+    /// Returns what the intervals of this instance follow from.
+    fn cadence(&self) -> Cadence {
+        let is_active = self.is_active();
+        let state = self.gateway.state();
+        Cadence {
+            instances: state.directory.count(),
+            advertised: state.directory.advertised().len(),
+            is_large: state.directory.is_large(),
+            is_active,
+            partition_writes_per_s: self.gateway.settings.partition_writes_per_s,
+        }
+    }
+
     /// Records the result and the duration of a store call.
     fn record_outcome<Response>(
         &self,
--- a/crates/fescuewell_gateway/src/control/crashes.rs
+++ b/crates/fescuewell_gateway/src/control/crashes.rs
@@ -9,7 +9,7 @@
 
 use fescuewell_forward::crash::{Fingerprint, Record, Update};
 use fescuewell_forward::message::Message;
-use rand::seq::IteratorRandom;
+use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
@@ -128,10 +128,13 @@
     let own = gateway.settings.peer;
     let mut state = gateway.state();
     let state = &mut *state;
-    let members = state.directory.live();
-    let peers = members.filter_map(|(_, member)| member.peer);
-    let others = peers.filter(|peer| Some(*peer) != own);
-    others.choose_multiple(&mut state.rng, max)
+    // One more, because this instance may be among them.
+    let peers = state
+        .directory
+        .peers()
+        .choose_multiple(&mut state.rng, max + 1);
+    let others = peers.filter(|peer| Some(**peer) != own);
+    others.take(max).copied().collect()
 }
 
 /// Synchronizes quarantined requests with the store.
--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -52,24 +52,30 @@
 /// one by one if they are few, as on most instances of a large fleet. Every few rounds it reads all
 /// accounts, because during a store outage the ledger of any account shows which instances can
 /// lend.
-pub(super) async fn read_ledgers(control: &Control, round: u64) {
+///
+/// Returns the number of bytes read.
+pub(super) async fn read_ledgers(control: &Control, round: u64) -> usize {
     let accounts = {
         let now_ms = control.gateway.now_ms();
         control.gateway.state().quota.active_accounts(now_ms)
     };
     if accounts.len() > MAX_SINGLE_READS || round.is_multiple_of(FULL_READ_PERIOD) {
         let Ok(response) = read(control, LEDGER_TABLE, LEDGER_PARTITION).await else {
-            return;
+            return 0;
         };
-        return apply_rows(&mut control.gateway.state().quota, &response);
+        apply_rows(&mut control.gateway.state().quota, &response);
+        return response.size();
     }
+    let mut bytes = 0;
     for name in accounts {
         let id = row_id(LEDGER_TABLE, LEDGER_PARTITION, &name);
         let Ok(response) = read_row(control, &id).await else {
-            return;
+            break;
         };
         apply_rows(&mut control.gateway.state().quota, &response);
+        bytes += response.size();
     }
+    bytes
 }
 
 /// Updates the ledgers of the accounts as planned, and retries on conflicts with other instances.
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -2,30 +2,39 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
+use fescuewell_forward::directory::summary::Summary;
 use fescuewell_forward::directory::{Directory, Member};
 use fescuewell_forward::version;
 
-use super::rows::{FLEET_PARTITION, log_unreadable, read, row_id};
+use super::rows::{FLEET_PARTITION, log_unreadable, read, read_row, row_id};
 use super::{CALL_TIMEOUT, Control};
 use crate::gateway::{ACCEPTED_WINDOW_S, Gateway, State};
 use crate::settings::Settings;
-use crate::store::Transaction;
+use crate::store::{ReadResponse, RowId, Transaction};
 
 /// Table of the members.
 const MEMBER_TABLE: &str = "member";
+/// Table and key of the summary of the members.
+const SUMMARY_TABLE: &str = "summary";
+/// Age in milliseconds at which the first advertised instance replaces the summary.
+const SUMMARY_REFRESH_MS: u64 = 1_500;
+/// Additional age for each further advertised instance, in milliseconds.
+const SUMMARY_TURN_MS: u64 = 1_000;
 /// Maximum number of instances named in one log line, enough to recognize an availability zone.
 const MAX_LOGGED_INSTANCES: usize = 8;
 /// Link bandwidth that one core can make use of, in Mbit/s: prompts have about 17 kB each.
 const LINK_MBPS_PER_CORE: f64 = 200.0;
 
-/// Writes the heartbeat of this instance, or removes its member row when it leaves.
-pub(super) async fn write_heartbeat(control: &Control) {
+/// Writes the heartbeat of this instance, or removes its member row when it leaves. The next one
+/// follows after `interval`.
+pub(super) async fn write_heartbeat(control: &Control, interval: Duration) {
     let gateway = &control.gateway;
     let id = row_id(MEMBER_TABLE, FLEET_PARTITION, &gateway.settings.name);
-    let member = own_member(gateway);
+    let member = own_member(gateway, interval);
     let mut transaction = Transaction::default();
     // A leaving instance keeps its row if that declares it unready: the next process reads it and
     // stays unready, since its callers would overload it again at once.
@@ -40,7 +49,7 @@
 }
 
 /// Returns the current member row of this instance.
-fn own_member(gateway: &Gateway) -> Member {
+fn own_member(gateway: &Gateway, interval: Duration) -> Member {
     let settings = &gateway.settings;
     let now_ms = gateway.now_ms();
     let mut state = gateway.state();
@@ -55,6 +64,7 @@
         usage: state.quota.usage(now_ms),
         era: status.era,
         knows_grants: status.knows_grants,
+        interval_ms: interval.as_millis() as u32,
         heartbeat_at_ms: if gateway.is_draining() { 0 } else { store_ms },
         unready_until_ms: match state.admission.unready_left_ms(now_ms) {
             0 => 0,
@@ -69,11 +79,91 @@
     (settings.cores.min(by_link) * 1_000.0) as u32
 }
 
-/// Reads the member list.
-pub(super) async fn read_members(control: &Control) {
+/// Reads the members: their summary where that is enough, otherwise all of them. Returns the number
+/// of bytes read.
+pub(super) async fn read_members(control: &Control) -> usize {
+    if !needs_all_members(control) && read_summary(control).await {
+        return 0;
+    }
     let Ok(response) = read(control, MEMBER_TABLE, FLEET_PARTITION).await else {
+        return 0;
+    };
+    let bytes = response.size();
+    apply_members(control, response);
+    write_summary(control).await;
+    bytes
+}
+
+/// Returns `true` if a summary of the members is not enough for this instance.
+fn needs_all_members(control: &Control) -> bool {
+    let state = control.gateway.state();
+    let is_small = state.directory.is_loaded() && !state.directory.is_large();
+    drop(state);
+    is_small || control.is_active()
+}
+
+/// Reads and applies the summary of the members. Returns `false` if there is none that is enough.
+async fn read_summary(control: &Control) -> bool {
+    let Some((summary, store_ms)) = fetch_summary(control).await else {
+        return false;
+    };
+    let gateway = &control.gateway;
+    if !summary.is_usable(store_ms) || summary.names(&gateway.settings.name) {
+        return false;
+    }
+    let now_ms = gateway.now_ms();
+    let mut state = gateway.state();
+    let advertised_before = advertised_names(&state.directory);
+    state.directory.apply_summary(summary);
+    state.quota.forget_peers();
+    update_admission(&mut state, &gateway.settings.name, now_ms);
+    let advertised = advertised_names(&state.directory);
+    state.warmup.set_instances(advertised.clone());
+    drop(state);
+    log_advertised(&advertised_before, &advertised);
+    true
+}
+
+/// Reads the summary, with the time of the store's clock.
+async fn fetch_summary(control: &Control) -> Option<(Summary, u64)> {
+    let response = read_row(control, &summary_id()).await.ok()?;
+    let row = response.rows.iter().find_map(|row| row.value.as_deref());
+    let summary = row.and_then(Summary::decode).unwrap_or_default();
+    Some((summary, response.now_ms))
+}
+
+/// Writes the summary of a large fleet if the present one is older than this instance's turn. The
+/// turns are in the order of the advertised instances, so that usually only the first one writes.
+async fn write_summary(control: &Control) {
+    let name = &control.gateway.settings.name;
+    let Some(summary) = control.gateway.state().directory.summarize() else {
         return;
     };
+    if !control.gateway.state().directory.is_large() {
+        return;
+    }
+    let Some((former, store_ms)) = fetch_summary(control).await else {
+        return;
+    };
+    let mut advertised = summary.advertised.iter();
+    let turn = advertised.position(|advertised| advertised == name);
+    let turn = turn.unwrap_or(summary.advertised.len()) as u64;
+    let due_ms = former.at_ms + SUMMARY_REFRESH_MS + turn * SUMMARY_TURN_MS;
+    if former.is_usable(store_ms) && store_ms < due_ms {
+        return;
+    }
+    let mut transaction = Transaction::default();
+    transaction.puts.push((summary_id(), summary.encode()));
+    let commit = control.store.commit(&transaction);
+    // The next turn replaces a lost one; `call` has recorded the failure.
+    let _ = control.call("summary", CALL_TIMEOUT, commit).await;
+}
+
+fn summary_id() -> RowId {
+    row_id(SUMMARY_TABLE, FLEET_PARTITION, SUMMARY_TABLE)
+}
+
+fn apply_members(control: &Control, response: ReadResponse) {
     let mut members: BTreeMap<Arc<str>, Member> = BTreeMap::new();
     for row in response.rows {
         let Some(value) = &row.value else { continue };
@@ -86,11 +176,7 @@
     }
     let now_ms = control.gateway.now_ms();
     let mut state = control.gateway.state();
-    let before: Vec<Arc<str>> = state
-        .directory
-        .live()
-        .map(|(name, _)| name.clone())
-        .collect();
+    let before = live_names(&state.directory);
     let advertised_before = advertised_names(&state.directory);
     let era = version::era(response.version);
     state
@@ -100,26 +186,30 @@
     let member_timeout_ms = state.directory.member_timeout_ms();
     state.quota.set_statuses(statuses, member_timeout_ms);
     update_admission(&mut state, &control.gateway.settings.name, now_ms);
-    let after: Vec<Arc<str>> = state
-        .directory
-        .live()
-        .map(|(name, _)| name.clone())
-        .collect();
+    let after = live_names(&state.directory);
     let usages = state.directory.live();
     let usages: Vec<_> = usages
         .map(|(name, member)| (name.clone(), member.usage.clone()))
         .collect();
-    let advertised: Vec<Arc<str>> = advertised_names(&state.directory);
+    let advertised = advertised_names(&state.directory);
     state.quota.set_peers(&usages, &advertised);
     state.warmup.set_instances(advertised.clone());
     drop(state);
-    if advertised != advertised_before {
-        log_event!(Event::InstancesNamed, "named={}", advertised.join(","));
-    }
+    log_advertised(&advertised_before, &advertised);
     log_changes(Event::PeerJoined, &before, &after);
     log_changes(Event::PeerLost, &after, &before);
 }
 
+fn live_names(directory: &Directory) -> Vec<Arc<str>> {
+    directory.live().map(|(name, _)| name.clone()).collect()
+}
+
+fn log_advertised(before: &[Arc<str>], advertised: &[Arc<str>]) {
+    if before != advertised {
+        log_event!(Event::InstancesNamed, "named={}", advertised.join(","));
+    }
+}
+
 /// Logs the instances of `to` that are not in `from`, in a single line. One line per instance would
 /// make the log grow with the square of the fleet size when all instances start.
 fn log_changes(event: Event, from: &[Arc<str>], to: &[Arc<str>]) {
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -91,12 +91,18 @@
     (report, peers)
 }
 
-/// Relays server list digests to the followers in the availability zone.
+/// Sends server list digests of this reader, and those that it forwards.
 async fn relay_digests(control: &Control, socket: &UdpSocket) {
     let gateway = &control.gateway;
     while let Ok(digest) = control.digests.1.recv_async().await {
-        let followers = gateway.state().directory.followers(&gateway.settings.zone);
-        let Some(key) = gateway.fleet_key().filter(|_| !followers.is_empty()) else {
+        let settings = &gateway.settings;
+        let receivers = {
+            let state = gateway.state();
+            state
+                .directory
+                .digest_receivers(&settings.name, &settings.zone)
+        };
+        let Some(key) = gateway.fleet_key().filter(|_| !receivers.is_empty()) else {
             continue;
         };
         let bytes = key.seal(&Message::Digest(digest));
@@ -105,9 +111,9 @@
             // themselves.
             continue;
         }
-        for follower in followers {
+        for receiver in receivers {
             // The next digest contains the changes of a lost one.
-            let _ = socket.try_send_to(&bytes, follower);
+            let _ = socket.try_send_to(&bytes, receiver);
         }
     }
 }
@@ -134,7 +140,8 @@
         Some(Message::Digest(digest)) => watch::receive_digest(control, digest),
         Some(Message::Crashes(updates)) => crashes::receive(control, updates, from),
         Some(Message::CrashesWanted) => crashes::send_records(control, socket, from),
-        None => {}
+        // Requested over HTTP, since the response is too large for a datagram.
+        Some(Message::SnapshotWanted(_)) | None => {}
     }
 }
 
--- /dev/null
+++ b/crates/fescuewell_gateway/src/control/snapshots.rs
@@ -0,0 +1,107 @@
+//! Requests the server list and the configuration from the readers of the availability zone.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fescuewell_forward::directory::Role;
+use fescuewell_forward::message::Message;
+use fescuewell_forward::snapshot::{Request, Snapshot, Subject};
+use fescuewell_http::upstream::{Target, Timeouts};
+use http::StatusCode;
+use rand::seq::SliceRandom;
+use tokio::time::Instant;
+
+use super::Control;
+use crate::snapshot::PATH;
+
+/// Timeouts of a request to a reader.
+const TIMEOUTS: Timeouts = Timeouts {
+    connect: Duration::from_millis(300),
+    first_byte: Duration::from_millis(1_000),
+    progress: Duration::from_millis(1_000),
+};
+/// Maximum size of a snapshot in bytes; 20,000 servers take about 1.5 MB.
+const MAX_BYTES: usize = 8 * 1024 * 1024;
+/// Interval between two attempts.
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which an instance asks the readers before it reads the store. All instances may have
+/// started together, and the readers need some time.
+const PATIENCE: Duration = Duration::from_millis(600);
+/// The same in a large fleet, whose instances together would fill the store's link.
+const PATIENCE_IN_LARGE_FLEET: Duration = Duration::from_secs(4);
+
+/// Why a snapshot is requested, which decides for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Patience {
+    /// The instance has started, or a newer configuration was reported.
+    Start,
+    /// Digests are missing or have left a gap.
+    Resync,
+}
+
+/// Requests a snapshot. Returns `None` if this instance reads the store itself, or if no reader
+/// responds in time.
+pub(super) async fn request(
+    control: &Control,
+    subject: Subject,
+    patience: Patience,
+) -> Option<Snapshot> {
+    let deadline = Instant::now() + duration(control, patience)?;
+    loop {
+        for reader in readers(control) {
+            let response = exchange(control, reader, subject).await;
+            if response.is_some() {
+                return response;
+            }
+        }
+        let next = Instant::now() + control.jitter(RETRY_INTERVAL);
+        if next >= deadline {
+            return None;
+        }
+        tokio::time::sleep_until(next).await;
+    }
+}
+
+/// Returns how long to ask the readers, or `None` for a reader. An instance that serves callers asks
+/// each reader only once for the list, because servers may be draining meanwhile.
+fn duration(control: &Control, patience: Patience) -> Option<Duration> {
+    if control.role() != Role::Follower {
+        return None;
+    }
+    let cadence = control.cadence();
+    match (patience, cadence.is_large) {
+        (Patience::Resync, false) => Some(Duration::ZERO),
+        (Patience::Resync, true) if cadence.is_active => Some(Duration::ZERO),
+        (Patience::Start, false) => Some(PATIENCE),
+        (_, true) => Some(PATIENCE_IN_LARGE_FLEET),
+    }
+}
+
+/// Returns the readers of the availability zone in random order.
+fn readers(control: &Control) -> Vec<SocketAddr> {
+    let gateway = &control.gateway;
+    let mut state = gateway.state();
+    let mut readers = state.directory.reader_peers(&gateway.settings.zone);
+    readers.retain(|reader| Some(*reader) != gateway.settings.peer);
+    readers.shuffle(&mut state.rng);
+    readers
+}
+
+/// Requests a snapshot from one reader. Returns `None` on any failure.
+async fn exchange(control: &Control, reader: SocketAddr, subject: Subject) -> Option<Snapshot> {
+    let gateway = &control.gateway;
+    let key = gateway.fleet_key()?;
+    let now_ms = gateway.now_ms();
+    let store_ms = gateway.state().quota.store_time(now_ms);
+    let message = Message::SnapshotWanted(Request::new(subject, store_ms));
+    let request = http::Request::post(PATH).body(Bytes::from(key.seal(&message)));
+    let target = Target::new(reader);
+    let exchange = gateway.client.open(&target, request.ok()?, TIMEOUTS);
+    let exchange = exchange.await.ok()?;
+    if exchange.status != StatusCode::OK {
+        return None;
+    }
+    let body = exchange.collect(MAX_BYTES).await.ok()?;
+    key.open_content(&body)
+}
--- a/crates/fescuewell_gateway/src/control/sync.rs
+++ b/crates/fescuewell_gateway/src/control/sync.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use fescuewell_forward::directory::MAX_MISSED_HEARTBEATS;
 use tokio::time::Instant;
 
 use super::Control;
@@ -27,10 +28,8 @@
 const JOURNAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between two journals while this instance holds no tokens.
 const IDLE_JOURNAL_INTERVAL: Duration = Duration::from_secs(4);
-/// Number of missed heartbeats after which a member counts as absent.
-const MAX_MISSED_HEARTBEATS: u32 = 4;
-/// Interval between two reconciliations in a small fleet.
-const RECONCILE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval at which an instance checks whether its heartbeats must become more frequent.
+const CADENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of reconciliation intervals for which a ledger read from the store proves that an account
 /// is exhausted.
 const FRESHNESS_INTERVALS: f64 = 2.5;
@@ -42,9 +41,6 @@
 const BURST_INTERVALS: u32 = 2;
 /// Fraction of the store's write capacity that all journals may use together.
 const WRITE_SHARE: f64 = 0.4;
-/// Fraction of one partition's write capacity that all heartbeats together, and all reconciliations
-/// together, may use.
-const PARTITION_SHARE: f64 = 0.3;
 
 /// Synchronizes grants, journal and membership with the store.
 pub(super) async fn run(control: &Control) {
@@ -54,13 +50,39 @@
     read_members(control).await;
     advance_stage(control);
     lending::load_key(control).await;
+    if !control.gateway.settings.is_first_start {
+        control.members_known.send_replace(true);
+    }
+    write_heartbeat(control, control.cadence().heartbeat()).await;
     tokio::join!(
+        heartbeat_loop(control),
         journal_loop(control),
         draw_loop(control),
         reconcile_loop(control)
     );
 }
 
+/// Writes the heartbeat periodically, and early when this instance becomes active or drains.
+async fn heartbeat_loop(control: &Control) {
+    let gateway = &control.gateway;
+    let mut written = control.cadence().heartbeat();
+    let mut next = Instant::now() + control.jitter(written);
+    let mut is_leaving = false;
+    loop {
+        tokio::time::sleep_until(next.min(Instant::now() + CADENCE_CHECK_INTERVAL)).await;
+        let interval = control.cadence().heartbeat();
+        let is_faster = interval * 2 < written;
+        let has_begun_to_leave = gateway.is_draining() && !is_leaving;
+        if Instant::now() < next && !is_faster && !has_begun_to_leave {
+            continue;
+        }
+        is_leaving = gateway.is_draining();
+        write_heartbeat(control, interval).await;
+        written = interval;
+        next = Instant::now() + control.jitter(interval);
+    }
+}
+
 /// Renews the journal periodically, and at once when a request waits for it.
 async fn journal_loop(control: &Control) {
     let gateway = &control.gateway;
@@ -111,17 +133,22 @@
     }
 }
 
-/// Writes the heartbeat, reads the members, and reconciles all grants.
+/// Reads the members and reconciles all grants.
 async fn reconcile_loop(control: &Control) {
     let gateway = &control.gateway;
+    let mut bytes = 0;
     for round in 0.. {
-        let interval = control.jitter(RECONCILE_INTERVAL.max(fair_partition_interval(control)));
+        let interval = control.jitter(control.cadence().round(bytes));
         let next = Instant::now() + interval;
-        write_heartbeat(control).await;
-        read_members(control).await;
+        // At the first start of the fleet, the others write their first heartbeats meanwhile.
+        let is_too_early = round == 0 && gateway.settings.is_first_start;
+        if !is_too_early {
+            bytes = read_members(control).await;
+            control.members_known.send_replace(true);
+        }
         gateway.update_gate();
-        if enter_era(control).await {
-            read_ledgers(control, round).await;
+        if enter_era(control).await && control.cadence().reconciles() {
+            bytes += read_ledgers(control, round).await;
             let accounts = gateway.state().quota.prepaid_accounts();
             reconcile(control, &accounts).await;
         }
@@ -133,8 +160,9 @@
 
 /// Adapts the staleness limits to the interval at which the data is renewed.
 fn set_staleness(control: &Control, interval: Duration) {
+    let heartbeat = control.cadence().heartbeat();
     let mut state = control.gateway.state();
-    let member_timeout = interval * MAX_MISSED_HEARTBEATS;
+    let member_timeout = heartbeat * MAX_MISSED_HEARTBEATS;
     state
         .directory
         .set_member_timeout(member_timeout.as_millis() as u64);
@@ -159,11 +187,3 @@
     let instances = gateway.state().directory.count() as f64;
     Duration::from_secs_f64(instances / (gateway.settings.writes_per_s * WRITE_SHARE))
 }
-
-/// Returns the interval between writes to one partition at which the whole fleet stays within its
-/// share of that partition.
-fn fair_partition_interval(control: &Control) -> Duration {
-    let gateway = &control.gateway;
-    let instances = gateway.state().directory.count() as f64;
-    Duration::from_secs_f64(instances / (gateway.settings.partition_writes_per_s * PARTITION_SHARE))
-}
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -12,13 +12,15 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::{Configuration, Table};
 use fescuewell_forward::crash::Evidence;
+use fescuewell_forward::directory::Role;
 use fescuewell_forward::evacuation::Order;
 use fescuewell_forward::relay::{Digest, Outbox};
 use fescuewell_forward::server::{Change, Entry, Update};
+use fescuewell_forward::snapshot::{Snapshot, Subject};
 use fescuewell_http::upstream::{self, Reachability};
 use tokio::time::Instant;
 
-use super::{CALL_TIMEOUT, Control, RETRY_DELAY};
+use super::{CALL_TIMEOUT, Control, RETRY_DELAY, snapshots};
 use crate::gateway::{Stage, State};
 use crate::source::{InvalidConfiguration, OperatorState, Versioned};
 use crate::store::Error;
@@ -42,6 +44,8 @@
 const FOLLOWER_REREAD_INTERVAL: Duration = Duration::from_secs(20);
 /// Interval at which a follower checks whether readers reported a newer configuration.
 const FOLLOWER_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Minimum interval between two forwarded digests without new changes, in milliseconds.
+const MIN_FORWARD_INTERVAL_MS: u64 = 200;
 /// Minimum interval between two polls for server changes. Each server writes about once a second,
 /// and every write completes a poll. A leaving server is still noticed within this time.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -51,14 +55,18 @@
 
 /// Watches the configuration.
 pub(super) async fn configuration(control: &Control) {
+    control.wait_for_members().await;
     loop {
-        let read = control.source.read_state();
-        let Ok(response) = control.call("configuration", CALL_TIMEOUT, read).await else {
-            tokio::time::sleep(RETRY_DELAY).await;
-            continue;
-        };
-        let mut version = response.version;
-        apply_full(control, response);
+        let mut version = 0;
+        if !copy_configuration(control).await {
+            let read = control.source.read_state();
+            let Ok(response) = control.call("configuration", CALL_TIMEOUT, read).await else {
+                tokio::time::sleep(RETRY_DELAY).await;
+                continue;
+            };
+            version = response.version;
+            apply_full(control, response);
+        }
         let read_at = Instant::now();
         while !is_due(control, read_at, version) {
             if follows_readers(control) {
@@ -83,6 +91,22 @@
     }
 }
 
+/// Applies the configuration of a reader of the availability zone. Returns `false` if there is none,
+/// or if it is older than one that a reader reported.
+async fn copy_configuration(control: &Control) -> bool {
+    let snapshot =
+        snapshots::request(control, Subject::Configuration, snapshots::Patience::Start).await;
+    let Some(Snapshot::Configuration(configuration)) = snapshot else {
+        return false;
+    };
+    let gateway = &control.gateway;
+    if configuration.version < gateway.state().cursor.configuration_version() {
+        return false;
+    }
+    apply_configuration(control, Some(configuration));
+    true
+}
+
 /// Returns `true` if the full configuration must be reread: periodically, or because a reader
 /// reported a newer version.
 fn is_due(control: &Control, read_at: Instant, version: u64) -> bool {
@@ -98,7 +122,8 @@
 /// Applies the full operator state.
 fn apply_full(control: &Control, response: Versioned<OperatorState>) {
     let now_ms = control.gateway.now_ms();
-    apply_configuration(control, response.now_ms, response.content.configuration);
+    observe_clock(control, response.now_ms);
+    apply_configuration(control, response.content.configuration);
     log_invalid(control, response.content.invalid_configuration);
     let mut state = control.gateway.state();
     let orders = response.content.evacuations;
@@ -112,7 +137,8 @@
 
 /// Applies changes made by the operator.
 fn apply_changes(control: &Control, response: Versioned<OperatorState>) {
-    apply_configuration(control, response.now_ms, response.content.configuration);
+    observe_clock(control, response.now_ms);
+    apply_configuration(control, response.content.configuration);
     log_invalid(control, response.content.invalid_configuration);
     evacuate(control, response.content.evacuations);
 }
@@ -158,10 +184,17 @@
     log_event!(event, "zone={} version={}", order.zone, order.version);
 }
 
-fn apply_configuration(control: &Control, store_ms: u64, configuration: Option<Configuration>) {
+fn observe_clock(control: &Control, store_ms: u64) {
+    let now_ms = control.gateway.now_ms();
+    control
+        .gateway
+        .state()
+        .quota
+        .observe_clock(store_ms, now_ms);
+}
+
+fn apply_configuration(control: &Control, configuration: Option<Configuration>) {
     let gateway = &control.gateway;
-    let now_ms = gateway.now_ms();
-    gateway.state().quota.observe_clock(store_ms, now_ms);
     let Some(configuration) = configuration else {
         return;
     };
@@ -208,15 +241,14 @@
 
 /// Watches the backend server list.
 pub(super) async fn servers(control: &Control) {
+    control.wait_for_members().await;
     loop {
-        let read = control.source.list_servers();
-        let Ok(response) = control.call("servers", CALL_TIMEOUT, read).await else {
+        let Some(response) = list_servers(control).await else {
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
         let mut outbox = Outbox::default();
         outbox.restart(response.version);
-        control.gateway.state().cursor.advance(response.version);
         apply_list(control, response);
         let reread_at = Instant::now() + reread_interval(control);
         while Instant::now() < reread_at {
@@ -224,8 +256,15 @@
             if follows_readers(control) {
                 continue;
             }
-            if poll_changes(control, &mut outbox).await.is_err() {
-                break;
+            if let Some(response) = copy_servers(control, snapshots::Patience::Resync).await {
+                outbox.restart(response.version);
+                apply_list(control, response);
+                continue;
+            }
+            match poll_changes(control, &mut outbox).await {
+                Ok(()) => {}
+                Err(Error::Compacted) => break,
+                Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
         }
         if !control.gateway.is_store_up() {
@@ -234,6 +273,33 @@
     }
 }
 
+/// Reads the server list from a reader of the availability zone, or from the store.
+async fn list_servers(control: &Control) -> Option<Versioned<Vec<Update>>> {
+    let copy = copy_servers(control, snapshots::Patience::Start).await;
+    if copy.is_some() {
+        return copy;
+    }
+    let read = control.source.list_servers();
+    control.call("servers", CALL_TIMEOUT, read).await.ok()
+}
+
+/// Reads the server list from a reader of the availability zone.
+async fn copy_servers(
+    control: &Control,
+    patience: snapshots::Patience,
+) -> Option<Versioned<Vec<Update>>> {
+    let snapshot = snapshots::request(control, Subject::Servers, patience).await;
+    let Some(Snapshot::Servers(servers)) = snapshot else {
+        return None;
+    };
+    let now_ms = control.gateway.now_ms();
+    Some(Versioned {
+        content: servers.rows,
+        version: servers.version,
+        now_ms: control.gateway.state().quota.store_time(now_ms),
+    })
+}
+
 /// Polls for changes and queues a digest for the followers.
 async fn poll_changes(control: &Control, outbox: &mut Outbox) -> Result<(), Error> {
     let gateway = &control.gateway;
@@ -253,18 +319,14 @@
     }
     let now_ms = gateway.now_ms();
     outbox.add(rows, version, version.max(response.version), now_ms);
-    {
-        let mut state = gateway.state();
-        state.cursor.advance(response.version);
-        if !state.directory.is_reader(&gateway.settings.name) {
-            // Until readers are heard from again, it reads only for itself.
-            return Ok(());
-        }
-    }
+    gateway.state().cursor.advance(response.version);
     let configuration = gateway.table().map(|table| table.configuration().version);
     let name = gateway.settings.name.clone();
     let evacuations = gateway.state().registry.zones().orders();
     let configuration = configuration.unwrap_or_default();
+    for digest in outbox.take_overflow(&name, response.now_ms, configuration) {
+        let _ = control.digests.0.try_send(digest);
+    }
     let digest = outbox.digest(name, response.now_ms, configuration, evacuations);
     // If the queue is full, the next digest contains these changes.
     let _ = control.digests.0.try_send(digest);
@@ -285,17 +347,36 @@
             return;
         }
     }
-    for row in digest.rows {
-        apply_change(control, row);
+    let mut has_changes = false;
+    for row in &digest.rows {
+        has_changes |= apply_change(control, row.clone());
+    }
+    forward(control, digest, has_changes, now_ms);
+}
+
+/// Forwards a digest to the followers if this instance is a relay: at once if it has changes that
+/// were new here, otherwise as often as they need it to know that nothing has changed.
+///
+/// It names the configuration in force here, since the followers request that from this instance.
+fn forward(control: &Control, mut digest: Digest, has_changes: bool, now_ms: u64) {
+    if control.role() != Role::Relay {
+        return;
+    }
+    let last_ms = control.forwarded_at_ms.load(Ordering::Relaxed);
+    if !has_changes && now_ms < last_ms + MIN_FORWARD_INTERVAL_MS {
+        return;
     }
+    control.forwarded_at_ms.store(now_ms, Ordering::Relaxed);
+    let table = control.gateway.table();
+    digest.configuration = table.map_or(0, |table| table.configuration().version);
+    // If the queue is full, the followers notice the gap.
+    let _ = control.digests.0.try_send(digest);
 }
 
 /// Returns `true` if readers provide the list to this instance.
 fn follows_readers(control: &Control) -> bool {
-    let gateway = &control.gateway;
-    let now_ms = gateway.now_ms();
-    let state = gateway.state();
-    !state.directory.is_reader(&gateway.settings.name) && state.cursor.is_following(now_ms)
+    let now_ms = control.gateway.now_ms();
+    control.role() != Role::Primary && control.gateway.state().cursor.is_following(now_ms)
 }
 
 /// Returns the interval between full reads of the server list, chosen to stay within the bandwidth
@@ -305,8 +386,13 @@
     let state = gateway.state();
     let bytes_s = match state.directory.readers(&gateway.settings.zone).is_empty() {
         true => f64::INFINITY,
-        false if state.directory.is_reader(&gateway.settings.name) => READER_BYTES_S,
-        false => FOLLOWER_BYTES_S,
+        false => match state
+            .directory
+            .role(&gateway.settings.name, &gateway.settings.zone)
+        {
+            Role::Primary => READER_BYTES_S,
+            Role::Relay | Role::Follower => FOLLOWER_BYTES_S,
+        },
     };
     let bytes = state.registry.count() as f64 * ROW_BYTES;
     REREAD_INTERVAL.max(Duration::from_secs_f64(bytes / bytes_s))
@@ -330,6 +416,7 @@
     let now_ms = control.gateway.now_ms();
     let mut guard = control.gateway.state();
     let state = &mut *guard;
+    state.cursor.advance(response.version);
     let changed = state
         .registry
         .apply_snapshot(response.version, response.content, now_ms);
@@ -347,14 +434,15 @@
     handle_ended(control, ended);
 }
 
-fn apply_change(control: &Control, update: Update) {
+/// Applies a change. Returns `false` if it is stale.
+fn apply_change(control: &Control, update: Update) -> bool {
     let id = update.id.clone();
     let version = update.version;
     let now_ms = control.gateway.now_ms();
     let mut state = control.gateway.state();
     let was_ready = state.registry.is_ready(&id, now_ms);
     if !state.registry.apply(update.clone(), now_ms) {
-        return;
+        return false;
     }
     let is_ready = state.registry.is_ready(&id, now_ms);
     log_unreadable_rows(&[update]);
@@ -366,6 +454,7 @@
     let ended = forget_ended(&mut state);
     drop(state);
     handle_ended(control, ended);
+    true
 }
 
 /// Logs rows that do not describe a server, once per version. They are skipped so that they do not
--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::metrics;
 use crate::settings::Settings;
 use crate::side::AuxiliaryHandler;
+use crate::snapshot::SnapshotHandler;
 use crate::source::Source;
 use crate::store::Store;
 
@@ -57,6 +58,8 @@
 const RESERVED_SOCKETS: usize = 1_200;
 /// Maximum number of connections of an auxiliary listener.
 const MAX_AUXILIARY_CONNECTIONS: usize = 200;
+/// Maximum number of connections of instances that request snapshots.
+const MAX_SNAPSHOT_CONNECTIONS: usize = 256;
 /// Divisor of the memory limit; the result is the maximum size of all buffered bodies together.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
@@ -96,6 +99,7 @@
             let handler: Arc<dyn Handler> = Arc::new(AuxiliaryHandler::new(gateway.clone()));
             auxiliary_listeners.push(Listener::start(listen, handler).context(ListenSnafu)?);
         }
+        auxiliary_listeners.extend(start_snapshots(&gateway));
         let control = Control::new(gateway.clone(), store, source, inbox);
         let control = start_control(control)?;
         log_event!(
@@ -170,6 +174,21 @@
     front
 }
 
+/// Starts the listener for snapshots. Without it, other instances read the store.
+fn start_snapshots(gateway: &Arc<Gateway>) -> Option<Listener> {
+    let address = gateway.settings.peer?;
+    let listen = listener::Settings::new(address)
+        .with_name("snapshot")
+        .with_max_connections(MAX_SNAPSHOT_CONNECTIONS);
+    let handler: Arc<dyn Handler> = Arc::new(SnapshotHandler::new(gateway.clone()));
+    Listener::start(listen, handler)
+        .inspect_err(|error| {
+            let reason = error.to_string().replace(' ', "_");
+            log_event!(Event::LinkFailed, "address={address} reason={reason}");
+        })
+        .ok()
+}
+
 fn auxiliary_addresses(settings: &Settings) -> Vec<(&'static str, SocketAddr)> {
     let ready = settings.ready.map(|address| ("ready", address));
     let directory = settings.directory.map(|address| ("directory", address));
--- a/crates/fescuewell_gateway/src/lib.rs
+++ b/crates/fescuewell_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! | --- | --- |
 //! | `front-0` | callers' connections, and the requests to backend servers made for them |
 //! | `directory-0`, `ready-0`, `metrics-0` | addresses of instances; readiness checks; metrics |
+//! | `snapshot-0` | server list and configuration for other instances |
 //! | `control` | configuration, backend servers, grants, membership, messages between instances |
 //!
 //! ```
@@ -29,6 +30,7 @@
 pub mod refusal;
 pub mod settings;
 pub mod side;
+pub mod snapshot;
 pub mod source;
 pub mod store;
 pub mod stream;
--- /dev/null
+++ b/crates/fescuewell_gateway/src/snapshot.rs
@@ -0,0 +1,107 @@
+//! HTTP handler for snapshots of the server list and the configuration, which other instances
+//! request; see [`fescuewell_forward::snapshot`].
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::directory::Role;
+use fescuewell_forward::message::{Key, Message};
+use fescuewell_forward::snapshot::{self, Snapshot, Subject};
+use fescuewell_http::listener::{Handler, Reply, Request};
+use http::{HeaderMap, StatusCode};
+use tokio::time::Instant;
+
+use crate::gateway::{Gateway, State};
+use crate::refusal;
+
+/// Path of the snapshots.
+pub(crate) const PATH: &str = "/snapshot";
+/// Time for which an encoded list of servers is used again. All followers of a zone request it when
+/// they start together.
+const REUSE_TIME: Duration = Duration::from_millis(300);
+
+/// Responds to requests for snapshots that are sealed with the fleet key.
+pub struct SnapshotHandler {
+    gateway: Arc<Gateway>,
+    /// The last encoded list of servers.
+    encoded: Mutex<Option<(Instant, Bytes)>>,
+}
+
+impl SnapshotHandler {
+    /// Creates a handler.
+    pub fn new(gateway: Arc<Gateway>) -> Self {
+        Self {
+            gateway,
+            encoded: Mutex::default(),
+        }
+    }
+
+    /// Returns the response to a request, or the code of a refusal.
+    fn respond(&self, body: &[u8]) -> Result<Bytes, Code> {
+        let key = self.gateway.fleet_key().ok_or(Code::NotReady)?;
+        let Some(Message::SnapshotWanted(request)) = key.open(body) else {
+            return Err(Code::NoSuchPath);
+        };
+        let now_ms = self.gateway.now_ms();
+        let store_ms = self.gateway.state().quota.store_time(now_ms);
+        if !request.is_acceptable(store_ms) {
+            return Err(Code::NoSuchPath);
+        }
+        match request.subject {
+            Subject::Servers => self.servers(&key, now_ms),
+            Subject::Configuration => self.configuration(&key),
+        }
+    }
+
+    fn servers(&self, key: &Key, now_ms: u64) -> Result<Bytes, Code> {
+        let mut encoded = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((at, bytes)) = encoded.as_ref()
+            && at.elapsed() < REUSE_TIME
+        {
+            return Ok(bytes.clone());
+        }
+        let servers = {
+            let state = self.gateway.state();
+            if !self.is_current(&state, now_ms) {
+                return Err(Code::NotReady);
+            }
+            snapshot::Servers {
+                version: state.cursor.version(),
+                rows: state.registry.snapshot(now_ms),
+            }
+        };
+        let bytes = Bytes::from(key.seal_content(&Snapshot::Servers(servers)));
+        *encoded = Some((Instant::now(), bytes.clone()));
+        Ok(bytes)
+    }
+
+    /// Returns `true` if this instance learns of changes of the server list within a second.
+    fn is_current(&self, state: &State, now_ms: u64) -> bool {
+        let settings = &self.gateway.settings;
+        let reads = state.directory.role(&settings.name, &settings.zone) == Role::Primary;
+        let is_reading = reads && self.gateway.is_store_up();
+        state.cursor.version() > 0 && (is_reading || state.cursor.is_following(now_ms))
+    }
+
+    fn configuration(&self, key: &Key) -> Result<Bytes, Code> {
+        let table = self.gateway.table().ok_or(Code::NotReady)?;
+        let configuration = table.configuration().clone();
+        let snapshot = Snapshot::Configuration(configuration);
+        Ok(Bytes::from(key.seal_content(&snapshot)))
+    }
+}
+
+impl Handler for SnapshotHandler {
+    fn handle(&self, request: Request, reply: Reply) {
+        let response = match &*request.path {
+            PATH => self.respond(&request.body),
+            _ => Err(Code::NoSuchPath),
+        };
+        match response {
+            Ok(body) => reply.send(StatusCode::OK, HeaderMap::new(), body),
+            Err(code) => refusal::send(reply, code, None, false),
+        }
+    }
+}
--- a/crates/fescuewell_gateway/src/store.rs
+++ b/crates/fescuewell_gateway/src/store.rs
@@ -42,6 +42,21 @@
     pub now_ms: u64,
 }
 
+/// Bytes that a store's response takes per row besides its value.
+const ROW_OVERHEAD_BYTES: usize = 100;
+
+impl ReadResponse {
+    /// Approximate size in bytes; values are sent in base64.
+    pub fn size(&self) -> usize {
+        let values = self
+            .rows
+            .iter()
+            .map(|row| row.value.as_ref().map_or(0, Vec::len));
+        let bytes: usize = values.sum();
+        bytes * 4 / 3 + self.rows.len() * ROW_OVERHEAD_BYTES
+    }
+}
+
 /// Preconditions and writes that are applied atomically.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Transaction {
--- a/tests/forward/pressure.rs
+++ b/tests/forward/pressure.rs
@@ -26,6 +26,7 @@
             usage: Vec::new(),
             era: 0,
             knows_grants: true,
+            interval_ms: 0,
             heartbeat_at_ms: u64::MAX / 2,
             unready_until_ms: 0,
         };
