Members at a first start: the summary before all rows; golden bytes; list timeout

Cause: an instance that knew nobody counted as a reader, and so as active, and read all members; in the first seconds of a fleet everybody took it for small.

Change: an instance that has not read the members asks for the summary first, for ten seconds after a first start also in a fleet that seems small. The list has 8 s, each of its pages 2 s as before.

--- /dev/null
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -0,0 +1,264 @@
+//! Bytes of the rows and messages, as written down. Instances of different program versions run side
+//! by side, so a change of these bytes needs a new format.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell_forward::choice::Report;
+use fescuewell_forward::config::{
+    Account, Configuration, Engine, Kind, Limits, Route, Service, Split,
+};
+use fescuewell_forward::directory::Member;
+use fescuewell_forward::directory::summary::Summary;
+use fescuewell_forward::evacuation::Order;
+use fescuewell_forward::loan;
+use fescuewell_forward::message::{Key, Message};
+use fescuewell_forward::quota::row::{Entry as JournalEntry, Grant, Journal, Ledger, Usage};
+use fescuewell_forward::relay::Digest;
+use fescuewell_forward::server::{Change, Entry, State, Update};
+use fescuewell_forward::snapshot::{Request, Servers, Snapshot, Subject};
+use fescuewell_forward::warmup;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn encode<Content>(content: &Content) -> String
+where
+    Content: serde::Serialize,
+{
+    hex(&postcard::to_allocvec(content).unwrap())
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([10, 1, 0, 2], port).into()
+}
+
+fn member() -> Member {
+    Member {
+        address: address(1),
+        peer: Some(address(2)),
+        zone: "z".into(),
+        weight: 3,
+        requests_per_s: 4,
+        usage: vec![Usage {
+            account: "g".into(),
+            consumed: 5,
+            demand_per_s: 6,
+        }],
+        heartbeat_at_ms: 7,
+        unready_until_ms: 8,
+        era: 9,
+        knows_grants: true,
+        interval_ms: 10,
+    }
+}
+
+fn update() -> Update {
+    Update {
+        id: "i".into(),
+        version: 2,
+        change: Change::Entry(Entry {
+            id: "i".into(),
+            started_at_ms: Some(3),
+            service: "s".into(),
+            address: address(4),
+            zone: "z".into(),
+            slots: 5,
+            cold_left_ms: 6,
+            state: State::Draining,
+        }),
+    }
+}
+
+fn configuration() -> Configuration {
+    let route = Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/p/".into(),
+        kind: Kind::Stream { resumable: true },
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_secs(2),
+        priority: 3,
+        splits: vec![Split {
+            service: "s".into(),
+            weight: 4,
+        }],
+        max_attempts: 5,
+        public: true,
+        sticky: false,
+        target_gap: Duration::from_secs(6),
+    };
+    let service = Service {
+        name: "s".into(),
+        max_connections: 7,
+        engine: Some(Engine {
+            slots: 8,
+            kv_capacity: 9,
+            tokens_per_event: 10,
+        }),
+        warmup: Some(warmup::Limit {
+            duration: Duration::from_secs(11),
+            interval: Duration::from_secs(12),
+        }),
+    };
+    let account = Account {
+        name: "g".into(),
+        keys: vec!["k".into()],
+        priority: Some(13),
+        prepaid: Some(14),
+    };
+    Configuration {
+        version: 15,
+        routes: vec![Arc::new(route)],
+        services: vec![service],
+        accounts: vec![Arc::new(account)],
+        limits: Some(Limits {
+            head_bytes: 16,
+            body_bytes: 17,
+            head_timeout: Duration::from_secs(18),
+            idle_timeout: Duration::from_secs(19),
+        }),
+    }
+}
+
+/// Guards against two fields of a type that change places: all instances of one version agree, and
+/// those of two versions read each other wrongly.
+#[test]
+fn rows_have_the_written_bytes() {
+    let ledger = Ledger {
+        era: 0,
+        grants: vec![Grant {
+            holder: "e".into(),
+            granted: 3,
+            era: 0,
+        }],
+    };
+    let ledger_of_an_era = Ledger {
+        era: 1,
+        grants: vec![Grant {
+            holder: "e".into(),
+            granted: 3,
+            era: 2,
+        }],
+    };
+    let journal = Journal {
+        incarnation: 1,
+        at_ms: 2,
+        era: 3,
+        knows_grants: true,
+        entries: vec![JournalEntry {
+            account: "g".into(),
+            consumed: 4,
+            burst: 5,
+            peak_rate: 6,
+            bucket_size: 7,
+            sustained_rate: 8,
+        }],
+    };
+    let summary = Summary {
+        at_ms: 1,
+        count: 2,
+        advertised: vec!["e".into()],
+        readers: BTreeMap::from([("z".into(), vec!["f".into()])]),
+        members: BTreeMap::from([("e".into(), member())]),
+    };
+
+    assert_eq!(hex(&ledger.encode()), "0101016503");
+    assert_eq!(hex(&ledger_of_an_era.encode()), "02010101650302");
+    assert_eq!(hex(&journal.encode()), "03010203010101670405060708");
+    assert_eq!(
+        hex(&member().encode()),
+        "000a0100020101000a01000202017a03040101670506070809010a"
+    );
+    assert_eq!(
+        hex(&summary.encode()),
+        "01010201016501017a010166010165000a0100020101000a01000202017a03040101670506070809010a"
+    );
+}
+
+#[test]
+fn messages_have_the_written_bytes() {
+    let request = loan::Request {
+        id: 1,
+        account: "g".into(),
+        required_tokens: 2,
+        wanted_tokens: 3,
+        sent_at_ms: 4,
+    };
+    let response = loan::Response {
+        id: 1,
+        lender: "e".into(),
+        tokens: 2,
+        remaining: 3,
+    };
+    let digest = Digest {
+        reader: "e".into(),
+        after: 1,
+        until: 2,
+        at_ms: 3,
+        configuration: 4,
+        evacuations: vec![Order {
+            zone: "z".into(),
+            version: 5,
+            is_evacuated: true,
+        }],
+        rows: vec![update()],
+    };
+    let report = Report {
+        instance: "e".into(),
+        sequence: 1,
+        servers: vec![("i".into(), 2, 3)],
+        locations: vec![(4, "i".into())],
+    };
+
+    assert_eq!(encode(&Message::LoanRequest(request)), "00010167020304");
+    assert_eq!(encode(&Message::LoanResponse(response)), "010101650203");
+    assert_eq!(
+        encode(&Message::Digest(digest)),
+        "0201650102030401017a05010101690200016901030173000a01000204017a050601"
+    );
+    assert_eq!(encode(&Message::CrashesWanted), "04");
+    assert_eq!(
+        encode(&Message::SnapshotWanted(Request::new(Subject::Servers, 2))),
+        "05010002"
+    );
+    assert_eq!(encode(&report), "016501010169020301040169");
+    assert_eq!(
+        hex(&Key::new([7; 32]).seal(&Message::CrashesWanted)),
+        "001e8b8c657ce6f9b4a58ed8750f41ce7b04"
+    );
+}
+
+#[test]
+fn snapshots_have_the_written_bytes() {
+    let servers = Snapshot::Servers(Servers {
+        version: 1,
+        rows: vec![update()],
+    });
+
+    assert_eq!(
+        encode(&servers),
+        "00010101690200016901030173000a01000204017a050601"
+    );
+    assert_eq!(
+        encode(&Snapshot::Configuration(configuration())),
+        "010f0101720168032f702f02010100020003010173040501000600010173070108090a010b000c0001016701016b010d010e01101112001300"
+    );
+}
+
+/// Guards against a snapshot that an instance of another version reads wrongly.
+#[test]
+fn a_request_for_another_encoding_is_refused() {
+    let request = Request::new(Subject::Configuration, 5_000);
+    let other = Request {
+        format: request.format + 1,
+        ..request.clone()
+    };
+
+    assert!(request.is_acceptable(9_000));
+    assert!(!request.is_acceptable(15_000), "an old one may be repeated");
+    assert!(!other.is_acceptable(5_000));
+}
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -20,6 +20,8 @@
 const MEMBER_TABLE: &str = "member";
 /// Table and key of the summary of the members.
 const SUMMARY_TABLE: &str = "summary";
+/// Time after the first start of the fleet within which its members become known.
+const FIRST_START_TIME: Duration = Duration::from_secs(10);
 /// Age in milliseconds at which the first advertised instance replaces the summary.
 const SUMMARY_REFRESH_MS: u64 = 1_500;
 /// Additional age for each further advertised instance, in milliseconds.
@@ -94,12 +96,19 @@
     bytes
 }
 
-/// Returns `true` if a summary of the members is not enough for this instance.
+/// Returns `true` if a summary of the members is not enough for this instance. Just after the first
+/// start the fleet may be larger than it seems.
 fn needs_all_members(control: &Control) -> bool {
-    let state = control.gateway.state();
-    let is_small = state.directory.is_loaded() && !state.directory.is_large();
-    drop(state);
-    is_small || control.is_active()
+    let gateway = &control.gateway;
+    let is_young = gateway.settings.is_first_start && gateway.uptime() < FIRST_START_TIME;
+    let (is_loaded, is_large) = {
+        let state = gateway.state();
+        (state.directory.is_loaded(), state.directory.is_large())
+    };
+    match is_loaded && is_large {
+        true => control.is_active(),
+        false => is_loaded && !is_young,
+    }
 }
 
 /// Reads and applies the summary of the members. Returns `false` if there is none that is enough.
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -28,6 +28,9 @@
 /// Maximum time a long poll waits for changes. It is short because a dead connection is noticed
 /// only when the response is overdue, and a change must take effect within two seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(700);
+/// Timeout for reading the server list: 20,000 entries over a link of 10 Mbit/s. Each page has a
+/// shorter timeout of its own.
+const LIST_TIMEOUT: Duration = Duration::from_secs(8);
 /// Timeout of a long poll.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1_100);
 /// Interval after which the full state is reread even if changes arrive.
@@ -280,7 +283,7 @@
         return copy;
     }
     let read = control.source.list_servers();
-    control.call("servers", CALL_TIMEOUT, read).await.ok()
+    control.call("servers", LIST_TIMEOUT, read).await.ok()
 }
 
 /// Reads the server list from a reader of the availability zone.
