Tokens in a large fleet: few holders, and no grant spent before it is reported

A grant in the ledger that is younger than its holder's last reported usage counted as spent whole; in a fleet of hundreds reports are four seconds old.

Ruled out: reading members more often (150 kB a second each already).

Change: a live holder that has reported no usage counts as having consumed nothing, also as a lender; only absent holders' grants count as spent. In fleets of 100 and more two strong instances of each zone are enough without traffic; traffic still adds more.

--- a/crates/fescuewell_forward/src/directory/selection.rs
+++ b/crates/fescuewell_forward/src/directory/selection.rs
@@ -1,11 +1,12 @@
 //! Selection of the instances that callers are sent to and of those that read the server list.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::Member;
+use super::summary::MIN_MEMBERS;
 use crate::relay::{MAX_ALL_READERS, READERS};
 
 /// Ratio of the advertised instances' capacity to the present traffic, to absorb bursts and the
@@ -18,6 +19,9 @@
 /// One instance in this many is advertised even without traffic, so that a sudden rise finds
 /// instances that hold tokens.
 const MIN_ADVERTISED_DIVISOR: usize = 6;
+/// Number of instances per availability zone that is enough for that in a large fleet. Tokens must
+/// not be divided among more instances the larger the fleet is.
+const MIN_ADVERTISED_PER_ZONE: usize = 2;
 
 /// Members by name.
 pub(super) type Members = BTreeMap<Arc<str>, Member>;
@@ -67,7 +71,7 @@
     });
     let requests: u32 = known.iter().map(|(_, member)| member.requests_per_s).sum();
     let required = requests * HEADROOM_FACTOR;
-    let min_count = known.len() / MIN_ADVERTISED_DIVISOR;
+    let min_count = min_count(&known);
     let highest = known.iter().map(|(_, member)| member.weight).max();
     let is_strong = |member: &Member| member.weight >= highest.unwrap_or(0) / WEAK_DIVISOR;
     let mut zones: Vec<&Arc<str>> = Vec::new();
@@ -92,6 +96,16 @@
     selected.into_iter().map(|(name, _)| name.clone()).collect()
 }
 
+/// Returns the number of strong instances to advertise even without traffic.
+fn min_count(known: &[(&Arc<str>, &Member)]) -> usize {
+    let part = known.len() / MIN_ADVERTISED_DIVISOR;
+    if known.len() < MIN_MEMBERS {
+        return part;
+    }
+    let zones: BTreeSet<&Arc<str>> = known.iter().map(|(_, member)| &member.zone).collect();
+    part.min(zones.len() * MIN_ADVERTISED_PER_ZONE)
+}
+
 /// Selects the readers of each availability zone: the instances with the highest weights, with ties
 /// broken the same way on all instances.
 fn readers(live: &[(&Arc<str>, &Member)]) -> BTreeMap<Arc<str>, Vec<Arc<str>>> {
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -34,7 +34,7 @@
 pub mod row;
 mod waiting;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 pub use account::Account;
@@ -82,6 +82,8 @@
     advertised_count: u64,
     /// Whether the usage of the other holders is known.
     knows_peers: bool,
+    /// Live holders, this one included.
+    live: Arc<HashSet<Arc<str>>>,
     burst_ms: u64,
     ledger_max_age_ms: u64,
     pending_journal: Option<Journal>,
@@ -107,6 +109,7 @@
             is_advertised: true,
             advertised_count: 1,
             knows_peers: true,
+            live: Arc::default(),
             burst_ms: 0,
             ledger_max_age_ms: LEDGER_MAX_AGE_MS,
             pending_journal: None,
@@ -360,7 +363,10 @@
             advertised.len()
         };
         self.advertised_count = advertised_count as u64;
-        let mut by_account: HashMap<Arc<str>, Peers> = HashMap::new();
+        let names: HashSet<&Arc<str>> = advertised.iter().collect();
+        let live = reported.iter().map(|(holder, _)| holder.clone());
+        self.live = Arc::new(live.collect());
+        let mut by_account: HashMap<Arc<str>, HashMap<Arc<str>, Peer>> = HashMap::new();
         for (holder, usages) in reported {
             if *holder == self.holder {
                 continue;
@@ -369,14 +375,17 @@
                 let peer = Peer {
                     consumed: usage.consumed,
                     demand_per_s: usage.demand_per_s,
-                    is_advertised: advertised.is_empty() || advertised.contains(holder),
+                    is_advertised: names.is_empty() || names.contains(holder),
                 };
                 let peers = by_account.entry(usage.account.clone()).or_default();
                 peers.insert(holder.clone(), peer);
             }
         }
         for (name, account) in &mut self.accounts {
-            account.set_peers(by_account.remove(name).unwrap_or_default());
+            account.set_peers(Peers {
+                usages: by_account.remove(name).unwrap_or_default(),
+                live: self.live.clone(),
+            });
         }
     }
 
@@ -429,6 +438,14 @@
     }
 
     fn account_mut(&mut self, name: &Arc<str>) -> &mut Account {
-        self.accounts.entry(name.clone()).or_default()
+        let accounts = &mut self.accounts;
+        accounts.entry(name.clone()).or_insert_with(|| {
+            let mut account = Account::default();
+            account.set_peers(Peers {
+                live: self.live.clone(),
+                ..Peers::default()
+            });
+            account
+        })
     }
 }
--- a/crates/fescuewell_forward/src/quota/plan.rs
+++ b/crates/fescuewell_forward/src/quota/plan.rs
@@ -4,13 +4,13 @@
 //! exceeds it and draws what others have returned. No instance assigns shares to others, so tokens
 //! move only after their holder has returned them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use super::row::Ledger;
 
 /// Usage of an account as last reported by another holder.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Peer {
     /// Tokens consumed or held.
     pub consumed: u64,
@@ -22,7 +22,22 @@
 
 /// The other live holders. All others count as absent: they get no share of the remaining tokens,
 /// and their whole grants count as spent.
-pub type Peers = HashMap<Arc<str>, Peer>;
+#[derive(Debug, Clone, Default)]
+pub struct Peers {
+    /// Usage of the account by the holders that have reported one.
+    pub usages: HashMap<Arc<str>, Peer>,
+    /// All live holders.
+    pub live: Arc<HashSet<Arc<str>>>,
+}
+
+impl Peers {
+    /// Returns the usage of a live holder. One that has not reported any has drawn its grant since,
+    /// and may have consumed none of it.
+    pub fn get(&self, holder: &Arc<str>) -> Option<Peer> {
+        let reported = self.usages.get(holder).copied();
+        reported.or_else(|| self.live.contains(holder).then(Peer::default))
+    }
+}
 
 /// State of the holder that computes the plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -153,9 +168,11 @@
 
 /// Returns the share of this holder of the remaining tokens, by demand.
 fn share(left: u64, own: &Holder, peers: &Peers) -> u64 {
-    let advertised_count = peers.values().filter(|peer| peer.is_advertised).count() as u64;
+    let usages = peers.usages.values();
+    let advertised_count = usages.filter(|peer| peer.is_advertised).count() as u64;
     let advertised_count = advertised_count + u64::from(own.is_advertised);
-    let total: u64 = peers.values().map(|peer| peer.demand_per_s).sum::<u64>() + own.demand_per_s;
+    let demands = peers.usages.values().map(|peer| peer.demand_per_s);
+    let total: u64 = demands.sum::<u64>() + own.demand_per_s;
     let smoothing = total / advertised_count.max(1) * SMOOTHING_PERCENT / 100 + 1;
     let weight = u128::from(own.demand_per_s + if own.is_advertised { smoothing } else { 0 });
     let sum = u128::from(total + smoothing * advertised_count);
--- a/crates/fescuewell_forward/tests/fleet.rs
+++ b/crates/fescuewell_forward/tests/fleet.rs
@@ -62,6 +62,20 @@
     directory
 }
 
+/// A fleet without traffic.
+fn idle_directory(instances: usize) -> Directory {
+    let members = (0..instances).map(|index| {
+        let member = Member {
+            requests_per_s: 0,
+            ..member(index, 1_000)
+        };
+        (name(index), member)
+    });
+    let mut directory = Directory::default();
+    directory.replace(members.collect(), NOW_MS);
+    directory
+}
+
 fn cadence(instances: usize, is_active: bool) -> Cadence {
     let directory = directory(instances);
     Cadence {
@@ -123,18 +137,24 @@
 #[test]
 fn a_summary_does_not_grow_with_the_fleet() {
     let size = |instances| {
-        let summary = directory(instances).summarize().unwrap();
+        let summary = idle_directory(instances).summarize().unwrap();
         summary.encode().len()
     };
 
     let sizes = [2_000, 4_000, 20_000].map(size);
 
-    // Names and addresses of the advertised instances and two readers of each zone.
-    assert!(
-        sizes.iter().all(|size| *size < MAX_ROW_BYTES / 5),
-        "{sizes:?}"
-    );
-    assert!(sizes[2] < sizes[1] + 1_000, "{sizes:?}");
+    assert!(sizes[2] < sizes[0] + 100, "{sizes:?}");
+}
+
+/// Guards against a summary of a fleet with much traffic that does not fit a row.
+#[test]
+fn a_summary_of_many_advertised_instances_fits_a_row() {
+    let directory = directory(200_000);
+
+    let summary = directory.summarize().unwrap();
+
+    assert!(directory.advertised().len() > summary.advertised.len());
+    assert!(summary.encode().len() < MAX_ROW_BYTES / 4);
 }
 
 /// Guards against instances that send callers elsewhere than those that read all members.
@@ -217,3 +237,13 @@
 
     assert!(rate <= 150_000.0, "{rate}");
 }
+
+/// Guards against tokens that are divided among the more instances the larger the fleet is: 50 of
+/// 985 held those of accounts with some twenty requests in all.
+#[test]
+fn a_larger_fleet_advertises_no_more_instances_for_the_same_traffic() {
+    let advertised = |instances| idle_directory(instances).advertised().len();
+
+    assert_eq!(advertised(1_000), advertised(2_000));
+    assert!(advertised(2_000) <= 2 * ZONES);
+}
--- a/crates/fescuewell_forward/tests/spread.rs
+++ b/crates/fescuewell_forward/tests/spread.rs
@@ -206,3 +206,41 @@
     let unused = cluster.consumed(1) - (before - lent);
     assert!(unused <= 20_000, "{unused} of {lent}");
 }
+
+/// Guards against an account reported as exhausted (402) because another live instance has drawn
+/// tokens since it last reported its usage. With hundreds of instances reports are seconds apart,
+/// and every grant younger than them counted as spent.
+#[test]
+fn a_grant_younger_than_its_holders_report_is_not_spent() {
+    let mut cluster = Cluster::new(2, 100_000);
+    for index in 0..2 {
+        cluster.adopt(index, WriteOutcome::Committed);
+        cluster.exchange_usage(index);
+    }
+    cluster.exchange_usage(0);
+    cluster.exchange_usage(1);
+    cluster.hold(0, 80_000);
+    cluster.plan(0, WriteOutcome::Committed);
+
+    cluster.read_ledger(1);
+    let held = cluster.hold(1, 50_000);
+
+    assert_eq!(held, HoldOutcome::InsufficientGrant);
+}
+
+/// Guards against the grant of an instance that is gone counting as unspent.
+#[test]
+fn the_grant_of_an_instance_that_is_gone_counts_as_spent() {
+    let mut cluster = Cluster::new(2, 100_000);
+    cluster.adopt(0, WriteOutcome::Committed);
+    cluster.hold(0, 80_000);
+    cluster.plan(0, WriteOutcome::Committed);
+    cluster.adopt(1, WriteOutcome::Committed);
+    let own = [(cluster.instances[1].quota.holder().clone(), Vec::new())];
+    cluster.instances[1].quota.set_peers(&own, &[]);
+
+    cluster.read_ledger(1);
+    let held = cluster.hold(1, 50_000);
+
+    assert_eq!(held, HoldOutcome::Exhausted);
+}
--- a/crates/fescuewell_gateway/src/control/sync.rs
+++ b/crates/fescuewell_gateway/src/control/sync.rs
@@ -97,10 +97,11 @@
             tokio::time::sleep_until(written_at + min_interval).await;
         }
         let is_depleted = gateway.state().quota.is_depleted();
-        let interval = if is_depleted {
-            IDLE_JOURNAL_INTERVAL
-        } else {
-            JOURNAL_INTERVAL
+        let cadence = control.cadence();
+        let interval = match is_depleted {
+            true if cadence.reconciles() => IDLE_JOURNAL_INTERVAL,
+            true => IDLE_JOURNAL_INTERVAL.max(cadence.heartbeat()),
+            false => JOURNAL_INTERVAL,
         };
         let burst_ms = (min_interval * BURST_INTERVALS).as_millis() as u64;
         gateway.state().quota.set_burst(burst_ms);
