--- a/crates/fescuewell_forward/src/relay.rs
+++ b/crates/fescuewell_forward/src/relay.rs
@@ -196,19 +196,21 @@
         self.version = self.version.max(version);
     }
 
-    /// Advances to the end of a digest at `now_ms` of the local clock, which is `store_ms` of the
-    /// store's clock. Returns `false` if its rows must not be applied: the digest is stale, or
-    /// there is a gap before it.
-    pub fn apply(&mut self, digest: &Digest, store_ms: u64, now_ms: u64) -> bool {
+    /// Returns `true` if the rows of a digest may be applied at `store_ms` of the store's clock: it
+    /// is recent, and there is no gap before it.
+    pub fn accepts(&self, digest: &Digest, store_ms: u64) -> bool {
         let is_contiguous = digest.after <= self.version && self.version <= digest.until;
         let is_fresh = digest.at_ms.abs_diff(store_ms) < STALE_DIGEST_MS;
-        if self.version == 0 || !is_contiguous || !is_fresh {
-            return false;
-        }
-        self.version = digest.until;
+        self.version > 0 && is_contiguous && is_fresh
+    }
+
+    /// Advances to the end of an accepted digest at `now_ms` of the local clock, once its rows have
+    /// been applied. Before that, a snapshot for another instance would lack them and claim to be
+    /// complete.
+    pub fn finish(&mut self, digest: &Digest, now_ms: u64) {
+        self.advance(digest.until);
         self.last_digest_ms = Some(now_ms);
         self.configuration_version = self.configuration_version.max(digest.configuration);
-        true
     }
 
     /// Returns `true` while digests arrive.
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// Returns `true` if the row is not newer than what is known of the server.
+    pub fn is_stale(&self, update: &Update) -> bool {
+        let registered = self.registrations.get(&update.id);
+        let registered = registered.map(|known| known.version);
+        let removed = self.tombstones.get(&update.id).copied();
+        update.version <= registered.max(removed).unwrap_or_default()
+    }
+
     /// Number of registered servers.
     pub fn count(&self) -> usize {
         self.registrations.len()
@@ -99,17 +107,15 @@
 
     /// Applies an update at `now_ms` of the local clock. Returns `false` if it is stale.
     pub fn apply(&mut self, update: Update, now_ms: u64) -> bool {
+        if self.is_stale(&update) {
+            return false;
+        }
         let Update {
             id,
             version,
             change,
         } = update;
-        let registered = self.registrations.get(&id).map(|known| known.version);
         let removed = self.tombstones.get(&id).copied();
-        let newest = registered.max(removed).unwrap_or_default();
-        if version <= newest {
-            return false;
-        }
         self.enter_era(version::era(version), now_ms);
         let was_removed_before_restore =
             removed.is_some_and(|removed| version::era(removed) < version::era(version));
--- a/crates/fescuewell_forward/tests/relay.rs
+++ b/crates/fescuewell_forward/tests/relay.rs
@@ -75,11 +75,12 @@
     }
 
     fn receive(&mut self, digest: &Digest, now_ms: u64) -> bool {
-        let is_applied = self.cursor.apply(digest, STORE_MS + now_ms, now_ms);
+        let is_applied = self.cursor.accepts(digest, STORE_MS + now_ms);
         if is_applied {
             for row in &digest.rows {
                 self.registry.apply(row.clone(), now_ms);
             }
+            self.cursor.finish(digest, now_ms);
         }
         is_applied
     }
--- a/crates/fescuewell_gateway/src/control/sync.rs
+++ b/crates/fescuewell_gateway/src/control/sync.rs
@@ -28,6 +28,9 @@
 const JOURNAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between two journals while this instance holds no tokens.
 const IDLE_JOURNAL_INTERVAL: Duration = Duration::from_secs(4);
+/// Interval that the heartbeat at the first start of the fleet states. How large the fleet is turns
+/// out later, and hundreds of heartbeats take the store seconds.
+const FIRST_INTERVAL: Duration = Duration::from_secs(8);
 /// Interval at which an instance checks whether its heartbeats must become more frequent.
 const CADENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of reconciliation intervals for which a ledger read from the store proves that an account
@@ -53,9 +56,13 @@
     if !control.gateway.settings.is_first_start {
         control.members_known.send_replace(true);
     }
-    write_heartbeat(control, control.cadence().heartbeat()).await;
+    let first_interval = match control.gateway.settings.is_first_start {
+        true => FIRST_INTERVAL,
+        false => control.cadence().heartbeat(),
+    };
+    write_heartbeat(control, first_interval).await;
     tokio::join!(
-        heartbeat_loop(control),
+        heartbeat_loop(control, first_interval),
         journal_loop(control),
         draw_loop(control),
         reconcile_loop(control)
@@ -63,9 +70,9 @@
 }
 
 /// Writes the heartbeat periodically, and early when this instance becomes active or drains.
-async fn heartbeat_loop(control: &Control) {
+async fn heartbeat_loop(control: &Control, first_interval: Duration) {
     let gateway = &control.gateway;
-    let mut written = control.cadence().heartbeat();
+    let mut written = first_interval;
     let mut next = Instant::now() + control.jitter(written);
     let mut is_leaving = false;
     loop {
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -15,7 +15,7 @@
 use fescuewell_forward::directory::Role;
 use fescuewell_forward::evacuation::Order;
 use fescuewell_forward::relay::{Digest, Outbox};
-use fescuewell_forward::server::{Change, Entry, Update};
+use fescuewell_forward::server::{Change, Entry, Registry, Update};
 use fescuewell_forward::snapshot::{Snapshot, Subject};
 use fescuewell_http::upstream::{self, Reachability};
 use tokio::time::Instant;
@@ -53,6 +53,12 @@
 /// and every write completes a poll. A leaving server is still noticed within this time.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval between two copies of the list from a reader while digests are missing.
+const RESYNC_INTERVAL: Duration = Duration::from_millis(500);
+/// The same for an instance of a large fleet that serves no callers.
+const IDLE_RESYNC_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum number of servers that are logged one by one. Thousands register when a fleet starts.
+const MAX_LOGGED_SERVERS: usize = 4;
 /// Timeout for connecting to a delisted server.
 const REACH_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -262,6 +268,7 @@
             if let Some(response) = copy_servers(control, snapshots::Patience::Resync).await {
                 outbox.restart(response.version);
                 apply_list(control, response);
+                tokio::time::sleep(control.jitter(resync_interval(control))).await;
                 continue;
             }
             match poll_changes(control, &mut outbox).await {
@@ -276,6 +283,14 @@
     }
 }
 
+/// Returns the interval between two copies of the list while digests are missing.
+fn resync_interval(control: &Control) -> Duration {
+    match control.cadence().reconciles() {
+        true => RESYNC_INTERVAL,
+        false => IDLE_RESYNC_INTERVAL,
+    }
+}
+
 /// Reads the server list from a reader of the availability zone, or from the store.
 async fn list_servers(control: &Control) -> Option<Versioned<Vec<Update>>> {
     let copy = copy_servers(control, snapshots::Patience::Start).await;
@@ -311,17 +326,17 @@
     let response = control
         .call("servers_after", WATCH_TIMEOUT, changes)
         .await?;
-    let mut rows = Vec::new();
-    for change in response.content {
+    let mut changes = Vec::new();
+    for row in response.content {
         // Row by row, because a server may appear and disappear within one response.
         let now_ms = gateway.now_ms();
-        if gateway.state().registry.is_change(&change, now_ms) {
-            rows.push(change.clone());
+        if gateway.state().registry.is_change(&row, now_ms) {
+            changes.push(row.clone());
         }
-        apply_change(control, change);
+        apply_rows(control, vec![row]);
     }
     let now_ms = gateway.now_ms();
-    outbox.add(rows, version, version.max(response.version), now_ms);
+    outbox.add(changes, version, version.max(response.version), now_ms);
     gateway.state().cursor.advance(response.version);
     let configuration = gateway.table().map(|table| table.configuration().version);
     let name = gateway.settings.name.clone();
@@ -344,16 +359,14 @@
     // one.
     evacuate(control, digest.evacuations.clone());
     {
-        let mut state = gateway.state();
+        let state = gateway.state();
         let store_ms = state.quota.store_time(now_ms);
-        if !state.cursor.apply(&digest, store_ms, now_ms) {
+        if !state.cursor.accepts(&digest, store_ms) {
             return;
         }
     }
-    let mut has_changes = false;
-    for row in &digest.rows {
-        has_changes |= apply_change(control, row.clone());
-    }
+    let has_changes = apply_rows(control, digest.rows.clone());
+    gateway.state().cursor.finish(&digest, now_ms);
     forward(control, digest, has_changes, now_ms);
 }
 
@@ -420,6 +433,9 @@
     let mut guard = control.gateway.state();
     let state = &mut *guard;
     state.cursor.advance(response.version);
+    for row in &response.content {
+        log_unreadable_row(&state.registry, row);
+    }
     let changed = state
         .registry
         .apply_snapshot(response.version, response.content, now_ms);
@@ -431,47 +447,64 @@
         response.version,
         changed.len()
     );
-    log_unreadable_rows(&changed);
     let ended = forget_ended(state);
     drop(guard);
     handle_ended(control, ended);
 }
 
-/// Applies a change. Returns `false` if it is stale.
-fn apply_change(control: &Control, update: Update) -> bool {
-    let id = update.id.clone();
-    let version = update.version;
+/// Applies changed rows. Returns `true` if any of them was new.
+fn apply_rows(control: &Control, rows: Vec<Update>) -> bool {
     let now_ms = control.gateway.now_ms();
     let mut state = control.gateway.state();
-    let was_ready = state.registry.is_ready(&id, now_ms);
-    if !state.registry.apply(update.clone(), now_ms) {
-        return false;
-    }
-    let is_ready = state.registry.is_ready(&id, now_ms);
-    log_unreadable_rows(&[update]);
-    if was_ready && !is_ready {
-        log_event!(Event::ServerLeaving, "server={id} version={version}");
-    } else if !was_ready && is_ready {
-        log_event!(Event::ServerListed, "server={id} version={version}");
+    let (mut listed, mut leaving) = (Vec::new(), Vec::new());
+    let mut has_changes = false;
+    for row in rows {
+        let (id, version) = (row.id.clone(), row.version);
+        let was_ready = state.registry.is_ready(&id, now_ms);
+        log_unreadable_row(&state.registry, &row);
+        if !state.registry.apply(row, now_ms) {
+            continue;
+        }
+        has_changes = true;
+        match (was_ready, state.registry.is_ready(&id, now_ms)) {
+            (true, false) => leaving.push((id, version)),
+            (false, true) => listed.push((id, version)),
+            _ => {}
+        }
     }
+    log_servers(Event::ServerListed, &listed);
+    log_servers(Event::ServerLeaving, &leaving);
     let ended = forget_ended(&mut state);
     drop(state);
     handle_ended(control, ended);
-    true
+    has_changes
 }
 
-/// Logs rows that do not describe a server, once per version. They are skipped so that they do not
-/// hide the other rows.
-fn log_unreadable_rows(changes: &[Update]) {
-    for update in changes {
-        let Change::Unreadable { reason } = &update.change else {
-            continue;
-        };
+/// Logs a line for each server, or one line for many of them.
+fn log_servers(event: Event, servers: &[(Arc<str>, u64)]) {
+    if servers.len() > MAX_LOGGED_SERVERS {
+        let version = servers.iter().map(|(_, version)| *version).max();
+        let version = version.unwrap_or_default();
+        log_event!(event, "servers={} version={version}", servers.len());
+        return;
+    }
+    for (id, version) in servers {
+        log_event!(event, "server={id} version={version}");
+    }
+}
+
+/// Logs a new row that does not describe a server. It is skipped so that it does not hide the other
+/// rows.
+fn log_unreadable_row(registry: &Registry, row: &Update) {
+    let Change::Unreadable { reason } = &row.change else {
+        return;
+    };
+    if !registry.is_stale(row) {
         log_event!(
             Event::ServerUnreadable,
             "server={} version={} reason={}",
-            update.id,
-            update.version,
+            row.id,
+            row.version,
             reason.replace(' ', "_")
         );
     }
