--- a/crates/fescuewell_forward/src/cadence.rs
+++ b/crates/fescuewell_forward/src/cadence.rs
@@ -16,6 +16,11 @@
 const PARTITION_SHARE: f64 = 0.3;
 /// The same for the heartbeats of the active instances of a large fleet.
 const ACTIVE_SHARE: f64 = 0.15;
+/// Fraction of the store's write capacity that all journals may use together.
+const JOURNAL_SHARE: f64 = 0.4;
+/// Number of instances per advertised one that may write journals often in a large fleet: callers
+/// use some that are no longer advertised.
+const JOURNALS_PER_ADVERTISED: usize = 2;
 /// Bytes per second that an active instance reads of members and ledgers.
 const ROUND_BYTES_S: f64 = 150_000.0;
 
@@ -32,6 +37,8 @@
     pub is_active: bool,
     /// Transactions per second that one partition of the store can commit.
     pub partition_writes_per_s: f64,
+    /// Write calls per second allowed for all instances together.
+    pub writes_per_s: f64,
 }
 
 impl Cadence {
@@ -60,6 +67,19 @@
         self.fair(self.advertised, PARTITION_SHARE).max(transfer)
     }
 
+    /// Returns the interval between two journals at which all instances that hold tokens keep to
+    /// their share of the store's writes. Each journal has its own partition.
+    ///
+    /// Requests and loans wait for journals. At the interval that suits all instances of a large
+    /// fleet they would wait half a second.
+    pub fn journal(&self) -> Duration {
+        let writers = match self.is_large {
+            true => self.advertised * JOURNALS_PER_ADVERTISED,
+            false => self.instances,
+        };
+        Duration::from_secs_f64(writers as f64 / (self.writes_per_s * JOURNAL_SHARE))
+    }
+
     /// Interval at which so many instances keep to a fraction of one partition's writes.
     fn fair(&self, instances: usize, share: f64) -> Duration {
         let writes_per_s = self.partition_writes_per_s * share;
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -242,13 +242,16 @@
         limits.min().unwrap_or(0)
     }
 
-    /// Returns whether the whole fleet lacks the tokens for a request, according to the ledger. A
-    /// ledger that was read too long ago proves nothing: other holders may have returned tokens, or
-    /// the total may have been raised.
+    /// Returns whether the whole fleet lacks the tokens for a request: the account never had as
+    /// many, or they are used according to the ledger. A ledger that was read too long ago proves
+    /// nothing: other holders may have returned tokens, or the total may have been raised.
     fn is_exhausted(&self, holder: &str, tokens: u64, oldest_read_ms: u64, era: u32) -> bool {
         let Some(prepaid) = self.prepaid else {
             return false;
         };
+        if prepaid < tokens {
+            return true;
+        }
         if self.version == 0 || self.ledger_read_ms < oldest_read_ms || self.ledger.era < era {
             return false;
         }
--- a/crates/fescuewell_forward/tests/fleet.rs
+++ b/crates/fescuewell_forward/tests/fleet.rs
@@ -84,6 +84,7 @@
         is_large: directory.is_large(),
         is_active,
         partition_writes_per_s: 200.0,
+        writes_per_s: 4_000.0,
     }
 }
 
@@ -247,3 +248,21 @@
     assert_eq!(advertised(1_000), advertised(2_000));
     assert!(advertised(2_000) <= 2 * ZONES);
 }
+
+/// Guards against requests and loans that wait for journals the longer the larger the fleet is:
+/// 616 ms with 985 instances, where a lender's response is awaited for 30 ms.
+#[test]
+fn journals_of_holders_are_not_delayed_by_idle_instances() {
+    for instances in [100, 985, 2_000] {
+        let directory = idle_directory(instances);
+        let cadence = Cadence {
+            advertised: directory.advertised().len(),
+            ..cadence(instances, true)
+        };
+
+        assert!(
+            cadence.journal() <= Duration::from_millis(15),
+            "{instances}"
+        );
+    }
+}
--- a/crates/fescuewell_forward/tests/spread.rs
+++ b/crates/fescuewell_forward/tests/spread.rs
@@ -244,3 +244,18 @@
 
     assert_eq!(held, HoldOutcome::Exhausted);
 }
+
+/// Guards against a request that waits for tokens that its account never had: it was held for half
+/// of its latency objective and then told to come back.
+#[test]
+fn a_request_larger_than_its_account_is_refused_at_once() {
+    let mut cluster = Cluster::new(1, 20_000);
+    cluster.adopt(0, WriteOutcome::Committed);
+    cluster.instances[0].quota.forget_peers();
+
+    let larger = cluster.hold(0, 20_001);
+    let as_large = cluster.hold(0, 20_000);
+
+    assert_eq!(larger, HoldOutcome::Exhausted);
+    assert_eq!(as_large, HoldOutcome::InsufficientGrant);
+}
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -148,6 +148,7 @@
             is_large: state.directory.is_large(),
             is_active,
             partition_writes_per_s: self.gateway.settings.partition_writes_per_s,
+            writes_per_s: self.gateway.settings.writes_per_s,
         }
     }
 
--- a/crates/fescuewell_gateway/src/control/sync.rs
+++ b/crates/fescuewell_gateway/src/control/sync.rs
@@ -42,9 +42,6 @@
 const MIN_JOURNAL_INTERVAL: Duration = Duration::from_millis(15);
 /// Number of minimum journal intervals whose demand a journal permits at once.
 const BURST_INTERVALS: u32 = 2;
-/// Fraction of the store's write capacity that all journals may use together.
-const WRITE_SHARE: f64 = 0.4;
-
 /// Synchronizes grants, journal and membership with the store.
 pub(super) async fn run(control: &Control) {
     adopt(control).await;
@@ -116,7 +113,7 @@
             renew_journal(control).await;
         }
         written_at = Instant::now();
-        next = written_at + control.jitter(interval.max(fair_journal_interval(control)));
+        next = written_at + control.jitter(interval.max(cadence.journal()));
         gateway.notify_token_changes();
     }
 }
@@ -182,16 +179,5 @@
 
 /// Returns the minimum interval between two journals of one instance while requests wait for them.
 fn min_journal_interval(control: &Control) -> Duration {
-    MIN_JOURNAL_INTERVAL.max(fair_journal_interval(control))
-}
-
-/// Returns the journal interval at which the whole fleet stays within its share of the store's
-/// writes. Each journal has its own partition.
-///
-/// With the limit of a single partition instead, the journals of a large fleet are seconds apart,
-/// and an outage that starts in between leaves the limits that fitted earlier demand.
-fn fair_journal_interval(control: &Control) -> Duration {
-    let gateway = &control.gateway;
-    let instances = gateway.state().directory.count() as f64;
-    Duration::from_secs_f64(instances / (gateway.settings.writes_per_s * WRITE_SHARE))
+    MIN_JOURNAL_INTERVAL.max(control.cadence().journal())
 }
