Choice of a server: an idle connection before a new one

An instance that picks among thousands of idle servers at random meets the same one again hardly ever, and a new connection is dear on this site.

Ruled out: a smaller subset (it would limit what an instance can use when servers are busy).

Change: requests without a long shared prefix go to a server with an idle connection, as long as it uses less than an eighth of its slots.

--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -59,14 +59,23 @@
     })
 }
 
-/// Picks one of the candidates, or returns `None` without candidates.
-pub fn pick<'a>(
+/// A server with an open connection is preferred while it uses less than one in this many of its
+/// slots.
+const CONNECTED_DIVISOR: u32 = 8;
+
+/// Picks one of the candidates, or returns `None` without candidates. `is_connected` tells whether
+/// there is an idle connection to a server.
+pub fn pick<'a, Connected>(
     candidates: &[&'a Arc<Entry>],
     criteria: &Criteria<'_>,
     load: &Load,
     health: &Health,
+    is_connected: Connected,
     now_ms: u64,
-) -> Option<&'a Arc<Entry>> {
+) -> Option<&'a Arc<Entry>>
+where
+    Connected: Fn(&Entry) -> bool,
+{
     let healthy: Vec<&Arc<Entry>> = candidates
         .iter()
         .copied()
@@ -80,7 +89,11 @@
     };
     match criteria.affinity_hash() {
         Some(prefix) => pick_by_cost(from, prefix, criteria, load),
-        None => pick_by_load(&without_slow(from, health, now_ms), criteria, load, health),
+        None => {
+            let fast = without_slow(from, health, now_ms);
+            let preferred = prefer_connected(fast, load, is_connected);
+            pick_by_load(&preferred, criteria, load, health)
+        }
     }
 }
 
@@ -120,6 +133,27 @@
     if fast.is_empty() { from.to_vec() } else { fast }
 }
 
+/// Returns the candidates with an idle connection and little load, or all of them if there are none.
+/// With thousands of servers an instance would otherwise open a connection for each request.
+fn prefer_connected<'a, Connected>(
+    from: Vec<&'a Arc<Entry>>,
+    load: &Load,
+    is_connected: Connected,
+) -> Vec<&'a Arc<Entry>>
+where
+    Connected: Fn(&Entry) -> bool,
+{
+    let has_room = |entry: &Entry| load.in_flight(&entry.id) * CONNECTED_DIVISOR < entry.slots;
+    let connected = from.iter().copied();
+    let connected = connected.filter(|entry| has_room(entry) && is_connected(entry));
+    let connected: Vec<&Arc<Entry>> = connected.collect();
+    if connected.is_empty() {
+        from
+    } else {
+        connected
+    }
+}
+
 /// Picks the server with the lowest cost in prompt tokens: its pending tokens, its in-flight
 /// requests, and the prefix tokens to process again.
 fn pick_by_cost<'a>(
--- a/crates/fescuewell_forward/tests/scale.rs
+++ b/crates/fescuewell_forward/tests/scale.rs
@@ -120,7 +120,7 @@
     for number in 0..PREFIXES {
         let prefix = format!("prefix-{number}");
         let subset = registry.subset(SERVICE, hash(&prefix), SUBSET_SIZE, 0);
-        let chosen = pick(&subset, &shared(&prefix), &load, &health, 0).unwrap();
+        let chosen = pick(&subset, &shared(&prefix), &load, &health, |_| false, 0).unwrap();
         *counts.entry(chosen.id.clone()).or_default() += 1;
     }
 
@@ -129,6 +129,35 @@
     assert!(most <= 4 * PREFIXES / 500, "{most} prefixes at one server");
 }
 
+/// Guards against a connection that is opened for each request: among thousands of servers an
+/// instance hardly ever picked one twice.
+#[test]
+fn a_server_with_a_connection_is_picked_again_until_it_is_busy() {
+    let registry = registry(1_000);
+    let subset = registry.subset(SERVICE, hash("instance"), SUBSET_SIZE, 0);
+    let connected = &subset[7].id;
+    let health = Health::default();
+    let mut load = Load::default();
+    let chosen = |load: &Load, random| {
+        let criteria = Criteria {
+            random,
+            ..Criteria::default()
+        };
+        let is_connected = |entry: &Entry| entry.id == *connected;
+        pick(&subset, &criteria, load, &health, is_connected, 0)
+            .unwrap()
+            .id
+            .clone()
+    };
+
+    let idle: BTreeSet<Arc<str>> = (0..50).map(|random| chosen(&load, random)).collect();
+    load.begin(connected, 0);
+    let busy: BTreeSet<Arc<str>> = (0..50).map(|random| chosen(&load, random)).collect();
+
+    assert_eq!(idle, BTreeSet::from([connected.clone()]));
+    assert!(!busy.contains(connected));
+}
+
 /// Guards against a walk over all known prefixes for each server that ends.
 #[test]
 fn a_server_that_ends_takes_only_its_own_prefixes_along() {
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -72,7 +72,7 @@
     health: &Health,
 ) -> Arc<str> {
     let candidates: Vec<&Arc<Entry>> = candidates.iter().collect();
-    pick(&candidates, query, load, health, 0)
+    pick(&candidates, query, load, health, |_| false, 0)
         .unwrap()
         .id
         .clone()
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -256,6 +256,7 @@
                 &criteria,
                 &state.load,
                 &state.health,
+                |server| self.gateway.client.has_idle(server.address),
                 now_ms,
             ),
         };
