Large fleets: instances that callers keep to know the summary only

With 985 instances that are some hundreds of narrow ones, each with tokens of a few accounts; as "active" ones they read all members and ledgers, 150 kB a second each.

Change: three kinds of activity. Serving instances know the summary, take the advertised ones as holders whose usage is unknown (so that they can borrow from them), read the ledgers of their accounts one by one, and reconcile each two seconds. Only advertised instances and readers know all members.

--- a/crates/fescuewell_forward/src/cadence.rs
+++ b/crates/fescuewell_forward/src/cadence.rs
@@ -1,29 +1,44 @@
 //! How often an instance writes its heartbeat and reads the state of the fleet.
 //!
 //! All heartbeats are written to one partition of the store, and an instance that reads all members
-//! and ledgers reads more with each of them. In a large fleet most instances are *idle*: they
-//! neither serve callers nor relay the server list. These write rarely and read only the
-//! [`Summary`](crate::directory::summary::Summary), so that the few *active* ones can do both often.
+//! and ledgers reads more with each of them. In a large fleet only the advertised instances and the
+//! readers do so. The others write rarely and read the
+//! [`Summary`](crate::directory::summary::Summary); see [`Activity`].
 
 use std::time::Duration;
 
 /// Interval between two reconciliations and heartbeats in a small fleet.
 const MIN_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Interval between two reads of the summary.
-const SUMMARY_INTERVAL: Duration = Duration::from_secs(4);
-/// Fraction of one partition's write capacity that the heartbeats of all idle instances, or of a
-/// small fleet, use together. Their reconciliations use as much of another partition.
+/// Interval between two reads of the summary at an idle instance.
+const IDLE_INTERVAL: Duration = Duration::from_secs(4);
+/// Interval between two reconciliations of a serving instance.
+const SERVING_INTERVAL: Duration = Duration::from_secs(2);
+/// Fraction of one partition's write capacity that the heartbeats of a small fleet, or of the
+/// instances of a large one that know only its summary, use together. Reconciliations use as much
+/// of another partition.
 const PARTITION_SHARE: f64 = 0.3;
-/// The same for the heartbeats of the active instances of a large fleet.
-const ACTIVE_SHARE: f64 = 0.15;
+/// The same for the heartbeats of the other instances of a large fleet.
+const FULL_SHARE: f64 = 0.15;
 /// Fraction of the store's write capacity that all journals may use together.
 const JOURNAL_SHARE: f64 = 0.4;
 /// Number of instances per advertised one that may write journals often in a large fleet: callers
 /// use some that are no longer advertised.
 const JOURNALS_PER_ADVERTISED: usize = 2;
-/// Bytes per second that an active instance reads of members and ledgers.
+/// Bytes per second that an instance reads of all members and ledgers.
 const ROUND_BYTES_S: f64 = 150_000.0;
 
+/// What an instance of a large fleet does, and so what it has to know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Activity {
+    /// It serves nobody.
+    Idle,
+    /// It is not advertised, but callers use it and it holds tokens for them. It knows the summary
+    /// and the ledgers of these accounts.
+    Serving,
+    /// It is advertised or a reader, and knows all members and ledgers.
+    Full,
+}
+
 /// What the intervals of an instance follow from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Cadence {
@@ -33,8 +48,8 @@
     pub advertised: usize,
     /// Whether most instances know only a summary of the members.
     pub is_large: bool,
-    /// Whether this instance serves callers or relays the server list.
-    pub is_active: bool,
+    /// What this instance does if the fleet is large.
+    pub activity: Activity,
     /// Transactions per second that one partition of the store can commit.
     pub partition_writes_per_s: f64,
     /// Write calls per second allowed for all instances together.
@@ -42,15 +57,20 @@
 }
 
 impl Cadence {
+    /// Returns `true` if this instance reads all members.
+    pub fn knows_all(&self) -> bool {
+        self.activity == Activity::Full || !self.is_large
+    }
+
     /// Returns `true` if this instance reconciles its grants periodically.
     pub fn reconciles(&self) -> bool {
-        self.is_active || !self.is_large
+        self.activity != Activity::Idle || !self.is_large
     }
 
     /// Returns the interval between two heartbeats.
     pub fn heartbeat(&self) -> Duration {
-        match self.is_large && self.is_active {
-            true => self.fair(self.advertised, ACTIVE_SHARE),
+        match self.knows_all() && self.is_large {
+            true => self.fair(self.advertised, FULL_SHARE),
             false => self.fair(self.instances, PARTITION_SHARE),
         }
     }
@@ -60,8 +80,10 @@
         if !self.is_large {
             return self.fair(self.instances, PARTITION_SHARE);
         }
-        if !self.is_active {
-            return SUMMARY_INTERVAL;
+        match self.activity {
+            Activity::Idle => return IDLE_INTERVAL,
+            Activity::Serving => return SERVING_INTERVAL,
+            Activity::Full => {}
         }
         let transfer = Duration::from_secs_f64(bytes as f64 / ROUND_BYTES_S);
         self.fair(self.advertised, PARTITION_SHARE).max(transfer)
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -389,10 +389,12 @@
         }
     }
 
-    /// Records that the usage of the other holders is unknown, until [`Quota::set_peers`]. No
-    /// account then counts as exhausted.
-    pub fn forget_peers(&mut self) {
-        self.set_peers(&[], &[]);
+    /// Sets the holders that callers are directed to, other than this one, without their usage. No
+    /// account counts as exhausted by the grants of others until [`Quota::set_peers`].
+    pub fn set_unreported_peers(&mut self, advertised: &[Arc<str>]) {
+        let reported = advertised.iter().map(|holder| (holder.clone(), Vec::new()));
+        let reported: Vec<(Arc<str>, Vec<Usage>)> = reported.collect();
+        self.set_peers(&reported, advertised);
         self.is_advertised = false;
         self.knows_peers = false;
     }
--- a/crates/fescuewell_forward/tests/fleet.rs
+++ b/crates/fescuewell_forward/tests/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescuewell_forward::cadence::Cadence;
+use fescuewell_forward::cadence::{Activity, Cadence};
 use fescuewell_forward::directory::summary::Summary;
 use fescuewell_forward::directory::{Directory, Member, Role};
 use fescuewell_forward::quota::row::Usage;
@@ -76,13 +76,13 @@
     directory
 }
 
-fn cadence(instances: usize, is_active: bool) -> Cadence {
+fn cadence(instances: usize, activity: Activity) -> Cadence {
     let directory = directory(instances);
     Cadence {
         instances,
         advertised: directory.advertised().len(),
         is_large: directory.is_large(),
-        is_active,
+        activity,
         partition_writes_per_s: 200.0,
         writes_per_s: 4_000.0,
     }
@@ -92,7 +92,7 @@
 /// with 985 instances the heartbeats are 16 s apart, and only the last six seconds counted.
 #[test]
 fn a_member_is_advertised_between_two_heartbeats_however_rare() {
-    let interval = cadence(2_000, false).heartbeat();
+    let interval = cadence(2_000, Activity::Idle).heartbeat();
     let interval_ms = interval.as_millis() as u32;
     let mut members: BTreeMap<Arc<str>, Member> = BTreeMap::new();
     members.insert(name(0), member(0, interval_ms));
@@ -110,7 +110,7 @@
 #[test]
 fn an_active_instance_is_missed_within_seconds_in_any_fleet() {
     for instances in [100, 985, 2_000] {
-        let interval = cadence(instances, true).heartbeat();
+        let interval = cadence(instances, Activity::Full).heartbeat();
 
         let missed_after = interval * 4;
 
@@ -124,8 +124,8 @@
 #[test]
 fn all_heartbeats_together_keep_to_half_of_a_partition() {
     for instances in [100, 985, 2_000] {
-        let active = cadence(instances, true);
-        let idle = cadence(instances, false);
+        let active = cadence(instances, Activity::Full);
+        let idle = cadence(instances, Activity::Serving);
 
         let of_active = active.advertised as f64 / active.heartbeat().as_secs_f64();
         let of_idle = (instances - active.advertised) as f64 / idle.heartbeat().as_secs_f64();
@@ -232,7 +232,7 @@
 #[test]
 fn bytes_read_by_an_active_instance_are_bounded() {
     const BYTES: usize = 1_500_000;
-    let cadence = cadence(2_000, true);
+    let cadence = cadence(2_000, Activity::Full);
 
     let rate = BYTES as f64 / cadence.round(BYTES).as_secs_f64();
 
@@ -257,7 +257,7 @@
         let directory = idle_directory(instances);
         let cadence = Cadence {
             advertised: directory.advertised().len(),
-            ..cadence(instances, true)
+            ..cadence(instances, Activity::Full)
         };
 
         assert!(
--- a/crates/fescuewell_forward/tests/spread.rs
+++ b/crates/fescuewell_forward/tests/spread.rs
@@ -251,7 +251,7 @@
 fn a_request_larger_than_its_account_is_refused_at_once() {
     let mut cluster = Cluster::new(1, 20_000);
     cluster.adopt(0, WriteOutcome::Committed);
-    cluster.instances[0].quota.forget_peers();
+    cluster.instances[0].quota.set_unreported_peers(&[]);
 
     let larger = cluster.hold(0, 20_001);
     let as_large = cluster.hold(0, 20_000);
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -21,7 +21,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::cadence::Cadence;
+use fescuewell_forward::cadence::{Activity, Cadence};
 use fescuewell_forward::directory::Role;
 use fescuewell_forward::relay::Digest;
 
@@ -117,18 +117,23 @@
         let _ = tokio::time::timeout(MEMBERS_TIMEOUT, known).await;
     }
 
-    /// Returns `true` if this instance serves callers, holds tokens or relays the server list.
+    /// Returns what this instance does if the fleet is large.
     ///
-    /// After the store was restored from a backup, each instance counts as active: the statuses of
-    /// all members decide who may draw tokens; see [`fescuewell_forward::quota::era`].
-    fn is_active(&self) -> bool {
+    /// After the store was restored from a backup, each instance has to know all members: their
+    /// statuses decide who may draw tokens; see [`fescuewell_forward::quota::era`].
+    fn activity(&self) -> Activity {
         let settings = &self.gateway.settings;
         let now_ms = self.gateway.now_ms();
         let mut state = self.gateway.state();
-        state.directory.is_advertised(&settings.name)
-            || state.directory.role(&settings.name, &settings.zone) != Role::Follower
-            || state.quota.era() > 0
-            || !state.quota.active_accounts(now_ms).is_empty()
+        let is_reader = state.directory.role(&settings.name, &settings.zone) != Role::Follower;
+        let is_advertised = state.directory.is_advertised(&settings.name);
+        if is_reader || is_advertised || state.quota.era() > 0 {
+            return Activity::Full;
+        }
+        match state.quota.active_accounts(now_ms).is_empty() {
+            true => Activity::Idle,
+            false => Activity::Serving,
+        }
     }
 
     /// Returns how this instance learns of changes of the server list.
@@ -140,13 +145,13 @@
 
     /// Returns what the intervals of this instance follow from.
     fn cadence(&self) -> Cadence {
-        let is_active = self.is_active();
+        let activity = self.activity();
         let state = self.gateway.state();
         Cadence {
             instances: state.directory.count(),
             advertised: state.directory.advertised().len(),
             is_large: state.directory.is_large(),
-            is_active,
+            activity,
             partition_writes_per_s: self.gateway.settings.partition_writes_per_s,
             writes_per_s: self.gateway.settings.writes_per_s,
         }
--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -21,6 +21,8 @@
 /// Maximum number of accounts whose rows are read one by one. That is less data than a full read,
 /// which takes about 35 kB with 40 accounts and 25 holders.
 const MAX_SINGLE_READS: usize = 5;
+/// The same as a fraction of all accounts, as a divisor: the rows of hundreds take more data.
+const SINGLE_READS_DIVISOR: usize = 16;
 /// One reconciliation in so many reads the rows of all accounts.
 const FULL_READ_PERIOD: u64 = 4;
 /// Maximum number of rows in one transaction. A conflict on one row fails the others with it, and
@@ -55,11 +57,15 @@
 ///
 /// Returns the number of bytes read.
 pub(super) async fn read_ledgers(control: &Control, round: u64) -> usize {
-    let accounts = {
+    let (accounts, known) = {
         let now_ms = control.gateway.now_ms();
-        control.gateway.state().quota.active_accounts(now_ms)
+        let mut state = control.gateway.state();
+        let known = state.quota.prepaid_accounts().len();
+        (state.quota.active_accounts(now_ms), known)
     };
-    if accounts.len() > MAX_SINGLE_READS || round.is_multiple_of(FULL_READ_PERIOD) {
+    let max_single_reads = MAX_SINGLE_READS.max(known / SINGLE_READS_DIVISOR);
+    let is_full_round = round.is_multiple_of(FULL_READ_PERIOD) && control.cadence().knows_all();
+    if accounts.len() > max_single_reads || is_full_round {
         let Ok(response) = read(control, LEDGER_TABLE, LEDGER_PARTITION).await else {
             return 0;
         };
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -106,7 +106,7 @@
         (state.directory.is_loaded(), state.directory.is_large())
     };
     match is_loaded && is_large {
-        true => control.is_active(),
+        true => control.cadence().knows_all(),
         false => is_loaded && !is_young,
     }
 }
@@ -124,9 +124,9 @@
     let mut state = gateway.state();
     let advertised_before = advertised_names(&state.directory);
     state.directory.apply_summary(summary);
-    state.quota.forget_peers();
     update_admission(&mut state, &gateway.settings.name, now_ms);
     let advertised = advertised_names(&state.directory);
+    state.quota.set_unreported_peers(&advertised);
     state.warmup.set_instances(advertised.clone());
     drop(state);
     log_advertised(&advertised_before, &advertised);
--- a/crates/fescuewell_gateway/src/control/snapshots.rs
+++ b/crates/fescuewell_gateway/src/control/snapshots.rs
@@ -72,7 +72,7 @@
     let cadence = control.cadence();
     match (patience, cadence.is_large) {
         (Patience::Resync, false) => Some(Duration::ZERO),
-        (Patience::Resync, true) if cadence.is_active => Some(Duration::ZERO),
+        (Patience::Resync, true) if cadence.reconciles() => Some(Duration::ZERO),
         (Patience::Start, false) => Some(PATIENCE),
         (_, true) => Some(PATIENCE_IN_LARGE_FLEET),
     }
