--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -83,6 +83,16 @@
         })
     }
 
+    /// Writes a row.
+    pub fn insert(&self, table: &str, partition: &str, key: &str, value: Vec<u8>) {
+        let id = RowId {
+            table: table.into(),
+            partition: partition.into(),
+            key: key.into(),
+        };
+        self.content().rows.insert(id, (value, 1));
+    }
+
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         self.content().behaviour = behaviour;
     }
--- /dev/null
+++ b/crates/fescuewell_gateway/tests/snapshots.rs
@@ -0,0 +1,138 @@
+//! Snapshots that instances request from each other, over loopback.
+
+mod common;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use common::{INSTANCE, MemoryStore, instance, settings};
+use fescuewell_forward::config::{Configuration, Table};
+use fescuewell_forward::message::{Key, Message};
+use fescuewell_forward::server::{Change, Entry, State, Update};
+use fescuewell_forward::snapshot::{Request, Servers, Snapshot, Subject};
+use fescuewell_gateway::gateway::Gateway;
+use fescuewell_gateway::snapshot::SnapshotHandler;
+use fescuewell_http::listener::{Listener, Settings};
+use fescuewell_http::upstream::{self, Client, Target, Timeouts};
+use http::StatusCode;
+
+/// Version of the server list at the responding instance.
+const VERSION: u64 = 7;
+
+fn key() -> Key {
+    Key::new([7; 32])
+}
+
+fn row(id: &str) -> Update {
+    Update {
+        id: id.into(),
+        version: VERSION,
+        change: Change::Entry(Entry {
+            id: id.into(),
+            started_at_ms: None,
+            service: "pool".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: "a".into(),
+            slots: 8,
+            cold_left_ms: 0,
+            state: State::Ready,
+        }),
+    }
+}
+
+/// An instance that knows two servers and a configuration, with its listener.
+fn responder() -> (Arc<Gateway>, Listener) {
+    let store = MemoryStore::new(0);
+    let (gateway, _control) = instance(settings(INSTANCE), &store, 1);
+    gateway.set_fleet_key(key(), 0);
+    gateway.set_store_up(true);
+    gateway.set_table(Table::new(Configuration {
+        version: 5,
+        ..Configuration::default()
+    }));
+    {
+        let mut state = gateway.state();
+        let rows = vec![row("one"), row("two")];
+        state.registry.apply_snapshot(VERSION, rows, 0);
+        state.cursor.advance(VERSION);
+    }
+    let handler = Arc::new(SnapshotHandler::new(gateway.clone()));
+    let listener = Listener::start(Settings::new("127.0.0.1:0".parse().unwrap()), handler);
+    (gateway, listener.unwrap())
+}
+
+fn post(listener: &Listener, body: Vec<u8>) -> (StatusCode, Bytes) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let client = Client::new(upstream::Settings::default());
+        let request = http::Request::post("/snapshot").body(Bytes::from(body));
+        let target = Target::new(listener.address());
+        let exchange = client.open(&target, request.unwrap(), Timeouts::default());
+        let exchange = exchange.await.unwrap();
+        (exchange.status, exchange.collect(1_000_000).await.unwrap())
+    })
+}
+
+fn wanted(subject: Subject, sent_at_ms: u64) -> Message {
+    Message::SnapshotWanted(Request::new(subject, sent_at_ms))
+}
+
+#[test]
+fn a_request_with_the_fleet_key_gets_the_list_and_the_configuration() {
+    let (_gateway, listener) = responder();
+
+    let (_, list) = post(&listener, key().seal(&wanted(Subject::Servers, 0)));
+    let (_, configuration) = post(&listener, key().seal(&wanted(Subject::Configuration, 0)));
+
+    let Some(Snapshot::Servers(Servers { version, mut rows })) = key().open_content(&list) else {
+        panic!("the response is not a list");
+    };
+    rows.sort_by(|left, right| left.id.cmp(&right.id));
+    assert_eq!((version, rows), (VERSION, vec![row("one"), row("two")]));
+    let configuration = key().open_content(&configuration);
+    assert!(
+        matches!(configuration, Some(Snapshot::Configuration(configuration)) if configuration.version == 5)
+    );
+}
+
+/// Guards against API keys in a configuration that anyone may read who reaches the port.
+#[test]
+fn a_request_without_the_fleet_key_gets_nothing() {
+    let (_gateway, listener) = responder();
+
+    let (status, body) = post(
+        &listener,
+        Key::new([8; 32]).seal(&wanted(Subject::Configuration, 0)),
+    );
+
+    assert_ne!(status, StatusCode::OK);
+    assert_eq!(key().open_content::<Snapshot>(&body), None);
+}
+
+/// Guards against a request that was recorded and is sent again later.
+#[test]
+fn an_old_request_gets_nothing() {
+    let (_gateway, listener) = responder();
+
+    let (status, _) = post(
+        &listener,
+        key().seal(&wanted(Subject::Configuration, 60_000)),
+    );
+
+    assert_ne!(status, StatusCode::OK);
+}
+
+/// Guards against a list of an instance that no longer learns of changes: a server that is draining
+/// would get new work.
+#[test]
+fn an_instance_without_the_store_gives_no_list() {
+    let (gateway, listener) = responder();
+    gateway.set_store_up(false);
+
+    let (status, _) = post(&listener, key().seal(&wanted(Subject::Servers, 0)));
+
+    assert_ne!(status, StatusCode::OK);
+}
