Large fleets: readers send the summary to their zone

Cause: a summary is read each four seconds, so that a leaving instance was named for up to six more. More frequent reads would cost a call each.

Change: readers send the summary with their digests, about once a second; who has got one lately does not read it. One that exceeds a packet is not sent and is read as before. New message at the end of the enumeration; older instances ignore it.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -55,6 +55,11 @@
         self.read_at_ms > 0
     }
 
+    /// Time of the last read, in milliseconds of the store's clock.
+    pub fn read_at_ms(&self) -> u64 {
+        self.read_at_ms
+    }
+
     /// Sets the age of the last heartbeat from which a member counts as failed, in milliseconds.
     pub fn set_member_timeout(&mut self, timeout_ms: u64) {
         let former_ms = self.member_timeout_ms();
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash;
+use crate::directory::summary::Summary;
 use crate::loan;
 use crate::relay::Digest;
 use crate::snapshot;
@@ -48,6 +49,8 @@
     CrashesWanted,
     /// Asks for a snapshot; see [`crate::snapshot`].
     SnapshotWanted(snapshot::Request),
+    /// Summary of the members of a large fleet.
+    Summary(Summary),
 }
 
 /// Secret key of the fleet; messages of senders without it are ignored.
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -56,6 +56,16 @@
     }
 }
 
+fn summary() -> Summary {
+    Summary {
+        at_ms: 1,
+        count: 2,
+        advertised: vec!["e".into()],
+        readers: BTreeMap::from([("z".into(), vec!["f".into()])]),
+        members: BTreeMap::from([("e".into(), member())]),
+    }
+}
+
 fn update() -> Update {
     Update {
         id: "i".into(),
@@ -158,14 +168,6 @@
             sustained_rate: 8,
         }],
     };
-    let summary = Summary {
-        at_ms: 1,
-        count: 2,
-        advertised: vec!["e".into()],
-        readers: BTreeMap::from([("z".into(), vec!["f".into()])]),
-        members: BTreeMap::from([("e".into(), member())]),
-    };
-
     assert_eq!(hex(&ledger.encode()), "0101016503");
     assert_eq!(hex(&ledger_of_an_era.encode()), "02010101650302");
     assert_eq!(hex(&journal.encode()), "03010203010101670405060708");
@@ -174,7 +176,7 @@
         "000a0100020101000a01000202017a03040101670506070809010a"
     );
     assert_eq!(
-        hex(&summary.encode()),
+        hex(&summary().encode()),
         "01010201016501017a010166010165000a0100020101000a01000202017a03040101670506070809010a"
     );
 }
@@ -225,6 +227,10 @@
         encode(&Message::SnapshotWanted(Request::new(Subject::Servers, 2))),
         "05010002"
     );
+    assert_eq!(
+        encode(&Message::Summary(summary())),
+        "06010201016501017a010166010165000a0100020101000a01000202017a03040101670506070809010a"
+    );
     assert_eq!(encode(&report), "016501010169020301040169");
     assert_eq!(
         hex(&Key::new([7; 32]).seal(&Message::CrashesWanted)),
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -23,7 +23,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::cadence::{Activity, Cadence};
 use fescuewell_forward::directory::Role;
-use fescuewell_forward::relay::Digest;
+use fescuewell_forward::message::Message;
 
 use tokio::sync::watch as watch_channel;
 use tokio::time::Instant;
@@ -42,13 +42,15 @@
     next_silent_log_ms: Arc<AtomicU64>,
     /// Version of the last invalid configuration that was logged.
     last_invalid_version: Arc<AtomicU64>,
-    /// Digests that this instance relays if it is a reader.
-    digests: (flume::Sender<Digest>, flume::Receiver<Digest>),
+    /// Digests and summaries that this instance sends to others if it is a reader.
+    broadcasts: (flume::Sender<Message>, flume::Receiver<Message>),
     /// Set once the members are known, at the first start of the fleet after they have written
     /// their first heartbeats.
     members_known: watch_channel::Sender<bool>,
     /// Time of the last forwarded digest on the clock of [`Gateway::now_ms`].
     forwarded_at_ms: Arc<AtomicU64>,
+    /// Time of the last summary that a reader sent, on the same clock.
+    summary_at_ms: Arc<AtomicU64>,
 }
 
 /// Timeout of one store call. The store normally responds within milliseconds; the timeout still
@@ -68,9 +70,9 @@
 /// other. The journal stays as old as the outage for that long, and a power loss is charged for all
 /// of that time.
 const SUPERSEDED_TIMEOUT: Duration = Duration::from_millis(60);
-/// Maximum number of queued digests; several hundred changes at once take some tens. Followers
+/// Maximum number of queued digests and summaries; several hundred changes at once take some tens. Followers
 /// request a snapshot if one does not fit in the queue.
-const MAX_QUEUED_DIGESTS: usize = 512;
+const MAX_QUEUED_BROADCASTS: usize = 512;
 /// Maximum time for which the first reads of the configuration and the server list wait for the
 /// members.
 const MEMBERS_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -92,9 +94,10 @@
             inbox,
             next_silent_log_ms: Arc::default(),
             last_invalid_version: Arc::default(),
-            digests: flume::bounded(MAX_QUEUED_DIGESTS),
+            broadcasts: flume::bounded(MAX_QUEUED_BROADCASTS),
             members_known: watch_channel::Sender::new(false),
             forwarded_at_ms: Arc::default(),
+            summary_at_ms: Arc::default(),
         }
     }
 
@@ -110,6 +113,12 @@
         tokio::join!(configuration, servers, sync, peers, overdue, probe, crashes);
     }
 
+    /// Queues a message for the instances that this reader sends its digests to.
+    fn broadcast(&self, message: Message) {
+        // If the queue is full, receivers of a digest notice the gap; a summary is repeated.
+        let _ = self.broadcasts.0.try_send(message);
+    }
+
     /// Waits until the members are known, but not for long: the store may be unreachable.
     async fn wait_for_members(&self) {
         let mut known = self.members_known.subscribe();
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -2,12 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::directory::summary::Summary;
-use fescuewell_forward::directory::{Directory, Member};
+use fescuewell_forward::directory::{Directory, Member, Role};
+use fescuewell_forward::message::Message;
 use fescuewell_forward::version;
 
 use super::rows::{FLEET_PARTITION, log_unreadable, read, read_row, row_id};
@@ -22,6 +24,9 @@
 const SUMMARY_TABLE: &str = "summary";
 /// Time after the first start of the fleet within which its members become known.
 const FIRST_START_TIME: Duration = Duration::from_secs(10);
+/// Age in milliseconds up to which the last summary that a reader sent spares a read; several
+/// reconciliations of a reader.
+const RECENT_SUMMARY_MS: u64 = 4_000;
 /// Age in milliseconds at which the first advertised instance replaces the summary.
 const SUMMARY_REFRESH_MS: u64 = 1_500;
 /// Additional age for each further advertised instance, in milliseconds.
@@ -84,7 +89,7 @@
 /// Reads the members: their summary where that is enough, otherwise all of them. Returns the number
 /// of bytes read.
 pub(super) async fn read_members(control: &Control) -> usize {
-    if !needs_all_members(control) && read_summary(control).await {
+    if !needs_all_members(control) && (has_recent_summary(control) || read_summary(control).await) {
         return 0;
     }
     let Ok(response) = read(control, MEMBER_TABLE, FLEET_PARTITION).await else {
@@ -92,6 +97,7 @@
     };
     let bytes = response.size();
     apply_members(control, response);
+    send_summary(control);
     write_summary(control).await;
     bytes
 }
@@ -111,11 +117,51 @@
     }
 }
 
+/// Returns `true` if a reader has sent the summary lately.
+fn has_recent_summary(control: &Control) -> bool {
+    let at_ms = control.summary_at_ms.load(Ordering::Relaxed);
+    at_ms > 0 && control.gateway.now_ms() < at_ms + RECENT_SUMMARY_MS
+}
+
+/// Sends the summary to the instances that this reader sends digests to.
+fn send_summary(control: &Control) {
+    if control.role() == Role::Follower {
+        return;
+    }
+    let directory = &control.gateway.state().directory;
+    let Some(summary) = directory.summarize().filter(|_| directory.is_large()) else {
+        return;
+    };
+    control.broadcast(Message::Summary(summary));
+}
+
+/// Applies the summary that a reader has sent.
+pub(super) fn receive_summary(control: &Control, summary: Summary) {
+    let gateway = &control.gateway;
+    let now_ms = gateway.now_ms();
+    let (known_ms, store_ms) = {
+        let state = gateway.state();
+        let store_ms = state.quota.store_time(now_ms);
+        (state.directory.read_at_ms(), store_ms)
+    };
+    if summary.at_ms <= known_ms || needs_all_members(control) {
+        return;
+    }
+    if apply_summary(control, summary, store_ms) {
+        control.summary_at_ms.store(now_ms, Ordering::Relaxed);
+    }
+}
+
 /// Reads and applies the summary of the members. Returns `false` if there is none that is enough.
 async fn read_summary(control: &Control) -> bool {
-    let Some((summary, store_ms)) = fetch_summary(control).await else {
-        return false;
-    };
+    match fetch_summary(control).await {
+        Some((summary, store_ms)) => apply_summary(control, summary, store_ms),
+        None => false,
+    }
+}
+
+/// Applies a summary. Returns `false` if it is not enough for this instance.
+fn apply_summary(control: &Control, summary: Summary, store_ms: u64) -> bool {
     let gateway = &control.gateway;
     if !summary.is_usable(store_ms) || summary.names(&gateway.settings.name) {
         return false;
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use super::lending::Lending;
-use super::{Control, crashes, watch};
+use super::{Control, crashes, members, watch};
 
 /// Minimum interval between two load reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(10);
@@ -42,7 +42,7 @@
     let lending = Lending::new(control, &socket);
     tokio::join!(
         send_reports(control, &socket),
-        relay_digests(control, &socket),
+        send_broadcasts(control, &socket),
         receive(control, &socket, &lending),
         crashes::exchange(control, &socket),
         lending.run()
@@ -91,10 +91,10 @@
     (report, peers)
 }
 
-/// Sends server list digests of this reader, and those that it forwards.
-async fn relay_digests(control: &Control, socket: &UdpSocket) {
+/// Sends the digests and summaries of this reader, and the digests that it forwards.
+async fn send_broadcasts(control: &Control, socket: &UdpSocket) {
     let gateway = &control.gateway;
-    while let Ok(digest) = control.digests.1.recv_async().await {
+    while let Ok(message) = control.broadcasts.1.recv_async().await {
         let settings = &gateway.settings;
         let receivers = {
             let state = gateway.state();
@@ -105,10 +105,10 @@
         let Some(key) = gateway.fleet_key().filter(|_| !receivers.is_empty()) else {
             continue;
         };
-        let bytes = key.seal(&Message::Digest(digest));
+        let bytes = key.seal(&message);
         if bytes.len() > MAX_MESSAGE_BYTES {
-            // Caused by unusually long names or reasons. Followers detect the gap and read the list
-            // themselves.
+            // Caused by unusually long names or reasons, or by many advertised instances. Followers
+            // detect a gap, and read the summary themselves.
             continue;
         }
         for receiver in receivers {
@@ -140,6 +140,7 @@
         Some(Message::Digest(digest)) => watch::receive_digest(control, digest),
         Some(Message::Crashes(updates)) => crashes::receive(control, updates, from),
         Some(Message::CrashesWanted) => crashes::send_records(control, socket, from),
+        Some(Message::Summary(summary)) => members::receive_summary(control, summary),
         // Requested over HTTP, since the response is too large for a datagram.
         Some(Message::SnapshotWanted(_)) | None => {}
     }
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -14,6 +14,7 @@
 use fescuewell_forward::crash::Evidence;
 use fescuewell_forward::directory::Role;
 use fescuewell_forward::evacuation::Order;
+use fescuewell_forward::message::Message;
 use fescuewell_forward::relay::{Digest, Outbox};
 use fescuewell_forward::server::{Change, Entry, Registry, Update};
 use fescuewell_forward::snapshot::{Snapshot, Subject};
@@ -343,11 +344,10 @@
     let evacuations = gateway.state().registry.zones().orders();
     let configuration = configuration.unwrap_or_default();
     for digest in outbox.take_overflow(&name, response.now_ms, configuration) {
-        let _ = control.digests.0.try_send(digest);
+        control.broadcast(Message::Digest(digest));
     }
     let digest = outbox.digest(name, response.now_ms, configuration, evacuations);
-    // If the queue is full, the next digest contains these changes.
-    let _ = control.digests.0.try_send(digest);
+    control.broadcast(Message::Digest(digest));
     Ok(())
 }
 
@@ -385,8 +385,7 @@
     control.forwarded_at_ms.store(now_ms, Ordering::Relaxed);
     let table = control.gateway.table();
     digest.configuration = table.map_or(0, |table| table.configuration().version);
-    // If the queue is full, the followers notice the gap.
-    let _ = control.digests.0.try_send(digest);
+    control.broadcast(Message::Digest(digest));
 }
 
 /// Returns `true` if readers provide the list to this instance.
