Tokens in a large fleet: holders that do not know the others draw for seconds

Change: without the others' usage a holder draws three seconds of its demand; it reconciles each two. Serving instances beat four times as often as idle ones.

--- a/crates/fescuewell_forward/src/cadence.rs
+++ b/crates/fescuewell_forward/src/cadence.rs
@@ -13,12 +13,14 @@
 const IDLE_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval between two reconciliations of a serving instance.
 const SERVING_INTERVAL: Duration = Duration::from_secs(2);
-/// Fraction of one partition's write capacity that the heartbeats of a small fleet, or of the
-/// instances of a large one that know only its summary, use together. Reconciliations use as much
-/// of another partition.
+/// Fraction of one partition's write capacity that the heartbeats of a small fleet, or those of the
+/// idle or the serving instances of a large one, use together. Reconciliations use as much of
+/// another partition.
 const PARTITION_SHARE: f64 = 0.3;
 /// The same for the heartbeats of the other instances of a large fleet.
 const FULL_SHARE: f64 = 0.15;
+/// One instance in this many serves callers although it is not advertised, at most.
+const SERVING_DIVISOR: usize = 4;
 /// Fraction of the store's write capacity that all journals may use together.
 const JOURNAL_SHARE: f64 = 0.4;
 /// Number of instances per advertised one that may write journals often in a large fleet: callers
@@ -69,9 +71,12 @@
 
     /// Returns the interval between two heartbeats.
     pub fn heartbeat(&self) -> Duration {
-        match self.knows_all() && self.is_large {
-            true => self.fair(self.advertised, FULL_SHARE),
-            false => self.fair(self.instances, PARTITION_SHARE),
+        match (self.is_large, self.activity) {
+            (true, Activity::Full) => self.fair(self.advertised, FULL_SHARE),
+            (true, Activity::Serving) => {
+                self.fair(self.instances / SERVING_DIVISOR, PARTITION_SHARE)
+            }
+            _ => self.fair(self.instances, PARTITION_SHARE),
         }
     }
 
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -42,7 +42,7 @@
 use era::Fence;
 use exposure::Exposure;
 pub use loans::Candidate;
-use plan::{Peer, Peers};
+use plan::{Peer, Peers, Position};
 use row::{Journal, Ledger, Usage};
 
 use crate::version;
@@ -428,15 +428,13 @@
         }
         let holder = self.holder.clone();
         let is_closing = self.is_closing;
-        let is_advertised = self.is_advertised;
+        let position = Position {
+            is_advertised: self.is_advertised,
+            advertised_count: self.advertised_count,
+            knows_peers: self.knows_peers,
+        };
         let account = self.accounts.get_mut(account)?;
-        account.plan(
-            &holder,
-            now_ms,
-            (is_advertised, self.advertised_count),
-            is_closing,
-            &self.era_state,
-        )
+        account.plan(&holder, now_ms, position, is_closing, &self.era_state)
     }
 
     fn account_mut(&mut self, name: &Arc<str>) -> &mut Account {
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -7,7 +7,7 @@
 use super::era;
 use super::loans::Report;
 use super::origin::Origin;
-use super::plan::{self, Holder, Peers, Shortage};
+use super::plan::{self, Holder, Peers, Position, Shortage};
 use super::rate_limit::{BURST_ONLY_MS, Limit};
 use super::row::{Entry, Grant, Ledger, Usage};
 use super::waiting::Waiting;
@@ -356,7 +356,7 @@
         &mut self,
         holder: &Arc<str>,
         now_ms: u64,
-        (is_advertised, advertised_count): (bool, u64),
+        position: Position,
         is_closing: bool,
         era_state: &era::State,
     ) -> Option<(u64, Ledger)> {
@@ -392,8 +392,7 @@
             consumed: self.consumed,
             demand_per_s: self.demand_per_s(now_ms),
             mean_request_tokens: self.mean_request_tokens(now_ms),
-            is_advertised,
-            advertised_count,
+            position,
         };
         let may_draw = ledger.era >= era;
         let shortage = self.shortage.take().filter(|_| may_draw);
--- a/crates/fescuewell_forward/src/quota/plan.rs
+++ b/crates/fescuewell_forward/src/quota/plan.rs
@@ -39,6 +39,17 @@
     }
 }
 
+/// What a holder knows of itself and the others, for all accounts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    /// Whether callers are directed to it.
+    pub is_advertised: bool,
+    /// Number of holders that callers are directed to.
+    pub advertised_count: u64,
+    /// Whether it knows the usage of the others.
+    pub knows_peers: bool,
+}
+
 /// State of the holder that computes the plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
@@ -52,10 +63,8 @@
     pub demand_per_s: u64,
     /// Mean size of its recent requests.
     pub mean_request_tokens: u64,
-    /// Whether callers are directed to it.
-    pub is_advertised: bool,
-    /// Number of holders that callers are directed to.
-    pub advertised_count: u64,
+    /// Its position among the holders.
+    pub position: Position,
 }
 
 /// Demand of waiting requests that the grant does not cover.
@@ -76,6 +85,9 @@
 /// instances that its callers actually use have 5% until the others notice and return tokens, two
 /// heartbeat rounds later.
 const DEMAND_HORIZON_S: u64 = 16;
+/// The same for a holder that does not know the demand of the others: it draws what it needs until
+/// its next plans. With the longer one such holders take an account that others use as well.
+const UNKNOWN_HORIZON_S: u64 = 3;
 /// Requests of mean size that the share of an advertised holder covers however low its demand is.
 const MIN_REQUESTS: u64 = 4;
 /// Part of the remaining tokens, in percent, that all advertised holders together may hold without
@@ -153,12 +165,16 @@
 
 /// Returns the maximum number of tokens that a holder can use, given its demand.
 fn demand_cap(left: u64, own: &Holder) -> u64 {
-    let demand = own.demand_per_s * DEMAND_HORIZON_S;
-    if !own.is_advertised {
+    let horizon_s = match own.position.knows_peers {
+        true => DEMAND_HORIZON_S,
+        false => UNKNOWN_HORIZON_S,
+    };
+    let demand = own.demand_per_s * horizon_s;
+    if !own.position.is_advertised {
         return demand;
     }
     let minimum = own.mean_request_tokens * MIN_REQUESTS;
-    let idle_share = left * IDLE_SHARE_PERCENT / 100 / own.advertised_count.max(1);
+    let idle_share = left * IDLE_SHARE_PERCENT / 100 / own.position.advertised_count.max(1);
     demand.max(minimum.min(idle_share))
 }
 
@@ -170,11 +186,18 @@
 fn share(left: u64, own: &Holder, peers: &Peers) -> u64 {
     let usages = peers.usages.values();
     let advertised_count = usages.filter(|peer| peer.is_advertised).count() as u64;
-    let advertised_count = advertised_count + u64::from(own.is_advertised);
+    let advertised_count = advertised_count + u64::from(own.position.is_advertised);
     let demands = peers.usages.values().map(|peer| peer.demand_per_s);
     let total: u64 = demands.sum::<u64>() + own.demand_per_s;
     let smoothing = total / advertised_count.max(1) * SMOOTHING_PERCENT / 100 + 1;
-    let weight = u128::from(own.demand_per_s + if own.is_advertised { smoothing } else { 0 });
+    let weight = u128::from(
+        own.demand_per_s
+            + if own.position.is_advertised {
+                smoothing
+            } else {
+                0
+            },
+    );
     let sum = u128::from(total + smoothing * advertised_count);
     let usable = u128::from(left * (100 - RESERVE_PERCENT) / 100);
     (usable * weight).checked_div(sum).unwrap_or_default() as u64
--- a/crates/fescuewell_forward/tests/spread.rs
+++ b/crates/fescuewell_forward/tests/spread.rs
@@ -259,3 +259,32 @@
     assert_eq!(larger, HoldOutcome::Exhausted);
     assert_eq!(as_large, HoldOutcome::InsufficientGrant);
 }
+
+/// Guards against holders that take an account that others use as well: some hundred instances that
+/// callers keep to drew sixteen seconds of their own demand, and none of it was left halfway through
+/// the day.
+#[test]
+fn a_holder_that_does_not_know_the_others_draws_for_seconds_only() {
+    let mut cluster = Cluster::new(2, PREPAID);
+    let mut granted = Vec::new();
+    for index in 0..2 {
+        cluster.adopt(index, WriteOutcome::Committed);
+    }
+    cluster.exchange_usage(0);
+    cluster.instances[1].quota.set_unreported_peers(&[]);
+
+    for index in 0..2 {
+        let now_ms = cluster.local_ms(index);
+        let quota = &mut cluster.instances[index].quota;
+        for _ in 0..10 {
+            quota.record_demand(&ACCOUNT.into(), 10_000, now_ms);
+        }
+        cluster.read_ledger(index);
+        cluster.plan(index, WriteOutcome::Committed);
+        let account = cluster.instances[index].quota.account(ACCOUNT);
+        granted.push(account.unwrap().granted());
+    }
+
+    assert!(granted[1] > 0, "{granted:?}");
+    assert!(granted[1] * 4 < granted[0], "{granted:?}");
+}
