--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -1,6 +1,7 @@
 //! Registry of the backend servers: their entries and which of them may receive new work.
 
 mod entry;
+mod registration;
 mod ring;
 
 use std::collections::{HashMap, HashSet};
@@ -8,27 +9,12 @@
 
 use entry::is_restart;
 pub use entry::{Change, Entry, Incarnation, State, Update};
+use registration::Registration;
 use ring::Ring;
 
 use crate::evacuation::{Order, Zones};
 use crate::{version, warmup};
 
-/// A registered server.
-#[derive(Debug, Clone)]
-struct Registration {
-    entry: Arc<Entry>,
-    /// Version of the entry's last write.
-    version: u64,
-    /// The server reported in a response that it is draining, before the list did.
-    is_marked_draining: bool,
-    /// When the registration expires because the row is missing, in milliseconds of the local
-    /// clock.
-    expires_at_ms: Option<u64>,
-    /// Until when the server may be cold, in milliseconds of the local clock. An upper bound, since
-    /// the entry is seconds old when it is read.
-    cold_until_ms: u64,
-}
-
 /// Registry of all backend servers.
 ///
 /// Reads of the server list may be seconds old. Versions of a row only increase and older updates
@@ -417,17 +403,3 @@
         self.tombstones.insert(id, version);
     }
 }
-
-impl Registration {
-    /// Returns `true` if the same incarnation was draining in a former era of the store, which the
-    /// backup may lack. A draining server does not become ready again.
-    fn was_draining_before_restore(&self, entry: &Entry, version: u64) -> bool {
-        let is_former = version::era(self.version) < version::era(version);
-        is_former && self.entry.state == State::Draining && !is_restart(&self.entry, entry)
-    }
-
-    fn is_available(&self, now_ms: u64) -> bool {
-        let is_expired = self.expires_at_ms.is_some_and(|at| at <= now_ms);
-        self.entry.state == State::Ready && !is_expired
-    }
-}
--- /dev/null
+++ b/crates/fescuewell_gateway/src/control/watch/configuration.rs
@@ -0,0 +1,208 @@
+//! Watches the configuration and the operator's evacuation orders.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::config::{Configuration, Table};
+use fescuewell_forward::evacuation::Order;
+use fescuewell_forward::snapshot::{Snapshot, Subject};
+use tokio::time::Instant;
+
+use super::{REREAD_INTERVAL, WATCH_TIMEOUT, WATCH_WAIT, follows_readers};
+use crate::control::{CALL_TIMEOUT, Control, RETRY_DELAY, snapshots};
+use crate::gateway::Stage;
+use crate::source::{InvalidConfiguration, OperatorState, Versioned};
+
+/// Interval after which a follower, which is informed of newer versions by readers, rereads the
+/// configuration.
+const FOLLOWER_REREAD_INTERVAL: Duration = Duration::from_secs(20);
+/// Interval at which a follower checks whether readers reported a newer configuration.
+const FOLLOWER_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Watches the configuration.
+pub(in crate::control) async fn configuration(control: &Control) {
+    control.wait_for_members().await;
+    loop {
+        let mut version = 0;
+        if !copy_configuration(control).await {
+            let read = control.source.read_state();
+            let Ok(response) = control.call("configuration", CALL_TIMEOUT, read).await else {
+                tokio::time::sleep(RETRY_DELAY).await;
+                continue;
+            };
+            version = response.version;
+            apply_full(control, response);
+        }
+        let read_at = Instant::now();
+        while !is_due(control, read_at, version) {
+            if follows_readers(control) {
+                tokio::time::sleep(FOLLOWER_POLL_INTERVAL).await;
+                continue;
+            }
+            let changes = control.source.watch_state(version, WATCH_WAIT);
+            match control
+                .call("configuration_after", WATCH_TIMEOUT, changes)
+                .await
+            {
+                Ok(response) => {
+                    version = version.max(response.version);
+                    apply_changes(control, response);
+                }
+                Err(_) => break,
+            }
+        }
+        if !control.gateway.is_store_up() {
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+/// Applies the configuration of a reader of the availability zone. Returns `false` if there is none,
+/// or if it is older than one that a reader reported.
+async fn copy_configuration(control: &Control) -> bool {
+    let snapshot =
+        snapshots::request(control, Subject::Configuration, snapshots::Patience::Start).await;
+    let Some(Snapshot::Configuration(configuration)) = snapshot else {
+        return false;
+    };
+    let gateway = &control.gateway;
+    if configuration.version < gateway.state().cursor.configuration_version() {
+        return false;
+    }
+    apply_configuration(control, Some(configuration));
+    true
+}
+
+/// Returns `true` if the full configuration must be reread: periodically, or because a reader
+/// reported a newer version.
+fn is_due(control: &Control, read_at: Instant, version: u64) -> bool {
+    if !follows_readers(control) {
+        return read_at.elapsed() >= REREAD_INTERVAL;
+    }
+    let gateway = &control.gateway;
+    let known = gateway.table().map(|table| table.configuration().version);
+    let reported = gateway.state().cursor.configuration_version();
+    reported > known.unwrap_or(version) || read_at.elapsed() >= FOLLOWER_REREAD_INTERVAL
+}
+
+/// Applies the full operator state.
+fn apply_full(control: &Control, response: Versioned<OperatorState>) {
+    let now_ms = control.gateway.now_ms();
+    observe_clock(control, response.now_ms);
+    apply_configuration(control, response.content.configuration);
+    log_invalid(control, response.content.invalid_configuration);
+    let mut state = control.gateway.state();
+    let orders = response.content.evacuations;
+    for order in state
+        .registry
+        .apply_evacuations(response.version, orders, now_ms)
+    {
+        log_evacuation(&order);
+    }
+}
+
+/// Applies changes made by the operator.
+fn apply_changes(control: &Control, response: Versioned<OperatorState>) {
+    observe_clock(control, response.now_ms);
+    apply_configuration(control, response.content.configuration);
+    log_invalid(control, response.content.invalid_configuration);
+    evacuate(control, response.content.evacuations);
+}
+
+/// Logs an invalid configuration once. The previous one stays in force.
+fn log_invalid(control: &Control, invalid: Option<InvalidConfiguration>) {
+    let Some(InvalidConfiguration { version, reason }) = invalid else {
+        return;
+    };
+    if control
+        .last_invalid_version
+        .fetch_max(version, Ordering::Relaxed)
+        >= version
+    {
+        return;
+    }
+    let reason = reason.replace(' ', "_");
+    log_event!(
+        Event::DocumentUnreadable,
+        "version={version} reason={reason}"
+    );
+}
+
+pub(super) fn evacuate(control: &Control, orders: Vec<Order>) {
+    let now_ms = control.gateway.now_ms();
+    for order in orders {
+        if control
+            .gateway
+            .state()
+            .registry
+            .apply_evacuation(order.clone(), now_ms)
+        {
+            log_evacuation(&order);
+        }
+    }
+}
+
+fn log_evacuation(order: &Order) {
+    let event = match order.is_evacuated {
+        true => Event::ZoneEvacuated,
+        false => Event::ZoneReturned,
+    };
+    log_event!(event, "zone={} version={}", order.zone, order.version);
+}
+
+fn observe_clock(control: &Control, store_ms: u64) {
+    let now_ms = control.gateway.now_ms();
+    control
+        .gateway
+        .state()
+        .quota
+        .observe_clock(store_ms, now_ms);
+}
+
+fn apply_configuration(control: &Control, configuration: Option<Configuration>) {
+    let gateway = &control.gateway;
+    let Some(configuration) = configuration else {
+        return;
+    };
+    // The version never decreases, even if a read is stale.
+    let known = gateway.table().map(|table| table.configuration().version);
+    if known.is_some_and(|known| known >= configuration.version) {
+        return;
+    }
+    log_event!(
+        Event::DocumentInForce,
+        "configuration={} before={} routes={} services={} accounts={}",
+        configuration.version,
+        known.unwrap_or_default(),
+        configuration.routes.len(),
+        configuration.services.len(),
+        configuration.accounts.len()
+    );
+    {
+        let mut state = gateway.state();
+        for account in &configuration.accounts {
+            state.quota.set_prepaid(&account.name, account.prepaid);
+        }
+        let services = configuration.services.iter();
+        let warmups = services.filter_map(|service| Some((service.name.clone(), service.warmup?)));
+        state.registry.set_warmup_limits(warmups);
+    }
+    gateway.set_table(Table::new(configuration));
+    gateway.sync_quota();
+    advance_stage(control);
+}
+
+/// Marks the instance ready once it knows the configuration, the consumption of its previous
+/// process and the quarantined requests.
+pub(in crate::control) fn advance_stage(control: &Control) {
+    let gateway = &control.gateway;
+    let complete = {
+        let state = gateway.state();
+        gateway.table().is_some() && state.quota.is_adopted() && state.quarantine.is_loaded()
+    };
+    if complete && gateway.advance(Stage::Ready) {
+        log_event!(Event::Ready, "instance={}", gateway.settings.name);
+    }
+}
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -2,15 +2,15 @@
 
 mod crash;
 mod gate;
+mod state;
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use fescuewell_forward::admission;
-use fescuewell_forward::choice::{Load, MAX_SUBSET_SIZE};
+use fescuewell_forward::choice::Load;
 use fescuewell_forward::config::Table;
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
@@ -34,6 +34,7 @@
 use crate::settings::Settings;
 
 pub use crash::ProbeRequest;
+pub use state::State;
 
 /// Window over which accepted requests are counted, in seconds.
 pub const ACCEPTED_WINDOW_S: u32 = 4;
@@ -52,62 +53,6 @@
     Draining,
 }
 
-/// Mutable state that request handlers and the control thread share.
-#[derive(Debug)]
-pub struct State {
-    /// Listed backend servers.
-    pub registry: Registry,
-    /// Version up to which the list of backend servers is known.
-    pub cursor: relay::Cursor,
-    /// Rate limits for cold backend servers.
-    pub warmup: Warmup,
-    /// Health scores of backend servers.
-    pub health: Health,
-    /// Suspected and detected crashes of backend servers.
-    pub crashes: Detector,
-    /// Requests that crash backend servers.
-    pub quarantine: Quarantine,
-    /// Load of the backend servers.
-    pub load: Load,
-    /// Prepaid tokens of the client accounts.
-    pub quota: Quota,
-    /// Retry budget.
-    pub retry: Budget,
-    /// Instances of the fleet.
-    pub directory: Directory,
-    /// Requests accepted within [`ACCEPTED_WINDOW_S`], without those that were refused before a
-    /// server was picked.
-    pub accepted_requests: Window,
-    /// Limits on callers' traffic.
-    pub admission: admission::Limiter,
-    /// Random number generator.
-    pub rng: SmallRng,
-}
-
-impl State {
-    /// Returns the cold servers near `key` that this instance may use, each with the number of
-    /// instances that share its request rate; see [`fescuewell_forward::warmup`].
-    pub fn cold_shares(
-        &mut self,
-        service: &str,
-        key: u64,
-        instance: &str,
-        now_ms: u64,
-    ) -> HashMap<Arc<str>, usize> {
-        let mut shares = HashMap::new();
-        let subset = self.registry.subset(service, key, MAX_SUBSET_SIZE, now_ms);
-        for entry in subset {
-            if !self.registry.is_cold(&entry.id, now_ms) {
-                continue;
-            }
-            if let Some(share) = self.warmup.assigned_count(&entry.id, instance) {
-                shares.insert(entry.id.clone(), share);
-            }
-        }
-        shares
-    }
-}
-
 /// Request to borrow tokens from other instances.
 #[derive(Debug)]
 pub struct BorrowRequest {
--- /dev/null
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -0,0 +1,73 @@
+//! Mutable state that request handlers and the control thread share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use fescuewell_forward::admission;
+use fescuewell_forward::choice::{Load, MAX_SUBSET_SIZE};
+use fescuewell_forward::crash::{Detector, Quarantine};
+use fescuewell_forward::directory::Directory;
+use fescuewell_forward::health::Health;
+use fescuewell_forward::quota::Quota;
+use fescuewell_forward::relay;
+use fescuewell_forward::retry::Budget;
+use fescuewell_forward::server::Registry;
+use fescuewell_forward::warmup::Warmup;
+use fescuewell_forward::window::Window;
+use rand::rngs::SmallRng;
+
+/// Mutable state that request handlers and the control thread share.
+#[derive(Debug)]
+pub struct State {
+    /// Listed backend servers.
+    pub registry: Registry,
+    /// Version up to which the list of backend servers is known.
+    pub cursor: relay::Cursor,
+    /// Rate limits for cold backend servers.
+    pub warmup: Warmup,
+    /// Health scores of backend servers.
+    pub health: Health,
+    /// Suspected and detected crashes of backend servers.
+    pub crashes: Detector,
+    /// Requests that crash backend servers.
+    pub quarantine: Quarantine,
+    /// Load of the backend servers.
+    pub load: Load,
+    /// Prepaid tokens of the client accounts.
+    pub quota: Quota,
+    /// Retry budget.
+    pub retry: Budget,
+    /// Instances of the fleet.
+    pub directory: Directory,
+    /// Requests accepted within [`ACCEPTED_WINDOW_S`](super::ACCEPTED_WINDOW_S), without those that were refused before a
+    /// server was picked.
+    pub accepted_requests: Window,
+    /// Limits on callers' traffic.
+    pub admission: admission::Limiter,
+    /// Random number generator.
+    pub rng: SmallRng,
+}
+
+impl State {
+    /// Returns the cold servers near `key` that this instance may use, each with the number of
+    /// instances that share its request rate; see [`fescuewell_forward::warmup`].
+    pub fn cold_shares(
+        &mut self,
+        service: &str,
+        key: u64,
+        instance: &str,
+        now_ms: u64,
+    ) -> HashMap<Arc<str>, usize> {
+        let mut shares = HashMap::new();
+        let subset = self.registry.subset(service, key, MAX_SUBSET_SIZE, now_ms);
+        for entry in subset {
+            if !self.registry.is_cold(&entry.id, now_ms) {
+                continue;
+            }
+            if let Some(share) = self.warmup.assigned_count(&entry.id, instance) {
+                shares.insert(entry.id.clone(), share);
+            }
+        }
+        shares
+    }
+}
