Tokens in a large fleet: borrow before drawing; horizon and pace as before

Such a holder borrows before it draws, from the advertised holders in an order that depends on the account. A lender of a large fleet takes what it is asked for as its own demand, and draws when it lacks it. Draws of a large fleet's holders keep to half of the partition.

--- a/crates/fescuewell_forward/src/cadence.rs
+++ b/crates/fescuewell_forward/src/cadence.rs
@@ -26,6 +26,10 @@
 /// Number of instances per advertised one that may write journals often in a large fleet: callers
 /// use some that are no longer advertised.
 const JOURNALS_PER_ADVERTISED: usize = 2;
+/// Minimum interval between two draws for waiting requests.
+const MIN_DRAW_INTERVAL: Duration = Duration::from_millis(40);
+/// Fraction of the partition of the ledgers that the draws of a large fleet may use together.
+const DRAW_SHARE: f64 = 0.5;
 /// Bytes per second that an instance reads of all members and ledgers.
 const READ_BYTES_S: f64 = 150_000.0;
 
@@ -80,23 +84,29 @@
         }
     }
 
-    /// Returns the interval between two reconciliations.
-    pub fn round(&self) -> Duration {
+    /// Returns the interval between two reconciliations, the last of which read `bytes`.
+    pub fn round(&self, bytes: usize) -> Duration {
         match (self.is_large, self.activity) {
             (true, Activity::Idle) => IDLE_INTERVAL,
             (true, Activity::Serving) => SERVING_INTERVAL,
-            (true, Activity::Full) => self.fair(self.advertised, PARTITION_SHARE),
+            (true, Activity::Full) => {
+                let transfer = Duration::from_secs_f64(bytes as f64 / READ_BYTES_S);
+                self.fair(self.advertised, PARTITION_SHARE).max(transfer)
+            }
             (false, _) => self.fair(self.instances, PARTITION_SHARE),
         }
     }
 
-    /// Returns the interval between two reads of all members and ledgers, the last of which took
-    /// `bytes`. In a large fleet a reconciliation may use what was read before it: ledgers that have
-    /// changed since are returned when it writes them.
-    pub fn read(&self, bytes: usize) -> Duration {
-        match self.is_large && self.activity == Activity::Full {
-            true => Duration::from_secs_f64(bytes as f64 / READ_BYTES_S),
-            false => Duration::ZERO,
+    /// Returns the interval between two draws for waiting requests. In a large fleet the holders
+    /// together keep to half of the partition of the ledgers.
+    pub fn draw(&self) -> Duration {
+        match self.is_large {
+            true => {
+                let writes_per_s = self.partition_writes_per_s * DRAW_SHARE;
+                let fair = Duration::from_secs_f64(self.advertised as f64 / writes_per_s);
+                MIN_DRAW_INTERVAL.max(fair)
+            }
+            false => MIN_DRAW_INTERVAL,
         }
     }
 
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -305,6 +305,18 @@
         }
     }
 
+    /// Returns `true` if loans are to be tried before draws: this holder knows a summary of a large
+    /// fleet only. All holders draw from one partition of the store; hundreds that serve a request
+    /// now and then would use up its transactions.
+    pub fn prefers_loans(&self) -> bool {
+        !self.knows_peers
+    }
+
+    /// Returns `true` if hundreds of holders are live.
+    fn is_large_fleet(&self) -> bool {
+        self.live.len() >= MIN_MEMBERS
+    }
+
     /// Returns the state of an account.
     pub fn account(&self, account: &str) -> Option<&Account> {
         self.accounts.get(account)
@@ -368,8 +380,6 @@
         let position = Position {
             is_advertised: self.is_advertised,
             advertised_count: self.advertised_count,
-            knows_peers: self.knows_peers,
-            is_large: self.live.len() >= MIN_MEMBERS,
         };
         let account = self.accounts.get_mut(account)?;
         account.plan(&holder, now_ms, position, is_closing, &self.era_state)
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -201,10 +201,7 @@
         {
             return HoldOutcome::Exhausted;
         }
-        let previous = self.shortage.map_or(0, |short| short.tokens);
-        self.shortage = Some(Shortage {
-            tokens: previous.max(tokens),
-        });
+        self.record_shortage(tokens);
         HoldOutcome::InsufficientGrant
     }
 
@@ -338,6 +335,18 @@
         self.rate_limits.push(Limit::new(entry, at_ms));
     }
 
+    /// Records that a request lacks tokens, for the next plan.
+    pub(super) fn record_shortage(&mut self, tokens: u64) {
+        let previous = self.shortage.map_or(0, |short| short.tokens);
+        self.shortage = Some(Shortage {
+            tokens: previous.max(tokens),
+        });
+    }
+
+    pub(super) fn clear_shortage(&mut self) {
+        self.shortage = None;
+    }
+
     /// Sets the usage last reported by the other live holders.
     pub(super) fn set_peers(&mut self, peers: Peers) {
         self.peers = peers;
--- a/crates/fescuewell_forward/src/quota/loans.rs
+++ b/crates/fescuewell_forward/src/quota/loans.rs
@@ -1,5 +1,6 @@
 //! Token loans to and from other instances; see [`crate::loan`].
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use super::{Account, Quota};
@@ -28,7 +29,7 @@
 pub struct Candidate {
     /// Name of the holder.
     pub holder: Arc<str>,
-    /// Tokens that it may be able to lend.
+    /// Tokens that it may be able to lend; 0 if that is unknown.
     pub available: u64,
 }
 
@@ -37,7 +38,14 @@
     /// required ones are lent only if the own requests of the next `OWN_DEMAND_MS` milliseconds do
     /// not need them. Less than an eighth of the required tokens is not lent: a borrower asks no more
     /// lenders than that, so the tokens would only move to where they are of no use either.
+    ///
+    /// In a large fleet the required tokens count as demand, so that this holder draws for the
+    /// instances that borrow from it.
     pub fn lend(&mut self, request: &Request, now_ms: u64) -> u64 {
+        let is_large_fleet = self.is_large_fleet();
+        if is_large_fleet {
+            self.record_demand(&request.account, request.required_tokens, now_ms);
+        }
         let available = self.available(&request.account, now_ms);
         let account = self.account_mut(&request.account);
         let own_demand = account.demand_per_s(now_ms) * OWN_DEMAND_MS / 1_000;
@@ -49,6 +57,9 @@
             lent => lent,
         };
         account.consume(lent);
+        if is_large_fleet && lent < request.required_tokens {
+            account.record_shortage(request.required_tokens);
+        }
         lent
     }
 
@@ -116,7 +127,12 @@
     }
 
     /// Returns the holders that may have tokens of an account to lend, the largest amount first.
+    /// Without the usage of the others, these are the advertised holders in an order that depends
+    /// on the account, so that all borrowers try the same one first.
     pub fn candidates(&self, account: &str, now_ms: u64) -> Vec<Candidate> {
+        if self.prefers_loans() {
+            return self.unreported_candidates(account);
+        }
         let Some(account) = self.accounts.get(account) else {
             return Vec::new();
         };
@@ -127,6 +143,28 @@
         });
         candidates
     }
+
+    fn unreported_candidates(&self, account: &str) -> Vec<Candidate> {
+        let mut holders: Vec<&Arc<str>> = self.live.iter().collect();
+        holders.retain(|holder| **holder != self.holder);
+        holders.sort_by_cached_key(|holder| {
+            let mut hasher = DefaultHasher::new();
+            (account, holder).hash(&mut hasher);
+            hasher.finish()
+        });
+        let candidates = holders.into_iter().map(|holder| Candidate {
+            holder: holder.clone(),
+            available: 0,
+        });
+        candidates.collect()
+    }
+
+    /// Forgets that requests lack tokens of an account, after a loan.
+    pub fn clear_shortage(&mut self, account: &str) {
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.clear_shortage();
+        }
+    }
 }
 
 impl Account {
--- a/crates/fescuewell_forward/src/quota/plan.rs
+++ b/crates/fescuewell_forward/src/quota/plan.rs
@@ -46,10 +46,6 @@
     pub is_advertised: bool,
     /// Number of holders that callers are directed to.
     pub advertised_count: u64,
-    /// Whether it knows the usage of the others.
-    pub knows_peers: bool,
-    /// Whether the fleet is large; see [`crate::directory::summary`].
-    pub is_large: bool,
 }
 
 /// State of the holder that computes the plan.
@@ -87,12 +83,6 @@
 /// instances that its callers actually use have 5% until the others notice and return tokens, two
 /// heartbeat rounds later.
 const DEMAND_HORIZON_S: u64 = 16;
-/// The same in a large fleet. There an account is divided among so many holders that the recent
-/// demand of each says little about the next seconds; what is not held is free for whoever needs it.
-const LARGE_FLEET_HORIZON_S: u64 = 6;
-/// The same for a holder that does not know the demand of the others: it draws what it needs until
-/// its next plans. With the longer one such holders take an account that others use as well.
-const UNKNOWN_HORIZON_S: u64 = 3;
 /// Requests of mean size that the share of an advertised holder covers however low its demand is.
 const MIN_REQUESTS: u64 = 4;
 /// Part of the remaining tokens, in percent, that all advertised holders together may hold without
@@ -170,14 +160,7 @@
 
 /// Returns the maximum number of tokens that a holder can use, given its demand.
 fn demand_cap(left: u64, own: &Holder) -> u64 {
-    let horizon_s = match own.position {
-        Position {
-            knows_peers: false, ..
-        } => UNKNOWN_HORIZON_S,
-        Position { is_large: true, .. } => LARGE_FLEET_HORIZON_S,
-        _ => DEMAND_HORIZON_S,
-    };
-    let demand = own.demand_per_s * horizon_s;
+    let demand = own.demand_per_s * DEMAND_HORIZON_S;
     if !own.position.is_advertised {
         return demand;
     }
--- a/crates/fescuewell_gateway/src/control/sync.rs
+++ b/crates/fescuewell_gateway/src/control/sync.rs
@@ -36,8 +36,6 @@
 /// Number of reconciliation intervals for which a ledger read from the store proves that an account
 /// is exhausted.
 const FRESHNESS_INTERVALS: f64 = 2.5;
-/// Minimum interval between two draws for waiting requests.
-const MIN_DRAW_INTERVAL: Duration = Duration::from_millis(40);
 /// Minimum interval between two journals for waiting requests.
 const MIN_JOURNAL_INTERVAL: Duration = Duration::from_millis(15);
 /// Number of minimum journal intervals whose demand a journal permits at once.
@@ -134,36 +132,31 @@
             renew_journal(control).await;
         }
         gateway.notify_token_changes();
-        tokio::time::sleep(MIN_DRAW_INTERVAL).await;
+        tokio::time::sleep(control.cadence().draw()).await;
     }
 }
 
 /// Reads the members and reconciles all grants.
 async fn reconcile_loop(control: &Control) {
     let gateway = &control.gateway;
-    let mut read_at = Instant::now();
     let mut bytes = 0;
     for round in 0.. {
-        let interval = control.jitter(control.cadence().round());
+        let interval = control.jitter(control.cadence().round(bytes));
         let next = Instant::now() + interval;
         // At the first start of the fleet, the others write their first heartbeats meanwhile.
         let is_too_early = round == 0 && gateway.settings.is_first_start;
-        let must_read = read_at.elapsed() >= control.cadence().read(bytes);
-        if must_read && !is_too_early {
-            read_at = Instant::now();
+        if !is_too_early {
             bytes = read_members(control).await;
             control.members_known.send_replace(true);
         }
         gateway.update_gate();
         if enter_era(control).await && control.cadence().reconciles() {
-            if must_read {
-                bytes += read_ledgers(control, round).await;
-            }
+            bytes += read_ledgers(control, round).await;
             let accounts = gateway.state().quota.prepaid_accounts();
             reconcile(control, &accounts).await;
         }
         lending::load_key(control).await;
-        set_staleness(control, interval.max(control.cadence().read(bytes)));
+        set_staleness(control, interval);
         tokio::time::sleep_until(next).await;
     }
 }
--- a/crates/fescuewell_gateway/src/hold.rs
+++ b/crates/fescuewell_gateway/src/hold.rs
@@ -96,15 +96,19 @@
                 }
                 continue;
             }
-            match outcome {
-                HoldOutcome::InsufficientGrant => gateway.request_plan(),
-                _ => gateway.request_journal(),
+            let lacks_grant = outcome == HoldOutcome::InsufficientGrant;
+            let prefers_loans = gateway.state().quota.prefers_loans();
+            if lacks_grant && prefers_loans && gateway.borrow_tokens(account, max_cost).await {
+                gateway.state().quota.clear_shortage(account);
+                continue;
+            }
+            match lacks_grant {
+                true => gateway.request_plan(),
+                false => gateway.request_journal(),
             }
             // A loan is requested while the plan is written; whichever succeeds first provides the
             // tokens.
-            if outcome == HoldOutcome::InsufficientGrant
-                && gateway.borrow_tokens(account, max_cost).await
-            {
+            if lacks_grant && !prefers_loans && gateway.borrow_tokens(account, max_cost).await {
                 continue;
             }
             if !is_wait_logged {
