Relays: a follower that reads the store sends no digests

Cause, by reading the diff: with the relays the guard was lost that only a reader sends what it polls. Change: a follower has no receivers.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -294,9 +294,11 @@
 
     /// Returns the addresses to which a reader sends or forwards digests: the other instances of
     /// its availability zone, and from a primary reader of a large fleet the relays of all zones.
+    /// Empty for a follower, which reads for itself only.
     pub fn digest_receivers(&self, name: &str, zone: &str) -> Vec<SocketAddr> {
         let readers = self.readers(zone);
-        if readers.is_empty() {
+        let role = self.role(name, zone);
+        if readers.is_empty() || role == Role::Follower {
             return Vec::new();
         }
         let mut receivers = Vec::new();
@@ -305,7 +307,7 @@
                 receivers.extend(member.peer);
             }
         }
-        if self.is_large() && self.role(name, zone) == Role::Primary {
+        if self.is_large() && role == Role::Primary {
             receivers.extend(self.relays().filter_map(|(_, member)| member.peer));
         }
         receivers
--- a/crates/fescuewell_forward/tests/fleet.rs
+++ b/crates/fescuewell_forward/tests/fleet.rs
@@ -234,6 +234,23 @@
     assert_eq!(reached.len(), INSTANCES);
 }
 
+/// Guards against followers that flood their zone: one that reads the store for want of digests
+/// would send its own to all others, and so would each of them.
+#[test]
+fn a_follower_sends_no_digests() {
+    let directory = directory(985);
+    let follower =
+        (0..985).find(|index| directory.role(&name(*index), &zone(*index)) == Role::Follower);
+
+    let index = follower.unwrap();
+
+    assert!(
+        directory
+            .digest_receivers(&name(index), &zone(index))
+            .is_empty()
+    );
+}
+
 #[test]
 fn bytes_read_by_an_instance_that_knows_all_are_bounded() {
     const BYTES: usize = 1_500_000;
