Configuration: without digests a follower reads the store, not a neighbour's copy

A follower without digests asked a reader again and again, which may be cut off from the store itself.

Change: a copy is used at the start, and while digests arrive. A relay copies from the primary readers, so that it does not hold back its zone while the store turns it away. After a copy the first digest is awaited for two seconds; before, the feed was read from its beginning.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -320,10 +320,16 @@
         relays.filter_map(|name| self.members.get_key_value(name))
     }
 
-    /// Returns the addresses of the readers of an availability zone for messages.
-    pub fn reader_peers(&self, zone: &str) -> Vec<SocketAddr> {
-        let readers = self.with_members(self.readers(zone));
-        readers.filter_map(|(_, member)| member.peer).collect()
+    /// Returns the addresses from which an instance requests snapshots: the readers of its zone, the
+    /// primary readers if it is a relay, none if it reads the store itself.
+    pub fn snapshot_sources(&self, name: &str, zone: &str) -> Vec<SocketAddr> {
+        let sources: Vec<&Arc<str>> = match self.role(name, zone) {
+            Role::Primary => Vec::new(),
+            Role::Relay => self.primary_readers(),
+            Role::Follower => self.readers(zone).iter().collect(),
+        };
+        let sources = sources.into_iter();
+        sources.filter_map(|name| self.peer_address(name)).collect()
     }
 
     /// Returns the address at which an instance accepts messages of others.
--- a/crates/fescuewell_forward/tests/fleet.rs
+++ b/crates/fescuewell_forward/tests/fleet.rs
@@ -234,6 +234,32 @@
     assert_eq!(reached.len(), INSTANCES);
 }
 
+/// Guards against relays that tell their zone of no newer configuration because the store turns them
+/// away.
+#[test]
+fn a_relay_requests_snapshots_from_the_primary_readers() {
+    let directory = directory(985);
+    let with = |role: Role| -> Vec<usize> {
+        let all = 0..985;
+        let with = all.filter(|index| directory.role(&name(*index), &zone(*index)) == role);
+        with.collect()
+    };
+    let primaries = with(Role::Primary).into_iter().map(peer);
+    let primaries: BTreeSet<SocketAddr> = primaries.collect();
+
+    for index in with(Role::Relay) {
+        let sources = directory.snapshot_sources(&name(index), &zone(index));
+        assert_eq!(sources.into_iter().collect::<BTreeSet<_>>(), primaries);
+    }
+    for index in with(Role::Primary) {
+        assert!(
+            directory
+                .snapshot_sources(&name(index), &zone(index))
+                .is_empty()
+        );
+    }
+}
+
 /// Guards against followers that flood their zone: one that reads the store for want of digests
 /// would send its own to all others, and so would each of them.
 #[test]
--- a/crates/fescuewell_gateway/src/control/snapshots.rs
+++ b/crates/fescuewell_gateway/src/control/snapshots.rs
@@ -1,4 +1,4 @@
-//! Requests the server list and the configuration from the readers of the availability zone.
+//! Requests the server list and the configuration from readers.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -63,10 +63,10 @@
     }
 }
 
-/// Returns how long to ask the readers, or `None` for a reader. An instance that serves callers asks
+/// Returns how long to ask the readers, or `None` for a primary one. An instance that serves callers asks
 /// each reader only once for the list, because servers may be draining meanwhile.
 fn duration(control: &Control, patience: Patience) -> Option<Duration> {
-    if control.role() != Role::Follower {
+    if control.role() == Role::Primary {
         return None;
     }
     let cadence = control.cadence();
@@ -78,12 +78,14 @@
     }
 }
 
-/// Returns the readers of the availability zone in random order.
+/// Returns the readers that this instance requests snapshots from, in random order.
 fn readers(control: &Control) -> Vec<SocketAddr> {
     let gateway = &control.gateway;
     let mut state = gateway.state();
-    let mut readers = state.directory.reader_peers(&gateway.settings.zone);
-    readers.retain(|reader| Some(*reader) != gateway.settings.peer);
+    let settings = &gateway.settings;
+    let mut readers = state
+        .directory
+        .snapshot_sources(&settings.name, &settings.zone);
     readers.shuffle(&mut state.rng);
     readers
 }
--- a/crates/fescuewell_gateway/src/control/watch/configuration.rs
+++ b/crates/fescuewell_gateway/src/control/watch/configuration.rs
@@ -18,47 +18,74 @@
 /// Interval after which a follower, which is informed of newer versions by readers, rereads the
 /// configuration.
 const FOLLOWER_REREAD_INTERVAL: Duration = Duration::from_secs(20);
+/// Time after a copy of the configuration within which the first digest must arrive.
+const FIRST_DIGEST_TIME: Duration = Duration::from_secs(2);
 /// Interval at which a follower checks whether readers reported a newer configuration.
 const FOLLOWER_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Watches the configuration.
+///
+/// A copy of a reader is used at the start and while digests arrive. Otherwise the reader may be cut
+/// off from the store, and its configuration is as old as that.
 pub(in crate::control) async fn configuration(control: &Control) {
     control.wait_for_members().await;
+    let mut may_copy = true;
     loop {
-        let mut version = 0;
-        if !copy_configuration(control).await {
-            let read = control.source.read_state();
-            let Ok(response) = control.call("configuration", CALL_TIMEOUT, read).await else {
-                tokio::time::sleep(RETRY_DELAY).await;
-                continue;
-            };
-            version = response.version;
-            apply_full(control, response);
+        if may_copy && copy_configuration(control).await {
+            follow(control).await;
+        } else {
+            watch_store(control).await;
         }
-        let read_at = Instant::now();
-        while !is_due(control, read_at, version) {
-            if follows_readers(control) {
-                tokio::time::sleep(FOLLOWER_POLL_INTERVAL).await;
-                continue;
-            }
-            let changes = control.source.watch_state(version, WATCH_WAIT);
-            match control
-                .call("configuration_after", WATCH_TIMEOUT, changes)
-                .await
-            {
-                Ok(response) => {
-                    version = version.max(response.version);
-                    apply_changes(control, response);
-                }
-                Err(_) => break,
-            }
+        may_copy = follows_readers(control);
+    }
+}
+
+/// Waits until a reader reports a newer configuration, the copy is old, or digests are missing.
+async fn follow(control: &Control) {
+    let copied_at = Instant::now();
+    loop {
+        tokio::time::sleep(FOLLOWER_POLL_INTERVAL).await;
+        let is_followed = follows_readers(control);
+        if !is_followed && copied_at.elapsed() >= FIRST_DIGEST_TIME {
+            return;
         }
-        if !control.gateway.is_store_up() {
-            tokio::time::sleep(RETRY_DELAY).await;
+        if is_followed && is_due(control, copied_at, 0) {
+            return;
         }
     }
 }
 
+/// Reads the configuration from the store and watches it until it must be read again.
+async fn watch_store(control: &Control) {
+    let read = control.source.read_state();
+    let Ok(response) = control.call("configuration", CALL_TIMEOUT, read).await else {
+        return tokio::time::sleep(RETRY_DELAY).await;
+    };
+    let mut version = response.version;
+    apply_full(control, response);
+    let read_at = Instant::now();
+    while !is_due(control, read_at, version) {
+        if follows_readers(control) {
+            tokio::time::sleep(FOLLOWER_POLL_INTERVAL).await;
+            continue;
+        }
+        let changes = control.source.watch_state(version, WATCH_WAIT);
+        match control
+            .call("configuration_after", WATCH_TIMEOUT, changes)
+            .await
+        {
+            Ok(response) => {
+                version = version.max(response.version);
+                apply_changes(control, response);
+            }
+            Err(_) => break,
+        }
+    }
+    if !control.gateway.is_store_up() {
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+}
+
 /// Applies the configuration of a reader of the availability zone. Returns `false` if there is none,
 /// or if it is older than one that a reader reported.
 async fn copy_configuration(control: &Control) -> bool {
--- a/crates/fescuewell_gateway/tests/snapshots.rs
+++ b/crates/fescuewell_gateway/tests/snapshots.rs
@@ -2,11 +2,14 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use common::{INSTANCE, MemoryStore, instance, settings};
 use fescuewell_forward::config::{Configuration, Table};
+use fescuewell_forward::directory::Member;
 use fescuewell_forward::message::{Key, Message};
 use fescuewell_forward::server::{Change, Entry, State, Update};
 use fescuewell_forward::snapshot::{Request, Servers, Snapshot, Subject};
@@ -19,6 +22,9 @@
 /// Version of the server list at the responding instance.
 const VERSION: u64 = 7;
 
+/// The store's clock at the responding instance, in milliseconds.
+const STORE_MS: u64 = 1_000_000;
+
 fn key() -> Key {
     Key::new([7; 32])
 }
@@ -42,16 +48,23 @@
 
 /// An instance that knows two servers and a configuration, with its listener.
 fn responder() -> (Arc<Gateway>, Listener) {
+    responder_with(5)
+}
+
+/// The same, with a configuration of some version.
+fn responder_with(version: u64) -> (Arc<Gateway>, Listener) {
     let store = MemoryStore::new(0);
     let (gateway, _control) = instance(settings(INSTANCE), &store, 1);
     gateway.set_fleet_key(key(), 0);
     gateway.set_store_up(true);
     gateway.set_table(Table::new(Configuration {
-        version: 5,
+        version,
         ..Configuration::default()
     }));
     {
+        let now_ms = gateway.now_ms();
         let mut state = gateway.state();
+        state.quota.observe_clock(STORE_MS, now_ms);
         let rows = vec![row("one"), row("two")];
         state.registry.apply_snapshot(VERSION, rows, 0);
         state.cursor.advance(VERSION);
@@ -61,6 +74,22 @@
     (gateway, listener.unwrap())
 }
 
+fn member(address: SocketAddr, weight: u32) -> Member {
+    Member {
+        address,
+        peer: Some(address),
+        zone: "zone-0".into(),
+        weight,
+        requests_per_s: 0,
+        usage: Vec::new(),
+        heartbeat_at_ms: u64::MAX / 2,
+        unready_until_ms: 0,
+        era: 0,
+        knows_grants: true,
+        interval_ms: 0,
+    }
+}
+
 fn post(listener: &Listener, body: Vec<u8>) -> (StatusCode, Bytes) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -84,8 +113,11 @@
 fn a_request_with_the_fleet_key_gets_the_list_and_the_configuration() {
     let (_gateway, listener) = responder();
 
-    let (_, list) = post(&listener, key().seal(&wanted(Subject::Servers, 0)));
-    let (_, configuration) = post(&listener, key().seal(&wanted(Subject::Configuration, 0)));
+    let (_, list) = post(&listener, key().seal(&wanted(Subject::Servers, STORE_MS)));
+    let (_, configuration) = post(
+        &listener,
+        key().seal(&wanted(Subject::Configuration, STORE_MS)),
+    );
 
     let Some(Snapshot::Servers(Servers { version, mut rows })) = key().open_content(&list) else {
         panic!("the response is not a list");
@@ -105,7 +137,7 @@
 
     let (status, body) = post(
         &listener,
-        Key::new([8; 32]).seal(&wanted(Subject::Configuration, 0)),
+        Key::new([8; 32]).seal(&wanted(Subject::Configuration, STORE_MS)),
     );
 
     assert_ne!(status, StatusCode::OK);
@@ -119,7 +151,7 @@
 
     let (status, _) = post(
         &listener,
-        key().seal(&wanted(Subject::Configuration, 60_000)),
+        key().seal(&wanted(Subject::Configuration, STORE_MS - 60_000)),
     );
 
     assert_ne!(status, StatusCode::OK);
@@ -132,7 +164,62 @@
     let (gateway, listener) = responder();
     gateway.set_store_up(false);
 
-    let (status, _) = post(&listener, key().seal(&wanted(Subject::Servers, 0)));
+    let (status, _) = post(&listener, key().seal(&wanted(Subject::Servers, STORE_MS)));
 
     assert_ne!(status, StatusCode::OK);
 }
+
+/// Guards against a configuration that stays old: a follower that gets no digests copied it again and
+/// again from a reader that was cut off from the store (`CONFIG`, refused with 404 more than three
+/// seconds after a newer version).
+#[test]
+fn without_digests_a_follower_reads_the_configuration_from_the_store() {
+    let (_reader, listener) = responder_with(0);
+    let store = MemoryStore::new(0);
+    for number in 0..2 {
+        let reader = member(listener.address(), 1_000);
+        store.insert(
+            "member",
+            "fleet",
+            &format!("reader-{number}"),
+            reader.encode(),
+        );
+    }
+    for number in 0..8 {
+        let other = member(([127, 0, 0, 1], 1 + number).into(), 500);
+        store.insert(
+            "member",
+            "fleet",
+            &format!("other-{number}"),
+            other.encode(),
+        );
+    }
+    store.insert("key", "fleet", "fleet", key().bytes().to_vec());
+    let mut settings = settings(INSTANCE);
+    settings.zone = "zone-0".into();
+    settings.cores = 0.1;
+    let (gateway, control) = instance(settings, &store, 1);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+
+    let version = runtime.block_on(async {
+        let current = async {
+            // The store holds version 1.
+            while gateway
+                .table()
+                .is_none_or(|table| table.configuration().version < 1)
+            {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::select! {
+            () = control.run() => unreachable!("the control tasks run until the process ends"),
+            () = current => 1,
+            () = tokio::time::sleep(Duration::from_secs(60)) => 0,
+        }
+    });
+
+    assert_eq!(version, 1);
+}
