--- a/crates/fescuewell_gateway/src/header.rs
+++ b/crates/fescuewell_gateway/src/header.rs
@@ -65,13 +65,6 @@
     kept
 }
 
-/// Returns `true` if the sender of a response closes its connection.
-pub fn closes_connection(headers: &HeaderMap) -> bool {
-    connection_options(headers)
-        .iter()
-        .any(|name| name.as_str() == "close")
-}
-
 /// Returns the `Host` header, or an empty string.
 pub fn host(headers: &HeaderMap) -> &str {
     let host = headers.get(HOST).and_then(|value| value.to_str().ok());
