Choice: a reported load cannot overflow

Cause: load reports are not authenticated, and a request count times eight may pass 32 bits. Change: saturating. Measured: compiles; no logic besides.

--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -143,7 +143,8 @@
 where
     Connected: Fn(&Entry) -> bool,
 {
-    let has_room = |entry: &Entry| load.in_flight(&entry.id) * CONNECTED_DIVISOR < entry.slots;
+    let has_room =
+        |entry: &Entry| load.in_flight(&entry.id).saturating_mul(CONNECTED_DIVISOR) < entry.slots;
     let connected = from.iter().copied();
     let connected = connected.filter(|entry| has_room(entry) && is_connected(entry));
     let connected: Vec<&Arc<Entry>> = connected.collect();
