Tokens in a large fleet: draws as fast as before, two lenders, no draw for a refused loan

Change: draws follow each other after 40 ms again; a lender takes a request as demand and draws at its next reconciliation only; a borrower that knows a summary asks two lenders and then draws. The test of the draws' pace goes with the pace; the one of the candidates counts two.

--- a/crates/fescuewell_forward/src/cadence.rs
+++ b/crates/fescuewell_forward/src/cadence.rs
@@ -26,10 +26,6 @@
 /// Number of instances per advertised one that may write journals often in a large fleet: callers
 /// use some that are no longer advertised.
 const JOURNALS_PER_ADVERTISED: usize = 2;
-/// Minimum interval between two draws for waiting requests.
-const MIN_DRAW_INTERVAL: Duration = Duration::from_millis(40);
-/// Fraction of the partition of the ledgers that the draws of a large fleet may use together.
-const DRAW_SHARE: f64 = 0.5;
 /// Bytes per second that an instance reads of all members and ledgers.
 const READ_BYTES_S: f64 = 150_000.0;
 
@@ -97,19 +93,6 @@
         }
     }
 
-    /// Returns the interval between two draws for waiting requests. In a large fleet the holders
-    /// together keep to half of the partition of the ledgers.
-    pub fn draw(&self) -> Duration {
-        match self.is_large {
-            true => {
-                let writes_per_s = self.partition_writes_per_s * DRAW_SHARE;
-                let fair = Duration::from_secs_f64(self.advertised as f64 / writes_per_s);
-                MIN_DRAW_INTERVAL.max(fair)
-            }
-            false => MIN_DRAW_INTERVAL,
-        }
-    }
-
     /// Returns the interval between two journals at which all instances that hold tokens keep to
     /// their share of the store's writes. Each journal has its own partition.
     ///
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -201,7 +201,10 @@
         {
             return HoldOutcome::Exhausted;
         }
-        self.record_shortage(tokens);
+        let previous = self.shortage.map_or(0, |short| short.tokens);
+        self.shortage = Some(Shortage {
+            tokens: previous.max(tokens),
+        });
         HoldOutcome::InsufficientGrant
     }
 
@@ -335,14 +338,6 @@
         self.rate_limits.push(Limit::new(entry, at_ms));
     }
 
-    /// Records that a request lacks tokens, for the next plan.
-    pub(super) fn record_shortage(&mut self, tokens: u64) {
-        let previous = self.shortage.map_or(0, |short| short.tokens);
-        self.shortage = Some(Shortage {
-            tokens: previous.max(tokens),
-        });
-    }
-
     pub(super) fn clear_shortage(&mut self) {
         self.shortage = None;
     }
--- a/crates/fescuewell_forward/src/quota/loans.rs
+++ b/crates/fescuewell_forward/src/quota/loans.rs
@@ -13,6 +13,8 @@
 /// Maximum number of lenders that a borrower asks for one request, one after the other. During a
 /// store outage the journal of each permits few tokens, so a large request needs several.
 pub const MAX_LENDERS: u64 = 8;
+/// The same for a borrower that does not know what the others hold; the next step is a draw.
+const MAX_UNREPORTED_LENDERS: usize = 2;
 /// Time in milliseconds for which the remaining tokens reported by a lender are valid. Its rate
 /// limit rises with time, so a lender without tokens may soon have some.
 const LENDER_REPORT_TTL_MS: u64 = 300;
@@ -42,8 +44,7 @@
     /// In a large fleet the required tokens count as demand, so that this holder draws for the
     /// instances that borrow from it.
     pub fn lend(&mut self, request: &Request, now_ms: u64) -> u64 {
-        let is_large_fleet = self.is_large_fleet();
-        if is_large_fleet {
+        if self.is_large_fleet() {
             self.record_demand(&request.account, request.required_tokens, now_ms);
         }
         let available = self.available(&request.account, now_ms);
@@ -57,9 +58,6 @@
             lent => lent,
         };
         account.consume(lent);
-        if is_large_fleet && lent < request.required_tokens {
-            account.record_shortage(request.required_tokens);
-        }
         lent
     }
 
@@ -152,7 +150,8 @@
             (account, holder).hash(&mut hasher);
             hasher.finish()
         });
-        let candidates = holders.into_iter().map(|holder| Candidate {
+        let first = holders.into_iter().take(MAX_UNREPORTED_LENDERS);
+        let candidates = first.map(|holder| Candidate {
             holder: holder.clone(),
             available: 0,
         });
--- a/crates/fescuewell_gateway/src/control/lending.rs
+++ b/crates/fescuewell_gateway/src/control/lending.rs
@@ -315,10 +315,6 @@
             lender.respond(&mut state.quota, loan_request, now_ms)
         };
         let Some(response) = response else { return };
-        let gateway = &self.control.gateway;
-        if !gateway.state().quota.short_accounts().is_empty() {
-            gateway.request_plan();
-        }
         log_event!(
             Event::TokensLent,
             "account={} tokens={} wanted={} left={}",
--- a/crates/fescuewell_gateway/src/control/sync.rs
+++ b/crates/fescuewell_gateway/src/control/sync.rs
@@ -36,6 +36,8 @@
 /// Number of reconciliation intervals for which a ledger read from the store proves that an account
 /// is exhausted.
 const FRESHNESS_INTERVALS: f64 = 2.5;
+/// Minimum interval between two draws for waiting requests.
+const MIN_DRAW_INTERVAL: Duration = Duration::from_millis(40);
 /// Minimum interval between two journals for waiting requests.
 const MIN_JOURNAL_INTERVAL: Duration = Duration::from_millis(15);
 /// Number of minimum journal intervals whose demand a journal permits at once.
@@ -132,7 +134,7 @@
             renew_journal(control).await;
         }
         gateway.notify_token_changes();
-        tokio::time::sleep(control.cadence().draw()).await;
+        tokio::time::sleep(MIN_DRAW_INTERVAL).await;
     }
 }
 
