--- a/crates/fescuewell_forward/src/quota/loans.rs
+++ b/crates/fescuewell_forward/src/quota/loans.rs
@@ -38,8 +38,8 @@
 impl Quota {
     /// Lends tokens of the own grant, which count as consumed from now on. Tokens beyond the
     /// required ones are lent only if the own requests of the next `OWN_DEMAND_MS` milliseconds do
-    /// not need them. Less than an eighth of the required tokens is not lent: a borrower asks no more
-    /// lenders than that, so the tokens would only move to where they are of no use either.
+    /// not need them. A borrower asks [`MAX_LENDERS`] at most, so a smaller part than that fraction of
+    /// the required tokens cannot complete its request and is not lent.
     ///
     /// In a large fleet the required tokens count as demand, so that this holder draws for the
     /// instances that borrow from it.
--- a/crates/fescuewell_forward/tests/fleet.rs
+++ b/crates/fescuewell_forward/tests/fleet.rs
@@ -106,7 +106,7 @@
 }
 
 /// Guards against a killed instance that serves callers and counts as alive for a minute, as long as
-/// four heartbeats of the idle ones take.
+/// four heartbeats of an idle instance take.
 #[test]
 fn an_active_instance_is_missed_within_seconds_in_any_fleet() {
     for instances in [100, 985, 2_000] {
@@ -234,8 +234,8 @@
     assert_eq!(reached.len(), INSTANCES);
 }
 
-/// Guards against relays that tell their zone of no newer configuration because the store turns them
-/// away.
+/// Guards against relays that announce no newer configuration to their zone while the store rejects
+/// their own calls.
 #[test]
 fn a_relay_requests_snapshots_from_the_primary_readers() {
     let directory = directory(985);
@@ -260,8 +260,8 @@
     }
 }
 
-/// Guards against followers that flood their zone: one that reads the store for want of digests
-/// would send its own to all others, and so would each of them.
+/// Guards against broadcasts by followers: each follower that reads the store because digests are
+/// missing would send its own digests to all instances of its zone.
 #[test]
 fn a_follower_sends_no_digests() {
     let directory = directory(985);
--- a/crates/fescuewell_forward/tests/scale.rs
+++ b/crates/fescuewell_forward/tests/scale.rs
@@ -109,7 +109,7 @@
     }
 }
 
-/// Guards against subsets that pile the prefixes on a few servers.
+/// Guards against subsets that concentrate the prefixes on a few servers.
 #[test]
 fn prefixes_spread_over_the_servers() {
     const PREFIXES: usize = 5_000;
@@ -160,7 +160,7 @@
 
 /// Guards against a walk over all known prefixes for each server that ends.
 #[test]
-fn a_server_that_ends_takes_only_its_own_prefixes_along() {
+fn forgetting_a_server_keeps_the_prefixes_of_others() {
     let mut load = Load::default();
     let (one, other): (Arc<str>, Arc<str>) = ("one".into(), "other".into());
     load.record_prefix("both", &one, 0);
@@ -173,7 +173,7 @@
 }
 
 proptest! {
-    /// Guards against sums that drift from the reports they are made of.
+    /// Guards against sums that differ from the sum of the reports in force.
     #[test]
     fn sums_equal_the_reports_in_force(
         reports in proptest::collection::vec(
--- a/crates/fescuewell_forward/tests/spread.rs
+++ b/crates/fescuewell_forward/tests/spread.rs
@@ -247,7 +247,7 @@
 }
 
 /// Guards against a request that waits for tokens that its account never had: it was held for half
-/// of its latency objective and then told to come back.
+/// of its latency objective and then rejected with a `Retry-After`.
 #[test]
 fn a_request_larger_than_its_account_is_refused_at_once() {
     let mut cluster = Cluster::new(1, 20_000);
@@ -261,7 +261,7 @@
     assert_eq!(as_large, HoldOutcome::InsufficientGrant);
 }
 
-/// Guards against the rest of an account that moves between its holders in crumbs: 412 tokens for a
+/// Guards against loans too small to complete a request: 412 tokens for a
 /// request that lacked 30,000, some 4,600 times in a day at one instance.
 #[test]
 fn a_lender_keeps_a_part_that_completes_no_request() {
@@ -275,11 +275,11 @@
     let too_large = loan_request(&cluster, available * 8 + 1, available * 9);
     let small_enough = loan_request(&cluster, available * 8, available * 9);
 
-    let crumb = cluster.instances[0].quota.lend(&too_large, now_ms);
+    let too_small = cluster.instances[0].quota.lend(&too_large, now_ms);
     let part = cluster.instances[0].quota.lend(&small_enough, now_ms);
 
     assert!(available > 0);
-    assert_eq!(crumb, 0);
+    assert_eq!(too_small, 0);
     assert_eq!(part, available);
 }
 
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -24,7 +24,7 @@
 const SUMMARY_TABLE: &str = "summary";
 /// Time after the first start of the fleet within which its members become known.
 const FIRST_START_TIME: Duration = Duration::from_secs(10);
-/// Age in milliseconds up to which the last summary that a reader sent spares a read; several
+/// Age in milliseconds up to which a summary sent by a reader replaces a read of the row; several
 /// reconciliations of a reader.
 const RECENT_SUMMARY_MS: u64 = 4_000;
 /// Age in milliseconds at which the first advertised instance replaces the summary.
@@ -117,7 +117,7 @@
     }
 }
 
-/// Returns `true` if a reader has sent the summary lately.
+/// Returns `true` if a reader sent the summary within [`RECENT_SUMMARY_MS`].
 fn has_recent_summary(control: &Control) -> bool {
     let at_ms = control.summary_at_ms.load(Ordering::Relaxed);
     at_ms > 0 && control.gateway.now_ms() < at_ms + RECENT_SUMMARY_MS
--- a/crates/fescuewell_gateway/src/control/sync.rs
+++ b/crates/fescuewell_gateway/src/control/sync.rs
@@ -28,8 +28,8 @@
 const JOURNAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between two journals while this instance holds no tokens.
 const IDLE_JOURNAL_INTERVAL: Duration = Duration::from_secs(4);
-/// Interval that the heartbeat at the first start of the fleet states. How large the fleet is turns
-/// out later, and hundreds of heartbeats take the store seconds.
+/// Interval stated by the heartbeat at the first start of the fleet, whose size is not known yet.
+/// The store needs seconds to commit the heartbeats of hundreds of instances.
 const FIRST_INTERVAL: Duration = Duration::from_secs(8);
 /// Interval at which an instance checks whether its heartbeats must become more frequent.
 const CADENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
