Limits that backend servers declare are read and logged

Change: platform/ decodes the header once into condition::Report; every response head of a server is read for it when it arrives (2xx, errors, rejections), but not that of another request or of a reused address. Events server.limited (a change) and header.malformed (one line a second), limit= on route.chosen, a gauge of limited servers and a counter of malformed headers. No choice looks at the limit yet. The stand-in of backend servers declares it.

Ruled out: a value that is no finite, non-negative decimal number, or a header that occurs twice, changes nothing; it is counted.

--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod admission;
 pub mod cadence;
 pub mod choice;
+pub mod condition;
 pub mod config;
 pub mod crash;
 pub mod directory;
--- a/crates/fescuewell_gateway/src/control/watch/list.rs
+++ b/crates/fescuewell_gateway/src/control/watch/list.rs
@@ -111,6 +111,7 @@
     for former in ended {
         let id = &former.id;
         state.health.forget(id);
+        state.limits.forget(id);
         state.load.forget(id);
         let restarted = state.registry.is_known(id);
         log_event!(Event::ServerEnded, "server={id} restarted={restarted}");
--- a/crates/fescuewell_gateway/src/dialect.rs
+++ b/crates/fescuewell_gateway/src/dialect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fescuewell_forward::condition::Report;
 use http::{HeaderMap, HeaderName};
 
 /// Header names of the platform.
@@ -75,6 +76,9 @@
     /// Extracts the metadata from a request's headers.
     fn metadata(&self, headers: &HeaderMap) -> RequestMetadata;
 
+    /// Extracts what a backend server declares about itself in the headers of a response.
+    fn server_report(&self, headers: &HeaderMap) -> Report;
+
     /// Path of the address list for callers.
     fn directory_path(&self) -> &str;
 
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! State shared by the threads of an instance.
 
+pub(crate) mod condition;
 mod crash;
 mod gate;
 mod state;
@@ -11,6 +12,7 @@
 use arc_swap::ArcSwapOption;
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::Load;
+use fescuewell_forward::condition::limit::Limits;
 use fescuewell_forward::config::Table;
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
@@ -111,6 +113,7 @@
     probe_requests: flume::Sender<ProbeRequest>,
     crash_changes: watch::Sender<u64>,
     last_peer_message_ms: AtomicU64,
+    next_malformed_log_ms: AtomicU64,
     fleet_key: ArcSwapOption<Key>,
     fleet_key_era: AtomicU32,
     token_changes: watch::Sender<u64>,
@@ -145,6 +148,7 @@
             cursor: relay::Cursor::default(),
             warmup: Warmup::default(),
             health: Health::default(),
+            limits: Limits::default(),
             crashes: Detector::default(),
             quarantine: Quarantine::default(),
             load: Load::default(),
@@ -172,6 +176,7 @@
             probe_requests,
             crash_changes,
             last_peer_message_ms: AtomicU64::new(0),
+            next_malformed_log_ms: AtomicU64::new(0),
             fleet_key: ArcSwapOption::empty(),
             fleet_key_era: AtomicU32::new(0),
             token_changes,
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -5,6 +5,7 @@
 
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::{Load, MAX_SUBSET_SIZE};
+use fescuewell_forward::condition::limit::Limits;
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::Health;
@@ -27,6 +28,8 @@
     pub warmup: Warmup,
     /// Health scores of backend servers.
     pub health: Health,
+    /// Request rates that backend servers accept from the whole fleet.
+    pub limits: Limits,
     /// Suspected and detected crashes of backend servers.
     pub crashes: Detector,
     /// Requests that crash backend servers.
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -22,6 +22,7 @@
 
 use crate::dialect::RequestMetadata;
 use crate::gateway::Gateway;
+use crate::gateway::condition;
 use crate::hold::Hold;
 use crate::{header, refusal};
 
@@ -274,6 +275,9 @@
             state.warmup.record_send(&server.id, limit, *share, now_ms);
         }
         let running = chosen.as_ref().map(|entry| state.load.in_flight(&entry.id));
+        let limit = chosen
+            .as_ref()
+            .and_then(|entry| state.limits.get(&entry.id));
         drop(state);
         let Some(server) = chosen else {
             return Err(match self.possibly_executed {
@@ -283,12 +287,13 @@
         };
         log_event!(
             Event::RouteChosen,
-            "request={} route={} service={} server={} candidates={listed_count} running={} configuration={} account={}",
+            "request={} route={} service={} server={} candidates={listed_count} running={} limit={} configuration={} account={}",
             self.id,
             self.route.name,
             self.service.name,
             server.id,
             running.unwrap_or_default(),
+            condition::limit_text(limit),
             self.version,
             self.account.as_ref().map_or("-", |account| &account.name)
         );
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -137,6 +137,7 @@
         sent_at: Instant,
     ) -> AttemptOutcome {
         self.sends += 1;
+        self.record_report(permit, &exchange);
         let names = self.gateway.dialect.header_names().clone();
         let status = exchange.status;
         let is_rejected = exchange.headers.contains_key(&names.not_executed);
@@ -216,6 +217,19 @@
         }
     }
 
+    /// Records what the server declares about itself, unless the response comes from another server
+    /// or belongs to another request.
+    fn record_report(&self, permit: &Permit, exchange: &Exchange) {
+        let names = self.gateway.dialect.header_names();
+        let echoed = exchange.headers.get(&names.request_id);
+        let is_foreign = echoed.is_some_and(|value| value.as_bytes() != self.id.as_bytes());
+        if is_foreign || exchange.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let report = self.gateway.dialect.server_report(&exchange.headers);
+        self.gateway.record_report(&permit.server, &report);
+    }
+
     /// Builds the request for a backend server. Returns `None` if a header value is invalid.
     fn build_request(&self, server: &Entry, after: Option<u64>) -> Option<http::Request<Bytes>> {
         let names = self.gateway.dialect.header_names();
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     attempts: Counter<u64>,
     store_calls: Counter<u64>,
     crashes: Counter<u64>,
+    malformed_headers: Counter<u64>,
     first_event: Histogram<f64>,
     request_duration: Histogram<f64>,
 }
@@ -41,6 +42,7 @@
             attempts: meter.u64_counter("fescuewell_forward_attempts").build(),
             store_calls: meter.u64_counter("fescuewell_store_calls").build(),
             crashes: meter.u64_counter("fescuewell_server_crashes").build(),
+            malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
             first_event: meter
                 .f64_histogram("fescuewell_first_event_seconds")
                 .build(),
@@ -88,6 +90,15 @@
         self.crashes.add(1, &attributes);
     }
 
+    /// Counts a malformed header of a response from a backend server.
+    pub fn count_malformed_header(&self, service: &str, header: &'static str) {
+        let attributes = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("header", header),
+        ];
+        self.malformed_headers.add(1, &attributes);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &str, outcome: &'static str) {
         let attributes = [
@@ -149,14 +160,15 @@
                 .table()
                 .map_or(0, |table| table.configuration().version);
             let now_ms = gateway.now_ms();
-            let (servers, instances, exposure, suspects, quarantined) = {
+            let (servers, limited, instances, exposure, suspects, quarantined) = {
                 let state = gateway.state();
                 let servers = state.registry.entries().count();
+                let limited = state.limits.count();
                 let exposure = state.quota.exposure(now_ms);
                 let suspects = state.quarantine.suspects();
                 let quarantined = state.quarantine.quarantined().len();
                 let instances = state.directory.count();
-                (servers, instances, exposure, suspects, quarantined)
+                (servers, limited, instances, exposure, suspects, quarantined)
             };
             let values = [
                 ("configuration_version", version as f64),
@@ -169,6 +181,7 @@
                 ("tokens_consumed", exposure.consumed as f64),
                 ("tokens_promised", exposure.promised as f64),
                 ("servers", servers as f64),
+                ("limited_servers", limited as f64),
                 ("suspects", suspects as f64),
                 ("quarantined", quarantined as f64),
                 ("instances", instances as f64),
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fescuewell_forward::condition::Report;
 use fescuewell_forward::config::{Account, Configuration};
 use fescuewell_forward::quota::row::Journal;
 use fescuewell_forward::server::Update;
@@ -310,6 +311,10 @@
         RequestMetadata::default()
     }
 
+    fn server_report(&self, _: &HeaderMap) -> Report {
+        Report::default()
+    }
+
     fn directory_path(&self) -> &str {
         "/"
     }
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -7,6 +7,8 @@
 //! A request whose body is the one of [`Worker::crash_on`] crashes the worker as soon as it runs, unless [`Behaviour::Fail`] comes
 //! first: all connections break, and new ones are refused until [`Worker::revive`] is called.
 //!
+//! A worker in need declares the request rate that it accepts in each response; see [`Worker::set_limit`].
+//!
 //! ```
 //! use fescuewell_standin::worker::Worker;
 //! let worker = Worker::start("127.0.0.1:0".parse().unwrap(), "i-1").unwrap();
@@ -28,6 +30,7 @@
 const SEAL: HeaderName = HeaderName::from_static("x-fescuewell-response-seal");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-fescuewell-not-executed");
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-fescuewell-expect-instance");
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
 /// What becomes of one request.
@@ -73,6 +76,7 @@
     next: VecDeque<Behaviour>,
     gone: u64,
     name: Arc<str>,
+    limit: Option<HeaderValue>,
     crashes_on: Option<Bytes>,
     crashes: u64,
     revivals: u64,
@@ -150,6 +154,16 @@
         self.shared.state().crashes_on = Some(Bytes::copy_from_slice(body));
     }
 
+    /// Sets the value of the header in which each response declares the request rate that the worker accepts.
+    ///
+    /// # Panics
+    ///
+    /// If the text is not a header value.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        let value = |text| HeaderValue::from_str(text).expect("the limit is a header value");
+        self.shared.state().limit = limit.map(value);
+    }
+
     /// How often it has crashed.
     pub fn crashes(&self) -> u64 {
         self.shared.state().crashes
@@ -311,7 +325,7 @@
         if behaviour == Behaviour::TurnAway {
             self.state().refused.push(run);
             self.arrived.send_modify(|count| *count += 1);
-            let mut headers = HeaderMap::new();
+            let mut headers = self.conditions();
             headers.insert(NOT_EXECUTED, HeaderValue::from_static("1"));
             return reply.send(StatusCode::SERVICE_UNAVAILABLE, headers, Bytes::new());
         }
@@ -367,12 +381,21 @@
         std::future::pending::<()>().await;
     }
 
+    /// Headers in which the worker declares its condition.
+    fn conditions(&self) -> HeaderMap {
+        let limit = self.state().limit.clone();
+        limit
+            .map(|limit| (SERVER_LIMIT, limit))
+            .into_iter()
+            .collect()
+    }
+
     fn headers(&self, run: &Run, behaviour: Behaviour) -> HeaderMap {
         let id = match behaviour {
             Behaviour::WrongId => "somebody-else",
             _ => &run.id,
         };
-        let mut headers = HeaderMap::new();
+        let mut headers = self.conditions();
         let seal = format!("{}.{}", self.state().name, run.id);
         for (name, value) in [(REQUEST_ID, id), (SEAL, &seal)] {
             if let Ok(value) = HeaderValue::from_str(value) {
