Shares of a rate: bucket and assignment are a module of their own

Slow start divides a cold server's rate among two instances that all of them compute alike. The same division serves other rates that a server accepts from all instances together, so the rendezvous assignment and the token bucket move to fescuewell_forward::share.

No change of decisions: the tests of slow start are untouched and pass.

--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod retry;
 pub mod retry_after;
 pub mod server;
+pub mod share;
 pub mod snapshot;
 pub mod version;
 pub mod warmup;
--- a/crates/fescuewell_forward/src/warmup.rs
+++ b/crates/fescuewell_forward/src/warmup.rs
@@ -8,14 +8,14 @@
 //! This protects an availability zone that returns all at once: its servers are idle, so that every
 //! instance would pick them.
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::share::{self, Bucket};
+
 /// Rate limit for cold servers of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limit {
@@ -29,20 +29,11 @@
 /// While the list of instances changes, one or two more may send; the margin of the limit covers
 /// them.
 pub const INSTANCES_PER_SERVER: usize = 2;
-/// Maximum number of requests in a burst.
-const BURST: f64 = 1.0;
-
-/// Requests that this instance may send to a server, as of a time.
-#[derive(Debug, Clone, Copy)]
-struct Credit {
-    requests: f64,
-    at_ms: u64,
-}
 
 /// This instance's share of the limits.
 #[derive(Debug, Default)]
 pub struct Warmup {
-    credits: HashMap<Arc<str>, Credit>,
+    buckets: HashMap<Arc<str>, Bucket>,
     instances: Vec<Arc<str>>,
     /// Number of instances assigned to a server if this one is among them. Cached, since ranking
     /// the instances for hundreds of cold servers at each request would cost more than the request
@@ -75,17 +66,15 @@
 
     /// Returns `true` if this instance, one of `assigned`, may send a request to a cold server now.
     pub fn has_credit(&self, server: &str, limit: &Limit, assigned: usize, now_ms: u64) -> bool {
-        self.available(server, limit, assigned, now_ms) >= 1.0
+        let bucket = self.buckets.get(server);
+        bucket.is_none_or(|bucket| bucket.has_credit(limit.share_per_s(assigned), now_ms))
     }
 
     /// Takes the credit for a request to a cold server.
     pub fn record_send(&mut self, server: &Arc<str>, limit: &Limit, assigned: usize, now_ms: u64) {
-        let available = self.available(server, limit, assigned, now_ms);
-        let credit = Credit {
-            requests: (available - 1.0).max(0.0),
-            at_ms: now_ms,
-        };
-        self.credits.insert(server.clone(), credit);
+        let bucket = self.buckets.entry(server.clone());
+        let bucket = bucket.or_insert_with(|| Bucket::full(now_ms));
+        bucket.take(limit.share_per_s(assigned), now_ms);
     }
 
     /// Forgets servers that are no longer cold.
@@ -93,32 +82,19 @@
     where
         Cold: Fn(&str) -> bool,
     {
-        self.credits.retain(|id, _| cold(id));
+        self.buckets.retain(|id, _| cold(id));
         self.assignments.retain(|id, _| cold(id));
     }
+}
 
-    fn available(&self, server: &str, limit: &Limit, assigned: usize, now_ms: u64) -> f64 {
-        let Some(credit) = self.credits.get(server) else {
-            return BURST;
-        };
-        let interval_ms = limit.interval.as_secs_f64() * 1_000.0 * assigned.max(1) as f64;
-        let elapsed_ms = now_ms.saturating_sub(credit.at_ms) as f64;
-        (credit.requests + elapsed_ms / interval_ms).min(BURST)
+impl Limit {
+    /// Returns the requests per second of one of so many assigned instances.
+    fn share_per_s(&self, assigned: usize) -> f64 {
+        1.0 / (self.interval.as_secs_f64() * assigned.max(1) as f64)
     }
 }
 
 /// Returns the instances that may send to a server while it is cold.
 pub fn assigned_instances<'a>(server: &str, instances: &[&'a Arc<str>]) -> Vec<&'a Arc<str>> {
-    let mut ranked = instances.to_vec();
-    ranked.sort_by_key(|name| Reverse(rendezvous_weight(server, name)));
-    ranked.truncate(INSTANCES_PER_SERVER);
-    ranked
-}
-
-/// Rendezvous weight of an instance for a server; equal on all instances of one program version.
-fn rendezvous_weight(server: &str, instance: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    server.hash(&mut hasher);
-    instance.hash(&mut hasher);
-    hasher.finish()
+    share::assigned_instances(server, instances, INSTANCES_PER_SERVER)
 }
