A server's limit holds over all instances

The class: what a server says about itself in a response is dropped, and each instance treats a server by its own outcomes alone. Ruled out by the logs: ejections and retries that move load to the server (no ejection, no failed attempt, the same rate before and after).

Change: the limit is divided among the instances assigned to the server, a number that follows from the limit and not from the fleet; all others send nothing. Credit is checked and taken under one lock when the server is chosen, by first attempts, retries and resumed streams alike. Declarations are gossiped, newest first, and only while a server declares one (Message::Limits, appended, bytes pinned). A request that no server accepts in time is rejected at once, before it holds tokens (4016, Retry-After spread); no retry is taken and no attempt abandoned where nothing would accept it.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -78,7 +78,7 @@
     ServerCrashed = 2016, Warn, "server.crashed", "A backend server crashed: its connections broke and nothing listens there, or it has started again. Names what it was running for this instance.";
     RequestQuarantined = 2017, Warn, "request.quarantined", "Backend servers crashed under a request again and again; it is sent to none any more.";
     RequestProbed = 2018, Info, "request.probed", "A quarantined request is sent once more, to find out whether servers still crash under it.";
-    ServerLimited = 2020, Info, "server.limited", "A backend server declared the request rate that it accepts from all instances, or another one, or none any more (-).";
+    ServerLimited = 2020, Info, "server.limited", "A backend server declared the request rate that it accepts from all instances, or another one, or none any more (-). Says whether a response declared it or another instance told of it.";
     HeaderMalformed = 2021, Warn, "header.malformed", "A response of a backend server declares a condition that cannot be read; it is ignored. One line a second at most.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -22,6 +22,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::condition::limit;
 use crate::crash;
 use crate::directory::summary::Summary;
 use crate::loan;
@@ -51,6 +52,8 @@
     SnapshotWanted(snapshot::Request),
     /// Summary of the members of a large fleet.
     Summary(Summary),
+    /// Request rates that backend servers accept from the whole fleet.
+    Limits(Vec<limit::Update>),
 }
 
 /// Secret key of the fleet; messages of senders without it are ignored.
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -206,6 +206,11 @@
         known.is_some_and(|known| is_restart(entry, &known.entry))
     }
 
+    /// Returns the entry of a registered server, in whatever state.
+    pub fn entry(&self, id: &str) -> Option<&Arc<Entry>> {
+        self.registrations.get(id).map(|known| &known.entry)
+    }
+
     /// Returns `true` if the server is registered, in whatever state.
     pub fn is_known(&self, id: &str) -> bool {
         self.registrations.contains_key(id)
--- a/crates/fescuewell_forward/src/share.rs
+++ b/crates/fescuewell_forward/src/share.rs
@@ -46,6 +46,14 @@
         }
     }
 
+    /// Creates a bucket without credit.
+    pub fn empty(now_ms: u64) -> Self {
+        Self {
+            requests: 0.0,
+            at_ms: now_ms,
+        }
+    }
+
     /// Returns `true` if a request may be sent at `now_ms`, with a rate in requests per second.
     pub fn has_credit(&self, per_s: f64, now_ms: u64) -> bool {
         self.available(per_s, now_ms) >= 1.0
@@ -58,6 +66,12 @@
         self.at_ms = now_ms;
     }
 
+    /// Returns the time until a request may be sent, in milliseconds, with a rate above 0.
+    pub fn wait_ms(&self, per_s: f64, now_ms: u64) -> u64 {
+        let missing = 1.0 - self.available(per_s, now_ms);
+        (missing.max(0.0) * 1_000.0 / per_s).ceil() as u64
+    }
+
     fn available(&self, per_s: f64, now_ms: u64) -> f64 {
         let elapsed_ms = now_ms.saturating_sub(self.at_ms) as f64;
         (self.requests + elapsed_ms * per_s / 1_000.0).min(BURST)
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fescuewell_forward::choice::Report;
+use fescuewell_forward::condition::limit;
 use fescuewell_forward::config::{
     Account, Configuration, Engine, Kind, Limits, Route, Service, Split,
 };
@@ -17,7 +18,7 @@
 use fescuewell_forward::message::{Key, Message};
 use fescuewell_forward::quota::row::{Entry as JournalEntry, Grant, Journal, Ledger, Usage};
 use fescuewell_forward::relay::Digest;
-use fescuewell_forward::server::{Change, Entry, State, Update};
+use fescuewell_forward::server::{Change, Entry, Incarnation, State, Update};
 use fescuewell_forward::snapshot::{Request, Servers, Snapshot, Subject};
 use fescuewell_forward::warmup;
 
@@ -216,6 +217,13 @@
         locations: vec![(4, "i".into())],
     };
 
+    let limit = limit::Update {
+        server: "i".into(),
+        incarnation: Incarnation::from_number(2),
+        limit: limit::Rate::from_per_s(1.5),
+        at_ms: 3,
+    };
+
     assert_eq!(encode(&Message::LoanRequest(request)), "00010167020304");
     assert_eq!(encode(&Message::LoanResponse(response)), "010101650203");
     assert_eq!(
@@ -231,6 +239,7 @@
         encode(&Message::Summary(summary())),
         "06010201016501017a010166010165000a0100020101000a01000202017a03040101670506070809010a"
     );
+    assert_eq!(encode(&Message::Limits(vec![limit])), "070101690201dc0b03");
     assert_eq!(encode(&report), "016501010169020301040169");
     assert_eq!(
         hex(&Key::new([7; 32]).seal(&Message::CrashesWanted)),
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -3,9 +3,11 @@
 
 mod crashes;
 mod fence;
+mod gossip;
 mod journal;
 mod ledger;
 mod lending;
+mod limits;
 mod members;
 mod overdue;
 mod peers;
--- a/crates/fescuewell_gateway/src/control/crashes.rs
+++ b/crates/fescuewell_gateway/src/control/crashes.rs
@@ -9,10 +9,10 @@
 
 use fescuewell_forward::crash::{Fingerprint, Record, Update};
 use fescuewell_forward::message::Message;
-use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
+use super::gossip::{random_peers, send};
 use super::rows::{FLEET_PARTITION, log_unreadable, read, read_row, row_id};
 use super::watch::advance_stage;
 use super::{CALL_TIMEOUT, Control, RETRY_DELAY};
@@ -81,7 +81,7 @@
             }
             continue;
         }
-        let peers = peers(control, FANOUT);
+        let peers = random_peers(control, FANOUT);
         let bytes = send(control, socket, Message::Crashes(updates), &peers);
         let pause = Duration::from_secs_f64(bytes as f64 / BYTES_PER_S);
         tokio::time::sleep(pause.max(MIN_ANNOUNCE_INTERVAL)).await;
@@ -93,7 +93,7 @@
     loop {
         tokio::time::sleep(control.jitter(SAMPLE_INTERVAL)).await;
         let updates = control.gateway.state().quarantine.sample(MAX_RECORDS);
-        let peers = peers(control, 1);
+        let peers = random_peers(control, 1);
         send(control, socket, Message::Crashes(updates), &peers);
     }
 }
@@ -102,7 +102,7 @@
 async fn request_records(control: &Control, socket: &UdpSocket) {
     let mut requests = 0;
     while requests < MAX_REQUESTS {
-        let peers = peers(control, 1);
+        let peers = random_peers(control, 1);
         if send(control, socket, Message::CrashesWanted, &peers) > 0 {
             requests += 1;
         }
@@ -110,33 +110,6 @@
     }
 }
 
-/// Sends a message and returns the bytes sent. Losses are repaired by samples.
-fn send(control: &Control, socket: &UdpSocket, message: Message, peers: &[SocketAddr]) -> usize {
-    let Some(key) = control.gateway.fleet_key() else {
-        return 0;
-    };
-    let bytes = key.seal(&message);
-    for peer in peers {
-        let _ = socket.try_send_to(&bytes, *peer);
-    }
-    bytes.len() * peers.len()
-}
-
-/// Selects random peers.
-fn peers(control: &Control, max: usize) -> Vec<SocketAddr> {
-    let gateway = &control.gateway;
-    let own = gateway.settings.peer;
-    let mut state = gateway.state();
-    let state = &mut *state;
-    // One more, because this instance may be among them.
-    let peers = state
-        .directory
-        .peers()
-        .choose_multiple(&mut state.rng, max + 1);
-    let others = peers.filter(|peer| Some(**peer) != own);
-    others.take(max).copied().collect()
-}
-
 /// Synchronizes quarantined requests with the store.
 pub(super) async fn sync(control: &Control) {
     tokio::join!(
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -173,7 +173,7 @@
     update_admission(&mut state, &gateway.settings.name, now_ms);
     let advertised = advertised_names(&state.directory);
     state.quota.set_unreported_peers(&advertised);
-    state.warmup.set_instances(advertised.clone());
+    state.set_advertised(&advertised);
     drop(state);
     log_advertised(&advertised_before, &advertised);
     true
@@ -248,7 +248,7 @@
         .collect();
     let advertised = advertised_names(&state.directory);
     state.quota.set_peers(&usages, &advertised);
-    state.warmup.set_instances(advertised.clone());
+    state.set_advertised(&advertised);
     drop(state);
     log_advertised(&advertised_before, &advertised);
     log_changes(Event::PeerJoined, &before, &after);
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -1,5 +1,5 @@
 //! Messages between instances: load reports, which are optional hints for load balancing, token
-//! loans, server list digests and crash records.
+//! loans, server list digests, crash records and limits of backend servers.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use super::lending::Lending;
-use super::{Control, crashes, members, watch};
+use super::{Control, crashes, limits, members, watch};
 
 /// Minimum interval between two load reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(10);
@@ -45,6 +45,7 @@
         send_broadcasts(control, &socket),
         receive(control, &socket, &lending),
         crashes::exchange(control, &socket),
+        limits::exchange(control, &socket),
         lending.run()
     );
 }
@@ -139,7 +140,11 @@
         Some(Message::LoanResponse(response)) => lending.handle_response(&response),
         Some(Message::Digest(digest)) => watch::receive_digest(control, digest),
         Some(Message::Crashes(updates)) => crashes::receive(control, updates, from),
-        Some(Message::CrashesWanted) => crashes::send_records(control, socket, from),
+        Some(Message::CrashesWanted) => {
+            crashes::send_records(control, socket, from);
+            limits::send_sample(control, socket, &[from]);
+        }
+        Some(Message::Limits(updates)) => limits::receive(control, updates, from),
         Some(Message::Summary(summary)) => members::receive_summary(control, summary),
         // Requested over HTTP, since the response is too large for a datagram.
         Some(Message::SnapshotWanted(_)) | None => {}
--- a/crates/fescuewell_gateway/src/control/watch/list.rs
+++ b/crates/fescuewell_gateway/src/control/watch/list.rs
@@ -33,6 +33,8 @@
         .apply_snapshot(response.version, response.content, now_ms);
     state.health.retain(|id| state.registry.is_known(id));
     state.warmup.retain(|id| state.registry.is_cold(id, now_ms));
+    let store_ms = state.store_ms(now_ms);
+    state.limits.shrink(store_ms);
     log_event!(
         Event::ServerListed,
         "servers={count} version={} changed={}",
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -120,6 +120,7 @@
     server_exits: watch::Sender<u64>,
     store_recoveries: watch::Sender<u64>,
     load_change: Notify,
+    limit_change: Notify,
     gate: OnceLock<Gate>,
     started: Instant,
 }
@@ -148,7 +149,7 @@
             cursor: relay::Cursor::default(),
             warmup: Warmup::default(),
             health: Health::default(),
-            limits: Limits::default(),
+            limits: Limits::new(settings.name.clone()),
             crashes: Detector::default(),
             quarantine: Quarantine::default(),
             load: Load::default(),
@@ -183,6 +184,7 @@
             server_exits,
             store_recoveries,
             load_change: Notify::new(),
+            limit_change: Notify::new(),
             gate: OnceLock::new(),
             started: Instant::now(),
         };
--- a/crates/fescuewell_gateway/src/gateway/condition.rs
+++ b/crates/fescuewell_gateway/src/gateway/condition.rs
@@ -4,34 +4,80 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::condition::limit::Change;
+use fescuewell_forward::condition::limit::{Change, Moment, Update};
 use fescuewell_forward::condition::{Declared, Rate, Report};
 use fescuewell_forward::server::Entry;
 
-use super::Gateway;
+use super::{Gateway, State};
 
 /// Minimum interval between log lines about malformed headers, in milliseconds.
 const MALFORMED_LOG_INTERVAL_MS: u64 = 1_000;
 
+impl State {
+    /// Returns a moment of the local clock on both clocks.
+    pub fn moment(&self, local_ms: u64) -> Moment {
+        Moment {
+            local_ms,
+            store_ms: self.store_ms(local_ms),
+        }
+    }
+
+    /// Merges a declaration of which another instance has told. Returns the server's entry and the
+    /// change, if any. Servers that are not listed here are ignored; the declaration is repeated.
+    fn merge_limit(&mut self, update: Update, now_ms: u64) -> Option<(Entry, Change)> {
+        let entry = self.registry.entry(&update.server)?;
+        if entry.incarnation() != update.incarnation {
+            return None;
+        }
+        let entry = Entry::clone(entry);
+        let now = self.moment(now_ms);
+        let change = self.limits.merge(update, now)?;
+        Some((entry, change))
+    }
+}
+
 impl Gateway {
-    /// Records what a response declares about its server. The report of an incarnation that has
-    /// ended is ignored.
-    pub fn record_report(&self, server: &Entry, report: &Report) {
+    /// Records what a response to a request sent at `sent_at_ms` declares about its server. The
+    /// report of an incarnation that has ended is ignored.
+    pub fn record_report(&self, server: &Entry, report: &Report, sent_at_ms: u64) {
         if report.limit == Declared::Malformed {
             self.record_malformed(server, "limit");
         }
+        let now_ms = self.now_ms();
         let change = {
             let mut state = self.state();
             if state.registry.has_restarted(server) || !state.registry.is_known(&server.id) {
                 return;
             }
-            state.limits.record(&server.id, report.limit)
+            let now = state.moment(now_ms);
+            state.limits.record(server, report.limit, sent_at_ms, now)
         };
         if let Some(change) = change {
-            log_limit(server, change);
+            log_limit(server, change, "response");
+            self.limit_change.notify_one();
         }
     }
 
+    /// Merges declarations received from `source`, another instance.
+    pub fn merge_limits<Updates>(&self, updates: Updates, source: &str)
+    where
+        Updates: IntoIterator<Item = Update>,
+    {
+        for update in updates {
+            let now_ms = self.now_ms();
+            let merged = self.state().merge_limit(update, now_ms);
+            if let Some((server, change)) = merged {
+                log_limit(&server, change, source);
+                self.limit_change.notify_one();
+            }
+        }
+    }
+
+    /// Waits until a limit changes.
+    pub async fn limits_changed(&self) {
+        self.limit_change.notified().await;
+    }
+
     fn record_malformed(&self, server: &Entry, header: &'static str) {
         self.metrics.count_malformed_header(&server.service, header);
         let now_ms = self.now_ms();
@@ -50,10 +96,10 @@
     }
 }
 
-fn log_limit(server: &Entry, change: Change) {
+fn log_limit(server: &Entry, change: Change, source: &str) {
     log_event!(
         Event::ServerLimited,
-        "server={} service={} limit={} former={}",
+        "server={} service={} limit={} former={} source={source}",
         server.id,
         server.service,
         limit_text(change.limit),
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -52,6 +52,14 @@
 }
 
 impl State {
+    /// Sets the instances that receive callers' requests, and that rates of backend servers are
+    /// divided among.
+    pub fn set_advertised(&mut self, advertised: &[Arc<str>]) {
+        self.warmup.set_instances(advertised.to_vec());
+        let fleet_size = self.directory.count();
+        self.limits.set_instances(advertised, fleet_size);
+    }
+
     /// Returns the cold servers near `key` that this instance may use, each with the number of
     /// instances that share its request rate; see [`fescuewell_forward::warmup`].
     pub fn cold_shares(
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -4,17 +4,14 @@
 mod candidates;
 mod crash;
 mod permit;
+mod pick;
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use candidates::Candidates;
-use crash::InFlight;
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::choice::{self, Criteria};
 use fescuewell_forward::config::{Account, Kind, Route, Service};
 use fescuewell_forward::crash::Fingerprint;
 use fescuewell_http::listener::{Reply, Request};
@@ -22,7 +19,6 @@
 
 use crate::dialect::RequestMetadata;
 use crate::gateway::Gateway;
-use crate::gateway::condition;
 use crate::hold::Hold;
 use crate::{header, refusal};
 
@@ -141,9 +137,9 @@
         if let Err(code) = self.check_quarantine().await {
             return self.refuse(reply, code);
         }
-        if !self.has_server() {
-            // Without a server the request would wait for tokens in vain.
-            return self.refuse(reply, Code::NoServer);
+        // Without a server the request would wait for tokens in vain.
+        if let Err(refusal) = self.check_servers() {
+            return self.refuse_after(reply, refusal.code, refusal.retry_after);
         }
         if let Err(refusal) = self.reserve_tokens().await {
             return self.refuse_after(reply, refusal.code, refusal.retry_after);
@@ -159,7 +155,9 @@
         loop {
             let mut permit = match self.pick_server().await {
                 Ok(permit) => permit,
-                Err(code) => return self.refuse(reply, code),
+                Err(refusal) => {
+                    return self.refuse_after(reply, refusal.code, refusal.retry_after);
+                }
             };
             let outcome = self.run_attempt(&mut permit, None).await;
             match outcome {
@@ -190,17 +188,6 @@
         }
     }
 
-    /// Returns `true` if the service has a backend server that accepts new requests.
-    fn has_server(&self) -> bool {
-        let now_ms = self.gateway.now_ms();
-        let state = self.gateway.state();
-        state
-            .registry
-            .ready(&self.service.name, now_ms)
-            .next()
-            .is_some()
-    }
-
     /// Reserves the maximum number of tokens that the request may cost.
     async fn reserve_tokens(&mut self) -> Result<(), Refusal> {
         let Some(tokens) = self.metadata.tokens else {
@@ -218,103 +205,6 @@
         Ok(())
     }
 
-    /// Picks a backend server that has not been tried and registers the request there.
-    pub(crate) async fn pick_server(&mut self) -> Result<Permit, Code> {
-        self.await_capacity().await?;
-        if Instant::now() >= self.route_deadline {
-            return Err(match self.possibly_executed {
-                true => Code::TimedOut,
-                false => Code::DeadlineTooNear,
-            });
-        }
-        let now_ms = self.gateway.now_ms();
-        let random = self.gateway.random_u64();
-        let mut state = self.gateway.state();
-        let shared_parts = self
-            .metadata
-            .prompt_parts
-            .split_last()
-            .map_or(&[][..], |(_, shared_parts)| shared_parts);
-        let criteria = Criteria {
-            affinity: shared_parts.last().map(|part| &*part.id),
-            shared_tokens: shared_parts.iter().map(|part| part.tokens).sum(),
-            random,
-        };
-        let shares = match self.service.warmup {
-            Some(_) => {
-                let instance = &self.gateway.settings.name;
-                let key = self.subset_key(&criteria);
-                state.cold_shares(&self.service.name, key, instance, now_ms)
-            }
-            None => HashMap::new(),
-        };
-        let candidates = Candidates::new(&state, self, &criteria, &shares, now_ms);
-        let listed_count = candidates.listed_count;
-        let chosen = match self.is_isolated(&state, now_ms) {
-            true => choice::least_loaded(&candidates.eligible, &state.load, &state.health, now_ms),
-            false => choice::pick(
-                &candidates.eligible,
-                &criteria,
-                &state.load,
-                &state.health,
-                |server| self.gateway.client.has_idle(server.address),
-                now_ms,
-            ),
-        };
-        let chosen = chosen.cloned();
-        let prompt = self.metadata.tokens.map_or(0, |tokens| tokens.prompt);
-        let prefill_tokens = chosen.as_ref().map_or(0, |server| {
-            state.load.uncached_tokens(prompt, &criteria, &server.id)
-        });
-        if let (Some(server), Some(part)) = (&chosen, criteria.affinity) {
-            state.load.record_prefix(part, &server.id, now_ms);
-        }
-        if let (Some(server), Some(limit)) = (&chosen, &self.service.warmup)
-            && let Some(share) = shares.get(&server.id)
-        {
-            state.warmup.record_send(&server.id, limit, *share, now_ms);
-        }
-        let running = chosen.as_ref().map(|entry| state.load.in_flight(&entry.id));
-        let limit = chosen
-            .as_ref()
-            .and_then(|entry| state.limits.get(&entry.id));
-        drop(state);
-        let Some(server) = chosen else {
-            return Err(match self.possibly_executed {
-                true => Code::OutcomeUnknown,
-                false => Code::NoServer,
-            });
-        };
-        log_event!(
-            Event::RouteChosen,
-            "request={} route={} service={} server={} candidates={listed_count} running={} limit={} configuration={} account={}",
-            self.id,
-            self.route.name,
-            self.service.name,
-            server.id,
-            running.unwrap_or_default(),
-            condition::limit_text(limit),
-            self.version,
-            self.account.as_ref().map_or("-", |account| &account.name)
-        );
-        self.tried.push(server.id.clone());
-        let in_flight = InFlight::begin(&self.gateway, self.fingerprint);
-        Ok(Permit::acquire(
-            &self.gateway,
-            server,
-            prefill_tokens,
-            in_flight,
-        ))
-    }
-
-    /// Returns the key of the servers among which the request chooses: its prefix if servers cache
-    /// it, else the instance, so that its connections are used again.
-    fn subset_key(&self, criteria: &Criteria<'_>) -> u64 {
-        let instance = &self.gateway.settings.name;
-        let prefix = criteria.affinity_hash();
-        prefix.unwrap_or_else(|| choice::hash(instance))
-    }
-
     /// Returns `true` if the request may be sent to another backend server, in which case a retry
     /// is taken from the fleet's retry budget.
     pub(crate) fn may_retry(&mut self) -> bool {
@@ -327,6 +217,9 @@
         if self.sends >= self.route.max_attempts || Instant::now() >= self.route_deadline {
             return false;
         }
+        if self.is_blocked() {
+            return false;
+        }
         if self.sends == 0 {
             return self.unsent_attempts < MAX_UNSENT_ATTEMPTS;
         }
@@ -337,7 +230,9 @@
     /// first, because abandoning an attempt without one would fail a request that its server may be
     /// about to answer.
     pub(crate) fn may_abandon(&mut self) -> bool {
-        let may_retry = self.route.kind.is_idempotent() && Instant::now() < self.route_deadline;
+        let may_retry = self.route.kind.is_idempotent()
+            && Instant::now() < self.route_deadline
+            && !self.is_blocked();
         self.has_reserved_retry = may_retry && self.take_retry();
         self.has_reserved_retry
     }
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -137,7 +137,7 @@
         sent_at: Instant,
     ) -> AttemptOutcome {
         self.sends += 1;
-        self.record_report(permit, &exchange);
+        self.record_report(permit, &exchange, sent_at);
         let names = self.gateway.dialect.header_names().clone();
         let status = exchange.status;
         let is_rejected = exchange.headers.contains_key(&names.not_executed);
@@ -219,7 +219,7 @@
 
     /// Records what the server declares about itself, unless the response comes from another server
     /// or belongs to another request.
-    fn record_report(&self, permit: &Permit, exchange: &Exchange) {
+    fn record_report(&self, permit: &Permit, exchange: &Exchange, sent_at: Instant) {
         let names = self.gateway.dialect.header_names();
         let echoed = exchange.headers.get(&names.request_id);
         let is_foreign = echoed.is_some_and(|value| value.as_bytes() != self.id.as_bytes());
@@ -227,7 +227,10 @@
             return;
         }
         let report = self.gateway.dialect.server_report(&exchange.headers);
-        self.gateway.record_report(&permit.server, &report);
+        let age_ms = sent_at.elapsed().as_millis() as u64;
+        let sent_at_ms = self.gateway.now_ms().saturating_sub(age_ms);
+        self.gateway
+            .record_report(&permit.server, &report, sent_at_ms);
     }
 
     /// Builds the request for a backend server. Returns `None` if a header value is invalid.
--- a/crates/fescuewell_gateway/src/job/candidates.rs
+++ b/crates/fescuewell_gateway/src/job/candidates.rs
@@ -13,7 +13,7 @@
 pub(super) struct Candidates<'a> {
     /// Number of servers of the service that are listed as ready.
     pub(super) listed_count: usize,
-    /// Servers that have not been tried, and are warm or have credit at this instance.
+    /// Servers that have not been tried and accept a request of this instance.
     pub(super) eligible: Vec<&'a Arc<Entry>>,
 }
 
@@ -68,7 +68,8 @@
     }
 }
 
-/// Returns `true` if a server has not been tried, and is warm or has credit at this instance.
+/// Returns `true` if a server has not been tried, has no limit or credit within it, and is warm or
+/// has credit at this instance.
 fn is_eligible(
     state: &State,
     job: &Job,
@@ -79,6 +80,12 @@
     if job.tried.contains(&entry.id) {
         return false;
     }
+    if !state.limits.is_empty() {
+        let now = state.moment(now_ms);
+        if state.limits.wait_ms(&entry.id, now) > 0 {
+            return false;
+        }
+    }
     let Some(limit) = &job.service.warmup else {
         return true;
     };
--- /dev/null
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -0,0 +1,202 @@
+//! Choice of the backend server for an attempt, and waits for servers that accept no requests now.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::choice::{self, Criteria, MAX_SUBSET_SIZE};
+use fescuewell_forward::retry_after;
+
+use super::candidates::Candidates;
+use super::crash::InFlight;
+use super::{Job, Permit};
+use crate::gateway::condition;
+
+/// Fraction of the target latency that a request waits for a server that accepts no requests now.
+/// The rest is enough for the server to respond.
+const SERVER_WAIT_FRACTION: f64 = 0.5;
+
+/// Time until a backend server accepts a request, while none does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Wait {
+    /// Time until one accepts a request from this instance.
+    here_ms: u64,
+    /// Time until one accepts a request from any instance, on average.
+    anywhere_ms: u64,
+}
+
+impl Job {
+    /// Refuses the request if the service has no backend server that can take it in time.
+    pub(super) fn check_servers(&self) -> Result<(), Refusal> {
+        let now_ms = self.gateway.now_ms();
+        let has_server = {
+            let state = self.gateway.state();
+            let mut ready = state.registry.ready(&self.service.name, now_ms);
+            ready.next().is_some()
+        };
+        if !has_server {
+            return Err(Refusal::new(Code::NoServer));
+        }
+        match self.first_wait() {
+            Some(wait) if !self.may_wait(wait) => Err(self.busy(wait)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Picks a backend server that has not been tried and registers the request there. Waits for
+    /// one that accepts no requests now, if that leaves enough time.
+    pub(crate) async fn pick_server(&mut self) -> Result<Permit, Refusal> {
+        loop {
+            self.await_capacity().await.map_err(Refusal::new)?;
+            if Instant::now() >= self.route_deadline {
+                return Err(Refusal::new(match self.possibly_executed {
+                    true => Code::TimedOut,
+                    false => Code::DeadlineTooNear,
+                }));
+            }
+            if let Some(permit) = self.try_pick() {
+                return Ok(permit);
+            }
+            let wait = self.first_wait();
+            if self.possibly_executed && !wait.is_some_and(|wait| self.may_wait(wait)) {
+                return Err(Refusal::new(Code::OutcomeUnknown));
+            }
+            let Some(wait) = wait else {
+                return Err(Refusal::new(Code::NoServer));
+            };
+            if !self.may_wait(wait) {
+                return Err(self.busy(wait));
+            }
+            tokio::time::sleep(Duration::from_millis(wait.here_ms)).await;
+        }
+    }
+
+    /// Returns `true` if servers are left to try but none of them accepts a request in time.
+    pub(super) fn is_blocked(&self) -> bool {
+        self.first_wait().is_some_and(|wait| !self.may_wait(wait))
+    }
+
+    fn busy(&self, wait: Wait) -> Refusal {
+        let delay_ms = retry_after::spread_ms(
+            wait.here_ms.min(wait.anywhere_ms),
+            self.gateway.random_u64(),
+        );
+        Refusal::new(Code::ServersBusy).with_retry_after(Duration::from_millis(delay_ms))
+    }
+
+    fn may_wait(&self, wait: Wait) -> bool {
+        let until = self.arrived + self.route.target_latency.mul_f64(SERVER_WAIT_FRACTION);
+        Instant::now() + Duration::from_millis(wait.here_ms) <= until.min(self.route_deadline)
+    }
+
+    /// Returns the shortest wait for a server that has not been tried, or `None` if one of them
+    /// accepts a request now or there is none.
+    fn first_wait(&self) -> Option<Wait> {
+        let now_ms = self.gateway.now_ms();
+        let state = self.gateway.state();
+        if state.limits.is_empty() {
+            return None;
+        }
+        let now = state.moment(now_ms);
+        let key = self.subset_key(&self.criteria(0));
+        let service = &self.service.name;
+        let mut shortest: Option<Wait> = None;
+        for server in state.registry.subset(service, key, MAX_SUBSET_SIZE, now_ms) {
+            if self.tried.contains(&server.id) {
+                continue;
+            }
+            let here_ms = state.limits.wait_ms(&server.id, now);
+            if here_ms == 0 {
+                return None;
+            }
+            let interval_ms = state.limits.interval_ms(&server.id);
+            let wait = Wait {
+                here_ms,
+                anywhere_ms: interval_ms.unwrap_or(here_ms),
+            };
+            shortest = Some(shortest.map_or(wait, |shortest| shortest.min(wait)));
+        }
+        shortest
+    }
+
+    fn criteria(&self, random: u64) -> Criteria<'_> {
+        let parts = self.metadata.prompt_parts.split_last();
+        let shared_parts = parts.map_or(&[][..], |(_, shared_parts)| shared_parts);
+        Criteria {
+            affinity: shared_parts.last().map(|part| &*part.id),
+            shared_tokens: shared_parts.iter().map(|part| part.tokens).sum(),
+            random,
+        }
+    }
+
+    /// Picks a server that accepts the request now, or returns `None`.
+    fn try_pick(&mut self) -> Option<Permit> {
+        let now_ms = self.gateway.now_ms();
+        let random = self.gateway.random_u64();
+        let mut state = self.gateway.state();
+        let criteria = self.criteria(random);
+        let shares = match self.service.warmup {
+            Some(_) => {
+                let instance = &self.gateway.settings.name;
+                let key = self.subset_key(&criteria);
+                state.cold_shares(&self.service.name, key, instance, now_ms)
+            }
+            None => HashMap::new(),
+        };
+        let candidates = Candidates::new(&state, self, &criteria, &shares, now_ms);
+        let listed_count = candidates.listed_count;
+        let chosen = match self.is_isolated(&state, now_ms) {
+            true => choice::least_loaded(&candidates.eligible, &state.load, &state.health, now_ms),
+            false => choice::pick(
+                &candidates.eligible,
+                &criteria,
+                &state.load,
+                &state.health,
+                |server| self.gateway.client.has_idle(server.address),
+                now_ms,
+            ),
+        };
+        let server = chosen.cloned()?;
+        let prompt = self.metadata.tokens.map_or(0, |tokens| tokens.prompt);
+        let prefill_tokens = state.load.uncached_tokens(prompt, &criteria, &server.id);
+        if let Some(part) = criteria.affinity {
+            state.load.record_prefix(part, &server.id, now_ms);
+        }
+        if let (Some(limit), Some(share)) = (&self.service.warmup, shares.get(&server.id)) {
+            state.warmup.record_send(&server.id, limit, *share, now_ms);
+        }
+        let now = state.moment(now_ms);
+        state.limits.record_send(&server.id, now);
+        let running = state.load.in_flight(&server.id);
+        let limit = state.limits.get(&server.id);
+        drop(state);
+        log_event!(
+            Event::RouteChosen,
+            "request={} route={} service={} server={} candidates={listed_count} running={running} limit={} configuration={} account={}",
+            self.id,
+            self.route.name,
+            self.service.name,
+            server.id,
+            condition::limit_text(limit),
+            self.version,
+            self.account.as_ref().map_or("-", |account| &account.name)
+        );
+        self.tried.push(server.id.clone());
+        let in_flight = InFlight::begin(&self.gateway, self.fingerprint);
+        Some(Permit::acquire(
+            &self.gateway,
+            server,
+            prefill_tokens,
+            in_flight,
+        ))
+    }
+
+    /// Returns the key of the servers among which the request chooses: its prefix if servers cache
+    /// it, else the instance, so that its connections are used again.
+    pub(super) fn subset_key(&self, criteria: &Criteria<'_>) -> u64 {
+        let instance = &self.gateway.settings.name;
+        let prefix = criteria.affinity_hash();
+        prefix.unwrap_or_else(|| choice::hash(instance))
+    }
+}
--- a/tests/forward/conditions.rs
+++ b/tests/forward/conditions.rs
@@ -1,8 +1,13 @@
 //! Tests of backend servers that declare in their responses that they want fewer requests or none.
 
+use std::io::Write;
 use std::time::{Duration, Instant};
 
+use fescuewell::standin::sample;
+use fescuewell::standin::worker::{Behaviour, wait_until};
+
 use crate::fixture::{Fixture, Request};
+use crate::wire;
 
 /// Prepaid tokens of the client account; more than any test uses.
 const PREPAID: u64 = 1_000_000;
@@ -63,3 +68,133 @@
         "{counted} requests in {elapsed:?}, {allowed} allowed"
     );
 }
+
+/// Starts an instance with backend servers and waits until it sends to limited ones.
+fn advertised(workers: usize) -> Fixture {
+    let fixture = Fixture::ready(workers, PREPAID);
+    fixture.wait_advertised();
+    fixture
+}
+
+/// Guards against a request that waits until its deadline for a server that accepts none before.
+#[test]
+fn a_request_beyond_the_limits_of_all_servers_is_rejected_at_once() {
+    let fixture = advertised(1);
+    fixture.workers[0].set_limit(Some("0.1"));
+    let first = fixture.send(&safe("r-1"));
+
+    let second = fixture.send(&safe("r-2").with(wire::DEADLINE, "60000"));
+
+    assert_eq!(first.status, 200);
+    assert_eq!(second.status, 503, "{}", second.text());
+    assert!(second.text().starts_with("4016 "), "{}", second.text());
+    let retry_after: f64 = second.header("retry-after").unwrap().parse().unwrap();
+    assert!((1.0..=20.0).contains(&retry_after), "{retry_after}");
+    assert_eq!(fixture.runs("r-2"), 0);
+}
+
+/// Guards against a request that is rejected although a server accepts it well within the target
+/// latency.
+#[test]
+fn a_request_waits_for_a_server_that_accepts_it_in_time() {
+    let fixture = advertised(1);
+    fixture.workers[0].set_limit(Some("20"));
+    let first = fixture.send(&safe("r-1"));
+
+    let second = fixture.send(&safe("r-2"));
+
+    assert_eq!(first.status, 200);
+    assert_eq!(second.status, 200, "{}", second.text());
+}
+
+/// Guards against a limit that outlives the need of its server.
+#[test]
+fn a_response_without_a_limit_ends_it() {
+    let fixture = advertised(1);
+    fixture.workers[0].set_limit(Some("5"));
+    fixture.send(&safe("r-1"));
+    fixture.wait_limited(1);
+    fixture.workers[0].set_limit(None);
+
+    let served = wait_until(|| fixture.send(&safe("r-2")).status == 200);
+
+    assert!(served);
+    fixture.wait_limited(0);
+    for number in 0..20 {
+        assert_eq!(fixture.send(&safe(&format!("s-{number}"))).status, 200);
+    }
+}
+
+/// Guards against a limit that is only read from successful responses.
+#[test]
+fn a_limit_is_read_from_every_response() {
+    let behaviours = [Behaviour::TurnAway, Behaviour::Fail, Behaviour::Pause(1)];
+    for behaviour in behaviours {
+        let fixture = advertised(1);
+        let worker = &fixture.workers[0];
+        worker.set_limit(Some("1"));
+        worker.next(&[behaviour]);
+        let request = Request::new("POST /stream-once/x", "r-1").with_tokens(10, 10);
+
+        let mut connection = fixture.connect();
+        connection
+            .write_all(&request.with_body(b"x").bytes())
+            .unwrap();
+
+        fixture.wait_limited(1);
+        worker.release();
+    }
+}
+
+/// Guards against a new server that inherits the limit of the one before at its address.
+#[test]
+fn a_restarted_server_has_no_limit() {
+    let fixture = advertised(1);
+    fixture.workers[0].set_limit(Some("0"));
+    fixture.send(&safe("r-1"));
+    fixture.wait_limited(1);
+    fixture.workers[0].set_limit(None);
+
+    let mut entry = sample::entry(fixture.workers[0].address(), "ready");
+    entry["born"] = (sample::BORN + 1).into();
+    let entry = entry.to_string();
+    fixture.store.put("servers", "", "i-0", entry.as_bytes());
+
+    fixture.wait_limited(0);
+    assert_eq!(fixture.send(&safe("r-3")).status, 200);
+}
+
+/// Guards against instances that each have to learn of a limit from the server in need.
+#[test]
+fn an_instance_learns_of_a_limit_from_another() {
+    let instances = two_instances(1);
+    instances[0].workers[0].set_limit(Some("1"));
+
+    instances[0].send(&safe("r-1"));
+
+    instances[1].wait_limited(1);
+    instances[0].workers[0].set_limit(None);
+    assert!(wait_until(|| {
+        instances
+            .iter()
+            .any(|instance| instance.send(&safe("r-2")).status == 200)
+    }));
+    for instance in &instances {
+        instance.wait_limited(0);
+    }
+}
+
+#[test]
+fn a_malformed_limit_is_counted_and_changes_nothing() {
+    let fixture = advertised(1);
+    fixture.workers[0].set_limit(Some("NaN"));
+
+    for number in 0..3 {
+        assert_eq!(fixture.send(&safe(&format!("r-{number}"))).status, 200);
+    }
+
+    fixture.wait_limited(0);
+    let metrics = fixture.metrics();
+    let line = "fescuewell_malformed_headers_total{header=\"limit\"";
+    assert!(metrics.contains(line), "{metrics}");
+}
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -314,6 +314,11 @@
         self.wait_gauge("suspects", count);
     }
 
+    /// Waits until the metrics report `count` backend servers with a limit.
+    pub fn wait_limited(&self, count: u64) {
+        self.wait_gauge("limited_servers", count);
+    }
+
     fn wait_gauge(&self, name: &str, value: u64) {
         let line = format!("of=\"{name}\",otel_scope_name=\"fescuewell\"}} {value}\n");
         let is_reached = || self.metrics().contains(&line);
