Leaving and rest that backend servers declare are read and logged

Change: platform/ decodes Server-Leaving and, of a 503, Retry-After into the report that is read from every response head. Events server.leaving with source=response and server.resting; what cannot be read (a date, NaN, a negative or endless number, a header that occurs twice) is counted and changes nothing. No choice looks at either yet. The stand-in declares both.

Measured: adapter::reports, forward::conditions and the gateway's tests pass.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -80,6 +80,7 @@
     RequestProbed = 2018, Info, "request.probed", "A quarantined request is sent once more, to find out whether servers still crash under it.";
     ServerLimited = 2020, Info, "server.limited", "A backend server declared the request rate that it accepts from all instances, or another one, or none any more (-). Says whether a response declared it or another instance told of it.";
     HeaderMalformed = 2021, Warn, "header.malformed", "A response of a backend server declares a condition that cannot be read; it is ignored. One line a second at most.";
+    ServerResting = 2022, Info, "server.resting", "A backend server rejected a request and wants none from this instance for a while.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
--- a/crates/fescuewell_forward/src/condition.rs
+++ b/crates/fescuewell_forward/src/condition.rs
@@ -4,6 +4,8 @@
 
 pub mod limit;
 
+use std::time::Duration;
+
 pub use limit::Rate;
 
 /// Value of a response header.
@@ -23,4 +25,8 @@
 pub struct Report {
     /// Request rate that the server accepts from all instances together.
     pub limit: Declared<Rate>,
+    /// Whether the server is leaving.
+    pub is_leaving: Declared<bool>,
+    /// Time for which the server wants no requests from this instance.
+    pub rest: Declared<Duration>,
 }
--- a/crates/fescuewell_gateway/src/dialect.rs
+++ b/crates/fescuewell_gateway/src/dialect.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use fescuewell_forward::condition::Report;
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, StatusCode};
 
 /// Header names of the platform.
 #[derive(Debug, Clone)]
@@ -76,8 +76,8 @@
     /// Extracts the metadata from a request's headers.
     fn metadata(&self, headers: &HeaderMap) -> RequestMetadata;
 
-    /// Extracts what a backend server declares about itself in the headers of a response.
-    fn server_report(&self, headers: &HeaderMap) -> Report;
+    /// Extracts what a backend server declares about itself in the head of a response.
+    fn server_report(&self, status: StatusCode, headers: &HeaderMap) -> Report;
 
     /// Path of the address list for callers.
     fn directory_path(&self) -> &str;
--- a/crates/fescuewell_gateway/src/gateway/condition.rs
+++ b/crates/fescuewell_gateway/src/gateway/condition.rs
@@ -40,9 +40,17 @@
     /// Records what a response to a request sent at `sent_at_ms` declares about its server. The
     /// report of an incarnation that has ended is ignored.
     pub fn record_report(&self, server: &Entry, report: &Report, sent_at_ms: u64) {
-        if report.limit == Declared::Malformed {
-            self.record_malformed(server, "limit");
+        let malformed = [
+            ("limit", report.limit == Declared::Malformed),
+            ("leaving", report.is_leaving == Declared::Malformed),
+            ("rest", report.rest == Declared::Malformed),
+        ];
+        for (header, is_malformed) in malformed {
+            if is_malformed {
+                self.record_malformed(server, header);
+            }
         }
+        log_conditions(server, report);
         let now_ms = self.now_ms();
         let change = {
             let mut state = self.state();
@@ -96,6 +104,21 @@
     }
 }
 
+fn log_conditions(server: &Entry, report: &Report) {
+    if report.is_leaving == Declared::Value(true) {
+        log_event!(Event::ServerLeaving, "server={} source=response", server.id);
+    }
+    if let Declared::Value(rest) = report.rest {
+        log_event!(
+            Event::ServerResting,
+            "server={} service={} rest_ms={}",
+            server.id,
+            server.service,
+            rest.as_millis()
+        );
+    }
+}
+
 fn log_limit(server: &Entry, change: Change, source: &str) {
     log_event!(
         Event::ServerLimited,
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -226,7 +226,8 @@
         if is_foreign || exchange.status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        let report = self.gateway.dialect.server_report(&exchange.headers);
+        let dialect = &self.gateway.dialect;
+        let report = dialect.server_report(exchange.status, &exchange.headers);
         let age_ms = sent_at.elapsed().as_millis() as u64;
         let sent_at_ms = self.gateway.now_ms().saturating_sub(age_ms);
         self.gateway
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -20,7 +20,7 @@
 use fescuewell_gateway::store::{
     BoxFuture, Error, Outcome, ReadResponse, Row, RowId, Store, Transaction,
 };
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, StatusCode};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
@@ -311,7 +311,7 @@
         RequestMetadata::default()
     }
 
-    fn server_report(&self, _: &HeaderMap) -> Report {
+    fn server_report(&self, _: StatusCode, _: &HeaderMap) -> Report {
         Report::default()
     }
 
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -7,7 +7,8 @@
 //! A request whose body is the one of [`Worker::crash_on`] crashes the worker as soon as it runs, unless [`Behaviour::Fail`] comes
 //! first: all connections break, and new ones are refused until [`Worker::revive`] is called.
 //!
-//! A worker in need declares the request rate that it accepts in each response; see [`Worker::set_limit`].
+//! Responses declare conditions of the worker: a request rate that it accepts ([`Worker::set_limit`]), that it leaves
+//! ([`Worker::set_leaving`]), and in rejections a time in which it wants no requests ([`Worker::set_rest`]).
 //!
 //! ```
 //! use fescuewell_standin::worker::Worker;
@@ -22,6 +23,7 @@
 
 use bytes::Bytes;
 use fescuewell_http::listener::{self, Handler, Listener, Reply, Request, spawn};
+use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use socket2::{Domain, Socket, Type};
 use tokio::sync::watch;
@@ -31,6 +33,7 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-fescuewell-not-executed");
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-fescuewell-expect-instance");
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
 /// What becomes of one request.
@@ -77,6 +80,8 @@
     gone: u64,
     name: Arc<str>,
     limit: Option<HeaderValue>,
+    rest: Option<HeaderValue>,
+    is_leaving: bool,
     crashes_on: Option<Bytes>,
     crashes: u64,
     revivals: u64,
@@ -164,6 +169,21 @@
         self.shared.state().limit = limit.map(value);
     }
 
+    /// Sets the value of `Retry-After` in rejections, or removes the header.
+    ///
+    /// # Panics
+    ///
+    /// If the text is not a header value.
+    pub fn set_rest(&self, rest: Option<&str>) {
+        let value = |text| HeaderValue::from_str(text).expect("the rest is a header value");
+        self.shared.state().rest = rest.map(value);
+    }
+
+    /// Sets whether each response says that the worker is leaving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.shared.state().is_leaving = is_leaving;
+    }
+
     /// How often it has crashed.
     pub fn crashes(&self) -> u64 {
         self.shared.state().crashes
@@ -327,6 +347,9 @@
             self.arrived.send_modify(|count| *count += 1);
             let mut headers = self.conditions();
             headers.insert(NOT_EXECUTED, HeaderValue::from_static("1"));
+            if let Some(rest) = self.state().rest.clone() {
+                headers.insert(RETRY_AFTER, rest);
+            }
             return reply.send(StatusCode::SERVICE_UNAVAILABLE, headers, Bytes::new());
         }
         self.state().runs.push(run.clone());
@@ -383,11 +406,15 @@
 
     /// Headers in which the worker declares its condition.
     fn conditions(&self) -> HeaderMap {
-        let limit = self.state().limit.clone();
-        limit
-            .map(|limit| (SERVER_LIMIT, limit))
-            .into_iter()
-            .collect()
+        let state = self.state();
+        let leaving = state.is_leaving.then_some(HeaderValue::from_static("1"));
+        let declared = [
+            (SERVER_LIMIT, state.limit.clone()),
+            (SERVER_LEAVING, leaving),
+        ];
+        let declared = declared.into_iter();
+        let headers = declared.filter_map(|(name, value)| Some((name, value?)));
+        headers.collect()
     }
 
     fn headers(&self, run: &Run, behaviour: Behaviour) -> HeaderMap {
