Failing test: a server that says that it leaves gets no new work

Two stand-ins, one of which says Server-Leaving: 1 in its responses while its entry is written again as ready.

--- a/tests/forward/conditions.rs
+++ b/tests/forward/conditions.rs
@@ -198,3 +198,40 @@
     let line = "fescuewell_malformed_headers_total{header=\"limit\"";
     assert!(metrics.contains(line), "{metrics}");
 }
+
+/// Registers a server of another service and waits until it is listed, so that all rows that were
+/// written before are applied.
+fn wait_applied(fixture: &Fixture) {
+    let mut entry = sample::entry(fixture.workers[0].address(), "ready");
+    entry["service"] = "other".into();
+    let entry = entry.to_string();
+    fixture
+        .store
+        .put("servers", "", "i-marker", entry.as_bytes());
+    fixture.wait_server("i-marker", true);
+}
+
+/// Guards against a server that gets new work after it has said that it leaves, because its entry
+/// in the list still says that it is ready.
+#[test]
+fn a_server_that_says_that_it_leaves_gets_no_new_work() {
+    let fixture = advertised(2);
+    let leaving = &fixture.workers[0];
+    leaving.set_leaving(true);
+    let told = || {
+        fixture.send(&safe("r-1"));
+        !leaving.runs().is_empty()
+    };
+    assert!(wait_until(told));
+    let before = leaving.runs().len();
+
+    fixture.register(0, "ready");
+    wait_applied(&fixture);
+    for number in 0..REQUESTS {
+        let response = fixture.send(&safe(&format!("s-{number}")));
+        assert_eq!(response.status, 200, "{}", response.text());
+    }
+
+    let after = leaving.runs().len() - before;
+    assert_eq!(after, 0, "{after} requests reached the leaving server");
+}
