Failing test: a server that asks for rest gets none of the instance's requests

Two stand-ins, one of which rejects every request with Retry-After: 60, while streams stay open at the other. A first form with short requests did not show the fault: the connection to the other server is preferred.

--- a/tests/forward/conditions.rs
+++ b/tests/forward/conditions.rs
@@ -13,6 +13,8 @@
 const PREPAID: u64 = 1_000_000;
 /// Requests sent to each instance.
 const REQUESTS: usize = 40;
+/// Number of streams that are open at the same time.
+const STREAMS: usize = 12;
 /// Window over which a limit holds.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Requests that a server may get in each window beyond its limit and a half.
@@ -235,3 +237,34 @@
     let after = leaving.runs().len() - before;
     assert_eq!(after, 0, "{after} requests reached the leaving server");
 }
+
+/// Guards against a server that wants no requests from this instance for a while and gets them all
+/// the same, as the one with the fewest requests in flight.
+#[test]
+fn a_server_that_asks_for_rest_gets_no_requests_from_this_instance() {
+    let fixture = advertised(2);
+    let [resting, busy] = &fixture.workers[..] else {
+        unreachable!("the fixture has two servers");
+    };
+    resting.set_rest(Some("60"));
+    resting.next(&[Behaviour::TurnAway; REQUESTS]);
+    busy.next(&[Behaviour::Pause(1); STREAMS]);
+
+    let mut connections = Vec::new();
+    for number in 1..=STREAMS {
+        let request = Request::new("POST /stream/x", &format!("r-{number}")).with_tokens(10, 10);
+        let mut connection = fixture.connect();
+        connection
+            .write_all(&request.with_body(b"x").bytes())
+            .unwrap();
+        connections.push(connection);
+        assert!(busy.wait_for(number as u64), "r-{number} was not served");
+    }
+
+    let rejected = resting.refused();
+    assert!(
+        rejected <= 1,
+        "{rejected} requests reached the resting server"
+    );
+    busy.release();
+}
