A server that asks for rest gets no requests of the instance until its end

A server that had asked for 3 s of rest got 4 requests, another 3; two are allowed.

Cause: the Retry-After of a server's 503 was not read (the class of LIMIT and DRAIN: what a server says about itself is dropped). A rejection only raised a score that ejects the server after four of them, for one second; until then it has the fewest requests in flight and is preferred. Ruled out: the sum of retries (51 in 7 s, within the budget).

Change: rests stand beside limits in condition::Conditions, which every choice asks for the time until a server accepts a request. A shorter rest does not shorten a longer one, since each rejection asks for its own whole time; a restart ends it; the clock is monotonic. Where all servers rest, callers are told at once when the first is back, or wait if that is within half of the target latency. A caller whose attempts were rejected returns in 0.15 s if some server accepts requests, otherwise after the first rest.

Failed try: with one server, the caller of the first rejection was told 0.4 s (no untried server); its delay follows from all servers of the service now.

--- a/crates/fescuewell_gateway/src/control/limits.rs
+++ b/crates/fescuewell_gateway/src/control/limits.rs
@@ -37,7 +37,12 @@
 
 /// Sends declarations to some peers, if there are any.
 pub(super) fn send_sample(control: &Control, socket: &UdpSocket, peers: &[SocketAddr]) {
-    let updates = control.gateway.state().limits.sample(MAX_UPDATES);
+    let updates = control
+        .gateway
+        .state()
+        .conditions
+        .limits
+        .sample(MAX_UPDATES);
     if !updates.is_empty() {
         send(control, socket, Message::Limits(updates), peers);
     }
@@ -47,7 +52,7 @@
 async fn announce(control: &Control, socket: &UdpSocket) {
     let gateway = &control.gateway;
     loop {
-        let updates = gateway.state().limits.take_fresh(MAX_UPDATES);
+        let updates = gateway.state().conditions.limits.take_fresh(MAX_UPDATES);
         if updates.is_empty() {
             gateway.limits_changed().await;
             continue;
@@ -63,7 +68,7 @@
 async fn sample(control: &Control, socket: &UdpSocket) {
     loop {
         tokio::time::sleep(control.jitter(SAMPLE_INTERVAL)).await;
-        if !control.gateway.state().limits.is_empty() {
+        if !control.gateway.state().conditions.limits.is_empty() {
             let peers = random_peers(control, 1);
             send_sample(control, socket, &peers);
         }
--- a/crates/fescuewell_gateway/src/control/watch/list.rs
+++ b/crates/fescuewell_gateway/src/control/watch/list.rs
@@ -33,8 +33,8 @@
         .apply_snapshot(response.version, response.content, now_ms);
     state.health.retain(|id| state.registry.is_known(id));
     state.warmup.retain(|id| state.registry.is_cold(id, now_ms));
-    let store_ms = state.store_ms(now_ms);
-    state.limits.shrink(store_ms);
+    let now = state.moment(now_ms);
+    state.conditions.expire(now);
     log_event!(
         Event::ServerListed,
         "servers={count} version={} changed={}",
@@ -113,7 +113,7 @@
     for former in ended {
         let id = &former.id;
         state.health.forget(id);
-        state.limits.forget(id);
+        state.conditions.forget(id);
         state.load.forget(id);
         let restarted = state.registry.is_known(id);
         log_event!(Event::ServerEnded, "server={id} restarted={restarted}");
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwapOption;
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::Load;
-use fescuewell_forward::condition::limit::Limits;
+use fescuewell_forward::condition::Conditions;
 use fescuewell_forward::config::Table;
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
@@ -149,7 +149,7 @@
             cursor: relay::Cursor::default(),
             warmup: Warmup::default(),
             health: Health::default(),
-            limits: Limits::new(settings.name.clone()),
+            conditions: Conditions::new(settings.name.clone()),
             crashes: Detector::default(),
             quarantine: Quarantine::default(),
             load: Load::default(),
--- a/crates/fescuewell_gateway/src/gateway/condition.rs
+++ b/crates/fescuewell_gateway/src/gateway/condition.rs
@@ -32,7 +32,7 @@
         }
         let entry = Entry::clone(entry);
         let now = self.moment(now_ms);
-        let change = self.limits.merge(update, now)?;
+        let change = self.conditions.limits.merge(update, now)?;
         Some((entry, change))
     }
 }
@@ -61,7 +61,14 @@
                 return;
             }
             let now = state.moment(now_ms);
-            let change = state.limits.record(server, report.limit, sent_at_ms, now);
+            let change = state
+                .conditions
+                .limits
+                .record(server, report.limit, sent_at_ms, now);
+            if let Declared::Value(rest) = report.rest {
+                let rests = &mut state.conditions.rests;
+                rests.record(&server.id, rest, now_ms);
+            }
             let is_leaving = report.is_leaving == Declared::Value(true)
                 && state.registry.mark_leaving(server, now_ms);
             (change, is_leaving)
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -5,7 +5,7 @@
 
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::{Load, MAX_SUBSET_SIZE};
-use fescuewell_forward::condition::limit::Limits;
+use fescuewell_forward::condition::Conditions;
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::Health;
@@ -28,8 +28,8 @@
     pub warmup: Warmup,
     /// Health scores of backend servers.
     pub health: Health,
-    /// Request rates that backend servers accept from the whole fleet.
-    pub limits: Limits,
+    /// Conditions that backend servers declare.
+    pub conditions: Conditions,
     /// Suspected and detected crashes of backend servers.
     pub crashes: Detector,
     /// Requests that crash backend servers.
@@ -57,7 +57,7 @@
     pub fn set_advertised(&mut self, advertised: &[Arc<str>]) {
         self.warmup.set_instances(advertised.to_vec());
         let fleet_size = self.directory.count();
-        self.limits.set_instances(advertised, fleet_size);
+        self.conditions.limits.set_instances(advertised, fleet_size);
     }
 
     /// Returns the cold servers near `key` that this instance may use, each with the number of
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -173,7 +173,8 @@
                 AttemptOutcome::Failed(_) => {}
                 AttemptOutcome::Rejected | AttemptOutcome::NotSent | AttemptOutcome::Unknown => {
                     if let Some(code) = self.final_code() {
-                        return self.refuse(reply, code);
+                        let delay = self.return_delay(code);
+                        return self.refuse_after(reply, code, delay);
                     }
                 }
             }
--- a/crates/fescuewell_gateway/src/job/candidates.rs
+++ b/crates/fescuewell_gateway/src/job/candidates.rs
@@ -68,8 +68,8 @@
     }
 }
 
-/// Returns `true` if a server has not been tried, has no limit or credit within it, and is warm or
-/// has credit at this instance.
+/// Returns `true` if a server has not been tried, accepts a request by the conditions that it has
+/// declared, and is warm or has credit at this instance.
 fn is_eligible(
     state: &State,
     job: &Job,
@@ -80,9 +80,9 @@
     if job.tried.contains(&entry.id) {
         return false;
     }
-    if !state.limits.is_empty() {
+    if !state.conditions.is_empty() {
         let now = state.moment(now_ms);
-        if state.limits.wait_ms(&entry.id, now) > 0 {
+        if state.conditions.wait(&entry.id, now).is_some() {
             return false;
         }
     }
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -6,6 +6,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::choice::{self, Criteria, MAX_SUBSET_SIZE};
+use fescuewell_forward::condition::Wait;
 use fescuewell_forward::retry_after;
 
 use super::candidates::Candidates;
@@ -17,15 +18,6 @@
 /// The rest is enough for the server to respond.
 const SERVER_WAIT_FRACTION: f64 = 0.5;
 
-/// Time until a backend server accepts a request, while none does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Wait {
-    /// Time until one accepts a request from this instance.
-    here_ms: u64,
-    /// Time until one accepts a request from any instance, on average.
-    anywhere_ms: u64,
-}
-
 impl Job {
     /// Refuses the request if the service has no backend server that can take it in time.
     pub(super) fn check_servers(&self) -> Result<(), Refusal> {
@@ -63,7 +55,8 @@
                 return Err(Refusal::new(Code::OutcomeUnknown));
             }
             let Some(wait) = wait else {
-                return Err(Refusal::new(Code::NoServer));
+                let tried = self.shortest_wait(|_| true);
+                return Err(tried.map_or(Refusal::new(Code::NoServer), |wait| self.busy(wait)));
             };
             if !self.may_wait(wait) {
                 return Err(self.busy(wait));
@@ -93,9 +86,18 @@
     /// Returns the shortest wait for a server that has not been tried, or `None` if one of them
     /// accepts a request now or there is none.
     fn first_wait(&self) -> Option<Wait> {
+        self.shortest_wait(|id| !self.tried.iter().any(|tried| **tried == *id))
+    }
+
+    /// Returns the shortest wait for a selected server of the service, or `None` if one of them
+    /// accepts a request now or there is none.
+    fn shortest_wait<Selected>(&self, is_selected: Selected) -> Option<Wait>
+    where
+        Selected: Fn(&str) -> bool,
+    {
         let now_ms = self.gateway.now_ms();
         let state = self.gateway.state();
-        if state.limits.is_empty() {
+        if state.conditions.is_empty() {
             return None;
         }
         let now = state.moment(now_ms);
@@ -103,23 +105,25 @@
         let service = &self.service.name;
         let mut shortest: Option<Wait> = None;
         for server in state.registry.subset(service, key, MAX_SUBSET_SIZE, now_ms) {
-            if self.tried.contains(&server.id) {
+            if !is_selected(&server.id) {
                 continue;
             }
-            let here_ms = state.limits.wait_ms(&server.id, now);
-            if here_ms == 0 {
-                return None;
-            }
-            let interval_ms = state.limits.interval_ms(&server.id);
-            let wait = Wait {
-                here_ms,
-                anywhere_ms: interval_ms.unwrap_or(here_ms),
-            };
+            let wait = state.conditions.wait(&server.id, now)?;
             shortest = Some(shortest.map_or(wait, |shortest| shortest.min(wait)));
         }
         shortest
     }
 
+    /// Returns when a caller should return whose request servers rejected. A short time if some
+    /// server accepts requests, otherwise the time until the first one does.
+    pub(super) fn return_delay(&self, code: Code) -> Option<Duration> {
+        if code != Code::TurnedAway {
+            return None;
+        }
+        let wait = self.shortest_wait(|_| true)?;
+        self.busy(wait).retry_after
+    }
+
     fn criteria(&self, random: u64) -> Criteria<'_> {
         let parts = self.metadata.prompt_parts.split_last();
         let shared_parts = parts.map_or(&[][..], |(_, shared_parts)| shared_parts);
@@ -167,9 +171,9 @@
             state.warmup.record_send(&server.id, limit, *share, now_ms);
         }
         let now = state.moment(now_ms);
-        state.limits.record_send(&server.id, now);
+        state.conditions.record_send(&server.id, now);
         let running = state.load.in_flight(&server.id);
-        let limit = state.limits.get(&server.id);
+        let limit = state.conditions.limits.get(&server.id);
         drop(state);
         log_event!(
             Event::RouteChosen,
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -160,15 +160,24 @@
                 .table()
                 .map_or(0, |table| table.configuration().version);
             let now_ms = gateway.now_ms();
-            let (servers, limited, instances, exposure, suspects, quarantined) = {
+            let (servers, limited, resting, instances, exposure, suspects, quarantined) = {
                 let state = gateway.state();
                 let servers = state.registry.entries().count();
-                let limited = state.limits.count();
+                let limited = state.conditions.limits.count();
                 let exposure = state.quota.exposure(now_ms);
                 let suspects = state.quarantine.suspects();
                 let quarantined = state.quarantine.quarantined().len();
                 let instances = state.directory.count();
-                (servers, limited, instances, exposure, suspects, quarantined)
+                let resting = state.conditions.rests.count(now_ms);
+                (
+                    servers,
+                    limited,
+                    resting,
+                    instances,
+                    exposure,
+                    suspects,
+                    quarantined,
+                )
             };
             let values = [
                 ("configuration_version", version as f64),
@@ -182,6 +191,7 @@
                 ("tokens_promised", exposure.promised as f64),
                 ("servers", servers as f64),
                 ("limited_servers", limited as f64),
+                ("resting_servers", resting as f64),
                 ("suspects", suspects as f64),
                 ("quarantined", quarantined as f64),
                 ("instances", instances as f64),
--- a/tests/forward/conditions.rs
+++ b/tests/forward/conditions.rs
@@ -270,3 +270,40 @@
     );
     busy.release();
 }
+
+/// Guards against a caller that is kept waiting, or told to return too early, while all servers
+/// rest.
+#[test]
+fn a_request_is_rejected_at_once_while_all_servers_rest() {
+    let fixture = advertised(1);
+    let worker = &fixture.workers[0];
+    worker.set_rest(Some("30"));
+    worker.next(&[Behaviour::TurnAway; REQUESTS]);
+
+    let first = fixture.send(&safe("r-1"));
+    let second = fixture.send(&safe("r-2").with(wire::DEADLINE, "60000"));
+
+    for response in [first, second] {
+        assert_eq!(response.status, 503);
+        assert!(response.text().starts_with("4016 "), "{}", response.text());
+        let retry_after: f64 = response.header("retry-after").unwrap().parse().unwrap();
+        assert!((10.0..=60.0).contains(&retry_after), "{retry_after}");
+    }
+    assert_eq!(worker.refused(), 1);
+}
+
+/// Guards against a rejected request although a server accepts it well within the target latency.
+#[test]
+fn a_request_waits_for_the_end_of_a_short_rest() {
+    let fixture = advertised(1);
+    let worker = &fixture.workers[0];
+    worker.set_rest(Some("0.2"));
+    worker.next(&[Behaviour::TurnAway]);
+
+    let first = fixture.send(&safe("r-1"));
+    let second = fixture.send(&safe("r-2"));
+
+    assert_eq!(first.status, 503);
+    assert_eq!(second.status, 200, "{}", second.text());
+    assert_eq!(worker.refused(), 1);
+}
