Soak: servers declare limits, leave and ask for rest

Beside the drawn faults a server declares a limit of 1 or 0, one that cannot be read, or rejects two requests and asks for half a second of rest; the faults of a seed stay the same, since these are drawn apart. After the faults one server declares a limit of two requests a second, one says that it leaves, and one asks for three seconds of rest. The soak checks what reaches them: requests in each window of 4 s and more, requests of an instance later than two seconds after it was told, and requests of an instance within a rest.

--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -19,7 +19,7 @@
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use fescuewell_http::listener::{self, Handler, Listener, Reply, Request, spawn};
@@ -59,9 +59,11 @@
     Pause(u64),
 }
 
-/// A request that ran.
+/// A request that arrived.
 #[derive(Debug, Clone)]
 pub struct Run {
+    /// When it arrived.
+    pub at: Instant,
     /// Its id.
     pub id: Arc<str>,
     /// Method, path and query.
@@ -243,6 +245,11 @@
         self.shared.state().refused.len()
     }
 
+    /// What was turned away, in order.
+    pub fn rejections(&self) -> Vec<Run> {
+        self.shared.state().refused.clone()
+    }
+
     /// Streams and answers whose caller left before their end.
     pub fn left(&self) -> u64 {
         self.shared.state().gone
@@ -466,6 +473,7 @@
     let id = request.headers.get(REQUEST_ID);
     let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default();
     Run {
+        at: Instant::now(),
         id: id.into(),
         target: format!("{} {}", request.method, request.target).into(),
         headers: request.headers.clone(),
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -72,7 +72,7 @@
             2 => Kind::Stream,
             _ => Kind::StreamOnce,
         };
-        let id = format!("c{index}-{number}");
+        let id = format!("f{at}c{index}-{number}");
         // Reuses the connection until the instance closes it or ends.
         let connection = idle[at].take().or_else(|| connect(fronts[at]));
         let Some(mut connection) = connection else {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! ```
 
 mod caller;
+mod conditions;
 mod fault;
 #[path = "../forward/fixture.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the fixture")]
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::caller::{Caller, Kind, request};
+use crate::conditions;
 use crate::fault::{self, Fault};
 use crate::fixture::{Fixture, configuration, send};
 use crate::instance::Instance;
@@ -37,6 +38,8 @@
     /// Indices of the faults before which the store is copied and restored. Drawn from a separate generator, so that the faults
     /// of a seed stay the same.
     restore_schedule: (usize, usize),
+    /// Generator of the conditions that servers declare, separate for the same reason.
+    condition_random: SmallRng,
     copy: Option<rows::Copy>,
     platform: Fixture,
     instances: Vec<Instance>,
@@ -77,6 +80,7 @@
         Self {
             random: SmallRng::seed_from_u64(seed),
             restore_schedule: (copied, restored),
+            condition_random: SmallRng::seed_from_u64(seed.rotate_left(32)),
             copy: None,
             platform,
             instances,
@@ -96,6 +100,7 @@
             self.restart_crashed_servers();
             let fault = fault::draw(&mut self.random, INSTANCES, SERVERS);
             self.inject(fault);
+            conditions::disturb(&mut self.condition_random, &self.platform.workers);
             active.push(fault);
             let pause = Duration::from_millis(self.random.random_range(50..700));
             std::thread::sleep(pause);
@@ -103,11 +108,13 @@
                 for fault in active.drain(..) {
                     self.clear(fault);
                 }
+                conditions::clear(&self.platform.workers);
             }
         }
         for fault in active {
             self.clear(fault);
         }
+        conditions::clear(&self.platform.workers);
     }
 
     /// Copies the store, and some faults later restores the copy. After the restore, writes the current configuration and
@@ -237,6 +244,7 @@
             }
         }
         violations.extend(self.check_quarantine());
+        violations.extend(conditions::violations(&self.platform.workers));
         self.stop.store(true, Ordering::Release);
         let exchanges = self
             .callers
