Limits: changes of servers that are gone are not kept

Cause, found by reading: the ids of changed servers wait to be sent to other instances; an instance without peers never sends them, and kept the ids of servers that were gone. They are forgotten with their servers now, also with those that are dropped when there are too many. A declaration that no limit exists, of a server that had none here, is no change and is not sent on.

Tests: changes_of_servers_that_are_gone_are_not_kept and the_oldest_declarations_are_dropped.

--- a/crates/fescuewell_forward/src/condition/limit.rs
+++ b/crates/fescuewell_forward/src/condition/limit.rs
@@ -229,38 +229,33 @@
         let known = self.servers.get(&update.server);
         let known = known.filter(|known| known.incarnation == update.incarnation);
         let former = known.and_then(|known| known.limit);
-        let former_share = known.map(|known| known.share);
-        let is_changed = known.is_none() || former != update.limit;
-        let learned_at_ms = match known {
-            Some(known) if !is_changed => known.learned_at_ms,
-            _ => now.local_ms,
-        };
-        let share = match (update.limit, former_share) {
-            (Some(limit), Some(share)) if is_changed && former.is_some() => {
-                self.share(&update.server, limit, share)
-            }
-            (Some(limit), _) if is_changed => {
-                self.share(&update.server, limit, Share::new(now.local_ms))
-            }
-            (_, share) => share.unwrap_or(Share::new(now.local_ms)),
+        let is_changed = former != update.limit;
+        let learned_at_ms = known.map(|known| known.learned_at_ms);
+        let learned_at_ms = learned_at_ms.filter(|_| !is_changed);
+        let share = known.map(|known| known.share);
+        let share = share.filter(|_| former.is_some());
+        let share = share.unwrap_or(Share::new(now.local_ms));
+        let share = match update.limit.filter(|_| is_changed) {
+            Some(limit) => self.share(&update.server, limit, share),
+            None => share,
         };
         let declaration = Declaration {
             incarnation: update.incarnation,
             limit: update.limit,
             at_ms: update.at_ms,
-            learned_at_ms,
+            learned_at_ms: learned_at_ms.unwrap_or(now.local_ms),
             share,
         };
-        self.servers.insert(update.server.clone(), declaration);
-        if !is_changed {
-            return None;
-        }
-        if !self.fresh.contains(&update.server) {
+        let replaced = self.servers.insert(update.server.clone(), declaration);
+        let is_new = replaced.is_none();
+        if is_changed && !self.fresh.contains(&update.server) {
             self.fresh.push(update.server);
         }
-        self.shrink(now.store_ms);
+        if is_new {
+            self.shrink(now.store_ms);
+        }
         let limit = update.limit;
-        (limit != former).then_some(Change { former, limit })
+        is_changed.then_some(Change { former, limit })
     }
 
     /// Returns this instance's share of a limit, with the credit of the former one.
@@ -386,6 +381,7 @@
     /// Forgets a server that has restarted or is gone.
     pub fn forget(&mut self, server: &str) {
         self.servers.remove(server);
+        self.fresh.retain(|fresh| **fresh != *server);
     }
 
     /// Drops ended limits after a while, and the oldest declarations if there are too many.
@@ -398,7 +394,7 @@
             let Some(server) = oldest.map(|(server, _)| server.clone()) else {
                 return;
             };
-            self.servers.remove(&server);
+            self.forget(&server);
         }
     }
 }
--- a/crates/fescuewell_forward/tests/server_limits.rs
+++ b/crates/fescuewell_forward/tests/server_limits.rs
@@ -508,6 +508,35 @@
     assert_eq!(limits.get("i-0"), Some(rate(3.0)));
 }
 
+/// Guards against changes that pile up at an instance without peers, which never sends them.
+#[test]
+fn changes_of_servers_that_are_gone_are_not_kept() {
+    let mut limits = alone();
+    limits.record(&entry(1), Declared::Value(rate(1.0)), 0, at(100));
+
+    limits.forget("i-0");
+
+    assert!(limits.take_fresh(1).is_empty());
+    assert!(limits.is_empty());
+}
+
+/// Guards against a table that grows without end.
+#[test]
+fn the_oldest_declarations_are_dropped() {
+    let mut limits = alone();
+    for index in 0..5_000 {
+        let server = Entry {
+            id: format!("i-{index}").into(),
+            ..entry(1)
+        };
+        limits.record(&server, Declared::Value(rate(1.0)), 0, at(index));
+    }
+
+    assert_eq!(limits.count(), 4_096);
+    assert_eq!(limits.get("i-0"), None);
+    assert!(limits.take_fresh(usize::MAX).len() <= 4_096);
+}
+
 #[test]
 fn the_number_of_assigned_instances_follows_the_limit() {
     assert_eq!(rate(0.0).assigned_count(), MIN_ASSIGNED);
