A server whose row is missing can say that it leaves

Cause, found by reading: rows of live servers expire in an outage. A response that arrives then and says that its server leaves was ignored, since the server was not registered; the row returns with the store, and the server got new work from the instance that it had told.

Change: the incarnation is remembered whether its row is there or not. Limits and rests of a server without a row are still not recorded: they end with the registration.

Test: a_server_whose_row_is_missing_can_say_that_it_leaves.

--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -200,19 +200,18 @@
     }
 
     /// Records that a server declared in a response that it is leaving. It receives no new work from
-    /// then on, whatever its row says, until it restarts. Returns `false` if that was known, or if
-    /// another incarnation is registered.
+    /// then on, whatever its row says, until it restarts. Its row may be missing now and return
+    /// later. Returns `false` if that was known, or if another incarnation is registered.
     pub fn mark_leaving(&mut self, server: &Entry, now_ms: u64) -> bool {
-        let Some(known) = self.registrations.get_mut(&server.id) else {
-            return false;
-        };
-        if known.is_leaving || is_restart(server, &known.entry) {
+        if self.has_restarted(server) || self.is_leaving(server) {
             return false;
         }
-        known.is_leaving = true;
-        let former = known.entry.clone();
-        self.reindex(Some(&former), None);
         self.remember_leaving(server.incarnation(), now_ms);
+        if let Some(known) = self.registrations.get_mut(&server.id) {
+            known.is_leaving = true;
+            let former = known.entry.clone();
+            self.reindex(Some(&former), None);
+        }
         true
     }
 
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -204,6 +204,21 @@
     assert!(registry.ready_entry("pool", "i-1", 0).is_none());
 }
 
+/// Guards against a response that says that its server leaves while the row is missing: the row
+/// returns, and the server gets new work.
+#[test]
+fn a_server_whose_row_is_missing_can_say_that_it_leaves() {
+    let mut registry = Registry::default();
+    registry.apply(row(1, started("i-1", 7)), 0);
+    registry.apply(removal("i-1", 2), 0);
+
+    let is_new = registry.mark_leaving(&started("i-1", 7), 0);
+    registry.apply(row(3, started("i-1", 7)), 0);
+
+    assert!(is_new);
+    assert!(!registry.is_ready("i-1", 0));
+}
+
 #[test]
 fn a_new_start_of_a_server_that_left_gets_work() {
     let mut registry = Registry::default();
--- a/crates/fescuewell_gateway/src/gateway/condition.rs
+++ b/crates/fescuewell_gateway/src/gateway/condition.rs
@@ -23,6 +23,26 @@
         }
     }
 
+    /// Records the limit and the rest that a response declares. Returns the change of the limit, if
+    /// any.
+    fn record_conditions(
+        &mut self,
+        server: &Entry,
+        report: &Report,
+        sent_at_ms: u64,
+        now_ms: u64,
+    ) -> Option<Change> {
+        if self.registry.has_restarted(server) || !self.registry.is_known(&server.id) {
+            return None;
+        }
+        if let Declared::Value(rest) = report.rest {
+            self.conditions.rests.record(&server.id, rest, now_ms);
+        }
+        let now = self.moment(now_ms);
+        let limits = &mut self.conditions.limits;
+        limits.record(server, report.limit, sent_at_ms, now)
+    }
+
     /// Merges a declaration of which another instance has told. Returns the server's entry and the
     /// change, if any. Servers that are not listed here are ignored; the declaration is repeated.
     fn merge_limit(&mut self, update: Update, now_ms: u64) -> Option<(Entry, Change)> {
@@ -57,21 +77,12 @@
         let now_ms = self.now_ms();
         let (change, is_leaving) = {
             let mut state = self.state();
-            if state.registry.has_restarted(server) || !state.registry.is_known(&server.id) {
-                return;
-            }
-            let now = state.moment(now_ms);
-            let change = state
-                .conditions
-                .limits
-                .record(server, report.limit, sent_at_ms, now);
-            if let Declared::Value(rest) = report.rest {
-                let rests = &mut state.conditions.rests;
-                rests.record(&server.id, rest, now_ms);
-            }
             let is_leaving = report.is_leaving == Declared::Value(true)
                 && state.registry.mark_leaving(server, now_ms);
-            (change, is_leaving)
+            (
+                state.record_conditions(server, report, sent_at_ms, now_ms),
+                is_leaving,
+            )
         };
         if is_leaving {
             log_event!(Event::ServerLeaving, "server={} source=response", server.id);
