--- a/tests/soak/conditions.rs
+++ b/tests/soak/conditions.rs
@@ -1,4 +1,5 @@
-//! Backend servers that declare conditions in their responses, checked by what reaches them.
+//! Backend servers that declare a request limit (the server-limit header), that they leave, or that they rest, checked by what
+//! reaches them.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
