Callers move on from a weak instance that is cut off from the store

The callers of one account overload one weak instance after the other; the fourth was cut off from the store, had no recent heartbeats and so had to stay ready for 8 s, and each closed its listener while its callers moved. Change: where the zone has an instance of three times the own weight, the permission to become unready shrinks with the age of the heartbeats in place of ending after two periods, and the listener stays open up to the limits after the instance became unready. callers.sent_away tells traffic, limits and the zone's instances; gauge unready_left_seconds.

--- a/crates/fescuewell_forward/src/admission.rs
+++ b/crates/fescuewell_forward/src/admission.rs
@@ -25,8 +25,8 @@
 /// several heartbeats.
 const MIN_ADVERTISED_MS: u64 = 5_000;
 /// Time within which callers follow a change of readiness, in milliseconds; the maximum TTL of
-/// advertised addresses and two readiness checks. The listener stays closed as long, since callers
-/// whose connection is refused try another instance at once.
+/// advertised addresses and two readiness checks. Without a stronger instance in the zone the
+/// listener stays closed as long, since callers whose connection is refused try another one.
 const REDIRECT_MS: u64 = 8_000;
 /// Window over which the time with a closed listener is measured, in milliseconds; several times
 /// [`THROTTLE_MS`].
@@ -50,6 +50,15 @@
     Leave,
 }
 
+/// Callers' traffic per second, as measured or as limited.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Traffic {
+    /// Bytes of requests per second.
+    pub bytes: f64,
+    /// Requests per second.
+    pub requests: f64,
+}
+
 /// Limits on callers' traffic, derived from the instance's link and processor.
 #[derive(Debug, Clone)]
 pub struct Limiter {
@@ -58,6 +67,7 @@
     bytes: Window,
     requests: Window,
     fleet_has_capacity: bool,
+    has_stronger_peer: bool,
     spare_until_ms: u64,
     throttled_until_ms: u64,
     closed: Window,
@@ -76,6 +86,7 @@
             requests: Window::new(WINDOW_MS),
             // An instance that starts behind a full link cannot read the other members.
             fleet_has_capacity: true,
+            has_stronger_peer: false,
             spare_until_ms: 0,
             throttled_until_ms: 0,
             closed: Window::new(CLOSED_WINDOW_MS),
@@ -86,7 +97,7 @@
     }
 
     /// Sets until when the fleet can spare this instance; see
-    /// [`crate::directory::Directory::can_spare`]. The permission expires, since an instance that
+    /// [`crate::directory::Directory::spare_ms`]. The permission expires, since an instance that
     /// cannot read the heartbeats of the others does not know whether they are alive.
     pub fn set_spare(&mut self, until_ms: u64) {
         self.spare_until_ms = until_ms;
@@ -98,6 +109,12 @@
         self.fleet_has_capacity = has_capacity;
     }
 
+    /// Sets whether callers can move to a much stronger instance of the availability zone; see
+    /// [`crate::directory::Directory::has_stronger_peer`].
+    pub fn set_has_stronger_peer(&mut self, has_stronger_peer: bool) {
+        self.has_stronger_peer = has_stronger_peer;
+    }
+
     /// Sets whether this instance is advertised. An unready instance becomes ready again only after
     /// being advertised for `MIN_ADVERTISED_MS`, since late heartbeats of others may cause it to be
     /// advertised for a moment.
@@ -152,11 +169,27 @@
     }
 
     fn is_link_full(&mut self, now_ms: u64) -> bool {
-        self.bytes.sum(now_ms) as f64 / WINDOW_S > self.bytes_per_s
+        self.traffic(now_ms).bytes > self.bytes_per_s
     }
 
     fn is_busy(&mut self, now_ms: u64) -> bool {
-        self.requests.sum(now_ms) as f64 / WINDOW_S > self.requests_per_s
+        self.traffic(now_ms).requests > self.requests_per_s
+    }
+
+    /// Returns the traffic that was admitted within the last second.
+    pub fn traffic(&mut self, now_ms: u64) -> Traffic {
+        Traffic {
+            bytes: self.bytes.sum(now_ms) as f64 / WINDOW_S,
+            requests: self.requests.sum(now_ms) as f64 / WINDOW_S,
+        }
+    }
+
+    /// Returns the traffic above which new connections are refused.
+    pub fn limit(&self) -> Traffic {
+        Traffic {
+            bytes: self.bytes_per_s,
+            requests: self.requests_per_s,
+        }
     }
 
     /// Makes the instance unready for `left_ms` milliseconds.
@@ -176,9 +209,13 @@
     ///
     /// A rejected request and its retry both cross the link, so rejections do not relieve a full
     /// one; a refused connection costs a packet.
+    ///
+    /// Where callers have a long way to a stronger instance, over other weak ones, an instance that
+    /// became unready goes on to accept what it can pass on until they have moved.
     pub fn is_closed(&self, now_ms: u64) -> bool {
-        let is_leaving =
-            self.unready_left_ms(now_ms) > 0 && now_ms < self.unready_since_ms + REDIRECT_MS;
+        let is_leaving = !self.has_stronger_peer
+            && self.unready_left_ms(now_ms) > 0
+            && now_ms < self.unready_since_ms + REDIRECT_MS;
         is_leaving || now_ms < self.throttled_until_ms
     }
 }
--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 pub use member::{MAX_MISSED_HEARTBEATS, Member};
-use selection::{Members, Selection, rank};
+use selection::{Members, Selection, WEAK_DIVISOR, rank};
 use summary::Summary;
 
 use crate::quota::era;
@@ -20,6 +20,9 @@
 pub const MEMBER_TIMEOUT_MS: u64 = 3_500;
 /// One instance in this many of an availability zone may be unready.
 const MAX_UNREADY_DIVISOR: usize = 3;
+/// Time that callers take to move from an instance that becomes unready to the next one, in
+/// milliseconds: two readiness checks.
+const MIN_MOVE_MS: u64 = 2_000;
 /// Maximum number of addresses in a response.
 const MAX_ADDRESSES: usize = 64;
 
@@ -222,22 +225,62 @@
     /// half of them are, callers ignore readiness and use all of them; since heartbeats are late,
     /// the limit is lower.
     pub fn can_spare(&self, name: &str) -> bool {
-        let Some(own) = self.members.get(name) else {
-            return false;
+        self.further_unready(name).is_some()
+    }
+
+    /// Returns how long after the last read an instance may become unready, in milliseconds; 0 if
+    /// it may not. `heartbeats_ms` is the time for which the read heartbeats count as recent.
+    ///
+    /// Without newer heartbeats the others may have become unready too. Where callers can move to
+    /// a stronger instance, one of them is assumed to have done so in each [`MIN_MOVE_MS`], so
+    /// that an instance that is cut off from the store does not have to keep callers that it
+    /// cannot serve.
+    pub fn spare_ms(&self, name: &str, heartbeats_ms: u64) -> u64 {
+        let Some(further) = self.further_unready(name) else {
+            return 0;
         };
+        match self.has_stronger_peer(name) {
+            true => heartbeats_ms.max(further as u64 * MIN_MOVE_MS),
+            false => heartbeats_ms,
+        }
+    }
+
+    /// Returns how many instances of the availability zone may become unready in addition to this
+    /// one, or `None` if this one may not.
+    fn further_unready(&self, name: &str) -> Option<usize> {
+        let own = self.members.get(name)?;
         let advertised = self.advertised();
         let has_other = advertised.iter().any(|(_, member)| member.zone == own.zone);
-        let others: Vec<&Member> = self
-            .live()
-            .filter(|(other, member)| &***other != name && member.zone == own.zone)
-            .map(|(_, member)| member)
-            .collect();
-        let now_ms = self.read_at_ms;
-        let unready = others
-            .iter()
-            .filter(|member| now_ms < member.unready_until_ms);
-        let is_within_limit = (unready.count() + 1) * MAX_UNREADY_DIVISOR <= others.len() + 1;
-        !self.is_advertised(name) && has_other && is_within_limit
+        if self.is_advertised(name) || !has_other {
+            return None;
+        }
+        let (others, unready_others) = self.zone_peers(name);
+        ((others + 1) / MAX_UNREADY_DIVISOR).checked_sub(unready_others + 1)
+    }
+
+    /// Returns the number of other live instances in the availability zone of an instance, and how
+    /// many of them are unready.
+    pub fn zone_peers(&self, name: &str) -> (usize, usize) {
+        let Some(own) = self.members.get(name) else {
+            return (0, 0);
+        };
+        let zone = self.live().filter(|(_, member)| member.zone == own.zone);
+        let (mut count, mut unready) = (0, 0);
+        for (_, member) in zone.filter(|(other, _)| &***other != name) {
+            count += 1;
+            unready += usize::from(self.read_at_ms < member.unready_until_ms);
+        }
+        (count, unready)
+    }
+
+    /// Returns `true` if the availability zone has an instance that is so much stronger that it can
+    /// take callers that overload this one.
+    pub fn has_stronger_peer(&self, name: &str) -> bool {
+        let Some(own) = self.members.get(name) else {
+            return false;
+        };
+        let mut zone = self.live().filter(|(_, member)| member.zone == own.zone);
+        zone.any(|(_, member)| own.weight < member.weight / WEAK_DIVISOR)
     }
 
     /// Returns `true` if an instance is advertised to callers.
--- a/crates/fescuewell_forward/src/directory/selection.rs
+++ b/crates/fescuewell_forward/src/directory/selection.rs
@@ -15,7 +15,7 @@
 /// An instance whose weight is below the highest weight divided by this is not advertised just to
 /// represent its zone: a narrow link that receives an equal share of the callers would delay all of
 /// them.
-const WEAK_DIVISOR: u32 = 3;
+pub(super) const WEAK_DIVISOR: u32 = 3;
 /// One instance in this many is advertised even without traffic, so that a sudden rise finds
 /// instances that hold tokens.
 const MIN_ADVERTISED_DIVISOR: usize = 6;
--- a/crates/fescuewell_gateway/src/control/members.rs
+++ b/crates/fescuewell_gateway/src/control/members.rs
@@ -291,12 +291,12 @@
 fn update_admission(state: &mut State, name: &str, now_ms: u64) {
     let left_ms = state.directory.unready_left_ms(name);
     state.admission.set_unready(now_ms, left_ms);
-    let spare_ms = match state.directory.can_spare(name) {
-        // Half of the member timeout, which is two heartbeats.
-        true => state.directory.member_timeout_ms() / 2,
-        false => 0,
-    };
+    // Half of the member timeout is two heartbeats.
+    let heartbeats_ms = state.directory.member_timeout_ms() / 2;
+    let spare_ms = state.directory.spare_ms(name, heartbeats_ms);
     state.admission.set_spare(now_ms + spare_ms);
+    let has_stronger_peer = state.directory.has_stronger_peer(name);
+    state.admission.set_has_stronger_peer(has_stronger_peer);
     let has_capacity = state.directory.has_capacity_beside(name);
     state.admission.set_fleet_has_capacity(has_capacity);
     let is_advertised = state.directory.is_advertised(name);
--- a/crates/fescuewell_gateway/src/gateway/gate.rs
+++ b/crates/fescuewell_gateway/src/gateway/gate.rs
@@ -19,11 +19,7 @@
         match action {
             Action::Admit => return,
             Action::Throttle => {}
-            Action::Leave => log_event!(
-                Event::CallersSentAway,
-                "instance={} pause_ms={UNREADY_MS}",
-                self.settings.name
-            ),
+            Action::Leave => self.log_departure(),
         }
         if self.update_gate() {
             log_event!(
@@ -35,6 +31,28 @@
         }
     }
 
+    /// Logs that this instance has become unready, with its traffic and limits per second and the
+    /// other instances of its availability zone as last read.
+    fn log_departure(&self) {
+        let now_ms = self.now_ms();
+        let name = &self.settings.name;
+        let mut state = self.state();
+        let traffic = state.admission.traffic(now_ms);
+        let limit = state.admission.limit();
+        let (peers, unready) = state.directory.zone_peers(name);
+        let store_ms = state.quota.store_time(now_ms);
+        let age_ms = store_ms.saturating_sub(state.directory.read_at_ms());
+        drop(state);
+        log_event!(
+            Event::CallersSentAway,
+            "instance={name} pause_ms={UNREADY_MS} bytes={:.0} max_bytes={:.0} requests={:.0} max_requests={:.0} zone_peers={peers} unready_peers={unready} heartbeats_age_ms={age_ms}",
+            traffic.bytes,
+            limit.bytes,
+            traffic.requests,
+            limit.requests
+        );
+    }
+
     /// Reopens the listener once the limiter allows it.
     fn reopen_later(self: &Arc<Self>) {
         let gateway = self.clone();
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -179,7 +179,9 @@
                     quarantined,
                 )
             };
+            let unready_left_ms = gateway.state().admission.unready_left_ms(now_ms);
             let values = [
+                ("unready_left_seconds", unready_left_ms as f64 / 1_000.0),
                 ("configuration_version", version as f64),
                 (
                     "store_silent_seconds",
