Announcements: no function newer than the minimum Rust version

Cause: clippy -D warnings refused VecDeque::pop_front_if (stable since 1.93, the workspace's minimum is 1.90).

Change: the queue drains the leading prompts instead.

--- a/crates/fescuewell_forward/src/choice/announcement.rs
+++ b/crates/fescuewell_forward/src/choice/announcement.rs
@@ -85,13 +85,13 @@
     /// are none.
     pub fn take(&mut self, instance: &Arc<str>) -> Option<Batch> {
         let report = self.prompts.front()?.0;
-        let mut prompts = Vec::new();
-        while prompts.len() < MAX_PROMPTS {
-            let Some((_, prompt)) = self.prompts.pop_front_if(|(other, _)| *other == report) else {
-                break;
-            };
-            prompts.push(prompt);
-        }
+        let same = self
+            .prompts
+            .iter()
+            .take_while(|(other, _)| *other == report);
+        let count = same.take(MAX_PROMPTS).count();
+        let prompts = self.prompts.drain(..count).map(|(_, prompt)| prompt);
+        let prompts = prompts.collect();
         self.last_number += 1;
         Some(Batch {
             instance: instance.clone(),
