Admission: an instance that is ready again stays ready for five seconds

Cause: found in review. An instance that callers come to although it is unready becomes ready after 8 s. The next read of the members grants a new permission, so the next request over the limit makes it unready again, about a second later. A member row that was written while the instance was unready, and is read after it became ready again, does the same without a request. Ruled out: unready and ready again within 5 s. It takes 8 s of callers that come anyway, or 5 s of being advertised, and an advertised instance gets no permission. Change: where the zone has a stronger instance, an instance that is ready again gets no permission for 5 s and ignores its older row. Elsewhere as before. A test for the restart by the row. Measured: the two new tests of readiness failed on (unready for 296,090 ms 4 s after it was ready again; the row the same); with the change the 24 tests of admission and the 6 of zone_capacity pass. The restart's test passes before, too; it fails if the listener stays closed.

--- a/crates/fescuewell_forward/src/admission.rs
+++ b/crates/fescuewell_forward/src/admission.rs
@@ -31,6 +31,9 @@
 /// Window over which the time with a closed listener is measured, in milliseconds; several times
 /// [`THROTTLE_MS`].
 const CLOSED_WINDOW_MS: u64 = 3_000;
+/// Time for which an instance that is ready again stays ready where callers can move to a stronger
+/// one, in milliseconds; longer than callers take to follow a change of readiness by checks.
+const MIN_READY_MS: u64 = 5_000;
 /// Fraction of the window with a closed listener above which a busy instance is saturated.
 const SATURATED_FRACTION: f64 = 0.6;
 /// Time for which the listener is closed after a request over the limit, in milliseconds.
@@ -73,6 +76,7 @@
     closed: Window,
     advertised_since_ms: Option<u64>,
     unready_since_ms: u64,
+    /// When it becomes or became ready again; 0 if it was never unready.
     unready_until_ms: u64,
 }
 
@@ -125,7 +129,7 @@
         };
         self.advertised_since_ms = since;
         if since.is_some_and(|since| now_ms >= since + MIN_ADVERTISED_MS) {
-            self.unready_until_ms = 0;
+            self.end_unready(now_ms);
         }
     }
 
@@ -144,14 +148,14 @@
         if is_unready && now_ms >= self.unready_since_ms + REDIRECT_MS {
             // Callers ignore readiness, so that being unready relieves nothing and only uses up the
             // number of instances that may be unready.
-            self.unready_until_ms = 0;
+            self.end_unready(now_ms);
             self.spare_until_ms = 0;
         }
-        let is_spare = now_ms < self.spare_until_ms;
+        let is_spare = now_ms < self.spare_until_ms && !self.is_newly_ready(now_ms);
         if is_unready || !is_spare || !(is_link_full || self.is_saturated(now_ms)) {
             return Action::Throttle;
         }
-        self.set_unready(now_ms, UNREADY_MS);
+        self.extend_unready(now_ms, UNREADY_MS);
         Action::Leave
     }
 
@@ -192,14 +196,34 @@
         }
     }
 
-    /// Makes the instance unready for `left_ms` milliseconds.
+    /// Makes the instance unready for the time that its member row states. Where callers can move to
+    /// a stronger instance, the row is ignored once the instance is ready again, since it was
+    /// written before that.
     pub fn set_unready(&mut self, now_ms: u64, left_ms: u64) {
+        let was_unready = self.unready_until_ms > 0 && self.unready_left_ms(now_ms) == 0;
+        if left_ms > 0 && !(was_unready && self.has_stronger_peer) {
+            self.extend_unready(now_ms, left_ms);
+        }
+    }
+
+    fn extend_unready(&mut self, now_ms: u64, left_ms: u64) {
         if self.unready_left_ms(now_ms) == 0 {
             self.unready_since_ms = now_ms;
         }
         self.unready_until_ms = self.unready_until_ms.max(now_ms + left_ms);
     }
 
+    fn end_unready(&mut self, now_ms: u64) {
+        self.unready_until_ms = self.unready_until_ms.min(now_ms);
+    }
+
+    /// Returns `true` if the instance has to stay ready, since it became so within the last
+    /// [`MIN_READY_MS`].
+    fn is_newly_ready(&self, now_ms: u64) -> bool {
+        let was_unready = self.unready_until_ms > 0;
+        self.has_stronger_peer && was_unready && now_ms < self.unready_until_ms + MIN_READY_MS
+    }
+
     /// Remaining time for which the instance is unready, in milliseconds; 0 if it is ready.
     pub fn unready_left_ms(&self, now_ms: u64) -> u64 {
         self.unready_until_ms.saturating_sub(now_ms)
--- a/crates/fescuewell_forward/tests/admission.rs
+++ b/crates/fescuewell_forward/tests/admission.rs
@@ -246,6 +246,65 @@
     assert_eq!(limiter.unready_left_ms(12_000), 0);
 }
 
+/// Returns a limiter that was unready for eight seconds and became ready again at `READY_AT_MS`,
+/// since its callers came anyway.
+fn ready_again() -> Limiter {
+    let mut limiter = spare(10.0, 0.12);
+    limiter.set_has_stronger_peer(true);
+    overload(&mut limiter, 50, BODY);
+    let mut now_ms = READY_AT_MS - 1_000;
+    while limiter.unready_left_ms(now_ms) > 0 {
+        now_ms += 10;
+        limiter.admit(now_ms, BODY);
+    }
+    limiter
+}
+
+/// Upper bound of the time at which [`ready_again`] becomes ready, in milliseconds.
+const READY_AT_MS: u64 = 12_000;
+
+/// Guards against readiness that changes back and forth. The read of the members after the instance
+/// became ready again granted a new permission, and the next request made it unready within a second.
+#[test]
+fn an_instance_that_is_ready_again_stays_ready_for_five_seconds() {
+    let mut limiter = ready_again();
+    limiter.set_spare(u64::MAX);
+
+    for request in 0..400 {
+        limiter.admit(READY_AT_MS + request * 10, BODY);
+    }
+    assert_eq!(limiter.unready_left_ms(READY_AT_MS + 3_990), 0);
+    for request in 400..600 {
+        limiter.admit(READY_AT_MS + request * 10, BODY);
+    }
+
+    assert!(limiter.unready_left_ms(READY_AT_MS + 6_000) > 0);
+}
+
+/// Guards against a member row that was written while the instance was unready and is read after it
+/// became ready again.
+#[test]
+fn a_member_row_from_before_does_not_make_it_unready_again() {
+    let mut limiter = ready_again();
+
+    limiter.set_unready(READY_AT_MS, UNREADY_MS / 2);
+
+    assert_eq!(limiter.unready_left_ms(READY_AT_MS), 0);
+}
+
+/// Guards against a restarted instance that is ready at once although its callers overloaded it, and
+/// against one that drops callers where they have a stronger instance to move to.
+#[test]
+fn a_restarted_instance_is_unready_by_its_row_and_admits_what_it_can() {
+    let mut limiter = Limiter::new(10.0, 0.12);
+
+    limiter.set_unready(1_000, UNREADY_MS / 2);
+    limiter.set_has_stronger_peer(true);
+
+    assert_eq!(limiter.unready_left_ms(2_000), UNREADY_MS / 2 - 1_000);
+    assert!(!limiter.is_closed(2_000));
+}
+
 #[test]
 fn throttling_ends_by_itself() {
     let mut limiter = with_fleet_capacity(10.0, 0.12);
