Directory: a strong instance stays ready while the zone has ready weak ones

Cause: found in review. Only advertised instances were exempt; a strong one that the traffic does not require is not advertised, and could send its callers to weak ones. Change: Directory::further_unready gives no permission to an instance of at least a third of the zone's highest weight while a weaker one is live and ready. Zones of equal weights are as before.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -221,9 +221,9 @@
     }
 
     /// Returns `true` if an instance may be unready: it is not advertised, its availability zone
-    /// has an instance that is, and at most a third of the zone's instances would be unready. If
-    /// half of them are, callers ignore readiness and use all of them; since heartbeats are late,
-    /// the limit is lower.
+    /// has an instance that is, at most a third of the zone's instances would be unready, and it is
+    /// not a strong one in a zone with ready weak ones. If half of them are unready, callers ignore
+    /// readiness and use all of them; since heartbeats are late, the limit is lower.
     pub fn can_spare(&self, name: &str) -> bool {
         self.further_unready(name).is_some()
     }
@@ -251,13 +251,26 @@
         let own = self.members.get(name)?;
         let advertised = self.advertised();
         let has_other = advertised.iter().any(|(_, member)| member.zone == own.zone);
-        if self.is_advertised(name) || !has_other {
+        if self.is_advertised(name) || !has_other || self.is_stronger_than_ready(own) {
             return None;
         }
         let (others, unready_others) = self.zone_peers(name);
         ((others + 1) / MAX_UNREADY_DIVISOR).checked_sub(unready_others + 1)
     }
 
+    /// Returns `true` if an instance is strong and its availability zone has a ready weak one, to
+    /// which its callers would move.
+    fn is_stronger_than_ready(&self, own: &Member) -> bool {
+        let zone = self.live().filter(|(_, member)| member.zone == own.zone);
+        let zone: Vec<&Member> = zone.map(|(_, member)| member).collect();
+        let highest = zone.iter().map(|member| member.weight).max();
+        let is_weak = |member: &Member| member.weight < highest.unwrap_or(0) / WEAK_DIVISOR;
+        let mut ready = zone
+            .iter()
+            .filter(|member| self.read_at_ms >= member.unready_until_ms);
+        !is_weak(own) && ready.any(|member| is_weak(member))
+    }
+
     /// Returns the number of other live instances in the availability zone of an instance, and how
     /// many of them are unready.
     pub fn zone_peers(&self, name: &str) -> (usize, usize) {
--- a/crates/fescuewell_forward/tests/zone_capacity.rs
+++ b/crates/fescuewell_forward/tests/zone_capacity.rs
@@ -163,6 +163,50 @@
     assert!(!zone(500, 0).has_stronger_peer("entry-21"));
 }
 
+/// A zone with four strong instances, more than are advertised without traffic; the weak ones up to
+/// `unready` are unready.
+fn zone_with_idle_strong(unready: usize) -> Directory {
+    let mut members: BTreeMap<Arc<str>, Member> = BTreeMap::new();
+    for index in 0..INSTANCES {
+        let weight = if index >= INSTANCES - 4 { 500 } else { 50 };
+        let unready_until_ms = if index < unready { u64::MAX } else { 0 };
+        let mut member = member(index, weight, unready_until_ms, 0);
+        member.requests_per_s = 0;
+        members.insert(name(index), member);
+    }
+    let mut directory = Directory::default();
+    directory.replace(members, STORE_MS);
+    directory
+}
+
+/// Guards against callers that a strong instance sends to weak ones: it is not advertised, as the
+/// traffic does not require it, and one account's callers overload it.
+#[test]
+fn a_strong_instance_that_is_not_advertised_stays_ready_beside_weak_ones() {
+    let directory = zone_with_idle_strong(0);
+    let strong = (INSTANCES - 4..INSTANCES).map(name);
+    let mut idle = strong.filter(|name| !directory.is_advertised(name));
+    let idle = idle.next().expect("all strong instances are advertised");
+
+    assert_eq!(directory.spare_ms(&idle, RECENT_MS), 0);
+    assert_eq!(directory.spare_ms("entry-00", RECENT_MS), 12_000);
+}
+
+#[test]
+fn an_instance_of_the_highest_weight_leaves_where_no_weaker_one_is_ready() {
+    let mut members: BTreeMap<Arc<str>, Member> = BTreeMap::new();
+    members.insert(name(0), member(0, 50, u64::MAX, 0));
+    for index in 1..INSTANCES {
+        members.insert(name(index), member(index, 500, 0, 0));
+    }
+    let mut directory = Directory::default();
+    directory.replace(members, STORE_MS);
+    let mut idle = (1..INSTANCES).map(name);
+    let idle = idle.find(|name| !directory.is_advertised(name)).unwrap();
+
+    assert_eq!(directory.spare_ms(&idle, RECENT_MS), RECENT_MS);
+}
+
 /// Guards against an instance that drops its callers for as long as they take to leave it.
 #[test]
 fn an_unready_instance_serves_what_it_can_until_its_callers_have_moved() {
