--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -20,7 +20,7 @@
 pub const MEMBER_TIMEOUT_MS: u64 = 3_500;
 /// One instance in this many of an availability zone may be unready.
 const MAX_UNREADY_DIVISOR: usize = 3;
-/// Time that callers take to move from an instance that becomes unready to the next one, in
+/// Shortest time in which callers move from an instance that becomes unready to the next one, in
 /// milliseconds: two readiness checks.
 const MIN_MOVE_MS: u64 = 2_000;
 /// Maximum number of addresses in a response.
