--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -415,6 +415,7 @@
 }
 
 /// An HTTP request of a caller.
+#[derive(Clone)]
 pub struct Request {
     line: String,
     headers: Vec<(String, String)>,
