Log line: grants confirmed in a new era of the store

Ruled out: nothing yet; this commit changes no decision.

Change: event 5022 grant.confirmed with account, era, granted, consumed (over all processes of the holder) and borrowed, once per process, account and era, whether the write was acknowledged or only read back. Quota::take_confirmations returns them; tests/eras.rs checks that there are none before a restore and one per era after it.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -117,6 +117,7 @@
     TableSilent = 5019, Info, "table.silent", "A call to the table service failed while it was known to be down.";
     StoreRestored = 5020, Warn, "store.restored", "The store has come back from a copy; grants and journals are written anew.";
     EraSettled = 5021, Info, "era.settled", "All instances have confirmed their grants since the store came back, or had the time for it; those named have not.";
+    GrantConfirmed = 5022, Info, "grant.confirmed", "The ledger shows the grant of this instance as confirmed in a new era of the store; consumed is over all its processes.";
     SettingsReloaded = 5013, Info, "settings.reloaded", "The settings were read again.";
     KeysReloaded = 5010, Info, "keys.reloaded", "Certificate, key and authority were read again and are in use.";
 
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -43,6 +43,7 @@
 use era::Fence;
 use exposure::Exposure;
 pub use loans::{Candidate, MAX_LENDERS};
+pub use origin::Confirmation;
 use plan::{Peers, Position};
 use row::{Journal, Ledger};
 
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -65,6 +65,10 @@
     prepaid: Option<u64>,
     pub(super) granted: u64,
     pub(super) origin: Origin,
+    /// Latest era in which the ledger showed the own grant as confirmed.
+    pub(super) confirmed_era: u32,
+    /// Whether [`Quota::take_confirmations`](super::Quota::take_confirmations) is to return that.
+    pub(super) is_newly_confirmed: bool,
     /// Grants of other holders as known in previous eras.
     pub(super) previous_grants: Ledger,
     pub(super) pending_return: Option<PendingReturn>,
@@ -91,6 +95,8 @@
             prepaid: None,
             granted: 0,
             origin: Origin::Ledger,
+            confirmed_era: 0,
+            is_newly_confirmed: false,
             previous_grants: Ledger::default(),
             pending_return: None,
             consumed: 0,
--- a/crates/fescuewell_forward/src/quota/origin.rs
+++ b/crates/fescuewell_forward/src/quota/origin.rs
@@ -3,9 +3,9 @@
 
 use std::sync::Arc;
 
-use super::Account;
 use super::era;
 use super::row::{Grant, Ledger};
+use super::{Account, Quota};
 
 /// Source of the known own grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,6 +20,44 @@
     Unknown,
 }
 
+/// Grant that the ledger shows as confirmed by this holder in an era; see [`super::era`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Confirmation {
+    /// Client account.
+    pub account: Arc<str>,
+    /// Era of the store.
+    pub era: u32,
+    /// Total that the holder may consume, over all its incarnations.
+    pub granted: u64,
+    /// Tokens consumed or held, over all incarnations.
+    pub consumed: u64,
+    /// Borrowed tokens that no request holds yet.
+    pub borrowed: u64,
+}
+
+impl Quota {
+    /// Returns the grants whose confirmation in the current era this process has seen since the
+    /// last call: at most one per account and era. There are none before the first restore.
+    pub fn take_confirmations(&mut self) -> Vec<Confirmation> {
+        let era = self.era();
+        let mut confirmations = Vec::new();
+        for (name, account) in &mut self.accounts {
+            if !std::mem::take(&mut account.is_newly_confirmed) {
+                continue;
+            }
+            confirmations.push(Confirmation {
+                account: name.clone(),
+                era,
+                granted: account.granted(),
+                consumed: account.consumed(),
+                borrowed: account.borrowed(),
+            });
+        }
+        confirmations.sort_by(|left, right| left.account.cmp(&right.account));
+        confirmations
+    }
+}
+
 impl Account {
     /// Takes over when the consumption of the previous process is known and the row shows its
     /// grant.
@@ -75,6 +113,8 @@
         if let Some(grant) = listed.filter(|grant| grant.era >= era) {
             self.granted = grant.granted;
             self.origin = Origin::Ledger;
+            self.is_newly_confirmed |= era > self.confirmed_era;
+            self.confirmed_era = era;
             return;
         }
         let granted = listed.map_or(0, |grant| grant.granted);
--- a/crates/fescuewell_forward/tests/eras.rs
+++ b/crates/fescuewell_forward/tests/eras.rs
@@ -229,6 +229,31 @@
     );
 }
 
+/// Checks that each instance reports the confirmation of its grant once per era, with all that it
+/// has consumed, and none before a restore.
+#[test]
+fn a_confirmed_grant_is_reported_once_per_era() {
+    let mut cluster = started_cluster(100_000);
+    serve(&mut cluster, 0, 2, 10_000);
+    let before = cluster.instances[0].quota.take_confirmations();
+    let backup = cluster.store.backup();
+    serve(&mut cluster, 0, 1, 10_000);
+
+    cluster.store.restore(&backup);
+    round(&mut cluster, &[0, 1, 2]);
+    let first = cluster.instances[0].quota.take_confirmations();
+    round(&mut cluster, &[0, 1, 2]);
+    let second = cluster.instances[0].quota.take_confirmations();
+
+    assert_eq!(before, []);
+    let [confirmation] = &first[..] else {
+        panic!("{first:?} instead of one confirmation");
+    };
+    assert_eq!((confirmation.era, confirmation.consumed), (1, 30_000));
+    assert!(confirmation.granted >= 30_000, "{confirmation:?}");
+    assert_eq!(second, []);
+}
+
 /// A simulated event.
 #[derive(Debug, Clone)]
 enum Step {
--- a/crates/fescuewell_gateway/src/control/fence.rs
+++ b/crates/fescuewell_gateway/src/control/fence.rs
@@ -84,6 +84,21 @@
     true
 }
 
+/// Logs the grants that this instance has confirmed in the current era.
+pub(super) fn log_confirmations(quota: &mut Quota) {
+    for confirmation in quota.take_confirmations() {
+        log_event!(
+            Event::GrantConfirmed,
+            "account={} era={} granted={} consumed={} borrowed={}",
+            confirmation.account,
+            confirmation.era,
+            confirmation.granted,
+            confirmation.consumed,
+            confirmation.borrowed
+        );
+    }
+}
+
 /// Writes the fence if it is due.
 pub(super) async fn renew_fence(control: &Control) {
     let now_ms = control.gateway.now_ms();
--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -9,7 +9,7 @@
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::quota::row::Ledger;
 
-use super::fence::{apply_fence, fence_id, renew_fence};
+use super::fence::{apply_fence, fence_id, log_confirmations, renew_fence};
 use super::rows::{decode, read, read_row, row_id};
 use super::{CALL_TIMEOUT, Control};
 use crate::store::{Outcome, ReadResponse, Row, Transaction};
@@ -48,6 +48,7 @@
         let name = row.id.key.clone();
         quota.observe_ledger(&name, row.version, ledger, response.now_ms);
     }
+    log_confirmations(quota);
 }
 
 /// Reads the ledgers for a reconciliation. Usually reads only the accounts in use on this instance,
@@ -158,6 +159,7 @@
                     .quota
                     .observe_ledger(&update.account, version, ledger, store_ms);
             }
+            log_confirmations(&mut state.quota);
             Some(true)
         }
         Ok(Outcome::Conflict(response)) => {
