--- a/crates/fescuewell_forward/tests/eras.rs
+++ b/crates/fescuewell_forward/tests/eras.rs
@@ -229,6 +229,37 @@
     );
 }
 
+/// Guards against spending tokens twice: after a restore, an instance writes its journal of the new
+/// era and is killed before it confirms its grant. The others settle the account with the grant of
+/// the backup, which is smaller than what the instance had spent. The next process must not confirm
+/// that grant, since the reserve is released as soon as it does.
+#[test]
+fn an_instance_killed_between_its_journal_and_its_confirmation_is_charged_for_its_journal() {
+    let mut cluster = started_cluster(100_000);
+    let backup = cluster.store.backup();
+    serve(&mut cluster, 2, 9, 10_000);
+
+    cluster.store.restore(&backup);
+    cluster.write_journal(2, WriteOutcome::Committed);
+    cluster.restart(2, 500);
+    for _ in 0..12 {
+        round(&mut cluster, &[0, 1]);
+    }
+    cluster.adopt(2, WriteOutcome::Committed);
+    for _ in 0..20 {
+        round(&mut cluster, &[0, 1, 2]);
+        for index in 0..INSTANCES {
+            serve(&mut cluster, index, 2, 10_000);
+        }
+    }
+
+    assert!(
+        cluster.total_used() <= 100_000,
+        "{} tokens in use",
+        cluster.total_used()
+    );
+}
+
 /// Checks that each instance reports the confirmation of its grant once per era, with all that it
 /// has consumed, and none before a restore.
 #[test]
