A settled account does not complete the grant of an unconfirmed holder

Cause: after a restore, Quota::adopt took every row of a settled account as complete.

Change: while the fence lists this holder as unconfirmed, only a grant that it confirmed itself counts as shown by the row. In era 0 and for holders that are not listed nothing changes, so nothing is refused needlessly without a restore.

--- a/crates/fescuewell_forward/src/quota/era.rs
+++ b/crates/fescuewell_forward/src/quota/era.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Returns whether the fence lists a holder as unconfirmed.
+    pub(super) fn is_unconfirmed(&self, holder: &str) -> bool {
+        let mut unconfirmed = self.unconfirmed().unwrap_or_default().iter();
+        unconfirmed.any(|listed| **listed == *holder)
+    }
+
     /// Enters the era of a store response. Returns whether it is a new one.
     pub(super) fn enter(&mut self, era: u32, now_ms: u64) -> bool {
         if era <= self.era {
--- a/crates/fescuewell_forward/src/quota/journals.rs
+++ b/crates/fescuewell_forward/src/quota/journals.rs
@@ -48,7 +48,10 @@
         }
         for (name, row_version, ledger) in ledgers {
             let confirmed = ledger.grant(&holder).filter(|grant| grant.era >= era);
-            let is_confirmed = confirmed.is_some() || ledger.era >= era;
+            // In a settled account, the row lacks grants only of holders that had not confirmed
+            // theirs: it shows what the backup or the others knew, and the reserve has the rest.
+            let is_complete = ledger.era >= era && !self.era_state.is_unconfirmed(&holder);
+            let is_confirmed = confirmed.is_some() || is_complete;
             let granted = ledger.granted(&holder);
             let bound = journal.map_or(granted, |journal| journal.max_consumed(&name, ended_ms));
             let account = self.account_mut(&name);
