--- a/crates/fescuewell_forward/tests/outage.rs
+++ b/crates/fescuewell_forward/tests/outage.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::{Cluster, WriteOutcome};
+use fescuewell_forward::quota::HoldOutcome;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -191,3 +192,33 @@
     assert!(served >= 0.85, "served {served:.3}, unused {unused:.3}");
     assert!(unused <= 0.15, "served {served:.3}, unused {unused:.3}");
 }
+
+/// Guards against spending tokens twice: an instance adopts before it knows the configuration, so
+/// its journal has no entry for the account. The next journal is never written. A process that spends
+/// by its limit is killed, and the next one reads the journal without the entry and is charged
+/// nothing.
+#[test]
+fn nothing_is_spent_by_the_limit_of_an_unwritten_first_entry() {
+    let mut cluster = Cluster::new(1, 100_000);
+    let account = cluster.account.clone();
+    cluster.instances[0].quota.set_prepaid(&account, None);
+    cluster.adopt(0, WriteOutcome::Committed);
+    cluster.instances[0]
+        .quota
+        .set_prepaid(&account, Some(100_000));
+    cluster.plan(0, WriteOutcome::Committed);
+    cluster.hold(0, 5_000);
+    cluster.write_journal(0, WriteOutcome::Delayed);
+
+    let early = cluster.hold(0, 5_000);
+    cluster.restart(0, 500);
+    cluster.adopt(0, WriteOutcome::Committed);
+
+    assert!(
+        cluster.consumed(0) >= cluster.total_used(),
+        "{early:?}: {} charged of {}",
+        cluster.consumed(0),
+        cluster.total_used()
+    );
+    assert_eq!(early, HoldOutcome::RateLimited(None));
+}
