--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -326,7 +326,13 @@
     }
 
     /// Adds the rate limit of a journal entry that may take effect from now on.
+    ///
+    /// Without an earlier limit, the journal in force has no entry for the account. The next process
+    /// would be charged nothing by it, so nothing may be spent until this entry is written.
     pub(super) fn add_limit(&mut self, entry: &Entry, at_ms: u64) {
+        if self.rate_limits.is_empty() {
+            self.rate_limits.push(Limit::NONE);
+        }
         self.rate_limits.push(Limit::new(entry, at_ms));
     }
 
--- a/crates/fescuewell_forward/src/quota/rate_limit.rs
+++ b/crates/fescuewell_forward/src/quota/rate_limit.rs
@@ -31,6 +31,15 @@
 }
 
 impl Limit {
+    /// Limit that permits no consumption: that of a journal without an entry for the account.
+    pub const NONE: Self = Self {
+        base: 0,
+        peak_rate: 0,
+        bucket_size: 0,
+        sustained_rate: 0,
+        at_ms: 0,
+    };
+
     /// Creates the rate limit described by a journal entry written at `at_ms`.
     pub fn new(entry: &Entry, at_ms: u64) -> Self {
         Self {
