Model of one restore: loans, kills, orderly stops and top-ups around it

Cause: the model of tests/eras.rs restores the store rarely, and never stops an instance in an orderly way or raises the total. It did not show the fault of an unconfirmed holder in its 1,500 cases.

Change: a second model with one restore at a random place, in which kills, loans, draws and adoptions are frequent, with orderly stops and top-ups. Nothing is taken out of the first one.

--- a/crates/fescuewell_forward/tests/common/mod.rs
+++ b/crates/fescuewell_forward/tests/common/mod.rs
@@ -569,6 +569,18 @@
         }
     }
 
+    /// Stops the process of an instance in an orderly way, so that it returns its tokens, and starts
+    /// it again. The program also removes its status, and its last write may arrive after the next
+    /// start; docs/incidents/overspent-after-a-restore.md has what is open there.
+    pub fn stop(&mut self, index: usize, down_ms: u64) {
+        if self.instances[index].quota.is_adopted() {
+            self.instances[index].quota.begin_shutdown();
+            self.plan(index, WriteOutcome::Committed);
+            self.write_journal(index, WriteOutcome::Committed);
+        }
+        self.restart(index, down_ms);
+    }
+
     /// Returns the tokens that were used, or are held by requests that may still use them.
     pub fn total_used(&self) -> u64 {
         let each = self.instances.iter();
--- a/crates/fescuewell_forward/tests/eras.rs
+++ b/crates/fescuewell_forward/tests/eras.rs
@@ -388,3 +388,95 @@
         }
     }
 }
+
+/// A simulated event around one restore, besides the ones of [`Step`].
+#[derive(Debug, Clone)]
+enum Event {
+    Step(Step),
+    Serve(usize, u64),
+    TopUp(u64),
+    Stop(usize, u64),
+    Rounds(Vec<usize>),
+}
+
+/// Loans, draws and restarts are frequent, and no event copies or restores the store.
+fn event() -> impl Strategy<Value = Event> {
+    let who = 0..INSTANCES;
+    let several = prop::collection::vec(0..INSTANCES, 1..=INSTANCES);
+    let steps = prop_oneof![
+        3 => (1u64..1_200).prop_map(Step::Pass),
+        4 => (who.clone(), 60u64..=100).prop_map(|(who, part)| Step::Settle(who, part)),
+        5 => (who.clone(), outcome()).prop_map(|(who, outcome)| Step::Journal(who, outcome)),
+        5 => (who.clone(), outcome()).prop_map(|(who, outcome)| Step::Plan(who, outcome)),
+        3 => who.clone().prop_map(Step::Sign),
+        3 => (who.clone(), 0u64..1_500).prop_map(|(who, down)| Step::Restart(who, down)),
+        8 => (who.clone(), outcome()).prop_map(|(who, outcome)| Step::Adopt(who, outcome)),
+        5 => (who.clone(), who.clone(), 1u64..9_000, outcome()).prop_map(|(who, lender, tokens, outcome)| Step::Loan(who, lender, tokens, outcome)),
+        1 => Just(Step::LateAnswer),
+        1 => Just(Step::Late),
+    ];
+    prop_oneof![
+        38 => steps.prop_map(Event::Step),
+        8 => (who.clone(), 500u64..9_000).prop_map(|(who, tokens)| Event::Serve(who, tokens)),
+        1 => (1u64..30_000).prop_map(Event::TopUp),
+        2 => (who, 0u64..1_500).prop_map(|(who, down)| Event::Stop(who, down)),
+        4 => several.prop_map(Event::Rounds),
+    ]
+}
+
+fn apply_event(cluster: &mut Cluster, event: &Event) {
+    match event {
+        Event::Step(step) => apply(cluster, &mut None, step),
+        Event::Serve(who, tokens) => {
+            serve(cluster, *who, 1, *tokens);
+        }
+        Event::TopUp(tokens) => cluster.top_up(*tokens),
+        Event::Stop(who, down_ms) => cluster.stop(*who, *down_ms),
+        Event::Rounds(who) => {
+            for _ in 0..4 {
+                round(cluster, who);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_500, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(43), ..ProptestConfig::default() })]
+
+    /// Guards against spending more than the total around one restore: loans, draws, returns,
+    /// kills, orderly stops and a raised total before the copy, between copy and restore, and after
+    /// the restore. All instances always know the current total.
+    #[test]
+    fn never_more_than_prepaid_around_a_restore(
+        before in prop::collection::vec(event(), 0..25),
+        lost in prop::collection::vec(event(), 0..25),
+        after in prop::collection::vec(event(), 0..50),
+    ) {
+        let mut cluster = started_cluster(60_000);
+        for event in &before {
+            apply_event(&mut cluster, event);
+        }
+        let backup = cluster.store.backup();
+        for event in &lost {
+            apply_event(&mut cluster, event);
+        }
+        prop_assert!(cluster.total_used() <= cluster.max_prepaid, "{} of {} before the restore", cluster.total_used(), cluster.max_prepaid);
+        cluster.store.restore(&backup);
+        for event in &after {
+            apply_event(&mut cluster, event);
+            prop_assert!(cluster.total_used() <= cluster.max_prepaid, "{} of {} after the restore", cluster.total_used(), cluster.max_prepaid);
+        }
+        // Spends everything that is or appears to be unallocated.
+        for index in 0..INSTANCES {
+            cluster.adopt(index, WriteOutcome::Committed);
+        }
+        for _ in 0..16 {
+            cluster.store.deliver_write();
+            round(&mut cluster, &[0, 1, 2]);
+            for index in 0..INSTANCES {
+                serve(&mut cluster, index, 2, 3_000);
+            }
+            prop_assert!(cluster.total_used() <= cluster.max_prepaid, "{} of {} at the end", cluster.total_used(), cluster.max_prepaid);
+        }
+    }
+}
