Placement by forecast for engine services with a short gap objective

Cause: short prompts were placed by in-flight requests alone, so they waited behind long prompts of other instances.

Change: forward::choice::forecast learns prefill rate, fixed time and server factors; forward::choice::placement chooses by predicted milliseconds; the gateway feeds observations and logs forecast_ms.

--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -5,7 +5,9 @@
 //! so that they agree without coordination. The first in that order is picked unless it is clearly
 //! busier than the others.
 
+pub mod forecast;
 mod load;
+pub mod placement;
 mod prefix;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -31,7 +33,12 @@
     /// Hash of the prefix, if it is long enough to prefer the servers that cache it.
     pub fn affinity_hash(&self) -> Option<u64> {
         let prefix = self.affinity?;
-        (self.shared_tokens >= MIN_SHARED_TOKENS).then(|| hash(prefix))
+        self.has_affinity().then(|| hash(prefix))
+    }
+
+    /// Returns `true` if the prefix is long enough to prefer the servers that cache it.
+    pub fn has_affinity(&self) -> bool {
+        self.affinity.is_some() && self.shared_tokens >= MIN_SHARED_TOKENS
     }
 }
 
--- a/crates/fescuewell_forward/src/config.rs
+++ b/crates/fescuewell_forward/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: routes, services, client accounts and limits, and an index for lookups.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -157,6 +157,10 @@
     pub limits: Option<Limits>,
 }
 
+/// Gap objective of a streaming route below which its services' requests are placed by forecast. A
+/// part of a long prompt takes a slow model engine about as long.
+const FORECAST_GAP: Duration = Duration::from_millis(500);
+
 /// A configuration with an index for the lookups of each request.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -164,6 +168,7 @@
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
     keys: HashMap<Arc<str>, Arc<Account>>,
     services: HashMap<Arc<str>, Service>,
+    forecast_services: HashSet<Arc<str>>,
 }
 
 impl Table {
@@ -186,6 +191,7 @@
         let services = configuration.services.iter();
         let services = services.map(|service| (service.name.clone(), service.clone()));
         Self {
+            forecast_services: forecast_services(&configuration),
             services: services.collect(),
             hosts,
             keys,
@@ -221,4 +227,27 @@
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
     }
+
+    /// Returns `true` if requests to a service are placed by forecast: its servers are model engines
+    /// and a streaming route with a short gap objective uses it.
+    pub fn uses_forecast(&self, service: &str) -> bool {
+        self.forecast_services.contains(service)
+    }
+}
+
+fn forecast_services(configuration: &Configuration) -> HashSet<Arc<str>> {
+    let mut names = HashSet::new();
+    for route in &configuration.routes {
+        // Without an objective, the gap is 0.
+        let has_short_gap = !route.target_gap.is_zero() && route.target_gap < FORECAST_GAP;
+        if !route.kind.is_stream() || !has_short_gap {
+            continue;
+        }
+        names.extend(route.splits.iter().map(|split| split.service.clone()));
+    }
+    let services = configuration.services.iter();
+    let engines = services.filter(|service| service.engine.is_some());
+    let engines: HashSet<&Arc<str>> = engines.map(|service| &service.name).collect();
+    names.retain(|name| engines.contains(name));
+    names
 }
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -167,6 +167,8 @@
             continue;
         };
         let now_ms = control.gateway.now_ms();
-        control.gateway.state().load.apply_report(report, now_ms);
+        let mut state = control.gateway.state();
+        state.recent_prompts.record_report(&report, now_ms);
+        state.load.apply_report(report, now_ms);
     }
 }
