--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -6,9 +6,7 @@
 //! busier than the others.
 
 pub mod announcement;
-pub mod forecast;
 mod load;
-pub mod placement;
 mod prefix;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -34,12 +32,7 @@
     /// Hash of the prefix, if it is long enough to prefer the servers that cache it.
     pub fn affinity_hash(&self) -> Option<u64> {
         let prefix = self.affinity?;
-        self.has_affinity().then(|| hash(prefix))
-    }
-
-    /// Returns `true` if the prefix is long enough to prefer the servers that cache it.
-    pub fn has_affinity(&self) -> bool {
-        self.affinity.is_some() && self.shared_tokens >= MIN_SHARED_TOKENS
+        (self.shared_tokens >= MIN_SHARED_TOKENS).then(|| hash(prefix))
     }
 }
 
--- a/crates/fescuewell_gateway/src/control/announcements.rs
+++ b/crates/fescuewell_gateway/src/control/announcements.rs
@@ -71,7 +71,6 @@
     let is_applied = {
         let mut state = gateway.state();
         state.announcements.reporters.record(from, now_ms);
-        state.recent_prompts.record_batch(&batch, now_ms);
         state.load.apply_announcement(batch, now_ms)
     };
     let outcome = if is_applied { "received" } else { "ignored" };
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -172,7 +172,6 @@
         let now_ms = control.gateway.now_ms();
         let mut state = control.gateway.state();
         state.announcements.reporters.record(from, now_ms);
-        state.recent_prompts.record_report(&report, now_ms);
         state.load.apply_report(report, now_ms);
     }
 }
--- a/crates/fescuewell_gateway/src/control/watch/list.rs
+++ b/crates/fescuewell_gateway/src/control/watch/list.rs
@@ -32,8 +32,6 @@
         .registry
         .apply_snapshot(response.version, response.content, now_ms);
     state.health.retain(|id| state.registry.is_known(id));
-    state.forecast.retain(|id| state.registry.is_known(id));
-    state.assignment.retain(|id| state.registry.is_known(id));
     state.warmup.retain(|id| state.registry.is_cold(id, now_ms));
     let now = state.moment(now_ms);
     state.conditions.expire(now);
@@ -117,7 +115,6 @@
         state.health.forget(id);
         state.conditions.forget(id);
         state.load.forget(id);
-        state.forecast.forget(id);
         let restarted = state.registry.is_known(id);
         log_event!(Event::ServerEnded, "server={id} restarted={restarted}");
         let evidence = state.crashes.ended(&former, restarted);
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -14,8 +14,6 @@
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::Load;
 use fescuewell_forward::choice::announcement::Outbox;
-use fescuewell_forward::choice::forecast::Forecast;
-use fescuewell_forward::choice::placement::{Assignment, Recent};
 use fescuewell_forward::condition::Conditions;
 use fescuewell_forward::config::Table;
 use fescuewell_forward::crash::{Detector, Quarantine};
@@ -153,9 +151,6 @@
             registry: Registry::default(),
             cursor: relay::Cursor::default(),
             warmup: Warmup::default(),
-            forecast: Forecast::default(),
-            recent_prompts: Recent::default(),
-            assignment: Assignment::new(settings.name.clone()),
             health: Health::default(),
             conditions: Conditions::new(settings.name.clone()),
             crashes: Detector::default(),
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -5,8 +5,6 @@
 
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::announcement::{Outbox, Prompt};
-use fescuewell_forward::choice::forecast::Forecast;
-use fescuewell_forward::choice::placement::{Assignment, Recent};
 use fescuewell_forward::choice::{Load, MAX_SUBSET_SIZE};
 use fescuewell_forward::condition::Conditions;
 use fescuewell_forward::crash::{Detector, Quarantine};
@@ -41,12 +39,6 @@
     pub load: Load,
     /// Own announcements of long prompts.
     pub announcements: Outbox,
-    /// Forecast of times at the backend servers.
-    pub forecast: Forecast,
-    /// Long prompts of other instances.
-    pub recent_prompts: Recent,
-    /// Backend servers that long prompts of this instance go to first.
-    pub assignment: Assignment,
     /// Prepaid tokens of the client accounts.
     pub quota: Quota,
     /// Retry budget.
@@ -67,7 +59,6 @@
     /// divided among.
     pub fn set_advertised(&mut self, advertised: &[Arc<str>]) {
         self.warmup.set_instances(advertised.to_vec());
-        self.assignment.set_instances(advertised);
         let fleet_size = self.directory.count();
         self.conditions.limits.set_instances(advertised, fleet_size);
     }
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -171,7 +171,7 @@
         if self.route.kind.is_stream() && status.is_success() {
             return match exchange.next_chunk().await {
                 Some(Ok(first)) => {
-                    permit.record_first_event(sent_at.elapsed());
+                    permit.record_first_event();
                     let took = self.arrived.elapsed();
                     self.first_event_ms = took.as_millis();
                     self.gateway
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -6,7 +6,6 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::choice::forecast::{Sent, Summary};
 use fescuewell_forward::crash::Loss;
 use fescuewell_forward::health::Outcome;
 use fescuewell_forward::server::Entry;
@@ -14,20 +13,11 @@
 use super::crash::InFlight;
 use crate::gateway::Gateway;
 
-/// Forecast by which a request was placed.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Placed {
-    pub(super) sent: Sent,
-    pub(super) first_event_ms: f64,
-}
-
 /// Guard of an in-flight request at a backend server.
 pub(crate) struct Permit {
     gateway: Arc<Gateway>,
     pub(crate) server: Arc<Entry>,
     prefill_tokens: u64,
-    /// Set if the request was placed by forecast.
-    placed: Option<Placed>,
     in_flight: Option<InFlight>,
     is_settled: AtomicBool,
 }
@@ -45,18 +35,11 @@
             gateway: gateway.clone(),
             server,
             prefill_tokens,
-            placed: None,
             in_flight: Some(in_flight),
             is_settled: AtomicBool::new(false),
         }
     }
 
-    /// Sets the forecast by which the request was placed.
-    pub(super) fn with_forecast(mut self, placed: Option<Placed>) -> Self {
-        self.placed = placed;
-        self
-    }
-
     /// Marks the request's outcome at the server as known. An attempt that ends without a known
     /// outcome, because the caller disconnected or another server was tried, may still crash the
     /// server.
@@ -64,53 +47,16 @@
         self.is_settled.store(true, Ordering::Relaxed);
     }
 
-    /// Records the first event, which shows that the server has processed the prompt, and the time
-    /// that it took since the request was sent.
-    pub(super) fn record_first_event(&mut self, took: Duration) {
+    /// Records the first event, which shows that the server has processed the prompt.
+    pub(super) fn record_first_event(&mut self) {
         let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
-        let now_ms = self.gateway.now_ms();
-        let took_ms = took.as_secs_f64() * 1_000.0;
-        let mut guard = self.gateway.state();
-        let state = &mut *guard;
-        state.load.finish_prefill(&self.server.id, prefill_tokens);
-        let has_restarted = state.registry.has_restarted(&self.server);
-        let placed = self.placed.filter(|_| !has_restarted);
-        if let Some(placed) = placed {
-            let Entry { service, id, .. } = &*self.server;
-            let forecast = &mut state.forecast;
-            forecast.record_first_event(service, id, placed.sent, took_ms, now_ms);
-        }
-        drop(guard);
-        if let Some(placed) = placed {
-            let error_ms = (took_ms - placed.first_event_ms).abs();
-            let metrics = &self.gateway.metrics;
-            metrics.record_forecast_error(&self.server.service, error_ms);
-        }
+        self.gateway
+            .state()
+            .load
+            .finish_prefill(&self.server.id, prefill_tokens);
         self.gateway.notify_load_changed();
     }
 
-    /// Returns `true` if the request was placed by forecast.
-    pub(crate) fn uses_forecast(&self) -> bool {
-        self.placed.is_some()
-    }
-
-    /// Number of prompt tokens pending prefill at the server.
-    pub(crate) fn pending_prefill(&self) -> u64 {
-        self.gateway.state().load.pending_prefill(&self.server.id)
-    }
-
-    /// Records gaps between events of the stream.
-    pub(crate) fn record_gaps(&self, gaps: Summary) {
-        let now_ms = self.gateway.now_ms();
-        let mut guard = self.gateway.state();
-        let state = &mut *guard;
-        if state.registry.has_restarted(&self.server) {
-            return;
-        }
-        let Entry { service, id, .. } = &*self.server;
-        state.forecast.record_gaps(service, id, gaps, now_ms);
-    }
-
     /// Waits until the server restarts. The new process knows nothing of the request, so a response
     /// that has not arrived never will. Without this check, the request would wait on a silent
     /// connection until its deadline.
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -5,14 +5,12 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::choice::{self, Criteria, MAX_SUBSET_SIZE, placement};
+use fescuewell_forward::choice::{self, Criteria, MAX_SUBSET_SIZE};
 use fescuewell_forward::condition::Wait;
 use fescuewell_forward::retry_after;
-use fescuewell_forward::server::Entry;
 
 use super::candidates::Candidates;
 use super::crash::InFlight;
-use super::permit::Placed;
 use super::{Job, Permit};
 use crate::gateway::condition;
 
@@ -140,7 +138,6 @@
     fn try_pick(&mut self) -> Option<Permit> {
         let now_ms = self.gateway.now_ms();
         let random = self.gateway.random_u64();
-        let uses_forecast = self.uses_forecast();
         let mut state = self.gateway.state();
         state.load.expire_announcements(now_ms);
         let criteria = self.criteria(random);
@@ -152,51 +149,21 @@
             }
             None => HashMap::new(),
         };
-        // Taken out while the candidates borrow the state.
-        let mut assignment = std::mem::take(&mut state.assignment);
         let candidates = Candidates::new(&state, self, &criteria, &shares, now_ms);
         let listed_count = candidates.listed_count;
-        let is_connected = |server: &Entry| self.gateway.client.has_idle(server.address);
-        let eligible = &candidates.eligible;
-        let mut placed = None;
-        let chosen = if self.is_isolated(&state, now_ms) {
-            choice::least_loaded(eligible, &state.load, &state.health, now_ms)
-        } else if uses_forecast {
-            let request = self.placement_request(criteria);
-            let known = placement::Knowledge {
-                load: &state.load,
-                health: &state.health,
-                forecast: &state.forecast,
-                recent: &state.recent_prompts,
-            };
-            placed = placement::pick(
-                eligible,
-                &request,
-                known,
-                &mut assignment,
-                is_connected,
-                now_ms,
-            );
-            placed.map(|placed| placed.server)
-        } else {
-            choice::pick(
-                eligible,
+        let chosen = match self.is_isolated(&state, now_ms) {
+            true => choice::least_loaded(&candidates.eligible, &state.load, &state.health, now_ms),
+            false => choice::pick(
+                &candidates.eligible,
                 &criteria,
                 &state.load,
                 &state.health,
-                is_connected,
+                |server| self.gateway.client.has_idle(server.address),
                 now_ms,
-            )
+            ),
         };
-        let is_late = placed.is_some_and(|placed| placed.is_late);
-        let placed = placed.map(|placed| Placed {
-            sent: placed.sent,
-            first_event_ms: placed.first_event_ms,
-        });
-        let server = chosen.cloned();
-        state.assignment = assignment;
-        let server = server?;
-        let prompt = self.prompt_tokens();
+        let server = chosen.cloned()?;
+        let prompt = self.metadata.tokens.map_or(0, |tokens| tokens.prompt);
         let prefill_tokens = state.load.uncached_tokens(prompt, &criteria, &server.id);
         if let Some(part) = criteria.affinity {
             state.load.record_prefix(part, &server.id, now_ms);
@@ -209,15 +176,9 @@
         let running = state.load.in_flight(&server.id);
         let limit = state.conditions.limits.get(&server.id);
         drop(state);
-        if is_late {
-            let metrics = &self.gateway.metrics;
-            metrics.count_late_placement(&self.service.name);
-        }
-        let forecast_ms = placed.map(|placed| placed.first_event_ms.round());
-        let forecast_ms = forecast_ms.map_or("-".to_owned(), |ms| ms.to_string());
         log_event!(
             Event::RouteChosen,
-            "request={} route={} service={} server={} candidates={listed_count} running={running} limit={} configuration={} account={} forecast_ms={forecast_ms}",
+            "request={} route={} service={} server={} candidates={listed_count} running={running} limit={} configuration={} account={}",
             self.id,
             self.route.name,
             self.service.name,
@@ -231,35 +192,13 @@
         let is_announced = self
             .gateway
             .is_prompt_announced(&self.service.name, prefill_tokens);
-        let permit = Permit::acquire(
+        Some(Permit::acquire(
             &self.gateway,
             server,
             prefill_tokens,
             is_announced,
             in_flight,
-        );
-        Some(permit.with_forecast(placed))
-    }
-
-    fn uses_forecast(&self) -> bool {
-        let table = self.gateway.table();
-        table.is_some_and(|table| table.is_gap_sensitive(&self.service.name))
-    }
-
-    fn prompt_tokens(&self) -> u64 {
-        self.metadata.tokens.map_or(0, |tokens| tokens.prompt)
-    }
-
-    fn placement_request<'a>(&'a self, criteria: Criteria<'a>) -> placement::Request<'a> {
-        let target = self.route.target_latency;
-        let left = target.saturating_sub(self.arrived.elapsed());
-        placement::Request {
-            service: &self.service.name,
-            criteria,
-            prompt_tokens: self.prompt_tokens(),
-            target_ms: left.as_secs_f64() * 1_000.0,
-            target_gap_ms: self.route.target_gap.as_secs_f64() * 1_000.0,
-        }
+        ))
     }
 
     /// Returns the key of the servers among which the request chooses: its prefix if servers cache
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -25,9 +25,7 @@
     crashes: Counter<u64>,
     malformed_headers: Counter<u64>,
     announcements: Counter<u64>,
-    late_placements: Counter<u64>,
     first_event: Histogram<f64>,
-    forecast_error: Histogram<f64>,
     request_duration: Histogram<f64>,
 }
 
@@ -47,10 +45,6 @@
             crashes: meter.u64_counter("fescuewell_server_crashes").build(),
             malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
             announcements: meter.u64_counter("fescuewell_announcements").build(),
-            late_placements: meter.u64_counter("fescuewell_late_placements").build(),
-            forecast_error: meter
-                .f64_histogram("fescuewell_forecast_error_seconds")
-                .build(),
             first_event: meter
                 .f64_histogram("fescuewell_first_event_seconds")
                 .build(),
@@ -131,18 +125,6 @@
         self.first_event.record(took.as_secs_f64(), &attributes);
     }
 
-    /// Records the absolute error of a forecast of the time to the first event.
-    pub fn record_forecast_error(&self, service: &str, error_ms: f64) {
-        let attributes = [KeyValue::new("service", service.to_owned())];
-        self.forecast_error.record(error_ms / 1_000.0, &attributes);
-    }
-
-    /// Counts a request that was placed although its first event was forecast to be late.
-    pub fn count_late_placement(&self, service: &str) {
-        let attributes = [KeyValue::new("service", service.to_owned())];
-        self.late_placements.add(1, &attributes);
-    }
-
     /// Returns the current values in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
         self.exporter.encode()
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -1,12 +1,11 @@
 //! Streamed responses: complete events are forwarded as they arrive, and a broken stream is resumed
 //! on another server within the same response.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::{Buf, Bytes, BytesMut};
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::choice::forecast::Gaps;
 use fescuewell_forward::crash::Loss;
 use fescuewell_forward::health::Outcome;
 use fescuewell_http::listener::{Reply, Sink};
@@ -17,8 +16,6 @@
 
 /// Maximum event size in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
-/// Time for forwarding an event up to which the gap to the next one is measured.
-const MAX_SEND: Duration = Duration::from_millis(5);
 
 /// Splits a byte stream into complete server-sent events.
 ///
@@ -102,14 +99,6 @@
     }
 }
 
-/// Adds a gap between two events, and records them when there are enough.
-fn record_gap(permit: &Permit, gaps: &mut Gaps, gap: Duration) {
-    let gap_ms = gap.as_secs_f64() * 1_000.0;
-    if let Some(gaps) = gaps.push(gap_ms, || permit.pending_prefill()) {
-        permit.record_gaps(gaps);
-    }
-}
-
 /// Returns the end of the first event, after its empty line.
 fn event_end(bytes: &[u8]) -> Option<usize> {
     let newlines = bytes.windows(2).position(|pair| pair == b"\n\n");
@@ -211,8 +200,6 @@
         permit: &Permit,
     ) -> StreamEnd {
         let mut chunk = first;
-        let mut gaps = Gaps::default();
-        let mut chunk_at = Instant::now();
         let server_exit = permit.server_exit();
         tokio::pin!(server_exit);
         loop {
@@ -224,8 +211,6 @@
             if !events.is_empty() && sink.send(events).await.is_err() {
                 return StreamEnd::CallerGone;
             }
-            // A caller that reads slowly delays the next read, which then says nothing of the server.
-            let is_measured = permit.uses_forecast() && chunk_at.elapsed() < MAX_SEND;
             let next = tokio::select! {
                 biased;
                 next = exchange.next_chunk() => next,
@@ -235,11 +220,6 @@
                     return StreamEnd::Broken;
                 }
             };
-            let gap = chunk_at.elapsed();
-            chunk_at = Instant::now();
-            if is_measured && matches!(next, Some(Ok(_))) {
-                record_gap(permit, &mut gaps, gap);
-            }
             chunk = match next {
                 Some(Ok(chunk)) => chunk,
                 Some(Err(error)) => {
