--- a/crates/fescuewell_forward/src/choice.rs
+++ b/crates/fescuewell_forward/src/choice.rs
@@ -5,7 +5,6 @@
 //! so that they agree without coordination. The first in that order is picked unless it is clearly
 //! busier than the others.
 
-pub mod announcement;
 mod load;
 mod prefix;
 
--- a/crates/fescuewell_forward/src/choice/load.rs
+++ b/crates/fescuewell_forward/src/choice/load.rs
@@ -5,7 +5,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::announcement::{Batch, Received};
 use super::prefix::Index;
 use super::{Criteria, hash};
 
@@ -23,10 +22,6 @@
     /// Sums of the peers' reports.
     reported: HashMap<Arc<str>, ServerLoad>,
     peers: HashMap<Arc<str>, PeerLoad>,
-    /// Long prompts that the peers announced and that their reports do not contain yet.
-    announced: Received,
-    /// Sequence number of the last own report.
-    reported_sequence: u64,
     prefixes: Index,
 }
 
@@ -48,7 +43,7 @@
 const MAX_REPORTED_LOCATIONS: usize = 24;
 /// Age from which a report of another instance is ignored, in milliseconds; instances repeat their
 /// reports more often.
-pub(super) const REPORT_TTL_MS: u64 = 1_500;
+const REPORT_TTL_MS: u64 = 1_500;
 
 /// Load report of one instance.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -123,7 +118,6 @@
 
     /// Builds the report of the own load.
     pub fn report(&mut self, instance: Arc<str>, sequence: u64, now_ms: u64) -> Report {
-        self.reported_sequence = sequence;
         self.prefixes
             .unreported
             .retain(|(_, _, at)| now_ms < at + LOCATION_REPEAT_MS);
@@ -147,27 +141,6 @@
         }
     }
 
-    /// Sequence number of the own report that will contain a request that begins now.
-    pub fn next_sequence(&self) -> u64 {
-        self.reported_sequence.saturating_add(1)
-    }
-
-    /// Adds prompts that another instance announces. Returns `false` if the batch is ignored: its
-    /// prompts are in a report that has arrived, it is a duplicate, or too many are known.
-    pub fn apply_announcement(&mut self, batch: Batch, now_ms: u64) -> bool {
-        let known = self.peers.get(&batch.instance);
-        let is_reported = known.is_some_and(|known| {
-            batch.report <= known.sequence && now_ms < known.received_at_ms + REPORT_TTL_MS
-        });
-        !is_reported && self.announced.apply(batch, now_ms)
-    }
-
-    /// Drops expired announcements. Cheap if there are none, so that it can be called for each
-    /// choice.
-    pub fn expire_announcements(&mut self, now_ms: u64) {
-        self.announced.expire(now_ms);
-    }
-
     /// Applies another instance's report. Older reports than the last one are ignored until that
     /// one expires.
     pub fn apply_report(&mut self, report: Report, now_ms: u64) {
@@ -178,7 +151,6 @@
         if is_old {
             return;
         }
-        self.announced.confirm(&report.instance, report.sequence);
         for (prefix, server) in &report.locations {
             self.prefixes.record(*prefix, server, now_ms);
         }
@@ -206,9 +178,8 @@
         self.prefixes.forget(id);
     }
 
-    /// Drops expired reports and announcements.
+    /// Drops expired reports.
     pub fn expire(&mut self, now_ms: u64) {
-        self.expire_announcements(now_ms);
         let expired = self
             .peers
             .extract_if(|_, peer| now_ms >= peer.received_at_ms + REPORT_TTL_MS);
@@ -231,20 +202,18 @@
         }
     }
 
-    /// Number of in-flight requests at a server, including reported and announced ones.
+    /// Number of in-flight requests at a server, including reported ones.
     pub fn in_flight(&self, id: &str) -> u32 {
         let own = self.own.get(id).map_or(0, |load| load.in_flight);
         let reported = self.reported.get(id).map_or(0, |load| load.in_flight);
-        let announced = self.announced.sum(id).requests;
-        own.saturating_add(reported).saturating_add(announced)
+        own.saturating_add(reported)
     }
 
-    /// Number of prompt tokens pending prefill at a server, including reported and announced ones.
+    /// Number of prompt tokens pending prefill at a server, including reported ones.
     pub fn pending_prefill(&self, id: &str) -> u64 {
         let own = self.own.get(id).map_or(0, |load| load.pending_prefill);
         let reported = self.reported.get(id).map_or(0, |load| load.pending_prefill);
-        let announced = self.announced.sum(id).uncached_tokens;
-        own.saturating_add(reported).saturating_add(announced)
+        own.saturating_add(reported)
     }
 }
 
--- a/crates/fescuewell_forward/src/config.rs
+++ b/crates/fescuewell_forward/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: routes, services, client accounts and limits, and an index for lookups.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,10 +8,6 @@
 
 use crate::warmup;
 
-/// Gap objective of a stream below which its service is gap-sensitive: one prefill chunk at a slow
-/// server delays the other streams there by about as much.
-pub const MAX_SENSITIVE_GAP: Duration = Duration::from_millis(500);
-
 /// Retry and streaming semantics of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
@@ -168,7 +164,6 @@
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
     keys: HashMap<Arc<str>, Arc<Account>>,
     services: HashMap<Arc<str>, Service>,
-    gap_sensitive: HashSet<Arc<str>>,
 }
 
 impl Table {
@@ -190,10 +185,8 @@
         }
         let services = configuration.services.iter();
         let services = services.map(|service| (service.name.clone(), service.clone()));
-        let services: HashMap<Arc<str>, Service> = services.collect();
         Self {
-            gap_sensitive: gap_sensitive(&configuration.routes, &services),
-            services,
+            services: services.collect(),
             hosts,
             keys,
             configuration,
@@ -228,31 +221,4 @@
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
     }
-
-    /// Returns `true` if a service consists of model engines and a streaming route to it has an
-    /// objective for the gap between events below [`MAX_SENSITIVE_GAP`].
-    pub fn is_gap_sensitive(&self, service: &str) -> bool {
-        self.gap_sensitive.contains(service)
-    }
-}
-
-/// Returns the names of the gap-sensitive services. A gap objective of 0 means that there is none.
-fn gap_sensitive(
-    routes: &[Arc<Route>],
-    services: &HashMap<Arc<str>, Service>,
-) -> HashSet<Arc<str>> {
-    let mut sensitive = HashSet::new();
-    for route in routes {
-        let gap = route.target_gap;
-        if !route.kind.is_stream() || gap.is_zero() || gap >= MAX_SENSITIVE_GAP {
-            continue;
-        }
-        for split in &route.splits {
-            let service = services.get(&split.service);
-            if service.is_some_and(|service| service.engine.is_some()) {
-                sensitive.insert(split.service.clone());
-            }
-        }
-    }
-    sensitive
 }
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -22,7 +22,6 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::choice::announcement;
 use crate::condition::limit;
 use crate::crash;
 use crate::directory::summary::Summary;
@@ -55,8 +54,6 @@
     Summary(Summary),
     /// Request rates that backend servers accept from the whole fleet.
     Limits(Vec<limit::Update>),
-    /// Long prompts that the sender has just placed; see [`crate::choice::announcement`].
-    Prefills(announcement::Batch),
 }
 
 /// Secret key of the fleet; messages of senders without it are ignored.
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use fescuewell_forward::choice::Report;
-use fescuewell_forward::choice::announcement::{Batch, Prompt};
 use fescuewell_forward::condition::limit;
 use fescuewell_forward::config::{
     Account, Configuration, Engine, Kind, Limits, Route, Service, Split,
@@ -225,16 +224,6 @@
         at_ms: 3,
     };
 
-    let announcement = Batch {
-        instance: "e".into(),
-        number: 1,
-        report: 2,
-        prompts: vec![Prompt {
-            server: "i".into(),
-            uncached_tokens: 3,
-        }],
-    };
-
     assert_eq!(encode(&Message::LoanRequest(request)), "00010167020304");
     assert_eq!(encode(&Message::LoanResponse(response)), "010101650203");
     assert_eq!(
@@ -251,10 +240,6 @@
         "06010201016501017a010166010165000a0100020101000a01000202017a03040101670506070809010a"
     );
     assert_eq!(encode(&Message::Limits(vec![limit])), "070101690201dc0b03");
-    assert_eq!(
-        encode(&Message::Prefills(announcement)),
-        "080165010201016903"
-    );
     assert_eq!(encode(&report), "016501010169020301040169");
     assert_eq!(
         hex(&Key::new([7; 32]).seal(&Message::CrashesWanted)),
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -1,7 +1,6 @@
 //! The control thread: watches the configuration and the backend server list, and synchronizes
 //! token grants and membership with the store.
 
-mod announcements;
 mod crashes;
 mod fence;
 mod gossip;
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -1,6 +1,5 @@
 //! Messages between instances: load reports, which are optional hints for load balancing, token
-//! loans, server list digests, crash records, limits of backend servers and announcements of long
-//! prompts.
+//! loans, server list digests, crash records and limits of backend servers.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use super::lending::Lending;
-use super::{Control, announcements, crashes, limits, members, watch};
+use super::{Control, crashes, limits, members, watch};
 
 /// Minimum interval between two load reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(10);
@@ -22,7 +21,7 @@
 /// Interval after which an unchanged report is repeated, to repair losses.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum message size in bytes; fits one Ethernet frame.
-pub(super) const MAX_MESSAGE_BYTES: usize = 1_400;
+const MAX_MESSAGE_BYTES: usize = 1_400;
 
 /// Exchanges messages with other instances.
 pub(super) async fn run(control: &Control) {
@@ -47,7 +46,6 @@
         receive(control, &socket, &lending),
         crashes::exchange(control, &socket),
         limits::exchange(control, &socket),
-        announcements::announce(control, &socket),
         lending.run()
     );
 }
@@ -148,7 +146,6 @@
         }
         Some(Message::Limits(updates)) => limits::receive(control, updates, from),
         Some(Message::Summary(summary)) => members::receive_summary(control, summary),
-        Some(Message::Prefills(batch)) => announcements::receive(control, batch, from),
         // Requested over HTTP, since the response is too large for a datagram.
         Some(Message::SnapshotWanted(_)) | None => {}
     }
@@ -170,8 +167,6 @@
             continue;
         };
         let now_ms = control.gateway.now_ms();
-        let mut state = control.gateway.state();
-        state.announcements.reporters.record(from, now_ms);
-        state.load.apply_report(report, now_ms);
+        control.gateway.state().load.apply_report(report, now_ms);
     }
 }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -1,6 +1,5 @@
 //! State shared by the threads of an instance.
 
-mod announcement;
 pub(crate) mod condition;
 mod crash;
 mod gate;
@@ -13,7 +12,6 @@
 use arc_swap::ArcSwapOption;
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::Load;
-use fescuewell_forward::choice::announcement::Outbox;
 use fescuewell_forward::condition::Conditions;
 use fescuewell_forward::config::Table;
 use fescuewell_forward::crash::{Detector, Quarantine};
@@ -123,7 +121,6 @@
     store_recoveries: watch::Sender<u64>,
     load_change: Notify,
     limit_change: Notify,
-    prompt_placed: Notify,
     gate: OnceLock<Gate>,
     started: Instant,
 }
@@ -156,7 +153,6 @@
             crashes: Detector::default(),
             quarantine: Quarantine::default(),
             load: Load::default(),
-            announcements: Outbox::default(),
             quota: Quota::new(settings.name.clone(), 0),
             retry: Budget::new(settings.retry_budget),
             directory: Directory::default(),
@@ -189,7 +185,6 @@
             store_recoveries,
             load_change: Notify::new(),
             limit_change: Notify::new(),
-            prompt_placed: Notify::new(),
             gate: OnceLock::new(),
             started: Instant::now(),
         };
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use fescuewell_forward::admission;
-use fescuewell_forward::choice::announcement::{Outbox, Prompt};
 use fescuewell_forward::choice::{Load, MAX_SUBSET_SIZE};
 use fescuewell_forward::condition::Conditions;
 use fescuewell_forward::crash::{Detector, Quarantine};
@@ -37,8 +36,6 @@
     pub quarantine: Quarantine,
     /// Load of the backend servers.
     pub load: Load,
-    /// Own announcements of long prompts.
-    pub announcements: Outbox,
     /// Prepaid tokens of the client accounts.
     pub quota: Quota,
     /// Retry budget.
@@ -63,28 +60,6 @@
         self.conditions.limits.set_instances(advertised, fleet_size);
     }
 
-    /// Registers a request at a server. Queues the announcement of its prompt if `is_announced`.
-    ///
-    /// Both happen under one lock, since the announcement names the load report that will contain
-    /// the prompt. Returns `false` if the queue of announcements is full.
-    pub fn begin_request(
-        &mut self,
-        server: &Arc<str>,
-        uncached_tokens: u64,
-        is_announced: bool,
-    ) -> bool {
-        self.load.begin(server, uncached_tokens);
-        if !is_announced {
-            return true;
-        }
-        let prompt = Prompt {
-            server: server.clone(),
-            uncached_tokens,
-        };
-        let report = self.load.next_sequence();
-        self.announcements.queue.push(prompt, report)
-    }
-
     /// Returns the cold servers near `key` that this instance may use, each with the number of
     /// instances that share its request rate; see [`fescuewell_forward::warmup`].
     pub fn cold_shares(
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -27,10 +27,10 @@
         gateway: &Arc<Gateway>,
         server: Arc<Entry>,
         prefill_tokens: u64,
-        is_announced: bool,
         in_flight: InFlight,
     ) -> Self {
-        gateway.begin_request(&server.id, prefill_tokens, is_announced);
+        gateway.state().load.begin(&server.id, prefill_tokens);
+        gateway.notify_load_changed();
         Self {
             gateway: gateway.clone(),
             server,
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -139,7 +139,6 @@
         let now_ms = self.gateway.now_ms();
         let random = self.gateway.random_u64();
         let mut state = self.gateway.state();
-        state.load.expire_announcements(now_ms);
         let criteria = self.criteria(random);
         let shares = match self.service.warmup {
             Some(_) => {
@@ -189,14 +188,10 @@
         );
         self.tried.push(server.id.clone());
         let in_flight = InFlight::begin(&self.gateway, self.fingerprint);
-        let is_announced = self
-            .gateway
-            .is_prompt_announced(&self.service.name, prefill_tokens);
         Some(Permit::acquire(
             &self.gateway,
             server,
             prefill_tokens,
-            is_announced,
             in_flight,
         ))
     }
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -24,7 +24,6 @@
     store_calls: Counter<u64>,
     crashes: Counter<u64>,
     malformed_headers: Counter<u64>,
-    announcements: Counter<u64>,
     first_event: Histogram<f64>,
     request_duration: Histogram<f64>,
 }
@@ -44,7 +43,6 @@
             store_calls: meter.u64_counter("fescuewell_store_calls").build(),
             crashes: meter.u64_counter("fescuewell_server_crashes").build(),
             malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
-            announcements: meter.u64_counter("fescuewell_announcements").build(),
             first_event: meter
                 .f64_histogram("fescuewell_first_event_seconds")
                 .build(),
@@ -101,15 +99,6 @@
         self.malformed_headers.add(1, &attributes);
     }
 
-    /// Counts datagrams that announce long prompts: `sent`, `dropped` for the budget, `received`, or
-    /// `ignored` on arrival.
-    pub fn count_announcements(&self, outcome: &'static str, count: usize) {
-        if count > 0 {
-            let attributes = [KeyValue::new("outcome", outcome)];
-            self.announcements.add(count as u64, &attributes);
-        }
-    }
-
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &str, outcome: &'static str) {
         let attributes = [
