Loans: a repeated request gets the same response

Cause: a loan counts as consumed at the lender before the response is sent, so a response that is lost costs its tokens.

Ruled out: an acknowledgement or a release message (new message, and lost in the same way); a second request under a new ID (books twice); new fields (old builds could not read them).

Change: a lender remembers its response for as long as it remembers the request ID, and sends it again without booking. A borrower repeats its request, unchanged, after 15 ms of silence, and goes on to the next lender after 30 ms as before. Lenders of older builds ignore the repeat, borrowers of older builds never repeat. Metric fescuewell_loan_requests_total{kind}: asked, repeated.

The property `never_more_than_prepaid` gets steps that repeat one of the last four loan requests, with responses that are lost or late.

--- a/crates/fescuewell_forward/src/loan.rs
+++ b/crates/fescuewell_forward/src/loan.rs
@@ -3,9 +3,9 @@
 //! While the store is unreachable no grant can move, and the tokens of an account may be held by
 //! instances that its callers do not use. An instance that runs short requests the missing tokens
 //! from other instances. The lender counts them as consumed before it responds, against its own
-//! grant and rate limit; the borrower may spend them once the response arrives. A lost message or a
-//! killed instance therefore loses tokens but never lets them be spent twice, and no row has to be
-//! written.
+//! grant and rate limit; the borrower may spend them once the response arrives. A killed instance
+//! therefore loses tokens but never lets them be spent twice, and no row has to be written. A lost
+//! message costs nothing if the repeat of the request and its response arrive.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -49,18 +49,80 @@
     pub remaining: u64,
 }
 
+/// State of a loan request that a lender has received.
+#[derive(Debug)]
+enum Progress {
+    /// Waits for the lender's journal; nothing is booked yet.
+    Deferred,
+    /// Booked.
+    Answered(Response),
+}
+
+/// A loan request that a lender has received.
+#[derive(Debug)]
+struct Known {
+    request: Request,
+    /// Time by the store clock from which the request is too old to be repeated.
+    expires_ms: u64,
+    progress: Progress,
+}
+
+/// What a lender does with a loan request that has arrived.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reception {
+    /// Sends no response: the request is too old, or already waits for a journal.
+    Ignore,
+    /// Waits for the next journal, then calls [`Lender::respond`].
+    Defer,
+    /// Sends the response.
+    Respond(Response),
+}
+
 /// Responds to the loan requests of other instances.
 #[derive(Debug, Default)]
 pub struct Lender {
-    /// Expiry time, by the store clock, of each request already handled.
-    seen: HashMap<u64, u64>,
+    /// Recent requests by ID.
+    known: HashMap<u64, Known>,
 }
 
 impl Lender {
-    /// Responds to a request, or returns `None` if it is too old or was handled before.
+    /// Receives a request from the network. One that only the next journal can serve is deferred if
+    /// `may_defer`.
     ///
-    /// A datagram may be delivered twice, and each duplicate would cost tokens that nobody
-    /// receives.
+    /// A request with a known ID is a repeat or a duplicate and admits nothing to the journal
+    /// again: while the first one is deferred it is ignored, afterwards it gets the same response.
+    pub fn receive(
+        &mut self,
+        quota: &mut Quota,
+        request: &Request,
+        may_defer: bool,
+        now_ms: u64,
+    ) -> Reception {
+        let store_ms = quota.store_time(now_ms);
+        self.expire(store_ms);
+        let is_new = !self.known.contains_key(&request.id);
+        let is_fresh = request.sent_at_ms.abs_diff(store_ms) < REQUEST_MAX_AGE_MS;
+        if is_new && is_fresh && may_defer && quota.admit_loan(request, now_ms) {
+            self.remember(request, Progress::Deferred, store_ms);
+            return Reception::Defer;
+        }
+        if let Some(known) = self.known.get(&request.id)
+            && matches!(known.progress, Progress::Deferred)
+        {
+            return Reception::Ignore;
+        }
+        let response = self.respond(quota, request, now_ms);
+        response.map_or(Reception::Ignore, Reception::Respond)
+    }
+
+    /// Returns whether a request with this ID was received recently.
+    pub fn is_known(&self, id: u64) -> bool {
+        self.known.contains_key(&id)
+    }
+
+    /// Responds to a request, or returns `None` if it is too old. A request that was answered
+    /// before gets the same response and books nothing again, so that a lost response costs no
+    /// tokens.
     pub fn respond(
         &mut self,
         quota: &mut Quota,
@@ -68,23 +130,54 @@
         now_ms: u64,
     ) -> Option<Response> {
         let store_ms = quota.store_time(now_ms);
-        self.seen.retain(|_, expires_ms| store_ms < *expires_ms);
-        let is_fresh = request.sent_at_ms.abs_diff(store_ms) < REQUEST_MAX_AGE_MS;
-        // A request from a clock that is ahead expires later by that difference.
-        let expires_ms = request.sent_at_ms.max(store_ms) + REQUEST_MAX_AGE_MS;
-        if !is_fresh || self.seen.insert(request.id, expires_ms).is_some() {
+        self.expire(store_ms);
+        if let Some(known) = self.known.get(&request.id) {
+            if known.request != *request {
+                // The loan belongs to another borrower, which would spend the tokens as well.
+                return None;
+            }
+            if let Progress::Answered(response) = &known.progress {
+                return Some(response.clone());
+            }
+        }
+        if request.sent_at_ms.abs_diff(store_ms) >= REQUEST_MAX_AGE_MS {
             return None;
         }
         let tokens = quota.lend(request, now_ms);
-        Some(Response {
+        let response = Response {
             id: request.id,
             lender: quota.holder().clone(),
             tokens,
             remaining: quota.available(&request.account, now_ms),
-        })
+        };
+        let progress = Progress::Answered(response.clone());
+        self.remember(request, progress, store_ms);
+        Some(response)
+    }
+
+    fn expire(&mut self, store_ms: u64) {
+        self.known.retain(|_, known| store_ms < known.expires_ms);
+    }
+
+    fn remember(&mut self, request: &Request, progress: Progress, store_ms: u64) {
+        // A request from a clock that is ahead expires later by that difference.
+        let expires_ms = request.sent_at_ms.max(store_ms) + REQUEST_MAX_AGE_MS;
+        let known = Known {
+            request: request.clone(),
+            expires_ms,
+            progress,
+        };
+        self.known.insert(request.id, known);
     }
 }
 
+/// Time in milliseconds without a response after which a borrower repeats its request, unchanged,
+/// to the same lender. A response takes a few milliseconds between availability zones. Lenders of
+/// older builds ignore the repeat.
+pub const REPEAT_MS: u64 = 15;
+/// Time in milliseconds without a response after which a borrower asks the next lender.
+pub const SILENCE_MS: u64 = 30;
+
 /// A loan request that awaits its response.
 #[derive(Debug)]
 struct Pending {
--- a/crates/fescuewell_forward/tests/quota.rs
+++ b/crates/fescuewell_forward/tests/quota.rs
@@ -21,6 +21,7 @@
     Late,
     Loan(usize, usize, u64, WriteOutcome),
     LateAnswer,
+    RepeatLoan(usize, WriteOutcome),
 }
 
 const INSTANCES: usize = 3;
@@ -46,6 +47,7 @@
         3 => (who.clone(), outcome()).prop_map(|(who, outcome)| Step::Adopt(who, outcome)),
         4 => (who.clone(), who, 1u64..9_000, outcome()).prop_map(|(who, lender, tokens, outcome)| Step::Loan(who, lender, tokens, outcome)),
         1 => Just(Step::LateAnswer),
+        3 => (0..4usize, outcome()).prop_map(|(age, outcome)| Step::RepeatLoan(age, outcome)),
         1 => (1u64..6_000).prop_map(Step::TopUp),
         2 => Just(Step::Late),
     ]
@@ -72,6 +74,7 @@
             cluster.hold(who, tokens);
         }
         Step::LateAnswer => cluster.deliver_response(),
+        Step::RepeatLoan(age, outcome) => cluster.repeat_request(age, outcome),
     }
 }
 
@@ -104,7 +107,7 @@
 
     /// Guards against spending more than the prepaid total: a grant, a rate limit or a loan that
     /// two processes spend. Applies any mix of requests, plans, journals, lost and delayed writes,
-    /// restarts, top-ups, and loans whose messages are lost, delayed or duplicated.
+    /// restarts, top-ups, and loans whose messages are lost, delayed, duplicated or repeated.
     #[test]
     fn never_more_than_prepaid(steps in prop::collection::vec(step(), 1..220)) {
         let mut cluster = running_cluster(INSTANCES, 60_000);
--- a/crates/fescuewell_gateway/src/control/lending.rs
+++ b/crates/fescuewell_gateway/src/control/lending.rs
@@ -8,7 +8,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::loan::{self, Borrower, Lender};
+use fescuewell_forward::loan::{self, Borrower, Lender, Reception};
 use fescuewell_forward::message::{Key, Message};
 use fescuewell_forward::quota::MAX_LENDERS;
 use fescuewell_forward::version;
@@ -27,9 +27,10 @@
 const KEY_TABLE: &str = "key";
 /// Partition and key of the fleet key's row.
 const FLEET_KEY: &str = "fleet";
-/// Timeout for a lender's response: a few milliseconds between availability zones, plus scheduling
-/// delay on a small processor.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(30);
+/// Time without a response after which a request is repeated.
+const REPEAT_DELAY: Duration = Duration::from_millis(loan::REPEAT_MS);
+/// Timeout for a lender's response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(loan::SILENCE_MS);
 
 /// Reads the fleet key, or generates it if there is none. Without the key nothing is lent or
 /// borrowed, and loading it is retried later.
@@ -107,9 +108,13 @@
 struct PendingLoan {
     request: BorrowRequest,
     lenders: VecDeque<Arc<str>>,
-    /// The lender that was asked last, and the deadline for its response.
+    /// The lender that was asked last, its address, and the sealed loan request.
     lender: Arc<str>,
+    address: SocketAddr,
+    bytes: Vec<u8>,
+    /// Time of the repeat, or of giving the lender up once the request was repeated.
     deadline: Instant,
+    is_repeated: bool,
 }
 
 /// Lends and borrows the tokens of this instance.
@@ -192,11 +197,15 @@
             let bytes = key.seal(&Message::LoanRequest(loan_request));
             // A send failure is handled like a lost datagram.
             let _ = self.socket.try_send_to(&bytes, address);
+            gateway.metrics.count_loan_request(false);
             let pending = PendingLoan {
                 request,
                 lenders,
                 lender,
-                deadline: Instant::now() + RESPONSE_TIMEOUT,
+                address,
+                bytes,
+                deadline: Instant::now() + REPEAT_DELAY,
+                is_repeated: false,
             };
             self.pending.borrow_mut().insert(id, pending);
             self.request_sent.notify_one();
@@ -205,7 +214,8 @@
         complete(request, false);
     }
 
-    /// Moves on to the next lender when a response times out.
+    /// Repeats a request without a response once, and moves on to the next lender when the response
+    /// times out.
     async fn expire_requests(&self) {
         loop {
             let next = self
@@ -228,9 +238,17 @@
                 late.map(|(id, _)| *id).collect()
             };
             for id in late {
-                let Some(pending) = self.pending.borrow_mut().remove(&id) else {
+                let Some(mut pending) = self.pending.borrow_mut().remove(&id) else {
                     continue;
                 };
+                if !pending.is_repeated {
+                    let _ = self.socket.try_send_to(&pending.bytes, pending.address);
+                    self.control.gateway.metrics.count_loan_request(true);
+                    pending.is_repeated = true;
+                    pending.deadline += RESPONSE_TIMEOUT - REPEAT_DELAY;
+                    self.pending.borrow_mut().insert(id, pending);
+                    continue;
+                }
                 self.record_silence(&pending);
                 self.try_next(pending);
             }
@@ -270,16 +288,27 @@
     pub(super) fn handle_request(&self, key: &Key, loan_request: loan::Request, from: SocketAddr) {
         let gateway = &self.control.gateway;
         let now_ms = gateway.now_ms();
-        if gateway.is_store_up() && gateway.state().quota.admit_loan(&loan_request, now_ms) {
-            let mut deferred = self.deferred.borrow_mut();
-            if deferred.len() < MAX_DEFERRED {
-                deferred.push((loan_request, from));
+        let may_defer = gateway.is_store_up() && self.deferred.borrow().len() < MAX_DEFERRED;
+        let reception = {
+            let mut state = gateway.state();
+            let mut lender = self.lender.borrow_mut();
+            let is_repeat = lender.is_known(loan_request.id);
+            let reception = lender.receive(&mut state.quota, &loan_request, may_defer, now_ms);
+            (reception, is_repeat)
+        };
+        match reception {
+            (Reception::Ignore, _) => {}
+            (Reception::Defer, _) => {
+                self.deferred.borrow_mut().push((loan_request, from));
                 self.deferred_added.notify_one();
                 gateway.request_journal();
-                return;
+            }
+            (Reception::Respond(response), true) => self.send(key, response, from),
+            (Reception::Respond(response), false) => {
+                log_lent(&loan_request, &response);
+                self.send(key, response, from);
             }
         }
-        self.send_response(key, &loan_request, from, now_ms);
     }
 
     /// Responds to the loan requests that wait for a journal.
@@ -297,35 +326,22 @@
             let deferred = std::mem::take(&mut *self.deferred.borrow_mut());
             let now_ms = gateway.now_ms();
             for (loan_request, from) in deferred {
-                self.send_response(&key, &loan_request, from, now_ms);
+                let response = {
+                    let mut state = gateway.state();
+                    let mut lender = self.lender.borrow_mut();
+                    lender.respond(&mut state.quota, &loan_request, now_ms)
+                };
+                let Some(response) = response else { continue };
+                log_lent(&loan_request, &response);
+                self.send(&key, response, from);
             }
         }
     }
 
-    fn send_response(
-        &self,
-        key: &Key,
-        loan_request: &loan::Request,
-        from: SocketAddr,
-        now_ms: u64,
-    ) {
-        let response = {
-            let mut state = self.control.gateway.state();
-            let mut lender = self.lender.borrow_mut();
-            lender.respond(&mut state.quota, loan_request, now_ms)
-        };
-        let Some(response) = response else { return };
-        log_event!(
-            Event::TokensLent,
-            "account={} tokens={} wanted={} left={}",
-            loan_request.account,
-            response.tokens,
-            loan_request.wanted_tokens,
-            response.remaining
-        );
+    /// Sends a response. If it is lost, the borrower repeats its request and gets it again.
+    fn send(&self, key: &Key, response: loan::Response, to: SocketAddr) {
         let bytes = key.seal(&Message::LoanResponse(response));
-        // If the response is lost, its tokens count as consumed although nobody spends them.
-        let _ = self.socket.try_send_to(&bytes, from);
+        let _ = self.socket.try_send_to(&bytes, to);
     }
 
     /// Handles a lender's response.
@@ -354,6 +370,19 @@
     }
 }
 
+/// Logs a loan when it is booked. The response to a repeat is not logged again, since the sum of the
+/// lines is what was lent.
+fn log_lent(loan_request: &loan::Request, response: &loan::Response) {
+    log_event!(
+        Event::TokensLent,
+        "account={} tokens={} wanted={} left={}",
+        loan_request.account,
+        response.tokens,
+        loan_request.wanted_tokens,
+        response.remaining
+    );
+}
+
 fn complete(request: BorrowRequest, has_tokens: bool) {
     // The request may be gone; its tokens stay with the account.
     let _ = request.reply.send(has_tokens);
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     store_calls: Counter<u64>,
     crashes: Counter<u64>,
     malformed_headers: Counter<u64>,
+    loan_requests: Counter<u64>,
     first_event: Histogram<f64>,
     request_duration: Histogram<f64>,
 }
@@ -43,6 +44,7 @@
             store_calls: meter.u64_counter("fescuewell_store_calls").build(),
             crashes: meter.u64_counter("fescuewell_server_crashes").build(),
             malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
+            loan_requests: meter.u64_counter("fescuewell_loan_requests").build(),
             first_event: meter
                 .f64_histogram("fescuewell_first_event_seconds")
                 .build(),
@@ -99,6 +101,12 @@
         self.malformed_headers.add(1, &attributes);
     }
 
+    /// Counts a loan request sent to another instance.
+    pub fn count_loan_request(&self, is_repeat: bool) {
+        let kind = if is_repeat { "repeated" } else { "asked" };
+        self.loan_requests.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &str, outcome: &'static str) {
         let attributes = [
