Model engines: failures are reported between instances

Such an engine answers at once, looks idle and attracts requests; each instance sends it few and needs six failures of its own to eject it. Ruled out: a stricter score alone, since an instance sees one or two failures of each such engine. Plain services are judged as before.

--- a/crates/fescuewell_forward/src/health.rs
+++ b/crates/fescuewell_forward/src/health.rs
@@ -2,7 +2,11 @@
 //! instance's requests.
 //!
 //! A server can pass its own health check and still fail the requests it receives. Outcomes reveal
-//! it within a few requests; such a server is ejected for a while and then retried.
+//! it within a few requests; such a server is ejected for a while and then retried. In a fleet each
+//! instance sends few requests to each server, so that instances report failures to each other;
+//! see [`failure`].
+
+pub mod failure;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -16,6 +20,8 @@
     Full,
     /// It ran the request and reported a failure; some requests fail at every server.
     Failed,
+    /// It ran the request and reported a failure, which a model engine does only if it is faulty.
+    Faulty,
     /// The exchange broke off or timed out.
     Bad,
 }
@@ -26,6 +32,9 @@
 const FULL_SCORE: f64 = 0.5;
 /// Score of an [`Outcome::Failed`].
 const FAILED_SCORE: f64 = 0.35;
+/// Time in which the score of failures reported by other instances halves, in milliseconds. An
+/// instance that does not use a server sees no good outcome that would halve it.
+const REPORTED_HALF_LIFE_MS: f64 = 2_000.0;
 /// Score from which a server is ejected.
 const EJECTION_SCORE: f64 = 2.0;
 /// Duration of the first ejection in milliseconds; doubles with each further one.
@@ -49,6 +58,9 @@
 struct ServerHealth {
     /// Sum of the outcomes' scores, halved by each good one.
     score: f64,
+    /// Sum of the scores of failures that other instances reported, as of `reported_at_ms`.
+    reported: f64,
+    reported_at_ms: u64,
     ejected_until_ms: u64,
     /// Duration of the last ejection.
     ejection_ms: u64,
@@ -57,6 +69,26 @@
     measured_at_ms: Option<u64>,
 }
 
+impl ServerHealth {
+    fn reported_score(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.reported_at_ms) as f64;
+        self.reported * 0.5_f64.powf(age_ms / REPORTED_HALF_LIFE_MS)
+    }
+
+    fn eject_if_failing(&mut self, now_ms: u64) -> bool {
+        let score = self.score + self.reported_score(now_ms);
+        if score < EJECTION_SCORE || now_ms < self.ejected_until_ms {
+            return false;
+        }
+        self.ejection_ms = (self.ejection_ms * 2).clamp(BASE_EJECTION_MS, MAX_EJECTION_MS);
+        self.ejected_until_ms = now_ms + self.ejection_ms;
+        // A single bad outcome after the ejection is enough for the next one.
+        self.score = EJECTION_SCORE - BAD_SCORE;
+        self.reported = 0.0;
+        true
+    }
+}
+
 /// Health of the backend servers by id.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -70,6 +102,7 @@
         match outcome {
             Outcome::Good => {
                 server.score *= 0.5;
+                server.reported *= 0.5;
                 if server.score < 0.1 {
                     server.ejection_ms = 0;
                 }
@@ -77,16 +110,18 @@
             }
             Outcome::Full => server.score += FULL_SCORE,
             Outcome::Failed => server.score += FAILED_SCORE,
-            Outcome::Bad => server.score += BAD_SCORE,
-        }
-        if server.score < EJECTION_SCORE || now_ms < server.ejected_until_ms {
-            return false;
+            Outcome::Faulty | Outcome::Bad => server.score += BAD_SCORE,
         }
-        server.ejection_ms = (server.ejection_ms * 2).clamp(BASE_EJECTION_MS, MAX_EJECTION_MS);
-        server.ejected_until_ms = now_ms + server.ejection_ms;
-        // A single bad outcome after the ejection is enough for the next one.
-        server.score = EJECTION_SCORE - BAD_SCORE;
-        true
+        server.eject_if_failing(now_ms)
+    }
+
+    /// Records a failure of a model engine that another instance reported. Returns `true` if it
+    /// ejects the server.
+    pub fn record_reported(&mut self, id: &Arc<str>, now_ms: u64) -> bool {
+        let server = self.servers.entry(id.clone()).or_default();
+        server.reported = server.reported_score(now_ms) + BAD_SCORE;
+        server.reported_at_ms = now_ms;
+        server.eject_if_failing(now_ms)
     }
 
     /// Returns `true` if the server is ejected.
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -25,6 +25,7 @@
 use crate::condition::limit;
 use crate::crash;
 use crate::directory::summary::Summary;
+use crate::health::failure;
 use crate::loan;
 use crate::relay::Digest;
 use crate::snapshot;
@@ -54,6 +55,8 @@
     Summary(Summary),
     /// Request rates that backend servers accept from the whole fleet.
     Limits(Vec<limit::Update>),
+    /// Failures of model engines.
+    Failures(failure::Batch),
 }
 
 /// Secret key of the fleet; messages of senders without it are ignored.
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -14,6 +14,7 @@
 use fescuewell_forward::directory::Member;
 use fescuewell_forward::directory::summary::Summary;
 use fescuewell_forward::evacuation::Order;
+use fescuewell_forward::health::failure::{Batch, Failure};
 use fescuewell_forward::loan;
 use fescuewell_forward::message::{Key, Message};
 use fescuewell_forward::quota::row::{Entry as JournalEntry, Grant, Journal, Ledger, Usage};
@@ -240,6 +241,15 @@
         "06010201016501017a010166010165000a0100020101000a01000202017a03040101670506070809010a"
     );
     assert_eq!(encode(&Message::Limits(vec![limit])), "070101690201dc0b03");
+    let failures = Batch {
+        instance: "e".into(),
+        sent_at_ms: 3,
+        failures: vec![Failure {
+            server: "i".into(),
+            incarnation: Incarnation::from_number(2),
+        }],
+    };
+    assert_eq!(encode(&Message::Failures(failures)), "0801650301016902");
     assert_eq!(encode(&report), "016501010169020301040169");
     assert_eq!(
         hex(&Key::new([7; 32]).seal(&Message::CrashesWanted)),
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -2,6 +2,7 @@
 //! token grants and membership with the store.
 
 mod crashes;
+mod failures;
 mod fence;
 mod gossip;
 mod journal;
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -1,5 +1,5 @@
 //! Messages between instances: load reports, which are optional hints for load balancing, token
-//! loans, server list digests, crash records and limits of backend servers.
+//! loans, server list digests, crash records, limits and failures of backend servers.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use super::lending::Lending;
-use super::{Control, crashes, limits, members, watch};
+use super::{Control, crashes, failures, limits, members, watch};
 
 /// Minimum interval between two load reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(10);
@@ -46,6 +46,7 @@
         receive(control, &socket, &lending),
         crashes::exchange(control, &socket),
         limits::exchange(control, &socket),
+        failures::report(control, &socket),
         lending.run()
     );
 }
@@ -145,6 +146,7 @@
             limits::send_sample(control, socket, &[from]);
         }
         Some(Message::Limits(updates)) => limits::receive(control, updates, from),
+        Some(Message::Failures(batch)) => failures::receive(control, batch),
         Some(Message::Summary(summary)) => members::receive_summary(control, summary),
         // Requested over HTTP, since the response is too large for a datagram.
         Some(Message::SnapshotWanted(_)) | None => {}
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use fescuewell_forward::config::Table;
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
-use fescuewell_forward::health::Health;
+use fescuewell_forward::health::{Health, failure};
 use fescuewell_forward::message::Key;
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
@@ -121,6 +121,7 @@
     store_recoveries: watch::Sender<u64>,
     load_change: Notify,
     limit_change: Notify,
+    failure: Notify,
     gate: OnceLock<Gate>,
     started: Instant,
 }
@@ -149,6 +150,7 @@
             cursor: relay::Cursor::default(),
             warmup: Warmup::default(),
             health: Health::default(),
+            failures: failure::Exchange::default(),
             conditions: Conditions::new(settings.name.clone()),
             crashes: Detector::default(),
             quarantine: Quarantine::default(),
@@ -185,6 +187,7 @@
             store_recoveries,
             load_change: Notify::new(),
             limit_change: Notify::new(),
+            failure: Notify::new(),
             gate: OnceLock::new(),
             started: Instant::now(),
         };
@@ -381,6 +384,16 @@
         self.load_change.notified().await;
     }
 
+    /// Notifies the sender of failure reports.
+    pub fn notify_failure(&self) {
+        self.failure.notify_one();
+    }
+
+    /// Waits until a model engine fails a request of this instance.
+    pub async fn failure_recorded(&self) {
+        self.failure.notified().await;
+    }
+
     /// Subscribes to changes of the available tokens.
     pub fn token_changes(&self) -> watch::Receiver<u64> {
         self.token_changes.subscribe()
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -8,7 +8,7 @@
 use fescuewell_forward::condition::Conditions;
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
-use fescuewell_forward::health::Health;
+use fescuewell_forward::health::{Health, failure};
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
@@ -28,6 +28,8 @@
     pub warmup: Warmup,
     /// Health scores of backend servers.
     pub health: Health,
+    /// Failures of model engines, exchanged with other instances.
+    pub failures: failure::Exchange,
     /// Conditions that backend servers declare.
     pub conditions: Conditions,
     /// Suspected and detected crashes of backend servers.
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -202,7 +202,10 @@
                     body,
                 };
                 if status.is_server_error() {
-                    permit.record_outcome(Outcome::Failed);
+                    permit.record_outcome(match self.service.engine {
+                        Some(_) => Outcome::Faulty,
+                        None => Outcome::Failed,
+                    });
                     self.log_failure(permit, "failed", status.as_str());
                     return AttemptOutcome::Failed(response);
                 }
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -96,7 +96,13 @@
         let ejected = state
             .health
             .record_outcome(&self.server.id, outcome, now_ms);
+        if outcome == Outcome::Faulty {
+            state.failures.push(&self.server);
+        }
         drop(state);
+        if outcome == Outcome::Faulty {
+            self.gateway.notify_failure();
+        }
         if ejected {
             log_event!(
                 Event::ServerEjected,
