Soak: a server fails everything

Cause: the soak did not know the reports of failing engines. Change: after the phase of declared conditions one server fails all requests for four seconds; what reaches it is bounded by two failures, the callers under way, and the ends of two ejections.

--- a/tests/soak/conditions.rs
+++ b/tests/soak/conditions.rs
@@ -165,3 +165,20 @@
     }
     None
 }
+
+/// Duration of the phase in which a server fails everything.
+const FAULT: Duration = Duration::from_secs(4);
+/// Requests that a server may get while it fails everything: two until all instances eject it, one for each of the six callers
+/// that is under way then, and as many at the end of each of the two ejections within [`FAULT`].
+const MAX_FAILURES: usize = 3 * (2 + 6);
+
+/// Lets one server fail all requests, and describes a violation if the instances go on sending to it.
+pub fn failure_violation(worker: &Worker) -> Option<String> {
+    std::thread::sleep(LIST_DELAY);
+    let started = Instant::now();
+    worker.next(&[Behaviour::Fail; 4 * MAX_FAILURES]);
+    std::thread::sleep(FAULT);
+    let runs = worker.runs();
+    let count = runs.iter().filter(|run| run.at >= started).count();
+    (count > MAX_FAILURES).then(|| format!("{count} requests at a server that fails everything"))
+}
