Health: an ejection for reports leaves no lasting score

Cause: after an ejection the own score was set to 1, which only a good outcome halves. An instance that does not use the engine sees none, so that any single later report ejected the engine again and the penalty of 1 stayed. Reports during an ejection also added up without a bound. Ruled out: plain services; their reported score is always 0 and their own one is set to 1 as before. Change: where reports caused the ejection, the remainder is part of the reported score, which halves from one ejection's duration after the end. Reports during an ejection are ignored.

--- a/crates/fescuewell_forward/src/health.rs
+++ b/crates/fescuewell_forward/src/health.rs
@@ -58,7 +58,7 @@
 struct ServerHealth {
     /// Sum of the outcomes' scores, halved by each good one.
     score: f64,
-    /// Sum of the scores of failures that other instances reported, as of `reported_at_ms`.
+    /// Sum of the scores of failures that other instances reported; halves from `reported_at_ms` on.
     reported: f64,
     reported_at_ms: u64,
     ejected_until_ms: u64,
@@ -83,8 +83,17 @@
         self.ejection_ms = (self.ejection_ms * 2).clamp(BASE_EJECTION_MS, MAX_EJECTION_MS);
         self.ejected_until_ms = now_ms + self.ejection_ms;
         // A single bad outcome after the ejection is enough for the next one.
-        self.score = EJECTION_SCORE - BAD_SCORE;
-        self.reported = 0.0;
+        let remainder = EJECTION_SCORE - BAD_SCORE;
+        if self.score >= remainder {
+            self.score = remainder;
+            self.reported = 0.0;
+        } else {
+            // Reports ejected the server. This instance may not use it and would keep an own score
+            // for good, so the remainder expires: from one ejection's duration after the end.
+            self.score = 0.0;
+            self.reported = remainder;
+            self.reported_at_ms = self.ejected_until_ms + self.ejection_ms;
+        }
         true
     }
 }
@@ -116,9 +125,13 @@
     }
 
     /// Records a failure of a model engine that another instance reported. Returns `true` if it
-    /// ejects the server.
+    /// ejects the server. Reports during an ejection are ignored, so that they do not add up while
+    /// the other instances find out about the fault.
     pub fn record_reported(&mut self, id: &Arc<str>, now_ms: u64) -> bool {
         let server = self.servers.entry(id.clone()).or_default();
+        if now_ms < server.ejected_until_ms {
+            return false;
+        }
         server.reported = server.reported_score(now_ms) + BAD_SCORE;
         server.reported_at_ms = now_ms;
         server.eject_if_failing(now_ms)
--- a/crates/fescuewell_forward/tests/failures.rs
+++ b/crates/fescuewell_forward/tests/failures.rs
@@ -206,3 +206,42 @@
         assert!(!health.record_outcome(&id(), Outcome::Failed, START_MS + request));
     }
 }
+
+/// Guards against instances that do not use a server and leave it out, or avoid it, for good after
+/// they ejected it once for reports.
+#[test]
+fn an_ejection_for_reports_leaves_no_lasting_score() {
+    let mut health = Health::default();
+    for _ in 0..2 {
+        health.record_reported(&id(), START_MS);
+    }
+    assert!(health.is_ejected(&id(), START_MS));
+
+    for failure in 1..20 {
+        let now_ms = START_MS + failure * 10_000;
+
+        assert!(!health.record_reported(&id(), now_ms));
+    }
+    assert_eq!(health.penalty(&id()), 0.0);
+}
+
+#[test]
+fn a_report_soon_after_an_ejection_is_enough_for_the_next_one() {
+    let mut health = Health::default();
+    for _ in 0..2 {
+        health.record_reported(&id(), START_MS);
+    }
+
+    assert!(health.record_reported(&id(), START_MS + 1_500));
+}
+
+/// Guards against scores that add up while a server is ejected, and eject it again once it works.
+#[test]
+fn reports_during_an_ejection_do_not_add_up() {
+    let mut health = Health::default();
+    for _ in 0..1_000 {
+        health.record_reported(&id(), START_MS);
+    }
+
+    assert!(!health.record_outcome(&id(), Outcome::Full, START_MS + 1_000));
+}
