Engine failures: failures that waited expire, known senders are bounded

Cause: a batch carries its time of sending. A failure that waits for bandwidth (about 0.7 s after one report to 24 instances, several seconds after a full batch) was reported as new, also after the engine had recovered. The map of senders grew beyond its limit while all batches were recent. Ruled out: a time per failure in the message, since the sender knows how long a failure waited and the format can stay. Change: failures wait for at most 2 s. Senders beyond 1,024 are ignored until an old one can be forgotten. Measured: a_failure_that_waited_too_long_is_not_reported and the_number_of_known_senders_is_bounded fail without the two checks and pass with them.

--- a/crates/fescuewell_forward/src/health/failure.rs
+++ b/crates/fescuewell_forward/src/health/failure.rs
@@ -14,11 +14,12 @@
 pub const MAX_FAILURES: usize = 16;
 /// Maximum number of instances that receive a batch.
 pub const MAX_RECEIVERS: usize = 24;
-/// Age from which a batch is ignored, in milliseconds of the store's clock; by then the server is
-/// ejected or has recovered.
+/// Age from which a failure is not reported and a batch is ignored, in milliseconds of the store's
+/// clock; by then the server is ejected or has recovered.
 const MAX_AGE_MS: u64 = 2_000;
-/// Number of known senders from which those with old batches are forgotten.
-const MAX_SENDERS: usize = 1_024;
+/// Maximum number of known senders. Those with old batches are forgotten; while there are none,
+/// further senders are ignored.
+pub const MAX_SENDERS: usize = 1_024;
 
 /// A failure of a server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,25 +44,36 @@
 /// Failures that this instance has to report, and the batches that it has received.
 #[derive(Debug, Default)]
 pub struct Exchange {
-    pending: Vec<Failure>,
+    /// Failures with the times when they were recorded.
+    pending: Vec<(u64, Failure)>,
     last_sent_ms: u64,
     /// Time of sending of the newest batch of each sender.
     received: HashMap<Arc<str>, u64>,
 }
 
 impl Exchange {
-    /// Adds a failure to report. Further ones are dropped while [`MAX_FAILURES`] wait.
-    pub fn push(&mut self, server: &Entry) {
+    /// Adds a failure to report, recorded at `store_ms` of the store's clock. Further ones are
+    /// dropped while [`MAX_FAILURES`] wait.
+    pub fn push(&mut self, server: &Entry, store_ms: u64) {
+        self.expire(store_ms);
         if self.pending.len() < MAX_FAILURES {
-            self.pending.push(Failure {
+            let failure = Failure {
                 server: server.id.clone(),
                 incarnation: server.incarnation(),
-            });
+            };
+            self.pending.push((store_ms, failure));
         }
     }
 
+    /// Drops failures that have waited for too long.
+    fn expire(&mut self, store_ms: u64) {
+        self.pending
+            .retain(|(recorded_at_ms, _)| recorded_at_ms.abs_diff(store_ms) < MAX_AGE_MS);
+    }
+
     /// Takes the failures to report at `store_ms` of the store's clock, or `None` if there are none.
     pub fn take(&mut self, instance: &Arc<str>, store_ms: u64) -> Option<Batch> {
+        self.expire(store_ms);
         if self.pending.is_empty() {
             return None;
         }
@@ -69,7 +81,7 @@
         Some(Batch {
             instance: instance.clone(),
             sent_at_ms: self.last_sent_ms,
-            failures: std::mem::take(&mut self.pending),
+            failures: self.pending.drain(..).map(|(_, failure)| failure).collect(),
         })
     }
 
@@ -82,8 +94,11 @@
         if is_overtaken || !is_recent(batch.sent_at_ms) {
             return Vec::new();
         }
-        if self.received.len() >= MAX_SENDERS {
+        if newest.is_none() && self.received.len() >= MAX_SENDERS {
             self.received.retain(|_, sent_at_ms| is_recent(*sent_at_ms));
+            if self.received.len() >= MAX_SENDERS {
+                return Vec::new();
+            }
         }
         self.received.insert(batch.instance, batch.sent_at_ms);
         let mut failures = batch.failures;
--- a/crates/fescuewell_forward/tests/failures.rs
+++ b/crates/fescuewell_forward/tests/failures.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use fescuewell_forward::health::failure::{Batch, Exchange, MAX_FAILURES};
+use fescuewell_forward::health::failure::{Batch, Exchange, MAX_FAILURES, MAX_SENDERS};
 use fescuewell_forward::health::{Health, Outcome};
 use fescuewell_forward::server::{Entry, State};
 
@@ -69,7 +69,7 @@
         instance
             .health
             .record_outcome(&id(), Outcome::Faulty, now_ms);
-        instance.exchange.push(&engine());
+        instance.exchange.push(&engine(), now_ms);
         let name: Arc<str> = format!("entry-{at}").into();
         let Some(batch) = instance.exchange.take(&name, now_ms).filter(|_| reports) else {
             continue;
@@ -113,7 +113,7 @@
 fn a_duplicate_counts_once() {
     let mut sender = Exchange::default();
     let mut receiver = Exchange::default();
-    sender.push(&engine());
+    sender.push(&engine(), START_MS);
     let batch = sender.take(&"entry-1".into(), START_MS).unwrap();
 
     assert_eq!(receiver.receive(batch.clone(), START_MS).len(), 1);
@@ -125,7 +125,7 @@
 fn a_late_report_is_ignored() {
     let mut sender = Exchange::default();
     let mut receiver = Exchange::default();
-    sender.push(&engine());
+    sender.push(&engine(), START_MS);
     let batch = sender.take(&"entry-1".into(), START_MS).unwrap();
 
     assert!(receiver.receive(batch, START_MS + 2_000).is_empty());
@@ -136,7 +136,7 @@
     let mut receiver = Exchange::default();
     for (start, at_ms) in [(0, START_MS), (1, START_MS + 1_000)] {
         let mut sender = Exchange::default();
-        sender.push(&engine());
+        sender.push(&engine(), at_ms);
         let batch = sender.take(&"entry-1".into(), at_ms).unwrap();
 
         assert_eq!(receiver.receive(batch, at_ms).len(), 1, "start {start}");
@@ -148,7 +148,7 @@
     let mut sender = Exchange::default();
     let mut receiver = Exchange::default();
     for _ in 0..2 {
-        sender.push(&engine());
+        sender.push(&engine(), START_MS);
         let batch = sender.take(&"entry-1".into(), START_MS).unwrap();
 
         assert_eq!(receiver.receive(batch, START_MS).len(), 1);
@@ -159,7 +159,7 @@
 fn a_batch_is_bounded() {
     let mut sender = Exchange::default();
     for _ in 0..100 {
-        sender.push(&engine());
+        sender.push(&engine(), START_MS);
     }
 
     let batch = sender.take(&"entry-1".into(), START_MS).unwrap();
@@ -245,3 +245,39 @@
 
     assert!(!health.record_outcome(&id(), Outcome::Full, START_MS + 1_000));
 }
+
+/// Guards against a failure that waits for bandwidth and is then reported as a new one: the pause
+/// after a full batch takes several seconds.
+#[test]
+fn a_failure_that_waited_too_long_is_not_reported() {
+    let mut sender = Exchange::default();
+    sender.push(&engine(), START_MS);
+    sender.push(&engine(), START_MS + 1_500);
+
+    let batch = sender.take(&"entry-1".into(), START_MS + 2_000).unwrap();
+
+    assert_eq!(batch.failures.len(), 1);
+}
+
+/// Guards against memory that grows with the number of senders.
+#[test]
+fn the_number_of_known_senders_is_bounded() {
+    let mut receiver = Exchange::default();
+    let batch = |number: usize, at_ms: u64| {
+        let mut sender = Exchange::default();
+        sender.push(&engine(), at_ms);
+        let name: Arc<str> = format!("entry-{number}").into();
+        sender.take(&name, at_ms).unwrap()
+    };
+    for number in 0..MAX_SENDERS {
+        assert_eq!(receiver.receive(batch(number, START_MS), START_MS).len(), 1);
+    }
+
+    let further = receiver.receive(batch(MAX_SENDERS, START_MS), START_MS);
+    let known = receiver.receive(batch(0, START_MS + 1), START_MS + 1);
+    let later_ms = START_MS + 3_000;
+    let later = receiver.receive(batch(MAX_SENDERS, later_ms), later_ms);
+
+    assert!(further.is_empty());
+    assert_eq!((known.len(), later.len()), (1, 1));
+}
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -97,7 +97,8 @@
             .health
             .record_outcome(&self.server.id, outcome, now_ms);
         if outcome == Outcome::Faulty {
-            state.failures.push(&self.server);
+            let store_ms = state.store_ms(now_ms);
+            state.failures.push(&self.server, store_ms);
         }
         drop(state);
         if outcome == Outcome::Faulty {
--- a/crates/fescuewell_gateway/tests/failures.rs
+++ b/crates/fescuewell_gateway/tests/failures.rs
@@ -55,7 +55,8 @@
     let mut state = gateway.state();
     let id = engine().id;
     state.health.record_outcome(&id, Outcome::Faulty, now_ms);
-    state.failures.push(&engine());
+    let store_ms = state.store_ms(now_ms);
+    state.failures.push(&engine(), store_ms);
     drop(state);
     gateway.notify_failure();
 }
