--- a/crates/fescuewell_forward/src/health/failure.rs
+++ b/crates/fescuewell_forward/src/health/failure.rs
@@ -4,6 +4,7 @@
 //! instances. Each of them would need several failures of its own to eject it.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -41,6 +42,25 @@
     pub failures: Vec<Failure>,
 }
 
+/// Selects the receivers of a batch: the advertised instances, which send most requests, then
+/// others. `random` decides which of the advertised ones, where there are more than
+/// [`MAX_RECEIVERS`]; otherwise some would never receive a batch.
+pub fn receivers(
+    mut advertised: Vec<SocketAddr>,
+    others: Vec<SocketAddr>,
+    random: usize,
+) -> Vec<SocketAddr> {
+    let start = random.checked_rem(advertised.len()).unwrap_or_default();
+    advertised.rotate_left(start);
+    for peer in others {
+        if !advertised.contains(&peer) {
+            advertised.push(peer);
+        }
+    }
+    advertised.truncate(MAX_RECEIVERS);
+    advertised
+}
+
 /// Failures that this instance has to report, and the batches that it has received.
 #[derive(Debug, Default)]
 pub struct Exchange {
--- a/crates/fescuewell_forward/tests/failures.rs
+++ b/crates/fescuewell_forward/tests/failures.rs
@@ -1,9 +1,12 @@
 //! Faulty model engines in a fleet whose instances report failures to each other.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fescuewell_forward::health::failure::{Batch, Exchange, MAX_FAILURES, MAX_SENDERS};
+use fescuewell_forward::health::failure::{
+    Batch, Exchange, MAX_FAILURES, MAX_RECEIVERS, MAX_SENDERS, receivers,
+};
 use fescuewell_forward::health::{Health, Outcome};
 use fescuewell_forward::server::{Entry, State};
 
@@ -281,3 +284,49 @@
     assert!(further.is_empty());
     assert_eq!((known.len(), later.len()), (1, 1));
 }
+
+/// Guards against advertised instances that never receive a report, since a fleet advertises more
+/// instances than a batch has receivers.
+#[test]
+fn every_advertised_instance_is_reached_in_turn() {
+    let address = |number: u16| SocketAddr::from(([127, 0, 0, 1], number));
+    let advertised: Vec<SocketAddr> = (1..=164).map(address).collect();
+    let others: Vec<SocketAddr> = (1_000..1_024).map(address).collect();
+
+    let batches = (0..164).map(|random| receivers(advertised.clone(), others.clone(), random));
+    let batches: Vec<Vec<SocketAddr>> = batches.collect();
+
+    let reached: HashSet<&SocketAddr> = batches.iter().flatten().collect();
+    assert!(batches.iter().all(|batch| batch.len() == MAX_RECEIVERS));
+    assert_eq!(reached, advertised.iter().collect());
+}
+
+#[test]
+fn a_batch_reaches_all_advertised_instances_of_a_small_fleet_and_others() {
+    let address = |number: u16| SocketAddr::from(([127, 0, 0, 1], number));
+    let advertised = vec![address(1), address(2)];
+
+    let reached = receivers(advertised, vec![address(2), address(3)], 7);
+
+    assert_eq!(reached, [address(2), address(1), address(3)]);
+    assert!(receivers(Vec::new(), Vec::new(), 7).is_empty());
+}
+
+/// Guards against a note that promises too much: at an instance without failures of its own, the
+/// first report has lost some of its weight when the second one arrives.
+#[test]
+fn an_instance_without_own_failures_needs_a_third_report() {
+    let mut health = Health::default();
+
+    assert!(!health.record_reported(&id(), START_MS));
+    assert!(!health.record_reported(&id(), START_MS + 100));
+    assert!(health.record_reported(&id(), START_MS + 200));
+}
+
+#[test]
+fn an_own_failure_and_a_report_are_enough() {
+    let mut health = Health::default();
+
+    assert!(!health.record_outcome(&id(), Outcome::Faulty, START_MS));
+    assert!(health.record_reported(&id(), START_MS + 1_000));
+}
--- a/crates/fescuewell_gateway/src/control/failures.rs
+++ b/crates/fescuewell_gateway/src/control/failures.rs
@@ -5,8 +5,9 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::health::failure::{Batch, MAX_RECEIVERS};
+use fescuewell_forward::health::failure::{self, Batch, MAX_RECEIVERS};
 use fescuewell_forward::message::Message;
+use rand::Rng;
 use tokio::net::UdpSocket;
 
 use super::Control;
@@ -45,22 +46,18 @@
     state.failures.take(&gateway.settings.name, store_ms)
 }
 
-/// Selects the advertised instances, which send most requests, and random others.
 fn receivers(control: &Control) -> Vec<SocketAddr> {
     let own = control.gateway.settings.peer;
-    let mut receivers: Vec<SocketAddr> = {
-        let state = control.gateway.state();
+    let (advertised, random) = {
+        let mut state = control.gateway.state();
+        let random = state.rng.random_range(0..usize::MAX);
         let advertised = state.directory.advertised();
         let peers = advertised.iter().filter_map(|(_, member)| member.peer);
-        peers.filter(|peer| Some(*peer) != own).collect()
+        let peers: Vec<SocketAddr> = peers.filter(|peer| Some(*peer) != own).collect();
+        (peers, random)
     };
-    for peer in random_peers(control, MAX_RECEIVERS) {
-        if !receivers.contains(&peer) {
-            receivers.push(peer);
-        }
-    }
-    receivers.truncate(MAX_RECEIVERS);
-    receivers
+    let others = random_peers(control, MAX_RECEIVERS);
+    failure::receivers(advertised, others, random)
 }
 
 /// Applies the failures that another instance reports. Those of servers that have restarted since
