--- a/crates/fescuewell_forward/tests/failures.rs
+++ b/crates/fescuewell_forward/tests/failures.rs
@@ -1,9 +1,12 @@
 //! Faulty model engines in a fleet whose instances report failures to each other.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use fescuewell_forward::health::failure::{Batch, Exchange, MAX_FAILURES};
+use fescuewell_forward::health::failure::{
+    Batch, Exchange, MAX_FAILURES, MAX_RECEIVERS, MAX_SENDERS, receivers,
+};
 use fescuewell_forward::health::{Health, Outcome};
 use fescuewell_forward::server::{Entry, State};
 
@@ -69,7 +72,7 @@
         instance
             .health
             .record_outcome(&id(), Outcome::Faulty, now_ms);
-        instance.exchange.push(&engine());
+        instance.exchange.push(&engine(), now_ms);
         let name: Arc<str> = format!("entry-{at}").into();
         let Some(batch) = instance.exchange.take(&name, now_ms).filter(|_| reports) else {
             continue;
@@ -113,7 +116,7 @@
 fn a_duplicate_counts_once() {
     let mut sender = Exchange::default();
     let mut receiver = Exchange::default();
-    sender.push(&engine());
+    sender.push(&engine(), START_MS);
     let batch = sender.take(&"entry-1".into(), START_MS).unwrap();
 
     assert_eq!(receiver.receive(batch.clone(), START_MS).len(), 1);
@@ -125,7 +128,7 @@
 fn a_late_report_is_ignored() {
     let mut sender = Exchange::default();
     let mut receiver = Exchange::default();
-    sender.push(&engine());
+    sender.push(&engine(), START_MS);
     let batch = sender.take(&"entry-1".into(), START_MS).unwrap();
 
     assert!(receiver.receive(batch, START_MS + 2_000).is_empty());
@@ -136,7 +139,7 @@
     let mut receiver = Exchange::default();
     for (start, at_ms) in [(0, START_MS), (1, START_MS + 1_000)] {
         let mut sender = Exchange::default();
-        sender.push(&engine());
+        sender.push(&engine(), at_ms);
         let batch = sender.take(&"entry-1".into(), at_ms).unwrap();
 
         assert_eq!(receiver.receive(batch, at_ms).len(), 1, "start {start}");
@@ -148,7 +151,7 @@
     let mut sender = Exchange::default();
     let mut receiver = Exchange::default();
     for _ in 0..2 {
-        sender.push(&engine());
+        sender.push(&engine(), START_MS);
         let batch = sender.take(&"entry-1".into(), START_MS).unwrap();
 
         assert_eq!(receiver.receive(batch, START_MS).len(), 1);
@@ -159,7 +162,7 @@
 fn a_batch_is_bounded() {
     let mut sender = Exchange::default();
     for _ in 0..100 {
-        sender.push(&engine());
+        sender.push(&engine(), START_MS);
     }
 
     let batch = sender.take(&"entry-1".into(), START_MS).unwrap();
@@ -206,3 +209,124 @@
         assert!(!health.record_outcome(&id(), Outcome::Failed, START_MS + request));
     }
 }
+
+/// Guards against instances that do not use a server and leave it out, or avoid it, for good after
+/// they ejected it once for reports.
+#[test]
+fn an_ejection_for_reports_leaves_no_lasting_score() {
+    let mut health = Health::default();
+    for _ in 0..2 {
+        health.record_reported(&id(), START_MS);
+    }
+    assert!(health.is_ejected(&id(), START_MS));
+
+    for failure in 1..20 {
+        let now_ms = START_MS + failure * 10_000;
+
+        assert!(!health.record_reported(&id(), now_ms));
+    }
+    assert_eq!(health.penalty(&id()), 0.0);
+}
+
+#[test]
+fn a_report_soon_after_an_ejection_is_enough_for_the_next_one() {
+    let mut health = Health::default();
+    for _ in 0..2 {
+        health.record_reported(&id(), START_MS);
+    }
+
+    assert!(health.record_reported(&id(), START_MS + 1_500));
+}
+
+/// Guards against scores that add up while a server is ejected, and eject it again once it works.
+#[test]
+fn reports_during_an_ejection_do_not_add_up() {
+    let mut health = Health::default();
+    for _ in 0..1_000 {
+        health.record_reported(&id(), START_MS);
+    }
+
+    assert!(!health.record_outcome(&id(), Outcome::Full, START_MS + 1_000));
+}
+
+/// Guards against a failure that waits for bandwidth and is then reported as a new one: the pause
+/// after a full batch takes several seconds.
+#[test]
+fn a_failure_that_waited_too_long_is_not_reported() {
+    let mut sender = Exchange::default();
+    sender.push(&engine(), START_MS);
+    sender.push(&engine(), START_MS + 1_500);
+
+    let batch = sender.take(&"entry-1".into(), START_MS + 2_000).unwrap();
+
+    assert_eq!(batch.failures.len(), 1);
+}
+
+/// Guards against memory that grows with the number of senders.
+#[test]
+fn the_number_of_known_senders_is_bounded() {
+    let mut receiver = Exchange::default();
+    let batch = |number: usize, at_ms: u64| {
+        let mut sender = Exchange::default();
+        sender.push(&engine(), at_ms);
+        let name: Arc<str> = format!("entry-{number}").into();
+        sender.take(&name, at_ms).unwrap()
+    };
+    for number in 0..MAX_SENDERS {
+        assert_eq!(receiver.receive(batch(number, START_MS), START_MS).len(), 1);
+    }
+
+    let further = receiver.receive(batch(MAX_SENDERS, START_MS), START_MS);
+    let known = receiver.receive(batch(0, START_MS + 1), START_MS + 1);
+    let later_ms = START_MS + 3_000;
+    let later = receiver.receive(batch(MAX_SENDERS, later_ms), later_ms);
+
+    assert!(further.is_empty());
+    assert_eq!((known.len(), later.len()), (1, 1));
+}
+
+/// Guards against advertised instances that never receive a report, since a fleet advertises more
+/// instances than a batch has receivers.
+#[test]
+fn every_advertised_instance_is_reached_in_turn() {
+    let address = |number: u16| SocketAddr::from(([127, 0, 0, 1], number));
+    let advertised: Vec<SocketAddr> = (1..=164).map(address).collect();
+    let others: Vec<SocketAddr> = (1_000..1_024).map(address).collect();
+
+    let batches = (0..164).map(|random| receivers(advertised.clone(), others.clone(), random));
+    let batches: Vec<Vec<SocketAddr>> = batches.collect();
+
+    let reached: HashSet<&SocketAddr> = batches.iter().flatten().collect();
+    assert!(batches.iter().all(|batch| batch.len() == MAX_RECEIVERS));
+    assert_eq!(reached, advertised.iter().collect());
+}
+
+#[test]
+fn a_batch_reaches_all_advertised_instances_of_a_small_fleet_and_others() {
+    let address = |number: u16| SocketAddr::from(([127, 0, 0, 1], number));
+    let advertised = vec![address(1), address(2)];
+
+    let reached = receivers(advertised, vec![address(2), address(3)], 7);
+
+    assert_eq!(reached, [address(2), address(1), address(3)]);
+    assert!(receivers(Vec::new(), Vec::new(), 7).is_empty());
+}
+
+/// Guards against a note that promises too much: at an instance without failures of its own, the
+/// first report has lost some of its weight when the second one arrives.
+#[test]
+fn an_instance_without_own_failures_needs_a_third_report() {
+    let mut health = Health::default();
+
+    assert!(!health.record_reported(&id(), START_MS));
+    assert!(!health.record_reported(&id(), START_MS + 100));
+    assert!(health.record_reported(&id(), START_MS + 200));
+}
+
+#[test]
+fn an_own_failure_and_a_report_are_enough() {
+    let mut health = Health::default();
+
+    assert!(!health.record_outcome(&id(), Outcome::Faulty, START_MS));
+    assert!(health.record_reported(&id(), START_MS + 1_000));
+}
