Engine failures: a 504 at the deadline is no fault of the engine

Cause: found in review. A request with a short deadline ends with a 504 of its engine, which says nothing about it; one caller could have had engines ejected.

--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -202,9 +202,12 @@
                     body,
                 };
                 if status.is_server_error() {
-                    permit.record_outcome(match self.service.engine {
-                        Some(_) => Outcome::Faulty,
-                        None => Outcome::Failed,
+                    // A sound engine also ends a request at its deadline.
+                    let is_faulty =
+                        self.service.engine.is_some() && status != StatusCode::GATEWAY_TIMEOUT;
+                    permit.record_outcome(match is_faulty {
+                        true => Outcome::Faulty,
+                        false => Outcome::Failed,
                     });
                     self.log_failure(permit, "failed", status.as_str());
                     return AttemptOutcome::Failed(response);
