--- a/crates/fescuewell_forward/tests/failures.rs
+++ b/crates/fescuewell_forward/tests/failures.rs
@@ -135,7 +135,7 @@
 }
 
 #[test]
-fn a_sender_that_restarts_is_heard_again() {
+fn reports_of_a_sender_that_restarts_are_accepted() {
     let mut receiver = Exchange::default();
     for (start, at_ms) in [(0, START_MS), (1, START_MS + 1_000)] {
         let mut sender = Exchange::default();
