Configuration: log where a version came from and for how long a newer one was known

Cause: the logs cannot tell a configuration that takes long to copy from one that the instance never heard of; a failed copy left no line. Change: document.in_force names its source and the time for which a newer version was known; document.behind while other instances report a newer one for a second; counters of digests (applied, ignored) and of copies by source and outcome, a gauge of the time behind. No decision changes.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -127,6 +127,8 @@
 
     DocumentUnreadable = 6004, Error, "document.unreadable", "This program cannot read the operator's configuration; the one before stays in force.";
 
+    DocumentBehind = 6005, Warn, "document.behind", "Other instances report a newer document, which this one has not obtained yet.";
+
     OrderPlaced = 7001, Info, "order.placed", "A backend server was ordered to load, unload or change role, and why.";
     OrderRefused = 7002, Warn, "order.refused", "A backend server refused an order, for instance for its fencing number.";
     OrderRepaired = 7003, Warn, "order.repaired", "A read-back differed from what was ordered and was put right.";
--- a/crates/fescuewell_forward/src/config.rs
+++ b/crates/fescuewell_forward/src/config.rs
@@ -1,5 +1,7 @@
 //! The configuration: routes, services, client accounts and limits, and an index for lookups.
 
+mod lag;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +10,8 @@
 
 use crate::warmup;
 
+pub use lag::Lag;
+
 /// Retry and streaming semantics of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: watches the configuration and the backend server list, and synchronizes
 //! token grants and membership with the store.
 
+mod behind;
 mod crashes;
 mod failures;
 mod fence;
@@ -113,7 +114,17 @@
         let overdue = overdue::run(&self);
         let probe = probe::run(&self);
         let crashes = crashes::sync(&self);
-        tokio::join!(configuration, servers, sync, peers, overdue, probe, crashes);
+        let behind = behind::run(&self);
+        tokio::join!(
+            configuration,
+            servers,
+            sync,
+            peers,
+            overdue,
+            probe,
+            crashes,
+            behind
+        );
     }
 
     /// Queues a message for the instances that this reader sends its digests to.
--- a/crates/fescuewell_gateway/src/control/watch/configuration.rs
+++ b/crates/fescuewell_gateway/src/control/watch/configuration.rs
@@ -6,6 +6,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::{Configuration, Table};
+use fescuewell_forward::directory::Role;
 use fescuewell_forward::evacuation::Order;
 use fescuewell_forward::snapshot::{Snapshot, Subject};
 use tokio::time::Instant;
@@ -23,6 +24,24 @@
 /// Interval at which a follower checks whether readers reported a newer configuration.
 const FOLLOWER_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Where a configuration was obtained.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// The store.
+    Store,
+    /// Another instance.
+    Instance,
+}
+
+impl Origin {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Instance => "instance",
+        }
+    }
+}
+
 /// Watches the configuration.
 ///
 /// A copy of a reader is used at the start and while digests arrive. Otherwise the reader may be cut
@@ -59,6 +78,10 @@
 async fn watch_store(control: &Control) {
     let read = control.source.read_state();
     let Ok(response) = control.call("configuration", CALL_TIMEOUT, read).await else {
+        control
+            .gateway
+            .metrics
+            .count_configuration(Origin::Store.name(), "failed");
         return tokio::time::sleep(RETRY_DELAY).await;
     };
     let mut version = response.version;
@@ -91,14 +114,22 @@
 async fn copy_configuration(control: &Control) -> bool {
     let snapshot =
         snapshots::request(control, Subject::Configuration, snapshots::Patience::Start).await;
+    let gateway = &control.gateway;
     let Some(Snapshot::Configuration(configuration)) = snapshot else {
+        if control.role() != Role::Primary {
+            gateway
+                .metrics
+                .count_configuration(Origin::Instance.name(), "failed");
+        }
         return false;
     };
-    let gateway = &control.gateway;
     if configuration.version < gateway.state().cursor.configuration_version() {
+        gateway
+            .metrics
+            .count_configuration(Origin::Instance.name(), "older");
         return false;
     }
-    apply_configuration(control, Some(configuration));
+    apply_configuration(control, Some(configuration), Origin::Instance);
     true
 }
 
@@ -118,7 +149,7 @@
 fn apply_full(control: &Control, response: Versioned<OperatorState>) {
     let now_ms = control.gateway.now_ms();
     observe_clock(control, response.now_ms);
-    apply_configuration(control, response.content.configuration);
+    apply_configuration(control, response.content.configuration, Origin::Store);
     log_invalid(control, response.content.invalid_configuration);
     let mut state = control.gateway.state();
     let orders = response.content.evacuations;
@@ -133,7 +164,7 @@
 /// Applies changes made by the operator.
 fn apply_changes(control: &Control, response: Versioned<OperatorState>) {
     observe_clock(control, response.now_ms);
-    apply_configuration(control, response.content.configuration);
+    apply_configuration(control, response.content.configuration, Origin::Store);
     log_invalid(control, response.content.invalid_configuration);
     evacuate(control, response.content.evacuations);
 }
@@ -188,7 +219,7 @@
         .observe_clock(store_ms, now_ms);
 }
 
-fn apply_configuration(control: &Control, configuration: Option<Configuration>) {
+fn apply_configuration(control: &Control, configuration: Option<Configuration>, origin: Origin) {
     let gateway = &control.gateway;
     let Some(configuration) = configuration else {
         return;
@@ -198,17 +229,24 @@
     if known.is_some_and(|known| known >= configuration.version) {
         return;
     }
+    let now_ms = gateway.now_ms();
+    let behind_ms = gateway.state().lag.behind_ms(now_ms);
+    gateway
+        .metrics
+        .count_configuration(origin.name(), "applied");
     log_event!(
         Event::DocumentInForce,
-        "configuration={} before={} routes={} services={} accounts={}",
+        "configuration={} before={} source={} behind_ms={behind_ms} routes={} services={} accounts={}",
         configuration.version,
         known.unwrap_or_default(),
+        origin.name(),
         configuration.routes.len(),
         configuration.services.len(),
         configuration.accounts.len()
     );
     {
         let mut state = gateway.state();
+        state.lag.apply(configuration.version);
         for account in &configuration.accounts {
             state.quota.set_prepaid(&account.name, account.prepaid);
         }
--- a/crates/fescuewell_gateway/src/control/watch/servers.rs
+++ b/crates/fescuewell_gateway/src/control/watch/servers.rs
@@ -147,12 +147,15 @@
     // one.
     evacuate(control, digest.evacuations.clone());
     {
-        let state = gateway.state();
+        let mut state = gateway.state();
+        state.lag.report(digest.configuration, now_ms);
         let store_ms = state.quota.store_time(now_ms);
         if !state.cursor.accepts(&digest, store_ms) {
+            gateway.metrics.count_digest("ignored");
             return;
         }
     }
+    gateway.metrics.count_digest("applied");
     let has_changes = apply_rows(control, digest.rows.clone());
     gateway.state().cursor.finish(&digest, now_ms);
     forward(control, digest, has_changes, now_ms);
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::Load;
 use fescuewell_forward::condition::Conditions;
-use fescuewell_forward::config::Table;
+use fescuewell_forward::config::{Lag, Table};
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
@@ -148,6 +148,7 @@
         let state = State {
             registry: Registry::default(),
             cursor: relay::Cursor::default(),
+            lag: Lag::default(),
             warmup: Warmup::default(),
             health: Health::default(),
             failures: failure::Exchange::default(),
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -6,6 +6,7 @@
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::{Load, MAX_SUBSET_SIZE};
 use fescuewell_forward::condition::Conditions;
+use fescuewell_forward::config::Lag;
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
@@ -24,6 +25,8 @@
     pub registry: Registry,
     /// Version up to which the list of backend servers is known.
     pub cursor: relay::Cursor,
+    /// How far the configuration is behind that of other instances.
+    pub lag: Lag,
     /// Rate limits for cold backend servers.
     pub warmup: Warmup,
     /// Health scores of backend servers.
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     crashes: Counter<u64>,
     malformed_headers: Counter<u64>,
     loan_requests: Counter<u64>,
+    digests: Counter<u64>,
+    configurations: Counter<u64>,
     first_event: Histogram<f64>,
     request_duration: Histogram<f64>,
 }
@@ -45,6 +47,8 @@
             crashes: meter.u64_counter("fescuewell_server_crashes").build(),
             malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
             loan_requests: meter.u64_counter("fescuewell_loan_requests").build(),
+            digests: meter.u64_counter("fescuewell_digests").build(),
+            configurations: meter.u64_counter("fescuewell_configuration_copies").build(),
             first_event: meter
                 .f64_histogram("fescuewell_first_event_seconds")
                 .build(),
@@ -107,6 +111,20 @@
         self.loan_requests.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a digest of the server list that another instance sent.
+    pub fn count_digest(&self, outcome: &'static str) {
+        self.digests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts an attempt to obtain a newer configuration.
+    pub fn count_configuration(&self, source: &'static str, outcome: &'static str) {
+        let attributes = [
+            KeyValue::new("source", source),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.configurations.add(1, &attributes);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &str, outcome: &'static str) {
         let attributes = [
@@ -188,9 +206,11 @@
                 )
             };
             let unready_left_ms = gateway.state().admission.unready_left_ms(now_ms);
+            let behind_ms = gateway.state().lag.behind_ms(now_ms);
             let values = [
                 ("unready_left_seconds", unready_left_ms as f64 / 1_000.0),
                 ("configuration_version", version as f64),
+                ("configuration_behind_seconds", behind_ms as f64 / 1_000.0),
                 (
                     "store_silent_seconds",
                     gateway.time_since_store_response().as_secs_f64(),
