--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -56,7 +56,7 @@
 pub struct MemoryStore {
     content: Mutex<Content>,
     started: Instant,
-    configuration: Configuration,
+    configuration: Mutex<Configuration>,
 }
 
 impl MemoryStore {
@@ -76,11 +76,11 @@
                 read_counts: HashMap::new(),
             }),
             started: Instant::now(),
-            configuration: Configuration {
+            configuration: Mutex::new(Configuration {
                 version: 1,
                 accounts: vec![Arc::new(account)],
                 ..Configuration::default()
-            },
+            }),
         })
     }
 
@@ -94,6 +94,11 @@
         self.content().rows.insert(id, (value, 1));
     }
 
+    /// Replaces the configuration; watches do not report it.
+    pub fn set_configuration(&self, configuration: Configuration) {
+        *self.configuration.lock().unwrap() = configuration;
+    }
+
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         self.content().behaviour = behaviour;
     }
@@ -258,8 +263,9 @@
 
 impl Source for MemoryStore {
     fn read_state(&self) -> BoxFuture<'_, Versioned<OperatorState>> {
+        let configuration = self.configuration.lock().unwrap().clone();
         Box::pin(self.versioned(OperatorState {
-            configuration: Some(self.configuration.clone()),
+            configuration: Some(configuration),
             ..OperatorState::default()
         }))
     }
--- /dev/null
+++ b/crates/fescuewell_gateway/tests/configuration.rs
@@ -0,0 +1,161 @@
+//! How a change of the configuration reaches an instance whose link is full.
+
+mod common;
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{Behaviour, MemoryStore, instance, settings};
+use fescuewell_forward::config::{Configuration, Kind, Route, Split};
+use fescuewell_forward::directory::Member;
+use fescuewell_gateway::control::Control;
+use fescuewell_gateway::gateway::Gateway;
+
+const ZONE: &str = "zone-0";
+const READER: &str = "reader";
+const FOLLOWER: &str = "follower";
+/// Time that a change may take.
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn free_address() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.local_addr().unwrap()
+}
+
+fn member(peer: SocketAddr, weight: u32) -> Member {
+    Member {
+        address: peer,
+        peer: Some(peer),
+        zone: ZONE.into(),
+        weight,
+        requests_per_s: 0,
+        usage: Vec::new(),
+        heartbeat_at_ms: u64::MAX / 2,
+        unready_until_ms: 0,
+        era: 0,
+        knows_grants: true,
+        interval_ms: 0,
+    }
+}
+
+fn route(number: usize) -> Route {
+    Route {
+        name: format!("r-{number}").into(),
+        host: "host".into(),
+        prefix: format!("/{number}/").into(),
+        kind: Kind::Safe,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        priority: 0,
+        splits: vec![Split {
+            service: "pool".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        public: true,
+        sticky: false,
+        target_gap: Duration::ZERO,
+    }
+}
+
+fn configuration(version: u64, routes: usize) -> Configuration {
+    Configuration {
+        version,
+        routes: (0..routes).map(route).map(Arc::new).collect(),
+        ..Configuration::default()
+    }
+}
+
+/// The peer addresses of a zone with a reader and a follower.
+struct Zone {
+    reader: SocketAddr,
+    follower: SocketAddr,
+}
+
+impl Zone {
+    fn new() -> Self {
+        Self {
+            reader: free_address(),
+            follower: free_address(),
+        }
+    }
+
+    /// Starts an instance with a store of its own that knows all members of the zone.
+    fn start(&self, name: &str, peer: SocketAddr, cores: f64) -> Started {
+        let store = MemoryStore::new(0);
+        store.set_configuration(configuration(1, 400));
+        store.insert("key", "fleet", "fleet", vec![7; 32]);
+        let nobody: SocketAddr = ([127, 0, 0, 1], 1).into();
+        let mut members = vec![
+            (READER.to_owned(), member(self.reader, 1_000_000)),
+            (FOLLOWER.to_owned(), member(self.follower, 1)),
+        ];
+        members.extend((0..8).map(|number| (format!("other-{number}"), member(nobody, 2))));
+        for (other, member) in members {
+            store.insert("member", "fleet", &other, member.encode());
+        }
+        let mut settings = settings(name);
+        settings.zone = ZONE.into();
+        settings.cores = cores;
+        settings.peer = Some(peer);
+        let (gateway, control) = instance(settings, &store, 1);
+        Started {
+            store,
+            gateway,
+            control,
+        }
+    }
+}
+
+struct Started {
+    store: Arc<MemoryStore>,
+    gateway: Arc<Gateway>,
+    control: Control,
+}
+
+async fn wait_version(gateway: &Gateway, version: u64) {
+    while gateway
+        .table()
+        .is_none_or(|table| table.configuration().version < version)
+    {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against an old configuration behind a full link, on which no new connection opens in time
+/// and only datagrams arrive.
+#[test]
+fn a_change_reaches_a_follower_that_can_open_no_connection() {
+    let zone = Zone::new();
+    let reader = zone.start(READER, zone.reader, 1_000.0);
+    let follower = zone.start(FOLLOWER, zone.follower, 0.1);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+
+    let is_current = runtime.block_on(async {
+        let play = async {
+            wait_version(&reader.gateway, 1).await;
+            wait_version(&follower.gateway, 1).await;
+            follower.store.set_behaviour(Behaviour::Silent);
+            reader.store.set_configuration(configuration(2, 401));
+            wait_version(&reader.gateway, 2).await;
+            wait_version(&follower.gateway, 2).await;
+        };
+        tokio::select! {
+            () = reader.control.run() => unreachable!("the control tasks run until the process ends"),
+            () = follower.control.run() => unreachable!("the control tasks run until the process ends"),
+            () = play => true,
+            () = tokio::time::sleep(LIMIT) => false,
+        }
+    });
+
+    assert!(
+        is_current,
+        "the follower still acts by the old configuration"
+    );
+    let table = follower.gateway.table().unwrap();
+    assert_eq!(*table.configuration(), configuration(2, 401));
+}
--- a/crates/fescuewell_standin/src/rows.rs
+++ b/crates/fescuewell_standin/src/rows.rs
@@ -50,6 +50,8 @@
     Late(Duration),
     /// Feeds hear nothing; all else works.
     SilentFeeds,
+    /// Bodies of responses arrive at so many bytes a second, as behind a link that callers fill.
+    Narrow(usize),
 }
 
 /// How to start a stand-in.
--- a/crates/fescuewell_standin/src/rows/serve.rs
+++ b/crates/fescuewell_standin/src/rows/serve.rs
@@ -8,7 +8,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use fescuewell_core::platform::ObjectStore as _;
-use fescuewell_http::listener::{Handler, Reply, Request, spawn};
+use fescuewell_http::listener::{Handler, Reply, Request, Sink, spawn};
 use fescuewell_platform::layout;
 use fescuewell_platform::memory::CallResult;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
@@ -27,6 +27,8 @@
 const ERA: HeaderName = HeaderName::from_static("store-era");
 /// Longest wait of a feed.
 const MOST_WAIT: Duration = Duration::from_secs(30);
+/// Chunks a second in which the body of a response arrives over a narrow link.
+const CHUNKS_PER_S: usize = 20;
 /// Rows in one reading.
 const PAGE: usize = 500;
 /// Entries in one transaction.
@@ -153,7 +155,12 @@
         let mut headers = HeaderMap::new();
         headers.insert(ERA, HeaderValue::from(self.content.state().era));
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        reply.send(status, headers, Bytes::from(body.to_string()));
+        let body = Bytes::from(body.to_string());
+        let Fault::Narrow(bytes_per_s) = self.fault else {
+            return reply.send(status, headers, body);
+        };
+        let sink = reply.stream(status, headers);
+        spawn(trickle(sink, body, bytes_per_s));
     }
 
     async fn serve(&self, request: Request, reply: Reply) {
@@ -163,7 +170,11 @@
             Fault::Silent => return hold(reply).await,
             Fault::Reset => return reply.abort(),
             Fault::Busy => return self.send(reply, StatusCode::SERVICE_UNAVAILABLE, &json!({})),
-            Fault::None | Fault::LostReplies | Fault::Late(_) | Fault::SilentFeeds => {}
+            Fault::None
+            | Fault::LostReplies
+            | Fault::Late(_)
+            | Fault::SilentFeeds
+            | Fault::Narrow(_) => {}
         }
         if let Some(name) = path.strip_prefix("/-/blob-put/") {
             return self.put_object(reply, &request, name).await;
@@ -359,6 +370,18 @@
     Some(name.into_owned())
 }
 
+/// Sends a body at so many bytes a second.
+async fn trickle(sink: Sink, body: Bytes, bytes_per_s: usize) {
+    let chunk_bytes = (bytes_per_s / CHUNKS_PER_S).max(1);
+    for chunk in body.chunks(chunk_bytes) {
+        if sink.send(Bytes::copy_from_slice(chunk)).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_secs(1) / CHUNKS_PER_S as u32).await;
+    }
+    sink.finish();
+}
+
 /// Holds the connection without a reply until the caller closes it.
 async fn hold(reply: Reply) {
     reply.closed().wait().await;
--- a/tests/forward/configuration.rs
+++ b/tests/forward/configuration.rs
@@ -192,3 +192,28 @@
     assert_eq!(response.status, 200);
     assert!(wait_until(|| fixture.version() == 3));
 }
+
+/// Guards against a configuration that is never in force behind a narrow link, because reading it takes
+/// longer than a store call may and each retry begins anew.
+#[test]
+fn a_configuration_that_takes_seconds_to_transfer_comes_into_force() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    let mut large = configuration(2, 1_000_000);
+    let route = large["routes"][0].clone();
+    let routes = large["routes"].as_array_mut().unwrap();
+    for number in 0..400 {
+        let mut added = route.clone();
+        added["name"] = format!("added-{number}").into();
+        added["prefix"] = format!("/added-{number}/").into();
+        routes.push(added);
+    }
+    let bytes = large.to_string().len() * 4 / 3;
+    fixture.store.set_fault(Fault::Narrow(bytes * 2 / 5));
+    // Polls that began before are answered at full speed.
+    let polls = fixture.store.calls("/-/rows-feed");
+    assert!(wait_until(|| fixture.store.calls("/-/rows-feed") > polls + 4));
+
+    fixture.configure(&large);
+
+    assert!(wait_until(|| fixture.version() == 2));
+}
