Configuration: instances exchange changes instead of whole configurations

Callers saw: routes that were added seconds ago answered with 404, or requests handled by a version that several others had replaced (CONFIG), at instances with a narrow link that callers fill.

Cause: each change was copied as a whole, 130 KB from a reader and 500 KB from the store with 1,650 routes, over a connection that had to open within 300 ms, after a digest that is ignored when it is a second late.

Change: readers and relays send the difference to the next version as a message of its own, at once and with the next two digests; it takes some 200 bytes, whatever the configuration's size. A fingerprint of the result keeps it from being applied to anything else. An instance that lacks a version asks for the changes since its own, and gets the whole configuration only if the reader no longer knows them. A late digest still tells that there is a newer version, and a copy is asked for whenever one was reported. Earlier program versions ignore the message and refuse the request; they are asked for the whole configuration.

--- a/crates/fescuewell_forward/src/config.rs
+++ b/crates/fescuewell_forward/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration: routes, services, client accounts and limits, and an index for lookups.
 
+mod change;
 mod lag;
 
 use std::collections::HashMap;
@@ -10,6 +11,7 @@
 
 use crate::warmup;
 
+pub use change::{Change, Edit, History};
 pub use lag::Lag;
 
 /// Retry and streaming semantics of a route's requests.
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::condition::limit;
+use crate::config;
 use crate::crash;
 use crate::directory::summary::Summary;
 use crate::health::failure;
@@ -57,6 +58,8 @@
     Limits(Vec<limit::Update>),
     /// Failures of model engines.
     Failures(failure::Batch),
+    /// A change of the configuration.
+    Configuration(config::Change),
 }
 
 /// Secret key of the fleet; messages of senders without it are ignored.
--- a/crates/fescuewell_forward/src/relay.rs
+++ b/crates/fescuewell_forward/src/relay.rs
@@ -177,7 +177,6 @@
 pub struct Cursor {
     version: u64,
     last_digest_ms: Option<u64>,
-    configuration_version: u64,
 }
 
 impl Cursor {
@@ -186,11 +185,6 @@
         self.version
     }
 
-    /// Newest configuration version that a reader reported.
-    pub fn configuration_version(&self) -> u64 {
-        self.configuration_version
-    }
-
     /// Advances to the version of an own read.
     pub fn advance(&mut self, version: u64) {
         self.version = self.version.max(version);
@@ -210,7 +204,6 @@
     pub fn finish(&mut self, digest: &Digest, now_ms: u64) {
         self.advance(digest.until);
         self.last_digest_ms = Some(now_ms);
-        self.configuration_version = self.configuration_version.max(digest.configuration);
     }
 
     /// Returns `true` while digests arrive.
--- a/crates/fescuewell_forward/src/snapshot.rs
+++ b/crates/fescuewell_forward/src/snapshot.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::config::Configuration;
+use crate::config::{Change, Configuration};
 use crate::server::Update;
 
 /// Version of the encoding of all snapshots. An instance does not respond to a request for another
@@ -22,6 +22,8 @@
     Servers,
     /// The configuration.
     Configuration,
+    /// The changes of the configuration after a version, or all of it if they are not known.
+    ConfigurationAfter(u64),
 }
 
 /// Request for a snapshot.
@@ -67,4 +69,6 @@
     Servers(Servers),
     /// The configuration in force.
     Configuration(Configuration),
+    /// Changes that lead to the configuration in force, in order.
+    Changes(Vec<Change>),
 }
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -9,7 +9,8 @@
 use fescuewell_forward::choice::Report;
 use fescuewell_forward::condition::limit;
 use fescuewell_forward::config::{
-    Account, Configuration, Engine, Kind, Limits, Route, Service, Split,
+    Account, Change as ConfigurationChange, Configuration, Edit, Engine, Kind, Limits, Route,
+    Service, Split,
 };
 use fescuewell_forward::directory::Member;
 use fescuewell_forward::directory::summary::Summary;
@@ -136,6 +137,28 @@
     }
 }
 
+fn change() -> ConfigurationChange {
+    let after = configuration();
+    ConfigurationChange {
+        from: 1,
+        to: 2,
+        fingerprint: 3,
+        routes: Edit {
+            changed: after.routes,
+            removed: vec!["a".into()],
+        },
+        services: Edit {
+            changed: after.services,
+            removed: vec!["b".into()],
+        },
+        accounts: Edit {
+            changed: after.accounts,
+            removed: vec!["c".into()],
+        },
+        limits: after.limits,
+    }
+}
+
 /// Guards against two fields of a type that change places: all instances of one version agree, and
 /// those of two versions read each other wrongly.
 #[test]
@@ -250,6 +273,17 @@
         }],
     };
     assert_eq!(encode(&Message::Failures(failures)), "0801650301016902");
+    assert_eq!(
+        encode(&Message::Configuration(change())),
+        "090102030101720168032f702f02010100020003010173040501000600010161010173070108090a010b000c0001016201016701016b010d010e01016301101112001300"
+    );
+    assert_eq!(
+        encode(&Message::SnapshotWanted(Request::new(
+            Subject::ConfigurationAfter(3),
+            2
+        ))),
+        "0501020302"
+    );
     assert_eq!(encode(&report), "016501010169020301040169");
     assert_eq!(
         hex(&Key::new([7; 32]).seal(&Message::CrashesWanted)),
@@ -274,6 +308,14 @@
     );
 }
 
+#[test]
+fn changes_have_the_written_bytes() {
+    assert_eq!(
+        encode(&Snapshot::Changes(vec![change()])),
+        "02010102030101720168032f702f02010100020003010173040501000600010161010173070108090a010b000c0001016201016701016b010d010e01016301101112001300"
+    );
+}
+
 /// Guards against a snapshot that an instance of another version reads wrongly.
 #[test]
 fn a_request_for_another_encoding_is_refused() {
--- a/crates/fescuewell_forward/tests/relay.rs
+++ b/crates/fescuewell_forward/tests/relay.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use fescuewell_forward::config::Lag;
 use fescuewell_forward::relay::{Cursor, DIGEST_TIMEOUT_MS, Digest, Outbox};
 use fescuewell_forward::server::{Change, Entry, Registry, State, Update};
 use proptest::prelude::*;
@@ -36,6 +37,7 @@
 struct Instance {
     registry: Registry,
     cursor: Cursor,
+    lag: Lag,
     outbox: Outbox,
 }
 
@@ -75,6 +77,7 @@
     }
 
     fn receive(&mut self, digest: &Digest, now_ms: u64) -> bool {
+        self.lag.report(digest.configuration, now_ms);
         let is_applied = self.cursor.accepts(digest, STORE_MS + now_ms);
         if is_applied {
             for row in &digest.rows {
@@ -100,7 +103,7 @@
     assert!(is_applied);
     assert!(!follower.registry.is_ready("one", 101));
     assert_eq!(follower.cursor.version(), 14);
-    assert_eq!(follower.cursor.configuration_version(), 3);
+    assert_eq!(follower.lag.reported(), 3);
 }
 
 #[test]
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -1,5 +1,6 @@
 //! Messages between instances: load reports, which are optional hints for load balancing, token
-//! loans, server list digests, crash records, limits and failures of backend servers.
+//! loans, server list digests, crash records, limits and failures of backend servers, and changes of
+//! the configuration.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -147,6 +148,7 @@
         }
         Some(Message::Limits(updates)) => limits::receive(control, updates, from),
         Some(Message::Failures(batch)) => failures::receive(control, batch),
+        Some(Message::Configuration(change)) => watch::receive_change(control, &change),
         Some(Message::Summary(summary)) => members::receive_summary(control, summary),
         // Requested over HTTP, since the response is too large for a datagram.
         Some(Message::SnapshotWanted(_)) | None => {}
--- a/crates/fescuewell_gateway/src/control/snapshots.rs
+++ b/crates/fescuewell_gateway/src/control/snapshots.rs
@@ -34,8 +34,10 @@
 /// Why a snapshot is requested, which decides for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Patience {
-    /// The instance has started, or a newer configuration was reported.
+    /// The instance has started.
     Start,
+    /// A newer configuration was reported. Each reader is asked once before the store is read.
+    Update,
     /// Digests are missing or have left a gap.
     Resync,
 }
@@ -50,7 +52,7 @@
     let deadline = Instant::now() + duration(control, patience)?;
     loop {
         for reader in readers(control) {
-            let response = exchange(control, reader, subject).await;
+            let response = exchange_or_copy(control, reader, subject).await;
             if response.is_some() {
                 return response;
             }
@@ -71,6 +73,7 @@
     }
     let cadence = control.cadence();
     match (patience, cadence.is_large) {
+        (Patience::Update, _) => Some(Duration::ZERO),
         (Patience::Resync, false) => Some(Duration::ZERO),
         (Patience::Resync, true) if cadence.reconciles() => Some(Duration::ZERO),
         (Patience::Start, false) => Some(PATIENCE),
@@ -90,7 +93,22 @@
     readers
 }
 
-/// Requests a snapshot from one reader. Returns `None` on any failure.
+/// Requests a snapshot from one reader. Returns `None` on any failure. A reader of an earlier program
+/// version cannot read a request for changes, and is asked for the whole configuration.
+async fn exchange_or_copy(
+    control: &Control,
+    reader: SocketAddr,
+    subject: Subject,
+) -> Option<Snapshot> {
+    let response = exchange(control, reader, subject).await;
+    match subject {
+        Subject::ConfigurationAfter(_) if response.is_none() => {
+            exchange(control, reader, Subject::Configuration).await
+        }
+        _ => response,
+    }
+}
+
 async fn exchange(control: &Control, reader: SocketAddr, subject: Subject) -> Option<Snapshot> {
     let gateway = &control.gateway;
     let key = gateway.fleet_key()?;
--- a/crates/fescuewell_gateway/src/control/watch.rs
+++ b/crates/fescuewell_gateway/src/control/watch.rs
@@ -12,7 +12,7 @@
 
 use fescuewell_forward::directory::Role;
 
-pub(super) use configuration::{advance_stage, configuration};
+pub(super) use configuration::{advance_stage, configuration, receive_change};
 pub(super) use servers::{receive_digest, servers};
 
 use super::Control;
--- a/crates/fescuewell_gateway/src/control/watch/configuration.rs
+++ b/crates/fescuewell_gateway/src/control/watch/configuration.rs
@@ -5,9 +5,10 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::config::{Configuration, Table};
+use fescuewell_forward::config::{Change, Configuration, Table};
 use fescuewell_forward::directory::Role;
 use fescuewell_forward::evacuation::Order;
+use fescuewell_forward::message::Message;
 use fescuewell_forward::snapshot::{Snapshot, Subject};
 use tokio::time::Instant;
 
@@ -29,8 +30,10 @@
 enum Origin {
     /// The store.
     Store,
-    /// Another instance.
+    /// A snapshot of another instance.
     Instance,
+    /// A change that another instance sent.
+    Change,
 }
 
 impl Origin {
@@ -38,14 +41,16 @@
         match self {
             Self::Store => "store",
             Self::Instance => "instance",
+            Self::Change => "change",
         }
     }
 }
 
 /// Watches the configuration.
 ///
-/// A copy of a reader is used at the start and while digests arrive. Otherwise the reader may be cut
-/// off from the store, and its configuration is as old as that.
+/// A copy of a reader is used at the start, while digests arrive, and if a reader has reported a newer
+/// version. Otherwise the reader may be cut off from the store, and its configuration is as old as
+/// that.
 pub(in crate::control) async fn configuration(control: &Control) {
     control.wait_for_members().await;
     let mut may_copy = true;
@@ -55,7 +60,7 @@
         } else {
             watch_store(control).await;
         }
-        may_copy = follows_readers(control);
+        may_copy = follows_readers(control) || control.gateway.state().lag.is_behind();
     }
 }
 
@@ -68,7 +73,7 @@
         if !is_followed && copied_at.elapsed() >= FIRST_DIGEST_TIME {
             return;
         }
-        if is_followed && is_due(control, copied_at, 0) {
+        if is_due(control, copied_at) && (is_followed || is_behind(control)) {
             return;
         }
     }
@@ -87,7 +92,7 @@
     let mut version = response.version;
     apply_full(control, response);
     let read_at = Instant::now();
-    while !is_due(control, read_at, version) {
+    while !is_due(control, read_at) {
         if follows_readers(control) {
             tokio::time::sleep(FOLLOWER_POLL_INTERVAL).await;
             continue;
@@ -104,7 +109,7 @@
             Err(_) => break,
         }
     }
-    if !control.gateway.is_store_up() {
+    if !control.gateway.is_store_up() || is_behind(control) {
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
@@ -112,10 +117,25 @@
 /// Applies the configuration of a reader of the availability zone. Returns `false` if there is none,
 /// or if it is older than one that a reader reported.
 async fn copy_configuration(control: &Control) -> bool {
-    let snapshot =
-        snapshots::request(control, Subject::Configuration, snapshots::Patience::Start).await;
     let gateway = &control.gateway;
-    let Some(Snapshot::Configuration(configuration)) = snapshot else {
+    let known = gateway.table();
+    let (subject, patience) = match &known {
+        Some(table) => (
+            Subject::ConfigurationAfter(table.configuration().version),
+            snapshots::Patience::Update,
+        ),
+        None => (Subject::Configuration, snapshots::Patience::Start),
+    };
+    let configuration = match snapshots::request(control, subject, patience).await {
+        Some(Snapshot::Configuration(configuration)) => Some(configuration),
+        Some(Snapshot::Changes(changes)) => known.and_then(|table| {
+            let current = table.configuration().clone();
+            let mut changes = changes.iter();
+            changes.try_fold(current, |before, change| change.apply(&before))
+        }),
+        Some(Snapshot::Servers(_)) | None => None,
+    };
+    let Some(configuration) = configuration else {
         if control.role() != Role::Primary {
             gateway
                 .metrics
@@ -123,7 +143,7 @@
         }
         return false;
     };
-    if configuration.version < gateway.state().cursor.configuration_version() {
+    if configuration.version < gateway.state().lag.reported() {
         gateway
             .metrics
             .count_configuration(Origin::Instance.name(), "older");
@@ -133,16 +153,63 @@
     true
 }
 
+/// Returns `true` if another instance reported a newer configuration than the one in force.
+fn is_behind(control: &Control) -> bool {
+    control.gateway.state().lag.is_behind()
+}
+
 /// Returns `true` if the full configuration must be reread: periodically, or because a reader
 /// reported a newer version.
-fn is_due(control: &Control, read_at: Instant, version: u64) -> bool {
-    if !follows_readers(control) {
-        return read_at.elapsed() >= REREAD_INTERVAL;
+fn is_due(control: &Control, read_at: Instant) -> bool {
+    let interval = match follows_readers(control) {
+        true => FOLLOWER_REREAD_INTERVAL,
+        false => REREAD_INTERVAL,
+    };
+    is_behind(control) || read_at.elapsed() >= interval
+}
+
+/// Applies a change that another instance sent. One that does not follow from the configuration in
+/// force is requested together with those before it.
+pub(in crate::control) fn receive_change(control: &Control, change: &Change) {
+    let gateway = &control.gateway;
+    let now_ms = gateway.now_ms();
+    gateway.state().lag.report(change.to, now_ms);
+    let Some(table) = gateway.table() else {
+        return;
+    };
+    let next = change.apply(table.configuration());
+    apply_configuration(control, next, Origin::Change);
+}
+
+/// Sends the latest change once more to the instances that this one informs.
+pub(super) fn repeat_change(control: &Control) {
+    let change = control.gateway.state().changes.take_repeat();
+    if let Some(change) = change {
+        control.broadcast(Message::Configuration(change));
     }
+}
+
+/// Sends the difference to a new configuration to the instances that this one informs.
+fn broadcast_change(control: &Control, configuration: &Configuration) {
     let gateway = &control.gateway;
-    let known = gateway.table().map(|table| table.configuration().version);
-    let reported = gateway.state().cursor.configuration_version();
-    reported > known.unwrap_or(version) || read_at.elapsed() >= FOLLOWER_REREAD_INTERVAL
+    let settings = &gateway.settings;
+    let informs_others = {
+        let state = gateway.state();
+        let receivers = state
+            .directory
+            .digest_receivers(&settings.name, &settings.zone);
+        !receivers.is_empty()
+    };
+    let table = gateway.table().filter(|_| informs_others);
+    let change = table.and_then(|table| Change::between(table.configuration(), configuration));
+    let mut state = gateway.state();
+    let Some(change) = change else {
+        state.changes.clear();
+        return;
+    };
+    state.changes.push(change.clone());
+    drop(state);
+    control.broadcast(Message::Configuration(change));
 }
 
 /// Applies the full operator state.
@@ -229,6 +296,7 @@
     if known.is_some_and(|known| known >= configuration.version) {
         return;
     }
+    broadcast_change(control, &configuration);
     let now_ms = gateway.now_ms();
     let behind_ms = gateway.state().lag.behind_ms(now_ms);
     gateway
--- a/crates/fescuewell_gateway/src/control/watch/servers.rs
+++ b/crates/fescuewell_gateway/src/control/watch/servers.rs
@@ -10,7 +10,7 @@
 use fescuewell_forward::snapshot::{Snapshot, Subject};
 use tokio::time::Instant;
 
-use super::configuration::evacuate;
+use super::configuration::{evacuate, repeat_change};
 use super::list::{apply_list, apply_rows};
 use super::{REREAD_INTERVAL, WATCH_TIMEOUT, WATCH_WAIT, follows_readers};
 use crate::control::{Control, RETRY_DELAY, snapshots};
@@ -136,6 +136,7 @@
     }
     let digest = outbox.digest(name, response.now_ms, configuration, evacuations);
     control.broadcast(Message::Digest(digest));
+    repeat_change(control);
     Ok(())
 }
 
@@ -177,6 +178,7 @@
     let table = control.gateway.table();
     digest.configuration = table.map_or(0, |table| table.configuration().version);
     control.broadcast(Message::Digest(digest));
+    repeat_change(control);
 }
 
 /// Returns the interval between full reads of the server list, chosen to stay within the bandwidth
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::Load;
 use fescuewell_forward::condition::Conditions;
-use fescuewell_forward::config::{Lag, Table};
+use fescuewell_forward::config::{History, Lag, Table};
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
@@ -149,6 +149,7 @@
             registry: Registry::default(),
             cursor: relay::Cursor::default(),
             lag: Lag::default(),
+            changes: History::default(),
             warmup: Warmup::default(),
             health: Health::default(),
             failures: failure::Exchange::default(),
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -6,7 +6,7 @@
 use fescuewell_forward::admission;
 use fescuewell_forward::choice::{Load, MAX_SUBSET_SIZE};
 use fescuewell_forward::condition::Conditions;
-use fescuewell_forward::config::Lag;
+use fescuewell_forward::config::{History, Lag};
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
@@ -27,6 +27,8 @@
     pub cursor: relay::Cursor,
     /// How far the configuration is behind that of other instances.
     pub lag: Lag,
+    /// Latest changes of the configuration, if this instance sends them to others.
+    pub changes: History,
     /// Rate limits for cold backend servers.
     pub warmup: Warmup,
     /// Health scores of backend servers.
--- a/crates/fescuewell_gateway/src/snapshot.rs
+++ b/crates/fescuewell_gateway/src/snapshot.rs
@@ -52,6 +52,7 @@
         match request.subject {
             Subject::Servers => self.servers(&key, now_ms),
             Subject::Configuration => self.configuration(&key),
+            Subject::ConfigurationAfter(version) => self.changes(&key, version),
         }
     }
 
@@ -93,6 +94,21 @@
     }
 }
 
+impl SnapshotHandler {
+    /// Returns the changes after a version, or the whole configuration if they are not known.
+    fn changes(&self, key: &Key, version: u64) -> Result<Bytes, Code> {
+        let table = self.gateway.table().ok_or(Code::NotReady)?;
+        let changes = match table.configuration().version <= version {
+            true => Some(Vec::new()),
+            false => self.gateway.state().changes.since(version),
+        };
+        match changes {
+            Some(changes) => Ok(Bytes::from(key.seal_content(&Snapshot::Changes(changes)))),
+            None => self.configuration(key),
+        }
+    }
+}
+
 impl Handler for SnapshotHandler {
     fn handle(&self, request: Request, reply: Reply) {
         let response = match &*request.path {
--- a/tests/forward/configuration.rs
+++ b/tests/forward/configuration.rs
@@ -211,7 +211,9 @@
     fixture.store.set_fault(Fault::Narrow(bytes * 2 / 5));
     // Polls that began before are answered at full speed.
     let polls = fixture.store.calls("/-/rows-feed");
-    assert!(wait_until(|| fixture.store.calls("/-/rows-feed") > polls + 4));
+    assert!(wait_until(
+        || fixture.store.calls("/-/rows-feed") > polls + 4
+    ));
 
     fixture.configure(&large);
 
