Configuration: a read from the store may take as long as bytes arrive

Cause: a read of the configuration was limited to 1.2 s in all, a watch to 1.1 s of which it may wait 0.7 s. 500 KB do not arrive in that time on a share of a narrow link, and each retry begins anew, so that the version is never in force. Ruled out: a slow or silent store; the response's head arrives in milliseconds.

Change: those limits now hold for the begin of the response.

--- a/crates/fescuewell_gateway/src/control/watch/configuration.rs
+++ b/crates/fescuewell_gateway/src/control/watch/configuration.rs
@@ -22,6 +22,9 @@
 const FOLLOWER_REREAD_INTERVAL: Duration = Duration::from_secs(20);
 /// Time after a copy of the configuration within which the first digest must arrive.
 const FIRST_DIGEST_TIME: Duration = Duration::from_secs(2);
+/// Timeout of a read of the configuration whose response has begun: 4 MB at a third of a link of
+/// 10 Mbit/s.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval at which a follower checks whether readers reported a newer configuration.
 const FOLLOWER_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -81,8 +84,8 @@
 
 /// Reads the configuration from the store and watches it until it must be read again.
 async fn watch_store(control: &Control) {
-    let read = control.source.read_state();
-    let Ok(response) = control.call("configuration", CALL_TIMEOUT, read).await else {
+    let read = control.source.read_state(CALL_TIMEOUT);
+    let Ok(response) = control.call("configuration", TRANSFER_TIMEOUT, read).await else {
         control
             .gateway
             .metrics
@@ -97,9 +100,11 @@
             tokio::time::sleep(FOLLOWER_POLL_INTERVAL).await;
             continue;
         }
-        let changes = control.source.watch_state(version, WATCH_WAIT);
+        let changes = control
+            .source
+            .watch_state(version, WATCH_WAIT, WATCH_TIMEOUT);
         match control
-            .call("configuration_after", WATCH_TIMEOUT, changes)
+            .call("configuration_after", TRANSFER_TIMEOUT, changes)
             .await
         {
             Ok(response) => {
--- a/crates/fescuewell_gateway/src/source.rs
+++ b/crates/fescuewell_gateway/src/source.rs
@@ -42,12 +42,18 @@
 
 /// The configuration and the backend server list.
 pub trait Source: Send + Sync {
-    /// Reads everything that the operator has written and not withdrawn.
-    fn read_state(&self) -> BoxFuture<'_, Versioned<OperatorState>>;
+    /// Reads everything that the operator has written and not withdrawn. The response must begin
+    /// within `head_timeout`; its content may take longer.
+    fn read_state(&self, head_timeout: Duration) -> BoxFuture<'_, Versioned<OperatorState>>;
 
     /// Returns what the operator has written or withdrawn after `version`, waiting up to `wait` for
-    /// a change.
-    fn watch_state(&self, version: u64, wait: Duration) -> BoxFuture<'_, Versioned<OperatorState>>;
+    /// a change. The response must begin within `head_timeout`; its content may take longer.
+    fn watch_state(
+        &self,
+        version: u64,
+        wait: Duration,
+        head_timeout: Duration,
+    ) -> BoxFuture<'_, Versioned<OperatorState>>;
 
     /// Lists all backend servers.
     fn list_servers(&self) -> BoxFuture<'_, Versioned<Vec<Update>>>;
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -262,7 +262,7 @@
 }
 
 impl Source for MemoryStore {
-    fn read_state(&self) -> BoxFuture<'_, Versioned<OperatorState>> {
+    fn read_state(&self, _: Duration) -> BoxFuture<'_, Versioned<OperatorState>> {
         let configuration = self.configuration.lock().unwrap().clone();
         Box::pin(self.versioned(OperatorState {
             configuration: Some(configuration),
@@ -270,7 +270,12 @@
         }))
     }
 
-    fn watch_state(&self, _: u64, wait: Duration) -> BoxFuture<'_, Versioned<OperatorState>> {
+    fn watch_state(
+        &self,
+        _: u64,
+        wait: Duration,
+        _: Duration,
+    ) -> BoxFuture<'_, Versioned<OperatorState>> {
         Box::pin(async move {
             tokio::time::sleep(wait).await;
             self.versioned(OperatorState::default()).await
