--- /dev/null
+++ b/tests/forward/door.rs
@@ -0,0 +1,242 @@
+//! The path from one instance to the backend servers, which a test can cut.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use fescuewell::adapter::source::Reader;
+use fescuewell::forward::server::{Change, Update};
+use fescuewell::gateway::source::{OperatorState, Source, Versioned};
+use fescuewell::gateway::store::BoxFuture;
+use socket2::{Domain, Socket, Type};
+
+use crate::fixture::any_address;
+
+/// Interval at which threads check for a new mode.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time after which a connection that is not established counts as hanging.
+const CONNECT_TIME: Duration = Duration::from_millis(50);
+
+/// How a path is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// New connections are refused, open ones are reset.
+    Refused,
+    /// New connections are not established, open ones pass nothing on.
+    Hanging,
+    /// New connections are refused, open ones live on.
+    NewRefused,
+}
+
+struct Shared {
+    cut: Mutex<Option<Cut>>,
+    is_ended: AtomicBool,
+    connections: AtomicUsize,
+    target: SocketAddr,
+}
+
+impl Shared {
+    fn cut(&self) -> MutexGuard<'_, Option<Cut>> {
+        self.cut.lock().unwrap()
+    }
+
+    fn is_ended(&self) -> bool {
+        self.is_ended.load(Ordering::Relaxed)
+    }
+}
+
+/// A proxy in front of one backend server.
+pub struct Door {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    thread: Option<JoinHandle<()>>,
+    /// Keeps the port.
+    _reserved: Socket,
+}
+
+fn bind(address: SocketAddr) -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&address.into()).unwrap();
+    socket
+}
+
+impl Door {
+    /// Starts an open door to a backend server.
+    pub fn open(target: SocketAddr) -> Self {
+        let reserved = bind(any_address());
+        let address = reserved.local_addr().unwrap().as_socket().unwrap();
+        let shared = Arc::new(Shared {
+            cut: Mutex::new(None),
+            is_ended: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
+            target,
+        });
+        let own = shared.clone();
+        let thread = std::thread::spawn(move || run(&own, address));
+        Self {
+            address,
+            shared,
+            thread: Some(thread),
+            _reserved: reserved,
+        }
+    }
+
+    /// Number of connections that reached the server through the door.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// Cuts the path, or heals it.
+    pub fn set(&self, cut: Option<Cut>) {
+        *self.shared.cut() = cut;
+        // Until the thread has applied it.
+        std::thread::sleep(POLL_INTERVAL * 10);
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        self.shared.is_ended.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Serves one mode after the other.
+fn run(shared: &Arc<Shared>, address: SocketAddr) {
+    while !shared.is_ended() {
+        let cut = *shared.cut();
+        match cut {
+            None => accept(shared, address),
+            Some(Cut::Hanging) => hang(shared, address),
+            Some(Cut::Refused | Cut::NewRefused) => {
+                wait_while(shared, cut);
+            }
+        }
+    }
+}
+
+fn wait_while(shared: &Shared, cut: Option<Cut>) {
+    while !shared.is_ended() && *shared.cut() == cut {
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Accepts connections while the path is whole.
+fn accept(shared: &Arc<Shared>, address: SocketAddr) {
+    let listener = bind(address);
+    listener.listen(128).unwrap();
+    listener.set_nonblocking(true).unwrap();
+    while !shared.is_ended() && shared.cut().is_none() {
+        let Ok((client, _)) = listener.accept() else {
+            std::thread::sleep(POLL_INTERVAL);
+            continue;
+        };
+        let Ok(server) = TcpStream::connect(shared.target) else {
+            continue;
+        };
+        shared.connections.fetch_add(1, Ordering::Relaxed);
+        let client: TcpStream = client.into();
+        client.set_nonblocking(false).unwrap();
+        for (from, to) in [(&client, &server), (&server, &client)] {
+            let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+            let shared = shared.clone();
+            std::thread::spawn(move || pass_on(&shared, from, to));
+        }
+    }
+}
+
+/// Passes bytes on in one direction, as the mode permits.
+fn pass_on(shared: &Shared, mut from: TcpStream, mut to: TcpStream) {
+    from.set_read_timeout(Some(POLL_INTERVAL)).unwrap();
+    let mut buffer = [0; 16 * 1024];
+    while !shared.is_ended() {
+        match *shared.cut() {
+            Some(Cut::Refused) => break,
+            Some(Cut::Hanging) => {
+                std::thread::sleep(POLL_INTERVAL);
+                continue;
+            }
+            Some(Cut::NewRefused) | None => {}
+        }
+        match from.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(count) if to.write_all(&buffer[..count]).is_err() => break,
+            Ok(_) => {}
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => break,
+        }
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// Fills the backlog, so that further connections are not established.
+fn hang(shared: &Shared, address: SocketAddr) {
+    let listener = bind(address);
+    listener.listen(0).unwrap();
+    let mut fillers = Vec::new();
+    while let Ok(filler) = TcpStream::connect_timeout(&address, CONNECT_TIME) {
+        fillers.push(filler);
+    }
+    wait_while(shared, Some(Cut::Hanging));
+}
+
+/// A source in which backend servers have the addresses of doors.
+pub struct Rerouted {
+    reader: Reader,
+    doors: HashMap<Arc<str>, SocketAddr>,
+}
+
+impl Rerouted {
+    /// Creates a source; the servers are named by their index, as in the fixture.
+    pub fn new(reader: Reader, doors: &[Door]) -> Self {
+        let doors = doors.iter().enumerate();
+        let doors = doors.map(|(index, door)| (format!("i-{index}").into(), door.address));
+        Self {
+            reader,
+            doors: doors.collect(),
+        }
+    }
+
+    fn reroute(&self, mut response: Versioned<Vec<Update>>) -> Versioned<Vec<Update>> {
+        for update in &mut response.content {
+            let Some(address) = self.doors.get(&update.id) else {
+                continue;
+            };
+            if let Change::Entry(entry) = &mut update.change {
+                entry.address = *address;
+            }
+        }
+        response
+    }
+}
+
+impl Source for Rerouted {
+    fn read_state(&self, head_timeout: Duration) -> BoxFuture<'_, Versioned<OperatorState>> {
+        self.reader.read_state(head_timeout)
+    }
+
+    fn watch_state(
+        &self,
+        version: u64,
+        wait: Duration,
+        head_timeout: Duration,
+    ) -> BoxFuture<'_, Versioned<OperatorState>> {
+        self.reader.watch_state(version, wait, head_timeout)
+    }
+
+    fn list_servers(&self) -> BoxFuture<'_, Versioned<Vec<Update>>> {
+        Box::pin(async move { Ok(self.reroute(self.reader.list_servers().await?)) })
+    }
+
+    fn watch_servers(&self, version: u64, wait: Duration) -> BoxFuture<'_, Versioned<Vec<Update>>> {
+        Box::pin(async move { Ok(self.reroute(self.reader.watch_servers(version, wait).await?)) })
+    }
+}
