Configuration: the order of items is no change

Cause: the operator lists routes and accounts in another order in each version, so that no difference could be expressed and instances went on to copy the whole configuration. Ruled out: changes that do not fit a datagram; a trial with a log line shows that there was none. Change: configurations are sorted by name before they are compared and put in force.

--- a/crates/fescuewell_forward/src/config.rs
+++ b/crates/fescuewell_forward/src/config.rs
@@ -163,6 +163,18 @@
     pub limits: Option<Limits>,
 }
 
+impl Configuration {
+    /// Sorts all lists by name. The operator lists the same items in another order each time.
+    pub fn normalize(&mut self) {
+        self.routes
+            .sort_by(|left, right| left.name.cmp(&right.name));
+        self.services
+            .sort_by(|left, right| left.name.cmp(&right.name));
+        self.accounts
+            .sort_by(|left, right| left.name.cmp(&right.name));
+    }
+}
+
 /// A configuration with an index for the lookups of each request.
 #[derive(Debug, Default)]
 pub struct Table {
--- a/crates/fescuewell_forward/src/config/change.rs
+++ b/crates/fescuewell_forward/src/config/change.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Replaces items where they are and appends new ones.
+    /// Returns the later list, sorted by name.
     fn apply(&self, before: &[Item]) -> Vec<Item> {
         let mut changed: HashMap<&Arc<str>, &Item> = self
             .changed
@@ -100,6 +100,7 @@
                 .filter(|item| changed.contains_key(item.name()))
                 .cloned(),
         );
+        after.sort_by(|left, right| left.name().cmp(right.name()));
         after
     }
 
@@ -128,8 +129,8 @@
 }
 
 impl Change {
-    /// Returns the difference, or `None` if it cannot be expressed: items that are listed in another
-    /// order or twice.
+    /// Returns the difference between two normalized configurations, or `None` if it cannot be
+    /// expressed: items that are listed twice.
     pub fn between(before: &Configuration, after: &Configuration) -> Option<Self> {
         let change = Self {
             from: before.version,
--- a/crates/fescuewell_gateway/src/control/watch/configuration.rs
+++ b/crates/fescuewell_gateway/src/control/watch/configuration.rs
@@ -293,7 +293,7 @@
 
 fn apply_configuration(control: &Control, configuration: Option<Configuration>, origin: Origin) {
     let gateway = &control.gateway;
-    let Some(configuration) = configuration else {
+    let Some(mut configuration) = configuration else {
         return;
     };
     // The version never decreases, even if a read is stale.
@@ -301,6 +301,7 @@
     if known.is_some_and(|known| known >= configuration.version) {
         return;
     }
+    configuration.normalize();
     broadcast_change(control, &configuration);
     let now_ms = gateway.now_ms();
     let behind_ms = gateway.state().lag.behind_ms(now_ms);
