Forwarding: an instance without a path to the servers has its requests sent by another

Cause: all attempts of a request are made by the instance that received it. Each failed connection ejected one more server, and refused ones counted as evidence of crashes. Ruled out as a remedy: sending callers elsewhere, since a refused connection is a failed attempt.

Change: an instance whose new connections fail checks whether it, or another instance, reaches a server. If only another one does, its requests are passed to other instances, which make the exchange with the server and pass the response back as it arrives. All decisions, tokens and retries stay where the request was received. The path is probed until it is back. A refused connection is evidence of a crash only with a whole path.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -81,6 +81,12 @@
     ServerLimited = 2020, Info, "server.limited", "A backend server declared the request rate that it accepts from all instances, or another one, or none any more (-). Says whether a response declared it or another instance told of it.";
     HeaderMalformed = 2021, Warn, "header.malformed", "A response of a backend server declares a condition that cannot be read; it is ignored. One line a second at most.";
     ServerResting = 2022, Info, "server.resting", "A backend server rejected a request and wants none from this instance for a while.";
+    PathLost = 2023, Warn, "path.lost", "This instance reaches no backend server, and another one does: requests are sent by others.";
+    PathRestored = 2024, Info, "path.restored", "This instance reaches the backend servers again and sends requests by itself.";
+    PathChecked = 2025, Info, "path.checked", "New connections to several backend servers failed; the check found a server in reach, or no instance that reaches one.";
+    RequestForwarded = 2026, Info, "request.forwarded", "A request was passed to another instance, which sends it to its backend server.";
+    ForwardRefused = 2027, Info, "forward.refused", "Another instance did not send a request, which has not run, or could not be reached.";
+    ForwardServed = 2028, Info, "forward.served", "A request of another instance was sent to a backend server, with the outcome of the exchange.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
--- a/crates/fescuewell_forward/src/admission.rs
+++ b/crates/fescuewell_forward/src/admission.rs
@@ -17,6 +17,8 @@
 const LINK_FRACTION: f64 = 0.4;
 /// Fraction of the processor that requests may use.
 const PROCESSOR_FRACTION: f64 = 0.6;
+/// Fraction of the limits up to which requests are sent for other instances; the rest is for callers.
+const FORWARDED_FRACTION: f64 = 0.8;
 /// Processor time of a request in seconds.
 const PROCESSOR_PER_REQUEST_S: f64 = 0.000_9;
 /// Size of a request's head in bytes.
@@ -159,6 +161,20 @@
         Action::Leave
     }
 
+    /// Counts a request that this instance sends for another one, unless that would leave too little
+    /// for its own callers. Returns `false` in that case.
+    pub fn admit_forwarded(&mut self, now_ms: u64, body: usize) -> bool {
+        let bytes = body as u64 + HEAD_BYTES;
+        let traffic = self.traffic(now_ms);
+        let has_capacity = traffic.bytes + bytes as f64 <= self.bytes_per_s * FORWARDED_FRACTION
+            && traffic.requests + 1.0 <= self.requests_per_s * FORWARDED_FRACTION;
+        if has_capacity {
+            self.bytes.add(now_ms, bytes);
+            self.requests.add(now_ms, 1);
+        }
+        has_capacity
+    }
+
     fn throttle(&mut self, now_ms: u64) {
         let until_ms = now_ms + THROTTLE_MS;
         let from_ms = self.throttled_until_ms.max(now_ms);
--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -9,9 +9,10 @@
 use std::sync::Arc;
 
 pub use member::{MAX_MISSED_HEARTBEATS, Member};
-use selection::{Members, Selection, WEAK_DIVISOR, rank};
+use selection::{Members, Selection, WEAK_DIVISOR, rank, sender};
 use summary::Summary;
 
+use crate::hop::Peer;
 use crate::quota::era;
 
 /// Age of its last heartbeat, in milliseconds, from which a member counts as failed and its grants
@@ -102,6 +103,7 @@
                 .values()
                 .filter_map(|member| member.peer)
                 .collect(),
+            senders: summary.members.values().filter_map(sender).collect(),
         };
         self.members = summary.members;
     }
@@ -220,6 +222,12 @@
         &self.selection.peers
     }
 
+    /// Returns the live instances that can send requests for others, with their weights. In a large
+    /// fleet only those of the summary are known.
+    pub fn senders(&self) -> &[Peer] {
+        &self.selection.senders
+    }
+
     /// Returns `true` if an instance may be unready: it is not advertised, its availability zone
     /// has an instance that is, at most a third of the zone's instances would be unready, and it is
     /// not a strong one in a zone with ready weak ones. If half of them are unready, callers ignore
--- a/crates/fescuewell_forward/src/directory/selection.rs
+++ b/crates/fescuewell_forward/src/directory/selection.rs
@@ -7,6 +7,7 @@
 
 use super::Member;
 use super::summary::MIN_MEMBERS;
+use crate::hop::Peer;
 use crate::relay::{MAX_ALL_READERS, READERS};
 
 /// Ratio of the advertised instances' capacity to the present traffic, to absorb bursts and the
@@ -38,6 +39,16 @@
     pub(super) readers: BTreeMap<Arc<str>, Vec<Arc<str>>>,
     /// Addresses of the live members for messages.
     pub(super) peers: Vec<SocketAddr>,
+    /// The same instances, with their weights.
+    pub(super) senders: Vec<Peer>,
+}
+
+/// Returns an instance that can send requests for others.
+pub(super) fn sender(member: &Member) -> Option<Peer> {
+    Some(Peer {
+        address: member.peer?,
+        weight: member.weight,
+    })
 }
 
 impl Selection {
@@ -50,6 +61,10 @@
             advertised: advertised(members, now_ms),
             readers: readers(&live),
             peers: live.iter().filter_map(|(_, member)| member.peer).collect(),
+            senders: live
+                .iter()
+                .filter_map(|(_, member)| sender(member))
+                .collect(),
             live: live.into_iter().map(|(name, _)| name.clone()).collect(),
         }
     }
--- a/crates/fescuewell_forward/src/health.rs
+++ b/crates/fescuewell_forward/src/health.rs
@@ -188,6 +188,11 @@
         self.servers.remove(id);
     }
 
+    /// Forgets all servers.
+    pub fn clear(&mut self) {
+        self.servers.clear();
+    }
+
     /// Forgets servers that are no longer listed.
     pub fn retain<Listed>(&mut self, listed: Listed)
     where
--- a/crates/fescuewell_gateway/src/control/watch/list.rs
+++ b/crates/fescuewell_gateway/src/control/watch/list.rs
@@ -130,6 +130,7 @@
     tokio::spawn(async move {
         match upstream::probe(server.address, REACH_TIMEOUT).await {
             Reachability::Accepted => gateway.state().crashes.accepted(server.incarnation()),
+            _ if gateway.state().path.is_lost() => {}
             Reachability::Refused | Reachability::NoResponse => {
                 gateway.record_crash(&server, Evidence::Removed)
             }
--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -16,9 +16,9 @@
 use crate::front::Front;
 use crate::gateway::{Gateway, Stage};
 use crate::metrics;
+use crate::peer::PeerHandler;
 use crate::settings::Settings;
 use crate::side::AuxiliaryHandler;
-use crate::snapshot::SnapshotHandler;
 use crate::source::Source;
 use crate::store::Store;
 
@@ -58,8 +58,11 @@
 const RESERVED_SOCKETS: usize = 1_200;
 /// Maximum number of connections of an auxiliary listener.
 const MAX_AUXILIARY_CONNECTIONS: usize = 200;
-/// Maximum number of connections of instances that request snapshots.
-const MAX_SNAPSHOT_CONNECTIONS: usize = 256;
+/// Maximum number of connections of other instances. Each request that is sent for one of them takes
+/// a connection until its response is complete.
+const MAX_PEER_CONNECTIONS: usize = 512;
+/// Maximum size of a request of another instance in bytes: a caller's request with its head.
+const MAX_PEER_BODY_BYTES: usize = 5 * 1024 * 1024;
 /// Divisor of the memory limit; the result is the maximum size of all buffered bodies together.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
@@ -67,6 +70,7 @@
 pub struct Daemon {
     gateway: Arc<Gateway>,
     front: Listener,
+    peer: Option<Listener>,
     _auxiliary_listeners: Vec<Listener>,
     _control: JoinHandle<()>,
 }
@@ -99,7 +103,7 @@
             let handler: Arc<dyn Handler> = Arc::new(AuxiliaryHandler::new(gateway.clone()));
             auxiliary_listeners.push(Listener::start(listen, handler).context(ListenSnafu)?);
         }
-        auxiliary_listeners.extend(start_snapshots(&gateway));
+        let peer = start_peer(&gateway);
         let control = Control::new(gateway.clone(), store, source, inbox);
         let control = start_control(control)?;
         log_event!(
@@ -112,6 +116,7 @@
         Ok(Self {
             gateway,
             front,
+            peer,
             _auxiliary_listeners: auxiliary_listeners,
             _control: control,
         })
@@ -141,7 +146,12 @@
         self.gateway.sync_quota();
         std::thread::sleep(grace_period.mul_f64(SERVE_FRACTION));
         let remaining = grace_period.saturating_sub(requested.elapsed() + SHUTDOWN_RESERVE);
-        let cut = self.front.drain(remaining);
+        let mut cut = self.front.drain(remaining);
+        if let Some(peer) = &self.peer {
+            // Requests of other instances; new ones are refused since the stop request.
+            let remaining = grace_period.saturating_sub(requested.elapsed() + SHUTDOWN_RESERVE);
+            cut += peer.drain(remaining);
+        }
         self.wait_returned();
         log_event!(
             Event::DrainFinished,
@@ -174,13 +184,16 @@
     front
 }
 
-/// Starts the listener for snapshots. Without it, other instances read the store.
-fn start_snapshots(gateway: &Arc<Gateway>) -> Option<Listener> {
+/// Starts the listener for other instances. Without it, they read the store, and this one sends no
+/// requests for them.
+fn start_peer(gateway: &Arc<Gateway>) -> Option<Listener> {
     let address = gateway.settings.peer?;
-    let listen = listener::Settings::new(address)
-        .with_name("snapshot")
-        .with_max_connections(MAX_SNAPSHOT_CONNECTIONS);
-    let handler: Arc<dyn Handler> = Arc::new(SnapshotHandler::new(gateway.clone()));
+    let mut listen = listener::Settings::new(address)
+        .with_name("peer")
+        .with_max_connections(MAX_PEER_CONNECTIONS);
+    listen.max_body_bytes = MAX_PEER_BODY_BYTES;
+    listen.max_buffered_bytes = gateway.settings.memory_bytes / BODY_MEMORY_DIVISOR;
+    let handler: Arc<dyn Handler> = Arc::new(PeerHandler::new(gateway.clone()));
     Listener::start(listen, handler)
         .inspect_err(|error| {
             let reason = error.to_string().replace(' ', "_");
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 pub(crate) mod condition;
 mod crash;
 mod gate;
+mod path;
 mod state;
 
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering};
@@ -17,7 +18,9 @@
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
+use fescuewell_forward::hop::{Guard, Peers};
 use fescuewell_forward::message::Key;
+use fescuewell_forward::path::Monitor;
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
@@ -119,6 +122,7 @@
     token_changes: watch::Sender<u64>,
     server_exits: watch::Sender<u64>,
     store_recoveries: watch::Sender<u64>,
+    path_changes: watch::Sender<u64>,
     load_change: Notify,
     limit_change: Notify,
     failure: Notify,
@@ -145,11 +149,15 @@
         let (token_changes, _) = watch::channel(0);
         let (server_exits, _) = watch::channel(0);
         let (store_recoveries, _) = watch::channel(0);
+        let (path_changes, _) = watch::channel(0);
         let state = State {
             registry: Registry::default(),
             cursor: relay::Cursor::default(),
             lag: Lag::default(),
             changes: History::default(),
+            path: Monitor::default(),
+            hops: Peers::default(),
+            hop_guard: Guard::default(),
             warmup: Warmup::default(),
             health: Health::default(),
             failures: failure::Exchange::default(),
@@ -187,6 +195,7 @@
             token_changes,
             server_exits,
             store_recoveries,
+            path_changes,
             load_change: Notify::new(),
             limit_change: Notify::new(),
             failure: Notify::new(),
--- a/crates/fescuewell_gateway/src/gateway/condition.rs
+++ b/crates/fescuewell_gateway/src/gateway/condition.rs
@@ -1,13 +1,14 @@
 //! Conditions that backend servers declare in their responses.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::condition::limit::{Change, Moment, Update};
 use fescuewell_forward::condition::{Declared, Rate, Report};
 use fescuewell_forward::server::Entry;
+use http::{HeaderMap, StatusCode};
 
 use super::{Gateway, State};
 
@@ -58,6 +59,28 @@
 }
 
 impl Gateway {
+    /// Records what a server declares about itself in the head of the response to a request that was
+    /// sent at `sent_at`, unless the response comes from another server or belongs to another request.
+    pub(crate) fn record_head(
+        &self,
+        server: &Entry,
+        request: &str,
+        status: StatusCode,
+        headers: &HeaderMap,
+        sent_at: Instant,
+    ) {
+        let names = self.dialect.header_names();
+        let echoed = headers.get(&names.request_id);
+        let is_foreign = echoed.is_some_and(|value| value.as_bytes() != request.as_bytes());
+        if is_foreign || status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let report = self.dialect.server_report(status, headers);
+        let age_ms = sent_at.elapsed().as_millis() as u64;
+        let sent_at_ms = self.now_ms().saturating_sub(age_ms);
+        self.record_report(server, &report, sent_at_ms);
+    }
+
     /// Records what a response to a request sent at `sent_at_ms` declares about its server. The
     /// report of an incarnation that has ended is ignored.
     pub fn record_report(&self, server: &Entry, report: &Report, sent_at_ms: u64) {
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -10,6 +10,8 @@
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
+use fescuewell_forward::hop;
+use fescuewell_forward::path;
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
@@ -29,6 +31,12 @@
     pub lag: Lag,
     /// Latest changes of the configuration, if this instance sends them to others.
     pub changes: History,
+    /// Whether this instance reaches the backend servers.
+    pub path: path::Monitor,
+    /// Instances that send requests for this one.
+    pub hops: hop::Peers,
+    /// Calls of other instances that were carried out.
+    pub hop_guard: hop::Guard,
     /// Rate limits for cold backend servers.
     pub warmup: Warmup,
     /// Health scores of backend servers.
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -10,12 +10,13 @@
 use fescuewell_forward::crash::Loss;
 use fescuewell_forward::health::Outcome;
 use fescuewell_forward::server::Entry;
-use fescuewell_http::upstream::{Error, Exchange, Target, Timeouts};
+use fescuewell_http::upstream::{Error, Exchange, Timeouts};
 use http::header::HeaderValue;
 use http::{HeaderMap, StatusCode};
 
 use super::crash::classify_loss;
 use super::{Job, Permit};
+use crate::hop::{Failure, Sending};
 
 /// Connect timeout. Backend servers are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -72,12 +73,18 @@
             true => self.deadline,
             false => self.route_deadline,
         };
-        let target = Target::new(permit.server.address).with_deadline(until);
         let sent_at = Instant::now();
         let server_exit = permit.server_exit();
         tokio::pin!(server_exit);
         let gateway = self.gateway.clone();
-        let opened = gateway.client.open(&target, request, self.timeouts());
+        let (server, id) = (permit.server.clone(), self.id.clone());
+        let opened = gateway.open(Sending {
+            server: &server,
+            request,
+            id: &id,
+            deadline: until,
+            timeouts: self.timeouts(),
+        });
         tokio::pin!(opened);
         let attempt_timeout = self.attempt_timeout();
         let opened = loop {
@@ -97,15 +104,27 @@
             }
         };
         let exchange = match opened {
-            Ok(exchange) => exchange,
-            Err(Error::NotSent { reason }) => {
+            Ok(opened) => {
+                permit.set_flight(opened.flight);
+                opened.exchange
+            }
+            Err(Failure {
+                error: Error::NotSent { reason },
+                is_direct,
+                blames_server,
+            }) => {
                 permit.settle();
                 self.unsent_attempts += 1;
-                permit.record_outcome(Outcome::Bad);
+                if blames_server {
+                    permit.record_outcome(Outcome::Bad);
+                }
                 self.log_failure(permit, "not_sent", &reason);
+                if is_direct {
+                    self.check_path(permit).await;
+                }
                 return AttemptOutcome::NotSent;
             }
-            Err(error) => {
+            Err(Failure { error, .. }) => {
                 self.mark_sent();
                 self.report_loss(permit, classify_loss(&error)).await;
                 return self.unknown_outcome(permit, &error);
@@ -122,6 +141,17 @@
         }
     }
 
+    /// Waits while it is found out whether this instance has lost its path to all servers. If so, the
+    /// servers it could not connect to are as good as any.
+    async fn check_path(&mut self, permit: &Permit) {
+        self.gateway.record_connect_failure(&permit.server);
+        self.gateway.path_checked().await;
+        if self.sends == 0 && self.gateway.state().path.is_lost() {
+            self.tried.clear();
+            self.unsent_attempts = 0;
+        }
+    }
+
     /// Handles a restart of the server while the request was in flight.
     async fn handle_exit(&mut self, permit: &Permit) -> AttemptOutcome {
         self.mark_executed();
@@ -137,9 +167,10 @@
         sent_at: Instant,
     ) -> AttemptOutcome {
         self.sends += 1;
-        self.record_report(permit, &exchange, sent_at);
         let names = self.gateway.dialect.header_names().clone();
         let status = exchange.status;
+        self.gateway
+            .record_head(&permit.server, &self.id, status, &exchange.headers, sent_at);
         let is_rejected = exchange.headers.contains_key(&names.not_executed);
         if is_rejected || status == StatusCode::MISDIRECTED_REQUEST {
             permit.settle();
@@ -223,23 +254,6 @@
         }
     }
 
-    /// Records what the server declares about itself, unless the response comes from another server
-    /// or belongs to another request.
-    fn record_report(&self, permit: &Permit, exchange: &Exchange, sent_at: Instant) {
-        let names = self.gateway.dialect.header_names();
-        let echoed = exchange.headers.get(&names.request_id);
-        let is_foreign = echoed.is_some_and(|value| value.as_bytes() != self.id.as_bytes());
-        if is_foreign || exchange.status == StatusCode::MISDIRECTED_REQUEST {
-            return;
-        }
-        let dialect = &self.gateway.dialect;
-        let report = dialect.server_report(exchange.status, &exchange.headers);
-        let age_ms = sent_at.elapsed().as_millis() as u64;
-        let sent_at_ms = self.gateway.now_ms().saturating_sub(age_ms);
-        self.gateway
-            .record_report(&permit.server, &report, sent_at_ms);
-    }
-
     /// Builds the request for a backend server. Returns `None` if a header value is invalid.
     fn build_request(&self, server: &Entry, after: Option<u64>) -> Option<http::Request<Bytes>> {
         let names = self.gateway.dialect.header_names();
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -12,6 +12,7 @@
 
 use super::crash::InFlight;
 use crate::gateway::Gateway;
+use crate::hop::Flight;
 
 /// Guard of an in-flight request at a backend server.
 pub(crate) struct Permit {
@@ -19,6 +20,8 @@
     pub(crate) server: Arc<Entry>,
     prefill_tokens: u64,
     in_flight: Option<InFlight>,
+    /// The instance that sends the request, if it is another one.
+    flight: Option<Flight>,
     is_settled: AtomicBool,
 }
 
@@ -36,10 +39,16 @@
             server,
             prefill_tokens,
             in_flight: Some(in_flight),
+            flight: None,
             is_settled: AtomicBool::new(false),
         }
     }
 
+    /// Sets the instance that sends the request, if it is another one.
+    pub(super) fn set_flight(&mut self, flight: Option<Flight>) {
+        self.flight = flight;
+    }
+
     /// Marks the request's outcome at the server as known. An attempt that ends without a known
     /// outcome, because the caller disconnected or another server was tried, may still crash the
     /// server.
@@ -120,6 +129,7 @@
         let Some(in_flight) = self.in_flight.take() else {
             return;
         };
+        self.flight = None;
         let now_ms = self.gateway.now_ms();
         let mut state = self.gateway.state();
         state
--- a/crates/fescuewell_gateway/src/lib.rs
+++ b/crates/fescuewell_gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! | --- | --- |
 //! | `front-0` | callers' connections, and the requests to backend servers made for them |
 //! | `directory-0`, `ready-0`, `metrics-0` | addresses of instances; readiness checks; metrics |
-//! | `snapshot-0` | server list and configuration for other instances |
+//! | `peer-0` | server list, configuration and exchanges with backend servers for other instances |
 //! | `control` | configuration, backend servers, grants, membership, messages between instances |
 //!
 //! ```
@@ -25,8 +25,10 @@
 pub mod gateway;
 pub mod header;
 pub mod hold;
+pub mod hop;
 pub mod job;
 pub mod metrics;
+pub mod peer;
 pub mod refusal;
 pub mod settings;
 pub mod side;
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     malformed_headers: Counter<u64>,
     loan_requests: Counter<u64>,
     digests: Counter<u64>,
+    hops: Counter<u64>,
     configurations: Counter<u64>,
     first_event: Histogram<f64>,
     request_duration: Histogram<f64>,
@@ -47,6 +48,7 @@
             crashes: meter.u64_counter("fescuewell_server_crashes").build(),
             malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
             loan_requests: meter.u64_counter("fescuewell_loan_requests").build(),
+            hops: meter.u64_counter("fescuewell_hops").build(),
             digests: meter.u64_counter("fescuewell_digests").build(),
             configurations: meter.u64_counter("fescuewell_configuration_copies").build(),
             first_event: meter
@@ -125,6 +127,15 @@
         self.configurations.add(1, &attributes);
     }
 
+    /// Counts a request that was passed to another instance (`sent`) or came from one (`served`).
+    pub fn count_hop(&self, direction: &'static str, outcome: &'static str) {
+        let attributes = [
+            KeyValue::new("direction", direction),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.hops.add(1, &attributes);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &str, outcome: &'static str) {
         let attributes = [
@@ -207,7 +218,9 @@
             };
             let unready_left_ms = gateway.state().admission.unready_left_ms(now_ms);
             let behind_ms = gateway.state().lag.behind_ms(now_ms);
+            let is_path_lost = gateway.state().path.is_lost();
             let values = [
+                ("path_lost", f64::from(u8::from(is_path_lost))),
                 ("unready_left_seconds", unready_left_ms as f64 / 1_000.0),
                 ("configuration_version", version as f64),
                 ("configuration_behind_seconds", behind_ms as f64 / 1_000.0),
--- a/crates/fescuewell_http/src/upstream/mod.rs
+++ b/crates/fescuewell_http/src/upstream/mod.rs
@@ -232,6 +232,11 @@
         Reachability::Accepted
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.pool.close_all_idle();
+    }
+
     /// Closes the idle connections to an address.
     ///
     /// When one connection stops responding, for instance because an intermediary has dropped its state,
--- a/crates/fescuewell_http/src/upstream/pool.rs
+++ b/crates/fescuewell_http/src/upstream/pool.rs
@@ -102,6 +102,10 @@
         connections.push(Idle { connection, since });
     }
 
+    pub(super) fn close_all_idle(&self) {
+        self.idle().clear();
+    }
+
     pub(super) fn close_idle(&self, address: SocketAddr) {
         self.idle().remove(&address);
     }
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -55,9 +55,15 @@
     }
 }
 
-fn free_datagram_address() -> SocketAddr {
-    let socket = UdpSocket::bind(any_address()).unwrap();
-    socket.local_addr().unwrap()
+/// Reserves a port for streams that is also free for datagrams, as instances use for each other.
+fn reserve_peer_address() -> (SocketAddr, ReservedAddresses) {
+    loop {
+        let reserved = ReservedAddresses::reserve(1);
+        let address = reserved.get(0);
+        if UdpSocket::bind(address).is_ok() {
+            return (address, reserved);
+        }
+    }
 }
 
 /// Number of listeners of an instance.
@@ -83,6 +89,7 @@
     pub doors: Vec<Door>,
     /// Address for messages of other instances; takes effect at the next start.
     peer: Option<SocketAddr>,
+    peer_reservation: Option<ReservedAddresses>,
 }
 
 impl Fixture {
@@ -122,6 +129,7 @@
             retry_slack: 50.0,
             doors: Vec::new(),
             peer: None,
+            peer_reservation: None,
         }
     }
 
@@ -130,11 +138,31 @@
     pub fn add_instance(&mut self) -> Self {
         let mut other = Self::with_store(self.store.clone(), "entry-2");
         for fixture in [self, &mut other] {
-            fixture.peer = Some(free_datagram_address());
+            fixture.reserve_peer();
         }
         other
     }
 
+    fn reserve_peer(&mut self) {
+        let (address, reserved) = reserve_peer_address();
+        self.peer = Some(address);
+        self.peer_reservation = Some(reserved);
+    }
+
+    /// Starts a third instance beside two, and waits until all know each other.
+    pub fn add_another(&self, second: &Self) -> Self {
+        let mut third = Self::with_store(self.store.clone(), "entry-3");
+        third.reserve_peer();
+        third.start();
+        third.wait_listed("i-0");
+        for fixture in [self, second, &third] {
+            let gateway = fixture.daemon.as_ref().unwrap().gateway();
+            let knows_all = || gateway.state().directory.count() == 3;
+            assert!(wait_until(knows_all), "an instance was not discovered");
+        }
+        third
+    }
+
     /// Starts a store, backend servers and an instance, and waits until it is ready for requests.
     pub fn ready(workers: usize, prepaid: u64) -> Self {
         let mut fixture = Self::without_instance(workers, prepaid);
@@ -404,6 +432,12 @@
         all.filter(|run| &*run.id == id).count()
     }
 
+    /// Number of times that backend servers ran a request whose id begins with this text.
+    pub fn runs_of_prefix(&self, prefix: &str) -> usize {
+        let all = self.workers.iter().flat_map(Worker::runs);
+        all.filter(|run| run.id.starts_with(prefix)).count()
+    }
+
     pub fn connect(&self) -> TcpStream {
         connect(self.front)
     }
--- a/tests/forward/partition.rs
+++ b/tests/forward/partition.rs
@@ -1,10 +1,13 @@
 //! Tests of an instance that has lost its path to all backend servers, while callers, the store and
 //! other instances still reach it.
 
+use std::io::Write;
 use std::time::{Duration, Instant};
 
+use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
+
 use crate::door::{Cut, Door};
-use crate::fixture::{Fixture, Request};
+use crate::fixture::{Fixture, Request, send};
 
 /// Prepaid tokens of the client account; more than any test uses.
 const PREPAID: u64 = 1_000_000;
@@ -20,12 +23,14 @@
 /// Two instances that know each other; the first one reaches the backend servers through doors.
 fn instances(workers: usize) -> [Fixture; 2] {
     let mut first = Fixture::without_instance(workers, PREPAID);
+    let doors = first.workers.iter();
+    first.doors = doors.map(|worker| Door::open(worker.address())).collect();
+    start(first)
+}
+
+/// Starts an instance and a second one.
+fn start(mut first: Fixture) -> [Fixture; 2] {
     let mut second = first.add_instance();
-    first.doors = first
-        .workers
-        .iter()
-        .map(|worker| Door::open(worker.address()))
-        .collect();
     for instance in [&mut first, &mut second] {
         instance.start();
         instance.wait_listed("i-0");
@@ -44,16 +49,28 @@
     }
 }
 
+/// Waits until an instance has noticed that its path is lost, or that it is back.
+fn wait_path(instance: &Fixture, is_lost: bool) {
+    let gateway = instance.daemon.as_ref().unwrap().gateway();
+    let is_reached = || gateway.state().path.is_lost() == is_lost;
+    assert!(wait_until(is_reached), "lost={is_lost} was not noticed");
+}
+
 /// Sends requests until one is served.
 fn wait_served(instance: &Fixture, label: &str) {
     let until = Instant::now() + LIMIT;
     let mut number = 0;
     loop {
-        let status = instance.send(&safe(&format!("{label}-{number}"))).status;
-        if status == 200 {
+        let response = instance.send(&safe(&format!("{label}-{number}")));
+        if response.status == 200 {
             return;
         }
-        assert!(Instant::now() < until, "not served: {status}");
+        assert!(
+            Instant::now() < until,
+            "not served: {}\n{}",
+            response.text(),
+            instance.metrics()
+        );
         number += 1;
         // More requests a second than an instance takes would close its listener.
         std::thread::sleep(Duration::from_millis(20));
@@ -86,3 +103,235 @@
         }
     }
 }
+
+/// Guards against an instance that goes on without a path although the servers are in reach again.
+#[test]
+fn an_instance_whose_path_is_back_sends_requests_by_itself() {
+    let [first, _second] = instances(3);
+    cut(&first, Some(Cut::Refused));
+    wait_served(&first, "cut");
+
+    cut(&first, None);
+    let through_doors = || -> usize { first.doors.iter().map(Door::connections).sum() };
+    let before = through_doors();
+    wait_path(&first, false);
+    for number in 0..REQUESTS {
+        let response = first.send(&safe(&format!("after-{number}")));
+        assert_eq!(response.status, 200, "{}", response.text());
+    }
+
+    assert!(through_doors() > before);
+}
+
+/// Waits until an instance has noticed a cut, with a request that finds it out.
+fn cut_and_notice(instance: &Fixture, kind: Cut) {
+    cut(instance, Some(kind));
+    wait_served(instance, "notice");
+    wait_path(instance, true);
+}
+
+fn stream(id: &str) -> Request {
+    Request::new("POST /stream/x", id)
+        .with_tokens(10, 100)
+        .with_body(b"prompt")
+}
+
+/// Guards against callers that wait until their deadline where no instance has a path.
+#[test]
+fn a_request_that_no_instance_can_send_is_refused_at_once() {
+    let [first, mut second] = instances(2);
+    cut_and_notice(&first, Cut::Refused);
+    second.kill();
+    // The first requests find out that the other instance is gone.
+    first.send(&safe("gone"));
+
+    let begun = Instant::now();
+    let response = first.send(&Request::new("POST /unsafe/x", "refused").with_body(b"booking"));
+
+    assert_eq!(response.status, 503, "{}", response.text());
+    assert!(response.header("retry-after").is_some());
+    assert!(begun.elapsed() < Duration::from_secs(1));
+    assert_eq!(first.runs("refused"), 0);
+}
+
+/// Guards against taking servers that are down for a lost path.
+#[test]
+fn servers_that_are_down_are_no_lost_path() {
+    let [mut first, _second] = start(Fixture::without_instance(2, PREPAID));
+    first.workers.clear();
+
+    for number in 0..REQUESTS {
+        let response = first.send(&safe(&format!("down-{number}")));
+        assert_ne!(response.status, 200);
+    }
+
+    let gateway = first.daemon.as_ref().unwrap().gateway();
+    assert!(!gateway.state().path.is_lost());
+}
+
+/// Guards against requests that are blamed for crashes because a cut broke their connections, and
+/// refused for good afterwards.
+#[test]
+fn a_cut_is_no_crash_of_servers() {
+    let [first, _second] = instances(3);
+    for round in 0..4 {
+        for worker in &first.workers {
+            worker.next(&[Behaviour::Wait]);
+        }
+        let front = first.front;
+        let callers: Vec<_> = (0..3)
+            .map(|number| {
+                let request = safe(&format!("waiting-{round}-{number}"));
+                std::thread::spawn(move || send(front, &request))
+            })
+            .collect();
+        let is_waiting = || first.runs_of_prefix(&format!("waiting-{round}")) >= 1;
+        assert!(wait_until(is_waiting));
+        cut_and_notice(&first, Cut::Refused);
+        for worker in &first.workers {
+            worker.clear_next();
+            worker.release();
+        }
+        for caller in callers {
+            let _ = caller.join().unwrap();
+        }
+        cut(&first, None);
+        wait_path(&first, false);
+    }
+
+    let gateway = first.daemon.as_ref().unwrap().gateway();
+    assert!(gateway.state().quarantine.quarantined().is_empty());
+    assert_eq!(first.send(&safe("after")).status, 200);
+}
+
+/// Guards against tokens that are charged at both instances, or at none.
+#[test]
+fn a_request_sent_by_another_instance_is_charged_once() {
+    let [first, second] = instances(2);
+    cut_and_notice(&first, Cut::Hanging);
+    let before = (first.consumed(), second.consumed());
+
+    let response = first.send(&stream("charged"));
+
+    assert_eq!(response.status, 200);
+    assert!(response.is_complete);
+    first.wait_idle();
+    // 10 prompt tokens, and 7 for each event.
+    assert_eq!(first.consumed() - before.0, 10 + 7 * EVENTS);
+    assert_eq!(second.consumed(), before.1);
+}
+
+/// Guards against a stream that is lost with the instance that sends its request.
+#[test]
+fn a_stream_goes_on_when_the_sending_instance_dies() {
+    let [first, mut second] = instances(2);
+    let third = first.add_another(&second);
+    cut_and_notice(&first, Cut::Refused);
+    for worker in &first.workers {
+        worker.next(&[Behaviour::Pause(2)]);
+    }
+    let front = first.front;
+    let caller = std::thread::spawn(move || send(front, &stream("long")));
+    assert!(wait_until(|| first.runs("long") == 1));
+    for worker in &first.workers {
+        worker.clear_next();
+    }
+
+    second.kill();
+    // If the other instance sends it, the stream goes on there.
+    for worker in &first.workers {
+        worker.release();
+    }
+
+    let response = caller.join().unwrap().unwrap();
+    assert_eq!(response.status, 200);
+    assert!(response.is_complete);
+    assert_eq!(response.events(), (1..=EVENTS).collect::<Vec<u64>>());
+    drop(third);
+}
+
+/// Guards against a request that runs twice because the instance that sends it died without a response.
+#[test]
+fn an_unsafe_request_runs_once_when_the_sending_instance_dies() {
+    let [first, mut second] = instances(2);
+    cut_and_notice(&first, Cut::Refused);
+    for worker in &first.workers {
+        worker.next(&[Behaviour::Wait]);
+    }
+    let front = first.front;
+    let request = Request::new("POST /unsafe/x", "once").with_body(b"booking");
+    let caller = std::thread::spawn(move || send(front, &request));
+    assert!(wait_until(|| first.runs("once") == 1));
+
+    second.kill();
+
+    let response = caller.join().unwrap().unwrap();
+    assert!([502, 504].contains(&response.status), "{}", response.status);
+    assert_eq!(first.runs("once"), 1);
+}
+
+/// Guards against a server that works on for a caller that has left.
+#[test]
+fn a_caller_that_leaves_cancels_through_both_instances() {
+    let [first, _second] = instances(2);
+    cut_and_notice(&first, Cut::Refused);
+    for worker in &first.workers {
+        worker.next(&[Behaviour::Hang]);
+    }
+    let mut connection = first.connect();
+    connection.write_all(&safe("left").bytes()).unwrap();
+    assert!(wait_until(|| first.runs("left") == 1));
+
+    drop(connection);
+
+    let has_left = || first.workers.iter().any(|worker| worker.left() > 0);
+    assert!(wait_until(has_left));
+}
+
+/// Guards against a stop that cuts off what an instance sends for another one.
+#[test]
+fn a_stopping_instance_completes_what_it_sends_for_others() {
+    let [first, second] = instances(2);
+    cut_and_notice(&first, Cut::Refused);
+    for worker in &first.workers {
+        worker.next(&[Behaviour::Pause(2)]);
+    }
+    let front = first.front;
+    let caller = std::thread::spawn(move || send(front, &stream("long")));
+    assert!(wait_until(|| first.runs("long") == 1));
+
+    let stopped = std::thread::scope(|scope| {
+        let daemon = second.daemon.as_ref().unwrap();
+        let stop = scope.spawn(|| daemon.stop());
+        let is_draining = || daemon.gateway().is_draining();
+        assert!(wait_until(is_draining));
+        for worker in &first.workers {
+            worker.release();
+        }
+        let response = caller.join().unwrap().unwrap();
+        stop.join().unwrap();
+        response
+    });
+
+    assert!(stopped.is_complete);
+    assert_eq!(stopped.events(), (1..=EVENTS).collect::<Vec<u64>>());
+    assert_eq!(first.runs("long"), 1);
+}
+
+/// Guards against new work for a server that the sending instance knows to be leaving.
+#[test]
+fn a_leaving_server_gets_no_request_through_another_instance() {
+    let [first, second] = instances(2);
+    cut_and_notice(&first, Cut::Refused);
+
+    first.register(0, "draining");
+    first.wait_server("i-0", false);
+    second.wait_server("i-0", false);
+    let before = first.workers[0].runs().len();
+    for number in 0..REQUESTS {
+        let response = first.send(&safe(&format!("r-{number}")));
+        assert_eq!(response.status, 200, "{}", response.text());
+    }
+
+    assert_eq!(first.workers[0].runs().len(), before);
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,9 @@
 
 mod caller;
 mod conditions;
+#[path = "../forward/door.rs"]
+#[allow(dead_code, reason = "the soak uses a part of the fixture")]
+mod door;
 mod fault;
 #[path = "../forward/fixture.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the fixture")]
