Relay: an instance without recent heartbeats goes on to be informed of changes

Cause: digests and changes are sent to members with recent heartbeats. Change: members are informed for 30 s after their last heartbeat. Result: an_instance_that_writes_no_heartbeats_is_informed_for_a_while failed before (heartbeat 10 s old) and passes.

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -356,9 +356,12 @@
         first.map(|(name, _)| name).collect()
     }
 
-    /// Returns the addresses to which a reader sends or forwards digests: the other instances of
-    /// its availability zone, and from a primary reader of a large fleet the relays of all zones.
-    /// Empty for a follower, which reads for itself only.
+    /// Returns the addresses to which a reader sends or forwards digests and changes of the
+    /// configuration: the other instances of its availability zone, and from a primary reader of a
+    /// large fleet the relays of all zones. Empty for a follower, which reads for itself only.
+    ///
+    /// A member without recent heartbeats is among them for a while: it may be running without a
+    /// connection to the store, and has no other source then.
     pub fn digest_receivers(&self, name: &str, zone: &str) -> Vec<SocketAddr> {
         let readers = self.readers(zone);
         let role = self.role(name, zone);
@@ -366,8 +369,9 @@
             return Vec::new();
         }
         let mut receivers = Vec::new();
-        for (other, member) in self.live() {
-            if *member.zone == *zone && !readers.contains(other) {
+        for (other, member) in &self.members {
+            let is_informed = member.is_informed(self.read_at_ms, self.member_timeout_ms());
+            if is_informed && *member.zone == *zone && !readers.contains(other) {
                 receivers.extend(member.peer);
             }
         }
--- a/crates/fescuewell_forward/src/directory/member.rs
+++ b/crates/fescuewell_forward/src/directory/member.rs
@@ -50,6 +50,9 @@
 /// than [`super::MEMBER_TIMEOUT_MS`]: an instance without a connection to the store still serves
 /// requests, with tokens that no other instance holds.
 const ADVERTISED_TIMEOUT_MS: u64 = 6_000;
+/// Age of its last heartbeat, in milliseconds, up to which a member is informed of changes. A few
+/// datagrams a second to an instance that has ended cost next to nothing.
+const INFORMED_TIMEOUT_MS: u64 = 30_000;
 /// Weight, in thousandths of a core, per request a second: a request takes about 0.9 ms of
 /// processor time, and half of the processor is left free.
 const WEIGHT_PER_REQUEST: u32 = 2;
@@ -95,6 +98,11 @@
         self.is_within(now_ms, timeout_ms)
     }
 
+    /// Returns `true` if the heartbeat is recent enough for digests to be sent here.
+    pub(super) fn is_informed(&self, now_ms: u64, timeout_ms: u64) -> bool {
+        self.is_live(now_ms, timeout_ms) || self.is_within(now_ms, INFORMED_TIMEOUT_MS)
+    }
+
     /// Returns `true` if the heartbeat is recent enough for callers to be sent here.
     pub(super) fn may_be_advertised(&self, now_ms: u64) -> bool {
         let own_ms = u64::from(self.interval_ms) * MAX_ADVERTISED_INTERVALS;
--- a/crates/fescuewell_forward/tests/fleet.rs
+++ b/crates/fescuewell_forward/tests/fleet.rs
@@ -234,6 +234,33 @@
     assert_eq!(reached.len(), INSTANCES);
 }
 
+/// Guards against an instance that hears of no change any more, because a full link or the store keeps
+/// it from writing heartbeats, although messages reach it.
+#[test]
+fn an_instance_that_writes_no_heartbeats_is_informed_for_a_while() {
+    const INSTANCES: usize = 50;
+    for (age_ms, is_informed) in [(0, true), (10_000, true), (25_000, true), (60_000, false)] {
+        let silent = 17;
+        let members = (0..INSTANCES).map(|index| {
+            let mut member = member(index, 1_000);
+            if index == silent {
+                member.heartbeat_at_ms = NOW_MS - age_ms;
+            }
+            (name(index), member)
+        });
+        let mut directory = Directory::default();
+        directory.replace(members.collect(), NOW_MS);
+        let readers = (0..INSTANCES)
+            .filter(|index| zone(*index) == zone(silent))
+            .filter(|index| directory.role(&name(*index), &zone(*index)) == Role::Primary);
+
+        for reader in readers.take(2).collect::<Vec<_>>() {
+            let receivers = directory.digest_receivers(&name(reader), &zone(reader));
+            assert_eq!(receivers.contains(&peer(silent)), is_informed, "{age_ms}");
+        }
+    }
+}
+
 /// Guards against relays that announce no newer configuration to their zone while the store rejects
 /// their own calls.
 #[test]
