--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -20,7 +20,7 @@
 ";
 
 /// Titles of log lines that report a change of an instance's state and are printed as context.
-const CONTEXT_TITLES: [&str; 23] = [
+const CONTEXT_TITLES: [&str; 26] = [
     "process.started",
     "process.ready",
     "drain.started",
@@ -30,6 +30,9 @@
     "server.ejected",
     "server.ended",
     "server.crashed",
+    "path.lost",
+    "path.restored",
+    "document.behind",
     "table.down",
     "table.up",
     "allowance.drawn",
