Configuration: an earlier reader is asked again only if it refuses; tests of calls between instances

Cause: a request for changes that timed out was repeated for the whole configuration at the same reader, so that two silent readers delayed reading the store by up to 5 s. Change: only a refusal, which is how an earlier program version answers, leads to the second request. The choice of an instance that sends a request leaves out the own address before it compares. The store in memory ends calls after the timeout that they are given.

--- a/crates/fescuewell_gateway/src/control/snapshots.rs
+++ b/crates/fescuewell_gateway/src/control/snapshots.rs
@@ -93,35 +93,50 @@
     readers
 }
 
+/// Why a reader sent no snapshot.
+enum Failure {
+    /// It refused the request.
+    Refused,
+    /// It did not respond in time, or the response cannot be read.
+    NoResponse,
+}
+
 /// Requests a snapshot from one reader. Returns `None` on any failure. A reader of an earlier program
-/// version cannot read a request for changes, and is asked for the whole configuration.
+/// version refuses a request for changes, which it cannot read, and is asked for the whole
+/// configuration.
 async fn exchange_or_copy(
     control: &Control,
     reader: SocketAddr,
     subject: Subject,
 ) -> Option<Snapshot> {
-    let response = exchange(control, reader, subject).await;
-    match subject {
-        Subject::ConfigurationAfter(_) if response.is_none() => {
-            exchange(control, reader, Subject::Configuration).await
+    match (exchange(control, reader, subject).await, subject) {
+        (Err(Failure::Refused), Subject::ConfigurationAfter(_)) => {
+            let copy = exchange(control, reader, Subject::Configuration);
+            copy.await.ok()
         }
-        _ => response,
+        (response, _) => response.ok(),
     }
 }
 
-async fn exchange(control: &Control, reader: SocketAddr, subject: Subject) -> Option<Snapshot> {
+async fn exchange(
+    control: &Control,
+    reader: SocketAddr,
+    subject: Subject,
+) -> Result<Snapshot, Failure> {
     let gateway = &control.gateway;
-    let key = gateway.fleet_key()?;
+    let key = gateway.fleet_key().ok_or(Failure::NoResponse)?;
     let now_ms = gateway.now_ms();
     let store_ms = gateway.state().quota.store_time(now_ms);
     let message = Message::SnapshotWanted(Request::new(subject, store_ms));
     let request = http::Request::post(PATH).body(Bytes::from(key.seal(&message)));
+    let request = request.map_err(|_| Failure::NoResponse)?;
     let target = Target::new(reader);
-    let exchange = gateway.client.open(&target, request.ok()?, TIMEOUTS);
-    let exchange = exchange.await.ok()?;
+    let exchange = gateway.client.open(&target, request, TIMEOUTS).await;
+    let exchange = exchange.map_err(|_| Failure::NoResponse)?;
     if exchange.status != StatusCode::OK {
-        return None;
+        return Err(Failure::Refused);
     }
-    let body = exchange.collect(MAX_BYTES).await.ok()?;
-    key.open_content(&body)
+    let body = exchange.collect(MAX_BYTES).await;
+    let body = body.map_err(|_| Failure::NoResponse)?;
+    key.open_content(&body).ok_or(Failure::NoResponse)
 }
--- a/crates/fescuewell_gateway/src/hop.rs
+++ b/crates/fescuewell_gateway/src/hop.rs
@@ -245,10 +245,9 @@
             .choose(candidates, now_ms)
             // All of them are avoided: another sample may hold one that is not.
             .or_else(|| {
-                state
-                    .hops
-                    .choose(state.directory.senders().iter().copied(), now_ms)
-                    .filter(|address| Some(*address) != self.settings.peer)
+                let senders = state.directory.senders().iter().copied();
+                let others = senders.filter(|peer| Some(peer.address) != self.settings.peer);
+                state.hops.choose(others, now_ms)
             })
     }
 
--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -262,24 +262,26 @@
 }
 
 impl Source for MemoryStore {
-    fn read_state(&self, _: Duration) -> BoxFuture<'_, Versioned<OperatorState>> {
+    fn read_state(&self, head_timeout: Duration) -> BoxFuture<'_, Versioned<OperatorState>> {
         let configuration = self.configuration.lock().unwrap().clone();
-        Box::pin(self.versioned(OperatorState {
+        let state = self.versioned(OperatorState {
             configuration: Some(configuration),
             ..OperatorState::default()
-        }))
+        });
+        Box::pin(within(head_timeout, state))
     }
 
     fn watch_state(
         &self,
         _: u64,
         wait: Duration,
-        _: Duration,
+        head_timeout: Duration,
     ) -> BoxFuture<'_, Versioned<OperatorState>> {
-        Box::pin(async move {
+        let state = async move {
             tokio::time::sleep(wait).await;
             self.versioned(OperatorState::default()).await
-        })
+        };
+        Box::pin(within(head_timeout, state))
     }
 
     fn list_servers(&self) -> BoxFuture<'_, Versioned<Vec<Update>>> {
@@ -294,6 +296,19 @@
     }
 }
 
+/// Limits the time of a call.
+async fn within<Response, Call>(limit: Duration, call: Call) -> Result<Response, Error>
+where
+    Call: Future<Output = Result<Response, Error>>,
+{
+    let response = tokio::time::timeout(limit, call).await;
+    response.unwrap_or_else(|_| {
+        Err(Error::Unknown {
+            reason: "timed out".into(),
+        })
+    })
+}
+
 /// A dialect that no test uses.
 struct UnusedDialect(HeaderNames);
 
--- a/crates/fescuewell_gateway/tests/configuration.rs
+++ b/crates/fescuewell_gateway/tests/configuration.rs
@@ -6,11 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use common::{Behaviour, MemoryStore, instance, settings};
 use fescuewell_forward::config::{Configuration, Kind, Route, Split};
 use fescuewell_forward::directory::Member;
+use fescuewell_forward::message::{Key, Message};
+use fescuewell_forward::snapshot::Subject;
 use fescuewell_gateway::control::Control;
 use fescuewell_gateway::gateway::Gateway;
+use fescuewell_gateway::snapshot::SnapshotHandler;
+use fescuewell_http::listener::{Handler, Listener, Reply, Request, Settings};
+use http::{HeaderMap, StatusCode};
 
 const ZONE: &str = "zone-0";
 const READER: &str = "reader";
@@ -94,7 +100,7 @@
             (READER.to_owned(), member(self.reader, 1_000_000)),
             (FOLLOWER.to_owned(), member(self.follower, 1)),
         ];
-        members.extend((0..8).map(|number| (format!("other-{number}"), member(nobody, 2))));
+        members.extend((0..8).map(|number| (format!("other-{number}"), member(nobody, 1_000))));
         for (other, member) in members {
             store.insert("member", "fleet", &other, member.encode());
         }
@@ -109,6 +115,56 @@
             control,
         }
     }
+
+    /// Starts both instances.
+    fn start_both(&self) -> (Started, Started) {
+        (
+            self.start(READER, self.reader, 1_000.0),
+            self.start(FOLLOWER, self.follower, 0.1),
+        )
+    }
+}
+
+/// Plays a change at the reader, which the follower's store does not tell. Returns whether the follower
+/// acts by it in time.
+fn play_change(reader: &Started, follower: &Started) -> bool {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let play = async {
+            wait_version(&reader.gateway, 1).await;
+            wait_version(&follower.gateway, 1).await;
+            follower.store.set_behaviour(Behaviour::Silent);
+            reader.store.set_configuration(configuration(2, 401));
+            wait_version(&reader.gateway, 2).await;
+            wait_version(&follower.gateway, 2).await;
+        };
+        tokio::select! {
+            () = reader.control.clone().run() => unreachable!("the control tasks run until the process ends"),
+            () = follower.control.clone().run() => unreachable!("the control tasks run until the process ends"),
+            () = play => true,
+            () = tokio::time::sleep(LIMIT) => false,
+        }
+    })
+}
+
+/// A reader of an earlier program version: it cannot read a request for changes.
+struct EarlierReader(SnapshotHandler);
+
+impl Handler for EarlierReader {
+    fn handle(&self, request: Request, reply: Reply) {
+        let wanted = Key::new([7; 32]).open(&request.body);
+        let is_known = matches!(
+            wanted,
+            Some(Message::SnapshotWanted(wanted)) if !matches!(wanted.subject, Subject::ConfigurationAfter(_))
+        );
+        match is_known {
+            true => self.0.handle(request, reply),
+            false => reply.send(StatusCode::NOT_FOUND, HeaderMap::new(), Bytes::new()),
+        }
+    }
 }
 
 struct Started {
@@ -131,29 +187,9 @@
 #[test]
 fn a_change_reaches_a_follower_that_can_open_no_connection() {
     let zone = Zone::new();
-    let reader = zone.start(READER, zone.reader, 1_000.0);
-    let follower = zone.start(FOLLOWER, zone.follower, 0.1);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
+    let (reader, follower) = zone.start_both();
 
-    let is_current = runtime.block_on(async {
-        let play = async {
-            wait_version(&reader.gateway, 1).await;
-            wait_version(&follower.gateway, 1).await;
-            follower.store.set_behaviour(Behaviour::Silent);
-            reader.store.set_configuration(configuration(2, 401));
-            wait_version(&reader.gateway, 2).await;
-            wait_version(&follower.gateway, 2).await;
-        };
-        tokio::select! {
-            () = reader.control.run() => unreachable!("the control tasks run until the process ends"),
-            () = follower.control.run() => unreachable!("the control tasks run until the process ends"),
-            () = play => true,
-            () = tokio::time::sleep(LIMIT) => false,
-        }
-    });
+    let is_current = play_change(&reader, &follower);
 
     assert!(
         is_current,
@@ -164,3 +200,23 @@
     expected.normalize();
     assert_eq!(*table.configuration(), expected);
 }
+
+/// Guards against a rolling upgrade in which instances of the new version get no configuration from
+/// readers of the earlier one.
+#[test]
+fn a_follower_copies_the_configuration_of_an_earlier_reader() {
+    let zone = Zone::new();
+    let (reader, follower) = zone.start_both();
+    // The change does not apply to another content of version 1.
+    follower.store.set_configuration(configuration(1, 300));
+    let handler = EarlierReader(SnapshotHandler::new(reader.gateway.clone()));
+    let listener = Listener::start(Settings::new(zone.reader), Arc::new(handler)).unwrap();
+
+    let is_current = play_change(&reader, &follower);
+
+    drop(listener);
+    assert!(
+        is_current,
+        "the follower still acts by the old configuration"
+    );
+}
