Tests: a door releases its lock while its threads sleep

A trace shows a check that reached a server (reached=true): one of three doors was still open. The threads that pass bytes on held the door's lock while they slept, and with many connections the thread that closes the door did not get it. Ruled out: all waiting requests at one server; eight instead of two or three wait now all the same. Change: the lock is released before the sleep; a hanging door keeps its backlog full.

--- a/tests/forward/door.rs
+++ b/tests/forward/door.rs
@@ -160,7 +160,9 @@
     from.set_read_timeout(Some(POLL_INTERVAL)).unwrap();
     let mut buffer = [0; 16 * 1024];
     while !shared.is_ended() {
-        match *shared.cut() {
+        // The lock must not be held while the thread sleeps.
+        let cut = *shared.cut();
+        match cut {
             Some(Cut::Refused) => break,
             Some(Cut::Hanging) => {
                 std::thread::sleep(POLL_INTERVAL);
@@ -180,15 +182,17 @@
     let _ = to.shutdown(Shutdown::Both);
 }
 
-/// Fills the backlog, so that further connections are not established.
+/// Keeps the backlog full, so that further connections are not established.
 fn hang(shared: &Shared, address: SocketAddr) {
     let listener = bind(address);
     listener.listen(0).unwrap();
     let mut fillers = Vec::new();
-    while let Ok(filler) = TcpStream::connect_timeout(&address, CONNECT_TIME) {
-        fillers.push(filler);
+    while !shared.is_ended() && *shared.cut() == Some(Cut::Hanging) {
+        // A reset connection leaves room for another one.
+        if let Ok(filler) = TcpStream::connect_timeout(&address, CONNECT_TIME) {
+            fillers.push(filler);
+        }
     }
-    wait_while(shared, Some(Cut::Hanging));
 }
 
 /// A source in which backend servers have the addresses of doors.
--- a/tests/forward/partition.rs
+++ b/tests/forward/partition.rs
@@ -15,6 +15,8 @@
 const LIMIT: Duration = Duration::from_secs(3);
 /// Number of connections that are open before a cut.
 const KEPT_CONNECTIONS: usize = 18;
+/// Number of requests that wait at the same time; too many for a single server to hold all of them.
+const WAITING: usize = 8;
 /// Number of requests of each kind.
 const REQUESTS: usize = 10;
 
@@ -377,7 +379,7 @@
     }
 
     cut(&first, Some(Cut::Hanging));
-    let waiting: Vec<_> = (0..3)
+    let waiting: Vec<_> = (0..WAITING)
         .map(|number| {
             let request = safe(&format!("waiting-{number}"));
             std::thread::spawn(move || send(front, &request))
@@ -404,16 +406,16 @@
     first.configure(&patient);
     assert!(wait_until(|| first.version() == 2));
     for worker in &first.workers {
-        worker.next(&[Behaviour::Hang; 3]);
+        worker.next(&[Behaviour::Hang; WAITING]);
     }
     let front = first.front;
-    let waiting: Vec<_> = (0..2)
+    let waiting: Vec<_> = (0..WAITING)
         .map(|number| {
             let request = safe(&format!("waiting-{number}"));
             std::thread::spawn(move || send(front, &request))
         })
         .collect();
-    assert!(wait_until(|| first.runs_of_prefix("waiting-") == 2));
+    assert!(wait_until(|| first.runs_of_prefix("waiting-") == WAITING));
     for worker in &first.workers {
         worker.clear_next();
     }
