--- a/crates/fescuewell_forward/src/path.rs
+++ b/crates/fescuewell_forward/src/path.rs
@@ -10,11 +10,11 @@
 //! ```
 //!
 //! Servers that are down, a service without servers and a full link of this instance look alike from
-//! here. Another instance that reaches a server which this one does not is what tells them apart.
+//! here. They are distinguished by asking another instance whether it reaches one of the servers.
 //!
-//! Responses on kept connections are no evidence for a path, since these may live on while new ones are
-//! refused. Several servers that do not respond, with no response from any in between, are a reason
-//! for a check: where kept connections hang, requests use them up one by one.
+//! A response on an open connection does not show that the path works, because new connections may be
+//! refused while open ones still work. If several servers do not respond, and no other response
+//! arrives in between, a check is made: pooled connections that hang would otherwise delay it.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
--- a/crates/fescuewell_forward/tests/changes.rs
+++ b/crates/fescuewell_forward/tests/changes.rs
@@ -182,7 +182,7 @@
     assert!(items <= 4_096, "{items}");
 }
 
-/// Guards against a change that is sent without end.
+/// Guards against a change that is sent repeatedly without a limit.
 #[test]
 fn a_change_is_sent_again_twice() {
     let mut history = History::default();
--- a/crates/fescuewell_forward/tests/fleet.rs
+++ b/crates/fescuewell_forward/tests/fleet.rs
@@ -234,8 +234,8 @@
     assert_eq!(reached.len(), INSTANCES);
 }
 
-/// Guards against an instance that hears of no change any more, because a full link or the store keeps
-/// it from writing heartbeats, although messages reach it.
+/// Guards against an instance that receives no digests because it cannot write heartbeats, although
+/// datagrams reach it.
 #[test]
 fn an_instance_that_writes_no_heartbeats_is_informed_for_a_while() {
     const INSTANCES: usize = 50;
--- a/crates/fescuewell_forward/tests/hops.rs
+++ b/crates/fescuewell_forward/tests/hops.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use fescuewell_forward::hop::{
-    Call, FORMAT, Forward, Guard, MAX_ATTEMPTS, Peer, Peers, Refusal, SAMPLE, Server, Task,
-    Timeouts,
+    Call, FORMAT, Forward, Guard, MAX_ATTEMPTS, Peer, Peers, Reached, Refusal, SAMPLE, Server,
+    Task, Timeouts,
 };
 use fescuewell_forward::message::Key;
 use fescuewell_forward::server::Incarnation;
@@ -134,7 +134,7 @@
     assert!(!guard.accept(&call(3, 59_000), 68_500));
 }
 
-/// Guards against memory that grows with the calls of a sender that repeats them without end.
+/// Guards against unbounded memory use when a sender repeats calls.
 #[test]
 fn remembered_calls_are_bounded() {
     let mut guard = Guard::default();
@@ -184,6 +184,35 @@
     );
 }
 
+/// Guards against a refusal that an instance of another version does not recognize: it would take the
+/// request for one that may have run, or the other way round.
+#[test]
+fn probes_and_refusals_have_the_written_bytes() {
+    let server = Server {
+        id: "i".into(),
+        incarnation: Incarnation::from_number(2),
+    };
+    let call = Call::new(Task::Probe(vec![server]), 10, 11);
+    let names = [
+        (Refusal::NoPath, "no-path"),
+        (Refusal::Busy, "busy"),
+        (Refusal::NotReady, "not-ready"),
+        (Refusal::UnknownServer, "unknown-server"),
+        (Refusal::Unreachable, "unreachable"),
+        (Refusal::Malformed, "malformed"),
+    ];
+
+    assert_eq!(
+        postcard::to_allocvec(&call).unwrap(),
+        [1, 11, 10, 0, 1, 1, b'i', 2]
+    );
+    assert_eq!(postcard::to_allocvec(&Reached { count: 3 }).unwrap(), [3]);
+    for (refusal, name) in names {
+        assert_eq!(refusal.name(), name);
+        assert_eq!(Refusal::from_name(name), Some(refusal));
+    }
+}
+
 /// Guards against a call that is carried out for a sender without the fleet key.
 #[test]
 fn a_call_with_another_key_is_not_read() {
--- a/crates/fescuewell_forward/tests/path.rs
+++ b/crates/fescuewell_forward/tests/path.rs
@@ -106,7 +106,7 @@
     assert_eq!(checks, 0);
 }
 
-/// Guards against a cut that is found out only when all kept connections are used up.
+/// Guards against a partition that is detected only after all pooled connections have failed.
 #[test]
 fn two_silent_servers_start_a_check() {
     let mut monitor = Monitor::default();
--- a/crates/fescuewell_gateway/src/gateway/path.rs
+++ b/crates/fescuewell_gateway/src/gateway/path.rs
@@ -176,7 +176,7 @@
         let mut state = gateway.state();
         let is_lost = state.path.end_check(outcome, now_ms);
         if is_lost {
-            // What this instance has observed tells of its own path, not of the servers.
+            // The recorded failures were caused by the path, not by the servers.
             state.health.clear();
         }
         is_lost
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -161,8 +161,8 @@
         }
     }
 
-    /// Waits while it is found out whether this instance has lost its path to all servers. If so, the
-    /// servers it could not connect to are as good as any.
+    /// Waits for the check of the path to the servers. If the path is lost, the servers to which the
+    /// connection failed may be tried again through another instance.
     async fn check_path(&mut self, permit: &Permit) {
         self.gateway.record_connect_failure(&permit.server);
         self.gateway.path_checked().await;
--- a/tests/forward/configuration.rs
+++ b/tests/forward/configuration.rs
@@ -5,6 +5,7 @@
 use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
 
 use crate::fixture::{Fixture, Request, configuration, send};
+use crate::wire;
 
 #[test]
 fn an_accepted_configuration_is_in_force_without_a_restart() {
@@ -143,7 +144,7 @@
         worker.next(&[Behaviour::Pause(2)]);
     }
     let front = fixture.front;
-    let request = Request::new("POST /stream/x", "r-1").with("X-Fescuewell-Deadline-Ms", "20000");
+    let request = Request::new("POST /stream/x", "r-1").with(wire::DEADLINE, "20000");
     let caller = std::thread::spawn(move || send(front, &request));
     let busy = || {
         fixture
@@ -210,9 +211,9 @@
     let bytes = large.to_string().len() * 4 / 3;
     fixture.store.set_fault(Fault::Narrow(bytes * 2 / 5));
     // Polls that began before are answered at full speed.
-    let polls = fixture.store.calls("/-/rows-feed");
+    let polls = fixture.store.calls(wire::FEED_PATH);
     assert!(wait_until(
-        || fixture.store.calls("/-/rows-feed") > polls + 4
+        || fixture.store.calls(wire::FEED_PATH) > polls + 4
     ));
 
     fixture.configure(&large);
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -18,7 +18,7 @@
 use serde_json::Value;
 use socket2::{Domain, Socket, Type};
 
-use crate::door::{Door, Rerouted};
+use crate::server_proxy::{Rerouted, ServerProxy};
 use crate::wire;
 
 pub use fescuewell::standin::sample::{GROUP, HOST, KEY, configuration};
@@ -84,9 +84,9 @@
     /// Retries that the fleet may make beyond the ratio of its requests; takes effect at the next
     /// start. With 0 the ratio is 0, too.
     pub retry_slack: f64,
-    /// Doors to the backend servers, in their order, if the instance reaches them through doors; take
+    /// Proxies to the backend servers, in their order, if the instance connects through proxies; take
     /// effect at the next start.
-    pub doors: Vec<Door>,
+    pub proxies: Vec<ServerProxy>,
     /// Address for messages of other instances; takes effect at the next start.
     peer: Option<SocketAddr>,
     peer_reservation: Option<ReservedAddresses>,
@@ -127,7 +127,7 @@
             name,
             link_mbps: 1_000.0,
             retry_slack: 50.0,
-            doors: Vec::new(),
+            proxies: Vec::new(),
             peer: None,
             peer_reservation: None,
         }
@@ -206,7 +206,7 @@
         process_settings.instance.retry_budget.slack = self.retry_slack;
         let client = Arc::new(Client::new(process_settings.store));
         let reader = Reader::new(client.clone());
-        let source = Arc::new(Rerouted::new(reader, &self.doors));
+        let source = Arc::new(Rerouted::new(reader, &self.proxies));
         let daemon = Daemon::start(
             process_settings.instance,
             Arc::new(Platform::default()),
--- a/tests/forward/partition.rs
+++ b/tests/forward/partition.rs
@@ -6,8 +6,8 @@
 
 use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
 
-use crate::door::{Cut, Door};
 use crate::fixture::{Fixture, Request, configuration, send};
+use crate::server_proxy::{Cut, ServerProxy};
 
 /// Prepaid tokens of the client account; more than any test uses.
 const PREPAID: u64 = 1_000_000;
@@ -24,11 +24,13 @@
     Request::new("GET /safe/x", id)
 }
 
-/// Two instances that know each other; the first one reaches the backend servers through doors.
+/// Two instances that know each other; the first one connects to the backend servers through proxies.
 fn instances(workers: usize) -> [Fixture; 2] {
     let mut first = Fixture::without_instance(workers, PREPAID);
-    let doors = first.workers.iter();
-    first.doors = doors.map(|worker| Door::open(worker.address())).collect();
+    let proxies = first.workers.iter();
+    first.proxies = proxies
+        .map(|worker| ServerProxy::open(worker.address()))
+        .collect();
     start(first)
 }
 
@@ -47,7 +49,7 @@
     [first, second]
 }
 
-/// Cuts the paths to all servers at once, or heals them.
+/// Starts or ends a partition from all servers.
 fn cut(instance: &Fixture, cut: Option<Cut>) {
     if cut == Some(Cut::Refused) {
         // No server is in reach any more when the first connection breaks.
@@ -57,10 +59,10 @@
 }
 
 fn set(instance: &Fixture, cut: Option<Cut>) {
-    for door in &instance.doors {
-        door.set(cut);
+    for server_proxy in &instance.proxies {
+        server_proxy.set(cut);
     }
-    Door::settle();
+    ServerProxy::settle();
 }
 
 /// Waits until an instance has noticed that its path is lost, or that it is back.
@@ -122,7 +124,7 @@
     }
 }
 
-/// Guards against an instance that goes on without a path although the servers are in reach again.
+/// Guards against an instance that still forwards requests to others after the partition has ended.
 #[test]
 fn an_instance_whose_path_is_back_sends_requests_by_itself() {
     let [first, _second] = instances(3);
@@ -130,18 +132,18 @@
     wait_served(&first, "cut");
 
     cut(&first, None);
-    let through_doors = || -> usize { first.doors.iter().map(Door::connections).sum() };
-    let before = through_doors();
+    let through_proxies = || -> usize { first.proxies.iter().map(ServerProxy::connections).sum() };
+    let before = through_proxies();
     wait_path(&first, false);
     for number in 0..REQUESTS {
         let response = first.send(&safe(&format!("after-{number}")));
         assert_eq!(response.status, 200, "{}", response.text());
     }
 
-    assert!(through_doors() > before);
+    assert!(through_proxies() > before);
 }
 
-/// Waits until an instance has noticed a cut, with a request that finds it out.
+/// Starts a partition and waits until the instance has detected it.
 fn cut_and_notice(instance: &Fixture, kind: Cut) {
     cut(instance, Some(kind));
     wait_served(instance, "notice");
@@ -160,7 +162,7 @@
     let [first, mut second] = instances(2);
     cut_and_notice(&first, Cut::Refused);
     second.kill();
-    // The first requests find out that the other instance is gone.
+    // The first request detects that the other instance has stopped.
     first.send(&safe("gone"));
 
     let begun = Instant::now();
@@ -254,7 +256,7 @@
     }
 
     second.kill();
-    // If the other instance sends it, the stream goes on there.
+    // The server resumes the stream if the third instance sent the request.
     for worker in &first.workers {
         worker.release();
     }
@@ -352,8 +354,8 @@
     assert_eq!(first.workers[0].runs().len(), before);
 }
 
-/// Guards against a cut that stays unnoticed while requests wait on kept connections, one after the
-/// other, on which nothing arrives any more.
+/// Guards against a partition that is not detected while idle connections remain in the pool: requests
+/// wait for a response on these instead of failing to connect.
 #[test]
 fn kept_connections_that_hang_do_not_hide_a_cut() {
     let [first, _second] = instances(3);
--- a/tests/forward/door.rs
+++ b/tests/forward/server_proxy.rs
@@ -1,4 +1,4 @@
-//! The path from one instance to the backend servers, which a test can cut.
+//! A proxy between one instance and a backend server, with which a test simulates a network partition.
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -21,7 +21,7 @@
 /// Time after which a connection that is not established counts as hanging.
 const CONNECT_TIME: Duration = Duration::from_millis(50);
 
-/// How a path is cut.
+/// How the proxy simulates a partition.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cut {
     /// New connections are refused, open ones are reset.
@@ -50,11 +50,11 @@
 }
 
 /// A proxy in front of one backend server.
-pub struct Door {
+pub struct ServerProxy {
     address: SocketAddr,
     shared: Arc<Shared>,
     thread: Option<JoinHandle<()>>,
-    /// Keeps the port.
+    /// Reserves the port while no socket listens on it.
     _reserved: Socket,
 }
 
@@ -65,8 +65,8 @@
     socket
 }
 
-impl Door {
-    /// Starts an open door to a backend server.
+impl ServerProxy {
+    /// Starts a proxy that forwards connections to a backend server.
     pub fn open(target: SocketAddr) -> Self {
         let reserved = bind(any_address());
         let address = reserved.local_addr().unwrap().as_socket().unwrap();
@@ -86,23 +86,23 @@
         }
     }
 
-    /// Number of connections that reached the server through the door.
+    /// Number of connections that the proxy has forwarded to the server.
     pub fn connections(&self) -> usize {
         self.shared.connections.load(Ordering::Relaxed)
     }
 
-    /// Cuts the path, or heals it; see [`Door::settle`].
+    /// Starts or ends a partition, which takes effect shortly after; see [`ServerProxy::settle`].
     pub fn set(&self, cut: Option<Cut>) {
         *self.shared.cut() = cut;
     }
 
-    /// Waits until all doors have applied their modes.
+    /// Waits until all proxies have applied their last mode.
     pub fn settle() {
         std::thread::sleep(POLL_INTERVAL * 10);
     }
 }
 
-impl Drop for Door {
+impl Drop for ServerProxy {
     fn drop(&mut self) {
         self.shared.is_ended.store(true, Ordering::Relaxed);
         if let Some(thread) = self.thread.take() {
@@ -131,7 +131,7 @@
     }
 }
 
-/// Accepts connections while the path is whole.
+/// Accepts connections until a partition starts.
 fn accept(shared: &Arc<Shared>, address: SocketAddr) {
     let listener = bind(address);
     listener.listen(128).unwrap();
@@ -155,7 +155,7 @@
     }
 }
 
-/// Passes bytes on in one direction, as the mode permits.
+/// Forwards bytes in one direction, as the mode permits.
 fn pass_on(shared: &Shared, mut from: TcpStream, mut to: TcpStream) {
     from.set_read_timeout(Some(POLL_INTERVAL)).unwrap();
     let mut buffer = [0; 16 * 1024];
@@ -195,26 +195,27 @@
     }
 }
 
-/// A source in which backend servers have the addresses of doors.
+/// A source that replaces the addresses of backend servers with those of their proxies.
 pub struct Rerouted {
     reader: Reader,
-    doors: HashMap<Arc<str>, SocketAddr>,
+    proxies: HashMap<Arc<str>, SocketAddr>,
 }
 
 impl Rerouted {
     /// Creates a source; the servers are named by their index, as in the fixture.
-    pub fn new(reader: Reader, doors: &[Door]) -> Self {
-        let doors = doors.iter().enumerate();
-        let doors = doors.map(|(index, door)| (format!("i-{index}").into(), door.address));
+    pub fn new(reader: Reader, proxies: &[ServerProxy]) -> Self {
+        let proxies = proxies.iter().enumerate();
+        let proxies = proxies
+            .map(|(index, server_proxy)| (format!("i-{index}").into(), server_proxy.address));
         Self {
             reader,
-            doors: doors.collect(),
+            proxies: proxies.collect(),
         }
     }
 
     fn reroute(&self, mut response: Versioned<Vec<Update>>) -> Versioned<Vec<Update>> {
         for update in &mut response.content {
-            let Some(address) = self.doors.get(&update.id) else {
+            let Some(address) = self.proxies.get(&update.id) else {
                 continue;
             };
             if let Change::Entry(entry) = &mut update.change {
--- a/tests/forward/wire.rs
+++ b/tests/forward/wire.rs
@@ -28,6 +28,8 @@
 /// Address from which a backend server copies its KV cache.
 pub const COPY_FROM: &str = "Kv-From";
 
+/// Path of the store's long polls for changes.
+pub const FEED_PATH: &str = "/-/rows-feed";
 /// Path of the readiness check.
 pub const READY_PATH: &str = "/-/readyz";
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,9 +8,6 @@
 
 mod caller;
 mod conditions;
-#[path = "../forward/door.rs"]
-#[allow(dead_code, reason = "the soak uses a part of the fixture")]
-mod door;
 mod fault;
 #[path = "../forward/fixture.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the fixture")]
@@ -20,6 +17,9 @@
 #[path = "../scenario/proxy.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the proxy")]
 mod proxy;
+#[path = "../forward/server_proxy.rs"]
+#[allow(dead_code, reason = "the soak uses a part of the fixture")]
+mod server_proxy;
 mod verdict;
 #[path = "../forward/wire.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the constants")]
