Observability: software versions of backend servers in logs, and which stream a request resumes

Change: the version of an entry is kept instead of thrown away; server.listed, route.chosen and stream.resumed name it (software=), route.chosen also resumes= and after=. No decision reads any of it. Ruled out: a new field within the rows of a digest, which an earlier version would read wrongly.

--- a/crates/fescuewell_forward/src/relay.rs
+++ b/crates/fescuewell_forward/src/relay.rs
@@ -26,7 +26,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::evacuation::Order;
-use crate::server::Update;
+use crate::server::{Update, Versions};
 
 /// Number of readers per availability zone; one may fail at any time.
 pub const READERS: usize = 2;
@@ -51,6 +51,7 @@
 
 /// Changes of the server list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "WireDigest", into = "WireDigest")]
 pub struct Digest {
     /// Name of the sending reader.
     pub reader: Arc<str>,
@@ -68,6 +69,50 @@
     pub rows: Vec<Update>,
 }
 
+/// Encoding of a [`Digest`].
+#[derive(Serialize, Deserialize)]
+struct WireDigest {
+    reader: Arc<str>,
+    after: u64,
+    until: u64,
+    at_ms: u64,
+    configuration: u64,
+    evacuations: Vec<Order>,
+    rows: Vec<Update>,
+    #[serde(skip_serializing_if = "Versions::is_empty")]
+    versions: Versions,
+}
+
+impl From<Digest> for WireDigest {
+    fn from(digest: Digest) -> Self {
+        Self {
+            reader: digest.reader,
+            after: digest.after,
+            until: digest.until,
+            at_ms: digest.at_ms,
+            configuration: digest.configuration,
+            evacuations: digest.evacuations,
+            versions: Versions::collect(&digest.rows),
+            rows: digest.rows,
+        }
+    }
+}
+
+impl From<WireDigest> for Digest {
+    fn from(mut wire: WireDigest) -> Self {
+        wire.versions.assign(&mut wire.rows);
+        Self {
+            reader: wire.reader,
+            after: wire.after,
+            until: wire.until,
+            at_ms: wire.at_ms,
+            configuration: wire.configuration,
+            evacuations: wire.evacuations,
+            rows: wire.rows,
+        }
+    }
+}
+
 /// Recent changes that a reader sends to followers.
 #[derive(Debug, Default)]
 pub struct Outbox {
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -3,6 +3,7 @@
 mod entry;
 mod registration;
 mod ring;
+mod versions;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 pub use entry::{Change, Entry, Incarnation, State, Update};
 use registration::Registration;
 use ring::Ring;
+pub use versions::Versions;
 
 use crate::evacuation::{Order, Zones};
 use crate::{version, warmup};
@@ -399,6 +401,11 @@
         if known.is_some_and(|known| known.was_draining_before_restore(&entry, version)) {
             entry.state = State::Draining;
         }
+        if entry.version.is_none() {
+            // An instance of an earlier program version has sent the entry.
+            let same = known.filter(|known| !is_restart(&known.entry, &entry));
+            entry.version = same.and_then(|known| known.entry.version.clone());
+        }
         let before_ms = known.map_or(0, |known| known.cold_until_ms);
         let cold_until_ms = match entry.cold_left_ms {
             0 => before_ms,
--- a/crates/fescuewell_forward/src/server/entry.rs
+++ b/crates/fescuewell_forward/src/server/entry.rs
@@ -33,6 +33,9 @@
     /// Remaining time for which it is cold when the entry is written, in milliseconds; see
     /// [`crate::warmup`].
     pub cold_left_ms: u64,
+    /// Version of its software, if known. Sent apart from the entries; see [`super::Versions`].
+    #[serde(skip)]
+    pub version: Option<Arc<str>>,
     /// Whether it accepts work.
     pub state: State,
 }
@@ -60,6 +63,11 @@
         Incarnation(u64::from_le_bytes(bytes))
     }
 
+    /// Returns the version of the server's software for log lines, `-` if it is not known.
+    pub fn software(&self) -> &str {
+        self.version.as_deref().unwrap_or("-")
+    }
+
     /// Returns `true` if the server is draining.
     pub fn is_draining(&self) -> bool {
         self.state == State::Draining
--- a/crates/fescuewell_forward/src/snapshot.rs
+++ b/crates/fescuewell_forward/src/snapshot.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Change, Configuration};
-use crate::server::Update;
+use crate::server::{Update, Versions};
 
 /// Version of the encoding of all snapshots. An instance does not respond to a request for another
 /// version, and the other one reads the store.
@@ -55,6 +55,7 @@
 
 /// The server list as of a version of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "WireServers", into = "WireServers")]
 pub struct Servers {
     /// Version up to which it is complete.
     pub version: u64,
@@ -62,6 +63,35 @@
     pub rows: Vec<Update>,
 }
 
+/// Encoding of [`Servers`].
+#[derive(Serialize, Deserialize)]
+struct WireServers {
+    version: u64,
+    rows: Vec<Update>,
+    #[serde(skip_serializing_if = "Versions::is_empty")]
+    versions: Versions,
+}
+
+impl From<Servers> for WireServers {
+    fn from(servers: Servers) -> Self {
+        Self {
+            version: servers.version,
+            versions: Versions::collect(&servers.rows),
+            rows: servers.rows,
+        }
+    }
+}
+
+impl From<WireServers> for Servers {
+    fn from(mut wire: WireServers) -> Self {
+        wire.versions.assign(&mut wire.rows);
+        Self {
+            version: wire.version,
+            rows: wire.rows,
+        }
+    }
+}
+
 /// Content of a response.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Snapshot {
--- a/crates/fescuewell_forward/tests/crashes.rs
+++ b/crates/fescuewell_forward/tests/crashes.rs
@@ -13,6 +13,7 @@
         zone: "a".into(),
         slots: 8,
         cold_left_ms: 0,
+        version: None,
         state: State::Ready,
     }
 }
--- a/crates/fescuewell_forward/tests/evacuation.rs
+++ b/crates/fescuewell_forward/tests/evacuation.rs
@@ -30,6 +30,7 @@
             zone: zone.into(),
             slots: 8,
             cold_left_ms,
+            version: None,
             state: State::Ready,
         }),
     }
--- a/crates/fescuewell_forward/tests/failures.rs
+++ b/crates/fescuewell_forward/tests/failures.rs
@@ -33,6 +33,7 @@
         state: State::Ready,
         started_at_ms: None,
         cold_left_ms: 0,
+        version: None,
     }
 }
 
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -81,6 +81,7 @@
             zone: "z".into(),
             slots: 5,
             cold_left_ms: 6,
+            version: None,
             state: State::Draining,
         }),
     }
@@ -316,6 +317,50 @@
     );
 }
 
+fn with_version(version: &str) -> Update {
+    let mut update = update();
+    if let Change::Entry(entry) = &mut update.change {
+        entry.version = Some(version.into());
+    }
+    update
+}
+
+/// Guards against software versions that an instance of an earlier program version cannot skip, or
+/// without which its own messages cannot be read.
+#[test]
+fn software_versions_follow_the_bytes_of_earlier_messages() {
+    let digest = |rows| {
+        Message::Digest(Digest {
+            reader: "e".into(),
+            after: 1,
+            until: 2,
+            at_ms: 3,
+            configuration: 4,
+            evacuations: Vec::new(),
+            rows,
+        })
+    };
+    let servers = |rows| Snapshot::Servers(Servers { version: 1, rows });
+    let earlier = "02016501020304000101690200016901030173000a01000204017a050601";
+    let list = "00010101690200016901030173000a01000204017a050601";
+
+    let rows = || vec![with_version("v1")];
+
+    assert_eq!(encode(&digest(vec![update()])), earlier);
+    assert_eq!(encode(&digest(rows())), earlier.to_owned() + "010276310100");
+    assert_eq!(encode(&servers(rows())), list.to_owned() + "010276310100");
+    let bytes = postcard::to_allocvec(&digest(rows())).unwrap();
+    assert_eq!(postcard::from_bytes::<Message>(&bytes), Ok(digest(rows())));
+    let bytes = postcard::to_allocvec(&servers(rows())).unwrap();
+    assert_eq!(
+        postcard::from_bytes::<Snapshot>(&bytes),
+        Ok(servers(rows()))
+    );
+    let without = postcard::to_allocvec(&digest(vec![update()])).unwrap();
+    let read = postcard::from_bytes::<Message>(&without);
+    assert_eq!(read, Ok(digest(vec![update()])));
+}
+
 /// Guards against a snapshot that an instance of another version reads wrongly.
 #[test]
 fn a_request_for_another_encoding_is_refused() {
--- a/crates/fescuewell_forward/tests/relay.rs
+++ b/crates/fescuewell_forward/tests/relay.rs
@@ -20,6 +20,7 @@
         zone: "a".into(),
         slots: 8,
         cold_left_ms: 0,
+        version: None,
         state,
     }
 }
--- a/crates/fescuewell_forward/tests/scale.rs
+++ b/crates/fescuewell_forward/tests/scale.rs
@@ -22,6 +22,7 @@
         zone: "a".into(),
         slots: 8,
         cold_left_ms: 0,
+        version: None,
         state: State::Ready,
     };
     Update {
--- a/crates/fescuewell_forward/tests/server_limits.rs
+++ b/crates/fescuewell_forward/tests/server_limits.rs
@@ -38,6 +38,7 @@
         zone: "a".into(),
         slots: 8,
         cold_left_ms: 0,
+        version: None,
         state: State::Ready,
     }
 }
--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -15,10 +15,33 @@
         zone: "a".into(),
         slots: 8,
         cold_left_ms: 0,
+        version: None,
         state,
     }
 }
 
+/// Guards against a known software version that is lost because an instance of an earlier program
+/// version, which does not send it, repeats the entry.
+#[test]
+fn an_entry_without_a_software_version_keeps_the_known_one() {
+    let mut registry = Registry::default();
+    let mut known = entry("i", State::Ready);
+    known.version = Some("v1".into());
+    for (version, entry) in [(1, known), (2, entry("i", State::Draining))] {
+        let change = Change::Entry(entry);
+        let update = Update {
+            id: "i".into(),
+            version,
+            change,
+        };
+        registry.apply(update, 0);
+    }
+
+    let known = registry.entry("i").unwrap();
+
+    assert_eq!((known.software(), known.state), ("v1", State::Draining));
+}
+
 fn started(id: &str, started: u64) -> Entry {
     Entry {
         started_at_ms: Some(started),
--- a/crates/fescuewell_gateway/src/control/watch/list.rs
+++ b/crates/fescuewell_gateway/src/control/watch/list.rs
@@ -66,8 +66,8 @@
             _ => {}
         }
     }
-    log_servers(Event::ServerListed, &listed);
-    log_servers(Event::ServerLeaving, &leaving);
+    log_servers(&state.registry, Event::ServerListed, &listed);
+    log_servers(&state.registry, Event::ServerLeaving, &leaving);
     let ended = forget_ended(&mut state);
     drop(state);
     handle_ended(control, ended);
@@ -75,7 +75,7 @@
 }
 
 /// Logs a line for each server, or one line for many of them.
-fn log_servers(event: Event, servers: &[(Arc<str>, u64)]) {
+fn log_servers(registry: &Registry, event: Event, servers: &[(Arc<str>, u64)]) {
     if servers.len() > MAX_LOGGED_SERVERS {
         let version = servers.iter().map(|(_, version)| *version).max();
         let version = version.unwrap_or_default();
@@ -83,7 +83,8 @@
         return;
     }
     for (id, version) in servers {
-        log_event!(event, "server={id} version={version}");
+        let software = registry.entry(id).map_or("-", |entry| entry.software());
+        log_event!(event, "server={id} version={version} software={software}");
     }
 }
 
--- a/crates/fescuewell_gateway/src/dialect.rs
+++ b/crates/fescuewell_gateway/src/dialect.rs
@@ -66,6 +66,8 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Id of the last event that the caller received.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's attempt that received the first event of the stream that is resumed.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// The platform's protocol towards callers and backend servers.
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -177,11 +177,16 @@
         drop(state);
         log_event!(
             Event::RouteChosen,
-            "request={} route={} service={} server={} candidates={listed_count} running={running} limit={} configuration={} account={}",
+            "request={} route={} service={} server={} software={} resumes={} after={} candidates={listed_count} running={running} limit={} configuration={} account={}",
             self.id,
             self.route.name,
             self.service.name,
             server.id,
+            server.software(),
+            self.metadata.resumes.as_deref().unwrap_or("-"),
+            self.metadata
+                .last_event_id
+                .map_or("-".into(), |id| id.to_string()),
             condition::limit_text(limit),
             self.version,
             self.account.as_ref().map_or("-", |account| &account.name)
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -178,9 +178,10 @@
                 permit = next;
                 log_event!(
                     Event::StreamResumed,
-                    "request={} server={} after={:?}",
+                    "request={} server={} software={} after={:?}",
                     self.id,
                     permit.server.id,
+                    permit.server.software(),
                     framer.last_event_id()
                 );
                 let outcome = self.run_attempt(&mut permit, framer.last_event_id()).await;
--- a/crates/fescuewell_gateway/tests/failures.rs
+++ b/crates/fescuewell_gateway/tests/failures.rs
@@ -35,6 +35,7 @@
         zone: "a".into(),
         slots: 64,
         cold_left_ms: 0,
+        version: None,
         state: State::Ready,
     }
 }
--- a/crates/fescuewell_gateway/tests/hops.rs
+++ b/crates/fescuewell_gateway/tests/hops.rs
@@ -122,6 +122,7 @@
         zone: "a".into(),
         slots: 8,
         cold_left_ms: 0,
+        version: None,
         state: State::Ready,
     }
 }
--- a/crates/fescuewell_gateway/tests/quarantine.rs
+++ b/crates/fescuewell_gateway/tests/quarantine.rs
@@ -37,6 +37,7 @@
         zone: "a".into(),
         slots: 8,
         cold_left_ms: 0,
+        version: None,
         state: State::Ready,
     }
 }
--- a/crates/fescuewell_gateway/tests/snapshots.rs
+++ b/crates/fescuewell_gateway/tests/snapshots.rs
@@ -41,6 +41,7 @@
             zone: "a".into(),
             slots: 8,
             cold_left_ms: 0,
+            version: None,
             state: State::Ready,
         }),
     }
