--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -7,6 +7,9 @@
 //! A request whose body is the one of [`Worker::crash_on`] crashes the worker as soon as it runs, unless [`Behaviour::Fail`] comes
 //! first: all connections break, and new ones are refused until [`Worker::revive`] is called.
 //!
+//! Each event of a stream names the version of the worker's software ([`Worker::set_version`]), so that a test can tell which versions
+//! a stream's events come from.
+//!
 //! Responses declare conditions of the worker: a request rate that it accepts ([`Worker::set_limit`]), that it leaves
 //! ([`Worker::set_leaving`]), and in rejections a time in which it wants no requests ([`Worker::set_rest`]).
 //!
@@ -81,6 +84,7 @@
     next: VecDeque<Behaviour>,
     gone: u64,
     name: Arc<str>,
+    version: Arc<str>,
     limit: Option<HeaderValue>,
     rest: Option<HeaderValue>,
     is_leaving: bool,
@@ -111,6 +115,8 @@
 
 /// Events of a whole stream.
 pub const EVENTS: u64 = 6;
+/// Version of a worker's software unless another one is set.
+pub const FIRST_VERSION: &str = "v1";
 
 impl Worker {
     /// Starts a worker whose incarnation has this name.
@@ -127,6 +133,7 @@
             events: EVENTS,
             state: Mutex::new(State {
                 name: name.into(),
+                version: FIRST_VERSION.into(),
                 ..State::default()
             }),
             arrived: watch::channel(0).0,
@@ -156,6 +163,16 @@
         self.address
     }
 
+    /// Sets the version of its software, which its events name.
+    pub fn set_version(&self, version: &str) {
+        self.shared.state().version = version.into();
+    }
+
+    /// Version of its software.
+    pub fn version(&self) -> Arc<str> {
+        self.shared.state().version.clone()
+    }
+
     /// Requests with this body crash it from now on.
     pub fn crash_on(&self, body: &[u8]) {
         self.shared.state().crashes_on = Some(Bytes::copy_from_slice(body));
@@ -448,6 +465,7 @@
         let last = run.headers.get(LAST_EVENT_ID);
         let last = last.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
         let first = last.map_or(1, |last| last + 1);
+        let version = self.state().version.clone();
         let sink = reply.stream(StatusCode::OK, headers);
         let mut released = self.released.subscribe();
         for number in first..=self.events {
@@ -464,7 +482,7 @@
                 }
                 _ => {}
             }
-            let event = format!("id: {number}\ndata: piece {number}\n\n");
+            let event = format!("id: {number}\ndata: piece {number} of {version}\n\n");
             if sink.send(Bytes::from(event)).await.is_err() {
                 self.state().gone += 1;
                 return;
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -1,5 +1,6 @@
 //! Test fixture: a store, backend servers and an instance on loopback, and an HTTP client.
 
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::sync::Arc;
@@ -176,11 +177,18 @@
         self.store.put("op", "", "config", value.as_bytes());
     }
 
+    /// Sets the version of a backend server's software and registers it.
+    pub fn set_version(&self, index: usize, version: &str) {
+        self.workers[index].set_version(version);
+        self.register(index, "ready");
+    }
+
     /// Writes the entry of a backend server to the store.
     pub fn register(&self, index: usize, state: &str) {
         let worker = &self.workers[index];
         let mut entry = sample::entry(worker.address(), state);
         entry["born"] = (sample::BORN + worker.revivals()).into();
+        entry["version"] = worker.version().as_ref().into();
         let key = format!("i-{index}");
         self.store
             .put("servers", "", &key, entry.to_string().as_bytes());
@@ -531,6 +539,14 @@
         String::from_utf8_lossy(&self.body).into_owned()
     }
 
+    /// Versions of the backend servers whose events are in the body.
+    pub fn versions(&self) -> BTreeSet<String> {
+        let text = self.text();
+        let pieces = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        let versions = pieces.filter_map(|piece| piece.rsplit_once(" of "));
+        versions.map(|(_, version)| version.to_owned()).collect()
+    }
+
     /// Ids of the stream events in the body.
     pub fn events(&self) -> Vec<u64> {
         let text = self.text();
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -12,5 +12,6 @@
 mod pressure;
 mod refusals;
 mod server_proxy;
+mod versions;
 mod wire;
 mod zones;
--- a/tests/forward/wire.rs
+++ b/tests/forward/wire.rs
@@ -17,6 +17,10 @@
 pub const TOKENS: &str = "X-Fescuewell-Token-Counts";
 /// Requested model.
 pub const MODEL: &str = "X-Fescuewell-Model";
+/// Id of the caller's attempt that brought the first event of the stream that it takes up.
+pub const RESUMES: &str = "Resumes";
+/// Id of the last event that the caller has.
+pub const LAST_EVENT_ID: &str = "Last-Event-Id";
 /// Identifies the backend server and the request that a response belongs to.
 pub const SEAL: &str = "X-Fescuewell-Response-Seal";
 /// Memory reservation on a backend server.
