Streams: a broken stream goes on only at the software version that began it

Cause: the next server of a broken stream was chosen among all servers of the service; the version of a server was known to no decision. Change: a stream is bound to the version of the server whose event is the first to be forwarded, and the registry has the servers of a version on a ring of their own, so that a version with few servers is found at any size. The response begins with that event, so that its head comes from the same server. Without another server of the version no retry is taken and the response ends at once. An entry whose version changes under the same id is another process. Ruled out: binding by the first attempt, which would tie a caller without any event to a version.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -87,6 +87,9 @@
     RequestForwarded = 2026, Info, "request.forwarded", "A request was passed to another instance, which sends it to its backend server.";
     ForwardRefused = 2027, Info, "forward.refused", "Another instance did not send a request, which has not run, or could not be reached.";
     ForwardServed = 2028, Info, "forward.served", "A request of another instance was sent to a backend server, with the outcome of the exchange.";
+    StreamTakenUp = 2029, Info, "stream.taken_up", "A caller takes up a stream; the software version that began it is known, and only servers of that version are chosen.";
+    StreamUnknown = 2030, Info, "stream.unknown", "A caller takes up a stream, and the software version that began it is not known here; the request has not run.";
+    VersionGone = 2031, Info, "version.gone", "A stream cannot go on: no backend server of the software version that began it accepts requests.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
--- a/crates/fescuewell_forward/src/condition.rs
+++ b/crates/fescuewell_forward/src/condition.rs
@@ -12,7 +12,7 @@
 use limit::{Limits, Moment};
 use rest::Rests;
 
-/// Value of a response header.
+/// Value of a header.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Declared<Value> {
     /// The header is missing.
@@ -24,6 +24,16 @@
     Value(Value),
 }
 
+impl<Value> Declared<Value> {
+    /// Returns the value, if it is present and valid.
+    pub fn value(&self) -> Option<&Value> {
+        match self {
+            Self::Value(value) => Some(value),
+            Self::Absent | Self::Malformed => None,
+        }
+    }
+}
+
 /// What a response declares about its server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Report {
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -1,5 +1,6 @@
 //! Registry of the backend servers: their entries and which of them may receive new work.
 
+mod build;
 mod entry;
 mod registration;
 mod ring;
@@ -8,6 +9,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
+pub use build::Build;
 use entry::is_restart;
 pub use entry::{Change, Entry, Incarnation, State, Update};
 use registration::Registration;
@@ -31,6 +33,8 @@
     registrations: HashMap<Arc<str>, Registration>,
     /// Servers in state [`State::Ready`], by service.
     rings: HashMap<Arc<str>, Ring>,
+    /// The same servers, by service and software version.
+    builds: HashMap<Build, Ring>,
     /// Versions at which servers were removed.
     tombstones: HashMap<Arc<str>, u64>,
     snapshot_version: u64,
@@ -333,6 +337,41 @@
         known.is_available(now_ms) && !self.zones.is_evacuated(&known.entry.zone)
     }
 
+    /// Returns up to `limit` servers of a service that may receive new work, of one software version if
+    /// `build` is given, as [`Registry::subset`] does.
+    pub fn subset_of(
+        &self,
+        service: &str,
+        build: Option<Build>,
+        key: u64,
+        limit: usize,
+        now_ms: u64,
+    ) -> Vec<&Arc<Entry>> {
+        let Some(build) = build else {
+            return self.subset(service, key, limit, now_ms);
+        };
+        let servers = self.of_build(build, key, now_ms);
+        let servers = servers.filter(|entry| &*entry.service == service);
+        servers.take(limit).collect()
+    }
+
+    /// Returns the servers of a software version that may receive new work, from `key` on its hash ring.
+    pub fn of_build(
+        &self,
+        build: Build,
+        key: u64,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &Arc<Entry>> {
+        let ring = self.builds.get(&build).into_iter();
+        ring.flat_map(move |ring| ring.walk(key))
+            .filter(move |entry| self.is_ready(&entry.id, now_ms))
+    }
+
+    /// Returns `true` if a server of a software version is registered, in whatever state.
+    pub fn knows_build(&self, build: Build) -> bool {
+        self.builds.contains_key(&build) || self.entries().any(|entry| entry.build() == Some(build))
+    }
+
     /// Returns the servers of a service that may receive new work.
     pub fn ready<'a>(
         &'a self,
@@ -370,6 +409,20 @@
 
     /// Replaces a server's former entry in the rings by its present one.
     fn reindex(&mut self, former: Option<&Arc<Entry>>, present: Option<&Arc<Entry>>) {
+        if let Some((former, build)) = former.and_then(|former| Some((former, former.build()?)))
+            && let Some(ring) = self.builds.get_mut(&build)
+        {
+            ring.remove(&former.id);
+            if ring.len() == 0 {
+                self.builds.remove(&build);
+            }
+        }
+        if let Some(present) = present.filter(|entry| entry.state == State::Ready)
+            && let Some(build) = present.build()
+        {
+            let ring = self.builds.entry(build).or_default();
+            ring.insert(present.clone());
+        }
         let is_replaced = |former: &Arc<Entry>| {
             present.is_some_and(|present| {
                 present.service == former.service && present.state == State::Ready
--- a/crates/fescuewell_forward/src/server/entry.rs
+++ b/crates/fescuewell_forward/src/server/entry.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Build;
+
 /// State that a backend server reports of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -63,6 +65,12 @@
         Incarnation(u64::from_le_bytes(bytes))
     }
 
+    /// Returns the software version of the service that the server runs, if it is known.
+    pub fn build(&self) -> Option<Build> {
+        let version = self.version.as_ref()?;
+        Some(Build::new(&self.service, version))
+    }
+
     /// Returns the version of the server's software for log lines, `-` if it is not known.
     pub fn software(&self) -> &str {
         self.version.as_deref().unwrap_or("-")
@@ -108,7 +116,11 @@
     pub change: Change,
 }
 
-/// Returns `true` if two entries with the same id belong to different incarnations.
+/// Returns `true` if two entries with the same id belong to different incarnations: the start time or the
+/// software version differs.
 pub(super) fn is_restart(before: &Entry, after: &Entry) -> bool {
-    matches!((before.started_at_ms, after.started_at_ms), (Some(before), Some(after)) if before != after)
+    let has_other_version =
+        matches!((&before.version, &after.version), (Some(before), Some(after)) if before != after);
+    has_other_version
+        || matches!((before.started_at_ms, after.started_at_ms), (Some(before), Some(after)) if before != after)
 }
--- a/crates/fescuewell_gateway/src/dialect.rs
+++ b/crates/fescuewell_gateway/src/dialect.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fescuewell_forward::condition::Report;
+use fescuewell_forward::condition::{Declared, Report};
 use http::{HeaderMap, HeaderName, StatusCode};
 
 /// Header names of the platform.
@@ -65,9 +65,9 @@
     /// Parts of the prompt in order; the last one belongs to this request only.
     pub prompt_parts: Vec<PromptPart>,
     /// Id of the last event that the caller received.
-    pub last_event_id: Option<u64>,
+    pub last_event_id: Declared<u64>,
     /// Id of the caller's attempt that received the first event of the stream that is resumed.
-    pub resumes: Option<Arc<str>>,
+    pub resumes: Declared<Arc<str>>,
 }
 
 /// The platform's protocol towards callers and backend servers.
--- a/crates/fescuewell_gateway/src/front.rs
+++ b/crates/fescuewell_gateway/src/front.rs
@@ -6,6 +6,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
+use fescuewell_forward::condition::Declared;
 use fescuewell_http::listener::{Handler, Reply, Request, spawn};
 
 use crate::gateway::Gateway;
@@ -107,6 +108,9 @@
     let Some(id) = metadata.request_id.clone() else {
         return Err(refuse(Code::MalformedRequest, version));
     };
+    if route.kind.is_stream() && metadata.resumes == Declared::Malformed {
+        return Err(refuse(Code::MalformedRequest, version));
+    }
     let service = route.service(gateway.random_u64()).cloned();
     let Some(service) = service.and_then(|name| table.service(&name).cloned()) else {
         return Err(refuse(Code::NoServer, version));
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
-use fescuewell_forward::server::Registry;
+use fescuewell_forward::server::{Build, Registry};
 use fescuewell_forward::warmup::Warmup;
 use fescuewell_forward::window::Window;
 use rand::rngs::SmallRng;
@@ -80,12 +80,15 @@
     pub fn cold_shares(
         &mut self,
         service: &str,
+        build: Option<Build>,
         key: u64,
         instance: &str,
         now_ms: u64,
     ) -> HashMap<Arc<str>, usize> {
         let mut shares = HashMap::new();
-        let subset = self.registry.subset(service, key, MAX_SUBSET_SIZE, now_ms);
+        let subset = self
+            .registry
+            .subset_of(service, build, key, MAX_SUBSET_SIZE, now_ms);
         for entry in subset {
             if !self.registry.is_cold(&entry.id, now_ms) {
                 continue;
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! Lifecycle of a proxied request: choice of a backend server, retries and the final response.
 
 mod attempt;
+mod binding;
 mod candidates;
 mod crash;
 mod permit;
@@ -23,6 +24,7 @@
 use crate::{header, refusal};
 
 pub(crate) use attempt::{AttemptOutcome, Response};
+pub(crate) use binding::Binding;
 pub(crate) use crash::classify_loss;
 pub(crate) use permit::Permit;
 
@@ -47,6 +49,7 @@
     headers: HeaderMap,
     body: Bytes,
     pub(crate) fingerprint: Fingerprint,
+    pub(crate) binding: Binding,
     is_probe: bool,
     arrived: Instant,
     deadline: Instant,
@@ -89,6 +92,7 @@
             headers,
             body: request.body,
             fingerprint: Fingerprint::default(),
+            binding: Binding::Free,
             is_probe: false,
             arrived: request.arrived,
             deadline: request.arrived,
@@ -218,7 +222,7 @@
         if self.sends >= self.route.max_attempts || Instant::now() >= self.route_deadline {
             return false;
         }
-        if self.is_blocked() {
+        if self.is_blocked() || self.is_version_gone() {
             return false;
         }
         if self.sends == 0 {
@@ -248,25 +252,30 @@
 
     /// Returns the code of the final response, or `None` if another attempt is made.
     fn final_code(&mut self) -> Option<Code> {
-        if self.may_retry() {
-            return None;
+        match self.may_retry() {
+            true => None,
+            false => Some(self.failure_code()),
         }
+    }
+
+    /// Returns the code of the final response of a request for which no further attempt is made.
+    pub(crate) fn failure_code(&self) -> Code {
         if self.is_quarantined() {
-            return Some(Code::Quarantined);
+            return Code::Quarantined;
         }
-        Some(match (self.possibly_executed, self.timed_out) {
+        match (self.possibly_executed, self.timed_out) {
             (true, true) => Code::TimedOut,
             (true, false) => Code::OutcomeUnknown,
             (false, _) if self.sends > 0 => Code::TurnedAway,
             (false, _) => Code::NoServer,
-        })
+        }
     }
 
     fn refuse(&self, reply: Reply, code: Code) {
         self.refuse_after(reply, code, None);
     }
 
-    fn refuse_after(&self, reply: Reply, code: Code, delay: Option<Duration>) {
+    pub(crate) fn refuse_after(&self, reply: Reply, code: Code, delay: Option<Duration>) {
         let took = self.arrived.elapsed();
         self.gateway
             .metrics
--- a/crates/fescuewell_gateway/src/job/candidates.rs
+++ b/crates/fescuewell_gateway/src/job/candidates.rs
@@ -32,9 +32,11 @@
         let key = job.subset_key(criteria);
         let mut size = SUBSET_SIZE;
         let eligible = loop {
-            let mut servers = state.registry.subset(service, key, size, now_ms);
+            let build = job.binding.build();
+            let mut servers = state.registry.subset_of(service, build, key, size, now_ms);
             let is_whole_service = servers.len() < size;
             add_caching(&mut servers, state, service, criteria, now_ms);
+            servers.retain(|entry| build.is_none() || entry.build() == build);
             servers.retain(|entry| is_eligible(state, job, shares, entry, now_ms));
             let is_saturated = choice::is_saturated(&servers, &state.load, &state.health, now_ms);
             if !is_saturated || is_whole_service || size >= MAX_SUBSET_SIZE {
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -1,6 +1,7 @@
 //! Choice of the backend server for an attempt, and waits for servers that accept no requests now.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fescuewell_core::log_event;
@@ -8,11 +9,12 @@
 use fescuewell_forward::choice::{self, Criteria, MAX_SUBSET_SIZE};
 use fescuewell_forward::condition::Wait;
 use fescuewell_forward::retry_after;
+use fescuewell_forward::server::Entry;
 
 use super::candidates::Candidates;
 use super::crash::InFlight;
-use super::{Job, Permit};
-use crate::gateway::condition;
+use super::{Binding, Job, Permit};
+use crate::gateway::{State, condition};
 
 /// Fraction of the target latency that a request waits for a server that accepts no requests now.
 /// The rest is enough for the server to respond.
@@ -24,11 +26,11 @@
         let now_ms = self.gateway.now_ms();
         let has_server = {
             let state = self.gateway.state();
-            let mut ready = state.registry.ready(&self.service.name, now_ms);
-            ready.next().is_some()
+            let servers = self.subset(&state, 0, 1, now_ms);
+            !servers.is_empty()
         };
         if !has_server {
-            return Err(Refusal::new(Code::NoServer));
+            return Err(self.no_server());
         }
         match self.first_wait() {
             Some(wait) if !self.may_wait(wait) => Err(self.busy(wait)),
@@ -56,7 +58,7 @@
             }
             let Some(wait) = wait else {
                 let tried = self.shortest_wait(|_| true);
-                return Err(tried.map_or(Refusal::new(Code::NoServer), |wait| self.busy(wait)));
+                return Err(tried.map_or_else(|| self.no_server(), |wait| self.busy(wait)));
             };
             if !self.may_wait(wait) {
                 return Err(self.busy(wait));
@@ -65,6 +67,42 @@
         }
     }
 
+    /// Returns servers of the service that may receive new work, of the software version to which the
+    /// request is bound.
+    fn subset<'a>(
+        &'a self,
+        state: &'a State,
+        key: u64,
+        limit: usize,
+        now_ms: u64,
+    ) -> Vec<&'a Arc<Entry>> {
+        let service = &self.service.name;
+        let build = self.binding.build();
+        state.registry.subset_of(service, build, key, limit, now_ms)
+    }
+
+    fn no_server(&self) -> Refusal {
+        match self.binding.build() {
+            Some(_) => self.version_gone(),
+            None => Refusal::new(Code::NoServer),
+        }
+    }
+
+    /// Returns `true` if the stream may not go on at any other server: its version is not known, or all
+    /// servers of it have been tried or accept no requests.
+    pub(crate) fn is_version_gone(&self) -> bool {
+        match self.binding {
+            Binding::Free => false,
+            Binding::Unknown => true,
+            Binding::Bound(build) => {
+                let now_ms = self.gateway.now_ms();
+                let state = self.gateway.state();
+                let mut servers = state.registry.of_build(build, 0, now_ms);
+                !servers.any(|server| !self.tried.contains(&server.id))
+            }
+        }
+    }
+
     /// Returns `true` if servers are left to try but none of them accepts a request in time.
     pub(super) fn is_blocked(&self) -> bool {
         self.first_wait().is_some_and(|wait| !self.may_wait(wait))
@@ -102,9 +140,8 @@
         }
         let now = state.moment(now_ms);
         let key = self.subset_key(&self.criteria(0));
-        let service = &self.service.name;
         let mut shortest: Option<Wait> = None;
-        for server in state.registry.subset(service, key, MAX_SUBSET_SIZE, now_ms) {
+        for server in self.subset(&state, key, MAX_SUBSET_SIZE, now_ms) {
             if !is_selected(&server.id) {
                 continue;
             }
@@ -144,7 +181,8 @@
             Some(_) => {
                 let instance = &self.gateway.settings.name;
                 let key = self.subset_key(&criteria);
-                state.cold_shares(&self.service.name, key, instance, now_ms)
+                let build = self.binding.build();
+                state.cold_shares(&self.service.name, build, key, instance, now_ms)
             }
             None => HashMap::new(),
         };
@@ -183,9 +221,10 @@
             self.service.name,
             server.id,
             server.software(),
-            self.metadata.resumes.as_deref().unwrap_or("-"),
+            self.metadata.resumes.value().map_or("-", |id| id),
             self.metadata
                 .last_event_id
+                .value()
                 .map_or("-".into(), |id| id.to_string()),
             condition::limit_text(limit),
             self.version,
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     loan_requests: Counter<u64>,
     digests: Counter<u64>,
     hops: Counter<u64>,
+    resumptions: Counter<u64>,
     configurations: Counter<u64>,
     first_event: Histogram<f64>,
     request_duration: Histogram<f64>,
@@ -49,6 +50,7 @@
             malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
             loan_requests: meter.u64_counter("fescuewell_loan_requests").build(),
             hops: meter.u64_counter("fescuewell_hops").build(),
+            resumptions: meter.u64_counter("fescuewell_stream_resumptions").build(),
             digests: meter.u64_counter("fescuewell_digests").build(),
             configurations: meter.u64_counter("fescuewell_configuration_copies").build(),
             first_event: meter
@@ -136,6 +138,12 @@
         self.hops.add(1, &attributes);
     }
 
+    /// Counts a stream that is resumed: within its response, or by another attempt of its caller.
+    pub fn count_resumption(&self, way: &'static str, outcome: &'static str) {
+        let attributes = [KeyValue::new("way", way), KeyValue::new("outcome", outcome)];
+        self.resumptions.add(1, &attributes);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &str, outcome: &'static str) {
         let attributes = [
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -8,11 +8,12 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::crash::Loss;
 use fescuewell_forward::health::Outcome;
+use fescuewell_forward::server::Entry;
 use fescuewell_http::listener::{Reply, Sink};
 use fescuewell_http::upstream::Exchange;
 
 use crate::header;
-use crate::job::{AttemptOutcome, Job, Permit, classify_loss};
+use crate::job::{AttemptOutcome, Binding, Job, Permit, classify_loss};
 
 /// Maximum event size in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -128,6 +129,31 @@
     CallerGone,
 }
 
+/// The caller's side of a stream.
+enum Downstream {
+    /// Nothing has been sent. The response begins with the first complete event, so that its head comes
+    /// from the server that sent the event.
+    Pending(Option<Reply>),
+    /// The response has begun.
+    Open(Sink),
+}
+
+impl Downstream {
+    /// Returns the sink, after beginning the response with the head of `exchange` if that has not
+    /// happened.
+    fn open(&mut self, exchange: &Exchange, close_connection: bool) -> Option<&Sink> {
+        if let Self::Pending(reply) = self {
+            let headers = header::response_headers(&exchange.headers, close_connection);
+            let reply = reply.take()?;
+            *self = Self::Open(reply.stream(exchange.status, headers));
+        }
+        match self {
+            Self::Open(sink) => Some(sink),
+            Self::Pending(_) => None,
+        }
+    }
+}
+
 impl Job {
     /// Forwards a stream to the caller and resumes it on other servers if the route allows it.
     pub(crate) async fn stream(
@@ -137,19 +163,18 @@
         first: Bytes,
         permit: Permit,
     ) {
-        let close_connection = self.gateway.is_draining();
-        let headers = header::response_headers(&exchange.headers, close_connection);
-        let sink = reply.stream(exchange.status, headers);
-        let mut framer = EventFramer::new(self.metadata.last_event_id);
+        let mut downstream = Downstream::Pending(Some(reply));
+        let mut framer = EventFramer::new(self.metadata.last_event_id.value().copied());
         let mut current = Some((exchange, first));
         let mut permit = permit;
+        let mut refusal = None;
         loop {
-            let Some((exchange, first)) = current.take() else {
-                return self.finish(&permit, "broken_off");
+            let Some((mut exchange, first)) = current.take() else {
+                return self.end_broken(downstream, &permit, refusal);
             };
             let begun = (Instant::now(), framer.forwarded());
             match self
-                .forward_events(&sink, &mut framer, exchange, first, &permit)
+                .forward_events(&mut downstream, &mut framer, &mut exchange, first, &permit)
                 .await
             {
                 StreamEnd::Complete => {
@@ -161,29 +186,30 @@
                     if let Some(gap) = begun.0.elapsed().checked_div(events as u32) {
                         permit.record_latency(gap);
                     }
-                    sink.finish();
+                    // A stream whose caller has all events has none to begin the response with.
+                    downstream.open(&exchange, self.gateway.is_draining());
+                    if let Downstream::Open(sink) = downstream {
+                        sink.finish();
+                    }
                     return self.finish(&permit, "whole");
                 }
                 StreamEnd::CallerGone => return self.finish(&permit, "caller_gone"),
                 StreamEnd::Broken => permit.record_outcome(Outcome::Bad),
             }
+            drop(exchange);
             framer.discard_partial();
             while current.is_none() && self.may_retry() {
                 // The previous permit is released first, so that the abandoned attempt does not
                 // count beside the new one.
                 permit.release();
-                let Ok(next) = self.pick_server().await else {
-                    break;
+                permit = match self.pick_server().await {
+                    Ok(next) => next,
+                    Err(reason) => {
+                        refusal = Some(reason);
+                        break;
+                    }
                 };
-                permit = next;
-                log_event!(
-                    Event::StreamResumed,
-                    "request={} server={} software={} after={:?}",
-                    self.id,
-                    permit.server.id,
-                    permit.server.software(),
-                    framer.last_event_id()
-                );
+                self.log_resumed(&permit.server, framer.last_event_id());
                 let outcome = self.run_attempt(&mut permit, framer.last_event_id()).await;
                 if let AttemptOutcome::Stream(exchange, first) = outcome {
                     current = Some((*exchange, first));
@@ -192,25 +218,65 @@
         }
     }
 
+    fn log_resumed(&self, server: &Entry, after: Option<u64>) {
+        let is_bound = matches!(self.binding, Binding::Bound(_));
+        self.gateway.metrics.count_resumption(
+            "response",
+            match is_bound {
+                true => "same_version",
+                false => "unbound",
+            },
+        );
+        log_event!(
+            Event::StreamResumed,
+            "request={} server={} software={} after={after:?} bound={is_bound}",
+            self.id,
+            server.id,
+            server.software()
+        );
+    }
+
+    /// Ends a stream that no server goes on with. A response that has begun is left incomplete.
+    fn end_broken(mut self, downstream: Downstream, permit: &Permit, refusal: Option<Refusal>) {
+        let Downstream::Pending(Some(reply)) = downstream else {
+            if refusal.is_none() && self.is_version_gone() {
+                self.version_gone();
+            }
+            return self.finish(permit, "broken_off");
+        };
+        let refusal = refusal.unwrap_or_else(|| Refusal::new(self.failure_code()));
+        self.refuse_after(reply, refusal.code, refusal.retry_after);
+    }
+
     async fn forward_events(
         &mut self,
-        sink: &Sink,
+        downstream: &mut Downstream,
         framer: &mut EventFramer,
-        mut exchange: Exchange,
+        exchange: &mut Exchange,
         first: Bytes,
         permit: &Permit,
     ) -> StreamEnd {
         let mut chunk = first;
         let server_exit = permit.server_exit();
         tokio::pin!(server_exit);
+        let mut is_first = true;
         loop {
             let before = framer.forwarded();
             let Ok(events) = framer.push(&chunk) else {
                 return StreamEnd::Broken;
             };
             self.charge_events(framer.forwarded() - before);
-            if !events.is_empty() && sink.send(events).await.is_err() {
-                return StreamEnd::CallerGone;
+            if !events.is_empty() {
+                if std::mem::take(&mut is_first) {
+                    self.bind_to(&permit.server);
+                }
+                let close_connection = self.gateway.is_draining();
+                let Some(sink) = downstream.open(exchange, close_connection) else {
+                    return StreamEnd::Broken;
+                };
+                if sink.send(events).await.is_err() {
+                    return StreamEnd::CallerGone;
+                }
             }
             let next = tokio::select! {
                 biased;
