Daemon: dropping an instance ends its control thread

Cause: the control thread was never ended, so an instance dropped by a program that embeds the library went on to write heartbeats and to answer other instances. Seen in a test of streams: the instance that had been killed still answered the look-up of another one. Change: the thread ends with the daemon; Fixture::kill waits until the address is free.

--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -10,6 +10,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_http::listener::{self, Handler, Listener};
 use snafu::{ResultExt, Snafu};
+use tokio::sync::oneshot;
 
 use crate::control::Control;
 use crate::dialect::Dialect;
@@ -72,7 +73,27 @@
     front: Listener,
     peer: Option<Listener>,
     _auxiliary_listeners: Vec<Listener>,
-    _control: JoinHandle<()>,
+    control: Option<ControlThread>,
+}
+
+/// The running control thread.
+struct ControlThread {
+    /// Ends the thread when it is dropped.
+    running: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl Drop for Daemon {
+    /// Ends the instance without a shutdown. Its control thread would go on to write heartbeats, and to
+    /// answer other instances.
+    fn drop(&mut self) {
+        let Some(control) = self.control.take() else {
+            return;
+        };
+        drop(control.running);
+        // A panic has been reported by the thread.
+        let _ = control.thread.join();
+    }
 }
 
 impl Daemon {
@@ -118,7 +139,7 @@
             front,
             peer,
             _auxiliary_listeners: auxiliary_listeners,
-            _control: control,
+            control: Some(control),
         })
     }
 
@@ -209,13 +230,22 @@
     ready.into_iter().chain(directory).chain(metrics).collect()
 }
 
-fn start_control(control: Control) -> Result<JoinHandle<()>, Error> {
+fn start_control(control: Control) -> Result<ControlThread, Error> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context(ThreadSnafu)?;
-    std::thread::Builder::new()
+    let (running, ended) = oneshot::channel();
+    let thread = std::thread::Builder::new()
         .name("control".into())
-        .spawn(move || runtime.block_on(control.run()))
-        .context(ThreadSnafu)
+        .spawn(move || {
+            runtime.block_on(async move {
+                tokio::select! {
+                    () = control.run() => {}
+                    _ = ended => {}
+                }
+            });
+        })
+        .context(ThreadSnafu)?;
+    Ok(ControlThread { running, thread })
 }
--- a/tests/forward/answers.rs
+++ b/tests/forward/answers.rs
@@ -237,6 +237,20 @@
     assert_eq!(response.events().len() as u64, EVENTS);
 }
 
+/// Guards against an instance that goes on to write heartbeats and to answer others after it was dropped.
+#[test]
+fn an_instance_that_is_dropped_ends_its_control_thread() {
+    let mut first = Fixture::without_instance(1, 1_000_000);
+    let mut second = first.add_instance();
+    for instance in [&mut first, &mut second] {
+        instance.start();
+        instance.wait_listed("i-0");
+    }
+
+    // Asserts that the address for messages of other instances becomes free.
+    second.kill();
+}
+
 /// Configuration of a route with an attempt timeout of 200 ms and a request timeout of 20 s.
 fn with_short_attempt_timeout() -> serde_json::Value {
     let mut configuration = configuration(1, 1_000_000);
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -13,7 +13,7 @@
 use fescuewell::adapter::source::Reader;
 use fescuewell::forward::server::Incarnation;
 use fescuewell::gateway::daemon::Daemon;
-use fescuewell::standin::rows::Rows;
+use fescuewell::standin::rows::{self, Rows};
 use fescuewell::standin::sample;
 use fescuewell::standin::worker::{Worker, wait_until};
 use serde_json::Value;
@@ -144,6 +144,15 @@
         other
     }
 
+    /// Gives the instance another endpoint of the same store from its next start on, whose faults concern
+    /// no other instance.
+    pub fn use_own_store_endpoint(&mut self) -> Arc<Rows> {
+        let content = self.store.content().clone();
+        let settings = rows::Settings::new(any_address()).with_content(content);
+        self.store = Arc::new(Rows::start_with(settings).unwrap());
+        self.store.clone()
+    }
+
     fn reserve_peer(&mut self) {
         let (address, reserved) = reserve_peer_address();
         self.peer = Some(address);
@@ -266,6 +275,11 @@
     /// Stops the instance without a graceful shutdown.
     pub fn kill(&mut self) {
         self.daemon = None;
+        if let Some(peer) = self.peer {
+            // Its threads end a moment later.
+            let is_free = || UdpSocket::bind(peer).is_ok();
+            assert!(wait_until(is_free), "the instance did not end");
+        }
     }
 
     pub fn wait_ready(&self) {
