Streams: an attempt that takes up a stream goes on only at the version that began it

Cause: nothing kept which version began a stream; Resumes was read by nothing, and Last-Event-Id led to any server of the service. Change: an instance that forwards a stream's first event sends a record (attempt, version, 17 bytes) to three holders, two in a large fleet, chosen by rendezvous hashing with availability zones apart. The instance that is asked looks it up there, by its present and former views of the members; what is not known is refused as not run (4017), and so is a stream of whose version no server is left (4018). Records expire with the attempt's deadline and 10 s, and are bounded; contradicting ones are unknown. Instances that know only a summary of the members have others send and look up records. Ruled out: the store (a write for each stream), gossip to all (27,000 a second times 850), the only version listed (lists lag: an_instance_with_an_old_list_does_not_resume_at_the_version_that_it_knows).

--- a/crates/fescuewell_forward/src/directory.rs
+++ b/crates/fescuewell_forward/src/directory.rs
@@ -14,6 +14,7 @@
 
 use crate::hop::Peer;
 use crate::quota::era;
+use crate::stream::{COPIES, COPIES_IN_LARGE_FLEET, Holders, Site};
 
 /// Age of its last heartbeat, in milliseconds, from which a member counts as failed and its grants
 /// as spent. Longer in large fleets, which send heartbeats less often; see
@@ -46,6 +47,8 @@
 pub struct Directory {
     members: Members,
     selection: Selection,
+    /// Instances that hold the records of streams; unknown if only a summary of the members is.
+    holders: Holders,
     /// Number of live members according to a summary; 0 if all members are known.
     summary_count: usize,
     read_at_ms: u64,
@@ -88,6 +91,21 @@
 
     fn select(&mut self) {
         self.selection = Selection::new(&self.members, self.read_at_ms, self.member_timeout_ms());
+        let live = self.with_members(&self.selection.live);
+        let sites =
+            live.filter_map(|(name, member)| Some(Site::new(name, &member.zone, member.peer?)));
+        let sites = sites.collect();
+        let copies = match self.is_large() {
+            true => COPIES_IN_LARGE_FLEET,
+            false => COPIES,
+        };
+        self.holders.update(sites, copies, self.read_at_ms);
+    }
+
+    /// Returns the instances that hold the records of streams, or `None` if only a summary of the members
+    /// is known.
+    pub fn holders(&self) -> Option<&Holders> {
+        (self.summary_count == 0).then_some(&self.holders)
     }
 
     /// Replaces the members with those of a summary.
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod server;
 pub mod share;
 pub mod snapshot;
+pub mod stream;
 pub mod version;
 pub mod warmup;
 pub mod window;
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -30,6 +30,7 @@
 use crate::loan;
 use crate::relay::Digest;
 use crate::snapshot;
+use crate::stream;
 
 /// First byte of every authenticated message. Load reports are not authenticated and begin with the
 /// length of a name, which is never 0.
@@ -60,6 +61,12 @@
     Failures(failure::Batch),
     /// A change of the configuration.
     Configuration(config::Change),
+    /// Software versions that began streams.
+    StreamRecords(stream::Batch),
+    /// Asks for the software version that began a stream.
+    StreamQuery(stream::Query),
+    /// Answers such a query.
+    StreamAnswer(stream::Answer),
 }
 
 /// Secret key of the fleet; messages of senders without it are ignored.
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -20,10 +20,16 @@
 use fescuewell_forward::message::{Key, Message};
 use fescuewell_forward::quota::row::{Entry as JournalEntry, Grant, Journal, Ledger, Usage};
 use fescuewell_forward::relay::Digest;
-use fescuewell_forward::server::{Change, Entry, Incarnation, State, Update};
+use fescuewell_forward::server::{Build, Change, Entry, Incarnation, State, Update};
 use fescuewell_forward::snapshot::{Request, Servers, Snapshot, Subject};
+use fescuewell_forward::stream::{Answer, Attempt, Batch as RecordBatch, Query, Record};
 use fescuewell_forward::warmup;
 
+/// Bytes of the attempt `r-1` of account `g`.
+const ATTEMPT: &str = "d001e7d35345092a";
+/// Bytes of version `v1` of service `s`.
+const BUILD: &str = "638fd77549692189";
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -361,6 +367,42 @@
     assert_eq!(read, Ok(digest(vec![update()])));
 }
 
+/// Guards against a record that another program version takes for one of another attempt or version.
+#[test]
+fn records_of_streams_have_the_written_bytes() {
+    let attempt = Attempt::new("g", "r-1");
+    let build = Build::new("s", "v1");
+    let batch = RecordBatch {
+        sent_at_ms: 1,
+        distribute: true,
+        records: vec![Record {
+            attempt,
+            build,
+            ttl_s: 2,
+        }],
+    };
+    let query = Query {
+        id: 1,
+        resolve: true,
+        attempt,
+    };
+    let answer = |build| Answer { id: 1, build };
+
+    assert_eq!(
+        encode(&Message::StreamRecords(batch)),
+        format!("0a010101{ATTEMPT}{BUILD}02")
+    );
+    assert_eq!(
+        encode(&Message::StreamQuery(query)),
+        format!("0b0101{ATTEMPT}")
+    );
+    assert_eq!(encode(&Message::StreamAnswer(answer(None))), "0c0100");
+    assert_eq!(
+        encode(&Message::StreamAnswer(answer(Some(build)))),
+        format!("0c0101{BUILD}")
+    );
+}
+
 /// Guards against a snapshot that an instance of another version reads wrongly.
 #[test]
 fn a_request_for_another_encoding_is_refused() {
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -16,6 +16,7 @@
 mod probe;
 mod rows;
 mod snapshots;
+mod streams;
 mod sync;
 mod watch;
 
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -1,6 +1,6 @@
 //! Messages between instances: load reports, which are optional hints for load balancing, token
-//! loans, server list digests, crash records, limits and failures of backend servers, and changes of
-//! the configuration.
+//! loans, server list digests, crash records, limits and failures of backend servers, changes of the
+//! configuration, and the software versions that began streams.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 
 use super::lending::Lending;
-use super::{Control, crashes, failures, limits, members, watch};
+use super::{Control, crashes, failures, limits, members, streams, watch};
 
 /// Minimum interval between two load reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(10);
@@ -48,6 +48,7 @@
         crashes::exchange(control, &socket),
         limits::exchange(control, &socket),
         failures::report(control, &socket),
+        streams::exchange(control, &socket),
         lending.run()
     );
 }
@@ -150,6 +151,11 @@
         Some(Message::Failures(batch)) => failures::receive(control, batch),
         Some(Message::Configuration(change)) => watch::receive_change(control, &change),
         Some(Message::Summary(summary)) => members::receive_summary(control, summary),
+        Some(Message::StreamRecords(batch)) => streams::receive(control, batch),
+        Some(Message::StreamQuery(query)) => streams::answer(control, socket, query, from),
+        Some(Message::StreamAnswer(answer)) => {
+            gateway.receive_stream_answer(answer.id, from, answer.build);
+        }
         // Requested over HTTP, since the response is too large for a datagram.
         Some(Message::SnapshotWanted(_)) | None => {}
     }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -5,7 +5,10 @@
 mod gate;
 mod path;
 mod state;
+mod stream;
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -19,12 +22,13 @@
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
 use fescuewell_forward::hop::{Guard, Peers};
-use fescuewell_forward::message::Key;
+use fescuewell_forward::message::{Key, Message};
 use fescuewell_forward::path::Monitor;
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
 use fescuewell_forward::server::{ENTRY_EXPIRY_OUTAGE_MS, Registry};
+use fescuewell_forward::stream as streams;
 use fescuewell_forward::warmup::Warmup;
 use fescuewell_forward::window::Window;
 use fescuewell_http::listener::Gate;
@@ -40,6 +44,7 @@
 
 pub use crash::ProbeRequest;
 pub use state::State;
+pub(crate) use stream::Found;
 
 /// Window over which accepted requests are counted, in seconds.
 pub const ACCEPTED_WINDOW_S: u32 = 4;
@@ -80,6 +85,8 @@
     pub borrow_requests: flume::Receiver<BorrowRequest>,
     /// Requests for permission to probe a quarantined request.
     pub probe_requests: flume::Receiver<ProbeRequest>,
+    /// Queries for the software versions that began streams, and answers to them, with their receivers.
+    pub stream_messages: flume::Receiver<(SocketAddr, Message)>,
 }
 
 /// Maximum time that a request waits for tokens from other instances. A lender that does not
@@ -94,6 +101,9 @@
 /// Maximum number of pending probe requests.
 const MAX_PROBE_REQUESTS: usize = 16;
 
+/// Maximum number of queries and answers that wait to be sent.
+const MAX_STREAM_MESSAGES: usize = 1_024;
+
 /// State and services shared by the threads of one instance.
 pub struct Gateway {
     /// Settings of the instance.
@@ -114,6 +124,8 @@
     journal_requests: flume::Sender<()>,
     borrow_requests: flume::Sender<BorrowRequest>,
     probe_requests: flume::Sender<ProbeRequest>,
+    stream_messages: flume::Sender<(SocketAddr, Message)>,
+    stream_recorded: Notify,
     crash_changes: watch::Sender<u64>,
     last_peer_message_ms: AtomicU64,
     next_malformed_log_ms: AtomicU64,
@@ -145,6 +157,7 @@
         let (journal_requests, journal_receiver) = flume::bounded(1);
         let (borrow_requests, borrow_receiver) = flume::bounded(MAX_BORROW_REQUESTS);
         let (probe_requests, probe_receiver) = flume::bounded(MAX_PROBE_REQUESTS);
+        let (stream_messages, stream_receiver) = flume::bounded(MAX_STREAM_MESSAGES);
         let (crash_changes, _) = watch::channel(0);
         let (token_changes, _) = watch::channel(0);
         let (server_exits, _) = watch::channel(0);
@@ -164,6 +177,9 @@
             conditions: Conditions::new(settings.name.clone()),
             crashes: Detector::default(),
             quarantine: Quarantine::default(),
+            stream_records: streams::Records::default(),
+            stream_outbox: streams::Outbox::default(),
+            stream_lookups: HashMap::new(),
             load: Load::default(),
             quota: Quota::new(settings.name.clone(), 0),
             retry: Budget::new(settings.retry_budget),
@@ -187,6 +203,8 @@
             journal_requests,
             borrow_requests,
             probe_requests,
+            stream_messages,
+            stream_recorded: Notify::new(),
             crash_changes,
             last_peer_message_ms: AtomicU64::new(0),
             next_malformed_log_ms: AtomicU64::new(0),
@@ -209,6 +227,7 @@
             journal_requests: journal_receiver,
             borrow_requests: borrow_receiver,
             probe_requests: probe_receiver,
+            stream_messages: stream_receiver,
         };
         Ok((gateway, inbox))
     }
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! Mutable state that request handlers and the control thread share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use fescuewell_forward::admission;
@@ -16,10 +17,14 @@
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
 use fescuewell_forward::server::{Build, Registry};
+use fescuewell_forward::stream;
 use fescuewell_forward::warmup::Warmup;
 use fescuewell_forward::window::Window;
 use rand::rngs::SmallRng;
 
+/// Receives the answers to a look-up, with the instances that sent them.
+pub type AnswerSender = flume::Sender<(SocketAddr, Option<Build>)>;
+
 /// Mutable state that request handlers and the control thread share.
 #[derive(Debug)]
 pub struct State {
@@ -49,6 +54,12 @@
     pub crashes: Detector,
     /// Requests that crash backend servers.
     pub quarantine: Quarantine,
+    /// Software versions that began streams.
+    pub stream_records: stream::Records,
+    /// Those that wait to be sent to other instances.
+    pub stream_outbox: stream::Outbox,
+    /// Look-ups in progress by their ids.
+    pub stream_lookups: HashMap<u64, AnswerSender>,
     /// Load of the backend servers.
     pub load: Load,
     /// Prepaid tokens of the client accounts.
--- /dev/null
+++ b/crates/fescuewell_gateway/src/gateway/stream.rs
@@ -0,0 +1,238 @@
+//! Records of the software versions that began streams, and look-ups of those that other instances
+//! hold; see [`fescuewell_forward::stream`].
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fescuewell_forward::message::Message;
+use fescuewell_forward::server::Build;
+use fescuewell_forward::stream::{Answer, Attempt, Batch, Lookup, Progress, Query, Record};
+use rand::seq::IndexedRandom;
+use tokio::time::Instant;
+
+use super::Gateway;
+
+/// Time after which instances that have not answered are asked again. Answers take a few milliseconds.
+const ROUND_INTERVAL: Duration = Duration::from_millis(60);
+/// Pause before the instances are asked again that have no record; it may still be on its way.
+const DENIED_PAUSE: Duration = Duration::from_millis(30);
+/// Number of instances that are asked to look a record up, or to send records to their holders, by an
+/// instance that does not know the members of the fleet.
+const RESOLVERS: usize = 2;
+/// Maximum number of look-ups in progress beside which one is made for another instance.
+const MAX_LOOKUPS: usize = 256;
+
+/// Result of a look-up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Found {
+    /// The version, if it is known.
+    pub(crate) build: Option<Build>,
+    /// Whether the record was held here, or at other instances.
+    pub(crate) source: &'static str,
+    /// Number of instances that were asked.
+    pub(crate) asked: usize,
+    /// Number of instances that answered.
+    pub(crate) answered: usize,
+}
+
+impl Gateway {
+    /// Records the software version that began a stream, which may be resumed until `left` and some time
+    /// to reconnect have passed.
+    pub(crate) fn record_stream(&self, attempt: Attempt, build: Build, left: Duration) {
+        let record = Record::new(attempt, build, left);
+        let now_ms = self.now_ms();
+        {
+            let mut state = self.state();
+            state.stream_records.insert(record, now_ms);
+            if self.settings.peer.is_none() {
+                return;
+            }
+            state.stream_outbox.push(record);
+        }
+        self.stream_recorded.notify_one();
+    }
+
+    /// Waits until a record has to be sent.
+    pub(crate) async fn stream_recorded(&self) {
+        self.stream_recorded.notified().await;
+    }
+
+    /// Takes the records that have to be sent, with their receivers.
+    pub(crate) fn take_stream_batches(&self) -> Vec<(SocketAddr, Batch)> {
+        let now_ms = self.now_ms();
+        let own = self.settings.peer;
+        let resolvers = self.stream_resolvers();
+        let mut guard = self.state();
+        let state = &mut *guard;
+        let sent_at_ms = state.quota.store_time(now_ms);
+        let (batches, distribute) = match state.directory.holders() {
+            Some(holders) => (state.stream_outbox.take(holders, own), false),
+            None => (state.stream_outbox.take_for(&resolvers), true),
+        };
+        let batches = batches.into_iter().map(|(receiver, records)| {
+            let batch = Batch {
+                sent_at_ms,
+                distribute,
+                records,
+            };
+            (receiver, batch)
+        });
+        batches.collect()
+    }
+
+    /// Adds the records of another instance.
+    pub(crate) fn receive_stream_records(&self, batch: Batch) {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let store_ms = state.quota.store_time(now_ms);
+        if !batch.is_recent(store_ms) {
+            return;
+        }
+        // Without the members of the fleet, this instance would ask others in turn.
+        let distributes = batch.distribute && state.directory.holders().is_some();
+        for record in batch.records {
+            state.stream_records.insert(record, now_ms);
+            if distributes {
+                state.stream_outbox.push(record);
+            }
+        }
+        drop(state);
+        if distributes {
+            self.stream_recorded.notify_one();
+        }
+    }
+
+    /// Returns the version that began a stream if its record is held here.
+    pub(crate) fn held_build(&self, attempt: Attempt) -> Option<Build> {
+        let now_ms = self.now_ms();
+        self.state().stream_records.get(attempt, now_ms)
+    }
+
+    /// Finds the version that began a stream: here, or at the instances that may hold its record.
+    pub(crate) async fn find_build(&self, attempt: Attempt) -> Found {
+        let held = self.held_build(attempt);
+        if held.is_some() {
+            return Found {
+                build: held,
+                source: "here",
+                asked: 0,
+                answered: 0,
+            };
+        }
+        let own = self.settings.peer;
+        let asked = {
+            let state = self.state();
+            let holders = state.directory.holders();
+            holders.map(|holders| holders.candidates(attempt, own))
+        };
+        let (asked, resolve) = match asked {
+            Some(asked) => (asked, false),
+            None => (self.stream_resolvers(), true),
+        };
+        let mut lookup = Lookup::new(asked);
+        let build = match own {
+            Some(_) => self.look_up(attempt, &mut lookup, resolve).await,
+            None => None,
+        };
+        Found {
+            // A record may have arrived meanwhile.
+            build: build.or_else(|| self.held_build(attempt)),
+            source: "instance",
+            asked: lookup.asked(),
+            answered: lookup.answered(),
+        }
+    }
+
+    async fn look_up(&self, attempt: Attempt, lookup: &mut Lookup, resolve: bool) -> Option<Build> {
+        let (sender, answers) = flume::bounded(4 * lookup.asked().max(1));
+        let id = self.random_u64();
+        let _registration = Registration::new(self, id, sender);
+        while let Some(open) = lookup.next_round() {
+            for peer in open {
+                let query = Query {
+                    id,
+                    resolve,
+                    attempt,
+                };
+                self.queue_stream_message(peer, Message::StreamQuery(query));
+            }
+            let until = Instant::now() + ROUND_INTERVAL;
+            let is_denied = loop {
+                let answer = tokio::time::timeout_at(until, answers.recv_async()).await;
+                let Ok(Ok((from, build))) = answer else {
+                    break false;
+                };
+                match lookup.record(from, build) {
+                    Progress::Found(build) => return Some(build),
+                    Progress::Denied => break true,
+                    Progress::Open => {}
+                }
+            };
+            if is_denied {
+                tokio::time::sleep(DENIED_PAUSE).await;
+            }
+        }
+        None
+    }
+
+    fn queue_stream_message(&self, receiver: SocketAddr, message: Message) {
+        // Full: a message that is not sent counts as lost.
+        let _ = self.stream_messages.try_send((receiver, message));
+    }
+
+    /// Makes a look-up for another instance, unless too many are in progress.
+    pub(crate) async fn resolve_stream(&self, query: Query, from: SocketAddr) {
+        if self.state().stream_lookups.len() >= MAX_LOOKUPS {
+            return;
+        }
+        let build = self.find_build(query.attempt).await.build;
+        let answer = Answer {
+            id: query.id,
+            build,
+        };
+        self.queue_stream_message(from, Message::StreamAnswer(answer));
+    }
+
+    /// Passes the answer of another instance to its look-up.
+    pub(crate) fn receive_stream_answer(&self, id: u64, from: SocketAddr, build: Option<Build>) {
+        let sender = self.state().stream_lookups.get(&id).cloned();
+        if let Some(sender) = sender {
+            // Full or closed: the look-up has enough answers or has ended.
+            let _ = sender.try_send((from, build));
+        }
+    }
+
+    /// Returns instances that know all members of a large fleet. Empty if this instance knows them.
+    fn stream_resolvers(&self) -> Vec<SocketAddr> {
+        let own = self.settings.peer;
+        let mut state = self.state();
+        let state = &mut *state;
+        if state.directory.holders().is_some() {
+            return Vec::new();
+        }
+        let peers = state.directory.peers();
+        // One more, because this instance may be among them.
+        let peers = peers.choose_multiple(&mut state.rng, RESOLVERS + 1);
+        let others = peers.filter(|peer| Some(**peer) != own);
+        others.take(RESOLVERS).copied().collect()
+    }
+}
+
+/// Registration of a look-up until it is dropped.
+struct Registration<'a> {
+    gateway: &'a Gateway,
+    id: u64,
+}
+
+impl<'a> Registration<'a> {
+    fn new(gateway: &'a Gateway, id: u64, sender: super::state::AnswerSender) -> Self {
+        gateway.state().stream_lookups.insert(id, sender);
+        Self { gateway, id }
+    }
+}
+
+impl Drop for Registration<'_> {
+    fn drop(&mut self) {
+        self.gateway.state().stream_lookups.remove(&self.id);
+    }
+}
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -15,6 +15,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::{Account, Kind, Route, Service};
 use fescuewell_forward::crash::Fingerprint;
+use fescuewell_forward::stream;
 use fescuewell_http::listener::{Reply, Request};
 use http::{HeaderMap, Method, Uri};
 
@@ -50,6 +51,9 @@
     body: Bytes,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) binding: Binding,
+    /// The attempt that began the stream, if this one takes it up.
+    resumed: Option<stream::Attempt>,
+    is_recorded: bool,
     is_probe: bool,
     arrived: Instant,
     deadline: Instant,
@@ -93,6 +97,8 @@
             body: request.body,
             fingerprint: Fingerprint::default(),
             binding: Binding::Free,
+            resumed: None,
+            is_recorded: false,
             is_probe: false,
             arrived: request.arrived,
             deadline: request.arrived,
@@ -141,6 +147,9 @@
         if let Err(code) = self.check_quarantine().await {
             return self.refuse(reply, code);
         }
+        if let Err(refusal) = self.bind().await {
+            return self.refuse_after(reply, refusal.code, refusal.retry_after);
+        }
         // Without a server the request would wait for tokens in vain.
         if let Err(refusal) = self.check_servers() {
             return self.refuse_after(reply, refusal.code, refusal.retry_after);
--- a/crates/fescuewell_gateway/src/job/binding.rs
+++ b/crates/fescuewell_gateway/src/job/binding.rs
@@ -1,10 +1,22 @@
 //! Binding of a stream to the software version of the backend servers that began it.
 
+use std::time::{Duration, Instant};
+
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
+use fescuewell_forward::condition::Declared;
+use fescuewell_forward::config::Kind;
 use fescuewell_forward::server::{Build, Entry};
+use fescuewell_forward::stream::Attempt;
 
 use super::Job;
+use crate::gateway::Found;
+
+/// Interval between two looks at the list of backend servers, which may lag behind the one of the
+/// instance that began a stream.
+const LIST_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Fraction of the target latency that a request waits for a server of its version to be listed.
+const LIST_WAIT_FRACTION: f64 = 0.5;
 
 /// The software version that may send a request's events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +40,100 @@
 }
 
 impl Job {
+    /// Returns `true` if the request takes up a stream that another attempt of its caller began.
+    fn takes_up(&self) -> bool {
+        let is_present = |is_absent: bool| !is_absent;
+        self.route.kind.is_stream()
+            && (is_present(self.metadata.resumes == Declared::Absent)
+                || is_present(self.metadata.last_event_id == Declared::Absent))
+    }
+
+    /// Binds a request that takes up a stream to the software version that began it.
+    pub(super) async fn bind(&mut self) -> Result<(), Refusal> {
+        if !self.takes_up() {
+            return Ok(());
+        }
+        let Declared::Value(first) = self.metadata.resumes.clone() else {
+            return Err(self.unknown_stream("unnamed", None));
+        };
+        if self.route.kind != (Kind::Stream { resumable: true }) {
+            return Err(self.unknown_stream("not_resumable", None));
+        }
+        let attempt = Attempt::new(self.account_name(), &first);
+        let begun = Instant::now();
+        let found = self.gateway.find_build(attempt).await;
+        let Some(build) = found.build else {
+            return Err(self.unknown_stream("unknown", Some(found)));
+        };
+        self.gateway
+            .metrics
+            .count_resumption("attempt", found.source);
+        self.binding = Binding::Bound(build);
+        self.resumed = Some(attempt);
+        self.await_listed(build).await;
+        let software = self.choose_service(build);
+        log_event!(
+            Event::StreamTakenUp,
+            "request={} resumes={first} build={build} software={} source={} asked={} took_ms={}",
+            self.id,
+            software.as_deref().unwrap_or("-"),
+            found.source,
+            found.asked,
+            begun.elapsed().as_millis()
+        );
+        match software {
+            Some(_) => Ok(()),
+            None => Err(self.version_gone()),
+        }
+    }
+
+    /// Waits a little for a server of a version of which no server is listed here.
+    async fn await_listed(&self, build: Build) {
+        let until = self.arrived + self.route.target_latency.mul_f64(LIST_WAIT_FRACTION);
+        let until = until.min(self.route_deadline);
+        while !self.gateway.state().registry.knows_build(build) && Instant::now() < until {
+            tokio::time::sleep(LIST_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Chooses the service of a version among those of the route. Returns the version's name, or `None` if
+    /// no server of it accepts requests of the route.
+    fn choose_service(&mut self, build: Build) -> Option<std::sync::Arc<str>> {
+        let now_ms = self.gateway.now_ms();
+        let server = {
+            let state = self.gateway.state();
+            state.registry.of_build(build, 0, now_ms).next().cloned()
+        }?;
+        if server.service != self.service.name {
+            let splits = self.route.splits.iter();
+            let mut splits = splits.filter(|split| split.weight > 0);
+            splits.find(|split| split.service == server.service)?;
+            let table = self.gateway.table()?;
+            self.service = table.service(&server.service)?.clone();
+        }
+        server.version.clone()
+    }
+
+    fn unknown_stream(&self, cause: &'static str, found: Option<Found>) -> Refusal {
+        let (asked, answered) = found.map_or((0, 0), |found| (found.asked, found.answered));
+        self.gateway.metrics.count_resumption("attempt", cause);
+        let resumes = match &self.metadata.resumes {
+            Declared::Value(first) => first,
+            Declared::Absent | Declared::Malformed => "-",
+        };
+        log_event!(
+            Event::StreamUnknown,
+            "request={} resumes={resumes} cause={cause} asked={asked} answered={answered}",
+            self.id
+        );
+        let refusal = Refusal::new(Code::StreamUnknown);
+        match answered < asked {
+            // Another instance may reach the holders of the record.
+            true => refusal.with_retry_after(UNANSWERED_RETRY_DELAY),
+            false => refusal,
+        }
+    }
+
     /// Returns the refusal of a stream of whose version no server accepts requests.
     pub(crate) fn version_gone(&self) -> Refusal {
         if let Some(build) = self.binding.build() {
@@ -37,10 +143,32 @@
         Refusal::new(Code::VersionGone)
     }
 
-    /// Binds the stream to the version of the server whose event is the first to be forwarded.
+    /// Binds the stream to the version of the server whose event is the first to be forwarded, and records
+    /// it for other attempts of the caller.
     pub(crate) fn bind_to(&mut self, server: &Entry) {
         if self.binding == Binding::Free {
             self.binding = server.build().map_or(Binding::Unknown, Binding::Bound);
         }
+        let Binding::Bound(build) = self.binding else {
+            return;
+        };
+        let is_resumable = self.route.kind == (Kind::Stream { resumable: true });
+        if !is_resumable || std::mem::replace(&mut self.is_recorded, true) {
+            return;
+        }
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let own = Attempt::new(self.account_name(), &self.id);
+        self.gateway.record_stream(own, build, left);
+        if let Some(first) = self.resumed {
+            // The caller goes on to name the attempt that began the stream.
+            self.gateway.record_stream(first, build, left);
+        }
+    }
+
+    fn account_name(&self) -> &str {
+        self.account.as_ref().map_or("", |account| &account.name)
     }
 }
+
+/// Retry delay while instances that may hold the record do not answer.
+const UNANSWERED_RETRY_DELAY: Duration = Duration::from_millis(150);
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     loan_requests: Counter<u64>,
     digests: Counter<u64>,
     hops: Counter<u64>,
+    stream_records: Counter<u64>,
     resumptions: Counter<u64>,
     configurations: Counter<u64>,
     first_event: Histogram<f64>,
@@ -50,6 +51,7 @@
             malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
             loan_requests: meter.u64_counter("fescuewell_loan_requests").build(),
             hops: meter.u64_counter("fescuewell_hops").build(),
+            stream_records: meter.u64_counter("fescuewell_stream_records").build(),
             resumptions: meter.u64_counter("fescuewell_stream_resumptions").build(),
             digests: meter.u64_counter("fescuewell_digests").build(),
             configurations: meter.u64_counter("fescuewell_configuration_copies").build(),
@@ -138,6 +140,12 @@
         self.hops.add(1, &attributes);
     }
 
+    /// Counts records of streams that were sent to another instance or received from one.
+    pub fn count_stream_records(&self, direction: &'static str, count: u64) {
+        let attributes = [KeyValue::new("direction", direction)];
+        self.stream_records.add(count, &attributes);
+    }
+
     /// Counts a stream that is resumed: within its response, or by another attempt of its caller.
     pub fn count_resumption(&self, way: &'static str, outcome: &'static str) {
         let attributes = [KeyValue::new("way", way), KeyValue::new("outcome", outcome)];
@@ -227,6 +235,11 @@
             let unready_left_ms = gateway.state().admission.unready_left_ms(now_ms);
             let behind_ms = gateway.state().lag.behind_ms(now_ms);
             let is_path_lost = gateway.state().path.is_lost();
+            let (stream_records, dropped_records) = {
+                let state = gateway.state();
+                let dropped = state.stream_records.dropped() + state.stream_outbox.dropped();
+                (state.stream_records.count(), dropped)
+            };
             let values = [
                 ("path_lost", f64::from(u8::from(is_path_lost))),
                 ("unready_left_seconds", unready_left_ms as f64 / 1_000.0),
@@ -243,6 +256,8 @@
                 ("servers", servers as f64),
                 ("limited_servers", limited as f64),
                 ("resting_servers", resting as f64),
+                ("stream_records", stream_records as f64),
+                ("stream_records_dropped", dropped_records as f64),
                 ("suspects", suspects as f64),
                 ("quarantined", quarantined as f64),
                 ("instances", instances as f64),
