Router: a response that has begun is not run again at another server

Callers would have seen: in one response of the own interface, events of one run and then those of another one from its first event on, possibly of another software version. Cause: a request attached to the run of another one reports the run as gone when the server answers that it has no record. After some events the count of resumes without progress is 0 again, so that this also held in the middle of the response, and the request was run again with what had been sent discarded although it had been sent. Change: such a response ends as lost. Ruled out: the other ways in which the own interface resumes; they read the record of the same run at the same server, and a run is repeated only before anything was sent. Result: a_response_that_has_begun_is_not_run_again failed (would run again), passes; its fellow test of a response of which nothing arrived passes before and after.

--- a/crates/fescuewell_router/src/attempt.rs
+++ b/crates/fescuewell_router/src/attempt.rs
@@ -144,6 +144,10 @@
         loop {
             let exchange = match self.resume(address, stream, delivery.last_event).await {
                 ResumeResult::Response(exchange) => Some(exchange),
+                // The caller has events of a run that is gone; another run would not continue them.
+                ResumeResult::NotFound if delivery.has_begun() => {
+                    return Some(Outcome::of(lost(delivery, false)));
+                }
                 ResumeResult::NotFound if resumes == 0 => return None,
                 ResumeResult::NotFound | ResumeResult::Failed => None,
             };
