Soak: servers of three versions come and go, streams are taken up elsewhere, cuts from servers

Change: servers are replaced by ones of v1, v1.1 and v2 under new ids at the same addresses; callers take broken streams up at random instances with Resumes; instances are cut off from one or all servers, refused, hanging, or new connections only. Checked: one version per stream, in a response and over attempts, whole in order; in a last phase with two servers of a version, the share of streams that go on is at least half of that of streams that begin, with instances killed meanwhile.

--- a/crates/fescuewell_standin/src/platform.rs
+++ b/crates/fescuewell_standin/src/platform.rs
@@ -114,6 +114,7 @@
             token: settings.token,
             content,
             others: Some(others.clone()),
+            reroutes: Vec::new(),
         };
         let rows = Rows::start_with(own).map_err(|source| Error { source })?;
         Ok(Self { rows, others })
--- a/crates/fescuewell_standin/src/rows.rs
+++ b/crates/fescuewell_standin/src/rows.rs
@@ -64,6 +64,9 @@
     pub content: Content,
     /// Handler of requests outside the store's protocol.
     pub others: Option<Arc<dyn Handler>>,
+    /// Addresses of backend servers, each with the address that the entries returned by this endpoint have
+    /// in its place, such as that of a proxy.
+    pub reroutes: Vec<(SocketAddr, SocketAddr)>,
 }
 
 impl Settings {
@@ -74,9 +77,16 @@
             token: None,
             content: Content::default(),
             others: None,
+            reroutes: Vec::new(),
         }
     }
 
+    /// Sets the addresses that replace those of backend servers.
+    pub fn with_reroutes(mut self, reroutes: Vec<(SocketAddr, SocketAddr)>) -> Self {
+        self.reroutes = reroutes;
+        self
+    }
+
     /// Sets the store's content.
     pub fn with_content(mut self, content: Content) -> Self {
         self.content = content;
@@ -113,6 +123,7 @@
             fault: fault.clone(),
             token: settings.token,
             others: settings.others,
+            reroutes: settings.reroutes.into(),
         });
         let mut own = listener::Settings::new(settings.address).with_name("rows");
         own.max_body_bytes = MOST_BODY;
--- a/crates/fescuewell_standin/src/rows/serve.rs
+++ b/crates/fescuewell_standin/src/rows/serve.rs
@@ -1,6 +1,7 @@
 //! The store's protocol.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -36,7 +37,9 @@
 /// Bytes of a table's, part's or key's name.
 const MOST_NAME: usize = 200;
 /// Tables that only the operator and the backend servers write.
-const FOREIGN: [&str; 2] = ["op", "servers"];
+const FOREIGN: [&str; 2] = ["op", SERVERS];
+/// Table of the entries of backend servers.
+const SERVERS: &str = "servers";
 
 #[derive(Deserialize, Serialize)]
 struct WireRow {
@@ -100,6 +103,7 @@
     pub(super) fault: Arc<Mutex<Fault>>,
     pub(super) token: Option<Arc<str>>,
     pub(super) others: Option<Arc<dyn Handler>>,
+    pub(super) reroutes: Arc<[(SocketAddr, SocketAddr)]>,
 }
 
 impl Handler for Server {
@@ -108,6 +112,7 @@
             content: self.content.clone(),
             fault: *self.fault.lock().unwrap_or_else(PoisonError::into_inner),
             mode: self.fault.clone(),
+            reroutes: self.reroutes.clone(),
         };
         if !self.is_allowed(&request) {
             return endpoint.send(reply, StatusCode::UNAUTHORIZED, &json!({}));
@@ -145,6 +150,7 @@
     /// Fault at the arrival of the call.
     fault: Fault,
     mode: Arc<Mutex<Fault>>,
+    reroutes: Arc<[(SocketAddr, SocketAddr)]>,
 }
 
 /// Status and body of an answer; none if the connection is closed instead.
@@ -234,6 +240,22 @@
         json!({"rows": rows, "ver": version, "nowMs": now_ms, "truncated": truncated})
     }
 
+    /// Encodes a row, in entries of backend servers with the addresses of this endpoint.
+    fn row(&self, place: &Place, value: Option<&[u8]>, version: u64) -> Value {
+        let rerouted = match &*place.0 == SERVERS && !self.reroutes.is_empty() {
+            true => value.and_then(|value| std::str::from_utf8(value).ok()),
+            false => None,
+        };
+        let Some(text) = rerouted else {
+            return row(place, value, version);
+        };
+        let mut text = text.to_owned();
+        for (address, proxy) in self.reroutes.iter() {
+            text = text.replace(&format!("\"{address}\""), &format!("\"{proxy}\""));
+        }
+        row(place, Some(text.as_bytes()), version)
+    }
+
     fn get(&self, query: &HashMap<String, String>) -> Answer {
         let text = |name: &str| query.get(name).map_or("", String::as_str);
         if text("table") == layout::INSTANCES && !self.content.follow_instances() {
@@ -262,7 +284,7 @@
                 truncated = true;
                 break;
             }
-            rows.push(row(place, Some(&cell.value), cell.version));
+            rows.push(self.row(place, Some(&cell.value), cell.version));
         }
         let body = self.reading(rows, state.version, truncated);
         Some((StatusCode::OK, body))
@@ -343,7 +365,7 @@
         let events = state.history.iter();
         let events = events.filter(|event| event.version > after && &*event.place.0 == table);
         let rows: Vec<Value> = events
-            .map(|event| row(&event.place, event.value.as_deref(), event.version))
+            .map(|event| self.row(&event.place, event.value.as_deref(), event.version))
             .collect();
         if rows.is_empty() {
             return None;
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -242,6 +242,31 @@
         Ok(())
     }
 
+    /// Replaces its process by one of another name and software version at the same address. All connections
+    /// break.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be listened on.
+    pub fn replace(&self, name: &str, version: &str) -> Result<(), listener::Error> {
+        refuse(&self.listener, self.address);
+        take(&self.listener);
+        {
+            let mut state = self.shared.state();
+            state.name = name.into();
+            state.version = version.into();
+            state.next.clear();
+            state.revivals = state.crashes;
+        }
+        *lock(&self.listener) = Some(listen(&self.shared, self.address)?);
+        Ok(())
+    }
+
+    /// Name of its incarnation.
+    pub fn name(&self) -> Arc<str> {
+        self.shared.state().name.clone()
+    }
+
     /// What becomes of the next requests, in order; later ones are answered.
     pub fn next(&self, behaviours: &[Behaviour]) {
         self.shared.state().next.extend(behaviours);
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -198,9 +198,17 @@
         let mut entry = sample::entry(worker.address(), state);
         entry["born"] = (sample::BORN + worker.revivals()).into();
         entry["version"] = worker.version().as_ref().into();
-        let key = format!("i-{index}");
         self.store
-            .put("servers", "", &key, entry.to_string().as_bytes());
+            .put("servers", "", &worker.name(), entry.to_string().as_bytes());
+    }
+
+    /// Replaces the process of a backend server by one of this software version, under a new id at the same
+    /// address.
+    pub fn replace_server(&self, index: usize, id: &str, version: &str) {
+        let worker = &self.workers[index];
+        self.store.remove("servers", "", &worker.name());
+        worker.replace(id, version).unwrap();
+        self.register(index, "ready");
     }
 
     pub fn start(&mut self) {
@@ -242,7 +250,8 @@
 
     /// Restarts a crashed backend server under the same name.
     pub fn restart_server(&self, index: usize) {
-        self.workers[index].revive(&format!("i-{index}")).unwrap();
+        let worker = &self.workers[index];
+        worker.revive(&worker.name()).unwrap();
         self.register(index, "ready");
     }
 
--- a/tests/forward/server_proxy.rs
+++ b/tests/forward/server_proxy.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Address on which the proxy listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Number of connections that the proxy has forwarded to the server.
     pub fn connections(&self) -> usize {
         self.shared.connections.load(Ordering::Relaxed)
@@ -131,7 +136,17 @@
     }
 }
 
-/// Accepts connections until a partition starts.
+/// Waits until the server accepts connections or a partition starts.
+fn wait_for_target(shared: &Shared) {
+    while !shared.is_ended() && shared.cut().is_none() {
+        if TcpStream::connect(shared.target).is_ok() {
+            return;
+        }
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Accepts connections until a partition starts or the server refuses one.
 fn accept(shared: &Arc<Shared>, address: SocketAddr) {
     let listener = bind(address);
     listener.listen(128).unwrap();
@@ -142,7 +157,9 @@
             continue;
         };
         let Ok(server) = TcpStream::connect(shared.target) else {
-            continue;
+            // Refuses connections for as long as the server does.
+            drop((client, listener));
+            return wait_for_target(shared);
         };
         shared.connections.fetch_add(1, Ordering::Relaxed);
         let client: TcpStream = client.into();
@@ -206,7 +223,7 @@
     pub fn new(reader: Reader, proxies: &[ServerProxy]) -> Self {
         let proxies = proxies.iter().enumerate();
         let proxies = proxies
-            .map(|(index, server_proxy)| (format!("i-{index}").into(), server_proxy.address));
+            .map(|(index, server_proxy)| (format!("i-{index}").into(), server_proxy.address()));
         Self {
             reader,
             proxies: proxies.collect(),
--- a/tests/forward/versions.rs
+++ b/tests/forward/versions.rs
@@ -422,3 +422,21 @@
 
     assert_refused(&second, &resume("r-2", "r-1", 2), "r-2");
 }
+
+/// Guards against a stream that goes on at another version because the address of the server that its
+/// instance still lists is used by a server of that version now.
+#[test]
+fn an_address_reused_by_another_version_does_not_resume_a_stream() {
+    let [first, mut second] = instances(&["v1"]);
+    let store = second.use_own_store_endpoint();
+    second.kill();
+    second.start();
+    second.wait_listed("i-0");
+    first.wait_discovered(&second);
+    begin(&first, "r-1", 2);
+    assert!(wait_until(|| records(&second) > 0));
+    store.set_fault(rows::Fault::Silent);
+    first.replace_server(0, "i-9", "v2");
+
+    assert_refused(&second, &resume("r-2", "r-1", 2), "r-2");
+}
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::fixture::{Request, Response, read_response};
+use crate::streams;
 
 /// Prompt tokens that each streaming request declares.
 pub const PROMPT_TOKENS: u64 = 500;
@@ -34,6 +35,8 @@
     pub id: String,
     pub kind: Kind,
     pub response: Option<Response>,
+    /// Responses to the attempts that took the stream up.
+    pub resumed: Vec<Response>,
 }
 
 /// A thread that sends requests until `stop` is set.
@@ -59,6 +62,8 @@
     fronts: &[SocketAddr],
     stop: &AtomicBool,
 ) -> Vec<Exchange> {
+    // Separate, so that the requests of a seed stay the same.
+    let mut resume_random = SmallRng::seed_from_u64(index as u64);
     let mut exchanges = Vec::new();
     let mut idle: Vec<Option<TcpStream>> = fronts.iter().map(|_| None).collect();
     for number in 0.. {
@@ -86,7 +91,18 @@
         {
             idle[at] = Some(connection);
         }
-        exchanges.push(Exchange { id, kind, response });
+        let resumed = match &response {
+            Some(response) if kind == Kind::Stream => {
+                streams::take_up(&mut resume_random, fronts, &id, response)
+            }
+            _ => Vec::new(),
+        };
+        exchanges.push(Exchange {
+            id,
+            kind,
+            response,
+            resumed,
+        });
         std::thread::sleep(Duration::from_millis(random.random_range(1..15)));
     }
     exchanges
--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -4,10 +4,13 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
+use fescuewell::standin::rows::{self, Rows};
 use fescuewell::standin::worker::wait_until;
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::fixture::{Fixture, any_address};
 use crate::proxy::Proxy;
+use crate::server_proxy::ServerProxy;
 
 /// Returns a loopback address unique to this instance and test process, as all instances use the same metrics port.
 fn loopback_address(index: usize) -> IpAddr {
@@ -35,13 +38,28 @@
     settings: PathBuf,
     /// Proxy between the instance and the store, which injects network faults.
     pub proxy: Proxy,
+    /// Proxies between the instance and the backend servers.
+    pub server_proxies: Vec<ServerProxy>,
+    /// Endpoint of the store that names these proxies in the entries of the servers.
+    pub store: Rows,
     child: Option<Child>,
 }
 
 impl Instance {
     /// Writes the settings file and starts the proxy, but not the process.
-    pub fn new(index: usize, seed: u64, store: SocketAddr) -> Self {
-        let proxy = Proxy::start(store);
+    pub fn new(index: usize, seed: u64, platform: &Fixture) -> Self {
+        let server_proxies: Vec<ServerProxy> = platform
+            .workers
+            .iter()
+            .map(|worker| ServerProxy::open(worker.address()))
+            .collect();
+        let reroutes = platform.workers.iter().zip(&server_proxies);
+        let reroutes = reroutes.map(|(worker, proxy)| (worker.address(), proxy.address()));
+        let store = rows::Settings::new(any_address())
+            .with_content(platform.store.content().clone())
+            .with_reroutes(reroutes.collect());
+        let store = Rows::start_with(store).unwrap();
+        let proxy = Proxy::start(store.address());
         let [front, ready] = free_ports(loopback_address(index));
         let name = format!("fescuewell-soak-{}-{seed}-{index}.conf", std::process::id());
         let settings = std::env::temp_dir().join(name);
@@ -57,6 +75,8 @@
             ready,
             settings,
             proxy,
+            server_proxies,
+            store,
             child: None,
         }
     }
--- a/tests/soak/verdict.rs
+++ b/tests/soak/verdict.rs
@@ -6,6 +6,7 @@
 
 use crate::caller::{Exchange, Kind, PROMPT_TOKENS};
 use crate::poison;
+use crate::streams;
 
 /// Output tokens of one event, as set in the configuration.
 const TOKENS_PER_EVENT: u64 = 7;
@@ -23,6 +24,7 @@
             .copied()
             .unwrap_or_default();
         violations.extend(violation(exchange, run_count));
+        violations.extend(streams::violation(exchange));
     }
     let served = exchanges
         .iter()
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -15,6 +15,7 @@
 use crate::fixture::{Fixture, configuration, send};
 use crate::instance::Instance;
 use crate::poison::{self, PoisonCaller};
+use crate::streams;
 use crate::verdict;
 
 const INSTANCES: usize = 3;
@@ -40,6 +41,10 @@
     restore_schedule: (usize, usize),
     /// Generator of the conditions that servers declare, separate for the same reason.
     condition_random: SmallRng,
+    /// Generator of cuts from the servers and of the servers' versions, separate for the same reason.
+    stream_random: SmallRng,
+    /// Number of replaced servers.
+    generation: usize,
     copy: Option<rows::Copy>,
     platform: Fixture,
     instances: Vec<Instance>,
@@ -53,9 +58,8 @@
 impl World {
     pub fn start(seed: u64) -> Self {
         let platform = Fixture::without_instance(SERVERS, INITIAL_PREPAID_TOKENS);
-        let store = platform.store.address();
         let mut instances: Vec<Instance> = (0..INSTANCES)
-            .map(|index| Instance::new(index, seed, store))
+            .map(|index| Instance::new(index, seed, &platform))
             .collect();
         for instance in &mut instances {
             instance.start();
@@ -81,6 +85,8 @@
             random: SmallRng::seed_from_u64(seed),
             restore_schedule: (copied, restored),
             condition_random: SmallRng::seed_from_u64(seed.rotate_left(32)),
+            stream_random: SmallRng::seed_from_u64(seed.rotate_left(16)),
+            generation: 0,
             copy: None,
             platform,
             instances,
@@ -102,6 +108,7 @@
             self.inject(fault);
             conditions::disturb(&mut self.condition_random, &self.platform.workers);
             active.push(fault);
+            self.disturb_streams();
             let pause = Duration::from_millis(self.random.random_range(50..700));
             std::thread::sleep(pause);
             if self.random.random_bool(0.6) {
@@ -109,12 +116,26 @@
                     self.clear(fault);
                 }
                 conditions::clear(&self.platform.workers);
+                streams::heal(&self.instances);
             }
         }
         for fault in active {
             self.clear(fault);
         }
         conditions::clear(&self.platform.workers);
+        streams::heal(&self.instances);
+    }
+
+    /// Replaces servers by ones of other versions, and cuts instances off from servers.
+    fn disturb_streams(&mut self) {
+        let random = &mut self.stream_random;
+        if random.random_bool(0.6) {
+            self.generation += 1;
+            streams::roll(random, &self.platform, self.generation);
+        }
+        if random.random_bool(0.3) {
+            streams::cut(random, &self.instances);
+        }
     }
 
     /// Copies the store, and some faults later restores the copy. After the restore, writes the current configuration and
@@ -147,7 +168,7 @@
             Fault::Blackhole(index) => self.instances[index].proxy.blackhole(),
             Fault::DropReplies(index) => self.instances[index].proxy.drop_replies(),
             Fault::Reset(index) => self.instances[index].proxy.drop_connections(),
-            Fault::Store(fault) => self.platform.store.set_fault(fault),
+            Fault::Store(fault) => self.set_store_fault(fault),
             Fault::Compact => self.platform.store.compact(),
             Fault::Server(index, behaviour) => self.platform.workers[index].next(&[behaviour; 3]),
             Fault::Drain(index) => self.platform.register(index, "draining"),
@@ -159,17 +180,24 @@
         match fault {
             Fault::Pause(index) => self.instances[index].resume(),
             Fault::Partition(index) => self.instances[index].proxy.heal(),
-            Fault::Store(_) => self.platform.store.set_fault(rows::Fault::None),
+            Fault::Store(_) => self.set_store_fault(rows::Fault::None),
             Fault::Drain(index) => self.platform.register(index, "ready"),
             Fault::Kill(_) | Fault::Stop(_) | Fault::KillAll => self.start_missing(),
             _ => {}
         }
     }
 
+    fn set_store_fault(&self, fault: rows::Fault) {
+        for instance in &self.instances {
+            instance.store.set_fault(fault);
+        }
+    }
+
     /// Restarts the backend servers that have crashed.
     fn restart_crashed_servers(&self) {
         for (index, worker) in self.platform.workers.iter().enumerate() {
-            if worker.has_crashed() && wait_until(|| worker.is_down()) {
+            let has_crashed = worker.has_crashed() && wait_until(|| worker.is_down());
+            if has_crashed || worker.is_down() {
                 self.platform.restart_server(index);
             }
         }
@@ -259,6 +287,12 @@
             .map(|worker| worker.runs())
             .collect();
         violations.extend(verdict::violations(&exchanges, &runs, self.prepaid));
+        self.top_up();
+        violations.extend(streams::share_violation(
+            &mut self.stream_random,
+            &self.platform,
+            &mut self.instances,
+        ));
         violations
     }
 }
