Streams: records are found where instances do not reach each other

Cause: a look-up asked the holders itself, so that a stream was refused where the asked instance did not reach them: a link between two instances, or all instances cut apart while the store is in reach. Change: from the third round on, two of the instances that have no record ask others. Ruled out: acknowledging each batch, which doubles the messages of a large fleet; writing before others are out of reach. A large fleet that is cut apart is not helped and stands under what remains.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -90,6 +90,7 @@
     StreamTakenUp = 2029, Info, "stream.taken_up", "A caller takes up a stream; the software version that began it is known, and only servers of that version are chosen.";
     StreamUnknown = 2030, Info, "stream.unknown", "A caller takes up a stream, and the software version that began it is not known here; the request has not run.";
     VersionGone = 2031, Info, "version.gone", "A stream cannot go on: no backend server of the software version that began it accepts requests.";
+    StreamsPublished = 2032, Info, "streams.published", "This instance writes the software versions of its streams to the store, since other instances are out of reach, or stops doing so.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
--- a/crates/fescuewell_forward/src/stream.rs
+++ b/crates/fescuewell_forward/src/stream.rs
@@ -24,6 +24,7 @@
 mod holders;
 mod lookup;
 mod outbox;
+mod reach;
 mod records;
 
 use std::time::Duration;
@@ -33,8 +34,9 @@
 use crate::server::Build;
 
 pub use holders::{COPIES, COPIES_IN_LARGE_FLEET, Holders, MAX_ASKED, Site};
-pub use lookup::{Lookup, Progress};
+pub use lookup::{Lookup, Progress, Target};
 pub use outbox::Outbox;
+pub use reach::Reach;
 pub use records::{MAX_RECORDS, Records};
 
 /// Maximum number of records in a batch, which must fit an Ethernet frame.
@@ -45,6 +47,8 @@
 const MAX_TTL_S: u16 = 600;
 /// Difference in milliseconds between the clocks of sender and receiver up to which a batch is accepted.
 const MAX_AGE_MS: u64 = 10_000;
+/// Leading byte of a row.
+const ROW_FORMAT: u8 = 1;
 
 /// A caller's attempt: a hash of its id and client account, so that no account can resume the stream of
 /// another one.
@@ -110,6 +114,18 @@
     pub fn is_recent(&self, store_ms: u64) -> bool {
         self.sent_at_ms.abs_diff(store_ms) < MAX_AGE_MS
     }
+
+    /// Encodes a row of the store.
+    pub fn encode(&self) -> Vec<u8> {
+        // Fails only for types that cannot be serialized at all.
+        postcard::to_extend(self, vec![ROW_FORMAT]).unwrap_or_default()
+    }
+
+    /// Decodes a row. Returns `None` if another program version wrote it.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let content = bytes.strip_prefix(&[ROW_FORMAT])?;
+        postcard::from_bytes(content).ok()
+    }
 }
 
 /// Asks another instance for the version that began a stream.
--- a/crates/fescuewell_forward/src/stream/holders.rs
+++ b/crates/fescuewell_forward/src/stream/holders.rs
@@ -97,10 +97,10 @@
         let mut asked = Vec::new();
         let views = std::iter::once(&self.present);
         let views = views.chain(self.former.iter().map(|(_, view)| view));
-        for (number, view) in views.enumerate() {
-            let most = match number {
-                0 if view.len() <= MAX_ASKED + 1 => MAX_ASKED,
-                _ => self.copies + SPARE,
+        for view in views {
+            let most = match view.len() <= MAX_ASKED + 1 {
+                true => MAX_ASKED,
+                false => self.copies + SPARE,
             };
             let order = order(view, attempt).into_iter();
             for address in order.filter(|address| Some(*address) != own).take(most) {
--- a/crates/fescuewell_forward/src/stream/lookup.rs
+++ b/crates/fescuewell_forward/src/stream/lookup.rs
@@ -10,6 +10,20 @@
 /// record may still be on its way at the first one.
 const MAX_DENIED_ROUNDS: u32 = 2;
 
+/// Round from which some of the instances that have no record ask others, because some have not answered.
+const RESOLVE_ROUND: u32 = 3;
+/// Number of these instances.
+const MAX_RESOLVERS: usize = 2;
+
+/// An instance to ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Target {
+    /// Address of the instance.
+    pub peer: SocketAddr,
+    /// Whether it has to ask others.
+    pub resolve: bool,
+}
+
 /// State of a look-up after an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
@@ -30,6 +44,8 @@
     /// Number of instances that answered in any round.
     answered: usize,
     round: u32,
+    /// Whether all instances have to ask others, because this one does not know the members of the fleet.
+    is_remote: bool,
 }
 
 impl Lookup {
@@ -40,11 +56,20 @@
             denied: Vec::new(),
             answered: 0,
             round: 0,
+            is_remote: false,
+        }
+    }
+
+    /// Creates a look-up at instances that know the members of the fleet, by one that does not.
+    pub fn remote(asked: Vec<SocketAddr>) -> Self {
+        Self {
+            is_remote: true,
+            ..Self::new(asked)
         }
     }
 
     /// Begins the next round and returns the instances to ask, or `None` if the look-up has ended.
-    pub fn next_round(&mut self) -> Option<Vec<SocketAddr>> {
+    pub fn next_round(&mut self) -> Option<Vec<Target>> {
         let is_denied = self.denied.len() >= self.asked.len();
         let last = match is_denied {
             true => MAX_DENIED_ROUNDS,
@@ -58,7 +83,21 @@
             self.denied.clear();
         }
         let open = self.asked.iter().copied();
-        Some(open.filter(|peer| !self.denied.contains(peer)).collect())
+        let open = open.filter(|peer| !self.denied.contains(peer));
+        let mut targets: Vec<Target> = open.map(|peer| self.target(peer, false)).collect();
+        if self.round == RESOLVE_ROUND {
+            // They may reach instances that do not answer here.
+            let denied = self.denied.iter().take(MAX_RESOLVERS);
+            targets.extend(denied.map(|peer| self.target(*peer, true)));
+        }
+        Some(targets)
+    }
+
+    fn target(&self, peer: SocketAddr, resolve: bool) -> Target {
+        Target {
+            peer,
+            resolve: resolve || self.is_remote,
+        }
     }
 
     /// Records an answer.
--- a/crates/fescuewell_forward/src/stream/records.rs
+++ b/crates/fescuewell_forward/src/stream/records.rs
@@ -54,6 +54,21 @@
         known.build.filter(|_| now_ms < known.expires_at_ms)
     }
 
+    /// Returns the records that expire last, at most `limit`, with the time that is left to them.
+    pub fn remaining(&self, limit: usize, now_ms: u64) -> Vec<Record> {
+        let newest = self.expiries.iter().rev().take(limit);
+        let live = newest.filter(|(expires_at_ms, _)| now_ms < *expires_at_ms);
+        let records = live.filter_map(|(expires_at_ms, attempt)| {
+            let left_s = (expires_at_ms - now_ms).div_ceil(1_000);
+            Some(Record {
+                attempt: *attempt,
+                build: self.known.get(attempt)?.build?,
+                ttl_s: u16::try_from(left_s).unwrap_or(u16::MAX),
+            })
+        });
+        records.collect()
+    }
+
     /// Removes expired records.
     fn expire(&mut self, now_ms: u64) {
         while let Some((expires_at_ms, attempt)) = self.expiries.first().copied() {
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -388,6 +388,9 @@
     };
     let answer = |build| Answer { id: 1, build };
 
+    assert_eq!(hex(&batch.encode()), format!("01010101{ATTEMPT}{BUILD}02"));
+    assert_eq!(RecordBatch::decode(&batch.encode()), Some(batch.clone()));
+    assert_eq!(RecordBatch::decode(&[2, 1, 0, 0]), None);
     assert_eq!(
         encode(&Message::StreamRecords(batch)),
         format!("0a010101{ATTEMPT}{BUILD}02")
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -116,6 +116,7 @@
         let probe = probe::run(&self);
         let crashes = crashes::sync(&self);
         let behind = behind::run(&self);
+        let streams = streams::table::sync(&self);
         tokio::join!(
             configuration,
             servers,
@@ -124,7 +125,8 @@
             overdue,
             probe,
             crashes,
-            behind
+            behind,
+            streams
         );
     }
 
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -168,6 +168,7 @@
             tokio::time::sleep(MIN_REPORT_INTERVAL).await;
             continue;
         };
+        control.gateway.heard_from(from);
         if buffer.first() == Some(&message::FORMAT) {
             dispatch(control, socket, lending, &buffer[..length], from);
             continue;
--- a/crates/fescuewell_gateway/src/control/streams.rs
+++ b/crates/fescuewell_gateway/src/control/streams.rs
@@ -1,5 +1,7 @@
 //! Exchanges the records of software versions that began streams; see [`fescuewell_forward::stream`].
 
+pub(super) mod table;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -87,6 +87,8 @@
     pub probe_requests: flume::Receiver<ProbeRequest>,
     /// Queries for the software versions that began streams, and answers to them, with their receivers.
     pub stream_messages: flume::Receiver<(SocketAddr, Message)>,
+    /// Requests to read the records of streams in the store; each receives whether there are any.
+    pub stream_reads: flume::Receiver<oneshot::Sender<bool>>,
 }
 
 /// Maximum time that a request waits for tokens from other instances. A lender that does not
@@ -103,6 +105,8 @@
 
 /// Maximum number of queries and answers that wait to be sent.
 const MAX_STREAM_MESSAGES: usize = 1_024;
+/// Maximum number of look-ups that wait for the records in the store.
+const MAX_STREAM_READS: usize = 256;
 
 /// State and services shared by the threads of one instance.
 pub struct Gateway {
@@ -125,6 +129,7 @@
     borrow_requests: flume::Sender<BorrowRequest>,
     probe_requests: flume::Sender<ProbeRequest>,
     stream_messages: flume::Sender<(SocketAddr, Message)>,
+    stream_reads: flume::Sender<oneshot::Sender<bool>>,
     stream_recorded: Notify,
     crash_changes: watch::Sender<u64>,
     last_peer_message_ms: AtomicU64,
@@ -158,6 +163,7 @@
         let (borrow_requests, borrow_receiver) = flume::bounded(MAX_BORROW_REQUESTS);
         let (probe_requests, probe_receiver) = flume::bounded(MAX_PROBE_REQUESTS);
         let (stream_messages, stream_receiver) = flume::bounded(MAX_STREAM_MESSAGES);
+        let (stream_reads, read_receiver) = flume::bounded(MAX_STREAM_READS);
         let (crash_changes, _) = watch::channel(0);
         let (token_changes, _) = watch::channel(0);
         let (server_exits, _) = watch::channel(0);
@@ -179,6 +185,8 @@
             quarantine: Quarantine::default(),
             stream_records: streams::Records::default(),
             stream_outbox: streams::Outbox::default(),
+            own_streams: streams::Records::default(),
+            reach: streams::Reach::default(),
             stream_lookups: HashMap::new(),
             load: Load::default(),
             quota: Quota::new(settings.name.clone(), 0),
@@ -204,6 +212,7 @@
             borrow_requests,
             probe_requests,
             stream_messages,
+            stream_reads,
             stream_recorded: Notify::new(),
             crash_changes,
             last_peer_message_ms: AtomicU64::new(0),
@@ -228,6 +237,7 @@
             borrow_requests: borrow_receiver,
             probe_requests: probe_receiver,
             stream_messages: stream_receiver,
+            stream_reads: read_receiver,
         };
         Ok((gateway, inbox))
     }
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -58,6 +58,10 @@
     pub stream_records: stream::Records,
     /// Those that wait to be sent to other instances.
     pub stream_outbox: stream::Outbox,
+    /// Those of streams that began at this instance.
+    pub own_streams: stream::Records,
+    /// Which other instances are in reach.
+    pub reach: stream::Reach,
     /// Look-ups in progress by their ids.
     pub stream_lookups: HashMap<u64, AnswerSender>,
     /// Load of the backend servers.
--- a/crates/fescuewell_gateway/src/gateway/stream.rs
+++ b/crates/fescuewell_gateway/src/gateway/stream.rs
@@ -6,8 +6,9 @@
 
 use fescuewell_forward::message::Message;
 use fescuewell_forward::server::Build;
-use fescuewell_forward::stream::{Answer, Attempt, Batch, Lookup, Progress, Query, Record};
+use fescuewell_forward::stream::{Answer, Attempt, Batch, Lookup, Progress, Query, Record, Target};
 use rand::seq::IndexedRandom;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::Gateway;
@@ -19,6 +20,8 @@
 /// Number of instances that are asked to look a record up, or to send records to their holders, by an
 /// instance that does not know the members of the fleet.
 const RESOLVERS: usize = 2;
+/// Time within which the records in the store are read.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of look-ups in progress beside which one is made for another instance.
 const MAX_LOOKUPS: usize = 256;
 
@@ -47,6 +50,7 @@
             if self.settings.peer.is_none() {
                 return;
             }
+            state.own_streams.insert(record, now_ms);
             state.stream_outbox.push(record);
         }
         self.stream_recorded.notify_one();
@@ -102,6 +106,21 @@
         }
     }
 
+    /// Adds the records that another instance has written to the store, read at `store_ms` of its clock.
+    pub(crate) fn receive_published(&self, batch: Batch, store_ms: u64) {
+        let now_ms = self.now_ms();
+        let age_s = store_ms.saturating_sub(batch.sent_at_ms).div_ceil(1_000);
+        let age_s = u16::try_from(age_s).unwrap_or(u16::MAX);
+        let mut state = self.state();
+        for record in batch.records {
+            let ttl_s = record.ttl_s.saturating_sub(age_s);
+            if ttl_s > 0 {
+                let record = Record { ttl_s, ..record };
+                state.stream_records.insert(record, now_ms);
+            }
+        }
+    }
+
     /// Returns the version that began a stream if its record is held here.
     pub(crate) fn held_build(&self, attempt: Attempt) -> Option<Build> {
         let now_ms = self.now_ms();
@@ -125,30 +144,35 @@
             let holders = state.directory.holders();
             holders.map(|holders| holders.candidates(attempt, own))
         };
-        let (asked, resolve) = match asked {
-            Some(asked) => (asked, false),
-            None => (self.stream_resolvers(), true),
-        };
-        let mut lookup = Lookup::new(asked);
-        let build = match own {
-            Some(_) => self.look_up(attempt, &mut lookup, resolve).await,
-            None => None,
+        let mut lookup = match asked {
+            Some(asked) => Lookup::new(asked),
+            None => Lookup::remote(self.stream_resolvers()),
         };
-        Found {
-            // A record may have arrived meanwhile.
-            build: build.or_else(|| self.held_build(attempt)),
+        let mut found = Found {
+            build: None,
             source: "instance",
             asked: lookup.asked(),
-            answered: lookup.answered(),
+            answered: 0,
+        };
+        if own.is_none() {
+            return found;
         }
+        found.build = self.look_up(attempt, &mut lookup).await;
+        found.answered = lookup.answered();
+        if found.build.is_none() && found.answered < found.asked && self.read_streams().await {
+            found.source = "store";
+        }
+        // A record may have arrived meanwhile.
+        found.build = found.build.or_else(|| self.held_build(attempt));
+        found
     }
 
-    async fn look_up(&self, attempt: Attempt, lookup: &mut Lookup, resolve: bool) -> Option<Build> {
+    async fn look_up(&self, attempt: Attempt, lookup: &mut Lookup) -> Option<Build> {
         let (sender, answers) = flume::bounded(4 * lookup.asked().max(1));
         let id = self.random_u64();
         let _registration = Registration::new(self, id, sender);
-        while let Some(open) = lookup.next_round() {
-            for peer in open {
+        while let Some(targets) = lookup.next_round() {
+            for Target { peer, resolve } in targets {
                 let query = Query {
                     id,
                     resolve,
@@ -175,6 +199,48 @@
         None
     }
 
+    /// Reads the records of instances that do not reach others from the store. Returns `false` if there
+    /// are none, or if they could not be read in time.
+    async fn read_streams(&self) -> bool {
+        let (reply, response) = oneshot::channel();
+        if self.stream_reads.try_send(reply).is_err() {
+            // Full: the store does not respond. Closed: the process is shutting down.
+            return false;
+        }
+        let response = tokio::time::timeout(READ_TIMEOUT, response).await;
+        matches!(response, Ok(Ok(true)))
+    }
+
+    /// Records a message of another instance.
+    pub(crate) fn heard_from(&self, peer: SocketAddr) {
+        let now_ms = self.now_ms();
+        self.state().reach.heard(peer, now_ms);
+    }
+
+    /// Asks instances for a message that have not sent one for a while. Returns how many are out of reach.
+    pub(crate) fn check_reach(&self) -> usize {
+        let now_ms = self.now_ms();
+        let own = self.settings.peer;
+        let (silent, lost) = {
+            let mut guard = self.state();
+            let state = &mut *guard;
+            let peers = state.directory.peers().iter().copied();
+            let peers: Vec<SocketAddr> = peers.filter(|peer| Some(*peer) != own).collect();
+            state.reach.update(&peers, now_ms);
+            (state.reach.silent(now_ms), state.reach.lost(now_ms))
+        };
+        for peer in silent {
+            // Any attempt will do: an instance also answers that it has no record.
+            let query = Query {
+                id: 0,
+                resolve: false,
+                attempt: Attempt::new("", ""),
+            };
+            self.queue_stream_message(peer, Message::StreamQuery(query));
+        }
+        lost
+    }
+
     fn queue_stream_message(&self, receiver: SocketAddr, message: Message) {
         // Full: a message that is not sent counts as lost.
         let _ = self.stream_messages.try_send((receiver, message));
