--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -14,13 +14,14 @@
 Prints the log lines of the request with this id from the files of several instances, sorted by time and marked
 with '*'. Between and before them it prints the lines that report a change of the same instances' state:
 configuration, backend servers, tokens of the account, the store, starts and stops. ID may also be the fingerprint
-of a request as it appears in the logs; the output then covers all attempts of the request.
+of a request as it appears in the logs; the output then covers all attempts of the request. The lines of attempts that
+take up the request's stream are printed as well.
 
 example: fescuewell explain 9c41d07be2a35f68 entry-1.log entry-2.log
 ";
 
 /// Titles of log lines that report a change of an instance's state and are printed as context.
-const CONTEXT_TITLES: [&str; 26] = [
+const CONTEXT_TITLES: [&str; 27] = [
     "process.started",
     "process.ready",
     "drain.started",
@@ -32,6 +33,7 @@
     "server.crashed",
     "path.lost",
     "path.restored",
+    "streams.published",
     "document.behind",
     "table.down",
     "table.up",
@@ -63,8 +65,13 @@
 }
 
 fn print_request(id: &str, lines: &[Line]) -> Result<(), Error> {
+    let mut ids = vec![id];
+    for line in lines.iter().filter(|line| line.field("resumes") == id) {
+        ids.push(line.field("request"));
+    }
+    let is_own = |line: &Line| ids.iter().any(|id| line.belongs_to(id));
     let own_lines: Vec<usize> = (0..lines.len())
-        .filter(|index| lines[*index].belongs_to(id))
+        .filter(|index| is_own(&lines[*index]))
         .collect();
     let (Some(first), Some(last)) = (own_lines.first(), own_lines.last()) else {
         return Err(Error::failed(format_args!(
@@ -79,7 +86,7 @@
         lines[index].print(' ');
     }
     for line in &lines[*first..=*last] {
-        if line.belongs_to(id) {
+        if is_own(line) {
             line.print('*');
             continue;
         }
