Streams: a caller that names no attempt goes on where all servers have one version

Cause: without Resumes the version was taken as unknown, although the service has a single one. Change: it goes on if all servers of the service have had one version for two minutes and the list is current (the store's last response at most 2 s ago, or digests arrive); otherwise it is refused. Ruled out: the same for callers that do name the attempt; a list that lags would decide for them.

--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -35,6 +35,11 @@
     rings: HashMap<Arc<str>, Ring>,
     /// The same servers, by service and software version.
     builds: HashMap<Build, Ring>,
+    /// Services of the software versions of which no server accepts work any more, and since when, in
+    /// milliseconds of the local clock.
+    retired: HashMap<Build, (Arc<str>, u64)>,
+    /// Time of the last update on the local clock.
+    updated_at_ms: u64,
     /// Versions at which servers were removed.
     tombstones: HashMap<Arc<str>, u64>,
     snapshot_version: u64,
@@ -54,6 +59,11 @@
 
 /// Maximum number of tombstones; they prevent stale reads from restoring removed servers.
 const MAX_TOMBSTONES: usize = 4_096;
+/// Time for which a software version without servers may have begun streams that are still resumed, in
+/// milliseconds.
+const RETIRED_MS: u64 = 120_000;
+/// Maximum number of retired software versions; those that retired first are dropped.
+const MAX_RETIRED: usize = 256;
 /// Maximum number of leaving incarnations; those that are known longest are dropped.
 const MAX_LEAVING: usize = 4_096;
 /// Duration of a store outage, in milliseconds, from which entries of live servers may have
@@ -104,6 +114,7 @@
 
     /// Applies an update at `now_ms` of the local clock. Returns `false` if it is stale.
     pub fn apply(&mut self, update: Update, now_ms: u64) -> bool {
+        self.updated_at_ms = self.updated_at_ms.max(now_ms);
         if self.is_stale(&update) {
             return false;
         }
@@ -367,6 +378,35 @@
             .filter(move |entry| self.is_ready(&entry.id, now_ms))
     }
 
+    fn retire(&mut self, build: Build, service: &Arc<str>) {
+        if self.retired.len() >= MAX_RETIRED {
+            let oldest = self.retired.iter().min_by_key(|(_, (_, at_ms))| *at_ms);
+            if let Some(oldest) = oldest.map(|(oldest, _)| *oldest) {
+                self.retired.remove(&oldest);
+            }
+        }
+        let since = (service.clone(), self.updated_at_ms);
+        self.retired.insert(build, since);
+    }
+
+    /// Returns the software version of a service if all of its servers have had the same one for
+    /// [`RETIRED_MS`], as far as this list shows.
+    pub fn only_build(&self, service: &str, now_ms: u64) -> Option<Build> {
+        let builds = self.builds.iter();
+        let mut builds = builds.filter(|(_, ring)| {
+            let server = ring.walk(0).next();
+            server.is_some_and(|server| &*server.service == service)
+        });
+        let (build, ring) = builds.next()?;
+        let has_retired = self
+            .retired
+            .values()
+            .any(|(retired, at_ms)| **retired == *service && now_ms < at_ms + RETIRED_MS);
+        // A server of unknown version is on the service's ring only.
+        let is_only = builds.next().is_none() && ring.len() == self.listed_count(service);
+        (is_only && !has_retired).then_some(*build)
+    }
+
     /// Returns `true` if a server of a software version is registered, in whatever state.
     pub fn knows_build(&self, build: Build) -> bool {
         self.builds.contains_key(&build) || self.entries().any(|entry| entry.build() == Some(build))
@@ -415,6 +455,7 @@
             ring.remove(&former.id);
             if ring.len() == 0 {
                 self.builds.remove(&build);
+                self.retire(build, &former.service);
             }
         }
         if let Some(present) = present.filter(|entry| entry.state == State::Ready)
@@ -422,6 +463,7 @@
         {
             let ring = self.builds.entry(build).or_default();
             ring.insert(present.clone());
+            self.retired.remove(&build);
         }
         let is_replaced = |former: &Arc<Entry>| {
             present.is_some_and(|present| {
--- a/crates/fescuewell_gateway/src/gateway/stream.rs
+++ b/crates/fescuewell_gateway/src/gateway/stream.rs
@@ -20,6 +20,8 @@
 /// Number of instances that are asked to look a record up, or to send records to their holders, by an
 /// instance that does not know the members of the fleet.
 const RESOLVERS: usize = 2;
+/// Time since the store's last response up to which the list of servers is current.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// Time within which the records in the store are read.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of look-ups in progress beside which one is made for another instance.
@@ -127,6 +129,22 @@
         self.state().stream_records.get(attempt, now_ms)
     }
 
+    /// Returns the version of a service whose servers all have the same one, for callers that do not name
+    /// the attempt that began their stream. The list must be current: another one may have been added.
+    pub(crate) fn only_build(&self, service: &str) -> Found {
+        let now_ms = self.now_ms();
+        let reads = self.time_since_store_response() < MAX_LIST_AGE;
+        let state = self.state();
+        let is_current = reads || state.cursor.is_following(now_ms);
+        let build = state.registry.only_build(service, now_ms);
+        Found {
+            build: build.filter(|_| is_current),
+            source: "only_version",
+            asked: 0,
+            answered: 0,
+        }
+    }
+
     /// Finds the version that began a stream: here, or at the instances that may hold its record.
     pub(crate) async fn find_build(&self, attempt: Attempt) -> Found {
         let held = self.held_build(attempt);
--- a/crates/fescuewell_gateway/src/job/binding.rs
+++ b/crates/fescuewell_gateway/src/job/binding.rs
@@ -53,29 +53,34 @@
         if !self.takes_up() {
             return Ok(());
         }
-        let Declared::Value(first) = self.metadata.resumes.clone() else {
-            return Err(self.unknown_stream("unnamed", None));
-        };
         if self.route.kind != (Kind::Stream { resumable: true }) {
             return Err(self.unknown_stream("not_resumable", None));
         }
-        let attempt = Attempt::new(self.account_name(), &first);
         let begun = Instant::now();
-        let found = self.gateway.find_build(attempt).await;
+        let resumes = self.metadata.resumes.value().cloned();
+        let found = match &resumes {
+            Some(first) => {
+                let attempt = Attempt::new(self.account_name(), first);
+                self.resumed = Some(attempt);
+                self.gateway.find_build(attempt).await
+            }
+            None => self.gateway.only_build(&self.service.name),
+        };
         let Some(build) = found.build else {
-            return Err(self.unknown_stream("unknown", Some(found)));
+            let cause = resumes.map_or("unnamed", |_| "unknown");
+            return Err(self.unknown_stream(cause, Some(found)));
         };
         self.gateway
             .metrics
             .count_resumption("attempt", found.source);
         self.binding = Binding::Bound(build);
-        self.resumed = Some(attempt);
         self.await_listed(build).await;
         let software = self.choose_service(build);
         log_event!(
             Event::StreamTakenUp,
-            "request={} resumes={first} build={build} software={} source={} asked={} took_ms={}",
+            "request={} resumes={} build={build} software={} source={} asked={} took_ms={}",
             self.id,
+            resumes.as_deref().unwrap_or("-"),
             software.as_deref().unwrap_or("-"),
             found.source,
             found.asked,
