--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use fescuewell_forward::choice::{Criteria, Load, pick};
+use fescuewell_forward::evacuation::Order;
 use fescuewell_forward::health::{Health, Outcome};
 use fescuewell_forward::server::{Change, ENTRY_EXPIRY_OUTAGE_MS, Entry, Registry, State, Update};
 
@@ -20,6 +21,54 @@
     }
 }
 
+/// Guards against new work for a server that accepts none, because few others have its software version.
+#[test]
+fn servers_of_a_version_that_accept_no_work_are_not_selected() {
+    let mut registry = Registry::default();
+    let ids = ["ready", "draining", "leaving", "gone", "evacuated"];
+    for (version, id) in (1..).zip(ids) {
+        let state = match id {
+            "draining" => State::Draining,
+            _ => State::Ready,
+        };
+        let mut entry = entry(id, state);
+        entry.version = Some("v1".into());
+        if id == "evacuated" {
+            entry.zone = "away".into();
+        }
+        let update = Update {
+            id: id.into(),
+            version,
+            change: Change::Entry(entry),
+        };
+        registry.apply(update, 0);
+    }
+    let known = registry.entry("leaving").unwrap().clone();
+    registry.mark_leaving(&known, 0);
+    let removed = Update {
+        id: "gone".into(),
+        version: 10,
+        change: Change::Removed,
+    };
+    registry.apply(removed, 0);
+    let order = Order {
+        zone: "away".into(),
+        version: 11,
+        is_evacuated: true,
+    };
+    registry.apply_evacuation(order, 0);
+
+    let build = known.build();
+
+    for selected in [
+        registry.subset_of(&known.service, build, 0, 64, 1),
+        registry.of_build(build.unwrap(), 0, 1).collect(),
+    ] {
+        let ids: Vec<&str> = selected.iter().map(|entry| &*entry.id).collect();
+        assert_eq!(ids, ["ready"]);
+    }
+}
+
 /// Guards against a known software version that is lost because an instance of an earlier program
 /// version, which does not send it, repeats the entry.
 #[test]
--- a/crates/fescuewell_gateway/src/gateway/stream.rs
+++ b/crates/fescuewell_gateway/src/gateway/stream.rs
@@ -26,6 +26,8 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of look-ups in progress beside which one is made for another instance.
 const MAX_LOOKUPS: usize = 256;
+/// Maximum number of look-ups in progress. The streams of further ones count as unknown.
+const MAX_OWN_LOOKUPS: usize = 1_024;
 
 /// Result of a look-up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -172,7 +174,7 @@
             asked: lookup.asked(),
             answered: 0,
         };
-        if own.is_none() {
+        if own.is_none() || self.state().stream_lookups.len() >= MAX_OWN_LOOKUPS {
             return found;
         }
         found.build = self.look_up(attempt, &mut lookup).await;
--- a/crates/fescuewell_gateway/tests/hops.rs
+++ b/crates/fescuewell_gateway/tests/hops.rs
@@ -12,7 +12,7 @@
 use fescuewell_gateway::gateway::{Gateway, Stage};
 use fescuewell_gateway::peer::PeerHandler;
 use fescuewell_http::listener::{Handler, Listener, Reply, Request, Settings};
-use fescuewell_http::upstream::{self, Client, Target, Timeouts};
+use fescuewell_http::upstream::{self, Client, Error, Target, Timeouts};
 use http::{HeaderMap, StatusCode};
 
 /// The store's clock at the instance, in milliseconds.
@@ -31,6 +31,15 @@
     }
 }
 
+/// A backend server that runs everything and breaks off without a response.
+struct Aborting;
+
+impl Handler for Aborting {
+    fn handle(&self, _: Request, reply: Reply) {
+        reply.abort();
+    }
+}
+
 fn listen(handler: Arc<dyn Handler>) -> Listener {
     Listener::start(Settings::new("127.0.0.1:0".parse().unwrap()), handler).unwrap()
 }
@@ -44,9 +53,13 @@
 
 impl Fixture {
     fn start() -> Self {
+        Self::with_server(Arc::new(Answering))
+    }
+
+    fn with_server(handler: Arc<dyn Handler>) -> Self {
         let store = MemoryStore::new(0);
         let (gateway, _control) = instance(settings(INSTANCE), &store, 1);
-        let server = listen(Arc::new(Answering));
+        let server = listen(handler);
         gateway.set_fleet_key(key(), 0);
         gateway.advance(Stage::Ready);
         {
@@ -92,6 +105,10 @@
 
     /// Sends a body; returns the result that the response names, and its content.
     fn post(&self, body: Vec<u8>) -> (Option<String>, Bytes) {
+        self.try_post(body).unwrap()
+    }
+
+    fn try_post(&self, body: Vec<u8>) -> Result<(Option<String>, Bytes), Error> {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
@@ -101,10 +118,10 @@
             let request = http::Request::post("/hop").body(Bytes::from(body)).unwrap();
             let target = Target::new(self.listener.address());
             let exchange = client.open(&target, request, Timeouts::default());
-            let exchange = exchange.await.unwrap();
+            let exchange = exchange.await?;
             let result = exchange.headers.get("fescuewell-hop");
             let result = result.map(|value| value.to_str().unwrap().to_owned());
-            (result, exchange.collect(1_000).await.unwrap())
+            Ok((result, exchange.collect(1_000).await?))
         })
     }
 
@@ -139,6 +156,20 @@
     );
 }
 
+/// Guards against an unsafe request that runs twice because the instance that sent it took a server's
+/// broken connection for a request that was not sent.
+#[test]
+fn a_request_whose_server_breaks_off_is_not_reported_as_not_sent() {
+    let fixture = Fixture::with_server(Arc::new(Aborting));
+
+    let response = fixture.try_post(key().seal_content(&fixture.call(1)));
+
+    assert!(
+        matches!(response, Err(Error::Unknown { .. })),
+        "{response:?}"
+    );
+}
+
 /// Guards against a request that runs again because its call was recorded and is sent again.
 #[test]
 fn a_recorded_call_is_not_carried_out_again() {
