Paths: a server that only this instance does not reach gets its requests through another one

Cause: the path was known as whole or lost only, and one of the four servers probed answered. Change: the path to each server, judged by a connection from here and by what three other instances reach; requests to servers with a lost path are sent by others. The first lost path has the other servers checked at once. Failures on a lost path eject no server and are no crash. Ruled out: preferring the servers in reach, which a third of the fleet would overrun.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -91,6 +91,8 @@
     StreamUnknown = 2030, Info, "stream.unknown", "A caller takes up a stream, and the software version that began it is not known here; the request has not run.";
     VersionGone = 2031, Info, "version.gone", "A stream cannot go on: no backend server of the software version that began it accepts requests.";
     StreamsPublished = 2032, Info, "streams.published", "This instance writes the software versions of its streams to the store, since other instances are out of reach, or stops doing so.";
+    ServerPathLost = 2033, Warn, "path.server_lost", "This instance does not reach a backend server that another one reaches: its requests are sent by others.";
+    ServerPathRestored = 2034, Info, "path.server_restored", "This instance reaches a backend server again and sends requests to it by itself.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
--- a/crates/fescuewell_forward/src/path.rs
+++ b/crates/fescuewell_forward/src/path.rs
@@ -16,9 +16,13 @@
 //! refused while open ones still work. If several servers do not respond, and no other response
 //! arrives in between, a check is made: pooled connections that hang would otherwise delay it.
 
+mod servers;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
+pub use servers::Servers;
+
 /// Number of servers that must be unreachable before a check; fewer if fewer are listed.
 const MIN_FAILED_SERVERS: usize = 2;
 /// Time without a response after which a server counts as silent, in milliseconds.
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -412,6 +412,11 @@
         self.builds.contains_key(&build) || self.entries().any(|entry| entry.build() == Some(build))
     }
 
+    /// Returns the services that have servers in state [`State::Ready`].
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.rings.keys()
+    }
+
     /// Returns the servers of a service that may receive new work.
     pub fn ready<'a>(
         &'a self,
--- a/crates/fescuewell_forward/tests/path.rs
+++ b/crates/fescuewell_forward/tests/path.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use fescuewell_forward::path::{Check, Monitor};
+use fescuewell_forward::path::{Check, Monitor, Servers};
+use fescuewell_forward::server::{Entry, State};
 use proptest::prelude::*;
 
 const LISTED: usize = 15;
@@ -131,3 +132,68 @@
         }
     }
 }
+
+fn entry(number: u64) -> Arc<Entry> {
+    Arc::new(Entry {
+        id: format!("i-{number}").into(),
+        started_at_ms: Some(number),
+        service: "pool".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "a".into(),
+        slots: 8,
+        cold_left_ms: 0,
+        version: None,
+        state: State::Ready,
+    })
+}
+
+/// Guards against a server that is down, or whose path is back, and gets its requests through others.
+#[test]
+fn the_path_to_a_server_is_lost_until_two_probes_reach_it() {
+    let mut paths = Servers::default();
+    let (cut, down) = (entry(1), entry(2));
+    for server in [&cut, &down] {
+        assert!(paths.begin_check(server, 0));
+        assert!(!paths.begin_check(server, 0), "one check at a time");
+    }
+
+    assert!(paths.end_check(&cut, true, 0));
+    assert!(!paths.end_check(&down, false, 0));
+
+    assert!(paths.is_lost(&cut) && !paths.is_lost(&down));
+    assert!(!paths.begin_check(&down, 499) && paths.begin_check(&down, 500));
+    for (is_reached, now_ms, is_back) in [
+        (true, 300, false),
+        (false, 600, false),
+        (true, 900, false),
+        (true, 1_200, true),
+    ] {
+        assert_eq!(paths.probed(&cut, is_reached, now_ms), is_back);
+    }
+    assert!(!paths.is_lost(&cut));
+}
+
+/// Guards against a path that alternates within a second.
+#[test]
+fn the_path_to_a_server_is_not_back_within_a_second() {
+    let mut paths = Servers::default();
+    paths.begin_check(&entry(1), 0);
+    paths.end_check(&entry(1), true, 0);
+
+    assert!(!paths.probed(&entry(1), true, 300));
+    assert!(!paths.probed(&entry(1), true, 600));
+    assert!(paths.probed(&entry(1), true, 1_000));
+}
+
+/// Guards against state that grows with the number of servers: of 12,000, a zone is cut off.
+#[test]
+fn lost_paths_are_bounded() {
+    let mut paths = Servers::default();
+    for number in 0..12_000 {
+        if paths.begin_check(&entry(number), 0) {
+            paths.end_check(&entry(number), true, 0);
+        }
+    }
+
+    assert_eq!(paths.count(), 512);
+}
--- a/crates/fescuewell_gateway/src/control/watch/list.rs
+++ b/crates/fescuewell_gateway/src/control/watch/list.rs
@@ -116,6 +116,7 @@
         state.health.forget(id);
         state.conditions.forget(id);
         state.load.forget(id);
+        state.server_paths.forget(&former);
         let restarted = state.registry.is_known(id);
         log_event!(Event::ServerEnded, "server={id} restarted={restarted}");
         let evidence = state.crashes.ended(&former, restarted);
@@ -131,7 +132,7 @@
     tokio::spawn(async move {
         match upstream::probe(server.address, REACH_TIMEOUT).await {
             Reachability::Accepted => gateway.state().crashes.accepted(server.incarnation()),
-            _ if gateway.state().path.is_lost() => {}
+            _ if gateway.state().has_lost_path(&server) => {}
             Reachability::Refused | Reachability::NoResponse => {
                 gateway.record_crash(&server, Evidence::Removed)
             }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 use fescuewell_forward::health::{Health, failure};
 use fescuewell_forward::hop::{Guard, Peers};
 use fescuewell_forward::message::{Key, Message};
-use fescuewell_forward::path::Monitor;
+use fescuewell_forward::path::{Monitor, Servers};
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
@@ -175,6 +175,7 @@
             lag: Lag::default(),
             changes: History::default(),
             path: Monitor::default(),
+            server_paths: Servers::default(),
             hops: Peers::default(),
             hop_guard: Guard::default(),
             warmup: Warmup::default(),
--- a/crates/fescuewell_gateway/src/gateway/path.rs
+++ b/crates/fescuewell_gateway/src/gateway/path.rs
@@ -1,5 +1,7 @@
 //! Finds out whether this instance reaches the backend servers by itself.
 
+mod servers;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,7 +30,8 @@
 impl Gateway {
     /// Records that a new connection to a server failed, which may start a check. Must be called
     /// inside a listener's runtime.
-    pub(crate) fn record_connect_failure(self: &Arc<Self>, server: &Entry) {
+    pub(crate) fn record_connect_failure(self: &Arc<Self>, server: &Arc<Entry>) {
+        self.check_server(server);
         let now_ms = self.now_ms();
         let is_due = {
             let mut state = self.state();
@@ -42,7 +45,8 @@
 
     /// Records that a server has not responded to a request for some time, which may start a check.
     /// Must be called inside a listener's runtime.
-    pub(crate) fn record_silence(self: &Arc<Self>, server: &Entry) {
+    pub(crate) fn record_silence(self: &Arc<Self>, server: &Arc<Entry>) {
+        self.check_server(server);
         let now_ms = self.now_ms();
         let is_due = {
             let mut state = self.state();
@@ -78,14 +82,17 @@
     }
 
     /// Returns `true` if the connection that a server refused is evidence against the server: this
-    /// instance reaches others. Must be called inside a listener's runtime.
-    pub(crate) async fn confirm_refusal(self: &Arc<Self>) -> bool {
+    /// instance reaches others, and no other instance reaches this one. Must be called inside a listener's
+    /// runtime.
+    pub(crate) async fn confirm_refusal(self: &Arc<Self>, server: &Arc<Entry>) -> bool {
+        self.check_server(server);
         let now_ms = self.now_ms();
         if self.state().path.begin_check(now_ms) {
             spawn(check(self.clone()));
         }
         self.path_checked().await;
-        !self.state().path.is_lost()
+        let is_server_lost = self.server_checked(server).await;
+        !self.state().path.is_lost() && !is_server_lost
     }
 
     /// Connects to servers and returns how many accepted the connection.
@@ -178,6 +185,7 @@
         if is_lost {
             // The recorded failures were caused by the path, not by the servers.
             state.health.clear();
+            state.server_paths.clear();
         }
         is_lost
     };
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -16,7 +16,7 @@
 use fescuewell_forward::quota::Quota;
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
-use fescuewell_forward::server::{Build, Registry};
+use fescuewell_forward::server::{Build, Entry, Registry};
 use fescuewell_forward::stream;
 use fescuewell_forward::warmup::Warmup;
 use fescuewell_forward::window::Window;
@@ -38,6 +38,8 @@
     pub changes: History,
     /// Whether this instance reaches the backend servers.
     pub path: path::Monitor,
+    /// Backend servers that this instance does not reach.
+    pub server_paths: path::Servers,
     /// Instances that send requests for this one.
     pub hops: hop::Peers,
     /// Calls of other instances that were carried out.
@@ -90,6 +92,11 @@
         self.conditions.limits.set_instances(advertised, fleet_size);
     }
 
+    /// Returns `true` if requests to a server have to be sent by another instance.
+    pub fn has_lost_path(&self, server: &Entry) -> bool {
+        self.path.is_lost() || self.server_paths.is_lost(server)
+    }
+
     /// Returns the cold servers near `key` that this instance may use, each with the number of
     /// instances that share its request rate; see [`fescuewell_forward::warmup`].
     pub fn cold_shares(
--- a/crates/fescuewell_gateway/src/hop.rs
+++ b/crates/fescuewell_gateway/src/hop.rs
@@ -86,7 +86,7 @@
     /// Sends a request to a backend server: directly, or through another instance while this one has
     /// no path to the servers.
     pub(crate) async fn open(self: &Arc<Self>, sending: Sending<'_>) -> Result<Opened, Failure> {
-        if self.state().path.is_lost() {
+        if self.state().has_lost_path(sending.server) {
             return self.open_through_peer(&sending).await;
         }
         let target = Target::new(sending.server.address).with_deadline(sending.deadline);
@@ -108,8 +108,10 @@
     }
 
     async fn open_through_peer(self: &Arc<Self>, sending: &Sending<'_>) -> Result<Opened, Failure> {
+        let is_server_path_lost = self.state().server_paths.is_lost(sending.server);
+        let mut unreached = Vec::new();
         for _ in 0..MAX_ATTEMPTS {
-            let Some(peer) = self.choose_peer() else {
+            let Some(peer) = self.choose_peer(&unreached) else {
                 break;
             };
             let flight = Flight::begin(self, peer);
@@ -141,6 +143,7 @@
                         blames_server: false,
                     });
                 }
+                Ok(Err(Refusal::Unreachable)) if is_server_path_lost => unreached.push(peer),
                 Ok(Err(refusal)) if refusal.blames_server() => {
                     return Err(not_sent(refusal.name(), true));
                 }
@@ -154,7 +157,12 @@
                 sending.server.id
             );
         }
-        Err(not_sent("no other instance sends the request", false))
+        // No instance that was asked reaches the server.
+        let blames_server = !unreached.is_empty();
+        Err(not_sent(
+            "no other instance sends the request",
+            blames_server,
+        ))
     }
 
     /// Passes a request to an instance. Returns the exchange if the instance has sent it, or why it has
@@ -235,19 +243,20 @@
         reached.map_or(0, |reached| reached.count)
     }
 
-    /// Chooses an instance that sends a request for this one.
-    fn choose_peer(&self) -> Option<SocketAddr> {
+    /// Chooses an instance that sends a request for this one, other than those that do not reach its server.
+    fn choose_peer(&self, unreached: &[SocketAddr]) -> Option<SocketAddr> {
         let now_ms = self.now_ms();
-        let candidates = self.random_senders(SAMPLE);
+        let candidates = self.random_senders(SAMPLE + unreached.len());
+        let may_reach = |peer: &Peer| !unreached.contains(&peer.address);
         let state = self.state();
         state
             .hops
-            .choose(candidates, now_ms)
+            .choose(candidates.into_iter().filter(may_reach), now_ms)
             // All of them are avoided: another sample may hold one that is not.
             .or_else(|| {
                 let senders = state.directory.senders().iter().copied();
                 let others = senders.filter(|peer| Some(peer.address) != self.settings.peer);
-                state.hops.choose(others, now_ms)
+                state.hops.choose(others.filter(may_reach), now_ms)
             })
     }
 
--- a/crates/fescuewell_gateway/src/hop/serve.rs
+++ b/crates/fescuewell_gateway/src/hop/serve.rs
@@ -194,6 +194,9 @@
         is_ready && server.incarnation() == forward.server.incarnation
     });
     let server = server.ok_or(Refusal::UnknownServer)?;
+    if state.server_paths.is_lost(&server) {
+        return Err(Refusal::Unreachable);
+    }
     match state.admission.admit_forwarded(now_ms, forward.body.len()) {
         true => Ok(server),
         false => Err(Refusal::Busy),
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -164,11 +164,19 @@
     /// Waits for the check of the path to the servers. If the path is lost, the servers to which the
     /// connection failed may be tried again through another instance.
     async fn check_path(&mut self, permit: &Permit) {
-        self.gateway.record_connect_failure(&permit.server);
+        let server = &permit.server;
+        self.gateway.record_connect_failure(server);
         self.gateway.path_checked().await;
-        if self.sends == 0 && self.gateway.state().path.is_lost() {
+        let is_server_lost = self.gateway.server_checked(server).await;
+        if self.sends > 0 {
+            return;
+        }
+        if self.gateway.state().path.is_lost() {
             self.tried.clear();
             self.unsent_attempts = 0;
+        } else if is_server_lost {
+            self.tried.retain(|tried| *tried != server.id);
+            self.unsent_attempts -= 1;
         }
     }
 
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -52,11 +52,11 @@
 }
 
 /// Probes again, because a crashing server may accept one more connection.
-async fn probe_again(gateway: &Arc<Gateway>, server: &Entry) {
+async fn probe_again(gateway: &Arc<Gateway>, server: &Arc<Entry>) {
     tokio::time::sleep(SECOND_PROBE_DELAY).await;
     let is_alive = gateway.client.has_idle(server.address)
         || gateway.client.probe(server.address, PROBE_TIMEOUT).await != Reachability::Refused;
-    match is_alive || !gateway.confirm_refusal().await {
+    match is_alive || !gateway.confirm_refusal(server).await {
         true => gateway.state().crashes.accepted(server.incarnation()),
         false => gateway.record_crash(server, Evidence::Refused),
     }
@@ -171,7 +171,7 @@
         let server = permit.server.clone();
         spawn(async move {
             let reachability = gateway.client.probe(server.address, PROBE_TIMEOUT).await;
-            if reachability == Reachability::Refused && gateway.confirm_refusal().await {
+            if reachability == Reachability::Refused && gateway.confirm_refusal(&server).await {
                 return gateway.record_crash(&server, Evidence::Refused);
             }
             // The server list or the second probe may still provide evidence.
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -102,6 +102,10 @@
             // The previous process's outcome does not apply to the new one.
             return;
         }
+        if outcome == Outcome::Bad && state.has_lost_path(&self.server) {
+            // The path is the more likely cause.
+            return;
+        }
         let ejected = state
             .health
             .record_outcome(&self.server.id, outcome, now_ms);
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -235,6 +235,7 @@
             let unready_left_ms = gateway.state().admission.unready_left_ms(now_ms);
             let behind_ms = gateway.state().lag.behind_ms(now_ms);
             let is_path_lost = gateway.state().path.is_lost();
+            let server_paths_lost = gateway.state().server_paths.count();
             let (stream_records, dropped_records) = {
                 let state = gateway.state();
                 let dropped = state.stream_records.dropped() + state.stream_outbox.dropped();
@@ -242,6 +243,7 @@
             };
             let values = [
                 ("path_lost", f64::from(u8::from(is_path_lost))),
+                ("server_paths_lost", server_paths_lost as f64),
                 ("unready_left_seconds", unready_left_ms as f64 / 1_000.0),
                 ("configuration_version", version as f64),
                 ("configuration_behind_seconds", behind_ms as f64 / 1_000.0),
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -21,7 +21,7 @@
 ";
 
 /// Titles of log lines that report a change of an instance's state and are printed as context.
-const CONTEXT_TITLES: [&str; 27] = [
+const CONTEXT_TITLES: [&str; 29] = [
     "process.started",
     "process.ready",
     "drain.started",
@@ -33,6 +33,8 @@
     "server.crashed",
     "path.lost",
     "path.restored",
+    "path.server_lost",
+    "path.server_restored",
     "streams.published",
     "document.behind",
     "table.down",
--- a/tests/forward/partition.rs
+++ b/tests/forward/partition.rs
@@ -6,7 +6,7 @@
 
 use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
 
-use crate::fixture::{Fixture, Request, configuration, send};
+use crate::fixture::{Fixture, Request, Response, configuration, send};
 use crate::server_proxy::{Cut, ServerProxy};
 
 /// Prepaid tokens of the client account; more than any test uses.
@@ -17,6 +17,8 @@
 const KEPT_CONNECTIONS: usize = 18;
 /// Number of requests that wait at the same time; too many for a single server to hold all of them.
 const WAITING: usize = 8;
+/// Number of requests of which some wait at one server.
+const OCCUPYING: usize = 12;
 /// Number of requests of each kind.
 const REQUESTS: usize = 10;
 
@@ -429,3 +431,207 @@
         assert_eq!(response.status, 200, "{}", response.text());
     }
 }
+
+/// Cuts an instance off from the first backend servers.
+fn cut_some(instance: &Fixture, count: usize, kind: Option<Cut>) {
+    for server_proxy in &instance.proxies[..count] {
+        server_proxy.set(kind);
+    }
+    ServerProxy::settle();
+}
+
+/// Waits until an instance knows to how many servers its path is lost.
+fn wait_lost_servers(instance: &Fixture, count: usize) {
+    let gateway = instance.daemon.as_ref().unwrap().gateway();
+    let is_reached = || gateway.state().server_paths.count() == count;
+    assert!(
+        wait_until(is_reached),
+        "{count} lost paths were not noticed"
+    );
+}
+
+/// Guards against requests that fail, or wait for a timeout each, at servers that are out of reach of their
+/// instance only.
+#[test]
+fn servers_that_only_this_instance_does_not_reach_get_its_requests_through_another() {
+    for kind in [Cut::Refused, Cut::Hanging, Cut::NewRefused] {
+        let [first, _second] = instances(4);
+        let holders = occupy_last(&first);
+        cut_some(&first, 3, Some(kind));
+        if kind == Cut::NewRefused {
+            // Open connections would be used.
+            first
+                .daemon
+                .as_ref()
+                .unwrap()
+                .gateway()
+                .client
+                .close_all_idle();
+        }
+        wait_some_lost(&first);
+        wait_lost_servers(&first, 3);
+
+        let begun = Instant::now();
+        for number in 0..REQUESTS {
+            for request in [
+                safe(&format!("safe-{number}")),
+                Request::new("POST /unsafe/x", &format!("unsafe-{number}")).with_body(b"booking"),
+            ] {
+                let response = first.send(&request);
+                assert_eq!(response.status, 200, "{kind:?}: {}", response.text());
+            }
+            assert_eq!(first.runs(&format!("unsafe-{number}")), 1);
+        }
+
+        assert!(begun.elapsed() < LIMIT, "{kind:?}: {:?}", begun.elapsed());
+        let gateway = first.daemon.as_ref().unwrap().gateway();
+        assert!(!gateway.state().path.is_lost());
+        release(&first, holders);
+    }
+}
+
+/// Callers whose requests wait at a server.
+type Holders = Vec<std::thread::JoinHandle<Option<Response>>>;
+
+/// Lets requests wait at the last backend server, so that others are preferred.
+fn occupy_last(instance: &Fixture) -> Holders {
+    let last = instance.workers.last().unwrap();
+    last.next(&[Behaviour::Wait; OCCUPYING]);
+    let front = instance.front;
+    let holders = (0..OCCUPYING).map(|number| {
+        let request = Request::new("POST /unsafe/x", &format!("held-{number}"));
+        std::thread::spawn(move || send(front, &request.with_body(b"booking")))
+    });
+    let holders = holders.collect();
+    let is_occupied = || last.runs().iter().any(|run| run.id.starts_with("held-"));
+    assert!(wait_until(is_occupied));
+    assert!(wait_until(|| instance.runs_of_prefix("held-") == OCCUPYING));
+    last.clear_next();
+    holders
+}
+
+fn release(instance: &Fixture, holders: Holders) {
+    instance.workers.last().unwrap().release();
+    for holder in holders {
+        let response = holder.join().unwrap().unwrap();
+        assert_eq!(response.status, 200, "{}", response.text());
+    }
+}
+
+/// Sends requests until the path to a server is known to be lost.
+fn wait_some_lost(instance: &Fixture) {
+    let gateway = instance.daemon.as_ref().unwrap().gateway();
+    let until = Instant::now() + LIMIT;
+    let mut number = 0;
+    while gateway.state().server_paths.count() == 0 {
+        assert!(Instant::now() < until, "no lost path was noticed");
+        instance.send(&safe(&format!("notice-{number}")));
+        number += 1;
+        // More requests a second than an instance takes would close its listener.
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards against servers that count as crashed, or are ejected, because of a cut of this instance.
+#[test]
+fn a_cut_from_some_servers_is_no_failure_of_these_servers() {
+    let [first, _second] = instances(4);
+    for worker in &first.workers {
+        worker.next(&[Behaviour::Wait; 2]);
+    }
+    let front = first.front;
+    let callers: Vec<_> = (0..8)
+        .map(|number| {
+            let request = Request::new("POST /unsafe/x", &format!("waiting-{number}"));
+            std::thread::spawn(move || send(front, &request.with_body(b"booking")))
+        })
+        .collect();
+    assert!(wait_until(|| first.runs_of_prefix("waiting-") == 8));
+    for worker in &first.workers {
+        worker.clear_next();
+    }
+
+    cut_some(&first, 3, Some(Cut::NewRefused));
+    cut_some(&first, 3, Some(Cut::Refused));
+    wait_lost_servers(&first, 3);
+    for worker in &first.workers {
+        worker.release();
+    }
+
+    for caller in callers {
+        let _ = caller.join().unwrap();
+    }
+    let gateway = first.daemon.as_ref().unwrap().gateway();
+    let now_ms = gateway.now_ms();
+    let state = gateway.state();
+    for entry in state.registry.entries() {
+        assert!(!state.crashes.has_crashed(entry.incarnation()));
+        assert!(!state.health.is_ejected(&entry.id, now_ms));
+    }
+}
+
+/// Guards against an instance that goes on to use others after its path to a server is back.
+#[test]
+fn a_server_whose_path_is_back_gets_requests_directly() {
+    let [first, _second] = instances(4);
+    let holders = occupy_last(&first);
+    cut_some(&first, 3, Some(Cut::Refused));
+    wait_some_lost(&first);
+    wait_lost_servers(&first, 3);
+
+    cut_some(&first, 3, None);
+
+    wait_lost_servers(&first, 0);
+    let response = first.send(&safe("after"));
+    assert_eq!(response.status, 200, "{}", response.text());
+    release(&first, holders);
+}
+
+/// Guards against taking a server that is down for one that only this instance does not reach.
+#[test]
+fn a_server_that_is_down_is_no_lost_path() {
+    let [mut first, _second] = start(Fixture::without_instance(3, PREPAID));
+    first.workers.remove(0);
+
+    for number in 0..REQUESTS {
+        let response = first.send(&safe(&format!("down-{number}")));
+        assert_eq!(response.status, 200, "{}", response.text());
+    }
+
+    let gateway = first.daemon.as_ref().unwrap().gateway();
+    assert_eq!(gateway.state().server_paths.count(), 0);
+}
+
+/// Guards against a stream that goes on at another software version because its own is out of reach.
+#[test]
+fn a_stream_goes_on_at_its_version_through_another_instance() {
+    let [first, second] = instances(4);
+    for (index, version) in ["v1", "v1", "v2", "v2"].iter().enumerate() {
+        first.set_version(index, version);
+    }
+    for instance in [&first, &second] {
+        let gateway = instance.daemon.as_ref().unwrap().gateway();
+        let is_listed = || {
+            let state = gateway.state();
+            let entry = state.registry.entry("i-3");
+            entry.is_some_and(|entry| entry.software() == "v2")
+        };
+        assert!(wait_until(is_listed));
+    }
+    let holders = occupy_last(&first);
+    cut_some(&first, 3, Some(Cut::Refused));
+    wait_some_lost(&first);
+    wait_lost_servers(&first, 3);
+    for number in 0..REQUESTS {
+        for worker in &first.workers {
+            worker.clear_next();
+        }
+        first.workers[number % 4].next(&[Behaviour::Break(2)]);
+
+        let response = first.send(&stream(&format!("r-{number}")));
+
+        assert!(response.is_complete, "{}", response.text());
+        assert_eq!(response.versions().len(), 1, "{}", response.text());
+    }
+    release(&first, holders);
+}
--- a/tests/forward/versions.rs
+++ b/tests/forward/versions.rs
@@ -230,6 +230,8 @@
 fn an_instance_that_has_started_since_asks_the_others() {
     let [first, mut second] = instances(&["v1", "v2"]);
     let before = begin(&first, "r-1", 2);
+    // Otherwise the record may arrive after the restart.
+    assert!(wait_until(|| records(&second) > 0));
     second.kill();
     second.start();
     second.wait_listed("i-0");
