--- a/crates/fescuewell_forward/tests/servers.rs
+++ b/crates/fescuewell_forward/tests/servers.rs
@@ -21,6 +21,30 @@
     }
 }
 
+/// Guards against a stream that goes on at a process of another software version under the same id.
+#[test]
+fn a_server_whose_software_version_changes_is_another_process() {
+    let mut registry = Registry::default();
+    let mut first = entry("i", State::Ready);
+    first.version = Some("v1".into());
+    let mut second = first.clone();
+    second.version = Some("v2".into());
+    for (version, entry) in [(1, first.clone()), (2, second.clone())] {
+        let change = Change::Entry(entry);
+        let update = Update {
+            id: "i".into(),
+            version,
+            change,
+        };
+        registry.apply(update, 0);
+    }
+
+    assert!(registry.has_restarted(&first));
+    assert_eq!(registry.take_ended().len(), 1);
+    assert_eq!(registry.of_build(first.build().unwrap(), 0, 1).count(), 0);
+    assert_eq!(registry.of_build(second.build().unwrap(), 0, 1).count(), 1);
+}
+
 /// Guards against new work for a server that accepts none, because few others have its software version.
 #[test]
 fn servers_of_a_version_that_accept_no_work_are_not_selected() {
