Tests: the addresses of a zone are reserved for listeners as well

The port was looked up with a datagram socket that was closed at once; a stream socket of another process or test could have it by the time the listener binds it. Change: the address is held by a bound socket that does not listen, as in tests/forward/fixture.rs. Ruled out: a fault of the configuration; the test had not begun its exchange.

--- a/crates/fescuewell_gateway/tests/configuration.rs
+++ b/crates/fescuewell_gateway/tests/configuration.rs
@@ -17,6 +17,7 @@
 use fescuewell_gateway::snapshot::SnapshotHandler;
 use fescuewell_http::listener::{Handler, Listener, Reply, Request, Settings};
 use http::{HeaderMap, StatusCode};
+use socket2::{Domain, Socket, Type};
 
 const ZONE: &str = "zone-0";
 const READER: &str = "reader";
@@ -24,9 +25,30 @@
 /// Time that a change may take.
 const LIMIT: Duration = Duration::from_secs(20);
 
-fn free_address() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    socket.local_addr().unwrap()
+/// A loopback address that is free for datagrams and reserved for a listener. A port that was only looked up
+/// could be assigned to a connection of another test before the listener is started.
+struct Reserved {
+    address: SocketAddr,
+    _socket: Socket,
+}
+
+impl Reserved {
+    fn new() -> Self {
+        loop {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            socket.set_reuse_address(true).unwrap();
+            socket
+                .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
+                .unwrap();
+            let address = socket.local_addr().unwrap().as_socket().unwrap();
+            if UdpSocket::bind(address).is_ok() {
+                return Self {
+                    address,
+                    _socket: socket,
+                };
+            }
+        }
+    }
 }
 
 fn member(peer: SocketAddr, weight: u32) -> Member {
@@ -78,15 +100,15 @@
 
 /// The peer addresses of a zone with a reader and a follower.
 struct Zone {
-    reader: SocketAddr,
-    follower: SocketAddr,
+    reader: Reserved,
+    follower: Reserved,
 }
 
 impl Zone {
     fn new() -> Self {
         Self {
-            reader: free_address(),
-            follower: free_address(),
+            reader: Reserved::new(),
+            follower: Reserved::new(),
         }
     }
 
@@ -97,8 +119,8 @@
         store.insert("key", "fleet", "fleet", vec![7; 32]);
         let nobody: SocketAddr = ([127, 0, 0, 1], 1).into();
         let mut members = vec![
-            (READER.to_owned(), member(self.reader, 1_000_000)),
-            (FOLLOWER.to_owned(), member(self.follower, 1)),
+            (READER.to_owned(), member(self.reader.address, 1_000_000)),
+            (FOLLOWER.to_owned(), member(self.follower.address, 1)),
         ];
         members.extend((0..8).map(|number| (format!("other-{number}"), member(nobody, 1_000))));
         for (other, member) in members {
@@ -119,8 +141,8 @@
     /// Starts both instances.
     fn start_both(&self) -> (Started, Started) {
         (
-            self.start(READER, self.reader, 1_000.0),
-            self.start(FOLLOWER, self.follower, 0.1),
+            self.start(READER, self.reader.address, 1_000.0),
+            self.start(FOLLOWER, self.follower.address, 0.1),
         )
     }
 }
@@ -210,7 +232,7 @@
     // The change does not apply to another content of version 1.
     follower.store.set_configuration(configuration(1, 300));
     let handler = EarlierReader(SnapshotHandler::new(reader.gateway.clone()));
-    let listener = Listener::start(Settings::new(zone.reader), Arc::new(handler)).unwrap();
+    let listener = Listener::start(Settings::new(zone.reader.address), Arc::new(handler)).unwrap();
 
     let is_current = play_change(&reader, &follower);
 
