Review: one hash of two texts, module and constant names, plain conditions

Cause: read of the whole diff. Change: Build and Attempt share their hash and the derive macro, the gateway's module is named streams so that the crate's needs no alias, takes_up without double negation.

--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 pub use build::Build;
+pub(crate) use build::hash_pair;
 use entry::is_restart;
 pub use entry::{Change, Entry, Incarnation, State, Update};
 use registration::Registration;
--- a/crates/fescuewell_forward/src/stream.rs
+++ b/crates/fescuewell_forward/src/stream.rs
@@ -31,7 +31,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::server::Build;
+use crate::server::{Build, hash_pair};
 
 pub use holders::{COPIES, COPIES_IN_LARGE_FLEET, Holders, MAX_ASKED, Site};
 pub use lookup::{Lookup, Progress, Target};
@@ -50,21 +50,16 @@
 /// Leading byte of a row.
 const ROW_FORMAT: u8 = 1;
 
-/// A caller's attempt: a hash of its id and client account, so that no account can resume the stream of
-/// another one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Attempt([u8; 8]);
+fescuewell_core::key! {
+    /// A caller's attempt: a hash of its id and client account, so that no account can resume the stream
+    /// of another one.
+    pub struct Attempt([u8; 8]);
+}
 
 impl Attempt {
     /// Returns the attempt of a client account, empty without one, that has this id.
     pub fn new(account: &str, id: &str) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&(account.len() as u64).to_le_bytes());
-        hasher.update(account.as_bytes());
-        hasher.update(id.as_bytes());
-        let mut bytes = [0; 8];
-        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        Self(bytes)
+        Self(hash_pair(account, id))
     }
 
     /// Returns a number that is equal on all instances.
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 mod gate;
 mod path;
 mod state;
-mod stream;
+mod streams;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -28,7 +28,7 @@
 use fescuewell_forward::relay;
 use fescuewell_forward::retry::Budget;
 use fescuewell_forward::server::{ENTRY_EXPIRY_OUTAGE_MS, Registry};
-use fescuewell_forward::stream as streams;
+use fescuewell_forward::stream;
 use fescuewell_forward::warmup::Warmup;
 use fescuewell_forward::window::Window;
 use fescuewell_http::listener::Gate;
@@ -44,7 +44,7 @@
 
 pub use crash::ProbeRequest;
 pub use state::State;
-pub(crate) use stream::Found;
+pub(crate) use streams::Found;
 
 /// Window over which accepted requests are counted, in seconds.
 pub const ACCEPTED_WINDOW_S: u32 = 4;
@@ -184,10 +184,10 @@
             conditions: Conditions::new(settings.name.clone()),
             crashes: Detector::default(),
             quarantine: Quarantine::default(),
-            stream_records: streams::Records::default(),
-            stream_outbox: streams::Outbox::default(),
-            own_streams: streams::Records::default(),
-            reach: streams::Reach::default(),
+            stream_records: stream::Records::default(),
+            stream_outbox: stream::Outbox::default(),
+            own_streams: stream::Records::default(),
+            reach: stream::Reach::default(),
             stream_lookups: HashMap::new(),
             load: Load::default(),
             quota: Quota::new(settings.name.clone(), 0),
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -53,6 +53,7 @@
     pub(crate) binding: Binding,
     /// The attempt that began the stream, if this one takes it up.
     resumed: Option<stream::Attempt>,
+    /// Whether the software version that began the stream has been recorded.
     is_recorded: bool,
     is_probe: bool,
     arrived: Instant,
--- a/crates/fescuewell_gateway/src/job/binding.rs
+++ b/crates/fescuewell_gateway/src/job/binding.rs
@@ -1,5 +1,6 @@
 //! Binding of a stream to the software version of the backend servers that began it.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fescuewell_core::log_event;
@@ -17,6 +18,8 @@
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Fraction of the target latency that a request waits for a server of its version to be listed.
 const LIST_WAIT_FRACTION: f64 = 0.5;
+/// Retry delay while instances that may hold the record do not answer.
+const UNANSWERED_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// The software version that may send a request's events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,10 +45,9 @@
 impl Job {
     /// Returns `true` if the request takes up a stream that another attempt of its caller began.
     fn takes_up(&self) -> bool {
-        let is_present = |is_absent: bool| !is_absent;
-        self.route.kind.is_stream()
-            && (is_present(self.metadata.resumes == Declared::Absent)
-                || is_present(self.metadata.last_event_id == Declared::Absent))
+        let names_attempt = self.metadata.resumes != Declared::Absent;
+        let has_events = self.metadata.last_event_id != Declared::Absent;
+        self.route.kind.is_stream() && (names_attempt || has_events)
     }
 
     /// Binds a request that takes up a stream to the software version that began it.
@@ -103,7 +105,7 @@
 
     /// Chooses the service of a version among those of the route. Returns the version's name, or `None` if
     /// no server of it accepts requests of the route.
-    fn choose_service(&mut self, build: Build) -> Option<std::sync::Arc<str>> {
+    fn choose_service(&mut self, build: Build) -> Option<Arc<str>> {
         let now_ms = self.gateway.now_ms();
         let server = {
             let state = self.gateway.state();
@@ -122,10 +124,7 @@
     fn unknown_stream(&self, cause: &'static str, found: Option<Found>) -> Refusal {
         let (asked, answered) = found.map_or((0, 0), |found| (found.asked, found.answered));
         self.gateway.metrics.count_resumption("attempt", cause);
-        let resumes = match &self.metadata.resumes {
-            Declared::Value(first) => first,
-            Declared::Absent | Declared::Malformed => "-",
-        };
+        let resumes = self.metadata.resumes.value().map_or("-", |first| first);
         log_event!(
             Event::StreamUnknown,
             "request={} resumes={resumes} cause={cause} asked={asked} answered={answered}",
@@ -174,6 +173,3 @@
         self.account.as_ref().map_or("", |account| &account.name)
     }
 }
-
-/// Retry delay while instances that may hold the record do not answer.
-const UNANSWERED_RETRY_DELAY: Duration = Duration::from_millis(150);
