Soak: rows of servers that were replaced do not come back with a copy of the store

The platform removes rows without heartbeats, the stand-in does not. Change: after a restore the soak removes rows of servers that no longer exist.

--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -153,6 +153,13 @@
         }
         let now = configuration(self.version, self.prepaid);
         self.platform.configure(&now);
+        // The store removes entries of servers that write no heartbeats.
+        for (id, _) in self.platform.store.table("servers") {
+            let mut workers = self.platform.workers.iter();
+            if !workers.any(|worker| worker.name() == id) {
+                self.platform.store.remove("servers", "", &id);
+            }
+        }
         for index in 0..SERVERS {
             self.platform.register(index, "ready");
         }
