Paths: a refused connection is judged twice; the soak's servers write heartbeats

Traced: path.server_lost 50 ms after the crash; another instance had connected to the server just before it refused, so that the crash was no evidence. Change: after a refusal both this instance and others connect again 50 ms later, and both must agree; the soak lets servers write again after the faults, and checks that all instances list them. Ruled out: the 50 ms alone, which repeated only the own connection.

--- a/crates/fescuewell_gateway/src/gateway/path/servers.rs
+++ b/crates/fescuewell_gateway/src/gateway/path/servers.rs
@@ -103,12 +103,14 @@
 
 /// Checks a server. Returns `true` if the path to it is lost, and to no other server was before.
 async fn check_one(gateway: &Arc<Gateway>, server: &Arc<Entry>) -> bool {
-    let (mut reachability, is_reached_elsewhere) =
+    let (mut reachability, mut is_reached_elsewhere) =
         tokio::join!(gateway.reach(server), gateway.is_reached_elsewhere(server));
     if reachability == Reachability::Refused && is_reached_elsewhere {
-        // A server that has crashed may have started again between the two probes.
+        // A server that crashes may accept a connection of another instance just before, or start again
+        // just after.
         tokio::time::sleep(SECOND_PROBE_DELAY).await;
-        reachability = gateway.reach(server).await;
+        (reachability, is_reached_elsewhere) =
+            tokio::join!(gateway.reach(server), gateway.is_reached_elsewhere(server));
     }
     let is_reached = reachability == Reachability::Accepted;
     let now_ms = gateway.now_ms();
--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -124,6 +124,16 @@
         })
     }
 
+    /// Waits until the instance lists `count` backend servers.
+    pub fn wait_servers(&self, count: usize) -> bool {
+        let address = SocketAddr::new(self.front.ip(), METRICS_PORT);
+        let line = format!("of=\"servers\",otel_scope_name=\"fescuewell\"}} {count}\n");
+        wait_until(|| {
+            let page = crate::fixture::get(address, "/metrics");
+            page.is_some_and(|page| page.text().contains(&line))
+        })
+    }
+
     fn signal(&self, signal: Signal) {
         let Some(child) = &self.child else {
             return;
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -160,9 +160,7 @@
                 self.platform.store.remove("servers", "", &id);
             }
         }
-        for index in 0..SERVERS {
-            self.platform.register(index, "ready");
-        }
+        self.write_heartbeats();
     }
 
     fn inject(&mut self, fault: Fault) {
@@ -242,6 +240,12 @@
         (crashes > 0).then(|| format!("{crashes} crashes caused by a quarantined request"))
     }
 
+    fn write_heartbeats(&self) {
+        for index in 0..SERVERS {
+            self.platform.register(index, "ready");
+        }
+    }
+
     fn start_missing(&mut self) {
         let missing = self.instances.iter_mut();
         for instance in missing.filter(|instance| !instance.is_running()) {
@@ -278,6 +282,16 @@
                 violations.push(format!("instance {index} serves nothing after the faults"));
             }
         }
+        self.write_heartbeats();
+        for (index, instance) in self.instances.iter().enumerate() {
+            if !instance.wait_servers(SERVERS) {
+                violations.push(format!(
+                    "instance {index} lists other servers after the faults"
+                ));
+            }
+        }
+        // After a restore, the first entry of a server that was draining may come from the copy.
+        self.write_heartbeats();
         violations.extend(self.check_quarantine());
         violations.extend(conditions::failure_violation(&self.platform.workers));
         violations.extend(conditions::violations(&self.platform.workers));
