Lists: logs and metrics tell the age of the list of servers and how digests fared

Change: servers.behind (E2035) with the age, the role and the digests by outcome; list_age_ms on route.chosen; fescuewell_digests_total by reason; server_list_age_seconds. No decision changes: the check of a digest returns the reason that it had. Ruled out: lines for each digest, some four a second at each instance.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -93,6 +93,7 @@
     StreamsPublished = 2032, Info, "streams.published", "This instance writes the software versions of its streams to the store, since other instances are out of reach, or stops doing so.";
     ServerPathLost = 2033, Warn, "path.server_lost", "This instance does not reach a backend server that another one reaches: its requests are sent by others.";
     ServerPathRestored = 2034, Info, "path.server_restored", "This instance reaches a backend server again and sends requests to it by itself.";
+    ServersBehind = 2035, Warn, "servers.behind", "The list of backend servers has not been brought up to date for a second or more; names its age and how digests fared since the last such line.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
--- a/crates/fescuewell_forward/src/relay.rs
+++ b/crates/fescuewell_forward/src/relay.rs
@@ -216,11 +216,38 @@
     }
 }
 
-/// Store version up to which an instance knows the server list, from its own reads and from
-/// digests.
+/// Why a digest is not applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// No list has been read yet.
+    NothingKnown,
+    /// Changes before the digest are missing.
+    Gap,
+    /// The list is known up to a later version.
+    Outdated,
+    /// It was delayed for [`STALE_DIGEST_MS`] or longer.
+    Late,
+}
+
+impl Rejection {
+    /// Returns the name for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NothingKnown => "nothing_known",
+            Self::Gap => "gap",
+            Self::Outdated => "outdated",
+            Self::Late => "late",
+        }
+    }
+}
+
+/// Store version up to which an instance knows the server list, and as of when, from its own reads
+/// and from digests.
 #[derive(Debug, Default)]
 pub struct Cursor {
     version: u64,
+    /// Time as of which the list is known, in milliseconds of the local clock.
+    as_of_ms: Option<u64>,
     last_digest_ms: Option<u64>,
 }
 
@@ -230,24 +257,45 @@
         self.version
     }
 
-    /// Advances to the version of an own read.
-    pub fn advance(&mut self, version: u64) {
+    /// Age of the list in milliseconds at `now_ms` of the local clock, or `None` before the first
+    /// read.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(self.as_of_ms?))
+    }
+
+    /// Advances to the version of a read that is complete as of `as_of_ms` of the local clock.
+    pub fn advance(&mut self, version: u64, as_of_ms: u64) {
         self.version = self.version.max(version);
+        self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
     }
 
-    /// Returns `true` if the rows of a digest may be applied at `store_ms` of the store's clock: it
+    /// Checks whether the rows of a digest may be applied at `store_ms` of the store's clock: it
     /// is recent, and there is no gap before it.
-    pub fn accepts(&self, digest: &Digest, store_ms: u64) -> bool {
-        let is_contiguous = digest.after <= self.version && self.version <= digest.until;
-        let is_fresh = digest.at_ms.abs_diff(store_ms) < STALE_DIGEST_MS;
-        self.version > 0 && is_contiguous && is_fresh
+    ///
+    /// # Errors
+    ///
+    /// The reason if they may not.
+    pub fn check(&self, digest: &Digest, store_ms: u64) -> Result<(), Rejection> {
+        if self.version == 0 {
+            return Err(Rejection::NothingKnown);
+        }
+        if digest.after > self.version {
+            return Err(Rejection::Gap);
+        }
+        if digest.until < self.version {
+            return Err(Rejection::Outdated);
+        }
+        match digest.at_ms.abs_diff(store_ms) < STALE_DIGEST_MS {
+            true => Ok(()),
+            false => Err(Rejection::Late),
+        }
     }
 
-    /// Advances to the end of an accepted digest at `now_ms` of the local clock, once its rows have
-    /// been applied. Before that, a snapshot for another instance would lack them and claim to be
-    /// complete.
-    pub fn finish(&mut self, digest: &Digest, now_ms: u64) {
-        self.advance(digest.until);
+    /// Advances to the end of a digest that passed [`Cursor::check`] and is complete as of `as_of_ms`
+    /// of the local clock, once its rows have been applied. Before that, a snapshot for another instance would
+    /// lack them and claim to be complete.
+    pub fn finish(&mut self, digest: &Digest, as_of_ms: u64, now_ms: u64) {
+        self.advance(digest.until, as_of_ms);
         self.last_digest_ms = Some(now_ms);
     }
 
--- a/crates/fescuewell_forward/tests/relay.rs
+++ b/crates/fescuewell_forward/tests/relay.rs
@@ -49,7 +49,7 @@
         instance
             .registry
             .apply_snapshot(10, vec![row("one", 9, State::Ready)], 0);
-        instance.cursor.advance(10);
+        instance.cursor.advance(10, 0);
         instance.outbox.restart(10);
         instance
     }
@@ -65,7 +65,7 @@
             self.registry.apply(row.clone(), now_ms);
         }
         self.outbox.add(changes, after, version, now_ms);
-        self.cursor.advance(version);
+        self.cursor.advance(version, now_ms);
     }
 
     fn digest(&self, now_ms: u64) -> Digest {
@@ -79,12 +79,13 @@
 
     fn receive(&mut self, digest: &Digest, now_ms: u64) -> bool {
         self.lag.report(digest.configuration, now_ms);
-        let is_applied = self.cursor.accepts(digest, STORE_MS + now_ms);
+        let is_applied = self.cursor.check(digest, STORE_MS + now_ms).is_ok();
         if is_applied {
             for row in &digest.rows {
                 self.registry.apply(row.clone(), now_ms);
             }
-            self.cursor.finish(digest, now_ms);
+            let as_of_ms = digest.at_ms.saturating_sub(STORE_MS).min(now_ms);
+            self.cursor.finish(digest, as_of_ms, now_ms);
         }
         is_applied
     }
@@ -273,7 +274,7 @@
         let mut follower = Instance::default();
         for instance in readers.iter_mut().chain([&mut follower]) {
             instance.registry.apply_snapshot(10, Vec::new(), 0);
-            instance.cursor.advance(10);
+            instance.cursor.advance(10, 0);
             instance.outbox.restart(10);
         }
         let mut sent: Vec<Digest> = Vec::new();
@@ -288,7 +289,7 @@
                 Step::ReadAll(who) => {
                     let rows = store.listed(store.version);
                     readers[who].registry.apply_snapshot(store.version, rows, now_ms);
-                    readers[who].cursor.advance(store.version);
+                    readers[who].cursor.advance(store.version, now_ms);
                     readers[who].outbox.restart(store.version);
                 }
                 Step::Send(who) => sent.push(readers[who].digest(now_ms)),
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -3,6 +3,7 @@
 
 mod behind;
 mod crashes;
+mod digests;
 mod failures;
 mod fence;
 mod gossip;
@@ -52,6 +53,8 @@
     /// Set once the members are known, at the first start of the fleet after they have written
     /// their first heartbeats.
     members_known: watch_channel::Sender<bool>,
+    /// Digests received since the last check of the list's age.
+    digest_counts: Arc<digests::Counts>,
     /// Time of the last forwarded digest on the clock of [`Gateway::now_ms`].
     forwarded_at_ms: Arc<AtomicU64>,
     /// Time of the last summary that a reader sent, on the same clock.
@@ -101,6 +104,7 @@
             last_invalid_version: Arc::default(),
             broadcasts: flume::bounded(MAX_QUEUED_BROADCASTS),
             members_known: watch_channel::Sender::new(false),
+            digest_counts: Arc::default(),
             forwarded_at_ms: Arc::default(),
             summary_at_ms: Arc::default(),
         }
--- a/crates/fescuewell_gateway/src/control/watch/servers.rs
+++ b/crates/fescuewell_gateway/src/control/watch/servers.rs
@@ -126,7 +126,7 @@
     }
     let now_ms = gateway.now_ms();
     outbox.add(changes, version, version.max(response.version), now_ms);
-    gateway.state().cursor.advance(response.version);
+    gateway.state().cursor.advance(response.version, now_ms);
     let configuration = gateway.table().map(|table| table.configuration().version);
     let name = gateway.settings.name.clone();
     let evacuations = gateway.state().registry.zones().orders();
@@ -147,18 +147,21 @@
     // Evacuations are versioned individually, so they apply even from a late digest or after a lost
     // one.
     evacuate(control, digest.evacuations.clone());
-    {
+    let (checked, age_ms) = {
         let mut state = gateway.state();
         state.lag.report(digest.configuration, now_ms);
         let store_ms = state.quota.store_time(now_ms);
-        if !state.cursor.accepts(&digest, store_ms) {
-            gateway.metrics.count_digest("ignored");
-            return;
-        }
+        let age_ms = store_ms.saturating_sub(digest.at_ms);
+        (state.cursor.check(&digest, store_ms), age_ms)
+    };
+    control.digest_counts.add(checked);
+    if let Err(rejection) = checked {
+        return gateway.metrics.count_digest(rejection.name());
     }
     gateway.metrics.count_digest("applied");
     let has_changes = apply_rows(control, digest.rows.clone());
-    gateway.state().cursor.finish(&digest, now_ms);
+    let as_of_ms = now_ms.saturating_sub(age_ms);
+    gateway.state().cursor.finish(&digest, as_of_ms, now_ms);
     forward(control, digest, has_changes, now_ms);
 }
 
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -212,10 +212,11 @@
         state.conditions.record_send(&server.id, now);
         let running = state.load.in_flight(&server.id);
         let limit = state.conditions.limits.get(&server.id);
+        let list_age_ms = state.cursor.age_ms(now_ms).unwrap_or_default();
         drop(state);
         log_event!(
             Event::RouteChosen,
-            "request={} route={} service={} server={} software={} resumes={} after={} candidates={listed_count} running={running} limit={} configuration={} account={}",
+            "request={} route={} service={} server={} software={} resumes={} after={} candidates={listed_count} running={running} limit={} configuration={} account={} list_age_ms={list_age_ms}",
             self.id,
             self.route.name,
             self.service.name,
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -117,7 +117,8 @@
         self.loan_requests.add(1, &[KeyValue::new("kind", kind)]);
     }
 
-    /// Counts a digest of the server list that another instance sent.
+    /// Counts a digest of the server list that another instance sent: `applied`, or the name of a
+    /// [`Rejection`](fescuewell_forward::relay::Rejection).
     pub fn count_digest(&self, outcome: &'static str) {
         self.digests.add(1, &[KeyValue::new("outcome", outcome)]);
     }
@@ -234,6 +235,7 @@
             };
             let unready_left_ms = gateway.state().admission.unready_left_ms(now_ms);
             let behind_ms = gateway.state().lag.behind_ms(now_ms);
+            let list_age_ms = gateway.state().cursor.age_ms(now_ms).unwrap_or_default();
             let is_path_lost = gateway.state().path.is_lost();
             let server_paths_lost = gateway.state().server_paths.count();
             let (stream_records, dropped_records) = {
@@ -247,6 +249,7 @@
                 ("unready_left_seconds", unready_left_ms as f64 / 1_000.0),
                 ("configuration_version", version as f64),
                 ("configuration_behind_seconds", behind_ms as f64 / 1_000.0),
+                ("server_list_age_seconds", list_age_ms as f64 / 1_000.0),
                 (
                     "store_silent_seconds",
                     gateway.time_since_store_response().as_secs_f64(),
--- a/crates/fescuewell_gateway/tests/snapshots.rs
+++ b/crates/fescuewell_gateway/tests/snapshots.rs
@@ -68,7 +68,7 @@
         state.quota.observe_clock(STORE_MS, now_ms);
         let rows = vec![row("one"), row("two")];
         state.registry.apply_snapshot(VERSION, rows, 0);
-        state.cursor.advance(VERSION);
+        state.cursor.advance(VERSION, now_ms);
     }
     let handler = Arc::new(SnapshotHandler::new(gateway.clone()));
     let listener = Listener::start(Settings::new("127.0.0.1:0".parse().unwrap()), handler);
