--- a/crates/fescuewell_gateway/tests/common/mod.rs
+++ b/crates/fescuewell_gateway/tests/common/mod.rs
@@ -2,7 +2,7 @@
 // Each test file uses only some of these helpers.
 #![allow(dead_code)]
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use fescuewell_forward::condition::Report;
 use fescuewell_forward::config::{Account, Configuration};
 use fescuewell_forward::quota::row::Journal;
-use fescuewell_forward::server::Update;
+use fescuewell_forward::server::{Change, Update};
 use fescuewell_gateway::control::Control;
 use fescuewell_gateway::dialect::{Dialect, HeaderNames, RequestMetadata};
 use fescuewell_gateway::gateway::Gateway;
@@ -50,6 +50,9 @@
     version: u64,
     rows: HashMap<RowId, (Vec<u8>, u64)>,
     read_counts: HashMap<String, usize>,
+    /// Latest row of each server that was ever listed, and the version of the server list.
+    servers: BTreeMap<Arc<str>, Update>,
+    servers_version: u64,
 }
 
 /// An in-memory row store that contains a configuration.
@@ -74,6 +77,8 @@
                 version: 1,
                 rows: HashMap::new(),
                 read_counts: HashMap::new(),
+                servers: BTreeMap::new(),
+                servers_version: 1,
             }),
             started: Instant::now(),
             configuration: Mutex::new(Configuration {
@@ -99,6 +104,27 @@
         *self.configuration.lock().unwrap() = configuration;
     }
 
+    /// Writes or removes a row of the server list, as a heartbeat of the server does.
+    pub fn write_server(&self, id: &str, change: Change) {
+        let mut content = self.content();
+        content.servers_version += 1;
+        let update = Update {
+            id: id.into(),
+            version: content.servers_version,
+            change,
+        };
+        content.servers.insert(update.id.clone(), update);
+    }
+
+    /// Returns the rows of the server list after a version, and its version.
+    fn servers_after(&self, version: u64) -> (Vec<Update>, u64) {
+        let content = self.content();
+        let rows = content.servers.values().filter(|row| row.version > version);
+        let mut rows: Vec<Update> = rows.cloned().collect();
+        rows.sort_by_key(|row| row.version);
+        (rows, content.servers_version)
+    }
+
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         self.content().behaviour = behaviour;
     }
@@ -285,13 +311,33 @@
     }
 
     fn list_servers(&self) -> BoxFuture<'_, Versioned<Vec<Update>>> {
-        Box::pin(self.versioned(Vec::new()))
+        *self
+            .content()
+            .read_counts
+            .entry("servers".into())
+            .or_default() += 1;
+        let (mut rows, version) = self.servers_after(0);
+        rows.retain(|row| matches!(row.change, Change::Entry(_)));
+        Box::pin(async move {
+            let response = self.versioned(rows).await?;
+            Ok(Versioned {
+                version,
+                ..response
+            })
+        })
     }
 
-    fn watch_servers(&self, _: u64, wait: Duration) -> BoxFuture<'_, Versioned<Vec<Update>>> {
+    fn watch_servers(&self, after: u64, wait: Duration) -> BoxFuture<'_, Versioned<Vec<Update>>> {
         Box::pin(async move {
-            tokio::time::sleep(wait).await;
-            self.versioned(Vec::new()).await
+            if self.servers_after(after).0.is_empty() {
+                tokio::time::sleep(wait).await;
+            }
+            let (rows, version) = self.servers_after(after);
+            let response = self.versioned(rows).await?;
+            Ok(Versioned {
+                version,
+                ..response
+            })
         })
     }
 }
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -26,7 +26,7 @@
 
 use bytes::Bytes;
 use fescuewell_http::listener::{self, Handler, Listener, Reply, Request, spawn};
-use http::header::RETRY_AFTER;
+use http::header::{CONNECTION, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use socket2::{Domain, Socket, Type};
 use tokio::sync::watch;
@@ -88,6 +88,7 @@
     limit: Option<HeaderValue>,
     rest: Option<HeaderValue>,
     is_leaving: bool,
+    is_closing: bool,
     crashes_on: Option<Bytes>,
     crashes: u64,
     revivals: u64,
@@ -203,6 +204,11 @@
         self.shared.state().is_leaving = is_leaving;
     }
 
+    /// Sets whether each response closes its connection, as those of a worker that shuts down do.
+    pub fn set_closing(&self, is_closing: bool) {
+        self.shared.state().is_closing = is_closing;
+    }
+
     /// How often it has crashed.
     pub fn crashes(&self) -> u64 {
         self.shared.state().crashes
@@ -462,9 +468,13 @@
     fn conditions(&self) -> HeaderMap {
         let state = self.state();
         let leaving = state.is_leaving.then_some(HeaderValue::from_static("1"));
+        let closing = state
+            .is_closing
+            .then_some(HeaderValue::from_static("close"));
         let declared = [
             (SERVER_LIMIT, state.limit.clone()),
             (SERVER_LEAVING, leaving),
+            (CONNECTION, closing),
         ];
         let declared = declared.into_iter();
         let headers = declared.filter_map(|(name, value)| Some((name, value?)));
--- a/tests/forward/wire.rs
+++ b/tests/forward/wire.rs
@@ -15,6 +15,8 @@
 pub const EXPECTED_SERVER: &str = "X-Fescuewell-Expect-Instance";
 /// Prompt tokens and maximum output tokens.
 pub const TOKENS: &str = "X-Fescuewell-Token-Counts";
+/// Parts of the prompt, in order.
+pub const PARTS: &str = "X-Fescuewell-Prompt-Prefix";
 /// Requested model.
 pub const MODEL: &str = "X-Fescuewell-Model";
 /// Id of the caller's attempt that brought the first event of the stream that it takes up.
