Lists: the periodic full read of a reader leaves no gap in its digests

Cause: the full read moved the reader's version forward and restarted its digests there. Changes between its last poll and that read were in no digest; every follower rejected the next ones as a gap for a second, each four seconds. Change: a full read only corrects what is known up to the version of the last poll, passes the corrections on, and leaves the version to the polls. Digests start again after a first read, after lost history and after a copy from another instance, as before. Ruled out, by the model in forward/tests/relay.rs: to announce the whole difference up to the version of the read (a server that joined and left in between is not listed: a follower kept it), and to announce it without moving the version (an intermediate state that the polls return later came last). The model allows a follower that was corrected to be newer than its version, never older; without a full read its state must still be exactly that of its version.

--- a/crates/fescuewell_gateway/src/control/watch/list.rs
+++ b/crates/fescuewell_gateway/src/control/watch/list.rs
@@ -24,7 +24,6 @@
     let now_ms = control.gateway.now_ms();
     let mut guard = control.gateway.state();
     let state = &mut *guard;
-    state.cursor.advance(response.version, now_ms);
     for row in &response.content {
         log_unreadable_row(&state.registry, row);
     }
--- a/crates/fescuewell_gateway/src/control/watch/servers.rs
+++ b/crates/fescuewell_gateway/src/control/watch/servers.rs
@@ -37,17 +37,30 @@
 /// The same for an instance of a large fleet that serves no callers.
 const IDLE_RESYNC_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Where the whole list was obtained.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// The store.
+    Store,
+    /// Another instance.
+    Instance,
+}
+
 /// Watches the backend server list.
 pub(in crate::control) async fn servers(control: &Control) {
     control.wait_for_members().await;
+    let mut outbox = Outbox::default();
+    let mut has_gap = true;
     loop {
-        let Some(response) = list_servers(control).await else {
+        let Some((response, origin)) = list_servers(control).await else {
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
-        let mut outbox = Outbox::default();
-        outbox.restart(response.version);
-        apply_list(control, response);
+        match has_gap || origin == Origin::Instance {
+            true => restart_list(control, &mut outbox, response),
+            false => correct_list(control, &mut outbox, &response),
+        }
+        has_gap = false;
         let reread_at = Instant::now() + reread_interval(control);
         while Instant::now() < reread_at {
             tokio::time::sleep(poll_interval(control)).await;
@@ -55,14 +68,16 @@
                 continue;
             }
             if let Some(response) = copy_servers(control, snapshots::Patience::Resync).await {
-                outbox.restart(response.version);
-                apply_list(control, response);
+                restart_list(control, &mut outbox, response);
                 tokio::time::sleep(control.jitter(resync_interval(control))).await;
                 continue;
             }
             match poll_changes(control, &mut outbox).await {
                 Ok(()) => {}
-                Err(Error::Compacted) => break,
+                Err(Error::Compacted) => {
+                    has_gap = true;
+                    break;
+                }
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
         }
@@ -72,6 +87,32 @@
     }
 }
 
+/// Applies the whole list and continues with the changes after it. Digests start again, since changes
+/// before its version may be unknown here.
+fn restart_list(control: &Control, outbox: &mut Outbox, response: Versioned<Vec<Update>>) {
+    let now_ms = control.gateway.now_ms();
+    let version = response.version;
+    outbox.restart(version);
+    apply_list(control, response);
+    control.gateway.state().cursor.advance(version, now_ms);
+}
+
+/// Corrects what polls have missed by the whole list, and passes the corrections on. Later changes
+/// are left to the next poll: a server that joined and left meanwhile is not listed, and followers
+/// may have learned of it elsewhere.
+fn correct_list(control: &Control, outbox: &mut Outbox, response: &Versioned<Vec<Update>>) {
+    let now_ms = control.gateway.now_ms();
+    let (known, corrections) = {
+        let state = control.gateway.state();
+        let known = state.cursor.version();
+        let (version, rows) = (response.version, &response.content);
+        let corrections = state.registry.corrections(known, version, rows, now_ms);
+        (known, corrections)
+    };
+    outbox.add(corrections.clone(), known, known, now_ms);
+    apply_rows(control, corrections);
+}
+
 /// Returns the interval between two copies of the list while digests are missing.
 fn resync_interval(control: &Control) -> Duration {
     match control.cadence().reconciles() {
@@ -81,13 +122,14 @@
 }
 
 /// Reads the server list from a reader of the availability zone, or from the store.
-async fn list_servers(control: &Control) -> Option<Versioned<Vec<Update>>> {
+async fn list_servers(control: &Control) -> Option<(Versioned<Vec<Update>>, Origin)> {
     let copy = copy_servers(control, snapshots::Patience::Start).await;
-    if copy.is_some() {
-        return copy;
+    if let Some(copy) = copy {
+        return Some((copy, Origin::Instance));
     }
     let read = control.source.list_servers();
-    control.call("servers", LIST_TIMEOUT, read).await.ok()
+    let response = control.call("servers", LIST_TIMEOUT, read).await.ok()?;
+    Some((response, Origin::Store))
 }
 
 /// Reads the server list from a reader of the availability zone.
