Lists: an instance whose list of servers is old asks any others for the changes

Callers saw: requests at leaving servers (DRAIN). Cause: who sends digests is decided by a list of names; who is behind asked only these readers and the store. Change: each instance keeps the changes that it has applied (512 at most, with the versions between which they are complete) and answers who asks. An instance whose list is 0.8 s old asks two random others each 0.25 s. Answers are digests, which carry the time as of which the answering instance knows the list. A digest is no longer dropped for its age: its changes are applied, and the list is as old as the digest says. If the others no longer keep the changes, the list is copied from one that answered. A copy is given by the age of the list, not by whether some call of the store succeeded, and counts as old as its sender may have been. Message ListQuery has the bytes 0d and a version; earlier programs ignore it.

--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -28,7 +28,7 @@
 use crate::directory::summary::Summary;
 use crate::health::failure;
 use crate::loan;
-use crate::relay::Digest;
+use crate::relay::{self, Digest};
 use crate::snapshot;
 use crate::stream;
 
@@ -67,6 +67,8 @@
     StreamQuery(stream::Query),
     /// Answers such a query.
     StreamAnswer(stream::Answer),
+    /// Asks for changes of the server list; answered by digests.
+    ListQuery(relay::Query),
 }
 
 /// Secret key of the fleet; messages of senders without it are ignored.
--- a/crates/fescuewell_forward/src/relay.rs
+++ b/crates/fescuewell_forward/src/relay.rs
@@ -18,11 +18,17 @@
 //! ```
 //!
 //! Versions only increase, whatever their source, so that a late, repeated or reordered digest
-//! changes nothing.
+//! changes nothing that is known. A digest tells the time as of which it is complete; one that was
+//! delayed is applied, and the list is then as old as that.
+//!
+//! An instance whose list is not brought up to date asks any other instances; see [`History`].
+
+mod history;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+pub use history::{ASKED, Head, History, QUERY_AGE_MS, Query};
 use serde::{Deserialize, Serialize};
 
 use crate::evacuation::Order;
@@ -36,9 +42,8 @@
 /// digests. Under the strictest bounds a server must receive no new work two seconds after it
 /// reports that it is draining.
 pub const DIGEST_TIMEOUT_MS: u64 = 1_000;
-/// Age from which a digest is ignored, in milliseconds; it was delayed in a queue and may be
-/// outdated.
-const STALE_DIGEST_MS: u64 = 1_000;
+/// Time by which a digest may be ahead of the store's clock as estimated here, in milliseconds.
+const MAX_AHEAD_MS: u64 = 1_000;
 /// Maximum number of rows in a digest, which must fit an Ethernet frame; a row takes some 70 bytes.
 const MAX_ROWS: usize = 14;
 /// Maximum number of changes that wait to be sent besides the digest.
@@ -225,8 +230,8 @@
     Gap,
     /// The list is known up to a later version.
     Outdated,
-    /// It was delayed for [`STALE_DIGEST_MS`] or longer.
-    Late,
+    /// Its time lies in the future.
+    Ahead,
 }
 
 impl Rejection {
@@ -236,7 +241,7 @@
             Self::NothingKnown => "nothing_known",
             Self::Gap => "gap",
             Self::Outdated => "outdated",
-            Self::Late => "late",
+            Self::Ahead => "ahead",
         }
     }
 }
@@ -248,7 +253,8 @@
     version: u64,
     /// Time as of which the list is known, in milliseconds of the local clock.
     as_of_ms: Option<u64>,
-    last_digest_ms: Option<u64>,
+    /// The same by digests alone.
+    followed_ms: Option<u64>,
 }
 
 impl Cursor {
@@ -269,8 +275,8 @@
         self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
     }
 
-    /// Checks whether the rows of a digest may be applied at `store_ms` of the store's clock: it
-    /// is recent, and there is no gap before it.
+    /// Checks whether the rows of a digest may be applied at `store_ms` of the store's clock: there is
+    /// no gap before it.
     ///
     /// # Errors
     ///
@@ -285,23 +291,23 @@
         if digest.until < self.version {
             return Err(Rejection::Outdated);
         }
-        match digest.at_ms.abs_diff(store_ms) < STALE_DIGEST_MS {
+        match digest.at_ms < store_ms + MAX_AHEAD_MS {
             true => Ok(()),
-            false => Err(Rejection::Late),
+            false => Err(Rejection::Ahead),
         }
     }
 
     /// Advances to the end of a digest that passed [`Cursor::check`] and is complete as of `as_of_ms`
-    /// of the local clock, once its rows have been applied. Before that, a snapshot for another instance would
-    /// lack them and claim to be complete.
-    pub fn finish(&mut self, digest: &Digest, as_of_ms: u64, now_ms: u64) {
+    /// of the local clock, once its rows have been applied. Before that, a snapshot for another
+    /// instance would lack them and claim to be complete.
+    pub fn finish(&mut self, digest: &Digest, as_of_ms: u64) {
         self.advance(digest.until, as_of_ms);
-        self.last_digest_ms = Some(now_ms);
+        self.followed_ms = self.followed_ms.max(Some(as_of_ms));
     }
 
-    /// Returns `true` while digests arrive.
+    /// Returns `true` while digests keep the list up to date.
     pub fn is_following(&self, now_ms: u64) -> bool {
-        self.last_digest_ms
-            .is_some_and(|last_digest_ms| now_ms < last_digest_ms + DIGEST_TIMEOUT_MS)
+        self.followed_ms
+            .is_some_and(|followed_ms| now_ms < followed_ms + DIGEST_TIMEOUT_MS)
     }
 }
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -96,7 +96,10 @@
                 !known.entry.is_equivalent(entry) || has_local_state || turns_cold
             }
             (Change::Entry(_), None) => true,
-            (_, known) => known.is_some(),
+            // Other instances may have learned of a server that is unknown here.
+            (Change::Removed, None) => !self.is_stale(update),
+            (Change::Removed | Change::Unreadable { .. }, Some(_)) => true,
+            (Change::Unreadable { .. }, None) => false,
         }
     }
 
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -19,7 +19,7 @@
 use fescuewell_forward::loan;
 use fescuewell_forward::message::{Key, Message};
 use fescuewell_forward::quota::row::{Entry as JournalEntry, Grant, Journal, Ledger, Usage};
-use fescuewell_forward::relay::Digest;
+use fescuewell_forward::relay::{self, Digest};
 use fescuewell_forward::server::{Build, Change, Entry, Incarnation, State, Update};
 use fescuewell_forward::snapshot::{Request, Servers, Snapshot, Subject};
 use fescuewell_forward::stream::{Answer, Attempt, Batch as RecordBatch, Query, Record};
@@ -261,6 +261,8 @@
         encode(&Message::Digest(digest)),
         "0201650102030401017a05010101690200016901030173000a01000204017a050601"
     );
+    let query = relay::Query { after: 2 };
+    assert_eq!(encode(&Message::ListQuery(query)), "0d02");
     assert_eq!(encode(&Message::CrashesWanted), "04");
     assert_eq!(
         encode(&Message::SnapshotWanted(Request::new(Subject::Servers, 2))),
--- a/crates/fescuewell_gateway/src/control.rs
+++ b/crates/fescuewell_gateway/src/control.rs
@@ -15,6 +15,7 @@
 mod overdue;
 mod peers;
 mod probe;
+mod queries;
 mod rows;
 mod snapshots;
 mod streams;
@@ -55,6 +56,8 @@
     members_known: watch_channel::Sender<bool>,
     /// Digests received since the last check of the list's age.
     digest_counts: Arc<digests::Counts>,
+    /// Instances whose digests left a gap.
+    list_sources: Arc<queries::Sources>,
     /// Time of the last forwarded digest on the clock of [`Gateway::now_ms`].
     forwarded_at_ms: Arc<AtomicU64>,
     /// Time of the last summary that a reader sent, on the same clock.
@@ -105,6 +108,7 @@
             broadcasts: flume::bounded(MAX_QUEUED_BROADCASTS),
             members_known: watch_channel::Sender::new(false),
             digest_counts: Arc::default(),
+            list_sources: Arc::default(),
             forwarded_at_ms: Arc::default(),
             summary_at_ms: Arc::default(),
         }
--- a/crates/fescuewell_gateway/src/control/digests.rs
+++ b/crates/fescuewell_gateway/src/control/digests.rs
@@ -3,9 +3,9 @@
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use fescuewell_forward::relay::Rejection;
+use fescuewell_forward::relay::{DIGEST_TIMEOUT_MS, Rejection};
 
-/// Digests by what became of them.
+/// Digests by what became of them; late ones were applied, too.
 #[derive(Debug, Default)]
 pub(super) struct Counts {
     applied: AtomicU64,
@@ -24,13 +24,13 @@
 }
 
 impl Counts {
-    /// Counts a digest by its check.
-    pub(super) fn add(&self, checked: Result<(), Rejection>) {
+    /// Counts a digest of an age in milliseconds by its check.
+    pub(super) fn add(&self, checked: Result<(), Rejection>, age_ms: u64) {
         let counter = match checked {
+            Ok(()) if age_ms >= DIGEST_TIMEOUT_MS => &self.late,
             Ok(()) => &self.applied,
             Err(Rejection::Gap) => &self.gap,
-            Err(Rejection::Late) => &self.late,
-            Err(Rejection::Outdated | Rejection::NothingKnown) => &self.other,
+            Err(Rejection::Outdated | Rejection::NothingKnown | Rejection::Ahead) => &self.other,
         };
         counter.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -1,5 +1,5 @@
 //! Messages between instances: load reports, which are optional hints for load balancing, token
-//! loans, server list digests, crash records, limits and failures of backend servers, changes of the
+//! loans, server list digests and queries, crash records, limits and failures of backend servers, changes of the
 //! configuration, and the software versions that began streams.
 
 use std::net::SocketAddr;
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 
 use super::lending::Lending;
-use super::{Control, crashes, failures, limits, members, streams, watch};
+use super::{Control, crashes, failures, limits, members, queries, streams, watch};
 
 /// Minimum interval between two load reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(10);
@@ -49,6 +49,7 @@
         limits::exchange(control, &socket),
         failures::report(control, &socket),
         streams::exchange(control, &socket),
+        queries::ask(control, &socket),
         lending.run()
     );
 }
@@ -141,7 +142,8 @@
     match message {
         Some(Message::LoanRequest(request)) => lending.handle_request(&key, request, from),
         Some(Message::LoanResponse(response)) => lending.handle_response(&response),
-        Some(Message::Digest(digest)) => watch::receive_digest(control, digest),
+        Some(Message::Digest(digest)) => watch::receive_digest(control, digest, from),
+        Some(Message::ListQuery(query)) => queries::answer(control, socket, query, from),
         Some(Message::Crashes(updates)) => crashes::receive(control, updates, from),
         Some(Message::CrashesWanted) => {
             crashes::send_records(control, socket, from);
--- a/crates/fescuewell_gateway/src/control/snapshots.rs
+++ b/crates/fescuewell_gateway/src/control/snapshots.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// Requests a snapshot from one instance.
+pub(super) async fn copy(
+    control: &Control,
+    instance: SocketAddr,
+    subject: Subject,
+) -> Option<Snapshot> {
+    exchange(control, instance, subject).await.ok()
+}
+
 /// Returns how long to ask the readers, or `None` for a primary one. An instance that serves callers asks
 /// each reader only once for the list, because servers may be draining meanwhile.
 fn duration(control: &Control, patience: Patience) -> Option<Duration> {
--- a/crates/fescuewell_gateway/src/control/watch/servers.rs
+++ b/crates/fescuewell_gateway/src/control/watch/servers.rs
@@ -1,11 +1,12 @@
 //! Watches the server list: reads it, or receives its changes from readers.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fescuewell_forward::directory::Role;
 use fescuewell_forward::message::Message;
-use fescuewell_forward::relay::{Digest, Outbox};
+use fescuewell_forward::relay::{Digest, Outbox, QUERY_AGE_MS, Rejection};
 use fescuewell_forward::server::Update;
 use fescuewell_forward::snapshot::{Snapshot, Subject};
 use tokio::time::Instant;
@@ -14,6 +15,7 @@
 use super::list::{apply_list, apply_rows};
 use super::{REREAD_INTERVAL, WATCH_TIMEOUT, WATCH_WAIT, follows_readers};
 use crate::control::{Control, RETRY_DELAY, snapshots};
+use crate::snapshot;
 use crate::source::Versioned;
 use crate::store::Error;
 
@@ -57,7 +59,7 @@
             continue;
         };
         match has_gap || origin == Origin::Instance {
-            true => restart_list(control, &mut outbox, response),
+            true => restart_list(control, &mut outbox, response, origin),
             false => correct_list(control, &mut outbox, &response),
         }
         has_gap = false;
@@ -67,8 +69,12 @@
             if follows_readers(control) {
                 continue;
             }
+            if let Some(response) = copy_from_source(control).await {
+                restart_list(control, &mut outbox, response, Origin::Instance);
+                continue;
+            }
             if let Some(response) = copy_servers(control, snapshots::Patience::Resync).await {
-                restart_list(control, &mut outbox, response);
+                restart_list(control, &mut outbox, response, Origin::Instance);
                 tokio::time::sleep(control.jitter(resync_interval(control))).await;
                 continue;
             }
@@ -89,12 +95,23 @@
 
 /// Applies the whole list and continues with the changes after it. Digests start again, since changes
 /// before its version may be unknown here.
-fn restart_list(control: &Control, outbox: &mut Outbox, response: Versioned<Vec<Update>>) {
+fn restart_list(
+    control: &Control,
+    outbox: &mut Outbox,
+    response: Versioned<Vec<Update>>,
+    origin: Origin,
+) {
     let now_ms = control.gateway.now_ms();
     let version = response.version;
     outbox.restart(version);
     apply_list(control, response);
-    control.gateway.state().cursor.advance(version, now_ms);
+    let as_of_ms = match origin {
+        Origin::Store => now_ms,
+        Origin::Instance => now_ms.saturating_sub(snapshot::MAX_LIST_AGE_MS),
+    };
+    let mut state = control.gateway.state();
+    state.cursor.advance(version, as_of_ms);
+    state.list_history.restart(version);
 }
 
 /// Corrects what polls have missed by the whole list, and passes the corrections on. Later changes
@@ -103,10 +120,13 @@
 fn correct_list(control: &Control, outbox: &mut Outbox, response: &Versioned<Vec<Update>>) {
     let now_ms = control.gateway.now_ms();
     let (known, corrections) = {
-        let state = control.gateway.state();
+        let mut state = control.gateway.state();
         let known = state.cursor.version();
         let (version, rows) = (response.version, &response.content);
         let corrections = state.registry.corrections(known, version, rows, now_ms);
+        if !corrections.is_empty() {
+            state.list_history.restart(known);
+        }
         (known, corrections)
     };
     outbox.add(corrections.clone(), known, known, now_ms);
@@ -138,7 +158,25 @@
     patience: snapshots::Patience,
 ) -> Option<Versioned<Vec<Update>>> {
     let snapshot = snapshots::request(control, Subject::Servers, patience).await;
-    let Some(Snapshot::Servers(servers)) = snapshot else {
+    snapshot.and_then(|snapshot| versioned(control, snapshot))
+}
+
+/// Reads the server list from an instance whose digest left a gap, while this one has no newer list
+/// by other ways.
+async fn copy_from_source(control: &Control) -> Option<Versioned<Vec<Update>>> {
+    let source = control.list_sources.take()?;
+    let now_ms = control.gateway.now_ms();
+    let age_ms = control.gateway.state().cursor.age_ms(now_ms);
+    if age_ms.is_some_and(|age_ms| age_ms < QUERY_AGE_MS) {
+        return None;
+    }
+    let snapshot = snapshots::copy(control, source, Subject::Servers).await?;
+    let response = versioned(control, snapshot)?;
+    (response.version > control.gateway.state().cursor.version()).then_some(response)
+}
+
+fn versioned(control: &Control, snapshot: Snapshot) -> Option<Versioned<Vec<Update>>> {
+    let Snapshot::Servers(servers) = snapshot else {
         return None;
     };
     let now_ms = control.gateway.now_ms();
@@ -167,8 +205,13 @@
         apply_rows(control, vec![row]);
     }
     let now_ms = gateway.now_ms();
-    outbox.add(changes, version, version.max(response.version), now_ms);
-    gateway.state().cursor.advance(response.version, now_ms);
+    let until = version.max(response.version);
+    {
+        let mut state = gateway.state();
+        state.list_history.add(changes.clone(), version, until);
+        state.cursor.advance(until, now_ms);
+    }
+    outbox.add(changes, version, until, now_ms);
     let configuration = gateway.table().map(|table| table.configuration().version);
     let name = gateway.settings.name.clone();
     let evacuations = gateway.state().registry.zones().orders();
@@ -182,8 +225,8 @@
     Ok(())
 }
 
-/// Applies a digest from a reader.
-pub(in crate::control) fn receive_digest(control: &Control, digest: Digest) {
+/// Applies a digest that the instance at `from` sent, a reader or one that was asked.
+pub(in crate::control) fn receive_digest(control: &Control, digest: Digest, from: SocketAddr) {
     let gateway = &control.gateway;
     let now_ms = gateway.now_ms();
     // Evacuations are versioned individually, so they apply even from a late digest or after a lost
@@ -196,14 +239,23 @@
         let age_ms = store_ms.saturating_sub(digest.at_ms);
         (state.cursor.check(&digest, store_ms), age_ms)
     };
-    control.digest_counts.add(checked);
+    control.digest_counts.add(checked, age_ms);
     if let Err(rejection) = checked {
-        return gateway.metrics.count_digest(rejection.name());
+        gateway.metrics.count_digest(rejection.name());
+        if rejection == Rejection::Gap {
+            control.list_sources.push(from);
+        }
+        return;
     }
     gateway.metrics.count_digest("applied");
     let has_changes = apply_rows(control, digest.rows.clone());
-    let as_of_ms = now_ms.saturating_sub(age_ms);
-    gateway.state().cursor.finish(&digest, as_of_ms, now_ms);
+    {
+        let mut state = gateway.state();
+        let rows = digest.rows.iter().cloned();
+        state.list_history.add(rows, digest.after, digest.until);
+        let as_of_ms = now_ms.saturating_sub(age_ms);
+        state.cursor.finish(&digest, as_of_ms);
+    }
     forward(control, digest, has_changes, now_ms);
 }
 
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -172,6 +172,7 @@
         let state = State {
             registry: Registry::default(),
             cursor: relay::Cursor::default(),
+            list_history: relay::History::default(),
             lag: Lag::default(),
             changes: History::default(),
             path: Monitor::default(),
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -32,6 +32,8 @@
     pub registry: Registry,
     /// Version up to which the list of backend servers is known.
     pub cursor: relay::Cursor,
+    /// Recent changes of that list, for instances that are behind.
+    pub list_history: relay::History,
     /// How far the configuration is behind that of other instances.
     pub lag: Lag,
     /// Latest changes of the configuration, if this instance sends them to others.
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     malformed_headers: Counter<u64>,
     loan_requests: Counter<u64>,
     digests: Counter<u64>,
+    list_queries: Counter<u64>,
     hops: Counter<u64>,
     stream_records: Counter<u64>,
     resumptions: Counter<u64>,
@@ -54,6 +55,7 @@
             stream_records: meter.u64_counter("fescuewell_stream_records").build(),
             resumptions: meter.u64_counter("fescuewell_stream_resumptions").build(),
             digests: meter.u64_counter("fescuewell_digests").build(),
+            list_queries: meter.u64_counter("fescuewell_list_queries").build(),
             configurations: meter.u64_counter("fescuewell_configuration_copies").build(),
             first_event: meter
                 .f64_histogram("fescuewell_first_event_seconds")
@@ -123,6 +125,13 @@
         self.digests.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a query for changes of the server list: `asked` of others, or `answered` or `declined`
+    /// here.
+    pub fn count_list_query(&self, outcome: &'static str) {
+        self.list_queries
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts an attempt to obtain a newer configuration.
     pub fn count_configuration(&self, source: &'static str, outcome: &'static str) {
         let attributes = [
--- a/crates/fescuewell_gateway/src/snapshot.rs
+++ b/crates/fescuewell_gateway/src/snapshot.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::directory::Role;
 use fescuewell_forward::message::{Key, Message};
 use fescuewell_forward::snapshot::{self, Snapshot, Subject};
 use fescuewell_http::listener::{Handler, Reply, Request};
@@ -21,6 +20,11 @@
 /// Time for which an encoded list of servers is used again. All followers of a zone request it when
 /// they start together.
 const REUSE_TIME: Duration = Duration::from_millis(300);
+/// Age of the server list from which no snapshot of it is given, in milliseconds. A reader's list
+/// reaches an age of about a second while nothing changes.
+const MAX_AGE_MS: u64 = 1_500;
+/// Maximum age of a server list in a snapshot, in milliseconds.
+pub(crate) const MAX_LIST_AGE_MS: u64 = MAX_AGE_MS + REUSE_TIME.as_millis() as u64;
 
 /// Responds to requests for snapshots that are sealed with the fleet key.
 pub struct SnapshotHandler {
@@ -65,7 +69,7 @@
         }
         let servers = {
             let state = self.gateway.state();
-            if !self.is_current(&state, now_ms) {
+            if !is_current(&state, now_ms) {
                 return Err(Code::NotReady);
             }
             snapshot::Servers {
@@ -78,14 +82,6 @@
         Ok(bytes)
     }
 
-    /// Returns `true` if this instance learns of changes of the server list within a second.
-    fn is_current(&self, state: &State, now_ms: u64) -> bool {
-        let settings = &self.gateway.settings;
-        let reads = state.directory.role(&settings.name, &settings.zone) == Role::Primary;
-        let is_reading = reads && self.gateway.is_store_up();
-        state.cursor.version() > 0 && (is_reading || state.cursor.is_following(now_ms))
-    }
-
     fn configuration(&self, key: &Key) -> Result<Bytes, Code> {
         let table = self.gateway.table().ok_or(Code::NotReady)?;
         let configuration = table.configuration().clone();
@@ -109,6 +105,12 @@
     }
 }
 
+/// Returns `true` if the server list is so recent that other instances may use it.
+fn is_current(state: &State, now_ms: u64) -> bool {
+    let age_ms = state.cursor.age_ms(now_ms);
+    age_ms.is_some_and(|age_ms| age_ms < MAX_AGE_MS)
+}
+
 impl Handler for SnapshotHandler {
     fn handle(&self, request: Request, reply: Reply) {
         let response = match &*request.path {
