Streams: the only software version of a service is decided by the age of the list

Change: the age of the list decides, 2 s as before. Ruled out: to ask others here as well; the list is brought up to date by the queries already.

--- a/crates/fescuewell_gateway/src/gateway/streams.rs
+++ b/crates/fescuewell_gateway/src/gateway/streams.rs
@@ -20,8 +20,8 @@
 /// Number of instances that are asked to look a record up, or to send records to their holders, by an
 /// instance that does not know the members of the fleet.
 const RESOLVERS: usize = 2;
-/// Time since the store's last response up to which the list of servers is current.
-const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+/// Age of the list of servers up to which it is current, in milliseconds.
+const MAX_LIST_AGE_MS: u64 = 2_000;
 /// Time within which the records in the store are read.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of look-ups in progress beside which one is made for another instance.
@@ -135,9 +135,9 @@
     /// the attempt that began their stream. The list must be current: another one may have been added.
     pub(crate) fn only_build(&self, service: &str) -> Found {
         let now_ms = self.now_ms();
-        let reads = self.time_since_store_response() < MAX_LIST_AGE;
         let state = self.state();
-        let is_current = reads || state.cursor.is_following(now_ms);
+        let age_ms = state.cursor.age_ms(now_ms);
+        let is_current = age_ms.is_some_and(|age_ms| age_ms < MAX_LIST_AGE_MS);
         let build = state.registry.only_build(service, now_ms);
         Found {
             build: build.filter(|_| is_current),
