Choice: while the list of servers is old, servers that have just responded go first

Callers saw: requests at leaving servers (DRAIN), chosen from a list 4.2 and 5.8 s old at two instances. Change: a list is doubtful from 1.5 s on, unless other instances answered within a second and none has a newer one: then the store is away from all, and all servers are used as before. While it is doubtful, servers whose response within 1.5 s left the connection open go first; each response of a leaving server closes it. If no candidate has responded, all of them are used: an old list never refuses a request. Ruled out: to ask the health path before a send (it waits for a slot like any request); to refuse.

--- a/crates/fescuewell_forward/src/relay.rs
+++ b/crates/fescuewell_forward/src/relay.rs
@@ -44,6 +44,10 @@
 pub const DIGEST_TIMEOUT_MS: u64 = 1_000;
 /// Time by which a digest may be ahead of the store's clock as estimated here, in milliseconds.
 const MAX_AHEAD_MS: u64 = 1_000;
+/// Age of the list from which it may lack that a server is leaving, in milliseconds.
+const DOUBT_AGE_MS: u64 = 1_500;
+/// Difference in milliseconds up to which two lists count as equally old.
+const SAME_AGE_MS: u64 = 500;
 /// Maximum number of rows in a digest, which must fit an Ethernet frame; a row takes some 70 bytes.
 const MAX_ROWS: usize = 14;
 /// Maximum number of changes that wait to be sent besides the digest.
@@ -255,6 +259,9 @@
     as_of_ms: Option<u64>,
     /// The same by digests alone.
     followed_ms: Option<u64>,
+    /// When another instance last told how current its list is, and the newest such time, in
+    /// milliseconds of the local clock.
+    others: Option<(u64, u64)>,
 }
 
 impl Cursor {
@@ -305,6 +312,29 @@
         self.followed_ms = self.followed_ms.max(Some(as_of_ms));
     }
 
+    /// Records at `now_ms` of the local clock that the list of another instance is known as of
+    /// `as_of_ms`.
+    pub fn hear(&mut self, as_of_ms: u64, now_ms: u64) {
+        let newest_ms = self.others.map_or(0, |(_, newest_ms)| newest_ms);
+        self.others = Some((now_ms, newest_ms.max(as_of_ms)));
+    }
+
+    /// Returns `true` if servers may have begun to leave that are listed as ready: the list is old, and
+    /// other instances have a newer one or do not respond. While the store is away from all instances,
+    /// no list is newer.
+    pub fn is_doubtful(&self, now_ms: u64) -> bool {
+        let Some(as_of_ms) = self.as_of_ms else {
+            return false;
+        };
+        if now_ms < as_of_ms + DOUBT_AGE_MS {
+            return false;
+        }
+        let is_newest = self.others.is_some_and(|(heard_ms, newest_ms)| {
+            now_ms < heard_ms + DIGEST_TIMEOUT_MS && newest_ms < as_of_ms + SAME_AGE_MS
+        });
+        !is_newest
+    }
+
     /// Returns `true` while digests keep the list up to date.
     pub fn is_following(&self, now_ms: u64) -> bool {
         self.followed_ms
--- a/crates/fescuewell_forward/src/server.rs
+++ b/crates/fescuewell_forward/src/server.rs
@@ -67,6 +67,8 @@
 const MAX_RETIRED: usize = 256;
 /// Maximum number of leaving incarnations; those that are known longest are dropped.
 const MAX_LEAVING: usize = 4_096;
+/// Time in milliseconds for which a response shows that its server is not leaving.
+const CONFIRMED_MS: u64 = 1_500;
 /// Duration of a store outage, in milliseconds, from which entries of live servers may have
 /// expired. Entries expire after three missed heartbeats of 1.2 s; one of them may be due when the
 /// outage begins.
@@ -267,6 +269,25 @@
         true
     }
 
+    /// Records at `now_ms` of the local clock a response of a server, and whether it closes its
+    /// connection, as each response of a leaving server does.
+    pub fn record_response(&mut self, server: &Entry, closes_connection: bool, now_ms: u64) {
+        let Some(known) = self.registrations.get_mut(&server.id) else {
+            return;
+        };
+        if !is_restart(server, &known.entry) {
+            known.confirmed_ms = (!closes_connection).then_some(now_ms);
+        }
+    }
+
+    /// Returns `true` if a response of the server has shown within [`CONFIRMED_MS`] that it is not
+    /// leaving.
+    pub fn is_confirmed(&self, id: &str, now_ms: u64) -> bool {
+        let known = self.registrations.get(id);
+        let confirmed_ms = known.and_then(|known| known.confirmed_ms);
+        confirmed_ms.is_some_and(|confirmed_ms| now_ms < confirmed_ms + CONFIRMED_MS)
+    }
+
     fn remember_leaving(&mut self, incarnation: Incarnation, now_ms: u64) {
         if self.leaving.len() >= MAX_LEAVING {
             let oldest = self.leaving.iter().min_by_key(|(_, at_ms)| **at_ms);
@@ -555,6 +576,9 @@
             is_leaving,
             expires_at_ms: None,
             cold_until_ms,
+            confirmed_ms: known
+                .filter(|known| !is_restart(&known.entry, &entry))
+                .and_then(|known| known.confirmed_ms),
         };
         let former = self.registrations.insert(id, registration);
         let former_entry = former.as_ref().map(|former| &former.entry);
--- a/crates/fescuewell_forward/src/server/registration.rs
+++ b/crates/fescuewell_forward/src/server/registration.rs
@@ -22,6 +22,9 @@
     /// Until when the server may be cold, in milliseconds of the local clock. An upper bound, since
     /// the entry is seconds old when it is read.
     pub(super) cold_until_ms: u64,
+    /// When the server last responded like one that is not leaving, in milliseconds of the local
+    /// clock.
+    pub(super) confirmed_ms: Option<u64>,
 }
 
 impl Registration {
--- a/crates/fescuewell_forward/tests/relay.rs
+++ b/crates/fescuewell_forward/tests/relay.rs
@@ -271,6 +271,28 @@
     assert!(!follower.cursor.is_following(2_600));
 }
 
+/// Guards against an instance that trusts an old list while others have a newer one, and against one
+/// that distrusts all servers while the store is away from every instance.
+#[test]
+fn an_old_list_is_doubtful_unless_no_other_instance_has_a_newer_one() {
+    let mut instance = Instance::started();
+    instance.cursor.advance(10, 10_000);
+
+    let fresh = instance.cursor.is_doubtful(11_000);
+    let alone = instance.cursor.is_doubtful(13_000);
+    instance.cursor.hear(10_100, 13_000);
+    let all_old = instance.cursor.is_doubtful(13_100);
+    instance.cursor.hear(12_900, 13_200);
+    let others_newer = instance.cursor.is_doubtful(13_300);
+    instance.cursor.advance(10, 12_900);
+    let caught_up = instance.cursor.is_doubtful(13_300);
+
+    assert_eq!(
+        (fresh, alone, all_old, others_newer, caught_up),
+        (false, true, false, true, false)
+    );
+}
+
 /// Step of a model with three servers, two readers and a follower.
 #[derive(Debug, Clone)]
 enum Step {
--- a/crates/fescuewell_gateway/src/control/watch/servers.rs
+++ b/crates/fescuewell_gateway/src/control/watch/servers.rs
@@ -237,6 +237,7 @@
         state.lag.report(digest.configuration, now_ms);
         let store_ms = state.quota.store_time(now_ms);
         let age_ms = store_ms.saturating_sub(digest.at_ms);
+        state.cursor.hear(now_ms.saturating_sub(age_ms), now_ms);
         (state.cursor.check(&digest, store_ms), age_ms)
     };
     control.digest_counts.add(checked, age_ms);
--- a/crates/fescuewell_gateway/src/gateway/condition.rs
+++ b/crates/fescuewell_gateway/src/gateway/condition.rs
@@ -8,6 +8,7 @@
 use fescuewell_forward::condition::limit::{Change, Moment, Update};
 use fescuewell_forward::condition::{Declared, Rate, Report};
 use fescuewell_forward::server::Entry;
+use http::header::CONNECTION;
 use http::{HeaderMap, StatusCode};
 
 use super::{Gateway, State};
@@ -76,6 +77,12 @@
         if is_foreign || status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        let is_rejected = headers.contains_key(&names.not_executed);
+        let closes_connection = is_rejected || closes_connection(headers);
+        let now_ms = self.now_ms();
+        self.state()
+            .registry
+            .record_response(server, closes_connection, now_ms);
         let report = self.dialect.server_report(status, headers);
         let age_ms = sent_at.elapsed().as_millis() as u64;
         let sent_at_ms = self.now_ms().saturating_sub(age_ms);
@@ -155,6 +162,15 @@
     }
 }
 
+fn closes_connection(headers: &HeaderMap) -> bool {
+    let options = headers.get_all(CONNECTION).iter();
+    let mut options = options.filter_map(|value| value.to_str().ok());
+    options.any(|value| {
+        let mut options = value.split(',');
+        options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+    })
+}
+
 fn log_rest(server: &Entry, rest: Duration) {
     log_event!(
         Event::ServerResting,
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -94,6 +94,12 @@
         self.conditions.limits.set_instances(advertised, fleet_size);
     }
 
+    /// Returns `true` if servers that are listed as ready may have begun to leave, as other instances
+    /// may know.
+    pub fn is_list_doubtful(&self, now_ms: u64) -> bool {
+        self.directory.count() > 1 && self.cursor.is_doubtful(now_ms)
+    }
+
     /// Returns `true` if requests to a server have to be sent by another instance.
     pub fn has_lost_path(&self, server: &Entry) -> bool {
         self.path.is_lost() || self.server_paths.is_lost(server)
--- a/crates/fescuewell_gateway/src/job/candidates.rs
+++ b/crates/fescuewell_gateway/src/job/candidates.rs
@@ -44,6 +44,10 @@
             }
             size *= 2;
         };
+        let eligible = match state.is_list_doubtful(now_ms) {
+            true => prefer_confirmed(eligible, state, now_ms),
+            false => eligible,
+        };
         Self {
             listed_count: state.registry.listed_count(service),
             eligible,
@@ -51,6 +55,22 @@
     }
 }
 
+/// Returns the servers that have shown in a response that they are not leaving, or all of them if
+/// none has.
+fn prefer_confirmed<'a>(
+    servers: Vec<&'a Arc<Entry>>,
+    state: &State,
+    now_ms: u64,
+) -> Vec<&'a Arc<Entry>> {
+    let confirmed = servers.iter().copied();
+    let confirmed = confirmed.filter(|entry| state.registry.is_confirmed(&entry.id, now_ms));
+    let confirmed: Vec<&Arc<Entry>> = confirmed.collect();
+    match confirmed.is_empty() {
+        true => servers,
+        false => confirmed,
+    }
+}
+
 /// Adds the servers that cache the request's prefix; they may be outside the subset.
 fn add_caching<'a>(
     servers: &mut Vec<&'a Arc<Entry>>,
