Send: a request is not written to a server that began to leave while the connection was made

Cause: readiness was checked at the choice only. Change: the client asks again once there is a connection; a request that may no longer be sent counts as not sent, is not held against the server, and another server is chosen. The same where an instance sends for another one (it declines with unknown_server, as if the server had left before). Ruled out: a check after the write; the server may run what it has. Result: a_request_that_may_no_longer_be_sent_is_not_sent_on_a_new_connection passes; without the second question it fails by construction of the counter in the test (not run apart).

--- a/crates/fescuewell_gateway/src/hop.rs
+++ b/crates/fescuewell_gateway/src/hop.rs
@@ -90,23 +90,36 @@
             return self.open_through_peer(&sending).await;
         }
         let target = Target::new(sending.server.address).with_deadline(sending.deadline);
+        let may_send = || self.may_send(sending.server);
         let opened = self
             .client
-            .open(&target, sending.request, sending.timeouts)
+            .open_if(&target, sending.request, sending.timeouts, &may_send)
             .await;
         match opened {
             Ok(exchange) => Ok(Opened {
                 exchange,
                 flight: None,
             }),
-            Err(error) => Err(Failure {
-                error,
-                is_direct: true,
-                blames_server: true,
-            }),
+            Err(error) => {
+                let is_withdrawn = matches!(error, Error::NotSent { .. }) && !may_send();
+                Err(Failure {
+                    error,
+                    is_direct: !is_withdrawn,
+                    blames_server: !is_withdrawn,
+                })
+            }
         }
     }
 
+    /// Returns `true` if a server that was chosen before still accepts requests. It may have begun to
+    /// leave while the connection was established.
+    pub(crate) fn may_send(&self, server: &Entry) -> bool {
+        let now_ms = self.now_ms();
+        let state = self.state();
+        let registry = &state.registry;
+        registry.is_ready(&server.id, now_ms) && !registry.has_restarted(server)
+    }
+
     async fn open_through_peer(self: &Arc<Self>, sending: &Sending<'_>) -> Result<Opened, Failure> {
         let is_server_path_lost = self.state().server_paths.is_lost(sending.server);
         let mut unreached = Vec::new();
--- a/crates/fescuewell_gateway/src/hop/serve.rs
+++ b/crates/fescuewell_gateway/src/hop/serve.rs
@@ -161,7 +161,11 @@
         progress: Duration::from_millis(limits.progress_ms),
     };
     let sent_at = Instant::now();
-    match gateway.client.open(&target, request, timeouts).await {
+    let may_send = || gateway.may_send(&server);
+    let opened = gateway
+        .client
+        .open_if(&target, request, timeouts, &may_send);
+    match opened.await {
         Ok(exchange) => {
             gateway.record_head(
                 &server,
@@ -172,6 +176,7 @@
             );
             Ok((exchange, server))
         }
+        Err(Error::NotSent { .. }) if !may_send() => Err(Failure::Refused(Refusal::UnknownServer)),
         Err(Error::NotSent { .. }) => {
             gateway.record_connect_failure(&server);
             let may_be_own = gateway.state().path.is_checking();
--- a/crates/fescuewell_http/src/upstream/mod.rs
+++ b/crates/fescuewell_http/src/upstream/mod.rs
@@ -200,12 +200,31 @@
     ///
     /// [`Error::NotSent`] or [`Error::Unknown`].
     pub async fn open(
+        &self,
+        target: &Target,
+        request: http::Request<Bytes>,
+        timeouts: Timeouts,
+    ) -> Result<Exchange, Error> {
+        self.open_if(target, request, timeouts, &|| true).await
+    }
+
+    /// Does the same if `may_send` still returns `true` once there is a connection, which may take as long
+    /// as its timeout.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::open`]; [`Error::NotSent`] if `may_send` returns `false`.
+    pub async fn open_if(
         &self,
         target: &Target,
         mut request: http::Request<Bytes>,
         timeouts: Timeouts,
+        may_send: &(dyn Fn() -> bool + Send + Sync),
     ) -> Result<Exchange, Error> {
         add_host(&mut request, target.address);
+        if !may_send() {
+            return Err(not_sent(&"the server no longer accepts requests"));
+        }
         while let Some(connection) = self.pool.take(target.address, self.settings.idle_timeout) {
             let result = self
                 .attempt(connection, request.clone(), target, timeouts)
@@ -217,6 +236,10 @@
             }
         }
         let connection = self.connect(target, timeouts).await?;
+        if !may_send() {
+            self.pool.put(connection, self.settings.max_idle);
+            return Err(not_sent(&"the server no longer accepts requests"));
+        }
         self.attempt(connection, request, target, timeouts).await
     }
 
--- a/crates/fescuewell_http/tests/upstream.rs
+++ b/crates/fescuewell_http/tests/upstream.rs
@@ -425,3 +425,35 @@
     assert_eq!(response.unwrap(), "/a");
     assert_eq!(server.connections(), 1);
 }
+
+/// Guards against a request that is sent although its server began to leave while the connection was
+/// established.
+#[tokio::test]
+async fn a_request_that_may_no_longer_be_sent_is_not_sent_on_a_new_connection() {
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = requests.clone();
+    let server = Server::start(move |_, mut stream| {
+        while let Some(path) = read_request(&mut stream) {
+            counter.fetch_add(1, Ordering::SeqCst);
+            respond(&mut stream, &path);
+        }
+    });
+    let client = Client::default();
+    let target = Target::new(server.address);
+    let request = || http::Request::new(Bytes::new());
+    let asked = AtomicUsize::new(0);
+    // The answer changes after the first question, which precedes the connection.
+    let may_send = || asked.fetch_add(1, Ordering::SeqCst) == 0;
+
+    let withdrawn = client.open_if(&target, request(), Timeouts::default(), &may_send);
+    let withdrawn = withdrawn.await.err();
+    let answered = client.open(&target, request(), Timeouts::default()).await;
+
+    assert!(
+        matches!(withdrawn, Some(Error::NotSent { .. })),
+        "{withdrawn:?}"
+    );
+    assert!(answered.is_ok());
+    assert_eq!(requests.load(Ordering::SeqCst), 1);
+    assert_eq!(server.connections(), 1);
+}
