Crashes: logs name the parts of prompts that were running, and how far responses had come

Cause: no log line names a part of a prompt, so that a part that crashes servers cannot be told from unrelated crashes (hypothesis 1 of docs/incidents/servers-crashed-by-one-part.md). Change: what runs at a server is kept as a run: the request, the shared parts of its prompt (all but the last; a key within service and model) and whether its response had not begun, had just begun (0.5 s) or was advanced. server.crashed has beginning and parts, the likeliest first; attempt.failed has parts; losses prints parts that were running at several crashes; explain takes the id of a part. No decision uses them. Ruled out: all parts of all requests at a crash in the log (64 slots, several parts each).

--- a/crates/fescuewell_forward/src/crash.rs
+++ b/crates/fescuewell_forward/src/crash.rs
@@ -10,8 +10,10 @@
 mod fingerprint;
 mod quarantine;
 mod record;
+mod run;
 
 pub use detector::{Detector, Evidence, Finding, Loss};
 pub use fingerprint::{Content, Fingerprint};
 pub use quarantine::{Quarantine, Update, Verdict};
 pub use record::{Crash, Record, THRESHOLD};
+pub use run::{Part, Run, Stage};
--- a/crates/fescuewell_forward/src/crash/detector.rs
+++ b/crates/fescuewell_forward/src/crash/detector.rs
@@ -13,7 +13,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::Fingerprint;
+use super::Run;
 use crate::server::{Entry, Incarnation};
 
 /// Time in milliseconds for which a lost exchange may still turn out to be a crash; exceeds the
@@ -65,12 +65,24 @@
     Silent,
 }
 
-/// A server that may have crashed, with the requests it was running.
+/// A server that may have crashed, with the requests that it was running.
 #[derive(Debug)]
 struct Suspicion {
     since_ms: u64,
     probe: ProbeState,
-    requests: Vec<Fingerprint>,
+    runs: Vec<Run>,
+}
+
+impl Suspicion {
+    fn add(&mut self, run: Run) {
+        let is_full = self.runs.len() >= MAX_REQUESTS;
+        let mut runs = self.runs.iter_mut();
+        match runs.find(|known| known.request == run.request) {
+            Some(known) => known.stage = known.stage.min(run.stage),
+            None if is_full => {}
+            None => self.runs.push(run),
+        }
+    }
 }
 
 /// Suspected and crashed servers, as seen by one instance.
@@ -82,13 +94,7 @@
 
 impl Detector {
     /// Reports a lost exchange at `now_ms` of the local clock.
-    pub fn lost(
-        &mut self,
-        server: &Entry,
-        request: Fingerprint,
-        loss: Loss,
-        now_ms: u64,
-    ) -> Finding {
+    pub fn lost(&mut self, server: &Entry, run: Run, loss: Loss, now_ms: u64) -> Finding {
         self.expire(now_ms);
         let incarnation = server.incarnation();
         if self.crashed.contains_key(&incarnation) {
@@ -100,11 +106,9 @@
             .or_insert_with(|| Suspicion {
                 since_ms: now_ms,
                 probe: ProbeState::None,
-                requests: Vec::new(),
+                runs: Vec::new(),
             });
-        if suspicion.requests.len() < MAX_REQUESTS && !suspicion.requests.contains(&request) {
-            suspicion.requests.push(request);
-        }
+        suspicion.add(run);
         match (loss, suspicion.probe) {
             (Loss::Broken, ProbeState::None) => {
                 suspicion.probe = ProbeState::InProgress;
@@ -115,13 +119,16 @@
         }
     }
 
-    /// Marks a server as crashed. Returns the distinct requests it was running.
-    pub fn crashed(&mut self, incarnation: Incarnation, now_ms: u64) -> Vec<Fingerprint> {
+    /// Marks a server as crashed. Returns the distinct requests that it was running, the likeliest
+    /// causes first.
+    pub fn crashed(&mut self, incarnation: Incarnation, now_ms: u64) -> Vec<Run> {
         self.crashed.entry(incarnation).or_insert(now_ms);
         let suspicion = self.suspected.remove(&incarnation);
-        suspicion
-            .map(|suspicion| suspicion.requests)
-            .unwrap_or_default()
+        let mut runs = suspicion
+            .map(|suspicion| suspicion.runs)
+            .unwrap_or_default();
+        runs.sort_by_key(|run| run.stage);
+        runs
     }
 
     /// Clears the suspicion: the server accepts connections.
--- a/crates/fescuewell_forward/src/crash/fingerprint.rs
+++ b/crates/fescuewell_forward/src/crash/fingerprint.rs
@@ -4,6 +4,8 @@
 
 /// Key derivation context, which separates fingerprints from other hashes.
 const CONTEXT: &str = "fescuewell request fingerprint 1";
+/// The same for parts of prompts.
+const PART_CONTEXT: &str = "fescuewell prompt part fingerprint 1";
 /// Bytes of a fingerprint.
 const LENGTH: usize = 16;
 
@@ -24,7 +26,7 @@
 }
 
 fescuewell_core::key! {
-    /// 128-bit hash of a request's [`Content`], equal on all instances.
+    /// 128-bit hash of a request's [`Content`] or of a part of a prompt, equal on all instances.
     pub struct Fingerprint([u8; LENGTH]);
 }
 
@@ -38,18 +40,34 @@
             content.host,
             content.target,
         ];
-        for text in texts {
-            // The length prefix keeps field boundaries unambiguous.
-            hasher.update(&(text.len() as u64).to_le_bytes());
-            hasher.update(text.as_bytes());
-        }
+        hash_texts(&mut hasher, &texts);
         hasher.update(content.body);
+        Self::finish(&hasher)
+    }
+
+    /// Computes the fingerprint of a part of a prompt by its id, whose letters may be of either case.
+    /// The same id is another part for another service or model.
+    pub fn of_part(service: &str, model: &str, id: &str) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(PART_CONTEXT);
+        hash_texts(&mut hasher, &[service, model, &id.to_ascii_lowercase()]);
+        Self::finish(&hasher)
+    }
+
+    fn finish(hasher: &blake3::Hasher) -> Self {
         let mut bytes = [0; LENGTH];
         bytes.copy_from_slice(&hasher.finalize().as_bytes()[..LENGTH]);
         Self(bytes)
     }
 }
 
+fn hash_texts(hasher: &mut blake3::Hasher, texts: &[&str]) {
+    for text in texts {
+        // The length prefix keeps field boundaries unambiguous.
+        hasher.update(&(text.len() as u64).to_le_bytes());
+        hasher.update(text.as_bytes());
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         for byte in self.0 {
--- a/crates/fescuewell_gateway/src/dialect.rs
+++ b/crates/fescuewell_gateway/src/dialect.rs
@@ -62,6 +62,8 @@
     pub account_key: Option<Arc<str>>,
     /// Declared token counts.
     pub tokens: Option<TokenCounts>,
+    /// Name of the model.
+    pub model: Option<Arc<str>>,
     /// Parts of the prompt in order; the last one belongs to this request only.
     pub prompt_parts: Vec<PromptPart>,
     /// Id of the last event that the caller received.
--- a/crates/fescuewell_gateway/src/gateway/crash.rs
+++ b/crates/fescuewell_gateway/src/gateway/crash.rs
@@ -2,7 +2,9 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::crash::{Evidence, Finding, Fingerprint, Loss, THRESHOLD, Update, Verdict};
+use fescuewell_forward::crash::{
+    Evidence, Finding, Fingerprint, Loss, Run, Stage, THRESHOLD, Update, Verdict,
+};
 use fescuewell_forward::server::Entry;
 use tokio::sync::{oneshot, watch};
 
@@ -10,6 +12,8 @@
 
 /// Maximum number of requests listed in one log line.
 const MAX_LOGGED_REQUESTS: usize = 8;
+/// Maximum number of prompt parts listed in one log line.
+const MAX_LOGGED_PARTS: usize = 16;
 
 /// Request for permission to probe a quarantined request.
 #[derive(Debug)]
@@ -36,7 +40,7 @@
     pub fn report_loss(
         &mut self,
         server: &Entry,
-        request: Fingerprint,
+        run: Run,
         loss: Loss,
         now_ms: u64,
     ) -> Option<Finding> {
@@ -46,7 +50,7 @@
         }
         // Draining servers close their connections.
         let is_ready = self.registry.is_ready(&server.id, now_ms);
-        is_ready.then(|| self.crashes.lost(server, request, loss, now_ms))
+        is_ready.then(|| self.crashes.lost(server, run, loss, now_ms))
     }
 
     fn record_crash(&mut self, server: &Entry, request: Fingerprint, now_ms: u64) -> Option<usize> {
@@ -61,24 +65,26 @@
     pub fn record_crash(&self, server: &Entry, evidence: Evidence) {
         let now_ms = self.now_ms();
         let mut quarantined = Vec::new();
-        let requests = {
+        let runs = {
             let mut state = self.state();
-            let requests = state.crashes.crashed(server.incarnation(), now_ms);
-            for request in &requests {
-                if state.record_crash(server, *request, now_ms) == Some(THRESHOLD) {
-                    quarantined.push(*request);
+            let runs = state.crashes.crashed(server.incarnation(), now_ms);
+            for run in &runs {
+                if state.record_crash(server, run.request, now_ms) == Some(THRESHOLD) {
+                    quarantined.push(run.request);
                 }
             }
-            requests
+            runs
         };
         self.metrics.count_server_crash(&server.service);
         log_event!(
             Event::ServerCrashed,
-            "server={} service={} evidence={evidence:?} count={} fingerprints={}",
+            "server={} service={} evidence={evidence:?} count={} fingerprints={} beginning={} parts={}",
             server.id,
             server.service,
-            requests.len(),
-            format_requests(&requests)
+            runs.len(),
+            format_requests(&runs),
+            count_beginning(&runs),
+            format_parts(&runs)
         );
         log_quarantined(&quarantined, &server.id);
         self.notify_crash_changes();
@@ -165,8 +171,24 @@
     }
 }
 
-fn format_requests(requests: &[Fingerprint]) -> String {
-    let listed = requests.iter().take(MAX_LOGGED_REQUESTS);
-    let texts: Vec<String> = listed.map(Fingerprint::to_string).collect();
+fn format_requests(runs: &[Run]) -> String {
+    let listed = runs.iter().take(MAX_LOGGED_REQUESTS);
+    let texts: Vec<String> = listed.map(|run| run.request.to_string()).collect();
     texts.join(",")
 }
+
+fn count_beginning(runs: &[Run]) -> usize {
+    let beginning = runs.iter().filter(|run| run.stage == Stage::Beginning);
+    beginning.count()
+}
+
+/// Formats the ids of the parts of these requests, those of the likeliest causes first.
+fn format_parts(runs: &[Run]) -> String {
+    let mut ids: Vec<&str> = Vec::new();
+    for part in runs.iter().flat_map(|run| run.parts.iter()) {
+        if ids.len() < MAX_LOGGED_PARTS && !ids.contains(&&*part.id) {
+            ids.push(&part.id);
+        }
+    }
+    ids.join(",")
+}
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -14,7 +14,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::{Account, Kind, Route, Service};
-use fescuewell_forward::crash::Fingerprint;
+use fescuewell_forward::crash::{Fingerprint, Part};
 use fescuewell_forward::stream;
 use fescuewell_http::listener::{Reply, Request};
 use http::{HeaderMap, Method, Uri};
@@ -50,6 +50,8 @@
     headers: HeaderMap,
     body: Bytes,
     pub(crate) fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) parts: Arc<[Part]>,
     pub(crate) binding: Binding,
     /// The attempt that began the stream, if this one takes it up.
     resumed: Option<stream::Attempt>,
@@ -97,6 +99,7 @@
             headers,
             body: request.body,
             fingerprint: Fingerprint::default(),
+            parts: Arc::default(),
             binding: Binding::Free,
             resumed: None,
             is_recorded: false,
@@ -123,10 +126,12 @@
         self
     }
 
-    /// Sets the client account and computes the fingerprint.
+    /// Sets the client account and computes the fingerprint and the shared parts of the prompt. The
+    /// route must be set.
     pub fn with_account(mut self, account: Option<Arc<Account>>) -> Self {
         self.account = account;
         self.fingerprint = self.compute_fingerprint();
+        self.parts = self.shared_parts();
         self
     }
 
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -219,6 +219,7 @@
             return AttemptOutcome::Rejected;
         }
         self.mark_executed();
+        permit.mark_begun();
         let echoed = exchange.headers.get(&names.request_id);
         let is_own = echoed.is_some_and(|value| value.as_bytes() == self.id.as_bytes());
         let is_sealed = exchange.headers.contains_key(&names.seal);
@@ -382,11 +383,12 @@
         let reason = reason.replace(' ', "_");
         log_event!(
             Event::AttemptFailed,
-            "request={} server={} outcome={outcome} sends={} fingerprint={} reason={reason}",
+            "request={} server={} outcome={outcome} sends={} fingerprint={} parts={} reason={reason}",
             self.id,
             permit.server.id,
             self.sends,
-            self.fingerprint
+            self.fingerprint,
+            self.part_ids()
         );
     }
 }
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -1,12 +1,14 @@
 //! Handling of requests that crash backend servers: quarantine checks, and crash detection from
 //! lost connections.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::crash::{Content, Evidence, Finding, Fingerprint, Loss, Verdict};
+use fescuewell_forward::crash::{
+    Content, Evidence, Finding, Fingerprint, Loss, Part, Run, Stage, Verdict,
+};
 use fescuewell_forward::server::Entry;
 use fescuewell_http::listener::spawn;
 use fescuewell_http::upstream::{Error, Reachability};
@@ -20,25 +22,51 @@
 /// Delay before a server that accepted a probe connection is probed again.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(50);
 
+/// Time after the head of a response within which it has just begun.
+const BEGINNING_TIME: Duration = Duration::from_millis(500);
+
 /// Guard of an in-flight attempt.
 pub(crate) struct InFlight {
     gateway: Arc<Gateway>,
     request: Fingerprint,
+    parts: Arc<[Part]>,
+    /// When the head of the response was received.
+    begun: Mutex<Option<Instant>>,
 }
 
 impl InFlight {
     /// Registers an in-flight attempt until the guard is dropped.
-    pub(super) fn begin(gateway: &Arc<Gateway>, request: Fingerprint) -> Self {
+    pub(super) fn begin(gateway: &Arc<Gateway>, request: Fingerprint, parts: Arc<[Part]>) -> Self {
         gateway.state().quarantine.begin(request);
         Self {
             gateway: gateway.clone(),
             request,
+            parts,
+            begun: Mutex::new(None),
+        }
+    }
+
+    /// Records that the head of the response was received.
+    pub(super) fn mark_begun(&self) {
+        *self.begun() = Some(Instant::now());
+    }
+
+    /// Returns what the server was running.
+    pub(super) fn run(&self) -> Run {
+        let stage = match *self.begun() {
+            None => Stage::Waiting,
+            Some(begun) if begun.elapsed() < BEGINNING_TIME => Stage::Beginning,
+            Some(_) => Stage::Advanced,
+        };
+        Run {
+            request: self.request,
+            parts: self.parts.clone(),
+            stage,
         }
     }
 
-    /// The request's fingerprint.
-    pub(super) fn request(&self) -> Fingerprint {
-        self.request
+    fn begun(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.begun.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -84,6 +112,28 @@
         })
     }
 
+    /// Computes the parts of the prompt that other requests may share.
+    pub(super) fn shared_parts(&self) -> Arc<[Part]> {
+        let model = self.metadata.model.as_deref().unwrap_or_default();
+        let ids = self.metadata.prompt_parts.iter();
+        let ids: Vec<Arc<str>> = ids.map(|part| part.id.clone()).collect();
+        Part::shared(&self.service.name, model, &ids)
+    }
+
+    /// Ids of these parts for log lines.
+    pub(super) fn part_ids(&self) -> String {
+        let ids: Vec<&str> = self.parts.iter().map(|part| &*part.id).collect();
+        ids.join(",")
+    }
+
+    fn run_at(&self, permit: &Permit) -> Run {
+        permit.run().unwrap_or_else(|| Run {
+            request: self.fingerprint,
+            parts: self.parts.clone(),
+            stage: Stage::Waiting,
+        })
+    }
+
     fn verdict(&self) -> Verdict {
         let now_ms = self.gateway.now_ms();
         self.gateway.state().verdict(self.fingerprint, now_ms)
@@ -152,7 +202,7 @@
         permit.settle();
         let finding = gateway
             .state()
-            .report_loss(server, self.fingerprint, loss, now_ms);
+            .report_loss(server, self.run_at(permit), loss, now_ms);
         match finding {
             Some(Finding::Crashed) => gateway.record_known_crash(server, self.fingerprint),
             Some(Finding::Probe) => {
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -6,7 +6,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::crash::Loss;
+use fescuewell_forward::crash::{Loss, Run};
 use fescuewell_forward::health::Outcome;
 use fescuewell_forward::server::Entry;
 
@@ -56,6 +56,18 @@
         self.is_settled.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the head of the response was received.
+    pub(super) fn mark_begun(&self) {
+        if let Some(in_flight) = &self.in_flight {
+            in_flight.mark_begun();
+        }
+    }
+
+    /// Returns what the server is running, or `None` after [`Permit::release`].
+    pub(super) fn run(&self) -> Option<Run> {
+        Some(self.in_flight.as_ref()?.run())
+    }
+
     /// Records the first event, which shows that the server has processed the prompt.
     pub(super) fn record_first_event(&mut self) {
         let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
@@ -141,8 +153,7 @@
             .finish_prefill(&self.server.id, self.prefill_tokens);
         state.load.end(&self.server.id);
         if !self.is_settled.load(Ordering::Relaxed) {
-            let request = in_flight.request();
-            state.report_loss(&self.server, request, Loss::Silent, now_ms);
+            state.report_loss(&self.server, in_flight.run(), Loss::Silent, now_ms);
         }
         drop(state);
         drop(in_flight);
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -232,7 +232,7 @@
             self.account.as_ref().map_or("-", |account| &account.name)
         );
         self.tried.push(server.id.clone());
-        let in_flight = InFlight::begin(&self.gateway, self.fingerprint);
+        let in_flight = InFlight::begin(&self.gateway, self.fingerprint, self.parts.clone());
         Some(Permit::acquire(
             &self.gateway,
             server,
--- a/crates/fescuewell_gateway/tests/quarantine.rs
+++ b/crates/fescuewell_gateway/tests/quarantine.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::{Behaviour, MemoryStore};
-use fescuewell_forward::crash::{Content, Evidence, Fingerprint, Loss, Verdict};
+use fescuewell_forward::crash::{Content, Evidence, Fingerprint, Loss, Run, Stage, Verdict};
 use fescuewell_forward::server::{Entry, State};
 use fescuewell_gateway::gateway::Gateway;
 
@@ -28,6 +28,14 @@
     })
 }
 
+fn run() -> Run {
+    Run {
+        request: request(),
+        parts: Arc::default(),
+        stage: Stage::Waiting,
+    }
+}
+
 fn server(number: u64) -> Entry {
     Entry {
         id: format!("i-{number}").into(),
@@ -50,7 +58,7 @@
         gateway
             .state()
             .crashes
-            .lost(&server, request(), Loss::Broken, now_ms);
+            .lost(&server, run(), Loss::Broken, now_ms);
         gateway.record_crash(&server, Evidence::Refused);
     }
 }
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -15,7 +15,8 @@
 with '*'. Between and before them it prints the lines that report a change of the same instances' state:
 configuration, backend servers, tokens of the account, the store, starts and stops. ID may also be the fingerprint
 of a request as it appears in the logs; the output then covers all attempts of the request. The lines of attempts that
-take up the request's stream are printed as well.
+take up the request's stream are printed as well. ID may also be that of a part of prompts; the output then covers the
+crashes, failed attempts and refusals of all requests with that part.
 
 example: fescuewell explain 9c41d07be2a35f68 entry-1.log entry-2.log
 ";
--- a/src/command/lines.rs
+++ b/src/command/lines.rs
@@ -32,12 +32,14 @@
         self.field("title")
     }
 
-    /// Returns `true` if the line belongs to the request with this id or fingerprint.
+    /// Returns `true` if the line belongs to the request with this id or fingerprint, or to requests with this part
+    /// of a prompt.
     pub(super) fn belongs_to(&self, id: &str) -> bool {
-        let mut fingerprints = self.field("fingerprints").split(',');
-        self.field("request") == id
-            || self.field("fingerprint") == id
-            || fingerprints.any(|fingerprint| fingerprint == id)
+        let is_listed = |field| self.field(field).split(',').any(|name| name == id);
+        let is_named = ["request", "fingerprint", "part"];
+        is_named.iter().any(|field| self.field(field) == id)
+            || is_listed("fingerprints")
+            || is_listed("parts")
     }
 
     /// Prints the line, preceded by `mark`.
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -66,6 +66,30 @@
     assert!(text.contains("tokens of answers 700, of requests without one 120"));
 }
 
+/// Guards against logs that do not tell which part of their prompts the requests share under which servers crash.
+#[test]
+fn parts_that_were_running_at_several_crashes_are_told() {
+    let crash = |server: &str, requests: &str, parts: &str| {
+        format!(
+            r#"{{"time":"2026-05-30T10:35:01.100Z","title":"server.crashed","server":"{server}","fingerprints":"{requests}","parts":"{parts}"}}"#
+        )
+    };
+    let log = [
+        crash("i-1", "f1", "a1,5c1e07a2"),
+        crash("i-2", "f2", "5c1e07a2,b3"),
+        crash("i-3", "f3", "c4,5c1e07a2"),
+    ];
+
+    let output = run("parts", &[], &log.join("\n"));
+
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(
+        text.contains("part 5c1e07a2 was running at 3 of them"),
+        "{text}"
+    );
+    assert!(!text.contains("request f1"), "{text}");
+}
+
 #[test]
 fn a_span_of_nothing_is_refused() {
     let output = run("span", &["--span", "0"], LOG);
