Tests: a part of prompts that crashes servers, answers without a length (failing, KNOWN-RED)

Change: three tests that fail on the present logic: 14 different requests that share a part, at one instance and at two, crash 28 servers (8 allowed: five and three more sends); an answer without a length or chunks that ends with its server's crash is complete for its caller. One that passes and must go on to: such an answer of a server that lives is whole. The stand-in's servers crash on a part, at once, and answer without a length; the listener can send such a body.

--- a/crates/fescuewell_http/src/listener/reply.rs
+++ b/crates/fescuewell_http/src/listener/reply.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode, Version};
 use hyper::body::{Frame, SizeHint};
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -137,13 +137,25 @@
 
     /// Sends the response head and returns the sink for the body; each chunk is written as soon as it is sent.
     pub fn stream(self, status: StatusCode, headers: HeaderMap) -> Sink {
+        self.stream_with(head(status, headers))
+    }
+
+    /// Does the same for a body without a length or chunks, which ends with the connection.
+    pub fn stream_until_close(self, status: StatusCode, headers: HeaderMap) -> Sink {
+        let mut head = head(status, headers);
+        // hyper sends no chunks in a response of this version.
+        *head.version_mut() = Version::HTTP_10;
+        self.stream_with(head)
+    }
+
+    fn stream_with(self, head: Response<()>) -> Sink {
         let (chunks, receiver) = mpsc::channel(STREAM_BUFFER_CHUNKS);
         let finished = Arc::new(AtomicBool::new(false));
         let content = Content::Stream {
             chunks: receiver,
             finished: finished.clone(),
         };
-        let _ = self.sender.send(Some((head(status, headers), content)));
+        let _ = self.sender.send(Some((head, content)));
         Sink {
             chunks,
             finished,
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -7,6 +7,9 @@
 //! A request whose body is the one of [`Worker::crash_on`] crashes the worker as soon as it runs, unless [`Behaviour::Fail`] comes
 //! first: all connections break, and new ones are refused until [`Worker::revive`] is called.
 //!
+//! A request with the part of [`Worker::crash_on_part`] in its prompt does the same. With [`Worker::set_unframed`] its answers end
+//! with their connections, so that one that a crash cuts off between two events looks whole.
+//!
 //! Each event of a stream names the version of the worker's software ([`Worker::set_version`]), so that a test can tell which versions
 //! a stream's events come from.
 //!
@@ -25,7 +28,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fescuewell_http::listener::{self, Handler, Listener, Reply, Request, spawn};
+use fescuewell_http::listener::{self, Handler, Listener, Reply, Request, Sink, spawn};
 use http::header::{CONNECTION, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use socket2::{Domain, Socket, Type};
@@ -37,6 +40,7 @@
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-fescuewell-expect-instance");
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-fescuewell-prompt-prefix");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
 /// What becomes of one request.
@@ -89,7 +93,9 @@
     rest: Option<HeaderValue>,
     is_leaving: bool,
     is_closing: bool,
+    is_unframed: bool,
     crashes_on: Option<Bytes>,
+    crashes_on_part: Option<Arc<str>>,
     crashes: u64,
     revivals: u64,
 }
@@ -114,6 +120,8 @@
     _held: Socket,
 }
 
+/// Time in which a chunk is written before a crash.
+const WRITE_TIME: Duration = Duration::from_millis(20);
 /// Events of a whole stream.
 pub const EVENTS: u64 = 6;
 /// Version of a worker's software unless another one is set.
@@ -179,6 +187,23 @@
         self.shared.state().crashes_on = Some(Bytes::copy_from_slice(body));
     }
 
+    /// Requests with this part in their prompts, but as the last one, crash it from now on as it begins to answer.
+    pub fn crash_on_part(&self, id: Option<&str>) {
+        self.shared.state().crashes_on_part = id.map(Arc::from);
+    }
+
+    /// Sets whether its answers have neither a length nor chunks and end with their connections.
+    pub fn set_unframed(&self, is_unframed: bool) {
+        self.shared.state().is_unframed = is_unframed;
+    }
+
+    /// Crashes it, whatever it runs.
+    pub fn crash_now(&self) {
+        self.shared.state().crashes += 1;
+        // A full channel means that it is ending already.
+        let _ = self.shared.crashed.try_send(());
+    }
+
     /// Sets the value of the header in which each response declares the request rate that the worker accepts.
     ///
     /// # Panics
@@ -438,27 +463,59 @@
             _ if request.path.contains("/stream") => {
                 self.stream(reply, headers, &run, behaviour).await;
             }
-            _ => reply.send(
-                StatusCode::OK,
-                headers,
-                Bytes::from(format!("{} ran", run.id)),
-            ),
+            _ => self.answer(reply, headers, &run).await,
+        }
+    }
+
+    async fn answer(&self, reply: Reply, headers: HeaderMap, run: &Run) {
+        let body = Bytes::from(format!("{} ran", run.id));
+        if !self.state().is_unframed {
+            return reply.send(StatusCode::OK, headers, body);
         }
+        let sink = reply.stream_until_close(StatusCode::OK, headers);
+        // An error means that the caller has left.
+        let _ = sink.send(body).await;
+        sink.finish();
     }
 
     fn crashes_on(&self, run: &Run) -> bool {
-        self.state().crashes_on.as_ref() == Some(&run.body)
+        let state = self.state();
+        let has_part = state.crashes_on_part.as_ref().is_some_and(|id| {
+            let parts = run.headers.get(PROMPT_PARTS);
+            let parts = parts
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default();
+            let mut ids = parts.split(',').map(|part| part.split(':').next());
+            ids.next_back();
+            ids.any(|known| known.is_some_and(|known| known.trim().eq_ignore_ascii_case(id)))
+        });
+        has_part || state.crashes_on.as_ref() == Some(&run.body)
     }
 
-    /// A stream's head goes out before the end, as it does from a server that begins to answer.
+    /// Begins the body of a stream.
+    fn begin_stream(&self, reply: Reply, headers: HeaderMap) -> Sink {
+        match self.state().is_unframed {
+            true => reply.stream_until_close(StatusCode::OK, headers),
+            false => reply.stream(StatusCode::OK, headers),
+        }
+    }
+
+    /// A stream's head goes out before the end, as it does from a server that begins to answer. Without a
+    /// length or chunks a whole event goes out, too, so that what has arrived looks complete.
     async fn crash(&self, request: &Request, reply: Reply, headers: HeaderMap) {
         self.state().crashes += 1;
         let mut reply = Some(reply);
         let is_stream = request.path.contains("/stream");
-        let _sink = is_stream
+        let sink = is_stream
             .then(|| reply.take())
             .flatten()
-            .map(|reply| reply.stream(StatusCode::OK, headers));
+            .map(|reply| self.begin_stream(reply, headers));
+        if let Some(sink) = sink.as_ref().filter(|_| self.state().is_unframed) {
+            let event = Bytes::from_static(b"id: 1\ndata: piece 1 before the crash\n\n");
+            // An error means that the caller has left.
+            let _ = sink.send(event).await;
+            tokio::time::sleep(WRITE_TIME).await;
+        }
         // A full channel means that it is ending already.
         let _ = self.crashed.try_send(());
         std::future::pending::<()>().await;
@@ -501,7 +558,7 @@
         let last = last.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
         let first = last.map_or(1, |last| last + 1);
         let version = self.state().version.clone();
-        let sink = reply.stream(StatusCode::OK, headers);
+        let sink = self.begin_stream(reply, headers);
         let mut released = self.released.subscribe();
         for number in first..=self.events {
             match behaviour {
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod lists;
 mod money;
 mod partition;
+mod parts;
 mod pressure;
 mod refusals;
 mod server_proxy;
