--- a/crates/fescuewell_core/src/code.rs
+++ b/crates/fescuewell_core/src/code.rs
@@ -115,6 +115,7 @@
     ServersBusy = 4016, 503, NotRun, "The backend servers that could take the request accept no more requests for now.";
     StreamUnknown = 4017, 503, NotRun, "The stream cannot be resumed here: the software version that began it is not known.";
     VersionGone = 4018, 503, NotRun, "The stream cannot be resumed: no backend server of the software version that began it accepts requests.";
+    PartQuarantined = 4019, 502, NotRun, "Backend servers crash while they run requests with a part of this prompt; it was not sent to one.";
     Quarantined = 4015, 502, Unknown, "Backend servers crashed while they ran this request; it is not sent to any more of them.";
 
     DocumentInvalid = 5001, 422, NotRun, "The document does not pass its checks.";
--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -94,6 +94,9 @@
     ServerPathLost = 2033, Warn, "path.server_lost", "This instance does not reach a backend server that another one reaches: its requests are sent by others.";
     ServerPathRestored = 2034, Info, "path.server_restored", "This instance reaches a backend server again and sends requests to it by itself.";
     ServersBehind = 2035, Warn, "servers.behind", "The list of backend servers has not been brought up to date for a second or more; names its age and how digests fared since the last such line.";
+    PartQuarantined = 2036, Warn, "part.quarantined", "Backend servers crashed under requests with a part of their prompts again and again; requests with it are sent to none any more.";
+    PartProbed = 2037, Info, "part.probed", "A request with a quarantined part is sent once, to find out whether servers still crash under it.";
+    PartCleared = 2038, Info, "part.cleared", "A request with a part under which servers had crashed was answered whole.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
--- a/crates/fescuewell_forward/src/crash.rs
+++ b/crates/fescuewell_forward/src/crash.rs
@@ -4,7 +4,8 @@
 //! show that earlier servers crashed under the same request. A [`Fingerprint`] identifies the
 //! request across attempts, a [`Detector`] distinguishes a server crash from a lost connection, and
 //! a [`Quarantine`] counts crashes per request across instances and decides whether the request may
-//! be sent again.
+//! be sent again. A second one counts crashes per [`Part`] of a prompt, which requests that differ
+//! otherwise may share.
 
 mod detector;
 mod fingerprint;
@@ -14,6 +15,6 @@
 
 pub use detector::{Detector, Evidence, Finding, Loss};
 pub use fingerprint::{Content, Fingerprint};
-pub use quarantine::{Quarantine, Update, Verdict};
-pub use record::{Crash, Record, THRESHOLD};
+pub use quarantine::{Quarantine, Subject, Update, Verdict};
+pub use record::{Crash, PART_PROBATION, Probation, REQUEST_PROBATION, Record, THRESHOLD};
 pub use run::{Part, Run, Stage};
--- a/crates/fescuewell_forward/src/crash/quarantine.rs
+++ b/crates/fescuewell_forward/src/crash/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests that are not sent, or only with restrictions.
+//! Requests and parts of prompts that are not sent, or only with restrictions.
 //!
 //! ```text
 //!            crash                      third crash
@@ -12,6 +12,12 @@
 //! The number of in-flight attempts of a suspect is limited to the crashes left before quarantine,
 //! and after its second crash it goes to the least loaded server. Requests that merely shared a
 //! server with the culprit are cleared by their next response.
+//!
+//! Parts of prompts are quarantined in the same way, by another rule: each crash accuses all parts of
+//! all requests that were running, and sound requests share most of them. The culprit is the part with
+//! which no request gets a whole answer on any instance. A part is quarantined by its third crash
+//! without one if it stands out among the other parts, and by its fifth in any case. Until then requests with
+//! it are not limited.
 
 use std::collections::{HashMap, HashSet};
 use std::num::NonZeroUsize;
@@ -19,22 +25,59 @@
 use lru::LruCache;
 
 use super::Fingerprint;
-use super::record::{Crash, Record, THRESHOLD};
+use super::record::{Crash, PART_PROBATION, Probation, REQUEST_PROBATION, Record, THRESHOLD};
 use crate::server::Incarnation;
 
 /// Maximum number of records; those with the fewest and oldest crashes are evicted.
 const MAX_RECORDS: usize = 512;
-/// Maximum number of recently answered requests.
-const MAX_ANSWERED: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
+/// Maximum number of recently answered requests or parts.
+const MAX_ANSWERED: NonZeroUsize = NonZeroUsize::new(2_048).unwrap();
 /// Time in milliseconds for which a complete response exonerates a request.
-const ANSWERED_MS: u64 = 10_000;
+const REQUEST_ANSWERED_MS: u64 = 10_000;
+/// The same for a part. Popular parts are answered more often; a part may begin to crash servers.
+const PART_ANSWERED_MS: u64 = 1_000;
+/// Number of crashes that quarantines a part in any case.
+const PART_THRESHOLD: usize = 5;
+/// Maximum number of other parts that may have one crash less than a part that is quarantined
+/// earlier; none may have as many.
+const MAX_RIVALS: usize = 2;
 /// Number of crashes from which a suspect is isolated from other requests.
 const ISOLATED_FROM: usize = 2;
 
+/// What a quarantine keeps from the servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Subject {
+    /// Whole requests.
+    #[default]
+    Request,
+    /// Parts of prompts.
+    Part,
+}
+
+impl Subject {
+    /// Both.
+    pub const ALL: [Self; 2] = [Self::Request, Self::Part];
+
+    /// Times between probes.
+    pub fn probation(self) -> Probation {
+        match self {
+            Self::Request => REQUEST_PROBATION,
+            Self::Part => PART_PROBATION,
+        }
+    }
+
+    fn answered_ms(self) -> u64 {
+        match self {
+            Self::Request => REQUEST_ANSWERED_MS,
+            Self::Part => PART_ANSWERED_MS,
+        }
+    }
+}
+
 fescuewell_core::data! {
-    /// Record of one request, as exchanged between instances.
+    /// Record of one request or part, as exchanged between instances.
     pub struct Update {
-        /// The request.
+        /// The request or part.
         pub request: Fingerprint,
         /// Its crash history.
         pub record: Record,
@@ -63,11 +106,13 @@
 /// Crash records of one instance.
 #[derive(Debug)]
 pub struct Quarantine {
+    subject: Subject,
     records: HashMap<Fingerprint, Record>,
     running: HashMap<Fingerprint, usize>,
     answered: LruCache<Fingerprint, u64>,
     fresh: Vec<Fingerprint>,
     unrecorded: Vec<Fingerprint>,
+    newly_quarantined: Vec<Fingerprint>,
     /// Requests whose crashes this instance detected itself. Only such instances write the store's
     /// record.
     witnessed: HashSet<Fingerprint>,
@@ -78,11 +123,13 @@
 impl Default for Quarantine {
     fn default() -> Self {
         Self {
+            subject: Subject::Request,
             records: HashMap::new(),
             running: HashMap::new(),
             answered: LruCache::new(MAX_ANSWERED),
             fresh: Vec::new(),
             unrecorded: Vec::new(),
+            newly_quarantined: Vec::new(),
             witnessed: HashSet::new(),
             next_sample: 0,
             is_loaded: false,
@@ -91,7 +138,44 @@
 }
 
 impl Quarantine {
-    /// Decides whether a request may be sent at `now_ms` of the store's clock.
+    /// Creates a quarantine of parts of prompts.
+    pub fn of_parts() -> Self {
+        Self {
+            subject: Subject::Part,
+            ..Self::default()
+        }
+    }
+
+    fn is_quarantined(&self, request: Fingerprint, now_ms: u64) -> bool {
+        let Some(record) = self.records.get(&request) else {
+            return false;
+        };
+        let count = record.count();
+        match self.subject {
+            Subject::Request => count >= THRESHOLD,
+            Subject::Part if count >= PART_THRESHOLD => true,
+            Subject::Part if count >= THRESHOLD => {
+                let others = self.records.iter().filter(|(other, _)| **other != request);
+                let others = others.filter(|(_, record)| !record.is_expired(now_ms));
+                let others = others.map(|(_, record)| record.count());
+                let rivals: Vec<usize> = others.filter(|other| other + 1 >= count).collect();
+                rivals.len() <= MAX_RIVALS && rivals.iter().all(|rival| *rival < count)
+            }
+            Subject::Part => false,
+        }
+    }
+
+    /// Returns `true` if this instance may ask for a probe. For a part, those that saw one of its
+    /// crashes ask first, so that hundreds of instances do not ask at once.
+    fn may_probe(&self, request: Fingerprint, record: &Record, now_ms: u64) -> bool {
+        let mut probation = self.subject.probation();
+        if self.subject == Subject::Part && !self.witnessed.contains(&request) {
+            probation.first_ms *= 2;
+        }
+        record.may_probe(probation, now_ms)
+    }
+
+    /// Decides whether a request, or one with a part, may be sent at `now_ms` of the store's clock.
     pub fn verdict(&self, request: Fingerprint, now_ms: u64) -> Verdict {
         let Some(record) = self.records.get(&request) else {
             return Verdict::Clear;
@@ -100,15 +184,18 @@
         if count == 0 || record.is_expired(now_ms) {
             return Verdict::Clear;
         }
-        if record.is_quarantined() {
-            let may_probe = record.may_probe(now_ms);
+        if self.is_quarantined(request, now_ms) {
+            let may_probe = self.may_probe(request, record, now_ms);
             return Verdict::Quarantined { may_probe };
         }
+        let is_isolated = count >= ISOLATED_FROM;
+        if self.subject == Subject::Part {
+            return Verdict::Suspect { is_isolated };
+        }
         let running = self.running.get(&request).copied().unwrap_or_default();
         if count + running >= THRESHOLD {
             return Verdict::Busy;
         }
-        let is_isolated = count >= ISOLATED_FROM;
         Verdict::Suspect { is_isolated }
     }
 
@@ -137,9 +224,11 @@
         now_ms: u64,
     ) -> Option<usize> {
         let answered_ms = self.answered.peek(&request);
-        if answered_ms.is_some_and(|at_ms| now_ms < at_ms + ANSWERED_MS) {
+        let exonerated_ms = self.subject.answered_ms();
+        if answered_ms.is_some_and(|at_ms| now_ms < at_ms + exonerated_ms) {
             return None;
         }
+        let was_quarantined = self.is_quarantined(request, now_ms);
         let record = self.records.entry(request).or_default();
         if record.contains(server) {
             return None;
@@ -152,23 +241,31 @@
         self.witnessed.insert(request);
         let count = record.count();
         self.note_fresh(request);
-        if count >= THRESHOLD {
+        if self.is_quarantined(request, now_ms) {
             self.unrecorded.push(request);
+            if !was_quarantined {
+                self.newly_quarantined.push(request);
+            }
         }
         self.shrink(now_ms);
         Some(count)
     }
 
+    /// Takes the requests or parts that own crashes have quarantined since the last call.
+    pub fn take_newly_quarantined(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.newly_quarantined)
+    }
+
     /// Records a complete response. Returns `true` if it clears the request.
     pub fn answered(&mut self, request: Fingerprint, now_ms: u64) -> bool {
         self.answered.put(request, now_ms);
+        let was_quarantined = self.is_quarantined(request, now_ms);
         let Some(record) = self.records.get_mut(&request) else {
             return false;
         };
         if record.count() == 0 {
             return false;
         }
-        let was_quarantined = record.is_quarantined();
         record.clear(now_ms);
         self.note_fresh(request);
         if was_quarantined {
@@ -195,12 +292,17 @@
             if record.is_expired(now_ms) || record.is_ahead(now_ms) {
                 continue;
             }
+            let was_quarantined = self.is_quarantined(request, now_ms);
+            let answered_ms = self.answered.peek(&request).copied();
             let known = self.records.entry(request).or_default();
-            let was_quarantined = known.is_quarantined();
             if !known.merge(&record) {
                 continue;
             }
-            if known.is_quarantined() && !was_quarantined {
+            if let Some(answered_ms) = answered_ms.filter(|_| self.subject == Subject::Part) {
+                // The crash came before an answer that this instance has seen.
+                known.clear(answered_ms);
+            }
+            if self.is_quarantined(request, now_ms) && !was_quarantined {
                 quarantined.push(request);
                 if self.witnessed.contains(&request) {
                     self.unrecorded.push(request);
@@ -250,10 +352,10 @@
         self.updates(requests)
     }
 
-    /// Returns the quarantined requests.
-    pub fn quarantined(&self) -> Vec<Update> {
+    /// Returns the quarantined requests or parts at `now_ms` of the store's clock.
+    pub fn quarantined(&self, now_ms: u64) -> Vec<Update> {
         let records = self.records.iter();
-        let quarantined = records.filter(|(_, record)| record.is_quarantined());
+        let quarantined = records.filter(|(request, _)| self.is_quarantined(**request, now_ms));
         quarantined
             .map(|(request, record)| Update {
                 request: *request,
@@ -262,12 +364,13 @@
             .collect()
     }
 
-    /// Number of suspects.
-    pub fn suspects(&self) -> usize {
-        let records = self.records.values();
-        records
-            .filter(|record| record.count() > 0 && !record.is_quarantined())
-            .count()
+    /// Number of suspects at `now_ms` of the store's clock.
+    pub fn suspects(&self, now_ms: u64) -> usize {
+        let records = self.records.iter();
+        let suspects = records.filter(|(request, record)| {
+            record.count() > 0 && !self.is_quarantined(**request, now_ms)
+        });
+        suspects.count()
     }
 
     /// Returns `true` once the store's records have been read.
--- a/crates/fescuewell_forward/src/crash/record.rs
+++ b/crates/fescuewell_forward/src/crash/record.rs
@@ -1,19 +1,15 @@
-//! Crash history of one request.
+//! Crash history of one request, or of one part of prompts.
 //!
 //! Merging is commutative, associative and idempotent: crashes by union, the time of the last
 //! complete response and the probes by maximum.
 
 use crate::server::Incarnation;
 
-/// Number of crashes that quarantines a request.
+/// Number of crashes that quarantines a request, and a part that stands out.
 pub const THRESHOLD: usize = 3;
 /// Maximum number of crashes in a record; the newest are kept.
 const MAX_CRASHES: usize = 8;
-/// Initial quarantine period in milliseconds.
-const FIRST_MS: u64 = 10 * 60 * 1_000;
-/// Growth factor of that period with each failed probe.
-const GROWTH: u64 = 6;
-/// Maximum number of probes per request; each may crash a server.
+/// Maximum number of probes per record; each may crash a server.
 const MAX_PROBES: u32 = 3;
 /// Retention of a quarantined request in milliseconds.
 const QUARANTINED_MS: u64 = 24 * 60 * 60 * 1_000;
@@ -24,6 +20,27 @@
 /// Maximum clock skew between instances in milliseconds.
 const SKEW_MS: u64 = 60_000;
 
+/// Times between probes of a quarantined request or part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Probation {
+    /// Time before the first probe in milliseconds.
+    pub first_ms: u64,
+    /// Growth factor of that time with each failed probe.
+    pub growth: u64,
+}
+
+/// Times between probes of a request.
+pub const REQUEST_PROBATION: Probation = Probation {
+    first_ms: 10 * 60 * 1_000,
+    growth: 6,
+};
+/// Times between probes of a part. The first one follows soon, since others may share the part and be
+/// sound.
+pub const PART_PROBATION: Probation = Probation {
+    first_ms: 3_000,
+    growth: 30,
+};
+
 fescuewell_core::data! {
     /// A crash of a backend server that was running the request.
     #[derive(Copy, PartialOrd, Ord)]
@@ -95,17 +112,11 @@
         self.crashes.len()
     }
 
-    /// Returns `true` if the request must not be sent.
-    pub fn is_quarantined(&self) -> bool {
-        self.count() >= THRESHOLD
-    }
-
-    /// Returns `true` if the quarantine period has elapsed and a probe is allowed.
-    pub fn may_probe(&self, now_ms: u64) -> bool {
+    /// Returns `true` if the time before the next probe has elapsed.
+    pub fn may_probe(&self, probation: Probation, now_ms: u64) -> bool {
         let (probes, probed_ms) = self.probes;
-        let pause_ms = FIRST_MS * GROWTH.pow(probes.min(MAX_PROBES));
-        self.is_quarantined()
-            && probes < MAX_PROBES
+        let pause_ms = probation.first_ms * probation.growth.pow(probes.min(MAX_PROBES));
+        probes < MAX_PROBES
             && now_ms >= self.last_crash_ms().max(probed_ms).saturating_add(pause_ms)
     }
 
--- a/crates/fescuewell_forward/src/message.rs
+++ b/crates/fescuewell_forward/src/message.rs
@@ -69,6 +69,8 @@
     StreamAnswer(stream::Answer),
     /// Asks for changes of the server list; answered by digests.
     ListQuery(relay::Query),
+    /// Records of parts of prompts that crash backend servers.
+    PartCrashes(Vec<crash::Update>),
 }
 
 /// Secret key of the fleet; messages of senders without it are ignored.
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -12,6 +12,7 @@
     Account, Change as ConfigurationChange, Configuration, Edit, Engine, Kind, Limits, Route,
     Service, Split,
 };
+use fescuewell_forward::crash::{self, Crash, Fingerprint};
 use fescuewell_forward::directory::Member;
 use fescuewell_forward::directory::summary::Summary;
 use fescuewell_forward::evacuation::Order;
@@ -75,6 +76,19 @@
     }
 }
 
+/// Record of a part of prompts under which a server crashed.
+fn part_update() -> crash::Update {
+    let mut record = crash::Record::default();
+    record.add(Crash {
+        at_ms: 3,
+        server: Incarnation::from_number(4),
+    });
+    crash::Update {
+        request: Fingerprint::of_part("s", "m", "a1"),
+        record,
+    }
+}
+
 fn update() -> Update {
     Update {
         id: "i".into(),
@@ -263,6 +277,7 @@
     );
     let query = relay::Query { after: 2 };
     assert_eq!(encode(&Message::ListQuery(query)), "0d02");
+    assert_eq!(encode(&Message::PartCrashes(vec![part_update()])), "0e0161f1baeda34fb07643020104578f1cab010304000000");
     assert_eq!(encode(&Message::CrashesWanted), "04");
     assert_eq!(
         encode(&Message::SnapshotWanted(Request::new(Subject::Servers, 2))),
--- a/crates/fescuewell_forward/tests/quarantine.rs
+++ b/crates/fescuewell_forward/tests/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine of requests that crash servers, with instances that exchange records in any order.
 
 use fescuewell_forward::crash::{
-    Content, Crash, Fingerprint, Quarantine, Record, THRESHOLD, Update, Verdict,
+    Content, Crash, Fingerprint, Quarantine, REQUEST_PROBATION, Record, THRESHOLD, Update, Verdict,
 };
 use fescuewell_forward::server::Incarnation;
 use proptest::prelude::*;
@@ -136,7 +136,7 @@
 
     while !record.is_expired(now_ms) {
         now_ms += 60_000;
-        if record.may_probe(now_ms) {
+        if record.may_probe(REQUEST_PROBATION, now_ms) {
             record.probe(now_ms);
             let server = server(100 + probes.len() as u64);
             record.add(Crash {
@@ -193,7 +193,7 @@
         }
     }
 
-    assert!(quarantine.quarantined().is_empty());
+    assert!(quarantine.quarantined(START_MS).is_empty());
 }
 
 fn record() -> impl Strategy<Value = Record> {
--- a/crates/fescuewell_gateway/src/control/crashes.rs
+++ b/crates/fescuewell_gateway/src/control/crashes.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fescuewell_forward::crash::{Fingerprint, Record, Update};
+use fescuewell_forward::crash::{Fingerprint, Record, Subject, THRESHOLD, Update};
 use fescuewell_forward::message::Message;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -19,10 +19,14 @@
 use crate::gateway::ProbeRequest;
 use crate::store::{Outcome, Row, RowId, Transaction};
 
-/// Table of the quarantined requests.
+/// Table of the quarantined requests and parts.
 const TABLE: &str = "quarantine";
-/// Format version, the first byte of a row.
-const FORMAT: u8 = 1;
+/// Format version, the first byte of a row of a request.
+const REQUEST_FORMAT: u8 = 1;
+/// The same of a part.
+const PART_FORMAT: u8 = 2;
+/// Prefix of the keys of parts.
+const PART_KEY_PREFIX: &str = "part-";
 /// Records per message; fits one Ethernet frame.
 const MAX_RECORDS: usize = 8;
 /// Gossip fan-out of a change.
@@ -51,30 +55,49 @@
 /// Exchanges records with other instances.
 pub(super) async fn exchange(control: &Control, socket: &UdpSocket) {
     tokio::join!(
-        announce(control, socket),
+        announce(control, socket, Subject::Request),
+        announce(control, socket, Subject::Part),
         sample(control, socket),
         request_records(control, socket)
     );
 }
 
+fn message(subject: Subject, updates: Vec<Update>) -> Message {
+    match subject {
+        Subject::Request => Message::Crashes(updates),
+        Subject::Part => Message::PartCrashes(updates),
+    }
+}
+
 /// Merges a peer's records.
-pub(super) fn receive(control: &Control, updates: Vec<Update>, from: SocketAddr) {
+pub(super) fn receive(control: &Control, subject: Subject, updates: Vec<Update>, from: SocketAddr) {
     let updates = updates.into_iter().take(MAX_RECORDS);
-    control.gateway.merge_crashes(updates, &from.to_string());
+    let source = from.to_string();
+    control.gateway.merge_crashes(subject, updates, &source);
 }
 
 /// Sends records to a peer that has just started.
 pub(super) fn send_records(control: &Control, socket: &UdpSocket, from: SocketAddr) {
-    let updates = control.gateway.state().quarantine.sample(MAX_RECORDS);
-    send(control, socket, Message::Crashes(updates), &[from]);
+    for subject in Subject::ALL {
+        let updates = sample_of(control, subject);
+        send(control, socket, message(subject, updates), &[from]);
+    }
+}
+
+fn sample_of(control: &Control, subject: Subject) -> Vec<Update> {
+    let mut state = control.gateway.state();
+    state.quarantine_of(subject).sample(MAX_RECORDS)
 }
 
 /// Gossips changed records.
-async fn announce(control: &Control, socket: &UdpSocket) {
+async fn announce(control: &Control, socket: &UdpSocket, subject: Subject) {
     let gateway = &control.gateway;
     let mut changes = gateway.crash_changes();
     loop {
-        let updates = gateway.state().quarantine.take_fresh(MAX_RECORDS);
+        let updates = {
+            let mut state = gateway.state();
+            state.quarantine_of(subject).take_fresh(MAX_RECORDS)
+        };
         if updates.is_empty() {
             if changes.changed().await.is_err() {
                 return;
@@ -82,7 +105,7 @@
             continue;
         }
         let peers = random_peers(control, FANOUT);
-        let bytes = send(control, socket, Message::Crashes(updates), &peers);
+        let bytes = send(control, socket, message(subject, updates), &peers);
         let pause = Duration::from_secs_f64(bytes as f64 / BYTES_PER_S);
         tokio::time::sleep(pause.max(MIN_ANNOUNCE_INTERVAL)).await;
     }
@@ -92,9 +115,13 @@
 async fn sample(control: &Control, socket: &UdpSocket) {
     loop {
         tokio::time::sleep(control.jitter(SAMPLE_INTERVAL)).await;
-        let updates = control.gateway.state().quarantine.sample(MAX_RECORDS);
         let peers = random_peers(control, 1);
-        send(control, socket, Message::Crashes(updates), &peers);
+        let updates = sample_of(control, Subject::Request);
+        send(control, socket, message(Subject::Request, updates), &peers);
+        let updates = sample_of(control, Subject::Part);
+        if !updates.is_empty() {
+            send(control, socket, message(Subject::Part, updates), &peers);
+        }
     }
 }
 
@@ -126,7 +153,9 @@
     while !reconcile(control).await {
         tokio::time::sleep(RETRY_DELAY).await;
     }
-    gateway.state().quarantine.set_loaded();
+    for subject in Subject::ALL {
+        gateway.state().quarantine_of(subject).set_loaded();
+    }
     advance_stage(control);
     loop {
         let due = Instant::now() + control.jitter(MAX_READ_INTERVAL);
@@ -165,21 +194,27 @@
     let Ok(response) = read(control, TABLE, FLEET_PARTITION).await else {
         return false;
     };
-    let mut known = Vec::new();
+    let mut known: [Vec<Update>; 2] = Default::default();
     let mut expired = Vec::new();
     for row in &response.rows {
         // An unreadable row may come from a newer program version and is kept.
         match decode(row) {
-            Some(update) if update.record.is_expired(response.now_ms) => expired.push(row),
-            Some(update) => known.push(update),
+            Some((_, update)) if update.record.is_expired(response.now_ms) => expired.push(row),
+            Some((subject, update)) => known[subject as usize].push(update),
             None => {}
         }
     }
-    control.gateway.merge_crashes(known.clone(), "store");
-    let quarantined = control.gateway.state().quarantine.quarantined();
-    for update in quarantined {
-        if !known.iter().any(|known| known.request == update.request) {
-            write(control, update).await;
+    for (subject, known) in Subject::ALL.into_iter().zip(known) {
+        let gateway = &control.gateway;
+        gateway.merge_crashes(subject, known.clone(), "store");
+        let quarantined = gateway
+            .state()
+            .quarantine_of(subject)
+            .quarantined(response.now_ms);
+        for update in quarantined {
+            if !known.iter().any(|known| known.request == update.request) {
+                write(control, subject, update).await;
+            }
         }
     }
     for row in expired.into_iter().take(MAX_REMOVED) {
@@ -200,9 +235,11 @@
     let gateway = &control.gateway;
     let mut changes = gateway.crash_changes();
     loop {
-        let updates = gateway.state().quarantine.take_unrecorded();
-        for update in updates {
-            write(control, update).await;
+        for subject in Subject::ALL {
+            let updates = gateway.state().quarantine_of(subject).take_unrecorded();
+            for update in updates {
+                write(control, subject, update).await;
+            }
         }
         if changes.changed().await.is_err() {
             return;
@@ -211,67 +248,91 @@
 }
 
 /// Merges one record into the store. A failed write is retried by the next synchronization.
-async fn write(control: &Control, update: Update) {
-    let Some((row, version, mut record)) = read_record(control, &update).await else {
+async fn write(control: &Control, subject: Subject, update: Update) {
+    let Some((row, version, mut record)) = read_record(control, subject, &update).await else {
         return;
     };
     record.merge(&update.record);
     let update = Update { record, ..update };
-    commit(control, row, version, &update).await;
+    commit(control, subject, row, version, &update).await;
 }
 
 /// Permits one probe per quarantine period in the whole fleet, by committing each probe to the
 /// store first.
 async fn permit_probes(control: &Control) {
-    while let Ok(ProbeRequest { request, reply }) = control.inbox.probe_requests.recv_async().await
+    while let Ok(ProbeRequest {
+        subject,
+        request,
+        reply,
+    }) = control.inbox.probe_requests.recv_async().await
     {
         // The request may have been cancelled.
-        let _ = reply.send(commit_probe(control, request).await);
+        let _ = reply.send(commit_probe(control, subject, request).await);
     }
 }
 
-async fn commit_probe(control: &Control, request: Fingerprint) -> bool {
+async fn commit_probe(control: &Control, subject: Subject, request: Fingerprint) -> bool {
     let gateway = &control.gateway;
     let empty = Update {
         request,
         record: Record::default(),
     };
-    let known = gateway.state().quarantine.quarantined();
+    let store_ms = {
+        let now_ms = gateway.now_ms();
+        gateway.state().store_ms(now_ms)
+    };
+    let known = gateway.state().quarantine_of(subject).quarantined(store_ms);
     let known = known.into_iter().find(|update| update.request == request);
     let update = known.unwrap_or(empty);
-    let Some((row, version, mut record)) = read_record(control, &update).await else {
+    let Some((row, version, mut record)) = read_record(control, subject, &update).await else {
         return false;
     };
     record.merge(&update.record);
     let now_ms = gateway.now_ms();
     let store_ms = gateway.state().store_ms(now_ms);
-    if !record.may_probe(store_ms) {
-        gateway.merge_crashes([Update { request, record }], "store");
+    // A record without enough crashes was cleared meanwhile.
+    let is_due = record.count() >= THRESHOLD && record.may_probe(subject.probation(), store_ms);
+    if !is_due {
+        gateway.merge_crashes(subject, [Update { request, record }], "store");
         return false;
     }
     record.probe(store_ms);
     let update = Update { request, record };
-    let is_written = commit(control, row, version, &update).await;
+    let is_written = commit(control, subject, row, version, &update).await;
     if is_written {
-        gateway.merge_crashes([update], "store");
+        gateway.merge_crashes(subject, [update], "store");
     }
     is_written
 }
 
-/// Reads the store's record of a request, with its row identifier and version.
-async fn read_record(control: &Control, update: &Update) -> Option<(RowId, u64, Record)> {
-    let row = row_id(TABLE, FLEET_PARTITION, &update.request.to_string());
+/// Reads the store's record of a request or part, with its row identifier and version.
+async fn read_record(
+    control: &Control,
+    subject: Subject,
+    update: &Update,
+) -> Option<(RowId, u64, Record)> {
+    let key = match subject {
+        Subject::Request => update.request.to_string(),
+        Subject::Part => format!("{PART_KEY_PREFIX}{}", update.request),
+    };
+    let row = row_id(TABLE, FLEET_PARTITION, &key);
     let response = read_row(control, &row).await.ok()?;
     let known = response.rows.iter().find(|known| known.value.is_some());
     let version = known.map_or(0, |known| known.version);
-    let record = known.and_then(decode).map(|known| known.record);
+    let record = known.and_then(decode).map(|(_, known)| known.record);
     Some((row, version, record.unwrap_or_default()))
 }
 
-async fn commit(control: &Control, row: RowId, version: u64, update: &Update) -> bool {
+async fn commit(
+    control: &Control,
+    subject: Subject,
+    row: RowId,
+    version: u64,
+    update: &Update,
+) -> bool {
     let transaction = Transaction {
         preconditions: vec![(row.clone(), version)],
-        puts: vec![(row, encode(update))],
+        puts: vec![(row, encode(subject, update))],
         deletes: Vec::new(),
     };
     let commit = control.store.commit(&transaction);
@@ -279,14 +340,20 @@
     matches!(outcome, Ok(Outcome::Committed { .. }))
 }
 
-fn encode(update: &Update) -> Vec<u8> {
+fn encode(subject: Subject, update: &Update) -> Vec<u8> {
+    let format = match subject {
+        Subject::Request => REQUEST_FORMAT,
+        Subject::Part => PART_FORMAT,
+    };
     // Serialization fails only for types that postcard does not support.
-    postcard::to_extend(update, vec![FORMAT]).unwrap_or_default()
+    postcard::to_extend(update, vec![format]).unwrap_or_default()
 }
 
-fn decode(row: &Row) -> Option<Update> {
+fn decode(row: &Row) -> Option<(Subject, Update)> {
+    let decode = |bytes| postcard::from_bytes(bytes).map_err(|error| error.to_string());
     let update = match row.value.as_deref()?.split_first() {
-        Some((&FORMAT, bytes)) => postcard::from_bytes(bytes).map_err(|error| error.to_string()),
+        Some((&REQUEST_FORMAT, bytes)) => decode(bytes).map(|update| (Subject::Request, update)),
+        Some((&PART_FORMAT, bytes)) => decode(bytes).map(|update| (Subject::Part, update)),
         _ => Err("unknown format".into()),
     };
     update
--- a/crates/fescuewell_gateway/src/control/peers.rs
+++ b/crates/fescuewell_gateway/src/control/peers.rs
@@ -8,6 +8,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::choice::Report;
+use fescuewell_forward::crash::Subject;
 use fescuewell_forward::message::{self, Message};
 use tokio::net::UdpSocket;
 
@@ -144,7 +145,12 @@
         Some(Message::LoanResponse(response)) => lending.handle_response(&response),
         Some(Message::Digest(digest)) => watch::receive_digest(control, digest, from),
         Some(Message::ListQuery(query)) => queries::answer(control, socket, query, from),
-        Some(Message::Crashes(updates)) => crashes::receive(control, updates, from),
+        Some(Message::Crashes(updates)) => {
+            crashes::receive(control, Subject::Request, updates, from);
+        }
+        Some(Message::PartCrashes(updates)) => {
+            crashes::receive(control, Subject::Part, updates, from);
+        }
         Some(Message::CrashesWanted) => {
             crashes::send_records(control, socket, from);
             limits::send_sample(control, socket, &[from]);
--- a/crates/fescuewell_gateway/src/control/watch/configuration.rs
+++ b/crates/fescuewell_gateway/src/control/watch/configuration.rs
@@ -339,7 +339,10 @@
     let gateway = &control.gateway;
     let complete = {
         let state = gateway.state();
-        gateway.table().is_some() && state.quota.is_adopted() && state.quarantine.is_loaded()
+        gateway.table().is_some()
+            && state.quota.is_adopted()
+            && state.quarantine.is_loaded()
+            && state.part_quarantine.is_loaded()
     };
     if complete && gateway.advance(Stage::Ready) {
         log_event!(Event::Ready, "instance={}", gateway.settings.name);
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -185,6 +185,7 @@
             conditions: Conditions::new(settings.name.clone()),
             crashes: Detector::default(),
             quarantine: Quarantine::default(),
+            part_quarantine: Quarantine::of_parts(),
             stream_records: stream::Records::default(),
             stream_outbox: stream::Outbox::default(),
             own_streams: stream::Records::default(),
--- a/crates/fescuewell_gateway/src/gateway/crash.rs
+++ b/crates/fescuewell_gateway/src/gateway/crash.rs
@@ -3,7 +3,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::crash::{
-    Evidence, Finding, Fingerprint, Loss, Run, Stage, THRESHOLD, Update, Verdict,
+    Evidence, Finding, Fingerprint, Loss, Part, Quarantine, Run, Stage, Subject, Update, Verdict,
 };
 use fescuewell_forward::server::Entry;
 use tokio::sync::{oneshot, watch};
@@ -15,10 +15,12 @@
 /// Maximum number of prompt parts listed in one log line.
 const MAX_LOGGED_PARTS: usize = 16;
 
-/// Request for permission to probe a quarantined request.
+/// Request for permission to probe a quarantined request or part.
 #[derive(Debug)]
 pub struct ProbeRequest {
-    /// The request.
+    /// Whether it is a request or a part.
+    pub subject: Subject,
+    /// The request or part.
     pub request: Fingerprint,
     /// Receives `true` if the probe may be sent.
     pub reply: oneshot::Sender<bool>,
@@ -35,6 +37,37 @@
         self.quarantine.verdict(request, self.store_ms(now_ms))
     }
 
+    /// Decides whether a request with some parts may be sent, by the worst of them other than
+    /// `probed`. Returns that part as well.
+    pub fn part_verdict<'a>(
+        &self,
+        parts: &'a [Part],
+        probed: Option<Fingerprint>,
+        now_ms: u64,
+    ) -> (Verdict, Option<&'a Part>) {
+        let store_ms = self.store_ms(now_ms);
+        let mut worst = (Verdict::Clear, None);
+        for part in parts.iter().filter(|part| Some(part.key) != probed) {
+            match self.part_quarantine.verdict(part.key, store_ms) {
+                verdict @ Verdict::Quarantined { .. } => return (verdict, Some(part)),
+                verdict @ Verdict::Suspect { is_isolated: true } => worst = (verdict, Some(part)),
+                verdict @ Verdict::Suspect { .. } if worst.1.is_none() => {
+                    worst = (verdict, Some(part));
+                }
+                _ => {}
+            }
+        }
+        worst
+    }
+
+    /// Returns the quarantine of requests or parts.
+    pub fn quarantine_of(&mut self, subject: Subject) -> &mut Quarantine {
+        match subject {
+            Subject::Request => &mut self.quarantine,
+            Subject::Part => &mut self.part_quarantine,
+        }
+    }
+
     /// Reports a lost exchange with a server. Returns `None` if nothing follows from it: the server
     /// is draining, delisted or in an evacuated zone, or has restarted without a known crash.
     pub fn report_loss(
@@ -53,10 +86,18 @@
         is_ready.then(|| self.crashes.lost(server, run, loss, now_ms))
     }
 
-    fn record_crash(&mut self, server: &Entry, request: Fingerprint, now_ms: u64) -> Option<usize> {
+    /// Records a crash for a request and the parts of its prompt.
+    fn record_crash(&mut self, server: &Entry, run: &Run, now_ms: u64) {
         let store_ms = self.store_ms(now_ms);
         let server = server.incarnation();
-        self.quarantine.crash(request, server, store_ms)
+        self.quarantine.crash(run.request, server, store_ms);
+        for part in run.parts.iter() {
+            self.part_quarantine.crash(part.key, server, store_ms);
+        }
+    }
+
+    fn take_newly_quarantined(&mut self) -> [Vec<Fingerprint>; 2] {
+        Subject::ALL.map(|subject| self.quarantine_of(subject).take_newly_quarantined())
     }
 }
 
@@ -64,16 +105,13 @@
     /// Records the crash of a backend server for each request that it was running.
     pub fn record_crash(&self, server: &Entry, evidence: Evidence) {
         let now_ms = self.now_ms();
-        let mut quarantined = Vec::new();
-        let runs = {
+        let (runs, quarantined) = {
             let mut state = self.state();
             let runs = state.crashes.crashed(server.incarnation(), now_ms);
             for run in &runs {
-                if state.record_crash(server, run.request, now_ms) == Some(THRESHOLD) {
-                    quarantined.push(run.request);
-                }
+                state.record_crash(server, run, now_ms);
             }
-            runs
+            (runs, state.take_newly_quarantined())
         };
         self.metrics.count_server_crash(&server.service);
         log_event!(
@@ -86,41 +124,58 @@
             count_beginning(&runs),
             format_parts(&runs)
         );
-        log_quarantined(&quarantined, &server.id);
+        log_all_quarantined(&quarantined, &server.id);
         self.notify_crash_changes();
     }
 
     /// Records a crash that was already detected for another request that the server was running.
-    pub fn record_known_crash(&self, server: &Entry, request: Fingerprint) {
+    pub fn record_known_crash(&self, server: &Entry, run: &Run) {
         let now_ms = self.now_ms();
-        let count = self.state().record_crash(server, request, now_ms);
-        if count == Some(THRESHOLD) {
-            log_quarantined(&[request], &server.id);
-        }
+        let quarantined = {
+            let mut state = self.state();
+            state.record_crash(server, run, now_ms);
+            state.take_newly_quarantined()
+        };
+        log_all_quarantined(&quarantined, &server.id);
         self.notify_crash_changes();
     }
 
-    /// Records a complete response, which clears the request of earlier crashes.
-    pub fn record_response(&self, server: &Entry, request: Fingerprint) {
+    /// Records a complete response, which clears the request and the parts of its prompt of earlier
+    /// crashes.
+    pub fn record_response(&self, server: &Entry, request: Fingerprint, parts: &[Part]) {
         let now_ms = self.now_ms();
-        let is_cleared = {
+        let (is_cleared, cleared_parts) = {
             let mut state = self.state();
             let store_ms = state.store_ms(now_ms);
-            state.quarantine.answered(request, store_ms)
+            let is_cleared = state.quarantine.answered(request, store_ms);
+            let quarantine = &mut state.part_quarantine;
+            let cleared = parts.iter();
+            let cleared = cleared.filter(|part| quarantine.answered(part.key, store_ms));
+            (is_cleared, cleared.collect::<Vec<&Part>>())
         };
-        if !is_cleared {
-            return;
+        if is_cleared {
+            log_event!(
+                Event::RequestCleared,
+                "fingerprint={request} server={}",
+                server.id
+            );
+        }
+        for part in &cleared_parts {
+            log_event!(
+                Event::PartCleared,
+                "part={} fingerprint={} server={}",
+                part.id,
+                part.key,
+                server.id
+            );
+        }
+        if is_cleared || !cleared_parts.is_empty() {
+            self.notify_crash_changes();
         }
-        log_event!(
-            Event::RequestCleared,
-            "fingerprint={request} server={}",
-            server.id
-        );
-        self.notify_crash_changes();
     }
 
     /// Merges crash records received from `source`: another instance or the store.
-    pub fn merge_crashes<Updates>(&self, updates: Updates, source: &str)
+    pub fn merge_crashes<Updates>(&self, subject: Subject, updates: Updates, source: &str)
     where
         Updates: IntoIterator<Item = Update>,
     {
@@ -128,23 +183,25 @@
         let (quarantined, has_fresh) = {
             let mut state = self.state();
             let store_ms = state.store_ms(now_ms);
-            let quarantined = state.quarantine.merge(updates, store_ms);
-            (quarantined, state.quarantine.has_fresh())
+            let quarantine = state.quarantine_of(subject);
+            let quarantined = quarantine.merge(updates, store_ms);
+            (quarantined, quarantine.has_fresh())
         };
-        log_quarantined(&quarantined, source);
+        log_quarantined(subject, &quarantined, source);
         if has_fresh {
             self.notify_crash_changes();
         }
     }
 
-    /// Requests permission to probe a quarantined request.
-    pub async fn request_probe(&self, request: Fingerprint) -> bool {
+    /// Requests permission to probe a quarantined request or part.
+    pub async fn request_probe(&self, subject: Subject, request: Fingerprint) -> bool {
         let (reply, response) = oneshot::channel();
-        if self
-            .probe_requests
-            .try_send(ProbeRequest { request, reply })
-            .is_err()
-        {
+        let probe = ProbeRequest {
+            subject,
+            request,
+            reply,
+        };
+        if self.probe_requests.try_send(probe).is_err() {
             // Full: other probes are pending. Closed: the process is shutting down.
             return false;
         }
@@ -162,12 +219,19 @@
     }
 }
 
-fn log_quarantined(requests: &[Fingerprint], source: &str) {
+fn log_all_quarantined(quarantined: &[Vec<Fingerprint>; 2], source: &str) {
+    for (subject, requests) in Subject::ALL.into_iter().zip(quarantined) {
+        log_quarantined(subject, requests, source);
+    }
+}
+
+fn log_quarantined(subject: Subject, requests: &[Fingerprint], source: &str) {
+    let event = match subject {
+        Subject::Request => Event::RequestQuarantined,
+        Subject::Part => Event::PartQuarantined,
+    };
     for request in requests {
-        log_event!(
-            Event::RequestQuarantined,
-            "fingerprint={request} source={source}"
-        );
+        log_event!(event, "fingerprint={request} source={source}");
     }
 }
 
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -58,6 +58,8 @@
     pub crashes: Detector,
     /// Requests that crash backend servers.
     pub quarantine: Quarantine,
+    /// Parts of prompts that crash backend servers.
+    pub part_quarantine: Quarantine,
     /// Software versions that began streams.
     pub stream_records: stream::Records,
     /// Those that wait to be sent to other instances.
--- a/crates/fescuewell_gateway/src/hop.rs
+++ b/crates/fescuewell_gateway/src/hop.rs
@@ -80,6 +80,8 @@
     pub(crate) id: &'a Arc<str>,
     pub(crate) deadline: Instant,
     pub(crate) timeouts: Timeouts,
+    /// Whether the request may still be sent, asked when it is written.
+    pub(crate) may_send: &'a (dyn Fn() -> bool + Send + Sync),
 }
 
 impl Gateway {
@@ -90,7 +92,7 @@
             return self.open_through_peer(&sending).await;
         }
         let target = Target::new(sending.server.address).with_deadline(sending.deadline);
-        let may_send = || self.may_send(sending.server);
+        let may_send = || (sending.may_send)() && self.may_send(sending.server);
         let opened = self
             .client
             .open_if(&target, sending.request, sending.timeouts, &may_send)
@@ -124,6 +126,9 @@
         let is_server_path_lost = self.state().server_paths.is_lost(sending.server);
         let mut unreached = Vec::new();
         for _ in 0..MAX_ATTEMPTS {
+            if !(sending.may_send)() {
+                return Err(not_sent("the request may no longer be sent", false));
+            }
             let Some(peer) = self.choose_peer(&unreached) else {
                 break;
             };
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -58,6 +58,8 @@
     /// Whether the software version that began the stream has been recorded.
     is_recorded: bool,
     is_probe: bool,
+    /// Quarantined part that this request may probe.
+    probed_part: Option<Fingerprint>,
     arrived: Instant,
     deadline: Instant,
     route_deadline: Instant,
@@ -104,6 +106,7 @@
             resumed: None,
             is_recorded: false,
             is_probe: false,
+            probed_part: None,
             arrived: request.arrived,
             deadline: request.arrived,
             route_deadline: request.arrived,
@@ -228,7 +231,7 @@
     /// Returns `true` if the request may be sent to another backend server, in which case a retry
     /// is taken from the fleet's retry budget.
     pub(crate) fn may_retry(&mut self) -> bool {
-        if self.is_quarantined() {
+        if self.is_quarantined() || (self.sends > 0 && self.has_suspected_part()) {
             return false;
         }
         if self.possibly_executed && !self.route.kind.is_idempotent() {
@@ -276,7 +279,7 @@
     /// Returns the code of the final response of a request for which no further attempt is made.
     pub(crate) fn failure_code(&self) -> Code {
         if self.is_quarantined() {
-            return Code::Quarantined;
+            return self.quarantine_code();
         }
         match (self.possibly_executed, self.timed_out) {
             (true, true) => Code::TimedOut,
@@ -297,7 +300,7 @@
             .count_refusal(&self.route.name, code, took);
         log_event!(
             Event::RouteRefused,
-            "request={} route={} account={} code={} cause={} sends={} fingerprint={} configuration={} age_ms={}",
+            "request={} route={} account={} code={} cause={} sends={} fingerprint={} parts={} configuration={} age_ms={}",
             self.id,
             self.route.name,
             self.account.as_ref().map_or("-", |account| &account.name),
@@ -305,6 +308,7 @@
             code.name(),
             self.sends,
             self.fingerprint,
+            self.part_ids(),
             self.version,
             self.arrived.elapsed().as_millis()
         );
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -79,12 +79,14 @@
         tokio::pin!(server_exit);
         let gateway = self.gateway.clone();
         let (server, id) = (permit.server.clone(), self.id.clone());
+        let may_send = self.part_check();
         let opened = gateway.open(Sending {
             server: &server,
             request,
             id: &id,
             deadline: until,
             timeouts: self.timeouts(),
+            may_send: &may_send,
         });
         tokio::pin!(opened);
         let attempt_timeout = self.attempt_timeout();
@@ -254,7 +256,7 @@
                     // Only success clears the request: a server that fails some of its requests may
                     // fail this one before it would crash.
                     self.gateway
-                        .record_response(&permit.server, self.fingerprint);
+                        .record_response(&permit.server, self.fingerprint, &self.parts);
                 }
                 let response = Response {
                     status,
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -7,7 +7,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::crash::{
-    Content, Evidence, Finding, Fingerprint, Loss, Part, Run, Stage, Verdict,
+    Content, Evidence, Finding, Fingerprint, Loss, Part, Run, Stage, Subject, Verdict,
 };
 use fescuewell_forward::server::Entry;
 use fescuewell_http::listener::spawn;
@@ -139,33 +139,103 @@
         self.gateway.state().verdict(self.fingerprint, now_ms)
     }
 
-    /// Rejects a quarantined request unless the store permits a probe.
+    fn part_verdict(&self) -> Verdict {
+        let now_ms = self.gateway.now_ms();
+        let state = self.gateway.state();
+        state.part_verdict(&self.parts, self.probed_part, now_ms).0
+    }
+
+    /// Rejects a quarantined request, or one with a quarantined part, unless the store permits a probe.
     pub(super) async fn check_quarantine(&mut self) -> Result<(), Code> {
-        let Verdict::Quarantined { may_probe } = self.verdict() else {
-            return Ok(());
+        if let Verdict::Quarantined { may_probe } = self.verdict() {
+            self.is_probe = may_probe
+                && self
+                    .gateway
+                    .request_probe(Subject::Request, self.fingerprint)
+                    .await;
+            if !self.is_probe {
+                return Err(Code::Quarantined);
+            }
+            log_event!(
+                Event::RequestProbed,
+                "request={} fingerprint={}",
+                self.id,
+                self.fingerprint
+            );
+        }
+        self.check_parts().await
+    }
+
+    async fn check_parts(&mut self) -> Result<(), Code> {
+        let (part, may_probe) = {
+            let now_ms = self.gateway.now_ms();
+            let state = self.gateway.state();
+            match state.part_verdict(&self.parts, None, now_ms) {
+                (Verdict::Quarantined { may_probe }, Some(part)) => (part.clone(), may_probe),
+                _ => return Ok(()),
+            }
         };
-        if !may_probe || !self.gateway.request_probe(self.fingerprint).await {
-            return Err(Code::Quarantined);
+        self.probed_part = Some(part.key);
+        // A request with another quarantined part tells nothing about this one.
+        let is_only_one = !matches!(self.part_verdict(), Verdict::Quarantined { .. });
+        let gateway = self.gateway.clone();
+        let may_probe = may_probe && is_only_one;
+        if !may_probe || !gateway.request_probe(Subject::Part, part.key).await {
+            self.probed_part = None;
+            return Err(self.quarantine_code());
         }
         log_event!(
-            Event::RequestProbed,
-            "request={} fingerprint={}",
+            Event::PartProbed,
+            "request={} part={} fingerprint={}",
             self.id,
-            self.fingerprint
+            part.id,
+            part.key
         );
-        self.is_probe = true;
         Ok(())
     }
 
+    /// Returns the code of a refusal for a quarantined request or part.
+    pub(super) fn quarantine_code(&self) -> Code {
+        match self.sends {
+            0 => Code::PartQuarantined,
+            _ => Code::Quarantined,
+        }
+    }
+
     /// Returns `true` if the request must not be sent.
     pub(super) fn is_quarantined(&self) -> bool {
-        matches!(self.verdict(), Verdict::Quarantined { .. })
+        let is_quarantined = |verdict| matches!(verdict, Verdict::Quarantined { .. });
+        is_quarantined(self.verdict()) || is_quarantined(self.part_verdict())
+    }
+
+    /// Returns `true` if the request must not be sent again after its server was lost: servers have
+    /// crashed more than once under requests with a part of its prompt, and none was answered since.
+    pub(super) fn has_suspected_part(&self) -> bool {
+        let verdict = self.part_verdict();
+        matches!(
+            verdict,
+            Verdict::Suspect { is_isolated: true } | Verdict::Quarantined { .. }
+        )
+    }
+
+    /// Returns a check whether no part of the prompt is quarantined, for the moment at which the
+    /// request is written.
+    pub(super) fn part_check(&self) -> impl Fn() -> bool + Send + Sync + use<> {
+        let (gateway, parts, probed) = (self.gateway.clone(), self.parts.clone(), self.probed_part);
+        move || {
+            let now_ms = gateway.now_ms();
+            let verdict = gateway.state().part_verdict(&parts, probed, now_ms).0;
+            !matches!(verdict, Verdict::Quarantined { .. })
+        }
     }
 
     /// Returns `true` if the request must go to the least loaded server.
     pub(super) fn is_isolated(&self, state: &State, now_ms: u64) -> bool {
-        let verdict = state.verdict(self.fingerprint, now_ms);
-        self.is_probe || verdict == (Verdict::Suspect { is_isolated: true })
+        let isolated = Verdict::Suspect { is_isolated: true };
+        self.is_probe
+            || self.probed_part.is_some()
+            || state.verdict(self.fingerprint, now_ms) == isolated
+            || state.part_verdict(&self.parts, None, now_ms).0 == isolated
     }
 
     /// Waits while a suspect has too many attempts in flight. Other requests do not wait.
@@ -175,6 +245,9 @@
         let until = until.min(self.route_deadline);
         loop {
             changes.mark_unchanged();
+            if matches!(self.part_verdict(), Verdict::Quarantined { .. }) {
+                return Err(self.quarantine_code());
+            }
             match self.verdict() {
                 Verdict::Busy => {}
                 Verdict::Quarantined { .. } if !self.is_probe => return Err(Code::Quarantined),
@@ -196,15 +269,17 @@
     pub(crate) async fn report_loss(&mut self, permit: &Permit, loss: Loss) {
         // Permission to probe covers a single attempt.
         self.is_probe = false;
+        self.probed_part = None;
         let gateway = self.gateway.clone();
         let server = &permit.server;
         let now_ms = gateway.now_ms();
         permit.settle();
+        let run = self.run_at(permit);
         let finding = gateway
             .state()
-            .report_loss(server, self.run_at(permit), loss, now_ms);
+            .report_loss(server, run.clone(), loss, now_ms);
         match finding {
-            Some(Finding::Crashed) => gateway.record_known_crash(server, self.fingerprint),
+            Some(Finding::Crashed) => gateway.record_known_crash(server, &run),
             Some(Finding::Probe) => {
                 self.probe_server(permit);
                 self.await_probe(permit).await;
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -228,8 +228,9 @@
                 let servers = state.registry.entries().count();
                 let limited = state.conditions.limits.count();
                 let exposure = state.quota.exposure(now_ms);
-                let suspects = state.quarantine.suspects();
-                let quarantined = state.quarantine.quarantined().len();
+                let store_ms = state.store_ms(now_ms);
+                let suspects = state.quarantine.suspects(store_ms);
+                let quarantined = state.quarantine.quarantined(store_ms).len();
                 let instances = state.directory.count();
                 let resting = state.conditions.rests.count(now_ms);
                 (
@@ -245,6 +246,12 @@
             let unready_left_ms = gateway.state().admission.unready_left_ms(now_ms);
             let behind_ms = gateway.state().lag.behind_ms(now_ms);
             let list_age_ms = gateway.state().cursor.age_ms(now_ms).unwrap_or_default();
+            let (suspect_parts, quarantined_parts) = {
+                let state = gateway.state();
+                let store_ms = state.store_ms(now_ms);
+                let parts = &state.part_quarantine;
+                (parts.suspects(store_ms), parts.quarantined(store_ms).len())
+            };
             let is_path_lost = gateway.state().path.is_lost();
             let server_paths_lost = gateway.state().server_paths.count();
             let (stream_records, dropped_records) = {
@@ -253,6 +260,8 @@
                 (state.stream_records.count(), dropped)
             };
             let values = [
+                ("suspect_parts", suspect_parts as f64),
+                ("quarantined_parts", quarantined_parts as f64),
                 ("path_lost", f64::from(u8::from(is_path_lost))),
                 ("server_paths_lost", server_paths_lost as f64),
                 ("unready_left_seconds", unready_left_ms as f64 / 1_000.0),
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -180,8 +180,13 @@
                 StreamEnd::Complete => {
                     permit.record_outcome(Outcome::Good);
                     permit.settle();
+                    // A server that had no event left to send has not worked on the prompt.
+                    let parts = match framer.forwarded() > begun.1 {
+                        true => &*self.parts,
+                        false => &[],
+                    };
                     self.gateway
-                        .record_response(&permit.server, self.fingerprint);
+                        .record_response(&permit.server, self.fingerprint, parts);
                     let events = framer.forwarded().saturating_sub(begun.1 + 1);
                     if let Some(gap) = begun.0.elapsed().checked_div(events as u32) {
                         permit.record_latency(gap);
--- a/crates/fescuewell_gateway/tests/quarantine.rs
+++ b/crates/fescuewell_gateway/tests/quarantine.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use common::{Behaviour, MemoryStore};
-use fescuewell_forward::crash::{Content, Evidence, Fingerprint, Loss, Run, Stage, Verdict};
+use fescuewell_forward::crash::{
+    Content, Evidence, Fingerprint, Loss, Run, Stage, Subject, Verdict,
+};
 use fescuewell_forward::server::{Entry, State};
 use fescuewell_gateway::gateway::Gateway;
 
@@ -112,11 +114,11 @@
         let settings = common::settings("entry-2");
         let (other, control) = common::instance(settings, &store, 2);
         let permissions = async {
-            let early = gateway.request_probe(request()).await;
+            let early = gateway.request_probe(Subject::Request, request()).await;
             tokio::time::sleep(QUARANTINE_PERIOD).await;
             let permissions = tokio::join!(
-                gateway.request_probe(request()),
-                other.request_probe(request())
+                gateway.request_probe(Subject::Request, request()),
+                other.request_probe(Subject::Request, request())
             );
             (early, verdict(&other), permissions)
         };
@@ -144,7 +146,10 @@
             crash(&gateway, 0..3);
             tokio::time::sleep(QUARANTINE_PERIOD).await;
             store.set_behaviour(Behaviour::Refuse);
-            (verdict(&gateway), gateway.request_probe(request()).await)
+            (
+                verdict(&gateway),
+                gateway.request_probe(Subject::Request, request()).await,
+            )
         },
     );
 
