Answers: a body without a length or chunks that ends with a crash of its server is not whole

Cause: the end of such a body is the end of its connection, and nothing asked why it ended. Change: when such a body ends, the loss of the connection is examined as for a broken one: the server is connected to again, and other evidence of its crash counts. If it crashed, a stream is broken off (and resumed where the route allows it), any other answer has an unknown outcome. Ruled out: to take each such body for broken; to wait 50 ms for a second look at each of them.

--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -249,7 +249,11 @@
             };
         }
         let headers = std::mem::take(&mut exchange.headers);
+        let end = exchange.body_end();
         match exchange.collect(MAX_RESPONSE_BYTES).await {
+            Ok(_) if self.is_cut_off(end, permit).await => {
+                self.unknown_outcome(permit, "the server crashed before the end of the body")
+            }
             Ok(body) => {
                 permit.settle();
                 if status.is_success() {
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -11,7 +11,7 @@
 };
 use fescuewell_forward::server::Entry;
 use fescuewell_http::listener::spawn;
-use fescuewell_http::upstream::{Error, Reachability};
+use fescuewell_http::upstream::{BodyEnd, Error, Reachability};
 
 use super::{Job, Permit};
 use crate::gateway::{Gateway, State};
@@ -238,6 +238,17 @@
             || state.part_verdict(&self.parts, None, now_ms).0 == isolated
     }
 
+    /// Returns `true` if a body that ended with its connection was cut off by a crash of the server. It
+    /// has neither a length nor chunks that would tell.
+    pub(crate) async fn is_cut_off(&mut self, exchange: BodyEnd, permit: &Permit) -> bool {
+        if exchange != BodyEnd::Connection {
+            return false;
+        }
+        self.report_loss(permit, Loss::Broken).await;
+        let server = permit.server.incarnation();
+        self.gateway.state().crashes.has_crashed(server)
+    }
+
     /// Waits while a suspect has too many attempts in flight. Other requests do not wait.
     pub(crate) async fn await_capacity(&mut self) -> Result<(), Code> {
         let mut changes = self.gateway.crash_changes();
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -304,6 +304,14 @@
                     self.report_loss(permit, Loss::Broken).await;
                     return StreamEnd::Broken;
                 }
+                None if self.is_cut_off(exchange.body_end(), permit).await => {
+                    self.log_failure(
+                        permit,
+                        "broken",
+                        "the server crashed before the end of the body",
+                    );
+                    return StreamEnd::Broken;
+                }
                 None => return StreamEnd::Complete,
             };
         }
--- a/crates/fescuewell_http/src/upstream/exchange.rs
+++ b/crates/fescuewell_http/src/upstream/exchange.rs
@@ -4,14 +4,24 @@
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::timeout_at;
 
 use super::pool::{Connection, Pool};
 use super::{Error, Target, Timeouts, describe, remaining};
 
+/// What tells the end of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// A length, chunks, or a status without a body.
+    Framing,
+    /// The end of the connection, also if the server crashed.
+    Connection,
+}
+
 /// A request whose response head has been received. Dropping it before the end of the body closes the
 /// connection, which cancels the request.
 pub struct Exchange {
@@ -20,6 +30,7 @@
     /// Headers of the response.
     pub headers: HeaderMap,
     body: Incoming,
+    body_end: BodyEnd,
     connection: Option<Connection>,
     pool: Arc<Pool>,
     max_idle: usize,
@@ -37,7 +48,15 @@
         timeouts: Timeouts,
     ) -> Self {
         let (parts, body) = response.into_parts();
+        let is_framed = body.is_end_stream()
+            || parts.headers.contains_key(CONTENT_LENGTH)
+            || parts.headers.contains_key(TRANSFER_ENCODING);
+        let body_end = match is_framed {
+            true => BodyEnd::Framing,
+            false => BodyEnd::Connection,
+        };
         Self {
+            body_end,
             status: parts.status,
             headers: parts.headers,
             body,
@@ -49,13 +68,18 @@
         }
     }
 
+    /// Returns what tells the end of the body.
+    pub fn body_end(&self) -> BodyEnd {
+        self.body_end
+    }
+
     /// Returns the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
     ///
     /// [`Error::Stalled`], [`Error::Closed`] or [`Error::DeadlineExceeded`]; the connection is then closed
     /// and further calls return `None`. A body without content length or chunked encoding, which ends
-    /// when the server closes the connection, cannot be distinguished from a truncated one.
+    /// when the server closes the connection, cannot be distinguished from a truncated one; see [`Exchange::body_end`].
     pub async fn next_chunk(&mut self) -> Option<Result<Bytes, Error>> {
         loop {
             self.connection.as_ref()?;
--- a/crates/fescuewell_http/src/upstream/mod.rs
+++ b/crates/fescuewell_http/src/upstream/mod.rs
@@ -27,7 +27,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
 
-pub use exchange::Exchange;
+pub use exchange::{BodyEnd, Exchange};
 use gate::{GatedStream, WriteCount, WriteGate};
 use pool::{Connection, Pool};
 pub use tls::{InvalidCertificate, RootCertificates};
