Answers: a body cut off at a leaving server, or through another instance, is not whole either

Cause: one accepted connection was taken for life; a leaving server and the sending instance were not asked. Change: the end of such a body counts as whole if a connection to the server lasts 10 ms, or a second one is accepted; otherwise it is cut off. The same check at a leaving server (without evidence against the request) and at an instance that sends for another one, which then ends its response incomplete. Ruled out: the 50 ms of the second probe for each such answer.

--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -277,7 +277,10 @@
     );
     let query = relay::Query { after: 2 };
     assert_eq!(encode(&Message::ListQuery(query)), "0d02");
-    assert_eq!(encode(&Message::PartCrashes(vec![part_update()])), "0e0161f1baeda34fb07643020104578f1cab010304000000");
+    assert_eq!(
+        encode(&Message::PartCrashes(vec![part_update()])),
+        "0e0161f1baeda34fb07643020104578f1cab010304000000"
+    );
     assert_eq!(encode(&Message::CrashesWanted), "04");
     assert_eq!(
         encode(&Message::SnapshotWanted(Request::new(Subject::Servers, 2))),
--- a/crates/fescuewell_gateway/src/hop/serve.rs
+++ b/crates/fescuewell_gateway/src/hop/serve.rs
@@ -9,7 +9,7 @@
 use fescuewell_forward::hop::{Call, Forward, MAX_PROBED, Reached, Refusal, Server, Task};
 use fescuewell_forward::server::Entry;
 use fescuewell_http::listener::{Handler, Reply, Request, spawn};
-use fescuewell_http::upstream::{Error, Exchange, Target, Timeouts};
+use fescuewell_http::upstream::{BodyEnd, Error, Exchange, Target, Timeouts};
 use http::header::HeaderValue;
 use http::{HeaderMap, HeaderName, Method, StatusCode, Uri};
 
@@ -105,7 +105,7 @@
 async fn serve_forward(gateway: &Arc<Gateway>, forward: Forward, reply: Reply) {
     let outcome = match open(gateway, &forward).await {
         Ok((exchange, server)) => {
-            let outcome = pass_back(exchange, reply).await;
+            let outcome = pass_back(gateway, exchange, &server, reply).await;
             log_served(&forward, outcome, &server.id);
             outcome
         }
@@ -224,7 +224,12 @@
 }
 
 /// Passes a response back as it arrives. One that breaks off is not completed.
-async fn pass_back(mut exchange: Exchange, reply: Reply) -> &'static str {
+async fn pass_back(
+    gateway: &Gateway,
+    mut exchange: Exchange,
+    server: &Entry,
+    reply: Reply,
+) -> &'static str {
     let mut headers = header::response_headers(&exchange.headers, false);
     headers.insert(RESULT, HeaderValue::from_static(SENT));
     let sink = reply.stream(exchange.status, headers);
@@ -236,6 +241,10 @@
             return "caller_gone";
         }
     }
+    // The other instance gets chunks, whose end would tell it that the body is whole.
+    if exchange.body_end() == BodyEnd::Connection && gateway.has_gone(server).await {
+        return "broken";
+    }
     sink.finish();
     SENT
 }
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -22,6 +22,10 @@
 /// Delay before a server that accepted a probe connection is probed again.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(50);
 
+/// Time after which a connection that an ending server has accepted is broken.
+const SETTLE_TIME: Duration = Duration::from_millis(10);
+/// Number of connections that an ending server may accept.
+const MAX_LAST_CONNECTIONS: usize = 2;
 /// Time after the head of a response within which it has just begun.
 const BEGINNING_TIME: Duration = Duration::from_millis(500);
 
@@ -79,6 +83,25 @@
     }
 }
 
+impl Gateway {
+    /// Returns `true` if a server refuses connections, and none to it is left.
+    pub(crate) async fn has_gone(&self, server: &Entry) -> bool {
+        for _ in 0..MAX_LAST_CONNECTIONS {
+            tokio::time::sleep(SETTLE_TIME).await;
+            if self.client.has_idle(server.address) {
+                return false;
+            }
+            match self.client.probe(server.address, PROBE_TIMEOUT).await {
+                Reachability::Refused => return true,
+                Reachability::NoResponse => return false,
+                // The connection shows in the next round whether it lasts.
+                Reachability::Accepted => {}
+            }
+        }
+        false
+    }
+}
+
 /// Probes again, because a crashing server may accept one more connection.
 async fn probe_again(gateway: &Arc<Gateway>, server: &Arc<Entry>) {
     tokio::time::sleep(SECOND_PROBE_DELAY).await;
@@ -238,15 +261,16 @@
             || state.part_verdict(&self.parts, None, now_ms).0 == isolated
     }
 
-    /// Returns `true` if a body that ended with its connection was cut off by a crash of the server. It
-    /// has neither a length nor chunks that would tell.
-    pub(crate) async fn is_cut_off(&mut self, exchange: BodyEnd, permit: &Permit) -> bool {
-        if exchange != BodyEnd::Connection {
+    /// Returns `true` if a body that ended with its connection may have been cut off by the end of the
+    /// server. It has neither a length nor chunks that would tell.
+    pub(crate) async fn is_cut_off(&mut self, end: BodyEnd, permit: &Permit) -> bool {
+        if end != BodyEnd::Connection {
             return false;
         }
         self.report_loss(permit, Loss::Broken).await;
         let server = permit.server.incarnation();
-        self.gateway.state().crashes.has_crashed(server)
+        let has_crashed = self.gateway.state().crashes.has_crashed(server);
+        has_crashed || self.gateway.has_gone(&permit.server).await
     }
 
     /// Waits while a suspect has too many attempts in flight. Other requests do not wait.
