Crashes: records of parts that end a quarantine go out before those of single crashes

Change: changes are sent in the order several crashes, cleared, one crash; what an instance was told goes on to others only where one announcement does not reach all (ten instances and more); changes of parts take 2,048 B/s. Ruled out: to send no single crashes (each instance sees one of the culprit's). Test: the model plays requests with a culprit every 0.25 s beside 200 sound ones a second, 20 of which run at each server that crashes.

--- a/crates/fescuewell_forward/src/crash/quarantine.rs
+++ b/crates/fescuewell_forward/src/crash/quarantine.rs
@@ -118,6 +118,7 @@
     witnessed: HashSet<Fingerprint>,
     next_sample: usize,
     is_loaded: bool,
+    is_forwarding: bool,
 }
 
 impl Default for Quarantine {
@@ -133,6 +134,7 @@
             witnessed: HashSet::new(),
             next_sample: 0,
             is_loaded: false,
+            is_forwarding: true,
         }
     }
 }
@@ -298,28 +300,46 @@
             if !known.merge(&record) {
                 continue;
             }
+            let before = known.count();
             if let Some(answered_ms) = answered_ms.filter(|_| self.subject == Subject::Part) {
                 // The crash came before an answer that this instance has seen.
                 known.clear(answered_ms);
             }
+            let was_corrected = known.count() < before;
             if self.is_quarantined(request, now_ms) && !was_quarantined {
                 quarantined.push(request);
                 if self.witnessed.contains(&request) {
                     self.unrecorded.push(request);
                 }
             }
-            self.note_fresh(request);
+            if self.is_forwarding || was_corrected {
+                self.note_fresh(request);
+            }
         }
         self.shrink(now_ms);
         quarantined
     }
 
-    /// Takes up to `most` changed records, those with the most crashes first.
+    /// Sets whether what other instances tell is announced to further ones. Not needed if each
+    /// announcement reaches all instances.
+    pub fn set_forwarding(&mut self, is_forwarding: bool) {
+        self.is_forwarding = is_forwarding;
+    }
+
+    /// Takes up to `most` changed records: those with several crashes, then those that were cleared,
+    /// which end a quarantine elsewhere, then those with one crash.
     pub fn take_fresh(&mut self, most: usize) -> Vec<Update> {
         let mut fresh = std::mem::take(&mut self.fresh);
         fresh.sort_by_key(|request| {
             let record = self.records.get(request);
-            std::cmp::Reverse(record.map(|record| (record.count(), record.last_crash_ms())))
+            std::cmp::Reverse(record.map(|record| {
+                let rank = match record.count() {
+                    0 => ISOLATED_FROM - 1,
+                    1 => 0,
+                    count => count,
+                };
+                (rank, record.last_crash_ms())
+            }))
         });
         self.fresh = fresh.split_off(fresh.len().min(most));
         self.updates(fresh)
--- a/crates/fescuewell_gateway/src/control/crashes.rs
+++ b/crates/fescuewell_gateway/src/control/crashes.rs
@@ -16,7 +16,7 @@
 use super::rows::{FLEET_PARTITION, log_unreadable, read, read_row, row_id};
 use super::watch::advance_stage;
 use super::{CALL_TIMEOUT, Control, RETRY_DELAY};
-use crate::gateway::ProbeRequest;
+use crate::gateway::{ANNOUNCED, ProbeRequest};
 use crate::store::{Outcome, Row, RowId, Transaction};
 
 /// Table of the quarantined requests and parts.
@@ -29,10 +29,10 @@
 const PART_KEY_PREFIX: &str = "part-";
 /// Records per message; fits one Ethernet frame.
 const MAX_RECORDS: usize = 8;
-/// Gossip fan-out of a change.
-const FANOUT: usize = 8;
-/// Average bandwidth of changes in bytes per second.
-const BYTES_PER_S: f64 = 4_096.0;
+/// Average bandwidth of changes of requests in bytes per second.
+const REQUEST_BYTES_PER_S: f64 = 4_096.0;
+/// The same for parts.
+const PART_BYTES_PER_S: f64 = 2_048.0;
 /// Minimum interval between two gossip messages.
 const MIN_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between two samples.
@@ -92,6 +92,10 @@
 /// Gossips changed records.
 async fn announce(control: &Control, socket: &UdpSocket, subject: Subject) {
     let gateway = &control.gateway;
+    let bytes_per_s = match subject {
+        Subject::Request => REQUEST_BYTES_PER_S,
+        Subject::Part => PART_BYTES_PER_S,
+    };
     let mut changes = gateway.crash_changes();
     loop {
         let updates = {
@@ -104,9 +108,9 @@
             }
             continue;
         }
-        let peers = random_peers(control, FANOUT);
+        let peers = random_peers(control, ANNOUNCED);
         let bytes = send(control, socket, message(subject, updates), &peers);
-        let pause = Duration::from_secs_f64(bytes as f64 / BYTES_PER_S);
+        let pause = Duration::from_secs_f64(bytes as f64 / bytes_per_s);
         tokio::time::sleep(pause.max(MIN_ANNOUNCE_INTERVAL)).await;
     }
 }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -42,6 +42,7 @@
 use crate::metrics::{self, Metrics};
 use crate::settings::Settings;
 
+pub(crate) use crash::ANNOUNCED;
 pub use crash::ProbeRequest;
 pub use state::State;
 pub(crate) use streams::Found;
--- a/crates/fescuewell_gateway/src/gateway/crash.rs
+++ b/crates/fescuewell_gateway/src/gateway/crash.rs
@@ -10,6 +10,8 @@
 
 use super::{Gateway, State};
 
+/// Number of instances to which a change of the records is sent.
+pub(crate) const ANNOUNCED: usize = 8;
 /// Maximum number of requests listed in one log line.
 const MAX_LOGGED_REQUESTS: usize = 8;
 /// Maximum number of prompt parts listed in one log line.
@@ -183,7 +185,9 @@
         let (quarantined, has_fresh) = {
             let mut state = self.state();
             let store_ms = state.store_ms(now_ms);
+            let is_forwarding = state.directory.count() > ANNOUNCED + 1;
             let quarantine = state.quarantine_of(subject);
+            quarantine.set_forwarding(is_forwarding || subject == Subject::Request);
             let quarantined = quarantine.merge(updates, store_ms);
             (quarantined, quarantine.has_fresh())
         };
