Soak: a part that crashes servers, answers without a length, a full link while a server leaves

Then different requests with one part crash servers, half of which answer without a length; at most eight may crash, and half of the sound requests between them must be answered.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -13,6 +13,8 @@
 #[allow(dead_code, reason = "the soak uses a part of the fixture")]
 mod fixture;
 mod instance;
+mod lists;
+mod parts;
 mod poison;
 #[path = "../scenario/proxy.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the proxy")]
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -17,6 +17,7 @@
 use crate::poison::{self, PoisonCaller};
 use crate::streams;
 use crate::verdict;
+use crate::{lists, parts};
 
 const INSTANCES: usize = 3;
 const SERVERS: usize = 3;
@@ -295,6 +296,7 @@
         violations.extend(self.check_quarantine());
         violations.extend(conditions::failure_violation(&self.platform.workers));
         violations.extend(conditions::violations(&self.platform.workers));
+        violations.extend(lists::violation(&self.platform, &self.instances));
         self.stop.store(true, Ordering::Release);
         let exchanges = self
             .callers
@@ -314,6 +316,12 @@
             &self.platform,
             &mut self.instances,
         ));
+        violations.extend(parts::violations(
+            &mut self.stream_random.clone(),
+            &self.platform,
+            &self.instances,
+            || self.restart_crashed_servers(),
+        ));
         violations
     }
 }
