--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -22,7 +22,7 @@
 ";
 
 /// Titles of log lines that report a change of an instance's state and are printed as context.
-const CONTEXT_TITLES: [&str; 29] = [
+const CONTEXT_TITLES: [&str; 32] = [
     "process.started",
     "process.ready",
     "drain.started",
@@ -32,6 +32,9 @@
     "server.ejected",
     "server.ended",
     "server.crashed",
+    "servers.behind",
+    "part.quarantined",
+    "part.cleared",
     "path.lost",
     "path.restored",
     "path.server_lost",
