Crashes: parts that always occur together are probed together

Callers saw: nothing yet; found by a new test: a first part and another one that all requests of a service have were both quarantined by the fifth crash, and no request could probe either, since each had another quarantined part. Cause: a probe was given only to requests with one quarantined part. Change: a request with several of them may probe all after four times the time, so that one with a single part, which tells more, goes first. Ruled out: to give a probe to any request at once: a culprit would use up the probes of a sound first part. Tests: parts::a_part_that_no_longer_crashes_servers_is_served_again_within_seconds failed before (three runs) and passes; a_failure_does_not_clear_a_part_that_crashes_servers and a_quarantined_part_outlives_a_kill_of_all_instances passed before and pass (two runs of parts::).

--- a/crates/fescuewell_forward/src/crash/quarantine.rs
+++ b/crates/fescuewell_forward/src/crash/quarantine.rs
@@ -38,6 +38,8 @@
 const PART_ANSWERED_MS: u64 = 1_000;
 /// Number of crashes that quarantines a part in any case.
 const PART_THRESHOLD: usize = 5;
+/// Time before several parts are probed by one request, as a multiple of the time before one is.
+const TOGETHER_FACTOR: u64 = 4;
 /// Maximum number of other parts that may have one crash less than a part that is quarantined
 /// earlier; none may have as many.
 const MAX_RIVALS: usize = 2;
@@ -177,6 +179,17 @@
         record.may_probe(probation, now_ms)
     }
 
+    /// Returns `true` if this instance may ask for a probe of several parts by one request at `now_ms` of
+    /// the store's clock. Requests with one of them alone tell more, and go first.
+    pub fn may_probe_together(&self, parts: &[Fingerprint], now_ms: u64) -> bool {
+        let mut probation = self.subject.probation();
+        probation.first_ms *= TOGETHER_FACTOR;
+        parts.iter().all(|part| {
+            let record = self.records.get(part);
+            record.is_some_and(|record| record.may_probe(probation, now_ms))
+        })
+    }
+
     /// Decides whether a request, or one with a part, may be sent at `now_ms` of the store's clock.
     pub fn verdict(&self, request: Fingerprint, now_ms: u64) -> Verdict {
         let Some(record) = self.records.get(&request) else {
--- a/crates/fescuewell_gateway/src/gateway/crash.rs
+++ b/crates/fescuewell_gateway/src/gateway/crash.rs
@@ -39,29 +39,39 @@
         self.quarantine.verdict(request, self.store_ms(now_ms))
     }
 
-    /// Decides whether a request with some parts may be sent, by the worst of them other than
-    /// `probed`. Returns that part as well.
-    pub fn part_verdict<'a>(
-        &self,
-        parts: &'a [Part],
-        probed: Option<Fingerprint>,
-        now_ms: u64,
-    ) -> (Verdict, Option<&'a Part>) {
+    /// Decides whether a request with some parts may be sent, by the worst of them other than those
+    /// that it probes.
+    pub fn part_verdict(&self, parts: &[Part], probed: &[Fingerprint], now_ms: u64) -> Verdict {
         let store_ms = self.store_ms(now_ms);
-        let mut worst = (Verdict::Clear, None);
-        for part in parts.iter().filter(|part| Some(part.key) != probed) {
+        let mut worst = Verdict::Clear;
+        for part in parts.iter().filter(|part| !probed.contains(&part.key)) {
             match self.part_quarantine.verdict(part.key, store_ms) {
-                verdict @ Verdict::Quarantined { .. } => return (verdict, Some(part)),
-                verdict @ Verdict::Suspect { is_isolated: true } => worst = (verdict, Some(part)),
-                verdict @ Verdict::Suspect { .. } if worst.1.is_none() => {
-                    worst = (verdict, Some(part));
-                }
+                verdict @ Verdict::Quarantined { .. } => return verdict,
+                verdict @ Verdict::Suspect { is_isolated: true } => worst = verdict,
+                verdict @ Verdict::Suspect { .. } if worst == Verdict::Clear => worst = verdict,
                 _ => {}
             }
         }
         worst
     }
 
+    /// Returns the quarantined ones of some parts, and whether this instance may ask for a probe of
+    /// them.
+    pub fn quarantined_parts(&self, parts: &[Part], now_ms: u64) -> (Vec<Part>, bool) {
+        let store_ms = self.store_ms(now_ms);
+        let verdict = |part: &Part| self.part_quarantine.verdict(part.key, store_ms);
+        let is_quarantined = |part: &&Part| matches!(verdict(part), Verdict::Quarantined { .. });
+        let quarantined: Vec<Part> = parts.iter().filter(is_quarantined).cloned().collect();
+        let may_probe = match quarantined.as_slice() {
+            [part] => verdict(part) == (Verdict::Quarantined { may_probe: true }),
+            parts => {
+                let keys: Vec<Fingerprint> = parts.iter().map(|part| part.key).collect();
+                self.part_quarantine.may_probe_together(&keys, store_ms)
+            }
+        };
+        (quarantined, may_probe)
+    }
+
     /// Returns the quarantine of requests or parts.
     pub fn quarantine_of(&mut self, subject: Subject) -> &mut Quarantine {
         match subject {
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -58,8 +58,8 @@
     /// Whether the software version that began the stream has been recorded.
     is_recorded: bool,
     is_probe: bool,
-    /// Quarantined part that this request may probe.
-    probed_part: Option<Fingerprint>,
+    /// Quarantined parts that this request may probe.
+    probed_parts: Vec<Fingerprint>,
     arrived: Instant,
     deadline: Instant,
     route_deadline: Instant,
@@ -106,7 +106,7 @@
             resumed: None,
             is_recorded: false,
             is_probe: false,
-            probed_part: None,
+            probed_parts: Vec::new(),
             arrived: request.arrived,
             deadline: request.arrived,
             route_deadline: request.arrived,
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -165,7 +165,7 @@
     fn part_verdict(&self) -> Verdict {
         let now_ms = self.gateway.now_ms();
         let state = self.gateway.state();
-        state.part_verdict(&self.parts, self.probed_part, now_ms).0
+        state.part_verdict(&self.parts, &self.probed_parts, now_ms)
     }
 
     /// Rejects a quarantined request, or one with a quarantined part, unless the store permits a probe.
@@ -190,30 +190,28 @@
     }
 
     async fn check_parts(&mut self) -> Result<(), Code> {
-        let (part, may_probe) = {
-            let now_ms = self.gateway.now_ms();
-            let state = self.gateway.state();
-            match state.part_verdict(&self.parts, None, now_ms) {
-                (Verdict::Quarantined { may_probe }, Some(part)) => (part.clone(), may_probe),
-                _ => return Ok(()),
-            }
-        };
-        self.probed_part = Some(part.key);
-        // A request with another quarantined part tells nothing about this one.
-        let is_only_one = !matches!(self.part_verdict(), Verdict::Quarantined { .. });
         let gateway = self.gateway.clone();
-        let may_probe = may_probe && is_only_one;
-        if !may_probe || !gateway.request_probe(Subject::Part, part.key).await {
-            self.probed_part = None;
+        let (quarantined, may_probe) = {
+            let now_ms = gateway.now_ms();
+            gateway.state().quarantined_parts(&self.parts, now_ms)
+        };
+        if !quarantined.is_empty() && !may_probe {
             return Err(self.quarantine_code());
         }
-        log_event!(
-            Event::PartProbed,
-            "request={} part={} fingerprint={}",
-            self.id,
-            part.id,
-            part.key
-        );
+        for part in quarantined {
+            if !gateway.request_probe(Subject::Part, part.key).await {
+                self.probed_parts.clear();
+                return Err(self.quarantine_code());
+            }
+            log_event!(
+                Event::PartProbed,
+                "request={} part={} fingerprint={}",
+                self.id,
+                part.id,
+                part.key
+            );
+            self.probed_parts.push(part.key);
+        }
         Ok(())
     }
 
@@ -244,10 +242,11 @@
     /// Returns a check whether no part of the prompt is quarantined, for the moment at which the
     /// request is written.
     pub(super) fn part_check(&self) -> impl Fn() -> bool + Send + Sync + use<> {
-        let (gateway, parts, probed) = (self.gateway.clone(), self.parts.clone(), self.probed_part);
+        let (gateway, parts) = (self.gateway.clone(), self.parts.clone());
+        let probed = self.probed_parts.clone();
         move || {
             let now_ms = gateway.now_ms();
-            let verdict = gateway.state().part_verdict(&parts, probed, now_ms).0;
+            let verdict = gateway.state().part_verdict(&parts, &probed, now_ms);
             !matches!(verdict, Verdict::Quarantined { .. })
         }
     }
@@ -256,9 +255,9 @@
     pub(super) fn is_isolated(&self, state: &State, now_ms: u64) -> bool {
         let isolated = Verdict::Suspect { is_isolated: true };
         self.is_probe
-            || self.probed_part.is_some()
+            || !self.probed_parts.is_empty()
             || state.verdict(self.fingerprint, now_ms) == isolated
-            || state.part_verdict(&self.parts, None, now_ms).0 == isolated
+            || state.part_verdict(&self.parts, &[], now_ms) == isolated
     }
 
     /// Returns `true` if a body that ended with its connection may have been cut off by the end of the
@@ -304,7 +303,7 @@
     pub(crate) async fn report_loss(&mut self, permit: &Permit, loss: Loss) {
         // Permission to probe covers a single attempt.
         self.is_probe = false;
-        self.probed_part = None;
+        self.probed_parts.clear();
         let gateway = self.gateway.clone();
         let server = &permit.server;
         let now_ms = gateway.now_ms();
--- a/tests/forward/parts.rs
+++ b/tests/forward/parts.rs
@@ -1,6 +1,6 @@
 //! Tests of prompt parts that crash the backend servers which run requests with them.
 
-use fescuewell::standin::worker::Worker;
+use fescuewell::standin::worker::{Behaviour, Worker, wait_until};
 
 use crate::fixture::{Fixture, Request, Response};
 use crate::wire;
@@ -145,3 +145,75 @@
         .sum();
     assert_eq!(runs, 2);
 }
+
+/// Sends requests with the part until it is refused.
+fn quarantine(fixture: &Fixture) {
+    for number in 0..CRASHES + MAX_FURTHER_SENDS {
+        if is_refused(&fixture.send(&request(&format!("q-{number}"), CRASHING_PART))) {
+            return;
+        }
+        fixture.restart_crashed();
+    }
+    panic!("the part is not quarantined");
+}
+
+/// Guards against a part that counts as sound since a server that had not run its request answered with an error.
+#[test]
+fn a_failure_does_not_clear_a_part_that_crashes_servers() {
+    let fixture = fixture();
+    fixture.send(&request("first", CRASHING_PART));
+    fixture.restart_crashed();
+    for worker in &fixture.workers {
+        worker.next(&[Behaviour::Fail]);
+    }
+
+    let failed = fixture.send(&request("failed", CRASHING_PART));
+    for worker in &fixture.workers {
+        worker.clear_next();
+    }
+    send_alternately(&[&fixture], 10, "r");
+
+    assert_eq!(failed.status, 500);
+    assert!(
+        fixture.crashes() <= CRASHES + MAX_FURTHER_SENDS,
+        "{}",
+        fixture.crashes()
+    );
+}
+
+/// Guards against a quarantine that outlasts its cause: a false verdict, or a part that the servers can run again.
+#[test]
+fn a_part_that_no_longer_crashes_servers_is_served_again_within_seconds() {
+    let fixture = fixture();
+    quarantine(&fixture);
+    fixture.restart_crashed();
+    let crashes = fixture.crashes();
+    for worker in &fixture.workers {
+        worker.crash_on_part(None);
+    }
+
+    let is_served = || fixture.send(&request("again", CRASHING_PART)).status == 200;
+    assert!(wait_until(is_served), "the part is still refused");
+    let next = fixture.send(&request("next", CRASHING_PART));
+
+    assert_eq!(next.status, 200);
+    assert_eq!(fixture.crashes(), crashes);
+}
+
+/// Guards against servers that crash once more under a known part after all instances have lost power.
+#[test]
+fn a_quarantined_part_outlives_a_kill_of_all_instances() {
+    let mut fixture = fixture();
+    quarantine(&fixture);
+    fixture.restart_crashed();
+    let crashes = fixture.crashes();
+
+    fixture.wait_persisted();
+    fixture.kill();
+    fixture.start();
+    fixture.wait_ready();
+    let response = fixture.send(&request("after", CRASHING_PART));
+
+    assert!(is_refused(&response), "{}", response.status);
+    assert_eq!(fixture.crashes(), crashes);
+}
