Retries: a request with a suspect part that no server has run is still offered to another one

Callers saw: nothing yet; found by reading: after a rejection as not run, a request whose parts were suspects was not offered to another server, although it had crashed none. In a wave of crashes that are full elsewhere this would cost sound requests. Cause: the check asked whether the request had been sent, not whether it may have run. Change: it asks whether the request may have run. Ruled out: to repeat suspects that may have run. Result: parts::, lists:: and crashes:: pass (18 tests).

--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -231,7 +231,7 @@
     /// Returns `true` if the request may be sent to another backend server, in which case a retry
     /// is taken from the fleet's retry budget.
     pub(crate) fn may_retry(&mut self) -> bool {
-        if self.is_quarantined() || (self.sends > 0 && self.has_suspected_part()) {
+        if self.is_quarantined() || (self.possibly_executed && self.has_suspected_part()) {
             return false;
         }
         if self.possibly_executed && !self.route.kind.is_idempotent() {
