--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -4,6 +4,7 @@
 mod desk;
 mod net;
 mod store;
+mod term;
 mod world;
 
 use std::path::Path;
@@ -22,6 +23,7 @@
     record.note(&format!("case {case}, with the disruption: {is_troubled}"));
     let held = match case.as_str() {
         "late-rejection" => desk::run(&record, is_troubled),
+        "stop" => term::run(&record, is_troubled),
         _ => None,
     };
     match held {
