Review: workers that leave between two pages of the list are used on (DRAIN)

Cause: the rows of all pages of a read get the version of the last page, and changes after that one are asked for. Ruled out: the same fleet without leaving workers, which keeps the rule.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -2,6 +2,7 @@
 //! checks one rule. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod desk;
+mod leave;
 mod net;
 mod store;
 mod term;
@@ -23,6 +24,7 @@
     record.note(&format!("case {case}, with the disruption: {is_troubled}"));
     let held = match case.as_str() {
         "late-rejection" => desk::run(&record, is_troubled),
+        "leaving" => leave::run(&record, is_troubled),
         "stop" => term::run(&record, is_troubled),
         _ => None,
     };
