--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,4 +6,4 @@
 for program in target/release/fescuewell target/review/harness; do
   [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec target/review/harness stop "$folder/record.txt"
+exec target/review/harness late-rejection "$folder/record.txt"
