Review: a return of tokens that takes effect after the next start is spent twice (BUDGET)

Cause: the next process takes over the grant of the row, on which a write of the process before may still wait. Ruled out: the same restart with all writes answered, after which nothing is overspent.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,6 +3,7 @@
 
 mod desk;
 mod leave;
+mod money;
 mod net;
 mod store;
 mod term;
@@ -24,6 +25,7 @@
     record.note(&format!("case {case}, with the disruption: {is_troubled}"));
     let held = match case.as_str() {
         "late-rejection" => desk::run(&record, is_troubled),
+        "late-return" => money::run_case(&record, is_troubled),
         "leaving" => leave::run(&record, is_troubled),
         "stop" => term::run(&record, is_troubled),
         _ => None,
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -43,11 +43,23 @@
 /// Called with the keys of the first page of a table; returns those of the rows to remove.
 type Hook = Box<dyn FnOnce(&[String]) -> Vec<String> + Send>;
 
+/// Chooses the writes that are done late and not answered: by the address of the store that a process uses, and by
+/// the tables that are written.
+type Choice = Box<dyn Fn(usize, &[&str]) -> Option<Duration> + Send>;
+
+struct Late {
+    choose: Choice,
+    writes: usize,
+    chosen: usize,
+}
+
 /// A running store.
 pub struct Store {
     state: Mutex<State>,
     /// What happens once a reader has been sent the first of several pages of a table.
     hook: Mutex<Option<(String, Hook)>>,
+    /// Which writes are answered not at all, and applied late; counts all writes and these since it is set.
+    late: Mutex<Option<Late>>,
     changed: Condvar,
     started: Instant,
 }
@@ -70,24 +82,63 @@
 }
 
 impl Store {
-    /// Starts a store on a free port.
-    pub fn start(ip: &str) -> (Arc<Self>, SocketAddr) {
-        let store = Arc::new(Self {
+    /// Creates a store that does not listen yet.
+    pub fn start() -> Arc<Self> {
+        Arc::new(Self {
             state: Mutex::default(),
             hook: Mutex::default(),
+            late: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
-        });
+        })
+    }
+
+    /// Listens on one more free port, whose calls bear this number.
+    pub fn listen(self: &Arc<Self>, ip: &str, number: usize) -> SocketAddr {
         let listener = TcpListener::bind((ip, 0)).expect("the store cannot listen");
         let address = listener.local_addr().expect("the store has no address");
-        let serving = store.clone();
+        let serving = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = serving.clone();
-                std::thread::spawn(move || store.serve(Connection::new(stream)));
+                std::thread::spawn(move || store.serve(Connection::new(stream), number));
             }
         });
-        (store, address)
+        address
+    }
+
+    /// Sets which writes are done late and not answered.
+    pub fn set_late<Choose>(&self, choose: Choose)
+    where
+        Choose: Fn(usize, &[&str]) -> Option<Duration> + Send + 'static,
+    {
+        *self.late.lock().unwrap() = Some(Late {
+            choose: Box::new(choose),
+            writes: 0,
+            chosen: 0,
+        });
+    }
+
+    /// Ends that. Returns the number of writes meanwhile, and of those that were chosen.
+    pub fn end_late(&self) -> (usize, usize) {
+        let late = self.late.lock().unwrap().take();
+        late.map_or((0, 0), |late| (late.writes, late.chosen))
+    }
+
+    /// Returns after which time a write is to be done, if it is chosen.
+    fn late_by(&self, number: usize, body: &[u8]) -> Option<Duration> {
+        let mut late = self.late.lock().unwrap();
+        let late = late.as_mut()?;
+        late.writes += 1;
+        let change = Json::parse(&String::from_utf8_lossy(body))?;
+        let tables: Vec<&str> = change
+            .list("puts")
+            .iter()
+            .map(|row| row.text("table"))
+            .collect();
+        let by = (late.choose)(number, &tables)?;
+        late.chosen += 1;
+        Some(by)
     }
 
     /// Writes a row as the operator or a worker does.
@@ -142,8 +193,22 @@
         }
     }
 
-    fn serve(&self, mut connection: Connection) {
+    fn serve(self: &Arc<Self>, mut connection: Connection, number: usize) {
         while let Ok(request) = connection.read_message(false) {
+            let is_write = request.target().starts_with("/-/rows-tx");
+            if let Some(by) = is_write
+                .then(|| self.late_by(number, &request.body))
+                .flatten()
+            {
+                let store = self.clone();
+                std::thread::spawn(move || {
+                    std::thread::sleep(by);
+                    store.transact(&request.body);
+                });
+                // A connection on which a response is lost delivers nothing further.
+                while connection.read_message(false).is_ok() {}
+                return;
+            }
             let (status, body) = self.answer(&request);
             let line = format!("HTTP/1.1 {status} -");
             let headers = [("Content-Type", "application/json")];
--- a/review/harness/world.rs
+++ b/review/harness/world.rs
@@ -55,6 +55,8 @@
     pub directory: SocketAddr,
     ready: SocketAddr,
     process: Child,
+    settings: PathBuf,
+    log: PathBuf,
 }
 
 impl Instance {
@@ -75,7 +77,29 @@
         matches!(self.process.try_wait(), Ok(Some(_)))
     }
 
-    fn is_ready(&self) -> bool {
+    /// Waits until the process has ended; ends it after `grace`, as the platform does.
+    pub fn wait_ended(&mut self, grace: Duration) {
+        let until = Instant::now() + grace;
+        while !self.has_ended() {
+            if Instant::now() >= until {
+                self.kill();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Starts the process again, as the platform does: `bootstrap` is true at the first start only.
+    pub fn start_again(&mut self) {
+        let text = fs::read_to_string(&self.settings).expect("the settings cannot be read");
+        fs::write(
+            &self.settings,
+            text.replace("bootstrap=true", "bootstrap=false"),
+        )
+        .expect("the settings cannot be written");
+        self.process = spawn(&self.settings, &self.log);
+    }
+
+    pub fn is_ready(&self) -> bool {
         get(self.ready, "/-/readyz").is_some_and(|(status, _)| status == 200)
     }
 }
@@ -88,7 +112,6 @@
     /// Network of the loopback addresses, `127.A.B.`.
     pub network: String,
     folder: PathBuf,
-    store_address: SocketAddr,
     bounds: Bounds,
 }
 
@@ -118,6 +141,30 @@
     }
 }
 
+/// Starts the deploy file's program with a settings file.
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("no log file");
+    let errors = log.try_clone().expect("no log file");
+    let mut command = Command::new(PROGRAM);
+    command
+        .arg("entry")
+        .env_clear()
+        .env("FESCUEWELL_SETTINGS", settings);
+    for name in ["PATH", "HOME", "LANG"] {
+        if let Some(value) = std::env::var_os(name) {
+            command.env(name, value);
+        }
+    }
+    command.stdin(Stdio::null()).stdout(log).stderr(errors);
+    command
+        .spawn()
+        .expect("the program cannot be started; was it built?")
+}
+
 /// Sends a GET request. Returns the status and the body.
 pub fn get(address: SocketAddr, path: &str) -> Option<(u16, String)> {
     let mut connection = Connection::open(address, Duration::from_secs(1)).ok()?;
@@ -143,7 +190,7 @@
         let network = format!("127.{}.{}.", 64 + id / 256 % 128, id % 256);
         let folder = std::env::temp_dir().join(format!("fescuewell-review-{id}"));
         fs::create_dir_all(&folder).expect("no temporary folder");
-        let (store, address) = Store::start(&format!("{network}1"));
+        let store = Store::start();
         store.write("op", "config", Some(configuration));
         let mut world = Self {
             record: record.clone(),
@@ -151,7 +198,6 @@
             instances: Vec::new(),
             network,
             folder,
-            store_address: address,
             bounds,
         };
         for _ in 0..instances {
@@ -162,7 +208,10 @@
 
     /// Starts one more instance.
     pub fn add_instance(&mut self) {
-        let instance = self.start_instance(self.instances.len(), self.store_address);
+        // An address of the store of its own, which tells whose calls they are.
+        let number = self.instances.len() + 1;
+        let store = self.store.listen(&format!("{}1", self.network), number);
+        let instance = self.start_instance(self.instances.len(), store);
         self.instances.push(instance);
     }
 
@@ -198,22 +247,8 @@
         );
         let path = self.folder.join(format!("{name}.conf"));
         fs::write(&path, settings).expect("the settings cannot be written");
-        let log = File::create(self.folder.join(format!("{name}.log"))).expect("no log file");
-        let errors = log.try_clone().expect("no log file");
-        let mut command = Command::new(PROGRAM);
-        command
-            .arg("entry")
-            .env_clear()
-            .env("FESCUEWELL_SETTINGS", &path);
-        for name in ["PATH", "HOME", "LANG"] {
-            if let Some(value) = std::env::var_os(name) {
-                command.env(name, value);
-            }
-        }
-        command.stdin(Stdio::null()).stdout(log).stderr(errors);
-        let process = command
-            .spawn()
-            .expect("the program cannot be started; was it built?");
+        let log = self.folder.join(format!("{name}.log"));
+        let process = spawn(&path, &log);
         let address = |port: u16| format!("{ip}:{port}").parse().expect("an address");
         Instance {
             name,
@@ -221,6 +256,8 @@
             directory: address(directory),
             ready: address(ready),
             process,
+            settings: path,
+            log,
         }
     }
 
