Streams: a stream cut before its end says who ended it, and why

Callers saw streams closed before their end, and the lines of the end could not be told apart: 'given up for silence, then no other server', 'the server broke off' and 'the deadline passed' all read outcome=broken_off.

stream.cut (E2039) names who ended the stream and why, why no other server went on with it, how long its server had been silent, the events that the caller has, and which configuration is in force since when. A stream whose caller leaves logs the same line. fescuewell_streams_cut_total counts them.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -97,6 +97,7 @@
     PartQuarantined = 2036, Warn, "part.quarantined", "Backend servers crashed under requests with a part of their prompts again and again; requests with it are sent to none any more.";
     PartProbed = 2037, Info, "part.probed", "A request with a quarantined part is sent once, to find out whether servers still crash under it.";
     PartCleared = 2038, Info, "part.cleared", "A request with a part under which servers had crashed was answered whole.";
+    StreamCut = 2039, Info, "stream.cut", "A stream ended before its last event. Names who ended it and why, why no other server went on with it, how long its server had been silent, the events that the caller has, and the configuration in force with its age.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -75,6 +75,15 @@
     pub reply: oneshot::Sender<bool>,
 }
 
+/// The configuration in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InForce {
+    /// Its version, or 0 if there is none.
+    pub version: u64,
+    /// Time since it came into force at this instance.
+    pub age: Duration,
+}
+
 /// Receiving ends of the requests to the control thread.
 #[derive(Debug, Clone)]
 pub struct Inbox {
@@ -120,6 +129,7 @@
     /// Connection pool for backend servers.
     pub client: upstream::Client,
     table: ArcSwapOption<Table>,
+    configured_at_ms: AtomicU64,
     state: Mutex<State>,
     stage: AtomicU8,
     store_up: AtomicBool,
@@ -206,6 +216,7 @@
             metrics: Metrics::new()?,
             client: upstream::Client::new(upstream::Settings::default()),
             table: ArcSwapOption::empty(),
+            configured_at_ms: AtomicU64::new(0),
             state: Mutex::new(state),
             stage: AtomicU8::new(Stage::Starting as u8),
             store_up: AtomicBool::new(false),
@@ -253,9 +264,21 @@
 
     /// Replaces the configuration.
     pub fn set_table(&self, table: Table) {
+        self.configured_at_ms
+            .store(self.now_ms(), Ordering::Relaxed);
         self.table.store(Some(Arc::new(table)));
     }
 
+    /// Returns which configuration is in force, and for how long.
+    pub fn configuration_in_force(&self) -> InForce {
+        let since_ms = self.configured_at_ms.load(Ordering::Relaxed);
+        let table = self.table();
+        InForce {
+            version: table.map_or(0, |table| table.configuration().version),
+            age: Duration::from_millis(self.now_ms().saturating_sub(since_ms)),
+        }
+    }
+
     /// Locks the shared state. The guard must be held briefly and never across an `await`.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod permit;
 mod pick;
+mod trace;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -28,6 +29,7 @@
 pub(crate) use binding::Binding;
 pub(crate) use crash::classify_loss;
 pub(crate) use permit::Permit;
+pub(crate) use trace::{Cause, Trace};
 
 /// Fraction of the target latency that a request waits for tokens. The rest is enough for a backend
 /// server to respond.
@@ -146,6 +148,11 @@
         self
     }
 
+    /// Number of servers to which the request was sent.
+    pub(crate) fn sends(&self) -> u32 {
+        self.sends
+    }
+
     /// Returns the id of the caller's attempt.
     pub fn id(&self) -> &Arc<str> {
         &self.id
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     hops: Counter<u64>,
     stream_records: Counter<u64>,
     resumptions: Counter<u64>,
+    cut_streams: Counter<u64>,
     configurations: Counter<u64>,
     first_event: Histogram<f64>,
     request_duration: Histogram<f64>,
@@ -54,6 +55,7 @@
             hops: meter.u64_counter("fescuewell_hops").build(),
             stream_records: meter.u64_counter("fescuewell_stream_records").build(),
             resumptions: meter.u64_counter("fescuewell_stream_resumptions").build(),
+            cut_streams: meter.u64_counter("fescuewell_streams_cut").build(),
             digests: meter.u64_counter("fescuewell_digests").build(),
             list_queries: meter.u64_counter("fescuewell_list_queries").build(),
             configurations: meter.u64_counter("fescuewell_configuration_copies").build(),
@@ -162,6 +164,12 @@
         self.resumptions.add(1, &attributes);
     }
 
+    /// Counts a stream that ended before its last event: who ended it, and why.
+    pub fn count_cut_stream(&self, by: &'static str, cause: &'static str) {
+        let attributes = [KeyValue::new("by", by), KeyValue::new("cause", cause)];
+        self.cut_streams.add(1, &attributes);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &str, outcome: &'static str) {
         let attributes = [
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use fescuewell_http::upstream::Exchange;
 
 use crate::header;
-use crate::job::{AttemptOutcome, Binding, Job, Permit, classify_loss};
+use crate::job::{AttemptOutcome, Binding, Cause, Job, Permit, Trace, classify_loss};
 
 /// Maximum event size in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -125,7 +125,7 @@
 /// How the stream of one server ended.
 enum StreamEnd {
     Complete,
-    Broken,
+    Broken(Cause),
     CallerGone,
 }
 
@@ -167,14 +167,29 @@
         let mut framer = EventFramer::new(self.metadata.last_event_id.value().copied());
         let mut current = Some((exchange, first));
         let mut permit = permit;
-        let mut refusal = None;
+        let mut refusal: Option<Refusal> = None;
+        let mut cause = Cause::Broken;
+        let mut trace = Trace::new(&self.gateway, &self.id, &permit.server.id);
         loop {
             let Some((mut exchange, first)) = current.take() else {
+                match &downstream {
+                    Downstream::Pending(_) => trace.end(),
+                    Downstream::Open(_) => {
+                        trace.cut(cause, refusal.as_ref().map(|refusal| refusal.code));
+                    }
+                }
                 return self.end_broken(downstream, &permit, refusal);
             };
             let begun = (Instant::now(), framer.forwarded());
             match self
-                .forward_events(&mut downstream, &mut framer, &mut exchange, first, &permit)
+                .forward_events(
+                    &mut downstream,
+                    &mut framer,
+                    &mut exchange,
+                    first,
+                    &permit,
+                    &mut trace,
+                )
                 .await
             {
                 StreamEnd::Complete => {
@@ -196,10 +211,14 @@
                     if let Downstream::Open(sink) = downstream {
                         sink.finish();
                     }
+                    trace.end();
                     return self.finish(&permit, "whole");
                 }
                 StreamEnd::CallerGone => return self.finish(&permit, "caller_gone"),
-                StreamEnd::Broken => permit.record_outcome(Outcome::Bad),
+                StreamEnd::Broken(reason) => {
+                    cause = reason;
+                    permit.record_outcome(Outcome::Bad);
+                }
             }
             drop(exchange);
             framer.discard_partial();
@@ -260,6 +279,7 @@
         exchange: &mut Exchange,
         first: Bytes,
         permit: &Permit,
+        trace: &mut Trace,
     ) -> StreamEnd {
         let mut chunk = first;
         let server_exit = permit.server_exit();
@@ -267,8 +287,9 @@
         let mut is_first = true;
         loop {
             let before = framer.forwarded();
+            trace.heard(&permit.server.id, self.sends());
             let Ok(events) = framer.push(&chunk) else {
-                return StreamEnd::Broken;
+                return StreamEnd::Broken(Cause::Malformed);
             };
             self.charge_events(framer.forwarded() - before);
             if !events.is_empty() {
@@ -277,11 +298,12 @@
                 }
                 let close_connection = self.gateway.is_draining();
                 let Some(sink) = downstream.open(exchange, close_connection) else {
-                    return StreamEnd::Broken;
+                    return StreamEnd::Broken(Cause::Broken);
                 };
                 if sink.send(events).await.is_err() {
                     return StreamEnd::CallerGone;
                 }
+                trace.sent(framer.forwarded(), framer.last_event_id());
             }
             let next = tokio::select! {
                 biased;
@@ -289,7 +311,7 @@
                 () = &mut server_exit => {
                     self.report_loss(permit, Loss::Broken).await;
                     self.log_failure(permit, "broken", "the server has started again");
-                    return StreamEnd::Broken;
+                    return StreamEnd::Broken(Cause::Restarted);
                 }
             };
             chunk = match next {
@@ -297,12 +319,12 @@
                 Some(Err(error)) => {
                     self.report_loss(permit, classify_loss(&error)).await;
                     self.log_failure(permit, "broken", &error.to_string());
-                    return StreamEnd::Broken;
+                    return StreamEnd::Broken(Cause::of(&error));
                 }
                 None if framer.has_partial() => {
                     // A body without a length ends like this if the server crashes.
                     self.report_loss(permit, Loss::Broken).await;
-                    return StreamEnd::Broken;
+                    return StreamEnd::Broken(Cause::Broken);
                 }
                 None if self.is_cut_off(exchange.body_end(), permit).await => {
                     self.log_failure(
@@ -310,7 +332,7 @@
                         "broken",
                         "the server crashed before the end of the body",
                     );
-                    return StreamEnd::Broken;
+                    return StreamEnd::Broken(Cause::Broken);
                 }
                 None => return StreamEnd::Complete,
             };
