Attempts stay open while another server is asked

Cause: silence was taken for the end of an attempt.

Now an attempt ends by evidence only: a broken connection, a restart of its server, bytes that are no answer, the deadline, the caller's end. Silence beyond the same times asks a second server beside the first one (job::race, job::second). Whichever delivers the next whole event or the whole response first is kept and the other one cancelled, so that a guess that was wrong costs the caller nothing, and neither does a second server that rejects the request, breaks or is silent itself. A send takes a retry from the budget and counts against the attempts of the route. Servers that work for this instance and are silent as well are not asked (forward::hedge::Voices). A lost path to the server of an attempt asks another instance at once, also between events. A stream of which nothing was forwarded ends at its route's timeout. The body of a rejection is read apart, so that a retry does not wait for it.

--- /dev/null
+++ b/crates/fescuewell_forward/src/hedge.rs
@@ -0,0 +1,201 @@
+//! Whether a second backend server is asked while the first one is silent.
+//!
+//! Silence does not show that a server has failed: it may be paused, overloaded, or behind a path that holds
+//! bytes back, and go on a moment later. An attempt whose server is silent therefore stays open, and a second
+//! server is asked beside it. Whichever delivers first is used, and the other one is cancelled.
+//!
+//! If most servers that work for this instance are silent at the same time, asking another one would only add
+//! load and use up the retry budget, so the attempt waits. [`Voices`] shows which servers were heard lately.
+//!
+//! ```
+//! use fescuewell_forward::hedge::Voices;
+//! let (service, server) = ("pool".into(), "i-1".into());
+//! let mut voices = Voices::default();
+//! let voice = voices.begin(&service, &server, 1_000);
+//! assert!(voices.is_quiet(&server, 500, 1_500));
+//! voice.heard(1_400);
+//! assert!(!voices.is_quiet(&server, 500, 1_500));
+//! ```
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Number of attempts of one request that may be open at a time.
+pub const MAX_OPEN: usize = 2;
+/// Number of quiet servers from which the others of the service may be quiet for the same reason.
+const MIN_QUIET_SERVERS: usize = 2;
+
+/// Why no second server is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obstacle {
+    /// The request may run only once.
+    NotIdempotent,
+    /// A second server has been asked already.
+    Asked,
+    /// The request may not be sent once more.
+    LastAttempt,
+    /// The time for another attempt has passed.
+    Deadline,
+    /// Servers may have crashed under the request.
+    Suspect,
+    /// No other server accepts the request now.
+    NoServer,
+    /// The servers that accept it are silent as well.
+    Quiet,
+    /// The retry budget is used up.
+    NoRetry,
+}
+
+impl Obstacle {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotIdempotent => "not_idempotent",
+            Self::Asked => "asked",
+            Self::LastAttempt => "last_attempt",
+            Self::Deadline => "deadline",
+            Self::Suspect => "suspect",
+            Self::NoServer => "no_server",
+            Self::Quiet => "quiet",
+            Self::NoRetry => "no_retry",
+        }
+    }
+}
+
+/// When a server was last heard.
+#[derive(Debug)]
+pub struct Voice {
+    /// When the server got a request after it had none.
+    busy_since_ms: u64,
+    /// 0 if nothing was heard since then.
+    heard_ms: AtomicU64,
+}
+
+/// What is known of a server that works on requests of this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sound {
+    /// It has sent something within the window.
+    Heard,
+    /// It has sent nothing yet, and its first request is more recent than the window.
+    Unknown,
+    /// It has sent nothing within the window.
+    Quiet,
+}
+
+impl Voice {
+    fn new(now_ms: u64) -> Self {
+        Self {
+            busy_since_ms: now_ms,
+            heard_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Records at `now_ms` of the local clock that the server has sent something.
+    pub fn heard(&self, now_ms: u64) {
+        self.heard_ms.fetch_max(now_ms, Ordering::Relaxed);
+    }
+
+    fn sound(&self, window_ms: u64, now_ms: u64) -> Sound {
+        let heard_ms = self.heard_ms.load(Ordering::Relaxed);
+        let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < window_ms;
+        if heard_ms > 0 && is_recent(heard_ms) {
+            return Sound::Heard;
+        }
+        match heard_ms == 0 && is_recent(self.busy_since_ms) {
+            true => Sound::Unknown,
+            false => Sound::Quiet,
+        }
+    }
+}
+
+/// A server that works on requests of this instance.
+#[derive(Debug)]
+struct Busy {
+    service: Arc<str>,
+    voice: Arc<Voice>,
+    in_flight: u32,
+}
+
+/// When the servers that work on requests of this instance were last heard. Holds an entry for each of them.
+#[derive(Debug, Default)]
+pub struct Voices {
+    servers: HashMap<Arc<str>, Busy>,
+}
+
+impl Voices {
+    /// Records that a server gets a request at `now_ms` of the local clock.
+    pub fn begin(&mut self, service: &Arc<str>, server: &Arc<str>, now_ms: u64) -> Arc<Voice> {
+        let busy = self.servers.entry(server.clone()).or_insert_with(|| Busy {
+            service: service.clone(),
+            voice: Arc::new(Voice::new(now_ms)),
+            in_flight: 0,
+        });
+        busy.in_flight += 1;
+        busy.voice.clone()
+    }
+
+    /// Records the end of a request.
+    pub fn end(&mut self, server: &str) {
+        let Some(busy) = self.servers.get_mut(server) else {
+            return;
+        };
+        busy.in_flight -= 1;
+        if busy.in_flight == 0 {
+            self.servers.remove(server);
+        }
+    }
+
+    /// Returns `true` if a server works on requests of this instance and has sent nothing for `window_ms`.
+    pub fn is_quiet(&self, server: &str, window_ms: u64, now_ms: u64) -> bool {
+        self.sound(server, window_ms, now_ms) == Sound::Quiet
+    }
+
+    /// Returns `true` if a server may be asked instead of a silent one: it is heard, or nothing is known of it
+    /// and most others of its service are heard.
+    pub fn may_answer(&self, service: &str, server: &str, window_ms: u64, now_ms: u64) -> bool {
+        match self.sound(server, window_ms, now_ms) {
+            Sound::Heard => true,
+            Sound::Unknown => !self.is_service_quiet(service, window_ms, now_ms),
+            Sound::Quiet => false,
+        }
+    }
+
+    /// Returns `true` if most servers of a service of which something is known are quiet, and more than one.
+    pub fn is_service_quiet(&self, service: &str, window_ms: u64, now_ms: u64) -> bool {
+        let (mut quiet, mut heard) = (0, 0);
+        for busy in self.servers.values() {
+            if *busy.service != *service {
+                continue;
+            }
+            match busy.voice.sound(window_ms, now_ms) {
+                Sound::Quiet => quiet += 1,
+                Sound::Heard => heard += 1,
+                Sound::Unknown => {}
+            }
+        }
+        quiet >= MIN_QUIET_SERVERS && quiet > heard
+    }
+
+    fn sound(&self, server: &str, window_ms: u64, now_ms: u64) -> Sound {
+        let busy = self.servers.get(server);
+        busy.map_or(Sound::Unknown, |busy| busy.voice.sound(window_ms, now_ms))
+    }
+
+    /// Number of servers that are quiet.
+    pub fn quiet(&self, window_ms: u64, now_ms: u64) -> usize {
+        let busy = self.servers.values();
+        busy.filter(|busy| busy.voice.sound(window_ms, now_ms) == Sound::Quiet)
+            .count()
+    }
+
+    /// Number of servers that work on requests of this instance.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Returns `true` if no server works on a request of this instance.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+}
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod directory;
 pub mod evacuation;
 pub mod health;
+pub mod hedge;
 pub mod hop;
 pub mod loan;
 pub mod message;
--- a/crates/fescuewell_forward/src/path/servers.rs
+++ b/crates/fescuewell_forward/src/path/servers.rs
@@ -44,6 +44,11 @@
         !self.checking.is_empty() && self.checking.contains(&server.incarnation())
     }
 
+    /// Returns `true` while the path to any server is checked.
+    pub fn has_checks(&self) -> bool {
+        !self.checking.is_empty()
+    }
+
     /// Begins a check of a server unless one is in progress, has just ended, or has found the path lost.
     /// Returns `true` if it was begun.
     pub fn begin_check(&mut self, server: &Entry, now_ms: u64) -> bool {
--- a/crates/fescuewell_gateway/src/gateway/path.rs
+++ b/crates/fescuewell_gateway/src/gateway/path.rs
@@ -14,6 +14,7 @@
 use fescuewell_http::listener::spawn;
 use fescuewell_http::upstream::Reachability;
 use rand::seq::SliceRandom;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use super::Gateway;
@@ -71,14 +72,9 @@
         let _ = tokio::time::timeout(CHECK_TIMEOUT, checked).await;
     }
 
-    /// Waits until the path is lost.
-    pub(crate) async fn path_lost(&self) {
-        let mut changes = self.path_changes.subscribe();
-        while !self.state().path.is_lost() {
-            if changes.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        }
+    /// Receives a value whenever a path was checked or is back.
+    pub(crate) fn path_changes(&self) -> watch::Receiver<u64> {
+        self.path_changes.subscribe()
     }
 
     /// Returns `true` if the connection that a server refused is evidence against the server: this
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
+use fescuewell_forward::hedge::Voices;
 use fescuewell_forward::hop;
 use fescuewell_forward::path;
 use fescuewell_forward::quota::Quota;
@@ -72,6 +73,8 @@
     pub stream_lookups: HashMap<u64, AnswerSender>,
     /// Load of the backend servers.
     pub load: Load,
+    /// When the servers that work on requests of this instance were last heard.
+    pub voices: Voices,
     /// Prepaid tokens of the client accounts.
     pub quota: Quota,
     /// Retry budget.
@@ -96,6 +99,12 @@
         self.conditions.limits.set_instances(advertised, fleet_size);
     }
 
+    /// Takes a retry of a service from the fleet's budget. Returns `false` if none is left.
+    pub fn take_retry(&mut self, service: &Arc<str>, now_ms: u64) -> bool {
+        let instances = self.directory.count();
+        self.retry.try_retry(service, instances, now_ms)
+    }
+
     /// Returns `true` if servers that are listed as ready may have begun to leave, as other instances
     /// may know.
     pub fn is_list_doubtful(&self, now_ms: u64) -> bool {
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -6,6 +6,9 @@
 mod crash;
 mod permit;
 mod pick;
+mod progress;
+mod race;
+mod second;
 mod trace;
 
 use std::sync::Arc;
@@ -25,10 +28,11 @@
 use crate::hold::Hold;
 use crate::{header, refusal};
 
-pub(crate) use attempt::{AttemptOutcome, Response};
+use attempt::Response;
 pub(crate) use binding::Binding;
-pub(crate) use crash::classify_loss;
 pub(crate) use permit::Permit;
+pub(crate) use progress::Progress;
+pub(crate) use race::Race;
 pub(crate) use trace::{Cause, Trace};
 
 /// Fraction of the target latency that a request waits for tokens. The rest is enough for a backend
@@ -69,7 +73,10 @@
     unsent_attempts: u32,
     tried: Vec<Arc<str>>,
     possibly_executed: bool,
-    has_reserved_retry: bool,
+    /// Id of the last event that the caller has.
+    pub(crate) last_event_id: Option<u64>,
+    /// Number of events that were forwarded.
+    pub(crate) forwarded: u64,
     timed_out: bool,
     held_ms: u128,
     first_event_ms: u128,
@@ -84,6 +91,7 @@
         id: Arc<str>,
     ) -> Self {
         let headers = header::request_headers(&request.headers, gateway.dialect.header_names());
+        let last_event_id = metadata.last_event_id.value().copied();
         Self {
             gateway,
             id,
@@ -116,7 +124,8 @@
             unsent_attempts: 0,
             tried: Vec::new(),
             possibly_executed: false,
-            has_reserved_retry: false,
+            last_event_id,
+            forwarded: 0,
             timed_out: false,
             held_ms: 0,
             first_event_ms: 0,
@@ -181,33 +190,31 @@
             state.retry.request(&service, now_ms);
             state.accepted_requests.add(now_ms, 1);
         }
+        let mut race = Race::new(&self.gateway);
         loop {
-            let mut permit = match self.pick_server().await {
+            let permit = match self.pick_server().await {
                 Ok(permit) => permit,
                 Err(refusal) => {
                     return self.refuse_after(reply, refusal.code, refusal.retry_after);
                 }
             };
-            let outcome = self.run_attempt(&mut permit, None).await;
-            match outcome {
-                AttemptOutcome::Complete(response) => {
-                    return self.respond(reply, response, &permit);
+            self.add_attempt(&mut race, permit);
+            match self.advance(&mut race).await {
+                Progress::Complete(response) => {
+                    return self.respond(reply, response, race.server());
                 }
-                AttemptOutcome::Stream(exchange, first) => {
-                    return self.stream(reply, *exchange, first, permit).await;
+                Progress::Failed(response) if !self.may_retry() => {
+                    return self.respond(reply, response, race.server());
                 }
-                AttemptOutcome::Failed(response) if !self.may_retry() => {
-                    return self.respond(reply, response, &permit);
-                }
-                AttemptOutcome::Failed(_) => {}
-                AttemptOutcome::Rejected | AttemptOutcome::NotSent | AttemptOutcome::Unknown => {
+                Progress::Failed(_) => {}
+                Progress::Lost(_) => {
                     if let Some(code) = self.final_code() {
                         let delay = self.return_delay(code);
                         return self.refuse_after(reply, code, delay);
                     }
                 }
+                begun => return self.stream(reply, race, begun).await,
             }
-            drop(permit);
             log_event!(
                 Event::RouteRetried,
                 "request={} sends={} tried={}",
@@ -253,26 +260,8 @@
         if self.sends == 0 {
             return self.unsent_attempts < MAX_UNSENT_ATTEMPTS;
         }
-        std::mem::take(&mut self.has_reserved_retry) || self.take_retry()
-    }
-
-    /// Returns `true` if the current attempt may be abandoned for another one. Takes the retry
-    /// first, because abandoning an attempt without one would fail a request that its server may be
-    /// about to answer.
-    pub(crate) fn may_abandon(&mut self) -> bool {
-        let may_retry = self.route.kind.is_idempotent()
-            && Instant::now() < self.route_deadline
-            && !self.is_blocked();
-        self.has_reserved_retry = may_retry && self.take_retry();
-        self.has_reserved_retry
-    }
-
-    /// Takes a retry from the fleet's retry budget. Returns `false` if none is left.
-    fn take_retry(&mut self) -> bool {
         let now_ms = self.gateway.now_ms();
-        let mut state = self.gateway.state();
-        let instances = state.directory.count();
-        state.retry.try_retry(&self.service.name, instances, now_ms)
+        self.gateway.state().take_retry(&self.service.name, now_ms)
     }
 
     /// Returns the code of the final response, or `None` if another attempt is made.
@@ -322,7 +311,7 @@
         refusal::send(reply, code, delay, self.gateway.is_draining());
     }
 
-    fn respond(mut self, reply: Reply, response: Response, permit: &Permit) {
+    fn respond(mut self, reply: Reply, response: Response, server: &str) {
         if let (Some(hold), Some(tokens)) = (&mut self.hold, self.metadata.tokens)
             && response.status.is_success()
         {
@@ -331,10 +320,26 @@
         let close_connection = self.gateway.is_draining();
         let headers = header::response_headers(&response.headers, close_connection);
         reply.send(response.status, headers, response.body);
-        self.finish(permit, response.status.as_str());
+        self.finish(server, response.status.as_str());
+    }
+
+    pub(crate) fn log_failure(&self, permit: &Permit, outcome: &'static str, reason: &str) {
+        self.gateway
+            .metrics
+            .count_attempt(&self.service.name, outcome);
+        let reason = reason.replace(' ', "_");
+        log_event!(
+            Event::AttemptFailed,
+            "request={} server={} outcome={outcome} sends={} fingerprint={} parts={} reason={reason}",
+            self.id,
+            permit.server.id,
+            self.sends,
+            self.fingerprint,
+            self.part_ids()
+        );
     }
 
-    pub(crate) fn finish(&mut self, permit: &Permit, outcome: &str) {
+    pub(crate) fn finish(&mut self, server: &str, outcome: &str) {
         if let Some(hold) = &mut self.hold {
             hold.mark_logged();
         }
@@ -347,7 +352,7 @@
             "request={} route={} server={} outcome={outcome} sends={} tokens={} held_ms={} first_ms={} age_ms={}",
             self.id,
             self.route.name,
-            permit.server.id,
+            server,
             self.sends,
             self.hold.as_ref().map_or(0, Hold::cost),
             self.held_ms,
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -1,39 +1,32 @@
-//! A single attempt at a backend server: sending the request, timeouts and evaluation of the
-//! response.
+//! A request at one backend server, from the choice of the server to the end of the response.
 
+use std::pin::Pin;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fescuewell_core::log_event;
-use fescuewell_core::prelude::*;
 use fescuewell_forward::config::Kind;
-use fescuewell_forward::crash::Loss;
-use fescuewell_forward::health::Outcome;
-use fescuewell_forward::path::SILENCE_MS;
+use fescuewell_forward::hedge::Voice;
 use fescuewell_forward::server::Entry;
-use fescuewell_http::upstream::{Error, Exchange, Timeouts};
+use fescuewell_http::upstream::{BodyEnd, Error, Exchange, Timeouts};
 use http::header::HeaderValue;
 use http::{HeaderMap, StatusCode};
 
-use super::crash::classify_loss;
-use super::{Job, Permit};
-use crate::hop::{Failure, Sending};
+use super::{Job, Permit, Race};
+use crate::hop::{Failure, Opened, Sending};
+use crate::stream::EventFramer;
 
 /// Connect timeout. Backend servers are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Attempt timeout of a safe request as a multiple of its target latency. An attempt that exceeds
-/// it is abandoned if a retry is available, and continues otherwise.
-const SAFE_TIMEOUT_FACTOR: u32 = 2;
-/// Minimum attempt timeout of a safe request.
-const MIN_SAFE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Attempt timeout of a resumable stream before its response head, as a multiple of its target
-/// latency.
-const STREAM_TIMEOUT_FACTOR: u32 = 2;
-/// Gap between events after which a resumable stream is resumed on another server, as a multiple of
-/// the route's gap objective.
-const GAP_TIMEOUT_FACTOR: f64 = 1.25;
-/// Maximum size of a response body that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Time after which a server that has sent nothing counts as silent, before the response of a safe request
+/// or the first event of a stream, as a multiple of the route's target latency.
+const TARGET_PATIENCE_FACTOR: u32 = 2;
+/// Minimum of this time for a safe request.
+const MIN_SAFE_PATIENCE: Duration = Duration::from_millis(200);
+/// The same between two events of a stream, as a multiple of the route's gap objective.
+const GAP_PATIENCE_FACTOR: f64 = 1.25;
+
+pub(super) type BoxFuture<Output> = Pin<Box<dyn Future<Output = Output> + Send>>;
 
 /// A backend server's complete response.
 pub(crate) struct Response {
@@ -42,255 +35,175 @@
     pub(crate) body: Bytes,
 }
 
-/// Outcome of an attempt.
-pub(crate) enum AttemptOutcome {
-    /// The server sent a complete response.
-    Complete(Response),
-    /// The server executed the request and reported a failure.
-    Failed(Response),
-    /// The server started streaming events; holds the exchange and its first chunk.
-    Stream(Box<Exchange>, Bytes),
-    /// The server rejected the request without executing it.
-    Rejected,
-    /// Nothing of the request was sent.
-    NotSent,
-    /// The server possibly executed the request, but there is no usable response.
-    Unknown,
+/// Head of a response whose body is being read.
+pub(super) struct Head {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) end: BodyEnd,
 }
 
-impl Job {
-    /// Sends the request to a backend server. `after` is the id of the last event that the caller
-    /// already received.
-    pub(crate) async fn run_attempt(
-        &mut self,
-        permit: &mut Permit,
-        after: Option<u64>,
-    ) -> AttemptOutcome {
-        let Some(request) = self.build_request(&permit.server, after) else {
-            permit.settle();
-            return AttemptOutcome::NotSent;
-        };
-        let until = match self.route.kind.is_stream() {
-            true => self.deadline,
-            false => self.route_deadline,
-        };
-        let sent_at = Instant::now();
-        let server_exit = permit.server_exit();
-        tokio::pin!(server_exit);
-        let gateway = self.gateway.clone();
-        let (server, id) = (permit.server.clone(), self.id.clone());
-        let may_send = self.part_check();
-        let opened = gateway.open(Sending {
-            server: &server,
-            request,
-            id: &id,
-            deadline: until,
-            timeouts: self.timeouts(),
-            may_send: &may_send,
-        });
-        tokio::pin!(opened);
-        let attempt_timeout = self.attempt_timeout();
-        let mut abandon_at = attempt_timeout.map(|timeout| sent_at + timeout);
-        let silence = tokio::time::sleep(Duration::from_millis(SILENCE_MS));
-        tokio::pin!(silence);
-        let mut is_silent = false;
-        let path_lost = gateway.path_lost();
-        tokio::pin!(path_lost);
-        let mut is_path_lost = gateway.state().path.is_lost();
-        let opened = loop {
-            tokio::select! {
-                biased;
-                opened = &mut opened => break opened,
-                () = &mut server_exit => {
-                    self.sends += 1;
-                    return self.handle_exit(permit).await;
-                }
-                () = &mut silence, if !is_silent => {
-                    is_silent = true;
-                    gateway.record_silence(&server);
-                }
-                () = &mut path_lost, if !is_path_lost => {
-                    is_path_lost = true;
-                    if !self.is_last_attempt() && self.may_abandon() {
-                        self.mark_sent();
-                        return self.unknown_outcome(permit, "the path is lost, and a retry is available");
-                    }
-                }
-                () = sleep_or_pend(abandon_at) => {
-                    abandon_at = attempt_timeout.map(|timeout| Instant::now() + timeout);
-                    if self.may_abandon() {
-                        self.mark_sent();
-                        return self.unknown_outcome(permit, "no answer for so long, and a retry is available");
-                    }
-                }
-            }
-        };
-        let exchange = match opened {
-            Ok(opened) => {
-                permit.set_flight(opened.flight);
-                opened.exchange
-            }
-            Err(Failure {
-                error: Error::NotSent { reason },
-                is_direct,
-                blames_server,
-            }) => {
-                permit.settle();
-                self.unsent_attempts += 1;
-                if blames_server {
-                    permit.record_outcome(Outcome::Bad);
-                }
-                self.log_failure(permit, "not_sent", &reason);
-                if is_direct {
-                    self.check_path(permit).await;
-                }
-                return AttemptOutcome::NotSent;
-            }
-            Err(Failure { error, .. }) => {
-                self.mark_sent();
-                self.report_loss(permit, classify_loss(&error)).await;
-                return self.unknown_outcome(permit, &error);
+/// How far an attempt has come.
+pub(super) enum Stage {
+    /// The request is being sent, or waits for the head of its response.
+    Opening(BoxFuture<Result<Box<Opened>, Failure>>),
+    /// Events are being received.
+    Streaming(Box<Exchange>, EventFramer),
+    /// The body is being read.
+    Buffering(Head, BoxFuture<Result<Bytes, Error>>),
+}
+
+/// A step of an attempt.
+pub(super) enum Step {
+    /// The head of the response was received, or the exchange failed before it.
+    Opened(Result<Box<Opened>, Failure>),
+    /// Part of a stream was received, or its end.
+    Chunk(Option<Result<Bytes, Error>>),
+    /// The body was received, or the exchange failed.
+    Body(Result<Bytes, Error>),
+    /// The server has started again and knows nothing of the request.
+    Restarted,
+}
+
+impl Step {
+    /// Returns `true` if the server has sent something.
+    pub(super) fn is_heard(&self) -> bool {
+        matches!(
+            self,
+            Self::Opened(Ok(_)) | Self::Chunk(Some(Ok(_)) | None) | Self::Body(Ok(_))
+        )
+    }
+}
+
+/// A request at one backend server.
+pub(crate) struct Attempt {
+    pub(crate) permit: Permit,
+    pub(super) stage: Stage,
+    pub(super) sent_at: Instant,
+    /// When the server sent something last, or when the request was sent.
+    pub(super) heard_at: Instant,
+    /// When it was last decided whether to ask a second server.
+    pub(super) decided_at: Option<Instant>,
+    pub(super) is_silence_recorded: bool,
+    /// Whether the path to the server was lost after the request was sent.
+    pub(super) is_path_lost: bool,
+    /// Number of events that were forwarded.
+    pub(super) events: u64,
+    /// When the first event was received.
+    pub(super) begun_at: Option<Instant>,
+    voice: Arc<Voice>,
+    restart: BoxFuture<()>,
+}
+
+impl Attempt {
+    /// Waits for the next step. Nothing is lost if the future is dropped.
+    pub(super) async fn next(&mut self) -> Step {
+        let Self { stage, restart, .. } = self;
+        let step = async {
+            match stage {
+                Stage::Opening(opened) => Step::Opened(opened.await),
+                Stage::Streaming(exchange, _) => Step::Chunk(exchange.next_chunk().await),
+                Stage::Buffering(_, body) => Step::Body(body.await),
             }
         };
-        let received = tokio::select! {
+        tokio::select! {
             biased;
-            received = self.receive_response(permit, exchange, sent_at) => Some(received),
-            () = &mut server_exit => None,
-        };
-        match received {
-            Some(received) => received,
-            None => self.handle_exit(permit).await,
+            step = step => step,
+            () = restart => Step::Restarted,
         }
     }
 
-    /// Waits for the check of the path to the servers. If the path is lost, the servers to which the
-    /// connection failed may be tried again through another instance.
-    async fn check_path(&mut self, permit: &Permit) {
-        let server = &permit.server;
-        self.gateway.record_connect_failure(server);
-        self.gateway.path_checked().await;
-        let is_server_lost = self.gateway.server_checked(server).await;
-        if self.sends > 0 {
-            return;
-        }
-        if self.gateway.state().path.is_lost() {
-            self.tried.clear();
-            self.unsent_attempts = 0;
-        } else if is_server_lost {
-            self.tried.retain(|tried| *tried != server.id);
-            self.unsent_attempts -= 1;
-        }
+    /// Records at `now_ms` of the local clock that the server has sent something.
+    pub(super) fn hear(&mut self, now_ms: u64) {
+        self.heard_at = Instant::now();
+        self.decided_at = None;
+        self.voice.heard(now_ms);
     }
 
-    /// Handles a restart of the server while the request was in flight.
-    async fn handle_exit(&mut self, permit: &Permit) -> AttemptOutcome {
-        self.mark_executed();
-        self.report_loss(permit, Loss::Broken).await;
-        self.log_failure(permit, "unknown", "the server has started again");
-        AttemptOutcome::Unknown
+    /// Returns when the server was heard last, or later when it was last decided whether to ask a second one.
+    pub(super) fn silent_since(&self) -> Instant {
+        self.decided_at.unwrap_or(self.heard_at)
     }
 
-    async fn receive_response(
-        &mut self,
-        permit: &mut Permit,
-        mut exchange: Exchange,
-        sent_at: Instant,
-    ) -> AttemptOutcome {
-        self.sends += 1;
-        let names = self.gateway.dialect.header_names().clone();
-        let status = exchange.status;
-        self.gateway
-            .record_head(&permit.server, &self.id, status, &exchange.headers, sent_at);
-        let is_rejected = exchange.headers.contains_key(&names.not_executed);
-        if is_rejected || status == StatusCode::MISDIRECTED_REQUEST {
-            permit.settle();
-            if status == StatusCode::MISDIRECTED_REQUEST {
-                // Another server uses this address now, so the entry is useless until it changes.
-                self.gateway
-                    .state()
-                    .registry
-                    .mark_draining(&permit.server.id);
-            } else {
-                permit.record_outcome(Outcome::Full);
-            }
-            self.log_failure(permit, "turned_away", status.as_str());
-            // The body is read to the end, so that the connection can be reused.
-            if let Err(error) = exchange.collect(MAX_RESPONSE_BYTES).await {
-                self.log_failure(permit, "refusal_broken", &error.to_string());
-            }
-            return AttemptOutcome::Rejected;
+    pub(super) fn is_opening(&self) -> bool {
+        matches!(self.stage, Stage::Opening(_))
+    }
+
+    /// Returns the exchange whose events are being received.
+    pub(crate) fn exchange(&self) -> Option<&Exchange> {
+        match &self.stage {
+            Stage::Streaming(exchange, _) => Some(exchange),
+            _ => None,
         }
-        self.mark_executed();
-        permit.mark_begun();
-        let echoed = exchange.headers.get(&names.request_id);
-        let is_own = echoed.is_some_and(|value| value.as_bytes() == self.id.as_bytes());
-        let is_sealed = exchange.headers.contains_key(&names.seal);
-        if !is_own || (status.is_success() && !is_sealed) {
-            // This is a late response to another request, or one that no backend server sealed. Its
-            // connection is dropped with it.
-            return self.unknown_outcome(permit, &"the answer belongs to another request");
+    }
+
+    /// Name of the stage in logs.
+    pub(super) fn stage_name(&self) -> &'static str {
+        match &self.stage {
+            Stage::Opening(_) => "head",
+            Stage::Streaming(..) if self.events == 0 => "first_event",
+            Stage::Streaming(..) => "events",
+            Stage::Buffering(..) => "body",
         }
-        if self.route.kind.is_stream() && status.is_success() {
-            return match exchange.next_chunk().await {
-                Some(Ok(first)) => {
-                    permit.record_first_event();
-                    let took = self.arrived.elapsed();
-                    self.first_event_ms = took.as_millis();
-                    self.gateway
-                        .metrics
-                        .record_first_event(&self.route.name, took);
-                    AttemptOutcome::Stream(Box::new(exchange), first)
-                }
-                Some(Err(error)) => {
-                    self.report_loss(permit, classify_loss(&error)).await;
-                    self.unknown_outcome(permit, &error)
-                }
-                None => self.unknown_outcome(permit, &"a stream without events"),
+    }
+}
+
+impl Job {
+    /// Begins to send the request to a backend server, for the events that the caller does not have. Adds no
+    /// attempt if a header value is invalid.
+    pub(crate) fn add_attempt(&self, race: &mut Race, permit: Permit) {
+        let Some(request) = self.build_request(&permit.server) else {
+            permit.settle();
+            return;
+        };
+        let deadline = match self.route.kind.is_stream() {
+            true => self.deadline,
+            false => self.route_deadline,
+        };
+        let (gateway, server, id) = (self.gateway.clone(), permit.server.clone(), self.id.clone());
+        let (may_send, timeouts) = (self.part_check(), self.timeouts());
+        let opened = async move {
+            let sending = Sending {
+                server: &server,
+                request,
+                id: &id,
+                deadline,
+                timeouts,
+                may_send: &may_send,
             };
-        }
-        let headers = std::mem::take(&mut exchange.headers);
-        let end = exchange.body_end();
-        match exchange.collect(MAX_RESPONSE_BYTES).await {
-            Ok(_) if self.is_cut_off(end, permit).await => {
-                self.unknown_outcome(permit, "the server crashed before the end of the body")
-            }
-            Ok(body) => {
-                permit.settle();
-                if status.is_success() {
-                    // Only success clears the request: a server that fails some of its requests may
-                    // fail this one before it would crash.
-                    self.gateway
-                        .record_response(&permit.server, self.fingerprint, &self.parts);
-                }
-                let response = Response {
-                    status,
-                    headers,
-                    body,
-                };
-                if status.is_server_error() {
-                    // A sound engine also ends a request at its deadline.
-                    let is_faulty =
-                        self.service.engine.is_some() && status != StatusCode::GATEWAY_TIMEOUT;
-                    permit.record_outcome(match is_faulty {
-                        true => Outcome::Faulty,
-                        false => Outcome::Failed,
-                    });
-                    self.log_failure(permit, "failed", status.as_str());
-                    return AttemptOutcome::Failed(response);
-                }
-                permit.record_outcome(Outcome::Good);
-                permit.record_latency(sent_at.elapsed());
-                AttemptOutcome::Complete(response)
-            }
-            Err(error) => {
-                self.report_loss(permit, classify_loss(&error)).await;
-                self.unknown_outcome(permit, &error)
+            gateway.open(sending).await.map(Box::new)
+        };
+        let sent_at = Instant::now();
+        race.push(Attempt {
+            stage: Stage::Opening(Box::pin(opened)),
+            sent_at,
+            heard_at: sent_at,
+            decided_at: None,
+            is_silence_recorded: false,
+            is_path_lost: self.gateway.state().has_lost_path(&permit.server),
+            events: 0,
+            begun_at: None,
+            voice: permit.voice(),
+            restart: Box::pin(permit.server_exit()),
+            permit,
+        });
+    }
+
+    /// Returns how long the server of an attempt may send nothing before a second one is asked, or `None` if
+    /// no second one may be asked.
+    pub(super) fn patience(&self, attempt: &Attempt) -> Option<Duration> {
+        let target = self.route.target_latency * TARGET_PATIENCE_FACTOR;
+        match self.route.kind {
+            Kind::Safe => Some(target.max(MIN_SAFE_PATIENCE)),
+            Kind::Stream { resumable: true } if attempt.events == 0 => Some(target),
+            Kind::Stream { resumable: true } => {
+                Some(self.route.target_gap.mul_f64(GAP_PATIENCE_FACTOR))
             }
+            _ => None,
         }
     }
 
     /// Builds the request for a backend server. Returns `None` if a header value is invalid.
-    fn build_request(&self, server: &Entry, after: Option<u64>) -> Option<http::Request<Bytes>> {
+    fn build_request(&self, server: &Entry) -> Option<http::Request<Bytes>> {
         let names = self.gateway.dialect.header_names();
         let mut headers = self.headers.clone();
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -305,7 +218,7 @@
         if self.service.engine.is_some() {
             headers.insert(names.urgency.clone(), HeaderValue::from(self.urgency()));
         }
-        if let Some(after) = after {
+        if let Some(after) = self.last_event_id.filter(|_| self.forwarded > 0) {
             headers.insert(names.last_event_id.clone(), HeaderValue::from(after));
         }
         let mut request = http::Request::new(self.body.clone());
@@ -322,15 +235,12 @@
         u16::from(own.unwrap_or(self.route.priority)).min(9)
     }
 
+    /// Silence ends no exchange before the request's own deadline.
     fn timeouts(&self) -> Timeouts {
-        let left = self
-            .route_deadline
-            .saturating_duration_since(Instant::now());
+        let now = Instant::now();
+        let left = self.route_deadline.saturating_duration_since(now);
         let progress = match self.route.kind {
-            Kind::Stream { resumable: true } if !self.is_last_attempt() => {
-                self.route.target_gap.mul_f64(GAP_TIMEOUT_FACTOR)
-            }
-            Kind::Stream { .. } => self.deadline.saturating_duration_since(Instant::now()),
+            Kind::Stream { .. } => self.deadline.saturating_duration_since(now),
             _ => left,
         };
         Timeouts {
@@ -339,70 +249,4 @@
             progress,
         }
     }
-
-    /// Returns `true` if the request may not be sent to another server after this attempt.
-    fn is_last_attempt(&self) -> bool {
-        self.sends + 1 >= self.route.max_attempts
-    }
-
-    /// Returns the attempt timeout, or `None` if the attempt must not be abandoned.
-    fn attempt_timeout(&self) -> Option<Duration> {
-        if self.is_last_attempt() {
-            return None;
-        }
-        let target = self.route.target_latency;
-        match self.route.kind {
-            Kind::Safe => Some((target * SAFE_TIMEOUT_FACTOR).max(MIN_SAFE_TIMEOUT)),
-            Kind::Stream { resumable: true } => Some(target * STREAM_TIMEOUT_FACTOR),
-            _ => None,
-        }
-    }
-
-    fn mark_sent(&mut self) {
-        self.sends += 1;
-        self.mark_executed();
-    }
-
-    fn mark_executed(&mut self) {
-        self.possibly_executed = true;
-        if let Some(hold) = &mut self.hold {
-            hold.mark_executed();
-        }
-    }
-
-    fn unknown_outcome<Reason>(&mut self, permit: &Permit, reason: &Reason) -> AttemptOutcome
-    where
-        Reason: std::fmt::Display + ?Sized,
-    {
-        self.timed_out = Instant::now() >= self.route_deadline;
-        if !self.timed_out {
-            permit.record_outcome(Outcome::Bad);
-        }
-        self.log_failure(permit, "unknown", &reason.to_string());
-        AttemptOutcome::Unknown
-    }
-
-    pub(crate) fn log_failure(&self, permit: &Permit, outcome: &'static str, reason: &str) {
-        self.gateway
-            .metrics
-            .count_attempt(&self.service.name, outcome);
-        let reason = reason.replace(' ', "_");
-        log_event!(
-            Event::AttemptFailed,
-            "request={} server={} outcome={outcome} sends={} fingerprint={} parts={} reason={reason}",
-            self.id,
-            permit.server.id,
-            self.sends,
-            self.fingerprint,
-            self.part_ids()
-        );
-    }
-}
-
-/// Sleeps until a moment, or forever if there is none.
-async fn sleep_or_pend(until: Option<Instant>) {
-    match until {
-        Some(until) => tokio::time::sleep_until(until.into()).await,
-        None => std::future::pending().await,
-    }
 }
--- a/crates/fescuewell_gateway/src/job/crash.rs
+++ b/crates/fescuewell_gateway/src/job/crash.rs
@@ -157,12 +157,12 @@
         })
     }
 
-    fn verdict(&self) -> Verdict {
+    pub(super) fn verdict(&self) -> Verdict {
         let now_ms = self.gateway.now_ms();
         self.gateway.state().verdict(self.fingerprint, now_ms)
     }
 
-    fn part_verdict(&self) -> Verdict {
+    pub(super) fn part_verdict(&self) -> Verdict {
         let now_ms = self.gateway.now_ms();
         let state = self.gateway.state();
         state.part_verdict(&self.parts, &self.probed_parts, now_ms)
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -8,6 +8,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::crash::{Loss, Run};
 use fescuewell_forward::health::Outcome;
+use fescuewell_forward::hedge::Voice;
 use fescuewell_forward::server::Entry;
 
 use super::crash::InFlight;
@@ -22,6 +23,7 @@
     in_flight: Option<InFlight>,
     /// The instance that sends the request, if it is another one.
     flight: Option<Flight>,
+    voice: Arc<Voice>,
     is_settled: AtomicBool,
 }
 
@@ -32,7 +34,12 @@
         prefill_tokens: u64,
         in_flight: InFlight,
     ) -> Self {
-        gateway.state().load.begin(&server.id, prefill_tokens);
+        let now_ms = gateway.now_ms();
+        let voice = {
+            let mut state = gateway.state();
+            state.load.begin(&server.id, prefill_tokens);
+            state.voices.begin(&server.service, &server.id, now_ms)
+        };
         gateway.notify_load_changed();
         Self {
             gateway: gateway.clone(),
@@ -40,6 +47,7 @@
             prefill_tokens,
             in_flight: Some(in_flight),
             flight: None,
+            voice,
             is_settled: AtomicBool::new(false),
         }
     }
@@ -49,6 +57,11 @@
         self.flight = flight;
     }
 
+    /// Returns when the server was last heard.
+    pub(super) fn voice(&self) -> Arc<Voice> {
+        self.voice.clone()
+    }
+
     /// Marks the request's outcome at the server as known. An attempt that ends without a known
     /// outcome, because the caller disconnected or another server was tried, may still crash the
     /// server.
@@ -152,6 +165,7 @@
             .load
             .finish_prefill(&self.server.id, self.prefill_tokens);
         state.load.end(&self.server.id);
+        state.voices.end(&self.server.id);
         if !self.is_settled.load(Ordering::Relaxed) {
             state.report_loss(&self.server, in_flight.run(), Loss::Silent, now_ms);
         }
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -8,6 +8,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::choice::{self, Criteria, MAX_SUBSET_SIZE};
 use fescuewell_forward::condition::Wait;
+use fescuewell_forward::hedge::Obstacle;
 use fescuewell_forward::retry_after;
 use fescuewell_forward::server::Entry;
 
@@ -20,6 +21,15 @@
 /// The rest is enough for the server to respond.
 const SERVER_WAIT_FRACTION: f64 = 0.5;
 
+/// Which server of a request is picked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    /// The only one that is asked.
+    Only,
+    /// One that is asked beside a silent one.
+    Second { window_ms: Option<u64> },
+}
+
 impl Job {
     /// Refuses the request if the service has no backend server that can take it in time.
     pub(super) fn check_servers(&self) -> Result<(), Refusal> {
@@ -49,7 +59,7 @@
                     false => Code::DeadlineTooNear,
                 }));
             }
-            if let Some(permit) = self.try_pick() {
+            if let Ok(permit) = self.try_pick(Role::Only) {
                 return Ok(permit);
             }
             let wait = self.first_wait();
@@ -171,8 +181,15 @@
         }
     }
 
-    /// Picks a server that accepts the request now, or returns `None`.
-    fn try_pick(&mut self) -> Option<Permit> {
+    /// Picks a server that is asked beside a silent one, if it accepts the request now and the retry budget
+    /// allows it. With `window_ms`, servers that work on requests of this instance must have been heard
+    /// within that time.
+    pub(super) fn pick_second(&mut self, window_ms: Option<u64>) -> Result<Permit, Obstacle> {
+        self.try_pick(Role::Second { window_ms })
+    }
+
+    /// Picks a server that accepts the request now.
+    fn try_pick(&mut self, role: Role) -> Result<Permit, Obstacle> {
         let now_ms = self.gateway.now_ms();
         let random = self.gateway.random_u64();
         let mut state = self.gateway.state();
@@ -186,7 +203,19 @@
             }
             None => HashMap::new(),
         };
-        let candidates = Candidates::new(&state, self, &criteria, &shares, now_ms);
+        let mut candidates = Candidates::new(&state, self, &criteria, &shares, now_ms);
+        if candidates.eligible.is_empty() {
+            return Err(Obstacle::NoServer);
+        }
+        if let Role::Second {
+            window_ms: Some(window_ms),
+        } = role
+        {
+            let (voices, service) = (&state.voices, &self.service.name);
+            let may_answer =
+                |entry: &Entry| voices.may_answer(service, &entry.id, window_ms, now_ms);
+            candidates.eligible.retain(|entry| may_answer(entry));
+        }
         let listed_count = candidates.listed_count;
         let chosen = match self.is_isolated(&state, now_ms) {
             true => choice::least_loaded(&candidates.eligible, &state.load, &state.health, now_ms),
@@ -199,7 +228,10 @@
                 now_ms,
             ),
         };
-        let server = chosen.cloned()?;
+        let server = chosen.cloned().ok_or(Obstacle::Quiet)?;
+        if role != Role::Only && !state.take_retry(&self.service.name, now_ms) {
+            return Err(Obstacle::NoRetry);
+        }
         let prompt = self.metadata.tokens.map_or(0, |tokens| tokens.prompt);
         let prefill_tokens = state.load.uncached_tokens(prompt, &criteria, &server.id);
         if let Some(part) = criteria.affinity {
@@ -233,7 +265,7 @@
         );
         self.tried.push(server.id.clone());
         let in_flight = InFlight::begin(&self.gateway, self.fingerprint, self.parts.clone());
-        Some(Permit::acquire(
+        Ok(Permit::acquire(
             &self.gateway,
             server,
             prefill_tokens,
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     stream_records: Counter<u64>,
     resumptions: Counter<u64>,
     cut_streams: Counter<u64>,
+    silent_attempts: Counter<u64>,
+    overtaken_attempts: Counter<u64>,
     configurations: Counter<u64>,
     first_event: Histogram<f64>,
     request_duration: Histogram<f64>,
@@ -56,6 +58,8 @@
             stream_records: meter.u64_counter("fescuewell_stream_records").build(),
             resumptions: meter.u64_counter("fescuewell_stream_resumptions").build(),
             cut_streams: meter.u64_counter("fescuewell_streams_cut").build(),
+            silent_attempts: meter.u64_counter("fescuewell_silent_attempts").build(),
+            overtaken_attempts: meter.u64_counter("fescuewell_overtaken_attempts").build(),
             digests: meter.u64_counter("fescuewell_digests").build(),
             list_queries: meter.u64_counter("fescuewell_list_queries").build(),
             configurations: meter.u64_counter("fescuewell_configuration_copies").build(),
@@ -170,6 +174,17 @@
         self.cut_streams.add(1, &attributes);
     }
 
+    /// Counts an attempt whose server is silent: a `second` server is asked, or the request has to `wait`.
+    pub fn count_silent_attempt(&self, decision: &'static str) {
+        self.silent_attempts
+            .add(1, &[KeyValue::new("decision", decision)]);
+    }
+
+    /// Counts an attempt that was cancelled because another one of its request delivered first.
+    pub fn count_overtaken_attempt(&self) {
+        self.overtaken_attempts.add(1, &[]);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: &str, outcome: &'static str) {
         let attributes = [
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -1,19 +1,15 @@
 //! Streamed responses: complete events are forwarded as they arrive, and a broken stream is resumed
 //! on another server within the same response.
 
-use std::time::Instant;
-
 use bytes::{Buf, Bytes, BytesMut};
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_forward::crash::Loss;
-use fescuewell_forward::health::Outcome;
 use fescuewell_forward::server::Entry;
 use fescuewell_http::listener::{Reply, Sink};
 use fescuewell_http::upstream::Exchange;
 
 use crate::header;
-use crate::job::{AttemptOutcome, Binding, Cause, Job, Permit, Trace, classify_loss};
+use crate::job::{Binding, Cause, Job, Progress, Race, Trace};
 
 /// Maximum event size in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -122,13 +118,6 @@
     None
 }
 
-/// How the stream of one server ended.
-enum StreamEnd {
-    Complete,
-    Broken(Cause),
-    CallerGone,
-}
-
 /// The caller's side of a stream.
 enum Downstream {
     /// Nothing has been sent. The response begins with the first complete event, so that its head comes
@@ -155,94 +144,79 @@
 }
 
 impl Job {
-    /// Forwards a stream to the caller and resumes it on other servers if the route allows it.
-    pub(crate) async fn stream(
-        mut self,
-        reply: Reply,
-        exchange: Exchange,
-        first: Bytes,
-        permit: Permit,
-    ) {
+    /// Forwards a stream to the caller and resumes it on other servers if the route allows it. `begun` is the
+    /// first result of the attempts.
+    pub(crate) async fn stream(mut self, reply: Reply, mut race: Race, begun: Progress) {
         let mut downstream = Downstream::Pending(Some(reply));
-        let mut framer = EventFramer::new(self.metadata.last_event_id.value().copied());
-        let mut current = Some((exchange, first));
-        let mut permit = permit;
-        let mut refusal: Option<Refusal> = None;
-        let mut cause = Cause::Broken;
-        let mut trace = Trace::new(&self.gateway, &self.id, &permit.server.id);
+        let mut trace = Trace::new(&self.gateway, &self.id, race.server());
+        let mut progress = begun;
         loop {
-            let Some((mut exchange, first)) = current.take() else {
-                match &downstream {
-                    Downstream::Pending(_) => trace.end(),
-                    Downstream::Open(_) => {
-                        trace.cut(cause, refusal.as_ref().map(|refusal| refusal.code));
+            match progress {
+                Progress::Events(events) => {
+                    trace.heard(race.server(), self.sends());
+                    if let Some(attempt) = race.first() {
+                        self.bind_to(&attempt.permit.server);
                     }
-                }
-                return self.end_broken(downstream, &permit, refusal);
-            };
-            let begun = (Instant::now(), framer.forwarded());
-            match self
-                .forward_events(
-                    &mut downstream,
-                    &mut framer,
-                    &mut exchange,
-                    first,
-                    &permit,
-                    &mut trace,
-                )
-                .await
-            {
-                StreamEnd::Complete => {
-                    permit.record_outcome(Outcome::Good);
-                    permit.settle();
-                    // A server that had no event left to send has not worked on the prompt.
-                    let parts = match framer.forwarded() > begun.1 {
-                        true => &*self.parts,
-                        false => &[],
+                    let is_sent = match self.open(&mut downstream, &race) {
+                        Some(sink) => sink.send(events).await.is_ok(),
+                        None => false,
                     };
-                    self.gateway
-                        .record_response(&permit.server, self.fingerprint, parts);
-                    let events = framer.forwarded().saturating_sub(begun.1 + 1);
-                    if let Some(gap) = begun.0.elapsed().checked_div(events as u32) {
-                        permit.record_latency(gap);
+                    if !is_sent {
+                        return self.finish(race.server(), "caller_gone");
                     }
+                    trace.sent(self.forwarded, self.last_event_id);
+                    // While the caller did not read, nothing was read from the server either.
+                    race.restart_silence();
+                }
+                Progress::End => {
                     // A stream whose caller has all events has none to begin the response with.
-                    downstream.open(&exchange, self.gateway.is_draining());
+                    self.open(&mut downstream, &race);
                     if let Downstream::Open(sink) = downstream {
                         sink.finish();
                     }
                     trace.end();
-                    return self.finish(&permit, "whole");
-                }
-                StreamEnd::CallerGone => return self.finish(&permit, "caller_gone"),
-                StreamEnd::Broken(reason) => {
-                    cause = reason;
-                    permit.record_outcome(Outcome::Bad);
+                    return self.finish(race.server(), "whole");
                 }
-            }
-            drop(exchange);
-            framer.discard_partial();
-            while current.is_none() && self.may_retry() {
-                // The previous permit is released first, so that the abandoned attempt does not
-                // count beside the new one.
-                permit.release();
-                permit = match self.pick_server().await {
-                    Ok(next) => next,
-                    Err(reason) => {
-                        refusal = Some(reason);
-                        break;
+                Progress::Lost(cause) => {
+                    if let Err(refusal) = self.resume(&mut race).await {
+                        match &downstream {
+                            Downstream::Pending(_) => trace.end(),
+                            Downstream::Open(_) => {
+                                trace.cut(cause, refusal.as_ref().map(|refusal| refusal.code));
+                            }
+                        }
+                        return self.end_broken(downstream, race.server(), refusal);
                     }
-                };
-                self.log_resumed(&permit.server, framer.last_event_id());
-                let outcome = self.run_attempt(&mut permit, framer.last_event_id()).await;
-                if let AttemptOutcome::Stream(exchange, first) = outcome {
-                    current = Some((*exchange, first));
+                }
+                // A server that cannot go on with the stream responds with something else.
+                Progress::Complete(_) | Progress::Failed(_) => {
+                    progress = Progress::Lost(Cause::Broken);
+                    continue;
                 }
             }
+            progress = self.advance(&mut race).await;
+        }
+    }
+
+    /// Returns the caller's side, after beginning the response if that has not happened.
+    fn open<'a>(&self, downstream: &'a mut Downstream, race: &Race) -> Option<&'a Sink> {
+        let exchange = race.first()?.exchange()?;
+        downstream.open(exchange, self.gateway.is_draining())
+    }
+
+    /// Asks another server for the rest of the stream. Returns why none is asked, if one was looked for.
+    async fn resume(&mut self, race: &mut Race) -> Result<(), Option<Refusal>> {
+        if !self.may_retry() {
+            return Err(None);
         }
+        let permit = self.pick_server().await?;
+        self.log_resumed(&permit.server);
+        self.add_attempt(race, permit);
+        Ok(())
     }
 
-    fn log_resumed(&self, server: &Entry, after: Option<u64>) {
+    /// Records that a server goes on with the stream of another one.
+    pub(crate) fn log_resumed(&self, server: &Entry) {
         let is_bound = matches!(self.binding, Binding::Bound(_));
         self.gateway.metrics.count_resumption(
             "response",
@@ -253,99 +227,23 @@
         );
         log_event!(
             Event::StreamResumed,
-            "request={} server={} software={} after={after:?} bound={is_bound}",
+            "request={} server={} software={} after={:?} bound={is_bound}",
             self.id,
             server.id,
-            server.software()
+            server.software(),
+            self.last_event_id
         );
     }
 
     /// Ends a stream that no server goes on with. A response that has begun is left incomplete.
-    fn end_broken(mut self, downstream: Downstream, permit: &Permit, refusal: Option<Refusal>) {
+    fn end_broken(mut self, downstream: Downstream, server: &str, refusal: Option<Refusal>) {
         let Downstream::Pending(Some(reply)) = downstream else {
             if refusal.is_none() && self.is_version_gone() {
                 self.version_gone();
             }
-            return self.finish(permit, "broken_off");
+            return self.finish(server, "broken_off");
         };
         let refusal = refusal.unwrap_or_else(|| Refusal::new(self.failure_code()));
         self.refuse_after(reply, refusal.code, refusal.retry_after);
     }
-
-    async fn forward_events(
-        &mut self,
-        downstream: &mut Downstream,
-        framer: &mut EventFramer,
-        exchange: &mut Exchange,
-        first: Bytes,
-        permit: &Permit,
-        trace: &mut Trace,
-    ) -> StreamEnd {
-        let mut chunk = first;
-        let server_exit = permit.server_exit();
-        tokio::pin!(server_exit);
-        let mut is_first = true;
-        loop {
-            let before = framer.forwarded();
-            trace.heard(&permit.server.id, self.sends());
-            let Ok(events) = framer.push(&chunk) else {
-                return StreamEnd::Broken(Cause::Malformed);
-            };
-            self.charge_events(framer.forwarded() - before);
-            if !events.is_empty() {
-                if std::mem::take(&mut is_first) {
-                    self.bind_to(&permit.server);
-                }
-                let close_connection = self.gateway.is_draining();
-                let Some(sink) = downstream.open(exchange, close_connection) else {
-                    return StreamEnd::Broken(Cause::Broken);
-                };
-                if sink.send(events).await.is_err() {
-                    return StreamEnd::CallerGone;
-                }
-                trace.sent(framer.forwarded(), framer.last_event_id());
-            }
-            let next = tokio::select! {
-                biased;
-                next = exchange.next_chunk() => next,
-                () = &mut server_exit => {
-                    self.report_loss(permit, Loss::Broken).await;
-                    self.log_failure(permit, "broken", "the server has started again");
-                    return StreamEnd::Broken(Cause::Restarted);
-                }
-            };
-            chunk = match next {
-                Some(Ok(chunk)) => chunk,
-                Some(Err(error)) => {
-                    self.report_loss(permit, classify_loss(&error)).await;
-                    self.log_failure(permit, "broken", &error.to_string());
-                    return StreamEnd::Broken(Cause::of(&error));
-                }
-                None if framer.has_partial() => {
-                    // A body without a length ends like this if the server crashes.
-                    self.report_loss(permit, Loss::Broken).await;
-                    return StreamEnd::Broken(Cause::Broken);
-                }
-                None if self.is_cut_off(exchange.body_end(), permit).await => {
-                    self.log_failure(
-                        permit,
-                        "broken",
-                        "the server crashed before the end of the body",
-                    );
-                    return StreamEnd::Broken(Cause::Broken);
-                }
-                None => return StreamEnd::Complete,
-            };
-        }
-    }
-
-    fn charge_events(&mut self, events: u64) {
-        let each = self
-            .service
-            .engine
-            .map_or(0, |engine| engine.tokens_per_event);
-        if let Some(hold) = &mut self.hold {
-            hold.add_output(events * each);
-        }
-    }
 }
