explain: a sentence says who ended a stream, and why

Operators who looked for the end of a cut stream found request.done outcome=broken_off in three cases: given up for silence without another server, broken off by the server, and past its deadline.

stream.cut holds what tells them apart, as eleven words of one line. explain now ends with one sentence for each of its requests, made from the request's own lines alone: who ended the stream, after which event, how long its server had been silent, what followed, and how long the configuration had been in force. A request that a second server saved says who overtook whom. Without an end in the log there is no sentence.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -1,5 +1,10 @@
 //! The `explain` subcommand, which prints the log lines of one request from the files of several instances.
 
+mod ending;
+
+use std::collections::BTreeSet;
+
+use ending::Ending;
 use pico_args::Arguments;
 
 use super::lines::{self, Line};
@@ -18,6 +23,9 @@
 take up the request's stream are printed as well. ID may also be that of a part of prompts; the output then covers the
 crashes, failed attempts and refusals of all requests with that part.
 
+Last, marked with '=', comes a sentence for each of these requests whose lines tell who ended its stream and why, or
+what became of it while a server was silent.
+
 example: fescuewell explain 9c41d07be2a35f68 entry-1.log entry-2.log
 ";
 
@@ -100,9 +108,27 @@
             line.print(' ');
         }
     }
+    print_endings(own_lines.iter().map(|index| &lines[*index]), lines);
     Ok(())
 }
 
+/// Prints the conclusion of each request that one of `own_lines` belongs to.
+fn print_endings<'a, Own>(own_lines: Own, lines: &[Line])
+where
+    Own: Iterator<Item = &'a Line>,
+{
+    let mut printed = BTreeSet::new();
+    for line in own_lines {
+        let request = line.field("request");
+        if request.is_empty() || !printed.insert(request) {
+            continue;
+        }
+        if let Some(sentence) = Ending::of(request, lines).sentence() {
+            println!("= {request} {sentence}");
+        }
+    }
+}
+
 /// Finds the last context line of each title, instance and account before the first line of the request.
 fn preceding_context(first: usize, lines: &[Line], instances: &[&str]) -> Vec<usize> {
     let mut found: Vec<usize> = Vec::new();
