losses: cut streams by who ended them, and by changes of the configuration

Operators saw BrokenOff as one figure: silence, crashes of servers and passed deadlines together, and nothing on whether a change of the configuration or a silence of several servers stood beside them.

stream.cut has the cause and the age of the configuration, attempt.silent and attempt.overtaken have the servers that were silent and for how long. losses counts cut streams by who ended them, cause and what followed, how many of them came within 3 s after a change, and names the most servers that were silent at one moment. Logs without such lines print what they printed before.

--- a/src/command/losses.rs
+++ b/src/command/losses.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod crashes;
+mod cuts;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -19,9 +20,11 @@
 Counts the requests that were refused, that failed or whose callers disconnected, by cause and time span (4 seconds
 by default) from the first line on, with the client account that each cause affected most. Below, it prints the
 tokens charged for answered and for unanswered requests, the tokens charged at restarts and how many of them were
-recorded as used, and the requests that were running when backend servers crashed. With --accounts, it also prints
-the client accounts with the most refusals: the tokens prepaid, granted and used as of the last line, and whether
-the missing tokens were used up, granted to other instances, or granted to none.
+recorded as used, and the requests that were running when backend servers crashed. Then it prints how many streams
+ended before their last event, by who ended them, why and what followed, how many of them did so within 3 seconds
+after a change of the configuration, and the most backend servers that were silent at the same time. With
+--accounts, it also prints the client accounts with the most refusals: the tokens prepaid, granted and used as of the
+last line, and whether the missing tokens were used up, granted to other instances, or granted to none.
 
 example: fescuewell losses --span 2 entry-1.log entry-2.log
 ";
@@ -128,6 +131,7 @@
     println!("tokens of answers {answered_tokens}, of requests without one {unanswered_tokens}");
     println!("tokens charged at restarts {charged_tokens}, of them recorded {recorded_tokens}");
     crashes::print(&lines);
+    cuts::print(&lines);
     if let Some(max_accounts) = max_accounts {
         accounts::print(&lines, max_accounts);
     }
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -176,3 +176,87 @@
     assert!(text.contains("servers crashed 2\n  request aa was running at 2 of them\n"));
     assert!(!text.contains("request bb"));
 }
+
+/// Returns the last lines of the report on a log with these titles and fields, each a tenth of a second after the one
+/// before.
+fn report(name: &str, lines: &[(&str, &str)], count: usize) -> Vec<String> {
+    let mut log = String::new();
+    for (number, (title, fields)) in lines.iter().enumerate() {
+        log.push_str(&format!(
+            r#"{{"time":"2026-05-30T10:35:01.{number}00Z","title":"{title}""#
+        ));
+        for field in fields.split_whitespace() {
+            let (key, value) = field.split_once('=').unwrap();
+            log.push_str(&format!(r#","{key}":"{value}""#));
+        }
+        log.push_str("}\n");
+    }
+    let output = run(name, &[], &log);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let lines: Vec<String> = text.lines().map(str::to_owned).collect();
+    lines[lines.len() - count..].to_vec()
+}
+
+/// Guards against cut streams that are counted as one cause, so that a change of the configuration that ends streams
+/// looks like servers that break off.
+#[test]
+fn cut_streams_are_counted_by_who_ended_them_and_by_changes() {
+    let lines = [
+        (
+            "stream.cut",
+            "by=instance cause=silent then=NoServer server=i-1 silent_ms=1251 configuration_age_ms=812",
+        ),
+        (
+            "stream.cut",
+            "by=server cause=broken then=- server=i-3 silent_ms=4 configuration_age_ms=2999",
+        ),
+        (
+            "stream.cut",
+            "by=instance cause=silent then=NoServer server=i-1 silent_ms=1250 configuration_age_ms=3000",
+        ),
+        (
+            "stream.cut",
+            "by=caller cause=left then=- server=i-4 silent_ms=4 configuration_age_ms=90000",
+        ),
+    ];
+
+    let report = report("cuts", &lines, 5);
+
+    assert_eq!(
+        report,
+        [
+            "tokens charged at restarts 0, of them recorded 0",
+            "streams cut 4, of them within 3 s after a change of the configuration 2",
+            "  by instance, cause silent, then NoServer 2, of them after a change 1",
+            "  by caller, cause left, then - 1, of them after a change 0",
+            "  by server, cause broken, then - 1, of them after a change 1",
+        ]
+    );
+}
+
+/// Guards against a service whose servers all pause at once and look like single slow servers.
+#[test]
+fn servers_that_were_silent_together_are_named() {
+    let lines = [
+        ("attempt.silent", "server=i-1 silent_ms=1250 decision=wait"),
+        (
+            "attempt.silent",
+            "server=i-2 silent_ms=1250 decision=second",
+        ),
+        ("attempt.overtaken", "server=i-3 by=i-5 silent_ms=1300"),
+        ("attempt.silent", "server=i-3 silent_ms=1250 decision=wait"),
+        ("attempt.silent", "server=i-6 silent_ms=0 decision=wait"),
+        // These silences begin when the first ones have ended.
+        ("attempt.silent", "server=i-4 silent_ms=50 decision=wait"),
+        (
+            "stream.cut",
+            "by=server cause=broken then=- server=i-5 silent_ms=499 configuration_age_ms=9000",
+        ),
+    ];
+
+    let together = report("together", &lines, 1);
+    let alone = report("alone", &lines[2..6], 1);
+
+    assert_eq!(together, ["servers silent at the same time 3: i-1 i-2 i-3"]);
+    assert_eq!(alone, ["tokens charged at restarts 0, of them recorded 0"]);
+}
