Tests: configurations that come into force while a server is silent

Callers lost streams beside changes of the configuration while their servers were silent. One hypothesis is that a change ends what looks idle or has lost its route.

Each test opens a resumable stream at a worker that pauses after three events, brings a changed document into force, sends a request under it, releases the worker, and expects the whole stream of one run with ids without a gap: idle and header times, sizes and connections, timeout, gap objective and attempts, a moved and a removed route, weights, the prepaid total, and the key.

--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -14,6 +14,7 @@
 mod pressure;
 mod refusals;
 mod server_proxy;
+mod silent_configuration;
 mod versions;
 mod wire;
 mod zones;
