Tests: silence within an exchange is never an idle connection

Callers lost streams while their servers were silent; the idle times of the callers' connections and of the pool of connections to servers are suspects.

Read in the code: a connection whose response is in progress has no idle timer (guard, phase Responding), and the pool holds only connections without an exchange. Nothing tested either. One test keeps a stream silent until another connection of the same listener is closed as idle; the other closes all idle connections of a client while an exchange waits for its next chunk.

--- a/crates/fescuewell_http/tests/listener.rs
+++ b/crates/fescuewell_http/tests/listener.rs
@@ -189,6 +189,39 @@
     assert!(response.ends_with("done"), "{response:?}");
 }
 
+#[test]
+fn a_response_in_progress_is_never_idle() {
+    // Guards against a stream that is closed as idle while the server behind the listener is silent. Another
+    // connection that is closed as idle shows that the time has passed.
+    let (confirm, confirmed) = flume::bounded::<()>(1);
+    let handler = FnHandler(move |request: Request, reply: Reply| {
+        if &*request.path == "/done" {
+            return reply.send(StatusCode::OK, HeaderMap::new(), request.body);
+        }
+        let confirmed = confirmed.clone();
+        let sink = reply.stream(StatusCode::OK, HeaderMap::new());
+        spawn(async move {
+            sink.send(bytes("one")).await.unwrap();
+            confirmed.recv_async().await.unwrap();
+            sink.send(bytes("two")).await.unwrap();
+            sink.finish();
+        });
+    });
+    let mut settings = local();
+    settings.idle_timeout = SHORT_TIMEOUT;
+    settings.write_stall_timeout = SHORT_TIMEOUT;
+    let listener = listen(settings, Arc::new(handler));
+    let mut stream = connect(listener.address());
+    stream.write_all(post("/", "").as_bytes()).unwrap();
+    read_until(&mut stream, "one");
+
+    let idle = send_raw(listener.address(), post("/done", "done").as_bytes());
+    confirm.send(()).unwrap();
+
+    assert!(idle.ends_with("done"), "{idle:?}");
+    read_until(&mut stream, "two\r\n0\r\n\r\n");
+}
+
 #[test]
 fn an_oversized_head_is_refused() {
     // Guards against a caller that exhausts the memory with a head of unlimited size. The path counts as
--- a/crates/fescuewell_http/tests/upstream.rs
+++ b/crates/fescuewell_http/tests/upstream.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use common::{TEST_TIMEOUT, read_until};
-use fescuewell_http::upstream::{Client, Error, Phase, Reachability, Target, Timeouts};
+use fescuewell_http::upstream::{Client, Error, Phase, Reachability, Settings, Target, Timeouts};
 
 const SHORT_TIMEOUT: Duration = Duration::from_millis(40);
 
@@ -369,6 +369,31 @@
     assert_eq!(client.idle_connections(), 0);
 }
 
+#[tokio::test]
+async fn closing_idle_connections_spares_a_silent_exchange() {
+    // Guards against a response that ends because its server is silent while idle connections are closed.
+    let (confirm, confirmed) = flume::bounded::<()>(1);
+    let server = start_response(move |stream| {
+        confirmed.recv().unwrap();
+        stream.write_all(b"5\r\nended\r\n0\r\n\r\n").unwrap();
+    });
+    let client = Client::new(Settings {
+        max_idle: 0,
+        idle_timeout: Duration::ZERO,
+        ..Settings::default()
+    });
+    let target = Target::new(server.address);
+    let opened = client.open(&target, get("/"), long_timeouts()).await;
+    let mut exchange = opened.unwrap();
+    assert_eq!(exchange.next_chunk().await, Some(Ok("begun".into())));
+
+    client.close_idle(server.address);
+    client.close_all_idle();
+    confirm.send(()).unwrap();
+
+    assert_eq!(exchange.collect(100).await, Ok("ended".into()));
+}
+
 #[tokio::test]
 async fn a_failure_closes_the_other_unused_connections_to_that_address() {
     // The cause of the failure probably affects the other idle connections to the address too.
