--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -15,6 +15,7 @@
 mod refusals;
 mod server_proxy;
 mod silence;
+mod silent_configuration;
 mod versions;
 mod wire;
 mod zones;
