Stand-in: an engine and a service that are silent for a while

No test of the own interface could hold back what a backend server sends: a frozen engine still answers its head, its resumptions and its records.

set_silent(true) sends nothing on any connection, before the head, between events or, with silent_inside_event, inside one. Work goes on, as behind a path that holds bytes back, and all of it arrives once the silence ends, each event once.

--- a/crates/fescuewell_standin/src/engine/mod.rs
+++ b/crates/fescuewell_standin/src/engine/mod.rs
@@ -78,6 +78,8 @@
     /// Wakes the step loop when there may be something to do.
     wake: Notify,
     cutoff: watch::Sender<Cutoff>,
+    /// Whether nothing is sent at present.
+    silence: watch::Sender<bool>,
     connections: std::sync::atomic::AtomicU64,
 }
 
@@ -85,6 +87,13 @@
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Waits until the engine is not silent.
+    async fn silence_over(&self) {
+        let mut silence = self.silence.subscribe();
+        // Fails only once the engine is gone.
+        let _ = silence.wait_for(|silent| !*silent).await;
+    }
 }
 
 /// Bounds of the engine's listener that tests of other parts never meet.
@@ -117,6 +126,7 @@
             }),
             wake: Notify::new(),
             cutoff: watch::channel(Cutoff::default()).0,
+            silence: watch::channel(false).0,
             connections: std::sync::atomic::AtomicU64::new(0),
             settings,
         });
@@ -159,6 +169,14 @@
         order::control(&self.core, control);
     }
 
+    /// Starts or ends a silence of the whole engine, as of a paused process or a path that holds bytes back.
+    pub fn set_silent(&self, silent: bool) {
+        self.control(&Control {
+            silent: Some(silent),
+            ..Control::default()
+        });
+    }
+
     /// Stops it as if its machine had gone: connections are cut off, records are lost.
     pub fn stop(&self) {
         self.core.state().stopped = true;
--- a/crates/fescuewell_standin/src/engine/order.rs
+++ b/crates/fescuewell_standin/src/engine/order.rs
@@ -126,6 +126,9 @@
             cutoff.silenced = opened;
         }
     });
+    if let Some(silent) = control.silent {
+        core.silence.send_replace(silent);
+    }
     core.wake.notify_one();
 }
 
@@ -139,6 +142,8 @@
     set(&mut current.slow_factor, change.slow_factor);
     set(&mut current.refuse, change.refuse);
     set(&mut current.leaving, change.leaving);
+    set(&mut current.silent, change.silent);
+    set(&mut current.silent_inside_event, change.silent_inside_event);
     set(&mut current.drop_after_tokens, change.drop_after_tokens);
     set(&mut current.lose_replies, change.lose_replies);
     set(&mut current.report_lag_ms, change.report_lag_ms);
--- a/crates/fescuewell_standin/src/engine/route.rs
+++ b/crates/fescuewell_standin/src/engine/route.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fescuewell_http::listener::{Handler, Reply, Request};
+use fescuewell_http::listener::{Handler, Reply, Request, spawn};
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
 use serde_json::{Value, json};
@@ -25,9 +25,10 @@
 const KV_BLOCK_BYTES: u64 = 2 * 1024 * 1024;
 
 /// Takes the engine's requests.
+#[derive(Clone)]
 pub(super) struct Router {
     core: Arc<Core>,
-    unnamed: AtomicU64,
+    unnamed: Arc<AtomicU64>,
 }
 
 /// An answer that is not a stream of its own.
@@ -46,8 +47,21 @@
 
 impl Handler for Router {
     fn handle(&self, request: Request, reply: Reply) {
+        if !*self.core.silence.borrow() || &*request.path == "/control" {
+            return self.respond(&request, reply);
+        }
+        let router = self.clone();
+        spawn(async move {
+            router.core.silence_over().await;
+            router.respond(&request, reply);
+        });
+    }
+}
+
+impl Router {
+    fn respond(&self, request: &Request, reply: Reply) {
         let headers = self.headers();
-        match self.answer(&request) {
+        match self.answer(request) {
             Ok(Answer::Json(value)) => send(reply, StatusCode::OK, headers, value.to_string()),
             Ok(Answer::Text(text)) => reply.send(StatusCode::OK, headers, text.into()),
             Ok(Answer::Read { key, after, stream }) => {
@@ -71,7 +85,7 @@
     pub(super) fn new(core: Arc<Core>) -> Self {
         Self {
             core,
-            unnamed: AtomicU64::new(0),
+            unnamed: Arc::default(),
         }
     }
 
--- a/crates/fescuewell_standin/src/engine/settings.rs
+++ b/crates/fescuewell_standin/src/engine/settings.rs
@@ -144,6 +144,10 @@
     pub drop_connections: bool,
     /// The stream connections that are open now deliver nothing more and stay open; new ones work.
     pub silence_connections: bool,
+    /// Nothing is sent on any connection, and requests wait; work goes on. All of it arrives afterwards.
+    pub silent: Option<bool>,
+    /// A silence that begins while a stream has events to send begins inside an event.
+    pub silent_inside_event: Option<bool>,
     /// The first connection of each later stream is cut off after so many tokens; 0 for never.
     pub drop_after_tokens: Option<u32>,
     /// New work runs, but its connection is cut off before the head of the answer.
--- a/crates/fescuewell_standin/src/engine/stream.rs
+++ b/crates/fescuewell_standin/src/engine/stream.rs
@@ -29,6 +29,7 @@
     seed: Seed,
     progress: watch::Receiver<u32>,
     cutoff: watch::Receiver<super::Cutoff>,
+    silence: watch::Receiver<bool>,
     number: u64,
     /// Tokens given to the caller, or skipped at its wish.
     position: u32,
@@ -72,6 +73,7 @@
             seed: record.seed,
             progress: record.subscribe(),
             cutoff: core.cutoff.subscribe(),
+            silence: core.silence.subscribe(),
             number: core.connections.fetch_add(1, Ordering::SeqCst) + 1,
             position,
             drop_after: drop_after.filter(|_| position == 0),
@@ -105,7 +107,14 @@
         loop {
             match self.next() {
                 Next::Tokens(up_to) => {
-                    let chunk = self.tokens(&opening, up_to);
+                    let mut chunk = self.tokens(&opening, up_to);
+                    if self.is_silent() {
+                        let begun = chunk.split_to(chunk.len() / 2);
+                        if sink.send(begun).await.is_err() {
+                            return;
+                        }
+                        self.core.silence_over().await;
+                    }
                     if sink.send(chunk).await.is_err() {
                         return;
                     }
@@ -151,12 +160,16 @@
     fn next(&mut self) -> Next {
         let cutoff = *self.cutoff.borrow_and_update();
         self.progress.borrow_and_update();
+        self.silence.borrow_and_update();
         if self.number <= cutoff.dropped {
             return Next::Drop;
         }
         if self.number <= cutoff.silenced {
             return Next::Wait;
         }
+        if self.is_silent() && !self.may_begin_event() {
+            return Next::Wait;
+        }
         if self.drop_after.is_some_and(|after| self.position >= after) {
             return Next::Drop;
         }
@@ -167,6 +180,18 @@
         self.next_of(record)
     }
 
+    fn is_silent(&self) -> bool {
+        *self.silence.borrow()
+    }
+
+    /// Whether the silence is to begin inside an event that this connection has to send.
+    fn may_begin_event(&self) -> bool {
+        let state = self.core.state();
+        let is_inside = state.control.silent_inside_event == Some(true);
+        let record = state.batch.get(self.key);
+        is_inside && record.is_some_and(|record| record.usage.completion > self.position)
+    }
+
     fn next_of(&self, record: &Record) -> Next {
         let limit = self.drop_after.unwrap_or(u32::MAX);
         let available = record.usage.completion.min(limit);
@@ -189,6 +214,7 @@
                 }
             }
             _ = self.cutoff.changed() => {}
+            _ = self.silence.changed() => {}
         }
     }
 
--- a/crates/fescuewell_standin/src/service.rs
+++ b/crates/fescuewell_standin/src/service.rs
@@ -27,6 +27,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use tokio::sync::watch;
 
 /// Behaviour of a service from its start.
 #[derive(Debug, Clone)]
@@ -79,6 +80,8 @@
     pub records: Option<bool>,
     /// Every answer carries `X-Leaving: true`.
     pub leaving: Option<bool>,
+    /// Nothing is answered; what arrives meanwhile runs and is answered afterwards.
+    pub silent: Option<bool>,
 }
 
 /// Counts since the start.
@@ -115,6 +118,8 @@
 struct Core {
     settings: Settings,
     state: Mutex<State>,
+    /// Whether nothing is answered at present.
+    silence: watch::Sender<bool>,
 }
 
 impl Core {
@@ -146,6 +151,7 @@
                 answers: HashMap::new(),
                 unnamed: 0,
             }),
+            silence: watch::channel(false).0,
         });
         let router = Arc::new(Router { core: core.clone() });
         let listener = Listener::start(bounds, router)?;
@@ -171,6 +177,14 @@
         self.core.control(control);
     }
 
+    /// Starts or ends a silence of the whole service.
+    pub fn set_silent(&self, silent: bool) {
+        self.control(&Control {
+            silent: Some(silent),
+            ..Control::default()
+        });
+    }
+
     /// Stops it as if its machine had gone.
     pub fn stop(&self) {
         let listener = self.listener.lock().map(|mut listener| listener.take());
@@ -178,17 +192,31 @@
     }
 }
 
+#[derive(Clone)]
 struct Router {
     core: Arc<Core>,
 }
 
 impl Handler for Router {
     fn handle(&self, request: Request, reply: Reply) {
+        if !*self.core.silence.borrow() || &*request.path == "/control" {
+            return self.respond(&request, reply);
+        }
+        let router = self.clone();
+        spawn(async move {
+            router.core.silence_over().await;
+            router.respond(&request, reply);
+        });
+    }
+}
+
+impl Router {
+    fn respond(&self, request: &Request, reply: Reply) {
         let mut path = request.path.split('/').skip(1);
         let parts = [path.next(), path.next(), path.next()].map(Option::unwrap_or_default);
         match (&request.method, parts) {
             (&Method::POST, ["calls", call, ""]) if !call.is_empty() => {
-                self.call(call.into(), &request, reply);
+                self.call(call.into(), request, reply);
             }
             (&Method::GET, ["calls", id, ""]) => {
                 let (status, body) = self.core.record(id);
@@ -244,6 +272,7 @@
         // A call that has arrived runs, whether or not its caller still waits.
         spawn(async move {
             tokio::time::sleep(delay).await;
+            core.silence_over().await;
             core.run(&id, &call, &body, reply);
         });
     }
@@ -263,6 +292,13 @@
 }
 
 impl Core {
+    /// Waits until the service is not silent.
+    async fn silence_over(&self) {
+        let mut silence = self.silence.subscribe();
+        // Fails only once the service is gone.
+        let _ = silence.wait_for(|silent| !*silent).await;
+    }
+
     fn run(&self, id: &Arc<str>, call: &str, body: &Bytes, reply: Reply) {
         let mut state = self.state();
         let runs = state.counters.runs.entry(id.clone()).or_default();
@@ -317,6 +353,10 @@
         current.refuse = change.refuse.or(current.refuse);
         current.records = change.records.or(current.records);
         current.leaving = change.leaving.or(current.leaving);
+        if let Some(silent) = change.silent {
+            current.silent = Some(silent);
+            self.silence.send_replace(silent);
+        }
     }
 
     fn send(&self, reply: Reply, status: StatusCode, body: &Value) {
--- a/crates/fescuewell_standin/tests/engine.rs
+++ b/crates/fescuewell_standin/tests/engine.rs
@@ -454,3 +454,31 @@
     assert_eq!(models["data"][1]["id"], "henna-3b");
     assert!(models["failed"]["unknown"].is_string());
 }
+
+/// Guards against a stand-in whose silence loses or repeats events: what tests of silence rely on.
+#[tokio::test]
+async fn a_silent_engine_sends_all_of_it_afterwards() {
+    for inside in [false, true] {
+        let engine = engine(Settings::quick());
+        engine.control(&Control {
+            freeze: Some(true),
+            silent_inside_event: Some(inside),
+            ..Control::default()
+        });
+        let mut stream = start(engine.address(), "one", &chat("hello", 40)).await;
+        engine.set_silent(true);
+        engine.control(&Control {
+            freeze: Some(false),
+            ..Control::default()
+        });
+        let heard = tokio::spawn(async move { listen(&mut stream, u32::MAX).await });
+        eventually("the work ends", || engine.counters().finished == 1).await;
+
+        let is_early = heard.is_finished();
+        engine.set_silent(false);
+        let heard = heard.await.unwrap();
+
+        assert!(!is_early && heard.done, "{inside}: {heard:?}");
+        assert_eq!(heard.ids, (1..=40).collect::<Vec<u32>>());
+    }
+}
--- a/crates/fescuewell_standin/tests/service.rs
+++ b/crates/fescuewell_standin/tests/service.rs
@@ -108,3 +108,19 @@
     assert_eq!(health, json!({"status": "ok"}));
     assert_ne!(health, Value::Null);
 }
+
+/// Guards against a stand-in whose silence drops calls: what tests of silence rely on.
+#[tokio::test]
+async fn a_silent_service_runs_and_answers_afterwards() {
+    let service = service(Settings::default());
+    service.set_silent(true);
+
+    let call = call(&service, "a");
+    tokio::pin!(call);
+    let early = tokio::time::timeout(std::time::Duration::from_millis(300), &mut call).await;
+    service.set_silent(false);
+
+    assert!(early.is_err());
+    assert_eq!(call.await, Ok(200));
+    assert_eq!(service.counters().runs["a"], 1);
+}
