Own interface: a server that sends no head in time is silent, not crashed

Callers saw a request refused as quarantined, at all servers and under any request id, after three of its attempts met a server that was silent for longer than first_byte.

The HTTP client reports a head that does not come in time as Unknown, never as Stalled; attempt.rs and call.rs asked for Stalled. So each such attempt ended as Lost { stalled: false }, which the node counts as a crash of the server under this request, and a resumption without an answer said the same.

Silence is now whatever ends an exchange without a broken connection. A resumption that cannot connect asks once more whether nothing listens there.

Two tests at a stand-in that is silent for good end with stalled: false on the code before and with stalled: true now; the router's other tests pass.

--- a/crates/fescuewell_router/src/attempt.rs
+++ b/crates/fescuewell_router/src/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
 use fescuewell_http::sse;
-use fescuewell_http::upstream::{Client, Error, Exchange, Target, Timeouts};
+use fescuewell_http::upstream::{Client, Error, Exchange, Reachability, Target, Timeouts};
 use fescuewell_node::event::Event as NodeEvent;
 use fescuewell_node::request::{Assignment, End, Ticket};
 use http::StatusCode;
@@ -142,19 +142,20 @@
     ) -> Option<Outcome> {
         let mut resumes = 0;
         loop {
-            let exchange = match self.resume(address, stream, delivery.last_event).await {
-                ResumeResult::Response(exchange) => Some(exchange),
+            let before = delivery.last_event;
+            let reading = match self.resume(address, stream, delivery.last_event).await {
+                ResumeResult::Response(exchange) => {
+                    self.read_response(exchange, u32::MAX, delivery).await
+                }
                 // The caller has events of a run that is gone; another run would not continue them.
                 ResumeResult::NotFound if delivery.has_begun() => {
                     return Some(Outcome::of(lost(delivery, false)));
                 }
                 ResumeResult::NotFound if resumes == 0 => return None,
-                ResumeResult::NotFound | ResumeResult::Failed => None,
-            };
-            let before = delivery.last_event;
-            let reading = match exchange {
-                Some(exchange) => self.read_response(exchange, u32::MAX, delivery).await,
-                None => ReadResult::Interrupted { stalled: false },
+                ResumeResult::Silent => ReadResult::Interrupted { stalled: true },
+                ResumeResult::NotFound | ResumeResult::Failed => {
+                    ReadResult::Interrupted { stalled: false }
+                }
             };
             match reading {
                 ReadResult::Complete | ReadResult::OverLimit => {
@@ -205,8 +206,10 @@
         let exchange = match self.client.open(&target, request, self.timeouts).await {
             Ok(exchange) => exchange,
             Err(Error::NotSent { .. }) => return OpenResult::NotSent,
-            Err(Error::Stalled) => return OpenResult::Unknown { stalled: true },
-            Err(_) => return OpenResult::Unknown { stalled: false },
+            Err(error) => {
+                let stalled = !error.is_broken();
+                return OpenResult::Unknown { stalled };
+            }
         };
         self.report_leaving(assignment, &exchange);
         match exchange.status {
@@ -258,6 +261,7 @@
                         self.read_response(exchange, limit, delivery).await
                     }
                     ResumeResult::NotFound => return Outcome::of(lost(delivery, false)),
+                    ResumeResult::Silent => ReadResult::Interrupted { stalled: true },
                     ResumeResult::Failed => ReadResult::Interrupted { stalled: false },
                 },
             };
@@ -371,10 +375,20 @@
                 ResumeResult::Response(Box::new(exchange))
             }
             Ok(exchange) if exchange.status == StatusCode::NOT_FOUND => ResumeResult::NotFound,
+            Err(Error::NotSent { .. }) => self.connection_failure(address).await,
+            Err(error) if !error.is_broken() => ResumeResult::Silent,
             _ => ResumeResult::Failed,
         }
     }
 
+    /// Distinguishes a path without any response from a server whose process is gone.
+    async fn connection_failure(&self, address: std::net::SocketAddr) -> ResumeResult {
+        match self.client.probe(address, self.timeouts.connect).await {
+            Reachability::NoResponse => ResumeResult::Silent,
+            Reachability::Accepted | Reachability::Refused => ResumeResult::Failed,
+        }
+    }
+
     /// Cancels the stream at the engine and takes the token usage from its record.
     ///
     /// The wait for the response is short: when the engine does not respond, the sweep or the engine's own
@@ -418,6 +432,8 @@
 enum ResumeResult {
     Response(Box<Exchange>),
     NotFound,
+    /// Nothing arrived in time, which does not tell whether the stream goes on.
+    Silent,
     Failed,
 }
 
--- a/crates/fescuewell_router/src/call.rs
+++ b/crates/fescuewell_router/src/call.rs
@@ -65,7 +65,7 @@
         {
             Ok(exchange) => exchange,
             Err(Error::NotSent { .. }) => return without_response(End::NotSent),
-            Err(error) => return self.poll_record(assignment, error == Error::Stalled).await,
+            Err(error) => return self.poll_record(assignment, !error.is_broken()).await,
         };
         let status = exchange.status;
         if status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE {
