Own interface: a stream that has begun outlasts the silence of its server

Callers saw a stream cut with ServerFailed in its middle after their server had been silent for five timeouts in a row, although it went on with the stream; readers of another attempt's response lost it likewise.

MAX_RESUMES_WITHOUT_PROGRESS counted silence and failures alike. With silence the attempt was cancelled, and nothing can go on with a response that has begun: giving it up is never better than waiting.

Silence no longer counts for a stream that has begun, nor for a reader. It is taken up at the same server by its stream id until an event arrives, the server says that it has no record of it, connections break or are refused five times in a row, the caller leaves, or the deadline passes; that last one is now told as such. A reader that got nothing yet may run the request elsewhere whenever the record is gone, not only at the first look.

The requests about a stream that its server has move to attempt/resume.rs.

--- a/crates/fescuewell_router/src/attempt.rs
+++ b/crates/fescuewell_router/src/attempt.rs
@@ -1,15 +1,18 @@
 //! Attempts of model requests: sends one, forwards its response stream and resumes the stream after a break.
 
+mod resume;
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
 use fescuewell_http::sse;
-use fescuewell_http::upstream::{Client, Error, Exchange, Reachability, Target, Timeouts};
+use fescuewell_http::upstream::{Client, Error, Exchange, Target, Timeouts};
 use fescuewell_node::event::Event as NodeEvent;
 use fescuewell_node::request::{Assignment, End, Ticket};
 use http::StatusCode;
 
+use self::resume::{Interruptions, ResumeResult};
 use crate::chat::Prompt;
 use crate::delivery::{Delivery, ResponseOptions};
 use crate::pending::PendingRequests;
@@ -22,8 +25,6 @@
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// Maximum size of an error body, or of the record that follows a cancellation.
 const MAX_ERROR_BODY_BYTES: usize = 64 * 1024;
-/// Maximum number of successive resumes that bring no new token.
-const MAX_RESUMES_WITHOUT_PROGRESS: u32 = 4;
 /// Delay before the second and each further resume.
 const RESUME_DELAY: Duration = Duration::from_millis(100);
 /// Tokens between two progress reports to the decision thread.
@@ -140,7 +141,7 @@
         stream: &str,
         delivery: &mut Delivery,
     ) -> Option<Outcome> {
-        let mut resumes = 0;
+        let mut interruptions = Interruptions::default();
         loop {
             let before = delivery.last_event;
             let reading = match self.resume(address, stream, delivery.last_event).await {
@@ -151,30 +152,29 @@
                 ResumeResult::NotFound if delivery.has_begun() => {
                     return Some(Outcome::of(lost(delivery, false)));
                 }
-                ResumeResult::NotFound if resumes == 0 => return None,
+                ResumeResult::NotFound => return None,
                 ResumeResult::Silent => ReadResult::Interrupted { stalled: true },
-                ResumeResult::NotFound | ResumeResult::Failed => {
-                    ReadResult::Interrupted { stalled: false }
-                }
+                ResumeResult::Failed => ReadResult::Interrupted { stalled: false },
             };
-            match reading {
+            let stalled = match reading {
                 ReadResult::Complete | ReadResult::OverLimit => {
                     return Some(Outcome::of(done(delivery)));
                 }
                 ReadResult::DeadlineExceeded => return Some(self.deadline_outcome(delivery)),
                 ReadResult::CallerGone => return Some(Outcome::of(cancelled(delivery))),
-                ReadResult::Interrupted { stalled } => {
-                    resumes = if delivery.last_event > before {
-                        0
-                    } else {
-                        resumes + 1
-                    };
-                    if resumes > MAX_RESUMES_WITHOUT_PROGRESS {
-                        return Some(Outcome::of(lost(delivery, stalled)));
-                    }
-                    tokio::time::sleep(RESUME_DELAY).await;
-                }
+                ReadResult::Interrupted { stalled } => stalled,
+            };
+            interruptions.record(delivery.last_event > before, stalled);
+            if Instant::now() >= self.deadline {
+                return Some(self.deadline_outcome(delivery));
+            }
+            if self.is_abandoned(delivery) {
+                return Some(Outcome::of(cancelled(delivery)));
             }
+            if interruptions.is_broken() {
+                return Some(Outcome::of(lost(delivery, stalled)));
+            }
+            tokio::time::sleep(RESUME_DELAY).await;
         }
     }
 
@@ -248,7 +248,7 @@
         delivery: &mut Delivery,
     ) -> Outcome {
         let mut next = first;
-        let mut resumes = 0;
+        let mut interruptions = Interruptions::default();
         loop {
             let before = delivery.last_event;
             let reading = match next.take() {
@@ -281,16 +281,23 @@
                 }
                 ReadResult::Interrupted { stalled } => stalled,
             };
-            resumes = if delivery.last_event > before {
-                0
-            } else {
-                resumes + 1
-            };
-            if resumes > MAX_RESUMES_WITHOUT_PROGRESS || Instant::now() >= self.deadline {
+            interruptions.record(delivery.last_event > before, stalled);
+            if Instant::now() >= self.deadline {
+                self.cancel(assignment, delivery).await;
+                return self.deadline_outcome(delivery);
+            }
+            if self.is_abandoned(delivery) {
+                self.cancel(assignment, delivery).await;
+                return Outcome::of(cancelled(delivery));
+            }
+            // Nothing can go on with a response that has begun, so that its server may be silent for as
+            // long as the request may take.
+            let is_silent = interruptions.is_silent() && !delivery.has_begun();
+            if interruptions.is_broken() || is_silent {
                 self.cancel(assignment, delivery).await;
                 return Outcome::of(lost(delivery, stalled));
             }
-            if resumes > 1 {
+            if interruptions.total() > 1 {
                 tokio::time::sleep(RESUME_DELAY).await;
             }
         }
@@ -333,7 +340,7 @@
             if delivery.output > limit {
                 return ReadResult::OverLimit;
             }
-            if delivery.is_gone() && !self.may_retry {
+            if self.is_abandoned(delivery) {
                 return ReadResult::CallerGone;
             }
         }
@@ -343,6 +350,11 @@
         }
     }
 
+    /// Whether the caller disconnected and cannot repeat the request.
+    fn is_abandoned(&self, delivery: &Delivery) -> bool {
+        delivery.is_gone() && !self.may_retry
+    }
+
     fn report_progress(&self, delivery: &Delivery, reported: &mut u64) {
         let new = delivery.last_event.saturating_sub(*reported) as u32;
         if new >= PROGRESS_INTERVAL_TOKENS || (*reported == 0 && new > 0) {
@@ -355,71 +367,6 @@
         }
     }
 
-    async fn resume(
-        &self,
-        address: std::net::SocketAddr,
-        stream: &str,
-        after: u64,
-    ) -> ResumeResult {
-        let path = format!("/v1/responses/{stream}?stream=true&starting_after={after}");
-        let request = http::Request::builder().uri(path).body(Bytes::new());
-        let target = Target::new(address).with_deadline(self.deadline);
-        let exchange = self
-            .client
-            .open(&target, request.unwrap_or_default(), self.timeouts)
-            .await;
-        match exchange {
-            Ok(exchange)
-                if exchange.status == StatusCode::OK && matches_stream(&exchange, stream) =>
-            {
-                ResumeResult::Response(Box::new(exchange))
-            }
-            Ok(exchange) if exchange.status == StatusCode::NOT_FOUND => ResumeResult::NotFound,
-            Err(Error::NotSent { .. }) => self.connection_failure(address).await,
-            Err(error) if !error.is_broken() => ResumeResult::Silent,
-            _ => ResumeResult::Failed,
-        }
-    }
-
-    /// Distinguishes a path without any response from a server whose process is gone.
-    async fn connection_failure(&self, address: std::net::SocketAddr) -> ResumeResult {
-        match self.client.probe(address, self.timeouts.connect).await {
-            Reachability::NoResponse => ResumeResult::Silent,
-            Reachability::Accepted | Reachability::Refused => ResumeResult::Failed,
-        }
-    }
-
-    /// Cancels the stream at the engine and takes the token usage from its record.
-    ///
-    /// The wait for the response is short: when the engine does not respond, the sweep or the engine's own
-    /// limits end the stream.
-    async fn cancel(&self, assignment: &Assignment, delivery: &mut Delivery) {
-        let path = format!("/v1/responses/{}/cancel", assignment.stream);
-        let request = http::Request::builder()
-            .method(http::Method::POST)
-            .uri(path)
-            .body(Bytes::new());
-        let target = Target::new(assignment.address);
-        let timeouts = Timeouts {
-            first_byte: self.timeouts.connect,
-            ..self.timeouts
-        };
-        let exchange = self
-            .client
-            .open(&target, request.unwrap_or_default(), timeouts)
-            .await;
-        let Ok(exchange) = exchange else {
-            return;
-        };
-        let body = exchange
-            .collect(MAX_ERROR_BODY_BYTES)
-            .await
-            .unwrap_or_default();
-        let record: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-        let total = record["usage"]["total_tokens"].as_u64();
-        delivery.used = total.map_or(delivery.used, Tokens);
-    }
-
     fn deadline_outcome(&self, delivery: &Delivery) -> Outcome {
         Outcome {
             deadline_exceeded: true,
@@ -428,15 +375,6 @@
     }
 }
 
-/// Result of resuming a stream.
-enum ResumeResult {
-    Response(Box<Exchange>),
-    NotFound,
-    /// Nothing arrived in time, which does not tell whether the stream goes on.
-    Silent,
-    Failed,
-}
-
 // Events arrive in ascending order of their numbers. One that arrived before an interruption must not be
 // forwarded again.
 fn is_new(event: &sse::Event, last: u64) -> bool {
--- /dev/null
+++ b/crates/fescuewell_router/src/attempt/resume.rs
@@ -0,0 +1,123 @@
+//! Requests about a stream that its backend server already has: resumption and cancellation.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use fescuewell_core::prelude::*;
+use fescuewell_http::upstream::{Error, Exchange, Reachability, Target, Timeouts};
+use fescuewell_node::request::Assignment;
+use http::StatusCode;
+
+use super::{MAX_ERROR_BODY_BYTES, Runner, matches_stream};
+use crate::delivery::Delivery;
+
+/// Maximum number of successive interruptions of one kind without a new token in between.
+const MAX_INTERRUPTIONS: u32 = 4;
+
+/// Successive interruptions of a response that brought no new token.
+#[derive(Debug, Default)]
+pub(super) struct Interruptions {
+    broken: u32,
+    silent: u32,
+}
+
+impl Interruptions {
+    pub(super) fn record(&mut self, progressed: bool, stalled: bool) {
+        if progressed {
+            *self = Self::default();
+            return;
+        }
+        match stalled {
+            true => self.silent += 1,
+            false => self.broken += 1,
+        }
+    }
+
+    pub(super) fn total(&self) -> u32 {
+        self.broken + self.silent
+    }
+
+    pub(super) fn is_broken(&self) -> bool {
+        self.broken > MAX_INTERRUPTIONS
+    }
+
+    pub(super) fn is_silent(&self) -> bool {
+        self.silent > MAX_INTERRUPTIONS
+    }
+}
+
+/// Result of resuming a stream.
+pub(super) enum ResumeResult {
+    Response(Box<Exchange>),
+    NotFound,
+    /// Nothing arrived in time, which does not tell whether the stream goes on.
+    Silent,
+    Failed,
+}
+
+impl Runner<'_> {
+    pub(super) async fn resume(
+        &self,
+        address: SocketAddr,
+        stream: &str,
+        after: u64,
+    ) -> ResumeResult {
+        let path = format!("/v1/responses/{stream}?stream=true&starting_after={after}");
+        let request = http::Request::builder().uri(path).body(Bytes::new());
+        let target = Target::new(address).with_deadline(self.deadline);
+        let exchange = self
+            .client
+            .open(&target, request.unwrap_or_default(), self.timeouts)
+            .await;
+        match exchange {
+            Ok(exchange)
+                if exchange.status == StatusCode::OK && matches_stream(&exchange, stream) =>
+            {
+                ResumeResult::Response(Box::new(exchange))
+            }
+            Ok(exchange) if exchange.status == StatusCode::NOT_FOUND => ResumeResult::NotFound,
+            Err(Error::NotSent { .. }) => self.connection_failure(address).await,
+            Err(error) if !error.is_broken() => ResumeResult::Silent,
+            _ => ResumeResult::Failed,
+        }
+    }
+
+    /// Distinguishes a path without any response from a server whose process is gone.
+    async fn connection_failure(&self, address: SocketAddr) -> ResumeResult {
+        match self.client.probe(address, self.timeouts.connect).await {
+            Reachability::NoResponse => ResumeResult::Silent,
+            Reachability::Accepted | Reachability::Refused => ResumeResult::Failed,
+        }
+    }
+
+    /// Cancels the stream at the engine and takes the token usage from its record.
+    ///
+    /// The wait for the response is short: when the engine does not respond, the sweep or the engine's own
+    /// limits end the stream.
+    pub(super) async fn cancel(&self, assignment: &Assignment, delivery: &mut Delivery) {
+        let path = format!("/v1/responses/{}/cancel", assignment.stream);
+        let request = http::Request::builder()
+            .method(http::Method::POST)
+            .uri(path)
+            .body(Bytes::new());
+        let target = Target::new(assignment.address);
+        let timeouts = Timeouts {
+            first_byte: self.timeouts.connect,
+            ..self.timeouts
+        };
+        let exchange = self
+            .client
+            .open(&target, request.unwrap_or_default(), timeouts)
+            .await;
+        let Ok(exchange) = exchange else {
+            return;
+        };
+        let body = exchange
+            .collect(MAX_ERROR_BODY_BYTES)
+            .await
+            .unwrap_or_default();
+        let record: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        let total = record["usage"]["total_tokens"].as_u64();
+        delivery.used = total.map_or(delivery.used, Tokens);
+    }
+}
--- a/crates/fescuewell_router/tests/common/mod.rs
+++ b/crates/fescuewell_router/tests/common/mod.rs
@@ -17,13 +17,15 @@
 use fescuewell_router::pending::PendingRequests;
 
 pub const MODEL: &str = "auslan-7b";
+/// Tokens of each response.
+pub const TOKENS: u32 = 1_000;
 pub const STREAM: &str = "stream-1";
 /// Longest that a test waits for something that must happen; reached only when it fails.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 /// Timeout of each connection, and of a cancellation at a server that is silent.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout of each exchange; every test's silence is a multiple of it.
-pub const TIMEOUT: Duration = Duration::from_millis(30);
+pub const TIMEOUT: Duration = Duration::from_millis(100);
 
 /// What an instance does for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,7 +77,7 @@
         server: "engine-1".into(),
         address,
         stream: STREAM.into(),
-        hold: Tokens(100_000),
+        hold: Tokens(u64::from(prompt(TOKENS).bound + TOKENS)),
         attempt: 1,
         priority: 1,
         group: "signwise".into(),
@@ -114,7 +116,7 @@
             let outcome = match task {
                 Task::Read => runner.read(server, STREAM, &mut delivery).await,
                 Task::Run => {
-                    let (prompt, options) = (prompt(1_000), options());
+                    let (prompt, options) = (prompt(TOKENS), options());
                     let assignment = assignment(server);
                     let run = runner.run(&assignment, &prompt, &options, &mut delivery);
                     Some(run.await)
