Own interface: a silent attempt ends once another one may take its place

Callers whose servers were silent before the first event were refused with RetryBudgetSpent, although the servers were about to answer: with all servers silent at once, the retry budget covers three requests and a tenth of the rest.

After five timeouts the data plane cancelled the attempt and only then asked for another one. Each "no" (no retry left, no other server that can start it, attempts used up, a quarantine) then refused the request. The cancel itself waits at the silent server and ends the run when the silence is over.

The data plane now reports the stall and cancels nothing. The node answers Run if another attempt may be made and another server can start it at once; only then is the silent attempt cancelled. Else it answers Keep, and the attempt is taken up at its server by its stream id and asks again after the next five timeouts. Hold, claim and slot stay those of the one attempt, so that it is billed once. Attempts that end on broken connections are cancelled and retried as before.

The test of the runner shows at the engine stand-in that nothing is cancelled while the server is silent.

--- a/crates/fescuewell_node/src/dispatch.rs
+++ b/crates/fescuewell_node/src/dispatch.rs
@@ -77,6 +77,21 @@
         chosen.map(|choice| (entry, choice))
     }
 
+    /// Whether another server than the one of the current attempt can start the request now.
+    pub(crate) fn can_start_elsewhere(&mut self, ticket: Ticket) -> bool {
+        let Some(record) = self.requests.get(ticket) else {
+            return false;
+        };
+        let urgent = self.catalog.is_urgent(record.kind);
+        let mut exclude = record.excluded.clone();
+        exclude.extend(record.server);
+        let query = Query {
+            exclude: &exclude,
+            ..query(record, urgent)
+        };
+        self.router.choose(self.now, &query).is_ok()
+    }
+
     fn start_attempt(&mut self, entry: Entry, choice: Choice) {
         let ticket = Ticket(entry.ticket);
         let Some(endpoint) = self.catalog.endpoint(choice.server).cloned() else {
--- a/crates/fescuewell_node/src/request.rs
+++ b/crates/fescuewell_node/src/request.rs
@@ -74,6 +74,8 @@
         },
         /// Respond with the stored response of the first attempt.
         Stored(StoredResponse),
+        /// Go on with the attempt, whose server is silent: no other attempt may take its place at present.
+        Keep,
     }
 
     /// Target and limits of an attempt.
--- a/crates/fescuewell_node/src/settle.rs
+++ b/crates/fescuewell_node/src/settle.rs
@@ -13,7 +13,7 @@
 use crate::event::Action;
 use crate::limits::Completion;
 use crate::node::Node;
-use crate::request::{End, Ticket, Verdict};
+use crate::request::{End, Ticket, Verdict, Work};
 
 /// Retry-after of a refusal because no backend server accepted the request.
 const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -32,6 +32,9 @@
             self.finish_reader(ticket);
             return;
         }
+        if self.must_keep(ticket, &end) {
+            return self.keep(ticket);
+        }
         self.needs_dispatch = true;
         self.finish_route(ticket, outcome_of(&end));
         match end {
@@ -105,6 +108,38 @@
         }
     }
 
+    /// Whether an attempt whose server is silent goes on, since no other one may take its place now.
+    ///
+    /// Silence does not tell whether the response will come. If the attempt ended first, each "no" to
+    /// another one would refuse a request that its server is about to answer.
+    fn must_keep(&mut self, ticket: Ticket, end: &End) -> bool {
+        let is_silent = matches!(
+            end,
+            End::Lost {
+                stalled: true,
+                delivered: false,
+                ..
+            }
+        );
+        let Some(record) = self.requests.get(ticket) else {
+            return false;
+        };
+        let is_model = matches!(record.arrival.work, Work::Model { .. });
+        if !is_silent || !is_model || self.now >= record.deadline {
+            return false;
+        }
+        record.sent >= self.settings.max_attempts
+            || self.is_quarantined(ticket)
+            || !self.retries.can_retry(self.now)
+            || !self.can_start_elsewhere(ticket)
+    }
+
+    fn keep(&mut self, ticket: Ticket) {
+        let text = format!("ticket={} reason=silent", ticket.0);
+        self.log(Event::StreamResumed, text);
+        self.decide(ticket, Verdict::Keep);
+    }
+
     fn is_repeatable(&self, ticket: Ticket) -> bool {
         let record = self.requests.get(ticket);
         record.is_some_and(|record| record.arrival.work.repeatable())
--- a/crates/fescuewell_node/tests/common/backend.rs
+++ b/crates/fescuewell_node/tests/common/backend.rs
@@ -20,6 +20,8 @@
     BreakAfterRun,
     /// Runs for this many milliseconds.
     RunFor(u64),
+    /// Is silent for this many milliseconds, and has the whole response then.
+    SilentFor(u64),
 }
 
 /// A stream on a backend server.
--- a/crates/fescuewell_node/tests/common/plane.rs
+++ b/crates/fescuewell_node/tests/common/plane.rs
@@ -11,6 +11,9 @@
 use super::document::{GROUP, MODEL, SERVICE};
 use super::world::{Scheduled, SubmittedRequest, World};
 
+/// Silence of a server after which the data plane asks whether another attempt may be made.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(100);
+
 impl World {
     /// Submits a model request of the kind `summary`.
     pub fn submit(&mut self, node: usize, id: &str) -> Ticket {
@@ -93,10 +96,32 @@
                 request.answered = Some(now);
             }
             Verdict::Attach { stream, .. } => self.attach(node, ticket, &stream),
-            Verdict::Run(assignment) => self.run(node, ticket, assignment),
+            Verdict::Run(assignment) => {
+                self.cancel_silent(ticket);
+                self.run(node, ticket, assignment);
+            }
+            Verdict::Keep => self.keep(node, ticket),
+        }
+    }
+
+    // An attempt that was given up while its server was silent is cancelled once another one begins.
+    fn cancel_silent(&mut self, ticket: Ticket) {
+        let last = self.requests[&ticket].runs.last();
+        if let Some((_, assignment)) = last {
+            let stream = assignment.stream.clone();
+            self.backend.cancel(self.now, &stream);
         }
     }
 
+    fn keep(&mut self, node: usize, ticket: Ticket) {
+        let (_, assignment) = self.requests[&ticket].runs.last().expect("an attempt runs");
+        let stream = &self.backend.streams[&assignment.stream];
+        assert!(!stream.is_cancelled, "kept after its cancellation");
+        let left = stream.ends.since(self.now);
+        let cost = stream.cost;
+        self.ended(node, ticket, left, done(cost, None));
+    }
+
     fn ended(&mut self, node: usize, ticket: Ticket, after: Duration, end: End) {
         let event = NodeEvent::Ended { ticket, end };
         self.schedule(
@@ -142,7 +167,7 @@
             return self.ended(node, ticket, nothing, lost(false, Tokens::ZERO));
         }
         let took = match reaction {
-            Some(Reaction::RunFor(millis)) => millis,
+            Some(Reaction::RunFor(millis) | Reaction::SilentFor(millis)) => millis,
             _ => self.random.random_range(self.run_ms.clone()),
         };
         let cost = Tokens(self.random.random_range(1..=assignment.hold.0.max(1)));
@@ -165,6 +190,14 @@
             answer: response.clone(),
         };
         self.backend.streams.insert(assignment.stream, stream);
+        if let Some(Reaction::SilentFor(_)) = reaction {
+            let stalled = End::Lost {
+                used: Tokens::ZERO,
+                stalled: true,
+                delivered: false,
+            };
+            return self.ended(node, ticket, SILENCE_TIMEOUT, stalled);
+        }
         let end = match reaction {
             Some(Reaction::BreakAfterRun) => lost(true, cost),
             _ => done(cost, response),
--- a/crates/fescuewell_queue/src/retry.rs
+++ b/crates/fescuewell_queue/src/retry.rs
@@ -84,8 +84,7 @@
 
     /// Takes one retry from the budget. Returns `false` if none is left.
     pub fn try_retry(&mut self, now: Instant) -> bool {
-        self.current_section(now);
-        if self.remaining() == 0 {
+        if !self.can_retry(now) {
             return false;
         }
         self.retries += 1;
@@ -93,6 +92,12 @@
         true
     }
 
+    /// Whether [`Budget::try_retry`] would succeed.
+    pub fn can_retry(&mut self, now: Instant) -> bool {
+        self.remove_expired(now);
+        self.remaining() > 0
+    }
+
     /// Number of retries left as of the last call.
     pub fn remaining(&self) -> u64 {
         let from_ratio = self.requests * u64::from(self.settings.ratio_percent) / 100;
--- a/crates/fescuewell_router/src/attempt.rs
+++ b/crates/fescuewell_router/src/attempt.rs
@@ -72,7 +72,7 @@
     /// The backend server rejected the request as invalid.
     Rejected(StatusCode, Bytes),
     /// The request may have run.
-    Unknown { stalled: bool },
+    Unknown,
 }
 
 /// How an attempt ended, with the backend server's response if it rejected the request.
@@ -117,22 +117,25 @@
                 self.stream_response(assignment, Some(exchange), limit, delivery)
                     .await
             }
-            OpenResult::Unknown { stalled } => {
-                let mut outcome = self
-                    .stream_response(assignment, None, limit, delivery)
-                    .await;
-                if let End::Lost {
-                    stalled: was_stalled,
-                    ..
-                } = &mut outcome.end
-                {
-                    *was_stalled |= stalled;
-                }
-                outcome
+            OpenResult::Unknown => {
+                self.stream_response(assignment, None, limit, delivery)
+                    .await
             }
         }
     }
 
+    /// Goes on with an attempt that ended as stalled before any of its response arrived.
+    pub async fn keep(
+        &self,
+        assignment: &Assignment,
+        prompt: &Prompt,
+        delivery: &mut Delivery,
+    ) -> Outcome {
+        let limit = output_limit(assignment, prompt);
+        self.stream_response(assignment, None, limit, delivery)
+            .await
+    }
+
     /// Reads the response of an attempt that another request or instance started. Returns `None` when the
     /// backend server has no record of it.
     pub async fn read(
@@ -206,10 +209,7 @@
         let exchange = match self.client.open(&target, request, self.timeouts).await {
             Ok(exchange) => exchange,
             Err(Error::NotSent { .. }) => return OpenResult::NotSent,
-            Err(error) => {
-                let stalled = !error.is_broken();
-                return OpenResult::Unknown { stalled };
-            }
+            Err(_) => return OpenResult::Unknown,
         };
         self.report_leaving(assignment, &exchange);
         match exchange.status {
@@ -217,10 +217,10 @@
                 OpenResult::Response(Box::new(exchange))
             }
             // A response with another stream id belongs to another request and must not reach this caller.
-            StatusCode::OK => OpenResult::Unknown { stalled: false },
+            StatusCode::OK => OpenResult::Unknown,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => OpenResult::Busy,
             // The backend server already has this attempt: an earlier send arrived after all.
-            StatusCode::CONFLICT => OpenResult::Unknown { stalled: false },
+            StatusCode::CONFLICT => OpenResult::Unknown,
             status if status.is_client_error() => {
                 let body = exchange
                     .collect(MAX_ERROR_BODY_BYTES)
@@ -228,7 +228,7 @@
                     .unwrap_or_default();
                 OpenResult::Rejected(status, body)
             }
-            _ => OpenResult::Unknown { stalled: false },
+            _ => OpenResult::Unknown,
         }
     }
 
@@ -290,12 +290,15 @@
                 self.cancel(assignment, delivery).await;
                 return Outcome::of(cancelled(delivery));
             }
-            // Nothing can go on with a response that has begun, so that its server may be silent for as
-            // long as the request may take.
-            let is_silent = interruptions.is_silent() && !delivery.has_begun();
-            if interruptions.is_broken() || is_silent {
+            if interruptions.is_broken() {
                 self.cancel(assignment, delivery).await;
-                return Outcome::of(lost(delivery, stalled));
+                return Outcome::of(lost(delivery, false));
+            }
+            // Nothing can go on with a response that has begun, so that its server may be silent for as
+            // long as the request may take. Another attempt may be made at one that has not; this one is
+            // cancelled only when that is certain.
+            if interruptions.is_silent() && !delivery.has_begun() {
+                return Outcome::of(lost(delivery, true));
             }
             if interruptions.total() > 1 {
                 tokio::time::sleep(RESUME_DELAY).await;
--- a/crates/fescuewell_router/src/attempt/resume.rs
+++ b/crates/fescuewell_router/src/attempt/resume.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
-use fescuewell_http::upstream::{Error, Exchange, Reachability, Target, Timeouts};
+use fescuewell_http::listener::spawn;
+use fescuewell_http::upstream::{Client, Error, Exchange, Reachability, Target, Timeouts};
 use fescuewell_node::request::Assignment;
 use http::StatusCode;
 
@@ -91,33 +92,37 @@
     }
 
     /// Cancels the stream at the engine and takes the token usage from its record.
-    ///
-    /// The wait for the response is short: when the engine does not respond, the sweep or the engine's own
-    /// limits end the stream.
     pub(super) async fn cancel(&self, assignment: &Assignment, delivery: &mut Delivery) {
-        let path = format!("/v1/responses/{}/cancel", assignment.stream);
-        let request = http::Request::builder()
-            .method(http::Method::POST)
-            .uri(path)
-            .body(Bytes::new());
-        let target = Target::new(assignment.address);
-        let timeouts = Timeouts {
-            first_byte: self.timeouts.connect,
-            ..self.timeouts
-        };
-        let exchange = self
-            .client
-            .open(&target, request.unwrap_or_default(), timeouts)
-            .await;
-        let Ok(exchange) = exchange else {
-            return;
-        };
-        let body = exchange
-            .collect(MAX_ERROR_BODY_BYTES)
-            .await
-            .unwrap_or_default();
-        let record: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-        let total = record["usage"]["total_tokens"].as_u64();
-        delivery.used = total.map_or(delivery.used, Tokens);
+        let total = cancel(self.client, self.timeouts, assignment).await;
+        delivery.used = total.unwrap_or(delivery.used);
     }
+
+    /// Cancels a stream in the background, once another attempt has taken its place.
+    pub fn discard(&self, assignment: Assignment) {
+        let (client, timeouts) = (self.client.clone(), self.timeouts);
+        spawn(async move {
+            cancel(&client, timeouts, &assignment).await;
+        });
+    }
+}
+
+/// Cancels a stream and returns the token usage of its record.
+///
+/// The wait for the response is short: when the engine does not respond, the sweep or the engine's own
+/// limits end the stream.
+async fn cancel(client: &Client, timeouts: Timeouts, assignment: &Assignment) -> Option<Tokens> {
+    let path = format!("/v1/responses/{}/cancel", assignment.stream);
+    let request = http::Request::builder()
+        .method(http::Method::POST)
+        .uri(path)
+        .body(Bytes::new());
+    let target = Target::new(assignment.address);
+    let timeouts = Timeouts {
+        first_byte: timeouts.connect,
+        ..timeouts
+    };
+    let exchange = client.open(&target, request.unwrap_or_default(), timeouts);
+    let body = exchange.await.ok()?.collect(MAX_ERROR_BODY_BYTES).await;
+    let record: serde_json::Value = serde_json::from_slice(&body.ok()?).ok()?;
+    record["usage"]["total_tokens"].as_u64().map(Tokens)
 }
--- a/crates/fescuewell_router/src/plane.rs
+++ b/crates/fescuewell_router/src/plane.rs
@@ -201,8 +201,14 @@
             .submit(NodeEvent::Arrived(validated.arrival))
             .await;
         self.count_verdict(arrived);
+        let mut silent = None;
         loop {
-            match verdict {
+            if !matches!(verdict, Ok(Verdict::Keep))
+                && let Some(assignment) = silent.take()
+            {
+                runner.discard(assignment);
+            }
+            let (assignment, outcome) = match verdict {
                 Err(refusal) | Ok(Verdict::Refuse(refusal)) => {
                     return self.refuse_delivery(delivery, &refusal).await;
                 }
@@ -214,20 +220,32 @@
                     address, stream, ..
                 }) => match runner.read(address, &stream, &mut delivery).await {
                     Some(outcome) => return self.finish(ticket, outcome, delivery).await,
-                    None => verdict = registration.report(NodeEvent::StreamGone { ticket }).await,
+                    None => {
+                        verdict = registration.report(NodeEvent::StreamGone { ticket }).await;
+                        continue;
+                    }
                 },
                 Ok(Verdict::Run(assignment)) => {
                     delivery.restart();
                     let outcome = runner
                         .run(&assignment, &prompt, &options, &mut delivery)
                         .await;
-                    if !is_retryable(&outcome.end) {
-                        return self.finish(ticket, outcome, delivery).await;
-                    }
-                    let end = outcome.end;
-                    verdict = registration.report(NodeEvent::Ended { ticket, end }).await;
+                    (assignment, outcome)
                 }
+                Ok(Verdict::Keep) => {
+                    let Some(assignment) = silent.take() else {
+                        return;
+                    };
+                    let outcome = runner.keep(&assignment, &prompt, &mut delivery).await;
+                    (assignment, outcome)
+                }
+            };
+            if !is_retryable(&outcome.end) {
+                return self.finish(ticket, outcome, delivery).await;
             }
+            let end = outcome.end;
+            silent = is_silent(&end).then_some(assignment);
+            verdict = registration.report(NodeEvent::Ended { ticket, end }).await;
         }
     }
 
@@ -407,6 +425,13 @@
     )
 }
 
+fn is_silent(end: &fescuewell_node::request::End) -> bool {
+    matches!(
+        end,
+        fescuewell_node::request::End::Lost { stalled: true, .. }
+    )
+}
+
 /// Hashes path and body, so that reuse of a request id with another body is detected.
 fn fingerprint(request: &Request) -> Digest {
     let mut bytes = request.path.as_bytes().to_vec();
--- a/crates/fescuewell_router/src/plane/resume.rs
+++ b/crates/fescuewell_router/src/plane/resume.rs
@@ -73,7 +73,7 @@
             Err(refusal) | Ok(Verdict::Refuse(refusal)) => {
                 self.refuse_delivery(delivery, &refusal).await;
             }
-            Ok(Verdict::Run(_)) => {}
+            Ok(Verdict::Run(_) | Verdict::Keep) => {}
         }
     }
 }
--- a/crates/fescuewell_router/src/plane/service.rs
+++ b/crates/fescuewell_router/src/plane/service.rs
@@ -65,7 +65,7 @@
                     verdict = registration.report(NodeEvent::Ended { ticket, end }).await;
                 }
                 Err(refusal) | Ok(Verdict::Refuse(refusal)) => return self.refuse(reply, &refusal),
-                Ok(Verdict::Attach { .. }) => {
+                Ok(Verdict::Attach { .. } | Verdict::Keep) => {
                     return self.refuse(reply, &Refusal::new(Code::InProgress));
                 }
             }
--- a/crates/fescuewell_router/tests/common/mod.rs
+++ b/crates/fescuewell_router/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_http::listener::{Handler, Listener, Reply, Request, Settings, spawn};
 use fescuewell_http::upstream::{self, Client, Timeouts};
-use fescuewell_node::request::{Assignment, Ticket};
+use fescuewell_node::request::{Assignment, End, Ticket};
 use fescuewell_router::attempt::{Outcome, Runner};
 use fescuewell_router::chat::{Path, Prompt};
 use fescuewell_router::delivery::{Delivery, ResponseOptions};
@@ -32,6 +32,8 @@
 pub enum Task {
     /// Sends the request.
     Run,
+    /// Sends the request, and goes on with it for as long as its server is silent.
+    RunAndKeep,
     /// Reads the response of another request.
     Read,
 }
@@ -115,11 +117,16 @@
             let mut delivery = Delivery::new(options(), reply);
             let outcome = match task {
                 Task::Read => runner.read(server, STREAM, &mut delivery).await,
-                Task::Run => {
+                Task::Run | Task::RunAndKeep => {
                     let (prompt, options) = (prompt(TOKENS), options());
                     let assignment = assignment(server);
                     let run = runner.run(&assignment, &prompt, &options, &mut delivery);
-                    Some(run.await)
+                    let mut outcome = run.await;
+                    while task == Task::RunAndKeep && is_stalled(&outcome) {
+                        let _ = outcomes.send(Some(outcome));
+                        outcome = runner.keep(&assignment, &prompt, &mut delivery).await;
+                    }
+                    Some(outcome)
                 }
             };
             delivery.finish().await;
@@ -128,6 +135,10 @@
     }
 }
 
+fn is_stalled(outcome: &Outcome) -> bool {
+    matches!(outcome.end, End::Lost { stalled: true, .. })
+}
+
 impl Caller {
     /// Connects a caller to an instance that serves it from `server`.
     pub fn connect(server: SocketAddr, task: Task, deadline: Duration) -> Self {
--- a/crates/fescuewell_router/tests/silence.rs
+++ b/crates/fescuewell_router/tests/silence.rs
@@ -81,3 +81,24 @@
 
     assert!(outcome.deadline_exceeded, "{:?}", outcome.end);
 }
+
+/// Guards against an attempt that is cancelled on a guess: its server answers once the silence ends, but the
+/// cancellation that waits there comes first.
+#[test]
+fn an_attempt_at_a_silent_server_is_not_cancelled_before_another_one_may_be_made() {
+    let engine = engine();
+    engine.set_silent(true);
+    let caller = Caller::connect(engine.address(), Task::RunAndKeep, PATIENCE);
+    let first = caller.outcome().unwrap().end;
+
+    engine.set_silent(false);
+    let mut last = first.clone();
+    while matches!(last, End::Lost { stalled: true, .. }) {
+        last = caller.outcome().unwrap().end;
+    }
+
+    assert!(matches!(first, End::Lost { stalled: true, .. }));
+    assert!(matches!(last, End::Done { .. }), "{last:?}");
+    assert_eq!(caller.events(), (1..=TOKENS).collect::<Vec<u32>>());
+    assert_eq!(engine.counters().cancelled, 0);
+}
