Own interface: a call outlasts the silence of its service

Callers of a call that may not be repeated, a booking for instance, were told that its outcome is unknown about a second after first_byte, although its service was only silent and had it run a moment later. A repeatable call was refused if no other attempt could be made.

The exchange was closed when no head came within first_byte, and then the service's record was read five times; a silent service answers neither, and some keep no record.

The exchange now stays open until the deadline. After first_byte the record is read as well, since only that connection may be silent: until the deadline for a call that may not be repeated, five times for a repeatable one, which then asks the node. Keep and Run both leave earlier exchanges open, and the first response of any is used; the node bills the current attempt, once. A call whose outcome stays unknown for silence no longer counts as a crash.

A call that may not be repeated, at a service silent for 2.5 s (timeout 100 ms), with and without records: Lost on the code before, answered and run once now. A repeatable call whose first service speaks while the second one is silent is answered by the first.

--- a/crates/fescuewell_node/src/settle.rs
+++ b/crates/fescuewell_node/src/settle.rs
@@ -13,7 +13,7 @@
 use crate::event::Action;
 use crate::limits::Completion;
 use crate::node::Node;
-use crate::request::{End, Ticket, Verdict, Work};
+use crate::request::{End, Ticket, Verdict};
 
 /// Retry-after of a refusal because no backend server accepted the request.
 const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -124,8 +124,8 @@
         let Some(record) = self.requests.get(ticket) else {
             return false;
         };
-        let is_model = matches!(record.arrival.work, Work::Model { .. });
-        if !is_silent || !is_model || self.now >= record.deadline {
+        let is_repeatable = record.arrival.work.repeatable();
+        if !is_silent || !is_repeatable || self.now >= record.deadline {
             return false;
         }
         record.sent >= self.settings.max_attempts
--- a/crates/fescuewell_router/src/call.rs
+++ b/crates/fescuewell_router/src/call.rs
@@ -1,6 +1,8 @@
 //! One attempt of a call of a plain service.
 
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -53,19 +55,45 @@
     pub response: Option<StoredResponse>,
 }
 
+/// Exchanges of one call that may still bring its response, by attempt.
+#[derive(Default)]
+pub struct Exchanges<'a>(Vec<(u32, Answer<'a>)>);
+
+type Answer<'a> = Pin<Box<dyn Future<Output = Outcome> + Send + 'a>>;
+
 impl Call<'_> {
     /// Sends the call at most once. If it may have reached the service, it is not sent again: the outcome is
     /// read from the service's own record.
-    pub async fn run(&self, assignment: &Assignment) -> Outcome {
+    ///
+    /// The exchange stays in `open` while the service is silent.
+    pub async fn run<'b>(&'b self, assignment: &Assignment, open: &mut Exchanges<'b>) -> Outcome {
+        let answer = Box::pin(self.exchange(assignment.clone()));
+        open.0.push((assignment.attempt, answer));
+        self.wait(assignment, open).await
+    }
+
+    /// Waits for a response to any open exchange until the service of the current attempt has been silent
+    /// for too long.
+    pub async fn wait(&self, assignment: &Assignment, open: &mut Exchanges<'_>) -> Outcome {
+        tokio::select! {
+            outcome = open.next(assignment.attempt) => outcome,
+            outcome = self.watch_silence(assignment) => outcome,
+        }
+    }
+
+    async fn exchange(&self, assignment: Assignment) -> Outcome {
         let target = Target::new(assignment.address).with_deadline(self.deadline);
-        let exchange = match self
-            .client
-            .open(&target, self.request(assignment), self.timeouts)
-            .await
-        {
+        let time_left = self.time_left();
+        let timeouts = Timeouts {
+            connect: self.timeouts.connect,
+            first_byte: time_left,
+            progress: time_left,
+        };
+        let request = self.request(&assignment);
+        let exchange = match self.client.open(&target, request, timeouts).await {
             Ok(exchange) => exchange,
             Err(Error::NotSent { .. }) => return without_response(End::NotSent),
-            Err(error) => return self.poll_record(assignment, !error.is_broken()).await,
+            Err(error) => return self.poll_record(&assignment, !error.is_broken()).await,
         };
         let status = exchange.status;
         if status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE {
@@ -73,10 +101,36 @@
         }
         match read_response(exchange).await {
             Some(response) if !status.is_server_error() => self.done(response),
-            _ => self.poll_record(assignment, false).await,
+            _ => self.poll_record(&assignment, false).await,
         }
     }
 
+    /// Looks for the response in the service's record while its exchange is silent, which may be the fault of
+    /// that connection alone. A call that may not be repeated has no other way to its response.
+    async fn watch_silence(&self, assignment: &Assignment) -> Outcome {
+        tokio::time::sleep(self.timeouts.first_byte).await;
+        for attempt in 0.. {
+            if let Some(response) = self.fetch_record(assignment).await {
+                return self.done(response);
+            }
+            let is_early = attempt < RECORD_ATTEMPTS;
+            if Instant::now() >= self.deadline || (self.repeatable && !is_early) {
+                break;
+            }
+            let delay = if is_early {
+                RECORD_DELAY
+            } else {
+                LATE_RECORD_DELAY
+            };
+            tokio::time::sleep(delay.min(self.time_left())).await;
+        }
+        lost(true)
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     fn done(&self, response: StoredResponse) -> Outcome {
         let is_stored = !self.repeatable && response.body.len() <= MAX_RESPONSE_BYTES;
         Outcome {
@@ -91,7 +145,7 @@
 
     fn request(&self, assignment: &Assignment) -> http::Request<Bytes> {
         let json = http::HeaderValue::from_static("application/json");
-        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let time_left = self.time_left();
         let request = http::Request::builder()
             .method(http::Method::POST)
             .uri(format!("/calls/{}", self.call))
@@ -117,11 +171,7 @@
                 break;
             }
         }
-        without_response(End::Lost {
-            used: Tokens::ZERO,
-            stalled,
-            delivered: false,
-        })
+        lost(stalled)
     }
 
     async fn fetch_record(&self, assignment: &Assignment) -> Option<StoredResponse> {
@@ -151,21 +201,49 @@
 
     /// Continues to request the record after the caller was told that the outcome is unknown, so that a
     /// repeated request can get the response.
-    pub async fn poll_record_late(&self, assignment: &Assignment) -> End {
+    pub async fn poll_record_late(&self, assignment: &Assignment, unknown: End) -> End {
         for _ in 0..LATE_RECORD_ATTEMPTS {
             tokio::time::sleep(LATE_RECORD_DELAY).await;
             if let Some(response) = self.fetch_record(assignment).await {
                 return self.done(response).end;
             }
         }
-        End::Lost {
-            used: Tokens::ZERO,
-            stalled: false,
-            delivered: false,
+        unknown
+    }
+}
+
+impl Exchanges<'_> {
+    /// Waits for the first response, or for the end of the exchange of `attempt` without one.
+    async fn next(&mut self, attempt: u32) -> Outcome {
+        loop {
+            let (ended, outcome) = std::future::poll_fn(|context| self.poll_next(context)).await;
+            if ended == attempt || outcome.response.is_some() {
+                return outcome;
+            }
+        }
+    }
+
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<(u32, Outcome)> {
+        for (index, (attempt, answer)) in self.0.iter_mut().enumerate() {
+            let Poll::Ready(outcome) = answer.as_mut().poll(context) else {
+                continue;
+            };
+            let attempt = *attempt;
+            drop(self.0.swap_remove(index));
+            return Poll::Ready((attempt, outcome));
         }
+        Poll::Pending
     }
 }
 
+fn lost(stalled: bool) -> Outcome {
+    without_response(End::Lost {
+        used: Tokens::ZERO,
+        stalled,
+        delivered: false,
+    })
+}
+
 fn without_response(end: End) -> Outcome {
     Outcome {
         end,
--- a/crates/fescuewell_router/src/plane/service.rs
+++ b/crates/fescuewell_router/src/plane/service.rs
@@ -9,6 +9,7 @@
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 
 use super::{Plane, ValidatedRequest, status_of};
+use crate::call::{Call, Exchanges};
 use crate::caller::Caller;
 
 impl Plane {
@@ -32,7 +33,7 @@
         };
         let ticket = registration.ticket;
         let id = validated.caller.id.clone();
-        let runner = crate::call::Call {
+        let runner = Call {
             client: &self.client,
             timeouts: self.timeouts,
             deadline: validated.deadline,
@@ -46,29 +47,40 @@
             .submit(NodeEvent::Arrived(validated.arrival))
             .await;
         self.count_verdict(validated.request.arrived);
+        let mut open = Exchanges::default();
+        let mut current = None;
         loop {
-            match verdict {
+            let (assignment, outcome) = match verdict {
                 Ok(Verdict::Stored(response)) => return send_response(reply, &response, &id),
                 Ok(Verdict::Run(assignment)) => {
-                    let outcome = runner.run(&assignment).await;
-                    let end = outcome.end;
-                    if let Some(response) = outcome.response {
-                        self.count_cost(&end);
-                        send_response(reply, &response, &id);
-                        return self.pending.send(NodeEvent::Ended { ticket, end }).await;
-                    }
-                    if is_outcome_unknown(&end) && !repeatable {
-                        self.refuse(reply, &Refusal::new(Code::OutcomeUnknown));
-                        let end = runner.poll_record_late(&assignment).await;
-                        return self.pending.send(NodeEvent::Ended { ticket, end }).await;
-                    }
-                    verdict = registration.report(NodeEvent::Ended { ticket, end }).await;
+                    let outcome = runner.run(&assignment, &mut open).await;
+                    (assignment, outcome)
+                }
+                Ok(Verdict::Keep) => {
+                    let Some(assignment) = current.take() else {
+                        return;
+                    };
+                    let outcome = runner.wait(&assignment, &mut open).await;
+                    (assignment, outcome)
                 }
                 Err(refusal) | Ok(Verdict::Refuse(refusal)) => return self.refuse(reply, &refusal),
-                Ok(Verdict::Attach { .. } | Verdict::Keep) => {
+                Ok(Verdict::Attach { .. }) => {
                     return self.refuse(reply, &Refusal::new(Code::InProgress));
                 }
+            };
+            let end = outcome.end;
+            if let Some(response) = outcome.response {
+                self.count_cost(&end);
+                send_response(reply, &response, &id);
+                return self.pending.send(NodeEvent::Ended { ticket, end }).await;
+            }
+            if is_outcome_unknown(&end) && !repeatable {
+                self.refuse(reply, &Refusal::new(Code::OutcomeUnknown));
+                let end = runner.poll_record_late(&assignment, end).await;
+                return self.pending.send(NodeEvent::Ended { ticket, end }).await;
             }
+            current = Some(assignment);
+            verdict = registration.report(NodeEvent::Ended { ticket, end }).await;
         }
     }
 
