--- a/crates/fescuewell_router/src/attempt.rs
+++ b/crates/fescuewell_router/src/attempt.rs
@@ -1,5 +1,7 @@
 //! Attempts of model requests: sends one, forwards its response stream and resumes the stream after a break.
 
+mod resume;
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,6 +12,7 @@
 use fescuewell_node::request::{Assignment, End, Ticket};
 use http::StatusCode;
 
+use self::resume::{Interruptions, ResumeResult};
 use crate::chat::Prompt;
 use crate::delivery::{Delivery, ResponseOptions};
 use crate::pending::PendingRequests;
@@ -22,8 +25,6 @@
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// Maximum size of an error body, or of the record that follows a cancellation.
 const MAX_ERROR_BODY_BYTES: usize = 64 * 1024;
-/// Maximum number of successive resumes that bring no new token.
-const MAX_RESUMES_WITHOUT_PROGRESS: u32 = 4;
 /// Delay before the second and each further resume.
 const RESUME_DELAY: Duration = Duration::from_millis(100);
 /// Tokens between two progress reports to the decision thread.
@@ -71,7 +72,7 @@
     /// The backend server rejected the request as invalid.
     Rejected(StatusCode, Bytes),
     /// The request may have run.
-    Unknown { stalled: bool },
+    Unknown,
 }
 
 /// How an attempt ended, with the backend server's response if it rejected the request.
@@ -116,22 +117,25 @@
                 self.stream_response(assignment, Some(exchange), limit, delivery)
                     .await
             }
-            OpenResult::Unknown { stalled } => {
-                let mut outcome = self
-                    .stream_response(assignment, None, limit, delivery)
-                    .await;
-                if let End::Lost {
-                    stalled: was_stalled,
-                    ..
-                } = &mut outcome.end
-                {
-                    *was_stalled |= stalled;
-                }
-                outcome
+            OpenResult::Unknown => {
+                self.stream_response(assignment, None, limit, delivery)
+                    .await
             }
         }
     }
 
+    /// Goes on with an attempt that ended as stalled before any of its response arrived.
+    pub async fn keep(
+        &self,
+        assignment: &Assignment,
+        prompt: &Prompt,
+        delivery: &mut Delivery,
+    ) -> Outcome {
+        let limit = output_limit(assignment, prompt);
+        self.stream_response(assignment, None, limit, delivery)
+            .await
+    }
+
     /// Reads the response of an attempt that another request or instance started. Returns `None` when the
     /// backend server has no record of it.
     pub async fn read(
@@ -140,40 +144,40 @@
         stream: &str,
         delivery: &mut Delivery,
     ) -> Option<Outcome> {
-        let mut resumes = 0;
+        let mut interruptions = Interruptions::default();
         loop {
-            let exchange = match self.resume(address, stream, delivery.last_event).await {
-                ResumeResult::Response(exchange) => Some(exchange),
+            let before = delivery.last_event;
+            let reading = match self.resume(address, stream, delivery.last_event).await {
+                ResumeResult::Response(exchange) => {
+                    self.read_response(exchange, u32::MAX, delivery).await
+                }
                 // The caller has events of a run that is gone; another run would not continue them.
                 ResumeResult::NotFound if delivery.has_begun() => {
                     return Some(Outcome::of(lost(delivery, false)));
                 }
-                ResumeResult::NotFound if resumes == 0 => return None,
-                ResumeResult::NotFound | ResumeResult::Failed => None,
-            };
-            let before = delivery.last_event;
-            let reading = match exchange {
-                Some(exchange) => self.read_response(exchange, u32::MAX, delivery).await,
-                None => ReadResult::Interrupted { stalled: false },
+                ResumeResult::NotFound => return None,
+                ResumeResult::Silent => ReadResult::Interrupted { stalled: true },
+                ResumeResult::Failed => ReadResult::Interrupted { stalled: false },
             };
-            match reading {
+            let stalled = match reading {
                 ReadResult::Complete | ReadResult::OverLimit => {
                     return Some(Outcome::of(done(delivery)));
                 }
                 ReadResult::DeadlineExceeded => return Some(self.deadline_outcome(delivery)),
                 ReadResult::CallerGone => return Some(Outcome::of(cancelled(delivery))),
-                ReadResult::Interrupted { stalled } => {
-                    resumes = if delivery.last_event > before {
-                        0
-                    } else {
-                        resumes + 1
-                    };
-                    if resumes > MAX_RESUMES_WITHOUT_PROGRESS {
-                        return Some(Outcome::of(lost(delivery, stalled)));
-                    }
-                    tokio::time::sleep(RESUME_DELAY).await;
-                }
+                ReadResult::Interrupted { stalled } => stalled,
+            };
+            interruptions.record(delivery.last_event > before, stalled);
+            if Instant::now() >= self.deadline {
+                return Some(self.deadline_outcome(delivery));
+            }
+            if self.is_abandoned(delivery) {
+                return Some(Outcome::of(cancelled(delivery)));
+            }
+            if interruptions.is_broken() {
+                return Some(Outcome::of(lost(delivery, stalled)));
             }
+            tokio::time::sleep(RESUME_DELAY).await;
         }
     }
 
@@ -205,8 +209,7 @@
         let exchange = match self.client.open(&target, request, self.timeouts).await {
             Ok(exchange) => exchange,
             Err(Error::NotSent { .. }) => return OpenResult::NotSent,
-            Err(Error::Stalled) => return OpenResult::Unknown { stalled: true },
-            Err(_) => return OpenResult::Unknown { stalled: false },
+            Err(_) => return OpenResult::Unknown,
         };
         self.report_leaving(assignment, &exchange);
         match exchange.status {
@@ -214,10 +217,10 @@
                 OpenResult::Response(Box::new(exchange))
             }
             // A response with another stream id belongs to another request and must not reach this caller.
-            StatusCode::OK => OpenResult::Unknown { stalled: false },
+            StatusCode::OK => OpenResult::Unknown,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => OpenResult::Busy,
             // The backend server already has this attempt: an earlier send arrived after all.
-            StatusCode::CONFLICT => OpenResult::Unknown { stalled: false },
+            StatusCode::CONFLICT => OpenResult::Unknown,
             status if status.is_client_error() => {
                 let body = exchange
                     .collect(MAX_ERROR_BODY_BYTES)
@@ -225,7 +228,7 @@
                     .unwrap_or_default();
                 OpenResult::Rejected(status, body)
             }
-            _ => OpenResult::Unknown { stalled: false },
+            _ => OpenResult::Unknown,
         }
     }
 
@@ -245,7 +248,7 @@
         delivery: &mut Delivery,
     ) -> Outcome {
         let mut next = first;
-        let mut resumes = 0;
+        let mut interruptions = Interruptions::default();
         loop {
             let before = delivery.last_event;
             let reading = match next.take() {
@@ -258,6 +261,7 @@
                         self.read_response(exchange, limit, delivery).await
                     }
                     ResumeResult::NotFound => return Outcome::of(lost(delivery, false)),
+                    ResumeResult::Silent => ReadResult::Interrupted { stalled: true },
                     ResumeResult::Failed => ReadResult::Interrupted { stalled: false },
                 },
             };
@@ -277,16 +281,26 @@
                 }
                 ReadResult::Interrupted { stalled } => stalled,
             };
-            resumes = if delivery.last_event > before {
-                0
-            } else {
-                resumes + 1
-            };
-            if resumes > MAX_RESUMES_WITHOUT_PROGRESS || Instant::now() >= self.deadline {
+            interruptions.record(delivery.last_event > before, stalled);
+            if Instant::now() >= self.deadline {
+                self.cancel(assignment, delivery).await;
+                return self.deadline_outcome(delivery);
+            }
+            if self.is_abandoned(delivery) {
                 self.cancel(assignment, delivery).await;
-                return Outcome::of(lost(delivery, stalled));
+                return Outcome::of(cancelled(delivery));
             }
-            if resumes > 1 {
+            if interruptions.is_broken() {
+                self.cancel(assignment, delivery).await;
+                return Outcome::of(lost(delivery, false));
+            }
+            // Nothing can go on with a response that has begun, so that its server may be silent for as
+            // long as the request may take. Another attempt may be made at one that has not; this one is
+            // cancelled only when that is certain.
+            if interruptions.is_silent() && !delivery.has_begun() {
+                return Outcome::of(lost(delivery, true));
+            }
+            if interruptions.total() > 1 {
                 tokio::time::sleep(RESUME_DELAY).await;
             }
         }
@@ -329,7 +343,7 @@
             if delivery.output > limit {
                 return ReadResult::OverLimit;
             }
-            if delivery.is_gone() && !self.may_retry {
+            if self.is_abandoned(delivery) {
                 return ReadResult::CallerGone;
             }
         }
@@ -339,6 +353,11 @@
         }
     }
 
+    /// Whether the caller disconnected and cannot repeat the request.
+    fn is_abandoned(&self, delivery: &Delivery) -> bool {
+        delivery.is_gone() && !self.may_retry
+    }
+
     fn report_progress(&self, delivery: &Delivery, reported: &mut u64) {
         let new = delivery.last_event.saturating_sub(*reported) as u32;
         if new >= PROGRESS_INTERVAL_TOKENS || (*reported == 0 && new > 0) {
@@ -351,61 +370,6 @@
         }
     }
 
-    async fn resume(
-        &self,
-        address: std::net::SocketAddr,
-        stream: &str,
-        after: u64,
-    ) -> ResumeResult {
-        let path = format!("/v1/responses/{stream}?stream=true&starting_after={after}");
-        let request = http::Request::builder().uri(path).body(Bytes::new());
-        let target = Target::new(address).with_deadline(self.deadline);
-        let exchange = self
-            .client
-            .open(&target, request.unwrap_or_default(), self.timeouts)
-            .await;
-        match exchange {
-            Ok(exchange)
-                if exchange.status == StatusCode::OK && matches_stream(&exchange, stream) =>
-            {
-                ResumeResult::Response(Box::new(exchange))
-            }
-            Ok(exchange) if exchange.status == StatusCode::NOT_FOUND => ResumeResult::NotFound,
-            _ => ResumeResult::Failed,
-        }
-    }
-
-    /// Cancels the stream at the engine and takes the token usage from its record.
-    ///
-    /// The wait for the response is short: when the engine does not respond, the sweep or the engine's own
-    /// limits end the stream.
-    async fn cancel(&self, assignment: &Assignment, delivery: &mut Delivery) {
-        let path = format!("/v1/responses/{}/cancel", assignment.stream);
-        let request = http::Request::builder()
-            .method(http::Method::POST)
-            .uri(path)
-            .body(Bytes::new());
-        let target = Target::new(assignment.address);
-        let timeouts = Timeouts {
-            first_byte: self.timeouts.connect,
-            ..self.timeouts
-        };
-        let exchange = self
-            .client
-            .open(&target, request.unwrap_or_default(), timeouts)
-            .await;
-        let Ok(exchange) = exchange else {
-            return;
-        };
-        let body = exchange
-            .collect(MAX_ERROR_BODY_BYTES)
-            .await
-            .unwrap_or_default();
-        let record: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-        let total = record["usage"]["total_tokens"].as_u64();
-        delivery.used = total.map_or(delivery.used, Tokens);
-    }
-
     fn deadline_outcome(&self, delivery: &Delivery) -> Outcome {
         Outcome {
             deadline_exceeded: true,
@@ -414,13 +378,6 @@
     }
 }
 
-/// Result of resuming a stream.
-enum ResumeResult {
-    Response(Box<Exchange>),
-    NotFound,
-    Failed,
-}
-
 // Events arrive in ascending order of their numbers. One that arrived before an interruption must not be
 // forwarded again.
 fn is_new(event: &sse::Event, last: u64) -> bool {
