Stand-in: a server that is silent for a while and goes on

Callers saw streams end while their servers were silent. The stand-ins could lose, hang or break an answer, but could not stop and go on as a process does that is suspended, so no test could show what an instance does meanwhile.

A worker now has `set_silent` and `set_silence`: it accepts connections and reads requests, and stops before a head, between events, within an event or before the end of the body; afterwards each answer goes on where it stopped. A caller that leaves meanwhile is counted at once. `set_event_interval` paces events, so that a stream lasts long enough to be hit. The streams of the worker move into a module of their own. `Cut::Held` of the tests' proxy accepts connections and holds bytes back in both directions.

--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -16,24 +16,33 @@
 //! Responses declare conditions of the worker: a request rate that it accepts ([`Worker::set_limit`]), that it leaves
 //! ([`Worker::set_leaving`]), and in rejections a time in which it wants no requests ([`Worker::set_rest`]).
 //!
+//! A worker that is silent ([`Worker::set_silent`], [`Worker::set_silence`]) accepts connections and reads requests, but sends nothing,
+//! as a process that is stopped; afterwards it goes on where it stopped.
+//!
 //! ```
 //! use fescuewell_standin::worker::Worker;
 //! let worker = Worker::start("127.0.0.1:0".parse().unwrap(), "i-1").unwrap();
 //! assert!(worker.runs().is_empty());
 //! ```
 
+mod silence;
+mod stream;
+
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fescuewell_http::listener::{self, Handler, Listener, Reply, Request, Sink, spawn};
+use fescuewell_http::listener::{self, Handler, Listener, Reply, Request, spawn};
 use http::header::{CONNECTION, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use socket2::{Domain, Socket, Type};
 use tokio::sync::watch;
 
+use silence::Point;
+pub use silence::Silence;
+
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-fescuewell-request-id");
 const SEAL: HeaderName = HeaderName::from_static("x-fescuewell-response-seal");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-fescuewell-not-executed");
@@ -98,6 +107,7 @@
     crashes_on_part: Option<Arc<str>>,
     crashes: u64,
     revivals: u64,
+    event_interval: Duration,
 }
 
 struct Shared {
@@ -105,6 +115,7 @@
     state: Mutex<State>,
     arrived: watch::Sender<u64>,
     released: watch::Sender<bool>,
+    silence: watch::Sender<Option<Silence>>,
     crashed: flume::Sender<()>,
 }
 
@@ -147,6 +158,7 @@
             }),
             arrived: watch::channel(0).0,
             released: watch::channel(false).0,
+            silence: watch::channel(None).0,
             crashed,
         });
         let listener = listen(&shared, address)?;
@@ -234,6 +246,21 @@
         self.shared.state().is_closing = is_closing;
     }
 
+    /// Sets whether it sends nothing.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.set_silence(is_silent.then_some(Silence::Whole));
+    }
+
+    /// Sets where its answers stop, or lets them go on.
+    pub fn set_silence(&self, silence: Option<Silence>) {
+        self.shared.silence.send_replace(silence);
+    }
+
+    /// Sets the time before each event of a stream.
+    pub fn set_event_interval(&self, interval: Duration) {
+        self.shared.state().event_interval = interval;
+    }
+
     /// How often it has crashed.
     pub fn crashes(&self) -> u64 {
         self.shared.state().crashes
@@ -266,6 +293,7 @@
             state.name = name.into();
             state.revivals = state.crashes;
         }
+        self.set_silence(None);
         let mut slot = lock(&self.listener);
         if slot.is_none() {
             *slot = Some(listen(&self.shared, self.address)?);
@@ -289,6 +317,7 @@
             state.next.clear();
             state.revivals = state.crashes;
         }
+        self.set_silence(None);
         *lock(&self.listener) = Some(listen(&self.shared, self.address)?);
         Ok(())
     }
@@ -419,6 +448,8 @@
             && expected.as_bytes() != self.state().name.as_bytes()
         {
             self.state().refused.push(run);
+            // A response to a caller that has left goes nowhere.
+            let _ = self.hold(Point::Head, reply.closed()).await;
             return reply.send(
                 StatusCode::MISDIRECTED_REQUEST,
                 HeaderMap::new(),
@@ -430,6 +461,7 @@
         if behaviour == Behaviour::TurnAway {
             self.state().refused.push(run);
             self.arrived.send_modify(|count| *count += 1);
+            let _ = self.hold(Point::Head, reply.closed()).await;
             let mut headers = self.conditions();
             headers.insert(NOT_EXECUTED, HeaderValue::from_static("1"));
             if let Some(rest) = self.state().rest.clone() {
@@ -439,6 +471,10 @@
         }
         self.state().runs.push(run.clone());
         self.arrived.send_modify(|count| *count += 1);
+        if self.hold(Point::Head, reply.closed()).await.is_err() {
+            self.state().gone += 1;
+            return;
+        }
         let headers = self.headers(&run, behaviour);
         if behaviour == Behaviour::Wait {
             // An error means that the stand-in is being dropped.
@@ -492,14 +528,6 @@
         has_part || state.crashes_on.as_ref() == Some(&run.body)
     }
 
-    /// Begins the body of a stream.
-    fn begin_stream(&self, reply: Reply, headers: HeaderMap) -> Sink {
-        match self.state().is_unframed {
-            true => reply.stream_until_close(StatusCode::OK, headers),
-            false => reply.stream(StatusCode::OK, headers),
-        }
-    }
-
     /// A stream's head goes out before the end, as it does from a server that begins to answer. Without a
     /// length or chunks a whole event goes out, too, so that what has arrived looks complete.
     async fn crash(&self, request: &Request, reply: Reply, headers: HeaderMap) {
@@ -552,36 +580,6 @@
         }
         headers
     }
-
-    async fn stream(&self, reply: Reply, headers: HeaderMap, run: &Run, behaviour: Behaviour) {
-        let last = run.headers.get(LAST_EVENT_ID);
-        let last = last.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-        let first = last.map_or(1, |last| last + 1);
-        let version = self.state().version.clone();
-        let sink = self.begin_stream(reply, headers);
-        let mut released = self.released.subscribe();
-        for number in first..=self.events {
-            match behaviour {
-                Behaviour::Break(after) if number > after => {
-                    // Half an event, and the connection is cut without the end of the body.
-                    let half = format!("id: {number}\ndata: ha");
-                    let _ = sink.send(Bytes::from(half)).await;
-                    return;
-                }
-                Behaviour::Pause(after) if number > after => {
-                    // An error means that the stand-in is being dropped.
-                    let _ = released.wait_for(|released| *released).await;
-                }
-                _ => {}
-            }
-            let event = format!("id: {number}\ndata: piece {number} of {version}\n\n");
-            if sink.send(Bytes::from(event)).await.is_err() {
-                self.state().gone += 1;
-                return;
-            }
-        }
-        sink.finish();
-    }
 }
 
 fn note(request: &Request) -> Run {
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod eras;
 mod fixture;
+mod held;
 mod lists;
 mod money;
 mod partition;
--- a/tests/forward/server_proxy.rs
+++ b/tests/forward/server_proxy.rs
@@ -32,6 +32,13 @@
     Hanging,
     /// New connections are refused, open ones live on.
     NewRefused,
+    /// Connections are accepted, and what both ends send is held back until the mode ends.
+    Held,
+}
+
+/// Whether the proxy accepts connections in this mode.
+fn accepts(cut: Option<Cut>) -> bool {
+    matches!(cut, None | Some(Cut::Held))
 }
 
 struct Shared {
@@ -123,7 +130,7 @@
     while !shared.is_ended() {
         let cut = *shared.cut();
         match cut {
-            None => accept(shared, address),
+            None | Some(Cut::Held) => accept(shared, address),
             Some(Cut::Hanging) => hang(shared, address),
             Some(Cut::Refused | Cut::NewRefused) => {
                 wait_while(shared, cut);
@@ -155,7 +162,7 @@
 
 /// Waits until the server accepts connections or a partition starts.
 fn wait_for_target(shared: &Shared) {
-    while !shared.is_ended() && shared.cut().is_none() {
+    while !shared.is_ended() && accepts(*shared.cut()) {
         if TcpStream::connect(shared.target).is_ok() {
             return;
         }
@@ -169,7 +176,7 @@
     listener.listen(128).unwrap();
     listener.set_nonblocking(true).unwrap();
     let mut sentinel = None;
-    while !shared.is_ended() && shared.cut().is_none() {
+    while !shared.is_ended() && accepts(*shared.cut()) {
         if !is_open(&sentinel) {
             // Refuses connections for as long as the server does, as its own listener would.
             sentinel = open_sentinel(shared);
@@ -206,7 +213,7 @@
         let cut = *shared.cut();
         match cut {
             Some(Cut::Refused) => break,
-            Some(Cut::Hanging) => {
+            Some(Cut::Hanging | Cut::Held) => {
                 std::thread::sleep(POLL_INTERVAL);
                 continue;
             }
