Soak: servers that are silent for a while, which end no answer

Callers saw streams and safe requests ended while their servers were silent. The soak injected no silence, and its only change of the configuration was a top-up, so no seed showed it.

Servers now fall silent, one, some or all, for 0.3 to 3 s: before a head, between events, within an event, at the last event, or behind paths that hold bytes back. This happens among the other faults, and in a phase of its own that is otherwise calm but for changes of the configuration (idle time, timeout, route, weights, top-up), SIGTERMs and cuts. All of it is drawn from a generator of its own, so that the faults of existing seeds stay the same. Half of the seeds have a small retry budget. In the phase the routes have a gap objective of 0.2 to 0.6 s, events are paced, and a server of a second service takes part.

The check: in the phase each safe request and resumable stream that reached a server is answered whole. Excused are a deadline or the shortest timeout of the phase that has passed, and an instance that was stopped or cut off meanwhile. The bound is 0.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -34,6 +34,11 @@
 pub struct Exchange {
     pub id: String,
     pub kind: Kind,
+    /// Index of the instance.
+    pub front: usize,
+    pub sent: Instant,
+    /// When the response ended.
+    pub ended: Instant,
     pub response: Option<Response>,
     /// Responses to the attempts that took the stream up.
     pub resumed: Vec<Response>,
@@ -84,7 +89,9 @@
             std::thread::sleep(Duration::from_millis(random.random_range(1..20)));
             continue;
         };
+        let sent = Instant::now();
         let response = send_request(&mut connection, kind, &id);
+        let ended = Instant::now();
         if let Some(response) = &response
             && response.is_complete
             && response.header("connection") != Some("close")
@@ -100,6 +107,9 @@
         exchanges.push(Exchange {
             id,
             kind,
+            front: at,
+            sent,
+            ended,
             response,
             resumed,
         });
--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -31,6 +31,9 @@
 /// Port of the metrics endpoint.
 const METRICS_PORT: u16 = 9_464;
 
+/// Settings of a small retry budget.
+const FEW_RETRIES: &str = "bounds.retryBudgetRatio=0.01\nbounds.retrySlack=3\n";
+
 /// An instance with its settings file and its proxy to the store. Dropping it kills the process.
 pub struct Instance {
     pub front: SocketAddr,
@@ -47,7 +50,7 @@
 
 impl Instance {
     /// Writes the settings file and starts the proxy, but not the process.
-    pub fn new(index: usize, seed: u64, platform: &Fixture) -> Self {
+    pub fn new(index: usize, seed: u64, platform: &Fixture, has_few_retries: bool) -> Self {
         let server_proxies: Vec<ServerProxy> = platform
             .workers
             .iter()
@@ -66,8 +69,9 @@
         let text = format!(
             "node=entry-{index}\nzone=z{index}\nlisten.front={front}\nlisten.ready={ready}\n\
              limits.maxFds=4100\nlimits.memoryMb=110\nbounds.graceS=3\nportRange={PEER_PORT},{PEER_PORT}\n\
-             platform.address={}\n",
-            proxy.address
+             platform.address={}\n{}",
+            proxy.address,
+            if has_few_retries { FEW_RETRIES } else { "" }
         );
         std::fs::write(&settings, text).unwrap();
         Self {
@@ -157,6 +161,11 @@
         self.reap();
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
     /// Sends SIGTERM and waits for the process to exit. Also resumes it: a suspended process would not handle the signal, and
     /// the wait would never end.
     pub fn stop(&mut self) {
@@ -165,7 +174,8 @@
         self.reap();
     }
 
-    fn reap(&mut self) {
+    /// Waits for the process to exit.
+    pub fn reap(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.wait();
         }
--- /dev/null
+++ b/tests/soak/lost.rs
@@ -0,0 +1,68 @@
+//! Answers that an instance ends while their servers are silent.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::caller::{Exchange, Kind};
+
+/// Deadline that all requests carry.
+const DEADLINE: Duration = Duration::from_secs(5);
+
+/// A span in which an instance was stopped or cut off.
+pub struct Absence {
+    pub instance: usize,
+    pub from: Instant,
+    pub until: Instant,
+}
+
+/// What was done while servers were silent.
+pub struct Record {
+    pub from: Instant,
+    pub until: Instant,
+    /// Shortest timeout of a route.
+    pub timeout: Duration,
+    pub absences: Vec<Absence>,
+}
+
+impl Record {
+    /// Whether the answer is owed: neither deadline nor timeout was reached, and the instance was there all the time.
+    fn owes(&self, exchange: &Exchange) -> bool {
+        let is_inside = exchange.sent >= self.from && exchange.ended <= self.until;
+        let is_in_time = exchange.ended - exchange.sent < self.timeout.min(DEADLINE);
+        let is_absent = self.absences.iter().any(|absence| {
+            let overlaps = exchange.sent < absence.until && exchange.ended > absence.from;
+            absence.instance == exchange.front && overlaps
+        });
+        is_inside && is_in_time && !is_absent
+    }
+
+    /// Describes each answer to a request that may be repeated and that reached a server, but did not arrive whole. A silent
+    /// server is no reason to end one.
+    pub fn violations(
+        &self,
+        exchanges: &[Exchange],
+        run_counts: &HashMap<&str, usize>,
+    ) -> Vec<String> {
+        let mut violations = Vec::new();
+        for exchange in exchanges {
+            let may_repeat = matches!(exchange.kind, Kind::Safe | Kind::Stream);
+            let has_run = run_counts.contains_key(exchange.id.as_str());
+            if !may_repeat || !has_run || !self.owes(exchange) {
+                continue;
+            }
+            let response = exchange.response.as_ref();
+            if response.is_some_and(|response| response.status == 200 && response.is_complete) {
+                continue;
+            }
+            let status = response.map_or(0, |response| response.status);
+            let events = response.map_or(0, |response| response.events().len());
+            let took = (exchange.ended - exchange.sent).as_millis();
+            let at = (exchange.sent - self.from).as_millis();
+            violations.push(format!(
+                "{} ({:?}) sent at {at} ms was ended after {took} ms: status {status}, {events} events",
+                exchange.id, exchange.kind
+            ));
+        }
+        violations
+    }
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,12 +8,14 @@
 
 mod caller;
 mod conditions;
+mod document;
 mod fault;
 #[path = "../forward/fixture.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the fixture")]
 mod fixture;
 mod instance;
 mod lists;
+mod lost;
 mod parts;
 mod poison;
 #[path = "../scenario/proxy.rs"]
--- a/tests/soak/verdict.rs
+++ b/tests/soak/verdict.rs
@@ -5,6 +5,7 @@
 use fescuewell::standin::worker::{EVENTS, Run};
 
 use crate::caller::{Exchange, Kind, PROMPT_TOKENS};
+use crate::lost::Record;
 use crate::poison;
 use crate::streams;
 
@@ -12,12 +13,17 @@
 const TOKENS_PER_EVENT: u64 = 7;
 
 /// Describes every violated guarantee.
-pub fn violations(exchanges: &[Exchange], runs: &[Vec<Run>], prepaid: u64) -> Vec<String> {
+pub fn violations(
+    exchanges: &[Exchange],
+    runs: &[Vec<Run>],
+    prepaid: u64,
+    record: &Record,
+) -> Vec<String> {
     let mut run_counts: HashMap<&str, usize> = HashMap::new();
     for run in runs.iter().flatten() {
         *run_counts.entry(&run.id).or_default() += 1;
     }
-    let mut violations = Vec::new();
+    let mut violations = record.violations(exchanges, &run_counts);
     for exchange in exchanges {
         let run_count = run_counts
             .get(exchange.id.as_str())
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,18 +1,21 @@
 //! The system under test, and the sequence of faults of one seed.
 
+mod silence;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use fescuewell::standin::rows;
-use fescuewell::standin::worker::wait_until;
+use fescuewell::standin::worker::{Worker, wait_until};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::caller::{Caller, Kind, request};
 use crate::conditions;
+use crate::document::{Change, Document};
 use crate::fault::{self, Fault};
-use crate::fixture::{Fixture, configuration, send};
+use crate::fixture::{Fixture, any_address, send};
 use crate::instance::Instance;
 use crate::poison::{self, PoisonCaller};
 use crate::streams;
@@ -31,8 +34,6 @@
 const MAX_FAULTS_BEFORE_RESTORE: usize = 4;
 /// Initial prepaid total of the client account. Some hundred requests exhaust it.
 const INITIAL_PREPAID_TOKENS: u64 = 150_000;
-/// Tokens that each top-up adds.
-const TOP_UP_TOKENS: u64 = 40_000;
 
 /// The instances under test, the stand-ins they use, and the callers.
 pub struct World {
@@ -44,6 +45,9 @@
     condition_random: SmallRng,
     /// Generator of cuts from the servers and of the servers' versions, separate for the same reason.
     stream_random: SmallRng,
+    /// Generator of the servers' silences and of changes of the configuration, separate for the same reason.
+    silence_random: SmallRng,
+    seed: u64,
     /// Number of replaced servers.
     generation: usize,
     copy: Option<rows::Copy>,
@@ -52,15 +56,18 @@
     callers: Vec<Caller>,
     poison_caller: PoisonCaller,
     stop: Arc<AtomicBool>,
-    version: u64,
-    prepaid: u64,
+    document: Document,
+    /// Server of a service of its own, which takes part while servers are silent.
+    spare: Worker,
 }
 
 impl World {
     pub fn start(seed: u64) -> Self {
+        let mut silence_random = SmallRng::seed_from_u64(seed.rotate_left(48));
+        let has_few_retries = silence_random.random_bool(0.5);
         let platform = Fixture::without_instance(SERVERS, INITIAL_PREPAID_TOKENS);
         let mut instances: Vec<Instance> = (0..INSTANCES)
-            .map(|index| Instance::new(index, seed, &platform))
+            .map(|index| Instance::new(index, seed, &platform, has_few_retries))
             .collect();
         for instance in &mut instances {
             instance.start();
@@ -87,6 +94,8 @@
             restore_schedule: (copied, restored),
             condition_random: SmallRng::seed_from_u64(seed.rotate_left(32)),
             stream_random: SmallRng::seed_from_u64(seed.rotate_left(16)),
+            silence_random,
+            seed,
             generation: 0,
             copy: None,
             platform,
@@ -94,8 +103,8 @@
             callers,
             poison_caller,
             stop,
-            version: 1,
-            prepaid: INITIAL_PREPAID_TOKENS,
+            document: Document::new(INITIAL_PREPAID_TOKENS),
+            spare: Worker::start(any_address(), "spare").unwrap(),
         }
     }
 
@@ -110,6 +119,12 @@
             conditions::disturb(&mut self.condition_random, &self.platform.workers);
             active.push(fault);
             self.disturb_streams();
+            silence::disturb(&mut self.silence_random, &self.platform.workers);
+            if self.silence_random.random_bool(0.2) {
+                let change =
+                    [Change::Idle, Change::Timeout][self.silence_random.random_range(0..2)];
+                self.change(change);
+            }
             let pause = Duration::from_millis(self.random.random_range(50..700));
             std::thread::sleep(pause);
             if self.random.random_bool(0.6) {
@@ -117,6 +132,7 @@
                     self.clear(fault);
                 }
                 conditions::clear(&self.platform.workers);
+                silence::clear(&self.platform.workers);
                 streams::heal(&self.instances);
             }
         }
@@ -124,6 +140,7 @@
             self.clear(fault);
         }
         conditions::clear(&self.platform.workers);
+        silence::clear(&self.platform.workers);
         streams::heal(&self.instances);
     }
 
@@ -152,8 +169,7 @@
         if let Some(copy) = &self.copy {
             self.platform.store.restore(copy);
         }
-        let now = configuration(self.version, self.prepaid);
-        self.platform.configure(&now);
+        self.platform.configure(&self.document.value());
         // The store removes entries of servers that write no heartbeats.
         for (id, _) in self.platform.store.table("servers") {
             let mut workers = self.platform.workers.iter();
@@ -254,11 +270,13 @@
         }
     }
 
+    fn change(&mut self, change: Change) {
+        self.document.change(change, &mut self.silence_random);
+        self.platform.configure(&self.document.value());
+    }
+
     fn top_up(&mut self) {
-        self.version += 1;
-        self.prepaid += TOP_UP_TOKENS;
-        let next = configuration(self.version, self.prepaid);
-        self.platform.configure(&next);
+        self.change(Change::TopUp);
     }
 
     /// Restarts what is down, waits for recovery, and returns the violated guarantees.
@@ -293,23 +311,20 @@
         }
         // After a restore, the first entry of a server that was draining may come from the copy.
         self.write_heartbeats();
+        let (record, mut exchanges) = self.play_silences();
         violations.extend(self.check_quarantine());
         violations.extend(conditions::failure_violation(&self.platform.workers));
         violations.extend(conditions::violations(&self.platform.workers));
         violations.extend(lists::violation(&self.platform, &self.instances));
         self.stop.store(true, Ordering::Release);
-        let exchanges = self
-            .callers
-            .drain(..)
-            .flat_map(Caller::join)
-            .collect::<Vec<_>>();
-        let runs: Vec<_> = self
-            .platform
-            .workers
-            .iter()
-            .map(|worker| worker.runs())
-            .collect();
-        violations.extend(verdict::violations(&exchanges, &runs, self.prepaid));
+        exchanges.extend(self.callers.drain(..).flat_map(Caller::join));
+        let runs: Vec<_> = self.phase_workers().map(|worker| worker.runs()).collect();
+        violations.extend(verdict::violations(
+            &exchanges,
+            &runs,
+            self.document.prepaid(),
+            &record,
+        ));
         self.top_up();
         violations.extend(streams::share_violation(
             &mut self.stream_random,
