Upstream: responses without end are bounded in bytes, memory and time

What callers saw. A server that sent interim responses (1xx) one after another, or the digits or spaces of a chunk's size, kept its caller waiting until the timeout of the head or of the body, while the instance read all of it. A stream whose next chunk was always there went on past its deadline. Bodies were limited for one response (4 MiB), not for all of them: a few dozen at once exceed a small instance. A body without a deadline that brought a byte within each progress timeout went on up to its maximum size.

Cause. hyper limits a head, chunk extensions and trailers, but skips any number of interim responses and reads any number of leading zeros or spaces of a chunk's size. tokio's timeout polls the body first and ends nothing that is always ready. No counter was shared by the exchanges.

The head, chunk extensions, trailers and bodies over their maximum size were ended before as well; their tests say so now. The tests of the budget and of the maximum time use calls that did not exist before.

A meter on the socket counts the bytes since the last head or chunk and ends the connection after 256 KiB. Up to 256 KiB are received after the deadline, which may have arrived before it; more ends the exchange. `collect` has a maximum time (30 s) if there is no deadline. Each client has a budget (16 MiB) from which collected bodies draw by their capacity, until the last clone is dropped; a quarter is kept for reservations of up to 64 KiB. `reserve` does the same for bytes that a reader keeps, `discard` reads a short body apart from the caller. New errors OverLimit and OverBudget, and a head that is no head, do not count as a broken connection, so that the server is not suspected of a crash.

The test of a body over its maximum size expects OverLimit in place of Closed, and no idle connection as well.

--- a/crates/fescuewell_http/src/lib.rs
+++ b/crates/fescuewell_http/src/lib.rs
@@ -18,10 +18,12 @@
 //!   streams.
 //! - [`upstream`]: sends requests to backend servers and reports whether a failed request may have
 //!   been received.
+//! - [`buffer`]: limits the memory that received responses take together.
 //! - [`sse`]: Server-Sent Events.
 //! - [`depth`]: limits the nesting of JSON before it is parsed.
 //! - [`refusal`]: converts a refusal to an HTTP response.
 
+pub mod buffer;
 pub mod depth;
 pub mod listener;
 pub mod refusal;
--- a/crates/fescuewell_http/src/upstream/gate.rs
+++ b/crates/fescuewell_http/src/upstream/gate.rs
@@ -1,8 +1,10 @@
-//! A socket wrapper that counts written bytes and can block all further writes.
+//! A socket wrapper that counts written bytes and can block all further writes, and that limits the bytes
+//! which are received without progress of the response.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -69,15 +71,45 @@
     }
 }
 
-/// A socket whose writes pass through a [`WriteGate`].
+/// Maximum number of bytes between two parts of a response: its start, its head and the chunks of its
+/// body. hyper reads ahead less than this. It limits a head, chunk extensions and
+/// trailers, but has none for interim responses and for the digits and spaces of a chunk's size.
+const MAX_OVERHEAD_BYTES: usize = 256 * 1024;
+
+/// Counts the bytes that were received since the response last made progress.
+#[derive(Default)]
+pub(super) struct ReadMeter(AtomicUsize);
+
+impl ReadMeter {
+    /// Records that a part of the response was received.
+    pub(super) fn record_progress(&self) {
+        self.0.store(0, Ordering::Relaxed);
+    }
+
+    /// Whether no more bytes are received because of the limit.
+    pub(super) fn is_exceeded(&self) -> bool {
+        self.0.load(Ordering::Relaxed) > MAX_OVERHEAD_BYTES
+    }
+
+    fn add(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
+/// A socket whose writes pass through a [`WriteGate`] and whose reads are counted by a [`ReadMeter`].
 pub(super) struct GatedStream {
     stream: TcpStream,
-    gate: std::sync::Arc<WriteGate>,
+    gate: Arc<WriteGate>,
+    meter: Arc<ReadMeter>,
 }
 
 impl GatedStream {
-    pub(super) fn new(stream: TcpStream, gate: std::sync::Arc<WriteGate>) -> Self {
-        Self { stream, gate }
+    pub(super) fn new(stream: TcpStream, gate: Arc<WriteGate>, meter: Arc<ReadMeter>) -> Self {
+        Self {
+            stream,
+            gate,
+            meter,
+        }
     }
 }
 
@@ -87,7 +119,15 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        if self.meter.is_exceeded() {
+            let reason =
+                format!("over {MAX_OVERHEAD_BYTES} bytes without a head or a chunk of the body");
+            return Poll::Ready(Err(io::Error::other(reason)));
+        }
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        self.meter.add(buffer.filled().len() - before);
+        result
     }
 }
 
@@ -97,7 +137,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let Self { stream, gate } = self.get_mut();
+        let Self { stream, gate, .. } = self.get_mut();
         gate.write(|| Pin::new(stream).poll_write(cx, bytes))
     }
 
@@ -106,7 +146,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let Self { stream, gate } = self.get_mut();
+        let Self { stream, gate, .. } = self.get_mut();
         gate.write(|| Pin::new(stream).poll_write_vectored(cx, slices))
     }
 
--- a/crates/fescuewell_http/src/upstream/mod.rs
+++ b/crates/fescuewell_http/src/upstream/mod.rs
@@ -7,7 +7,11 @@
 //! Idle connections are pooled by address, but only if their last exchange completed in time. After a
 //! timeout or error the connection is closed; otherwise a late response could be taken for the response to
 //! another request.
+//!
+//! A server in trouble may send without end. What is received is limited in size for one response, in memory
+//! for all responses of a [`Client`] by its [`Budget`], and in time.
 
+mod body;
 mod exchange;
 mod gate;
 mod pool;
@@ -27,8 +31,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
 
+use crate::buffer::Budget;
 pub use exchange::{BodyEnd, Exchange};
-use gate::{GatedStream, WriteCount, WriteGate};
+use gate::{GatedStream, ReadMeter, WriteCount, WriteGate};
 use pool::{Connection, Pool};
 pub use tls::{InvalidCertificate, RootCertificates};
 
@@ -115,6 +120,21 @@
         /// What failed.
         reason: Arc<str>,
     },
+    /// The response exceeded a limit of its own: it may go on without end.
+    #[snafu(display("the response exceeds a limit: {reason}"))]
+    OverLimit {
+        /// Which limit.
+        reason: Arc<str>,
+    },
+    /// The memory for the responses of all exchanges did not suffice. This does not indicate a fault of the
+    /// backend server.
+    #[snafu(display(
+        "the response needs {bytes} bytes, more than is left of the memory for all responses"
+    ))]
+    OverBudget {
+        /// The memory that this response would have taken.
+        bytes: usize,
+    },
     /// The response was still in progress at the target's deadline. This does not indicate a fault of the
     /// backend server.
     #[snafu(display("the deadline passed during the response"))]
@@ -127,7 +147,11 @@
         match self {
             Self::Unknown { is_broken, .. } => *is_broken,
             Self::Closed { .. } => true,
-            Self::NotSent { .. } | Self::Stalled | Self::DeadlineExceeded => false,
+            Self::NotSent { .. }
+            | Self::Stalled
+            | Self::OverLimit { .. }
+            | Self::OverBudget { .. }
+            | Self::DeadlineExceeded => false,
         }
     }
 }
@@ -153,6 +177,11 @@
     pub idle_timeout: Duration,
     /// Maximum size of a response head in bytes; at least 8,192.
     pub max_head_bytes: usize,
+    /// Maximum time for receiving a body with [`Exchange::collect`] if the target has no deadline. The server
+    /// may send a byte within each [`Timeouts::progress`].
+    pub max_body_time: Duration,
+    /// Size of the client's [`Budget`] in bytes.
+    pub max_buffered_bytes: usize,
 }
 
 impl Default for Settings {
@@ -161,28 +190,38 @@
             max_idle: 64,
             idle_timeout: Duration::from_secs(15),
             max_head_bytes: 16 * 1024,
+            max_body_time: Duration::from_secs(30),
+            max_buffered_bytes: 16 * 1024 * 1024,
         }
     }
 }
 
-/// A client for backend servers. Clones share the connection pool. Requires a tokio runtime.
-#[derive(Clone, Default)]
+/// A client for backend servers. Clones share the connection pool and the [`Budget`]. Requires a tokio runtime.
+#[derive(Clone)]
 pub struct Client {
     settings: Settings,
     roots: Option<RootCertificates>,
     pool: Arc<Pool>,
+    budget: Budget,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(Settings::default())
+    }
 }
 
 /// hyper's minimum for the buffer that must hold a head.
 const MIN_HEAD_BYTES: usize = 8_192;
 
 impl Client {
-    /// Creates a client with its own connection pool.
+    /// Creates a client with its own connection pool and [`Budget`].
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
             roots: None,
             pool: Arc::default(),
+            budget: Budget::new(settings.max_buffered_bytes),
         }
     }
 
@@ -255,6 +294,11 @@
         Reachability::Accepted
     }
 
+    /// Returns the memory for the responses of all exchanges.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
     /// Closes all idle connections.
     pub fn close_all_idle(&self) {
         self.pool.close_all_idle();
@@ -294,13 +338,16 @@
     async fn handshake(&self, stream: TcpStream, address: SocketAddr) -> Result<Connection, Error> {
         let _ = stream.set_nodelay(true);
         let gate = Arc::new(WriteGate::default());
-        let stream = GatedStream::new(stream, gate.clone());
+        let meter = Arc::new(ReadMeter::default());
+        let stream = GatedStream::new(stream, gate.clone(), meter.clone());
         let Some(roots) = &self.roots else {
-            return self.start_http(TokioIo::new(stream), address, gate).await;
+            let stream = TokioIo::new(stream);
+            return self.start_http(stream, address, gate, meter).await;
         };
         let secured = roots.handshake(stream, address).await;
         let secured = secured.map_err(|error| not_sent(&error))?;
-        self.start_http(TokioIo::new(secured), address, gate).await
+        self.start_http(TokioIo::new(secured), address, gate, meter)
+            .await
     }
 
     async fn start_http<Stream>(
@@ -308,6 +355,7 @@
         stream: Stream,
         address: SocketAddr,
         gate: Arc<WriteGate>,
+        meter: Arc<ReadMeter>,
     ) -> Result<Connection, Error>
     where
         Stream: Read + Write + Unpin + Send + 'static,
@@ -320,7 +368,8 @@
         let task = tokio::spawn(async move {
             let _ = driver.await;
         });
-        Ok(Connection::new(address, sender, gate, task.abort_handle()))
+        let driver = task.abort_handle();
+        Ok(Connection::new(address, sender, gate, meter, driver))
     }
 
     async fn attempt(
@@ -338,14 +387,12 @@
             remaining(target).map_or(timeouts.first_byte, |left| left.min(timeouts.first_byte));
         let deadline = tokio::time::Instant::now() + limit;
         let result = timeout_at(deadline, connection.send(request.map(Full::new))).await;
-        let is_broken = result.is_ok();
+        // Bytes that are no response do not come from a server that crashes.
+        let is_malformed = matches!(&result, Ok(Err(error)) if error.is_parse());
+        let is_broken = result.is_ok() && !is_malformed && !connection.meter().is_exceeded();
         let reason: Arc<str> = match result {
             Ok(Ok(response)) => {
-                let pool = self.pool.clone();
-                let max_idle = self.settings.max_idle;
-                return Ok(Exchange::new(
-                    response, connection, pool, max_idle, target, timeouts,
-                ));
+                return Ok(Exchange::new(response, connection, self, target, timeouts));
             }
             Ok(Err(error)) => describe(&error).into(),
             Err(_) => "no response in time".into(),
--- a/crates/fescuewell_http/src/upstream/pool.rs
+++ b/crates/fescuewell_http/src/upstream/pool.rs
@@ -11,13 +11,14 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::AbortHandle;
 
-use super::gate::WriteGate;
+use super::gate::{ReadMeter, WriteGate};
 
 /// An open connection. Dropping it closes the socket immediately and cancels any exchange in progress.
 pub(super) struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     gate: Arc<WriteGate>,
+    meter: Arc<ReadMeter>,
     driver: AbortHandle,
 }
 
@@ -26,12 +27,14 @@
         address: SocketAddr,
         sender: SendRequest<Full<Bytes>>,
         gate: Arc<WriteGate>,
+        meter: Arc<ReadMeter>,
         driver: AbortHandle,
     ) -> Self {
         Self {
             address,
             sender,
             gate,
+            meter,
             driver,
         }
     }
@@ -40,12 +43,17 @@
         &self.gate
     }
 
+    pub(super) fn meter(&self) -> &ReadMeter {
+        &self.meter
+    }
+
     pub(super) async fn send(
         &mut self,
         request: http::Request<Full<Bytes>>,
     ) -> hyper::Result<http::Response<Incoming>> {
         // A pooled connection may still be completing its last exchange.
         self.sender.ready().await?;
+        self.meter.record_progress();
         self.sender.send_request(request).await
     }
 }
--- a/crates/fescuewell_http/tests/upstream.rs
+++ b/crates/fescuewell_http/tests/upstream.rs
@@ -336,15 +336,12 @@
         respond(&mut stream, &"x".repeat(2_000));
     });
 
-    let large = fetch(
-        &Client::default(),
-        &Target::new(server.address),
-        "/",
-        long_timeouts(),
-    )
-    .await;
+    let client = Client::default();
 
-    assert!(matches!(large, Err(Error::Closed { .. })));
+    let large = fetch(&client, &Target::new(server.address), "/", long_timeouts()).await;
+
+    assert!(matches!(large, Err(Error::OverLimit { .. })), "{large:?}");
+    assert_eq!(client.idle_connections(), 0);
 }
 
 #[tokio::test]
