Tests: requests that wait at a server wait longer than their test takes

Cause, in the tests: the requests that occupy the server have the sample's timeout of 3 s, and end with 504 when the test takes longer; and the cut came as soon as all of them had reached a server, so that the response of another server could be on its way still, and its request ended with 502.

They now have a route of their own with 15 s, and the cut waits until all but those that are held have been answered.

--- a/tests/forward/partition.rs
+++ b/tests/forward/partition.rs
@@ -2,12 +2,15 @@
 //! other instances still reach it.
 
 use std::io::Write;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
+use serde_json::Value;
 
 use crate::fixture::{Fixture, Request, Response, configuration, send};
 use crate::server_proxy::{Cut, ServerProxy};
+use crate::wire;
 
 /// Prepaid tokens of the client account; more than any test uses.
 const PREPAID: u64 = 1_000_000;
@@ -19,6 +22,8 @@
 const WAITING: usize = 8;
 /// Number of requests of which some wait at one server.
 const OCCUPYING: usize = 12;
+/// Timeout of these requests in milliseconds.
+const HELD_TIME_MS: u64 = 15_000;
 /// Number of requests of each kind.
 const REQUESTS: usize = 10;
 
@@ -29,6 +34,7 @@
 /// Two instances that know each other; the first one connects to the backend servers through proxies.
 fn instances(workers: usize) -> [Fixture; 2] {
     let mut first = Fixture::without_instance(workers, PREPAID);
+    first.configure(&with_held_route());
     let proxies = first.workers.iter();
     first.proxies = proxies
         .map(|worker| ServerProxy::open(worker.address()))
@@ -36,6 +42,19 @@
     start(first)
 }
 
+/// The sample configuration with a route of requests that may wait for longer than a test takes.
+fn with_held_route() -> Value {
+    let mut configuration = configuration(1, PREPAID);
+    let routes = configuration["routes"].as_array_mut().unwrap();
+    let unsafe_route = routes.iter().find(|route| route["name"] == "unsafe");
+    let mut held = unsafe_route.unwrap().clone();
+    held["name"] = "held".into();
+    held["prefix"] = "/held/".into();
+    held["timeoutMs"] = HELD_TIME_MS.into();
+    routes.push(held);
+    configuration
+}
+
 /// Starts an instance and a second one.
 fn start(mut first: Fixture) -> [Fixture; 2] {
     let mut second = first.add_instance();
@@ -499,13 +518,23 @@
     last.next(&[Behaviour::Wait; OCCUPYING]);
     let front = instance.front;
     let holders = (0..OCCUPYING).map(|number| {
-        let request = Request::new("POST /unsafe/x", &format!("held-{number}"));
-        std::thread::spawn(move || send(front, &request.with_body(b"booking")))
+        let request = Request::new("POST /held/x", &format!("held-{number}"))
+            .with(wire::DEADLINE, &HELD_TIME_MS.to_string())
+            .with_body(b"booking");
+        std::thread::spawn(move || send(front, &request))
     });
     let holders = holders.collect();
-    let is_occupied = || last.runs().iter().any(|run| run.id.starts_with("held-"));
-    assert!(wait_until(is_occupied));
     assert!(wait_until(|| instance.runs_of_prefix("held-") == OCCUPYING));
+    let held = || {
+        let runs = last.runs();
+        let held = runs.iter().filter(|run| run.id.starts_with("held-"));
+        held.count()
+    };
+    assert!(held() > 0, "no request waits at the last server");
+    // A cut would break the responses of the other servers.
+    let gateway = instance.daemon.as_ref().unwrap().gateway();
+    let are_answered = || gateway.in_flight_requests().load(Ordering::Acquire) == held();
+    assert!(wait_until(are_answered), "some requests were not answered");
     last.clear_next();
     holders
 }
