Tests: a stream without the store begins with tokens at both instances

a_stream_is_taken_up_while_the_store_is_away failed once in 20 plays, five at a time (load 13 to 16): 503 'the budget could not be consulted' at the first stream.

Cause, in the test: an instance is ready before it has drawn tokens, and the store went silent in between. Now both serve a stream before; what is required after that is unchanged.

--- a/tests/forward/versions.rs
+++ b/tests/forward/versions.rs
@@ -248,6 +248,11 @@
 #[test]
 fn a_stream_is_taken_up_while_the_store_is_away() {
     let [first, second] = instances(&["v1", "v2"]);
+    for instance in [&first, &second] {
+        // Both have tokens when the store goes away.
+        let has_tokens = || instance.send(&stream("r-0")).status == 200;
+        assert!(wait_until(has_tokens), "an instance got no tokens");
+    }
     first.store.set_fault(rows::Fault::Silent);
     let before = begin(&first, "r-1", 2);
 
