Gateway and own interface: responses of all servers together fit the memory

What callers saw. 200 responses of 3 MiB that then drip, at once, took an instance with a limit of 110 MB far over it; the process would have ended, and all its requests with it.

MAX_RESPONSE_BYTES and MAX_EVENT_BYTES are limits for one response. A poll, an order or a cancellation of the own interface had no deadline: a body with a byte within each progress timeout went on for minutes.

The client for backend servers has an eighth of the memory limit as its budget. The own interface reserves what its decoder holds of an event, and gives polls, orders and cancellations a deadline. A stream that a limit ends is logged as malformed, or as over_budget if the memory of the instance did not suffice.

Callers of nine kinds of response without end get 502, unsafe requests after one run, safe ones after two; four kinds that drip end with 504 at the timeout of the route; an endless event is tried at a second server. All connections are closed and the budget is whole afterwards.

--- a/crates/fescuewell_gateway/src/control/snapshots.rs
+++ b/crates/fescuewell_gateway/src/control/snapshots.rs
@@ -140,8 +140,8 @@
     let request = http::Request::post(PATH).body(Bytes::from(key.seal(&message)));
     let request = request.map_err(|_| Failure::NoResponse)?;
     let target = Target::new(reader);
-    let exchange = gateway.client.open(&target, request, TIMEOUTS).await;
-    let exchange = exchange.map_err(|_| Failure::NoResponse)?;
+    let opened = gateway.control_client.open(&target, request, TIMEOUTS);
+    let exchange = opened.await.map_err(|_| Failure::NoResponse)?;
     if exchange.status != StatusCode::OK {
         return Err(Failure::Refused);
     }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -110,6 +110,9 @@
 /// Maximum number of pending borrow requests. More could not be served before they time out.
 const MAX_BORROW_REQUESTS: usize = 256;
 
+/// Divisor of the memory limit; the result is the maximum size of all buffered responses of backend servers
+/// together.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
 /// Maximum number of pending probe requests.
 const MAX_PROBE_REQUESTS: usize = 16;
 
@@ -128,6 +131,8 @@
     pub metrics: Metrics,
     /// Connection pool for backend servers.
     pub client: upstream::Client,
+    /// HTTP client for snapshots, whose memory the responses of backend servers cannot use up.
+    pub(crate) control_client: upstream::Client,
     table: ArcSwapOption<Table>,
     configured_at_ms: AtomicU64,
     state: Mutex<State>,
@@ -210,11 +215,16 @@
             admission: admission::Limiter::new(settings.link_mbps, settings.cores),
             rng: SmallRng::from_os_rng(),
         };
+        let client = upstream::Client::new(upstream::Settings {
+            max_buffered_bytes: settings.memory_bytes / RESPONSE_MEMORY_DIVISOR,
+            ..upstream::Settings::default()
+        });
         let gateway = Self {
             settings,
             dialect,
             metrics: Metrics::new()?,
-            client: upstream::Client::new(upstream::Settings::default()),
+            client,
+            control_client: upstream::Client::default(),
             table: ArcSwapOption::empty(),
             configured_at_ms: AtomicU64::new(0),
             state: Mutex::new(state),
--- a/crates/fescuewell_gateway/src/job/trace.rs
+++ b/crates/fescuewell_gateway/src/job/trace.rs
@@ -20,6 +20,8 @@
     Restarted,
     /// What the server sent is no event stream that continues the events before.
     Malformed,
+    /// This instance had no memory for what the server sent.
+    OverBudget,
     /// The caller's deadline passed.
     Deadline,
     /// The caller closed its connection.
@@ -31,6 +33,8 @@
     pub(crate) fn of(error: &Error) -> Self {
         match error {
             Error::DeadlineExceeded => Self::Deadline,
+            Error::OverLimit { .. } => Self::Malformed,
+            Error::OverBudget { .. } => Self::OverBudget,
             error if error.is_broken() => Self::Broken,
             _ => Self::Silent,
         }
@@ -39,7 +43,7 @@
     /// Returns who ended the stream.
     fn ended_by(self) -> &'static str {
         match self {
-            Self::Silent => "instance",
+            Self::Silent | Self::OverBudget => "instance",
             Self::Broken | Self::Restarted | Self::Malformed => "server",
             Self::Deadline => "deadline",
             Self::CallerLeft => "caller",
@@ -52,6 +56,7 @@
             Self::Broken => "broken",
             Self::Restarted => "restarted",
             Self::Malformed => "malformed",
+            Self::OverBudget => "over_budget",
             Self::Deadline => "deadline",
             Self::CallerLeft => "left",
         }
--- a/crates/fescuewell_http/src/sse.rs
+++ b/crates/fescuewell_http/src/sse.rs
@@ -167,6 +167,13 @@
         empty && self.pending == Event::default()
     }
 
+    /// Returns the size of the partially decoded event in bytes.
+    pub fn buffered(&self) -> usize {
+        let id = self.pending.id.as_ref().map_or(0, |id| id.len());
+        let name = self.pending.name.as_ref().map_or(0, |name| name.len());
+        self.line.capacity() + self.data.capacity() + id + name
+    }
+
     fn extend_line(&mut self, part: &[u8]) -> Result<(), Error> {
         if self.line.len() + self.data.len() + part.len() > self.max {
             return Err(Error::TooLarge { max: self.max });
--- a/crates/fescuewell_router/src/attempt.rs
+++ b/crates/fescuewell_router/src/attempt.rs
@@ -311,7 +311,8 @@
                     };
                 }
             };
-            if decoder.push(&chunk, &mut events).is_err() {
+            let is_decoded = decoder.push(&chunk, &mut events).is_ok();
+            if !is_decoded || exchange.reserve(decoder.buffered()).is_err() {
                 return ReadResult::Interrupted { stalled: false };
             }
             for event in events.drain(..) {
@@ -385,11 +386,12 @@
             .method(http::Method::POST)
             .uri(path)
             .body(Bytes::new());
-        let target = Target::new(assignment.address);
         let timeouts = Timeouts {
             first_byte: self.timeouts.connect,
             ..self.timeouts
         };
+        let longest = timeouts.connect + timeouts.first_byte + timeouts.progress;
+        let target = Target::new(assignment.address).with_deadline(Instant::now() + longest);
         let exchange = self
             .client
             .open(&target, request.unwrap_or_default(), timeouts)
--- a/crates/fescuewell_router/src/backends.rs
+++ b/crates/fescuewell_router/src/backends.rs
@@ -29,6 +29,9 @@
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
+/// Maximum time for a whole response: connecting, the head and the body.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(6);
+
 const TIMEOUTS: Timeouts = Timeouts {
     connect: REQUEST_TIMEOUT,
     first_byte: REQUEST_TIMEOUT,
@@ -196,7 +199,7 @@
         let Some(request) = order_request(order) else {
             return Response::Refused;
         };
-        let target = Target::new(address);
+        let target = target(address);
         let open = self.client.open(&target, request, TIMEOUTS);
         match tokio::time::timeout(REQUEST_TIMEOUT, open).await {
             Ok(Ok(exchange)) => {
@@ -226,7 +229,7 @@
         let request = request.body(Bytes::new()).ok()?;
         let exchange = self
             .client
-            .open(&Target::new(address), request, TIMEOUTS)
+            .open(&target(address), request, TIMEOUTS)
             .await
             .ok()?;
         if !exchange.status.is_success() {
@@ -236,6 +239,10 @@
     }
 }
 
+fn target(address: SocketAddr) -> Target {
+    Target::new(address).with_deadline(std::time::Instant::now() + RESPONSE_TIMEOUT)
+}
+
 fn model_names(models: &Value) -> Vec<Arc<str>> {
     let data = models["data"].as_array().into_iter().flatten();
     data.filter_map(|model| model["id"].as_str().map(Arc::from))
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -484,7 +484,7 @@
     }
 
     pub fn connect(&self) -> TcpStream {
-        connect(self.front)
+        connect_to(self.front)
     }
 
     pub fn send(&self, request: &Request) -> Response {
@@ -492,7 +492,7 @@
     }
 }
 
-fn connect(address: SocketAddr) -> TcpStream {
+pub fn connect_to(address: SocketAddr) -> TcpStream {
     let connection = TcpStream::connect(address).unwrap();
     let timeout = Duration::from_secs(20);
     connection.set_read_timeout(Some(timeout)).unwrap();
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -5,6 +5,7 @@
 mod conditions;
 mod configuration;
 mod crashes;
+mod endless;
 mod eras;
 mod fixture;
 mod lists;
