Own interface: no request moves to a server that is as silent

Callers lost the work that their server had done, and the retry budget with it, when all servers were silent at once: as many requests as the budget held were cancelled at their server and sent to another one that was silent too.

The node asked only whether another server has room.

The router now notes when each server was last heard: progress, a completed attempt, a busy response or a load report. A silent attempt moves only if the server that would be chosen was heard since the attempt was sent or last kept, or has nothing to say: no attempts in flight and no reports.

no_request_moves_while_all_servers_are_silent: 12 requests, all three engines silent for 2 s. Without the rule requests run twice; with it each runs once, all are answered, and a request at one silent server still moves to one that is heard.

--- a/crates/fescuewell_node/src/admit.rs
+++ b/crates/fescuewell_node/src/admit.rs
@@ -72,6 +72,7 @@
             attached_to: None,
             entry: None,
             sent_at: self.now,
+            kept_at: None,
             output: None,
             class: Class::Bulk,
             server: None,
--- a/crates/fescuewell_node/src/dispatch.rs
+++ b/crates/fescuewell_node/src/dispatch.rs
@@ -77,7 +77,8 @@
         chosen.map(|choice| (entry, choice))
     }
 
-    /// Whether another server than the one of the current attempt can start the request now.
+    /// Whether another server than the one of the current attempt can start the request now, and is not as
+    /// silent as that one.
     pub(crate) fn can_start_elsewhere(&mut self, ticket: Ticket) -> bool {
         let Some(record) = self.requests.get(ticket) else {
             return false;
@@ -89,7 +90,9 @@
             exclude: &exclude,
             ..query(record, urgent)
         };
-        self.router.choose(self.now, &query).is_ok()
+        let silent_since = record.kept_at.unwrap_or(record.sent_at);
+        let choice = self.router.choose(self.now, &query);
+        choice.is_ok_and(|choice| !self.router.is_quiet(choice.server, silent_since))
     }
 
     fn start_attempt(&mut self, entry: Entry, choice: Choice) {
@@ -108,6 +111,7 @@
         record.server = Some(choice.server);
         record.entry = Some(entry);
         record.sent_at = now;
+        record.kept_at = None;
         record.output = None;
         record.class = match self.catalog.is_urgent(record.kind) {
             true => Class::Urgent,
--- a/crates/fescuewell_node/src/record.rs
+++ b/crates/fescuewell_node/src/record.rs
@@ -50,6 +50,8 @@
     pub entry: Option<Entry>,
     /// When the current attempt was sent.
     pub sent_at: Instant,
+    /// When the current attempt was last kept because its server was silent.
+    pub kept_at: Option<Instant>,
     /// Time of the current attempt's first output, and the output tokens since then.
     pub output: Option<(Instant, u32)>,
     /// Class under which the current attempt counts against the server's limit.
--- a/crates/fescuewell_node/src/settle.rs
+++ b/crates/fescuewell_node/src/settle.rs
@@ -135,6 +135,9 @@
     }
 
     fn keep(&mut self, ticket: Ticket) {
+        if let Some(record) = self.requests.get_mut(ticket) {
+            record.kept_at = Some(self.now);
+        }
         let text = format!("ticket={} reason=silent", ticket.0);
         self.log(Event::StreamResumed, text);
         self.decide(ticket, Verdict::Keep);
--- a/crates/fescuewell_node/tests/common/backend.rs
+++ b/crates/fescuewell_node/tests/common/backend.rs
@@ -41,6 +41,8 @@
     pub started: Instant,
     /// End time.
     pub ends: Instant,
+    /// Whether its server is silent until it ends.
+    pub is_silent: bool,
     /// Whether the stream was cancelled.
     pub is_cancelled: bool,
     /// Response of a non-repeatable call.
@@ -87,6 +89,12 @@
         running.count()
     }
 
+    /// Returns `true` if a silent stream runs on `server`, which then reports nothing either.
+    pub fn is_silent(&self, now: Instant, server: &str) -> bool {
+        let mut streams = self.streams.values();
+        streams.any(|stream| stream.is_silent && &*stream.server == server && now < stream.ends)
+    }
+
     /// Cancels a stream, unless it has ended.
     pub fn cancel(&mut self, now: Instant, stream: &StreamId) {
         if let Some(stream) = self.streams.get_mut(stream)
--- a/crates/fescuewell_node/tests/common/plane.rs
+++ b/crates/fescuewell_node/tests/common/plane.rs
@@ -119,7 +119,11 @@
         assert!(!stream.is_cancelled, "kept after its cancellation");
         let left = stream.ends.since(self.now);
         let cost = stream.cost;
-        self.ended(node, ticket, left, done(cost, None));
+        let end = match left > SILENCE_TIMEOUT {
+            true => stalled(),
+            false => done(cost, None),
+        };
+        self.ended(node, ticket, left.min(SILENCE_TIMEOUT), end);
     }
 
     fn ended(&mut self, node: usize, ticket: Ticket, after: Duration, end: End) {
@@ -186,17 +190,13 @@
             cost,
             started: self.now,
             ends: self.now + took,
+            is_silent: matches!(reaction, Some(Reaction::SilentFor(_))),
             is_cancelled: false,
             answer: response.clone(),
         };
         self.backend.streams.insert(assignment.stream, stream);
         if let Some(Reaction::SilentFor(_)) = reaction {
-            let stalled = End::Lost {
-                used: Tokens::ZERO,
-                stalled: true,
-                delivered: false,
-            };
-            return self.ended(node, ticket, SILENCE_TIMEOUT, stalled);
+            return self.ended(node, ticket, SILENCE_TIMEOUT, stalled());
         }
         let end = match reaction {
             Some(Reaction::BreakAfterRun) => lost(true, cost),
@@ -206,6 +206,14 @@
     }
 }
 
+fn stalled() -> End {
+    End::Lost {
+        used: Tokens::ZERO,
+        stalled: true,
+        delivered: false,
+    }
+}
+
 fn done(cost: Tokens, response: Option<StoredResponse>) -> End {
     End::Done {
         cost,
--- a/crates/fescuewell_node/tests/common/world.rs
+++ b/crates/fescuewell_node/tests/common/world.rs
@@ -307,6 +307,9 @@
 
     fn report(&mut self, node: usize) {
         for name in ENGINES {
+            if self.backend.is_silent(self.now, name) {
+                continue;
+            }
             let report = Report {
                 running: self.backend.running(self.now, name) as u32,
                 waiting: 0,
--- a/crates/fescuewell_node/tests/silence.rs
+++ b/crates/fescuewell_node/tests/silence.rs
@@ -52,3 +52,22 @@
     assert_ne!(runs[0].1.server, runs[1].1.server);
     assert_eq!(world.bills("job-1").len(), 1);
 }
+
+/// Guards against retries at servers that are as silent: they use up the budget and give up what the first
+/// server has done.
+#[test]
+fn no_request_moves_while_all_servers_are_silent() {
+    let mut world = world();
+    world.backend.reactions = [Reaction::SilentFor(2_000); 60].into();
+
+    let tickets: Vec<_> = (0..12)
+        .map(|number| world.submit(0, &format!("job-{number}")))
+        .collect();
+    let settled = world.run_until(30_000, is_settled);
+
+    assert!(settled);
+    for ticket in tickets {
+        let runs = &world.requests[&ticket].runs;
+        assert_eq!(runs.len(), 1, "{runs:?}");
+    }
+}
--- a/crates/fescuewell_routing/src/load.rs
+++ b/crates/fescuewell_routing/src/load.rs
@@ -110,6 +110,11 @@
         self.latest = Some(snapshot);
     }
 
+    /// Whether the server reports its load.
+    pub(crate) fn has_reported(&self) -> bool {
+        self.latest.is_some()
+    }
+
     /// Records the end of a stream of this instance.
     pub(crate) fn record_end(&mut self, span: Span) {
         if self.ended.len() == MAX_ENDED {
--- a/crates/fescuewell_routing/src/router.rs
+++ b/crates/fescuewell_routing/src/router.rs
@@ -115,6 +115,7 @@
             busy_until: Instant::default(),
             headroom: None,
             streams: Vec::new(),
+            heard_at: None,
             pending_tokens: 0,
             peer_load: PeerLoad::default(),
             health: Health::new(now),
@@ -316,6 +317,7 @@
         let Some(Some(entry)) = self.entries.get_mut(server.0 as usize) else {
             return;
         };
+        entry.heard_at = Some(now);
         let Some(stream) = entry.find(ticket) else {
             return;
         };
@@ -342,6 +344,9 @@
             return;
         };
         entry.health.record_outcome(now, outcome);
+        if matches!(outcome, Outcome::Done | Outcome::Busy) {
+            entry.heard_at = Some(now);
+        }
         match outcome {
             Outcome::Busy => entry.busy_until = now + millis(self.settings.busy_pause_ms),
             Outcome::Done => self
@@ -351,6 +356,16 @@
         }
     }
 
+    /// Whether a server was heard before `since` and not again. One that was never heard is not quiet, and
+    /// neither is one that has nothing to send: no attempts in flight, and no load reports.
+    pub fn is_quiet(&self, server: ServerKey, since: Instant) -> bool {
+        let Some(Some(entry)) = self.entries.get(server.0 as usize) else {
+            return false;
+        };
+        let has_more = !entry.streams.is_empty() || entry.peer_load.has_reported();
+        has_more && entry.heard_at.is_some_and(|heard_at| heard_at < since)
+    }
+
     /// Records a server's load report.
     pub fn record_load(&mut self, now: Instant, server: ServerKey, report: Report) {
         let Some(Some(entry)) = self.entries.get_mut(server.0 as usize) else {
@@ -358,6 +373,7 @@
         };
         let open = entry.streams.iter().map(|stream| stream.start);
         entry.peer_load.record_report(now, report, open);
+        entry.heard_at = Some(now);
         self.history.record_usage(server, report.cache_used);
     }
 
--- a/crates/fescuewell_routing/src/server.rs
+++ b/crates/fescuewell_routing/src/server.rs
@@ -77,6 +77,7 @@
     pub(crate) busy_until: Instant,
     pub(crate) headroom: Option<Headroom>,
     pub(crate) streams: Vec<Stream>,
+    pub(crate) heard_at: Option<Instant>,
     pub(crate) pending_tokens: u32,
     pub(crate) peer_load: PeerLoad,
     pub(crate) health: Health,
--- a/crates/fescuewell_routing/tests/health.rs
+++ b/crates/fescuewell_routing/tests/health.rs
@@ -242,3 +242,27 @@
     assert!(first.is_ok());
     assert_eq!(second, Err(NoChoice::AllBusy));
 }
+
+/// Guards against a server that counts as heard, or as quiet, although nothing shows it.
+#[test]
+fn a_server_is_quiet_that_was_heard_before_and_not_since() {
+    let (reporting, working, idle) = (ServerKey(0), ServerKey(1), ServerKey(2));
+    let mut router = router(4);
+    router.record_load(at(100), reporting, report(1, 0, 0));
+    send(&mut router, at(0), working, 1, 2);
+    router.progressed(at(100), working, Ticket(1), 1);
+    send(&mut router, at(0), idle, 3, 1);
+    router.finished(at(100), idle, Ticket(3), Outcome::Done);
+
+    let quiet = |router: &Router, since| {
+        let servers = keys(4).into_iter();
+        let quiet = servers.filter(|server| router.is_quiet(*server, at(since)));
+        quiet.collect::<Vec<_>>()
+    };
+
+    assert!(quiet(&router, 100).is_empty());
+    assert_eq!(quiet(&router, 200), [reporting, working]);
+    router.record_load(at(300), reporting, report(1, 0, 0));
+    router.progressed(at(300), working, Ticket(2), 1);
+    assert!(quiet(&router, 200).is_empty());
+}
