Tests: which servers get the retries of a fleet that hears some of them

The counts of a silent fleet did not show where retries go when an instance knows which servers it has heard, nor what that knowledge takes at size.

The model now plays both: any other server, and only those that hedge::Voices lets answer (heard within 300 ms, streams ask after 600 ms).

Bytes were not measured.

--- a/crates/fescuewell_forward/tests/silence_at_size.rs
+++ b/crates/fescuewell_forward/tests/silence_at_size.rs
@@ -2,7 +2,7 @@
 
 mod silent_fleet;
 
-use silent_fleet::{Fleet, Outage, RATIO, SLACK, Scale, Silent};
+use silent_fleet::{Fleet, Outage, RATIO, Rule, SLACK, SUBSET, Scale, Silent};
 
 /// 985 instances, each with the load of its share.
 const LARGE: Scale = Scale {
@@ -38,7 +38,7 @@
 #[test]
 fn retries_stay_within_the_budget_of_the_fleet() {
     for scale in [SMALL, NARROW, LARGE] {
-        let mut fleet = Fleet::new(scale);
+        let mut fleet = Fleet::new(scale, Rule::Any);
 
         for outage in outages() {
             fleet.play(outage);
@@ -59,7 +59,7 @@
     for scale in [SMALL, LARGE] {
         let in_flight = scale.in_flight_per_server();
         for outage in outages() {
-            let mut fleet = Fleet::new(scale);
+            let mut fleet = Fleet::new(scale, Rule::Any);
 
             let extra = fleet.play(outage);
 
@@ -77,7 +77,7 @@
 fn an_instance_retries_as_much_in_a_large_fleet_as_in_a_small_one() {
     for outage in outages() {
         let per_instance = |scale: Scale| {
-            let extra = Fleet::new(scale).play(outage);
+            let extra = Fleet::new(scale, Rule::Any).play(outage);
             extra.total as f64 / scale.instances as f64
         };
 
@@ -92,3 +92,24 @@
         );
     }
 }
+
+/// Guards against retries at servers that are as silent, and against a record of them that grows with the
+/// fleet or with the streams.
+#[test]
+fn servers_that_were_not_heard_get_no_retry() {
+    for scale in [SMALL, LARGE] {
+        for outage in outages() {
+            let mut fleet = Fleet::new(scale, Rule::Heard);
+
+            let heard = fleet.play(outage);
+
+            assert!(fleet.entries() <= SUBSET.min(scale.servers));
+            assert!(heard.most <= scale.in_flight_per_server() / 2, "{outage:?}");
+            match outage.silent {
+                Silent::All => assert_eq!(heard.total, 0),
+                Silent::Zone | Silent::Share60 => assert!(heard.total > 0),
+            }
+            assert_eq!(heard.silent, 0, "{scale:?} {outage:?}: {heard:?}");
+        }
+    }
+}
--- a/crates/fescuewell_forward/tests/silent_fleet/mod.rs
+++ b/crates/fescuewell_forward/tests/silent_fleet/mod.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use fescuewell_forward::hedge::{Voice, Voices};
 use fescuewell_forward::retry::{Bounds, Budget};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -14,12 +15,14 @@
 const STEP_MS: u64 = 100;
 /// Silence after which a stream asks for another server, and time until it asks again.
 const GAP_MS: u64 = 600;
+/// Time within which another server must have been heard to be asked.
+const VOICE_WINDOW_MS: u64 = GAP_MS / 2;
 /// Time between two silences, during which streams run.
 const REST_MS: u64 = 4_000;
 /// Streams in flight at each instance.
 const STREAMS: usize = 576;
 /// Servers that an instance chooses among.
-const SUBSET: usize = 128;
+pub const SUBSET: usize = 128;
 const ZONES: usize = 4;
 
 /// Size of a fleet.
@@ -38,6 +41,15 @@
     All,
 }
 
+/// Which other server a stream may ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    /// Any that is not silent, or any at all; a bound of what an instance may do that does not know.
+    Any,
+    /// One of those that may answer by what the instance has heard.
+    Heard,
+}
+
 /// A silence of some servers.
 #[derive(Debug, Clone, Copy)]
 pub struct Outage {
@@ -49,6 +61,8 @@
 #[derive(Debug)]
 pub struct Extra {
     pub total: u64,
+    /// Those that went to servers that were silent.
+    pub silent: u64,
     /// Most of one server.
     pub most: u64,
     /// Most that the fleet sent within one step.
@@ -69,12 +83,16 @@
 
 struct Instance {
     budget: Budget,
+    voices: Voices,
+    heard: Vec<Arc<Voice>>,
     subset: Vec<usize>,
     streams: Vec<usize>,
 }
 
 pub struct Fleet {
     scale: Scale,
+    rule: Rule,
+    servers: Vec<Arc<str>>,
     service: Arc<str>,
     instances: Vec<Instance>,
     steps: Vec<Window>,
@@ -107,14 +125,19 @@
 
 impl Fleet {
     /// Creates a fleet that has been serving requests for longer than the window.
-    pub fn new(scale: Scale) -> Self {
+    pub fn new(scale: Scale, rule: Rule) -> Self {
         let mut random = SmallRng::seed_from_u64(7);
+        let name = |number: usize| format!("i-{number:08}").into();
+        let servers: Vec<Arc<str>> = (0..scale.servers).map(name).collect();
+        let service: Arc<str> = SERVICE.into();
         let instances = (0..scale.instances)
-            .map(|_| Instance::new(scale, &mut random))
+            .map(|_| Instance::new(&service, &servers, &mut random))
             .collect();
         let mut fleet = Self {
             scale,
-            service: SERVICE.into(),
+            rule,
+            servers,
+            service,
             instances,
             steps: Vec::new(),
             random,
@@ -132,6 +155,7 @@
         let mut extra = vec![0; self.scale.servers];
         let mut at_once = 0;
         while self.now_ms() < ends {
+            self.hear(outage.silent);
             self.serve(Some(outage.silent), &mut stalled);
             let before = self.retries();
             for (index, streams) in stalled.iter_mut().enumerate() {
@@ -140,13 +164,22 @@
             at_once = at_once.max(self.retries() - before);
         }
         self.serve_until(ends + REST_MS);
+        let silent = extra.iter().enumerate();
+        let silent = silent.filter(|(server, _)| outage.silent.has(*server));
         Extra {
+            silent: silent.map(|(_, count)| count).sum(),
             total: extra.iter().sum(),
             most: extra.iter().copied().max().unwrap_or_default(),
             at_once,
         }
     }
 
+    /// Returns the most servers that any instance has an entry for.
+    pub fn entries(&self) -> usize {
+        let entries = self.instances.iter().map(|instance| instance.voices.len());
+        entries.max().unwrap_or_default()
+    }
+
     /// Returns the counts of every window of the budget.
     pub fn windows(&self) -> Vec<Window> {
         let width = (WINDOW_MS / STEP_MS) as usize;
@@ -194,6 +227,18 @@
         });
     }
 
+    /// Records that the servers that are not silent have sent something.
+    fn hear(&self, silent: Silent) {
+        let now_ms = self.now_ms();
+        for instance in &self.instances {
+            for (server, voice) in instance.subset.iter().zip(&instance.heard) {
+                if !silent.has(*server) {
+                    voice.heard(now_ms);
+                }
+            }
+        }
+    }
+
     fn stalled(&self, silent: Silent, now_ms: u64) -> Vec<Vec<Stream>> {
         let mut stalled = Vec::new();
         for instance in &self.instances {
@@ -215,19 +260,26 @@
         let instance = &mut self.instances[index];
         let random = &mut self.random;
         let step = self.steps.last_mut().expect("a step has begun");
-        let mut is_spent = false;
+        let others = match self.rule {
+            Rule::Any => instance.not_silent(silent),
+            Rule::Heard => instance.may_answer(&service, &self.servers, now_ms),
+        };
+        // A budget that has none left for one stream has none for the others of the same step.
+        let mut is_spent = others.is_empty();
         streams.retain_mut(|stream| {
             if stream.asks_at_ms > now_ms {
                 return true;
             }
-            // A budget that has none left for one stream has none for the others of the same step.
             is_spent = is_spent || !instance.budget.try_retry(&service, instances, now_ms);
             if is_spent {
                 stream.asks_at_ms = now_ms + GAP_MS;
                 return true;
             }
             step.retries += 1;
-            let server = instance.other_server(stream.server, silent, random);
+            let mut server = others[random.random_range(0..others.len())];
+            while server == stream.server {
+                server = others[random.random_range(0..others.len())];
+            }
             extra[server] += 1;
             false
         });
@@ -235,31 +287,49 @@
 }
 
 impl Instance {
-    fn new(scale: Scale, random: &mut SmallRng) -> Self {
+    fn new(service: &Arc<str>, servers: &[Arc<str>], random: &mut SmallRng) -> Self {
         let bounds = Bounds {
             ratio: RATIO,
             slack: SLACK,
             window_ms: WINDOW_MS,
         };
-        let amount = SUBSET.min(scale.servers);
-        let subset = rand::seq::index::sample(random, scale.servers, amount).into_vec();
+        let amount = SUBSET.min(servers.len());
+        let subset = rand::seq::index::sample(random, servers.len(), amount).into_vec();
         let streams = (0..STREAMS).map(|number| subset[number % subset.len()]);
+        let streams: Vec<usize> = streams.collect();
+        let mut voices = Voices::default();
+        let begun = streams
+            .iter()
+            .map(|server| voices.begin(service, &servers[*server], 0));
+        let heard = begun.take(amount).collect();
+        for server in streams.iter().skip(amount) {
+            voices.begin(service, &servers[*server], 0);
+        }
         Self {
             budget: Budget::new(bounds),
-            streams: streams.collect(),
+            voices,
+            heard,
+            streams,
             subset,
         }
     }
 
-    /// Picks another server, one that is heard if there is any.
-    fn other_server(&self, server: usize, silent: Silent, random: &mut SmallRng) -> usize {
-        let others = self.subset.iter().copied().filter(|other| *other != server);
-        let heard: Vec<usize> = others.clone().filter(|other| !silent.has(*other)).collect();
-        let candidates = match heard.is_empty() {
-            true => others.collect(),
-            false => heard,
+    fn not_silent(&self, silent: Silent) -> Vec<usize> {
+        let servers = self.subset.iter().copied();
+        let others: Vec<usize> = servers.filter(|server| !silent.has(*server)).collect();
+        match others.is_empty() {
+            true => self.subset.clone(),
+            false => others,
+        }
+    }
+
+    fn may_answer(&self, service: &str, servers: &[Arc<str>], now_ms: u64) -> Vec<usize> {
+        let may_answer = |server: &usize| {
+            let server = &servers[*server];
+            self.voices
+                .may_answer(service, server, VOICE_WINDOW_MS, now_ms)
         };
-        candidates[random.random_range(0..candidates.len())]
+        self.subset.iter().copied().filter(may_answer).collect()
     }
 }
 
