--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -12,11 +12,14 @@
 use crate::proxy::Proxy;
 use crate::server_proxy::ServerProxy;
 
+/// Instances of a test process that have addresses of their own at the same time.
+const MAX_INSTANCES: usize = 240;
+
 /// Returns a loopback address unique to this instance and test process, as all instances use the same metrics port.
-fn loopback_address(index: usize) -> IpAddr {
+fn loopback_address(number: usize) -> IpAddr {
     let process = std::process::id();
     let [high, low] = [(process / 250 % 250) as u8, (process % 250) as u8];
-    IpAddr::from([127, high + 1, low + 1, index as u8 + 1])
+    IpAddr::from([127, high + 1, low + 1, (number % MAX_INSTANCES) as u8 + 1])
 }
 
 /// Returns two free ports of an address. Both probes stay bound until both ports are known: the system may assign a released
@@ -49,8 +52,14 @@
 }
 
 impl Instance {
-    /// Writes the settings file and starts the proxy, but not the process.
-    pub fn new(index: usize, seed: u64, platform: &Fixture, has_few_retries: bool) -> Self {
+    /// Writes the settings file and starts the proxy, but not the process. `number` counts the instances of all worlds.
+    pub fn new(
+        number: usize,
+        index: usize,
+        seed: u64,
+        platform: &Fixture,
+        has_few_retries: bool,
+    ) -> Self {
         let server_proxies: Vec<ServerProxy> = platform
             .workers
             .iter()
@@ -63,7 +72,7 @@
             .with_reroutes(reroutes.collect());
         let store = Rows::start_with(store).unwrap();
         let proxy = Proxy::start(store.address());
-        let [front, ready] = free_ports(loopback_address(index));
+        let [front, ready] = free_ports(loopback_address(number));
         let name = format!("fescuewell-soak-{}-{seed}-{index}.conf", std::process::id());
         let settings = std::env::temp_dir().join(name);
         let text = format!(
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -31,6 +31,8 @@
 mod wire;
 mod world;
 
+use std::sync::{Mutex, PoisonError};
+
 use world::World;
 
 /// Seeds that failed before, each with its cause.
@@ -38,8 +40,17 @@
 /// Number of seeds, from 1, that run by default in addition to the regressions.
 const DEFAULT_SEEDS: u64 = 2;
 
+/// Seeds that are played at a time, unless `SOAK_JOBS` says otherwise.
+const DEFAULT_JOBS: u64 = 3;
+
+/// Held by the test that plays.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
 fn seeds() -> Vec<u64> {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
     if let Some(first) = number("SOAK_SEED") {
         return (first..first + number("SOAK_SEEDS").unwrap_or(1)).collect();
     }
@@ -48,14 +59,48 @@
     known.chain(1..=DEFAULT_SEEDS).collect()
 }
 
+/// Plays all seeds, some at a time, and describes the violations of each.
+fn play<Finish>(finish: Finish) -> Vec<String>
+where
+    Finish: Fn(World) -> Vec<String> + Sync,
+{
+    // The tests use the same names of files.
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let seeds = Mutex::new(seeds().into_iter());
+    let failures = Mutex::new(Vec::new());
+    let jobs = number("SOAK_JOBS").unwrap_or(DEFAULT_JOBS);
+    std::thread::scope(|scope| {
+        for _ in 0..jobs {
+            scope.spawn(|| {
+                loop {
+                    let Some(seed) = seeds.lock().unwrap().next() else {
+                        return;
+                    };
+                    let mut world = World::start(seed);
+                    world.inject_faults();
+                    let violations = finish(world);
+                    if !violations.is_empty() {
+                        let failure = format!("seed {seed}: {violations:#?}");
+                        failures.lock().unwrap().push(failure);
+                    }
+                }
+            });
+        }
+    });
+    failures.into_inner().unwrap()
+}
+
 /// Guards against violated guarantees under a random sequence of faults drawn from the seed. Add the seed of a failure to
 /// `regressions.txt`, with a line on the cause.
 #[test]
 fn promises_hold_under_drawn_faults() {
-    for seed in seeds() {
-        let mut world = World::start(seed);
-        world.inject_faults();
-        let violations = world.finish();
-        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
-    }
+    let failures = play(World::finish);
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Guards against a poison request that crashes one server after the other after the same faults.
+#[test]
+fn poison_is_quarantined_after_drawn_faults() {
+    let failures = play(World::finish_with_quarantine);
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -3,7 +3,7 @@
 mod silence;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use fescuewell::standin::rows;
@@ -35,6 +35,9 @@
 /// Initial prepaid total of the client account. Some hundred requests exhaust it.
 const INITIAL_PREPAID_TOKENS: u64 = 150_000;
 
+/// Number of worlds so far.
+static WORLDS: AtomicUsize = AtomicUsize::new(0);
+
 /// The instances under test, the stand-ins they use, and the callers.
 pub struct World {
     random: SmallRng,
@@ -63,11 +66,20 @@
 
 impl World {
     pub fn start(seed: u64) -> Self {
+        let number = WORLDS.fetch_add(1, Ordering::Relaxed);
         let mut silence_random = SmallRng::seed_from_u64(seed.rotate_left(48));
         let has_few_retries = silence_random.random_bool(0.5);
         let platform = Fixture::without_instance(SERVERS, INITIAL_PREPAID_TOKENS);
         let mut instances: Vec<Instance> = (0..INSTANCES)
-            .map(|index| Instance::new(index, seed, &platform, has_few_retries))
+            .map(|index| {
+                Instance::new(
+                    number * INSTANCES + index,
+                    index,
+                    seed,
+                    &platform,
+                    has_few_retries,
+                )
+            })
             .collect();
         for instance in &mut instances {
             instance.start();
@@ -225,9 +237,9 @@
         }
     }
 
-    /// Checks that all instances quarantine the poison request and that it reaches no backend server from then on. If the client
-    /// account is exhausted, the request reaches no server even without a quarantine, so only the crashes are counted.
-    fn check_quarantine(&self) -> Option<String> {
+    /// Sends the poison request until the first instance quarantines it. Returns the number of crashes if that does not happen. If
+    /// the client account is exhausted, the request reaches no server even without a quarantine.
+    fn quarantine(&self) -> Result<(), u64> {
         let start = self.platform.crashes();
         let mut attempts = 0..MAX_QUARANTINE_ATTEMPTS;
         let is_quarantined = |number| {
@@ -238,11 +250,14 @@
             self.restart_crashed_servers();
             response.is_some_and(|response| poison::is_quarantined(&response))
         };
-        if !attempts.any(is_quarantined) {
-            let crashes = self.platform.crashes() - start;
-            let is_violated = crashes > MAX_CRASHES;
-            return is_violated.then(|| format!("{crashes} crashes without a quarantine"));
+        match attempts.any(is_quarantined) {
+            true => Ok(()),
+            false => Err(self.platform.crashes() - start),
         }
+    }
+
+    /// Checks that all instances learn of the quarantine, and that the request reaches no backend server from then on.
+    fn quarantine_violation(&self) -> Option<String> {
         for (index, instance) in self.instances.iter().enumerate() {
             if !instance.wait_quarantined(1) {
                 return Some(format!("instance {index} does not learn of the quarantine"));
@@ -279,8 +294,8 @@
         self.change(Change::TopUp);
     }
 
-    /// Restarts what is down, waits for recovery, and returns the violated guarantees.
-    pub fn finish(mut self) -> Vec<String> {
+    /// Restarts what is down, waits for recovery, and describes what does not recover.
+    fn recover(&mut self) -> Vec<String> {
         self.start_missing();
         self.poison_caller.stop();
         self.restart_crashed_servers();
@@ -311,8 +326,33 @@
         }
         // After a restore, the first entry of a server that was draining may come from the copy.
         self.write_heartbeats();
+        violations
+    }
+
+    /// Recovers, and describes a violation if the poison request causes too many crashes.
+    pub fn finish_with_quarantine(mut self) -> Vec<String> {
+        let mut violations = self.recover();
+        violations.extend(match self.quarantine() {
+            Ok(()) => self.quarantine_violation(),
+            Err(crashes) => {
+                (crashes > MAX_CRASHES).then(|| format!("{crashes} crashes without a quarantine"))
+            }
+        });
+        self.stop.store(true, Ordering::Release);
+        self.callers.drain(..).for_each(|caller| {
+            caller.join();
+        });
+        violations
+    }
+
+    /// Recovers, and returns the violated guarantees. Whether a quarantine comes early enough is left to
+    /// [`World::finish_with_quarantine`].
+    pub fn finish(mut self) -> Vec<String> {
+        let mut violations = self.recover();
         let (record, mut exchanges) = self.play_silences();
-        violations.extend(self.check_quarantine());
+        if self.quarantine().is_ok() {
+            violations.extend(self.quarantine_violation());
+        }
         violations.extend(conditions::failure_violation(&self.platform.workers));
         violations.extend(conditions::violations(&self.platform.workers));
         violations.extend(lists::violation(&self.platform, &self.instances));
