--- a/crates/fescuewell_router/src/attempt/resume.rs
+++ b/crates/fescuewell_router/src/attempt/resume.rs
@@ -1,6 +1,7 @@
 //! Requests about a stream that its backend server already has: resumption and cancellation.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
