--- a/crates/fescuewell_router/src/attempt.rs
+++ b/crates/fescuewell_router/src/attempt.rs
@@ -325,7 +325,8 @@
                     };
                 }
             };
-            if decoder.push(&chunk, &mut events).is_err() {
+            let is_decoded = decoder.push(&chunk, &mut events).is_ok();
+            if !is_decoded || exchange.reserve(decoder.buffered()).is_err() {
                 return ReadResult::Interrupted { stalled: false };
             }
             for event in events.drain(..) {
--- a/crates/fescuewell_router/src/attempt/resume.rs
+++ b/crates/fescuewell_router/src/attempt/resume.rs
@@ -1,6 +1,7 @@
 //! Requests about a stream that its backend server already has: resumption and cancellation.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
@@ -116,11 +117,12 @@
         .method(http::Method::POST)
         .uri(path)
         .body(Bytes::new());
-    let target = Target::new(assignment.address);
     let timeouts = Timeouts {
         first_byte: timeouts.connect,
         ..timeouts
     };
+    let longest = timeouts.connect + timeouts.first_byte + timeouts.progress;
+    let target = Target::new(assignment.address).with_deadline(Instant::now() + longest);
     let exchange = client.open(&target, request.unwrap_or_default(), timeouts);
     let body = exchange.await.ok()?.collect(MAX_ERROR_BODY_BYTES).await;
     let record: serde_json::Value = serde_json::from_slice(&body.ok()?).ok()?;
