Tests: the deadline ends a call whose service stays silent

Since a call outlasts the silence of its service, the deadline is what ends it. The test holds that it does, and that the end is a stall, not a crash.

At a service that is silent for good, with a deadline of 400 ms: Lost with stalled: true. The router's tests pass.

--- a/crates/fescuewell_router/tests/calls.rs
+++ b/crates/fescuewell_router/tests/calls.rs
@@ -98,3 +98,20 @@
     assert!(outcome.response.is_some(), "{:?}", outcome.end);
     assert!(second.counters().runs.is_empty());
 }
+
+/// Guards against a call that waits for its silent service beyond its deadline, and is then taken for a crash.
+#[tokio::test]
+async fn the_deadline_ends_a_call_whose_service_stays_silent() {
+    let service = service();
+    service.set_silent(true);
+    let (client, body) = (Client::default(), Bytes::from_static(b"{}"));
+    let call = Call {
+        repeatable: false,
+        ..call(&client, &body, Duration::from_millis(400))
+    };
+
+    let outcome = tokio::time::timeout(PATIENCE, run(&call, &service)).await;
+
+    let end = outcome.expect("it ends").end;
+    assert!(matches!(end, End::Lost { stalled: true, .. }), "{end:?}");
+}
