Silent streams end at their caller's deadline

Callers saw streams that neither went on nor ended after their deadline while their servers were silent, and the thread that served them was busy all the while.

Cause: the timer of a race was due at the request's deadline and elapsed at once when it was set again, while the exchange, which ends the stream at the same deadline, gets a new timer in each round that elapses a millisecond later at the earliest. Where the race's timer came first, the exchange's was dropped before it could elapse, round after round.

The race's timer is no longer due at the deadline, for which the exchanges have their own.

--- a/crates/fescuewell_gateway/src/job/progress.rs
+++ b/crates/fescuewell_gateway/src/job/progress.rs
@@ -24,6 +24,9 @@
 /// Maximum time for reading it.
 const MAX_REJECTION_TIME: Duration = Duration::from_secs(1);
 
+/// Maximum time between two looks at the attempts of a request.
+const MAX_SLEEP: Duration = Duration::from_secs(60);
+
 /// Result of the attempts so far.
 pub(crate) enum Progress {
     /// A server sent a complete response.
@@ -356,7 +359,8 @@
 
     /// Sets when [`Job::handle_silence`] is due if no attempt takes a step before.
     fn set_timer(&self, race: &mut Race) {
-        let mut due = self.deadline;
+        // The exchanges end at the deadline by themselves.
+        let mut due = Instant::now() + MAX_SLEEP;
         for attempt in race.attempts() {
             if attempt.is_opening() && !attempt.is_silence_recorded {
                 due = due.min(attempt.sent_at + Duration::from_millis(SILENCE_MS));
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -16,6 +16,7 @@
 mod refusals;
 mod server_proxy;
 mod silence;
+mod silence_review;
 mod silent_configuration;
 mod versions;
 mod wire;
--- /dev/null
+++ b/tests/forward/silence_review.rs
@@ -0,0 +1,67 @@
+//! Tests of the end of streams whose servers are silent, and of the answers of their second servers.
+
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use fescuewell::standin::worker::Behaviour;
+use serde_json::{Value, json};
+
+use crate::fixture::{Fixture, Request, Response, configuration, send};
+use crate::wire;
+
+/// Prepaid tokens of the client account; more than any test uses.
+const PREPAID: u64 = 1_000_000;
+/// When the last of some streams whose deadline passes after 2.5 s has ended also on a busy machine.
+const LATEST_END: Duration = Duration::from_secs(10);
+
+fn stream(id: &str) -> Request {
+    Request::new("POST /stream/x", id)
+        .with_tokens(10, 100)
+        .with_body(b"prompt")
+}
+
+/// A configuration whose routes have this gap objective and a short target latency.
+fn with_gap(gap: Value) -> Value {
+    let mut configuration = configuration(1, PREPAID);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        route["gapAimMs"] = gap.clone();
+        route["targetLatencyMs"] = json!(200);
+    }
+    configuration
+}
+
+fn instance(workers: usize, gap: Value) -> Fixture {
+    let mut fixture = Fixture::without_instance(workers, PREPAID);
+    fixture.configure(&with_gap(gap));
+    fixture.start();
+    fixture.wait_ready();
+    fixture
+}
+
+/// Sends a request from a thread of its own.
+fn spawn(fixture: &Fixture, request: Request) -> JoinHandle<Option<Response>> {
+    let front = fixture.front;
+    std::thread::spawn(move || send(front, &request))
+}
+
+/// Guards against streams that go on after their callers' deadline, and an instance that is busy with waiting,
+/// because the timers of the requests and of their exchanges elapse together.
+#[test]
+fn streams_end_at_the_deadline_while_their_servers_are_silent() {
+    let fixture = instance(4, json!(200));
+    for worker in &fixture.workers {
+        worker.next(&[Behaviour::Pause(2); 200]);
+    }
+    let begun = Instant::now();
+    let streams: Vec<_> = (0..200)
+        .map(|number| stream(&format!("r-{number}")).with(wire::DEADLINE, "2500"))
+        .map(|request| spawn(&fixture, request))
+        .collect();
+
+    for response in streams {
+        let response = response.join().unwrap().expect("no response");
+        assert!(!response.is_complete || response.status != 200);
+    }
+    let took = begun.elapsed();
+    assert!(took < LATEST_END, "the last stream ended after {took:?}");
+}
