A second server's error ends no stream that has begun

Callers saw streams cut after their first events when the server that was asked beside their silent one answered with a client error, although the first server went on a moment later.

Cause: a complete response with a client error counted as delivered, so the first server was cancelled; only then it turned out that such a response cannot continue a stream. Responses with a server error were kept as the result of the request, and hid the cause in stream.cut when the first server broke off later.

Once events were forwarded, any such response ends its own attempt only, and what a server failed before another one delivered is forgotten.

--- a/crates/fescuewell_gateway/src/job/progress.rs
+++ b/crates/fescuewell_gateway/src/job/progress.rs
@@ -350,9 +350,17 @@
                 false => Outcome::Failed,
             });
             self.log_failure(permit, "failed", status.as_str());
-            return Effect::Failed(response);
+            return match self.forwarded {
+                0 => Effect::Failed(response),
+                _ => Effect::Lost(Cause::Broken),
+            };
         }
         permit.record_outcome(Outcome::Good);
+        if self.forwarded > 0 {
+            // The server cannot go on with the stream, but another one that is asked may.
+            self.log_failure(permit, "failed", status.as_str());
+            return Effect::Lost(Cause::Broken);
+        }
         permit.record_latency(attempt.sent_at.elapsed());
         Effect::Delivered(Progress::Complete(response))
     }
--- a/crates/fescuewell_gateway/src/job/race.rs
+++ b/crates/fescuewell_gateway/src/job/race.rs
@@ -50,9 +50,10 @@
         self.attempts.push(attempt);
     }
 
-    /// Records which attempt delivered, and keeps it if its stream goes on.
+    /// Records which attempt delivered, and keeps it if its stream goes on. Failures of the others no longer count.
     pub(super) fn keep(&mut self, attempt: Attempt, is_stream: bool) {
         self.server = attempt.permit.server.id.clone();
+        self.failed = None;
         if is_stream {
             self.attempts.push(attempt);
         }
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -65,6 +65,8 @@
     Wait,
     /// It runs and fails.
     Fail,
+    /// It is answered with a client error.
+    Deny,
     /// It runs and is not answered for as long as the caller waits.
     Hang,
     /// It runs and is answered under another request's id.
@@ -492,6 +494,7 @@
             Behaviour::Fail => {
                 reply.send(StatusCode::INTERNAL_SERVER_ERROR, headers, Bytes::new());
             }
+            Behaviour::Deny => reply.send(StatusCode::NOT_FOUND, headers, Bytes::new()),
             Behaviour::Hang => {
                 reply.closed().wait().await;
                 self.state().gone += 1;
--- a/tests/forward/silence_review.rs
+++ b/tests/forward/silence_review.rs
@@ -3,7 +3,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use fescuewell::standin::worker::Behaviour;
+use fescuewell::standin::worker::{Behaviour, EVENTS, Worker, wait_until};
 use serde_json::{Value, json};
 
 use crate::fixture::{Fixture, Request, Response, configuration, send};
@@ -65,3 +65,32 @@
     let took = begun.elapsed();
     assert!(took < LATEST_END, "the last stream ended after {took:?}");
 }
+
+/// Guards against a stream that loses its server because the second one answers with an error.
+#[test]
+fn a_stream_goes_on_at_its_server_when_the_second_one_answers_with_an_error() {
+    for error in [Behaviour::Deny, Behaviour::Fail] {
+        let fixture = instance(2, json!(200));
+        for worker in &fixture.workers {
+            worker.next(&[Behaviour::Pause(2)]);
+        }
+        let response = spawn(&fixture, stream("r-1"));
+        assert!(wait_until(|| fixture.runs("r-1") == 1));
+        for worker in &fixture.workers {
+            worker.clear_next();
+            worker.next(&[error]);
+        }
+        assert!(
+            wait_until(|| fixture.runs("r-1") == 2),
+            "no second server was asked"
+        );
+        let has_failed = || fixture.metrics().contains("outcome=\"failed\"");
+        assert!(wait_until(has_failed), "the second server did not answer");
+        fixture.workers.iter().for_each(Worker::release);
+
+        let response = response.join().unwrap().expect("no response");
+
+        assert_eq!(response.events(), (1..=EVENTS).collect::<Vec<u64>>());
+        assert!(response.is_complete, "{error:?}");
+    }
+}
