No second server is asked without an objective

A route without a gap objective or target latency has none that its servers could miss. A resumable stream there counted as silent at once and again after each decision: a wake-up and a line of log per millisecond while its server paused.

Such a route's silence now asks no second server; its attempts end by evidence or at the deadline.

a_silent_server_costs_no_work_on_a_route_without_a_gap_objective failed before in its one run (more than two decisions within a second) and passes in 4 of 4 runs now.

--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -192,14 +192,14 @@
     /// no second one may be asked.
     pub(super) fn patience(&self, attempt: &Attempt) -> Option<Duration> {
         let target = self.route.target_latency * TARGET_PATIENCE_FACTOR;
-        match self.route.kind {
-            Kind::Safe => Some(target.max(MIN_SAFE_PATIENCE)),
-            Kind::Stream { resumable: true } if attempt.events == 0 => Some(target),
-            Kind::Stream { resumable: true } => {
-                Some(self.route.target_gap.mul_f64(GAP_PATIENCE_FACTOR))
-            }
-            _ => None,
-        }
+        let patience = match self.route.kind {
+            Kind::Safe => target.max(MIN_SAFE_PATIENCE),
+            Kind::Stream { resumable: true } if attempt.events == 0 => target,
+            Kind::Stream { resumable: true } => self.route.target_gap.mul_f64(GAP_PATIENCE_FACTOR),
+            _ => return None,
+        };
+        // A route may have no objective.
+        (!patience.is_zero()).then_some(patience)
     }
 
     /// Builds the request for a backend server. Returns `None` if a header value is invalid.
--- a/tests/forward/fixture.rs
+++ b/tests/forward/fixture.rs
@@ -456,6 +456,15 @@
         get(self.metrics, "/metrics").unwrap().text()
     }
 
+    /// Number of decisions whether to ask a second server beside a silent one.
+    pub fn silent_decisions(&self) -> u64 {
+        let metrics = self.metrics();
+        let lines = metrics.lines();
+        let counts = lines.filter(|line| line.starts_with("fescuewell_silent_attempts"));
+        let counts = counts.filter_map(|line| line.rsplit_once(' ')?.1.parse::<u64>().ok());
+        counts.sum()
+    }
+
     /// Version of the active configuration, or 0 if there is none.
     pub fn version(&self) -> u64 {
         let table = self.daemon.as_ref().unwrap().gateway().table();
--- a/tests/forward/silence_review.rs
+++ b/tests/forward/silence_review.rs
@@ -66,6 +66,23 @@
     assert!(took < LATEST_END, "the last stream ended after {took:?}");
 }
 
+/// Guards against an instance that is busy with waiting for a server because the route has no gap objective.
+#[test]
+fn a_silent_server_costs_no_work_on_a_route_without_a_gap_objective() {
+    let fixture = instance(1, json!(0));
+    fixture.workers[0].next(&[Behaviour::Pause(2)]);
+
+    let response = spawn(&fixture, stream("r-1"));
+    assert!(wait_until(|| fixture.runs("r-1") == 1));
+    std::thread::sleep(Duration::from_secs(1));
+    let decisions = fixture.silent_decisions();
+    fixture.workers[0].release();
+
+    let response = response.join().unwrap().expect("no response");
+    assert_eq!(response.events(), (1..=EVENTS).collect::<Vec<u64>>());
+    assert!(decisions <= 2, "{decisions} decisions within a second");
+}
+
 /// Guards against a stream that loses its server because the second one answers with an error.
 #[test]
 fn a_stream_goes_on_at_its_server_when_the_second_one_answers_with_an_error() {
