A stream of an unknown version asks no second server

Read in the code, not seen: a stream bound to no known software version (Binding::Unknown) is never retried, since its other events must come from the version that began it, but a second server of any version was asked beside its silent one, as binding.build() is None there, too. Today's adapter lists no server without a version, so callers cannot have seen it.

Job::ask_second now checks is_version_gone, as Job::may_retry does. There is no test: no fixture can list such a server. The tests of silence (10) and versions of tests/forward pass.

--- a/crates/fescuewell_gateway/src/job/second.rs
+++ b/crates/fescuewell_gateway/src/job/second.rs
@@ -56,6 +56,9 @@
         if self.is_suspect() {
             return Err(Obstacle::Suspect);
         }
+        if self.is_version_gone() {
+            return Err(Obstacle::NoServer);
+        }
         // Behind a lost path all servers are silent, and another instance reaches them.
         let silent = race.first().filter(|silent| !silent.is_path_lost);
         let window = silent.and_then(|silent| self.patience(silent));
