--- a/tests/forward/partition.rs
+++ b/tests/forward/partition.rs
@@ -635,3 +635,56 @@
     }
     release(&first, holders);
 }
+
+/// Guards against a stream that waits for its silent server until its deadline although the path to the servers
+/// is lost and another instance reaches them.
+#[test]
+fn a_stream_whose_path_is_lost_goes_on_through_another_instance() {
+    let [first, _second] = instances(2);
+    for worker in &first.workers {
+        worker.next(&[Behaviour::Pause(2)]);
+    }
+    let front = first.front;
+    let response = std::thread::spawn(move || send(front, &stream("r-1")));
+    assert!(wait_until(|| first.runs("r-1") == 1));
+    for worker in &first.workers {
+        worker.clear_next();
+    }
+    cut_and_notice(&first, Cut::Hanging);
+
+    let response = response.join().unwrap().expect("no response");
+
+    assert_eq!(response.events(), (1..=EVENTS).collect::<Vec<u64>>());
+    assert!(response.is_complete);
+    assert_eq!(first.runs("r-1"), 2);
+}
+
+/// Guards against a stream that another instance sends and that is cut because its server is silent.
+#[test]
+fn a_stream_sent_by_another_instance_waits_for_its_silent_server() {
+    let [first, _second] = instances(2);
+    cut_and_notice(&first, Cut::Hanging);
+    let mut impatient = configuration(2, PREPAID);
+    for route in impatient["routes"].as_array_mut().unwrap() {
+        route["gapAimMs"] = 200.into();
+        route["targetLatencyMs"] = 200.into();
+    }
+    first.configure(&impatient);
+    assert!(wait_until(|| first.version() == 2));
+    for worker in &first.workers {
+        worker.next(&[Behaviour::Pause(2)]);
+    }
+    let front = first.front;
+    let response = std::thread::spawn(move || send(front, &stream("r-1")));
+    assert!(wait_until(|| first.runs("r-1") == 1));
+    std::thread::sleep(Duration::from_millis(1_200));
+    for worker in &first.workers {
+        worker.release();
+    }
+
+    let response = response.join().unwrap().expect("no response");
+
+    assert_eq!(response.events(), (1..=EVENTS).collect::<Vec<u64>>());
+    assert!(response.is_complete);
+    assert!(first.runs("r-1") <= 2);
+}
