--- a/crates/fescuewell_gateway/src/job/progress.rs
+++ b/crates/fescuewell_gateway/src/job/progress.rs
@@ -24,6 +24,9 @@
 /// Maximum time for reading it.
 const MAX_REJECTION_TIME: Duration = Duration::from_secs(1);
 
+/// Maximum time between two looks at the attempts of a request.
+const MAX_SLEEP: Duration = Duration::from_secs(60);
+
 /// Result of the attempts so far.
 pub(crate) enum Progress {
     /// A server sent a complete response.
@@ -347,16 +350,25 @@
                 false => Outcome::Failed,
             });
             self.log_failure(permit, "failed", status.as_str());
-            return Effect::Failed(response);
+            return match self.forwarded {
+                0 => Effect::Failed(response),
+                _ => Effect::Lost(Cause::Broken),
+            };
         }
         permit.record_outcome(Outcome::Good);
+        if self.forwarded > 0 {
+            // The server cannot go on with the stream, but another one that is asked may.
+            self.log_failure(permit, "failed", status.as_str());
+            return Effect::Lost(Cause::Broken);
+        }
         permit.record_latency(attempt.sent_at.elapsed());
         Effect::Delivered(Progress::Complete(response))
     }
 
     /// Sets when [`Job::handle_silence`] is due if no attempt takes a step before.
     fn set_timer(&self, race: &mut Race) {
-        let mut due = self.deadline;
+        // The exchanges end at the deadline by themselves.
+        let mut due = Instant::now() + MAX_SLEEP;
         for attempt in race.attempts() {
             if attempt.is_opening() && !attempt.is_silence_recorded {
                 due = due.min(attempt.sent_at + Duration::from_millis(SILENCE_MS));
