Streams: events without end are within the memory of all responses

Bytes without end may come as an event, too.

A partial event now takes its size from the budget of all responses and gives it back; over the budget the attempt ends, and the server is not blamed. The search goes on where it ended.

A request counts once against the health of its server, also if the server was silent first and broke later. Which servers are heard is asked once for a choice, not once for each candidate.

--- a/crates/fescuewell_forward/src/hedge.rs
+++ b/crates/fescuewell_forward/src/hedge.rs
@@ -151,12 +151,18 @@
         self.sound(server, window_ms, now_ms) == Sound::Quiet
     }
 
-    /// Returns `true` if a server may be asked instead of a silent one: it is heard, or nothing is known of it
-    /// and most others of its service are heard.
-    pub fn may_answer(&self, service: &str, server: &str, window_ms: u64, now_ms: u64) -> bool {
-        match self.sound(server, window_ms, now_ms) {
+    /// Returns which servers of a service may be asked instead of a silent one: those that are heard, and those
+    /// of which nothing is known if most others are heard.
+    pub fn candidates<'a>(
+        &'a self,
+        service: &str,
+        window_ms: u64,
+        now_ms: u64,
+    ) -> impl Fn(&str) -> bool + 'a {
+        let is_quiet = self.is_service_quiet(service, window_ms, now_ms);
+        move |server| match self.sound(server, window_ms, now_ms) {
             Sound::Heard => true,
-            Sound::Unknown => !self.is_service_quiet(service, window_ms, now_ms),
+            Sound::Unknown => !is_quiet,
             Sound::Quiet => false,
         }
     }
--- a/crates/fescuewell_forward/tests/silent_fleet/mod.rs
+++ b/crates/fescuewell_forward/tests/silent_fleet/mod.rs
@@ -324,12 +324,11 @@
     }
 
     fn may_answer(&self, service: &str, servers: &[Arc<str>], now_ms: u64) -> Vec<usize> {
-        let may_answer = |server: &usize| {
-            let server = &servers[*server];
-            self.voices
-                .may_answer(service, server, VOICE_WINDOW_MS, now_ms)
-        };
-        self.subset.iter().copied().filter(may_answer).collect()
+        let may_answer = self.voices.candidates(service, VOICE_WINDOW_MS, now_ms);
+        let subset = self.subset.iter().copied();
+        subset
+            .filter(|server| may_answer(&servers[*server]))
+            .collect()
     }
 }
 
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -25,6 +25,8 @@
     flight: Option<Flight>,
     voice: Arc<Voice>,
     is_settled: AtomicBool,
+    /// Whether a bad outcome was recorded; further ones of the same request say nothing new.
+    is_blamed: AtomicBool,
 }
 
 impl Permit {
@@ -49,6 +51,7 @@
             flight: None,
             voice,
             is_settled: AtomicBool::new(false),
+            is_blamed: AtomicBool::new(false),
         }
     }
 
@@ -131,6 +134,9 @@
             // The path is the more likely cause.
             return;
         }
+        if outcome == Outcome::Bad && self.is_blamed.swap(true, Ordering::Relaxed) {
+            return;
+        }
         let ejected = state
             .health
             .record_outcome(&self.server.id, outcome, now_ms);
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -211,10 +211,9 @@
             window_ms: Some(window_ms),
         } = role
         {
-            let (voices, service) = (&state.voices, &self.service.name);
-            let may_answer =
-                |entry: &Entry| voices.may_answer(service, &entry.id, window_ms, now_ms);
-            candidates.eligible.retain(|entry| may_answer(entry));
+            let service = &self.service.name;
+            let may_answer = state.voices.candidates(service, window_ms, now_ms);
+            candidates.eligible.retain(|entry| may_answer(&entry.id));
         }
         let listed_count = candidates.listed_count;
         let chosen = match self.is_isolated(&state, now_ms) {
--- a/crates/fescuewell_gateway/src/job/progress.rs
+++ b/crates/fescuewell_gateway/src/job/progress.rs
@@ -6,7 +6,6 @@
 use fescuewell_forward::crash::Loss;
 use fescuewell_forward::health::Outcome;
 use fescuewell_forward::path::SILENCE_MS;
-use fescuewell_http::listener::spawn;
 use fescuewell_http::upstream::{Error, Exchange};
 use http::StatusCode;
 
@@ -19,10 +18,6 @@
 
 /// Maximum size of a response body that is buffered, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
-/// Maximum size of a rejection's body that is read so that its connection can be reused, in bytes.
-const MAX_REJECTION_BYTES: usize = 64 * 1024;
-/// Maximum time for reading it.
-const MAX_REJECTION_TIME: Duration = Duration::from_secs(1);
 
 /// Maximum time between two looks at the attempts of a request.
 const MAX_SLEEP: Duration = Duration::from_secs(60);
@@ -220,11 +215,7 @@
             permit.record_outcome(Outcome::Full);
         }
         self.log_failure(permit, "turned_away", status.as_str());
-        // The body is read to the end, so that the connection can be reused.
-        spawn(async move {
-            let body = exchange.collect(MAX_REJECTION_BYTES);
-            let _ = tokio::time::timeout(MAX_REJECTION_TIME, body).await;
-        });
+        exchange.discard();
     }
 
     fn handle_chunk(&mut self, attempt: &mut Attempt, chunk: &[u8]) -> Effect {
@@ -232,7 +223,7 @@
             attempt.begun_at = Some(Instant::now());
             attempt.permit.record_first_event();
         }
-        let Stage::Streaming(_, framer) = &mut attempt.stage else {
+        let Stage::Streaming(exchange, framer) = &mut attempt.stage else {
             return Effect::Open;
         };
         let Ok(events) = framer.push(chunk) else {
@@ -240,6 +231,10 @@
             attempt.permit.record_outcome(Outcome::Bad);
             return Effect::Lost(Cause::Malformed);
         };
+        if let Err(error) = exchange.reserve(framer.buffered()) {
+            self.log_failure(&attempt.permit, "broken", &error.to_string());
+            return Effect::Lost(Cause::of(&error));
+        }
         if events.is_empty() {
             return Effect::Open;
         }
@@ -263,7 +258,7 @@
         self.report_loss(&attempt.permit, classify_loss(error))
             .await;
         if attempt.begun_at.is_none() {
-            self.unknown_outcome(&attempt.permit, error);
+            self.failed_exchange(&attempt.permit, error);
         } else {
             attempt.permit.record_outcome(Outcome::Bad);
             self.log_failure(&attempt.permit, "broken", &error.to_string());
@@ -321,7 +316,7 @@
             Ok(body) => body,
             Err(error) => {
                 self.report_loss(permit, classify_loss(&error)).await;
-                self.unknown_outcome(permit, &error);
+                self.failed_exchange(permit, &error);
                 return Effect::Lost(Cause::of(&error));
             }
         };
@@ -462,6 +457,15 @@
         self.log_failure(permit, "unknown", &reason.to_string());
     }
 
+    /// Handles an exchange that failed after its head and before anything was forwarded.
+    fn failed_exchange(&mut self, permit: &Permit, error: &Error) {
+        if matches!(error, Error::OverBudget { .. }) {
+            // This instance lacks the memory; the server is not to blame.
+            return self.log_failure(permit, "unknown", &error.to_string());
+        }
+        self.unknown_outcome(permit, error);
+    }
+
     fn charge_events(&mut self, events: u64) {
         let each = self
             .service
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub struct EventFramer {
     buffer: BytesMut,
+    /// Size of the buffer's start that contains no end of an event.
+    searched: usize,
     last_event_id: Option<u64>,
     forwarded: u64,
 }
@@ -59,9 +61,15 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the size of the partial event in bytes.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards the partial event of a broken stream.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.searched = 0;
     }
 
     /// Adds received bytes and returns the events that they complete.
@@ -73,7 +81,8 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, FramingError> {
         self.buffer.extend_from_slice(bytes);
         let mut out = BytesMut::new();
-        while let Some(end) = event_end(&self.buffer) {
+        // An event that arrives byte by byte would otherwise be searched from its start for each of them.
+        while let Some(end) = event_end(&self.buffer, std::mem::take(&mut self.searched)) {
             let id = event_id(&self.buffer[..end]);
             if let (Some(id), Some(last_event_id)) = (id, self.last_event_id) {
                 if id <= last_event_id {
@@ -89,6 +98,7 @@
             self.last_event_id = id.or(self.last_event_id);
             self.forwarded += 1;
         }
+        self.searched = self.buffer.len();
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(FramingError::EventTooLarge);
         }
@@ -96,16 +106,20 @@
     }
 }
 
-/// Returns the end of the first event, after its empty line.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let newlines = bytes.windows(2).position(|pair| pair == b"\n\n");
-    let returns = bytes.windows(4).position(|four| four == b"\r\n\r\n");
-    match (newlines, returns) {
-        (Some(at), Some(other)) if other < at => Some(other + 4),
-        (Some(at), _) => Some(at + 2),
-        (None, Some(at)) => Some(at + 4),
-        (None, None) => None,
-    }
+/// Returns the end of the first event, after its empty line. None ends within the first `searched` bytes.
+fn event_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    // The empty line may have begun before.
+    let from = searched.saturating_sub(3);
+    let rest = &bytes[from..];
+    let newlines = rest.windows(2).position(|pair| pair == b"\n\n");
+    let returns = rest.windows(4).position(|four| four == b"\r\n\r\n");
+    let end = match (newlines, returns) {
+        (Some(at), Some(other)) if other < at => other + 4,
+        (Some(at), _) => at + 2,
+        (None, Some(at)) => at + 4,
+        (None, None) => return None,
+    };
+    Some(from + end)
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/tests/forward/endless.rs
+++ b/tests/forward/endless.rs
@@ -13,7 +13,7 @@
 use fescuewell::standin::worker::wait_until;
 
 use crate::fixture::{
-    Fixture, Request, any_address, configuration, connect_to, read_response, status,
+    Fixture, Request, any_address, configuration, connect_to, read_response, send, status,
 };
 use crate::wire;
 
@@ -25,6 +25,8 @@
 const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Size of the part of a response that comes at once before it drips; below the limit for one response.
 const LARGE_BYTES: usize = 3 * 1024 * 1024;
+/// The same of an event, below the limit for one event.
+const EVENT_BYTES: usize = 200 * 1024;
 /// Requests at once in the tests of memory.
 const CALLERS: usize = 200;
 /// Memory limit of the instance in the settings file, and what control tasks may take of it, in kB.
@@ -88,11 +90,12 @@
     ),
 ];
 
-const DRIPS: [Script; 4] = [
+const DRIPS: [Script; 5] = [
     drip("drip-line", "X-Long: ", 0, "x"),
     drip("drip-size", CHUNKED, 0, "0"),
     drip("drip-close", "\r\n", 0, "x"),
     drip("drip-large", "\r\n", LARGE_BYTES, "x"),
+    drip("drip-event", "\r\nid: 1\ndata: ", EVENT_BYTES, "x"),
 ];
 
 /// An event that does not end.
@@ -365,6 +368,14 @@
         server.register(&fixture, &format!("i-{index}"));
     }
     let process = Process::start(&fixture, index);
+    // An instance is ready before it has drawn tokens, without which a request does not run.
+    let runs_request = || {
+        let request = Request::new(&format!("POST /unsafe/{}", FAST[0].name), "r-first");
+        let response = send(process.front, &request.with_tokens(10, 10).with_body(b""));
+        response.is_some_and(|response| response.status == 502)
+    };
+    assert!(wait_until(runs_request), "the instance got no tokens");
+    let runs_before = runs(&servers);
     let before = process.peak_memory();
 
     let mut connections: Vec<TcpStream> = Vec::new();
@@ -384,7 +395,7 @@
     let peak = process.peak_memory();
     println!("{line}: {before} kB, then {peak} kB; {statuses:?}");
     assert!(peak < MEMORY_KB - CONTROL_MEMORY_KB, "{peak} kB");
-    assert_eq!(runs(&servers), CALLERS);
+    assert_eq!(runs(&servers) - runs_before, CALLERS);
     servers.iter().for_each(Endless::wait_closed);
     statuses
 }
@@ -398,3 +409,11 @@
     let may_have_run = statuses.keys().all(|status| [502, 504].contains(status));
     assert!(may_have_run, "{statuses:?}");
 }
+
+#[test]
+fn two_hundred_events_without_end_fit_the_memory_of_an_instance() {
+    let statuses = assert_memory_suffices("POST /stream-once/drip-event", 1);
+
+    let may_have_run = statuses.keys().all(|status| [502, 504].contains(status));
+    assert!(may_have_run, "{statuses:?}");
+}
