Soak: silence sends no request to more servers than its route allows

While a silent attempt stays open, another server is asked. Nothing checked that such a request still counts against maxAttempts.

In the phase with silent servers, a safe request or resumable stream that ran more often than its route's two attempts is a violation now.

--- a/tests/soak/lost.rs
+++ b/tests/soak/lost.rs
@@ -8,6 +8,9 @@
 /// Deadline that all requests carry.
 const DEADLINE: Duration = Duration::from_secs(5);
 
+/// Servers to which one request may be sent, as set in the configuration.
+const MAX_ATTEMPTS: usize = 2;
+
 /// A span in which an instance was stopped or cut off.
 pub struct Absence {
     pub instance: usize,
@@ -25,19 +28,22 @@
 }
 
 impl Record {
+    fn covers(&self, exchange: &Exchange) -> bool {
+        exchange.sent >= self.from && exchange.ended <= self.until
+    }
+
     /// Whether the answer is owed: neither deadline nor timeout was reached, and the instance was there all the time.
     fn owes(&self, exchange: &Exchange) -> bool {
-        let is_inside = exchange.sent >= self.from && exchange.ended <= self.until;
         let is_in_time = exchange.ended - exchange.sent < self.timeout.min(DEADLINE);
         let is_absent = self.absences.iter().any(|absence| {
             let overlaps = exchange.sent < absence.until && exchange.ended > absence.from;
             absence.instance == exchange.front && overlaps
         });
-        is_inside && is_in_time && !is_absent
+        is_in_time && !is_absent
     }
 
     /// Describes each answer to a request that may be repeated and that reached a server, but did not arrive whole. A silent
-    /// server is no reason to end one.
+    /// server is no reason to end one, nor to send the request to more servers than its route allows.
     pub fn violations(
         &self,
         exchanges: &[Exchange],
@@ -46,8 +52,15 @@
         let mut violations = Vec::new();
         for exchange in exchanges {
             let may_repeat = matches!(exchange.kind, Kind::Safe | Kind::Stream);
-            let has_run = run_counts.contains_key(exchange.id.as_str());
-            if !may_repeat || !has_run || !self.owes(exchange) {
+            let run_count = run_counts.get(exchange.id.as_str());
+            let run_count = run_count.copied().unwrap_or_default();
+            if !may_repeat || run_count == 0 || !self.covers(exchange) {
+                continue;
+            }
+            if run_count > MAX_ATTEMPTS {
+                violations.push(format!("{} ran {run_count} times", exchange.id));
+            }
+            if !self.owes(exchange) {
                 continue;
             }
             let response = exchange.response.as_ref();
