--- a/src/command/explain/ending.rs
+++ b/src/command/explain/ending.rs
@@ -7,7 +7,7 @@
 pub(super) struct Ending<'a> {
     cut: Option<&'a Line>,
     overtaken: Vec<&'a Line>,
-    silent: Option<&'a Line>,
+    silent: Vec<&'a Line>,
     last: Option<&'a Line>,
 }
 
@@ -22,7 +22,7 @@
             match line.title() {
                 "stream.cut" => ending.cut = Some(line),
                 "attempt.overtaken" => ending.overtaken.push(line),
-                "attempt.silent" => ending.silent = Some(line),
+                "attempt.silent" => ending.silent.push(line),
                 "request.done" | "route.refused" => ending.last = Some(line),
                 _ => {}
             }
@@ -43,11 +43,11 @@
         }
         let outcome = outcome(self.last?)?;
         if !self.overtaken.is_empty() {
-            let overtakings: Option<Vec<String>> =
-                self.overtaken.iter().map(|line| overtaking(line)).collect();
+            let overtakings = self.overtaken.iter().map(|line| self.overtaking(line));
+            let overtakings: Option<Vec<String>> = overtakings.collect();
             return Some(format!("{outcome}, after {}", overtakings?.join(" and ")));
         }
-        let silent = self.silent?;
+        let silent = self.silent.last()?;
         Some(format!(
             "{outcome}; {} had been silent for {} ms when {}",
             silent.field("server"),
@@ -56,6 +56,20 @@
         ))
     }
 
+    /// Returns which server delivered before another one.
+    fn overtaking(&self, line: &Line) -> Option<String> {
+        let (winner, other) = (line.field("by"), line.field("server"));
+        let mut silent = self.silent.iter();
+        // A second server is asked while the first one is silent.
+        if silent.any(|silent| silent.field("server") == winner) {
+            return Some(format!("{winner} went on before {other} delivered"));
+        }
+        Some(format!(
+            "{winner} overtook {other}, which had been silent for {} ms",
+            grouped(line.field("silent_ms"))?
+        ))
+    }
+
     /// Returns what followed the loss of the server, as the end of a sentence.
     fn followed(&self, cut: &Line) -> Option<String> {
         match (cut.field("by"), cut.field("then")) {
@@ -63,7 +77,7 @@
             ("instance" | "server", code) => {
                 Some(format!(", and no other server went on with it ({code})"))
             }
-            _ => match self.silent {
+            _ => match self.silent.last() {
                 Some(silent) => Some(format!("; when it was silent, {}", decision(silent)?)),
                 None => Some(String::new()),
             },
@@ -80,6 +94,9 @@
         ("instance", "silent") => Some(format!(
             "ended by this instance: {server} sent nothing for {silent} ms {place}"
         )),
+        ("instance", "over_budget") => Some(format!(
+            "ended by this instance: it had no memory left for more of {server} {place}"
+        )),
         ("server", "broken") => Some(format!(
             "ended by the server: the connection to {server} broke {place}"
         )),
@@ -119,15 +136,6 @@
     }
 }
 
-fn overtaking(line: &Line) -> Option<String> {
-    Some(format!(
-        "{} overtook {}, which had been silent for {} ms",
-        line.field("by"),
-        line.field("server"),
-        grouped(line.field("silent_ms"))?
-    ))
-}
-
 fn decision(silent: &Line) -> Option<String> {
     match silent.field("decision") {
         "second" => Some("a second server was asked".into()),
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -163,6 +163,14 @@
         &[silent, overtaken, ("request.done", "outcome=whole")],
     );
     let first = conclusions("first", &[silent, ("request.done", "outcome=whole")]);
+    let cancelled = (
+        "attempt.overtaken",
+        "server=i-2 by=i-1 silent_ms=70 events=0",
+    );
+    let again = conclusions(
+        "again",
+        &[silent, cancelled, ("request.done", "outcome=whole")],
+    );
 
     assert_eq!(
         second,
@@ -172,6 +180,10 @@
         first,
         ["= r-1 whole; i-1 had been silent for 1,250 ms when a second server was asked"]
     );
+    assert_eq!(
+        again,
+        ["= r-1 whole, after i-1 went on before i-2 delivered"]
+    );
 }
 
 /// Guards against a conclusion that the log does not allow: a request that is still open, or a line without its
