Responses: a rejection counts only if it is one of this request

A client that honours it books twice.

Cause: X-Fescuewell-Not-Executed and 421 were looked at before the echoed id of the request, so that a late copy of another request's rejection, in place of the answer, passed for one of this request.

Now the id is compared first. A rejection under another id is no answer: the request may have run, so that an unsafe one gets 502 and a safe one another server. One without an id counts as before.

a_late_rejection_of_another_request_does_not_say_that_this_one_has_not_run fails without the change (503) and passes with it.

--- a/crates/fescuewell_gateway/src/job/progress.rs
+++ b/crates/fescuewell_gateway/src/job/progress.rs
@@ -172,15 +172,17 @@
             &exchange.headers,
             attempt.sent_at,
         );
-        let is_rejected = exchange.headers.contains_key(&names.not_executed);
-        if is_rejected || status == StatusCode::MISDIRECTED_REQUEST {
+        let echoed = exchange.headers.get(&names.request_id);
+        let is_own = echoed.is_some_and(|value| value.as_bytes() == self.id.as_bytes());
+        let is_rejected = exchange.headers.contains_key(&names.not_executed)
+            || status == StatusCode::MISDIRECTED_REQUEST;
+        // A rejection may name no request. One that names another says nothing of this one.
+        if is_rejected && (is_own || echoed.is_none()) {
             self.handle_rejection(permit, exchange);
             return Effect::Lost(Cause::Broken);
         }
         self.mark_executed();
         permit.mark_begun();
-        let echoed = exchange.headers.get(&names.request_id);
-        let is_own = echoed.is_some_and(|value| value.as_bytes() == self.id.as_bytes());
         let is_sealed = exchange.headers.contains_key(&names.seal);
         if !is_own || (status.is_success() && !is_sealed) {
             // This is a late response to another request, or one that no backend server sealed. Its
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -71,6 +71,8 @@
     Hang,
     /// It runs and is answered under another request's id.
     WrongId,
+    /// It runs and is answered by the rejection of another request.
+    LateRejection,
     /// A stream breaks off in the middle of the event after so many.
     Break(u64),
     /// A stream waits for [`Worker::release`] after so many events.
@@ -491,6 +493,11 @@
         }
         match behaviour {
             Behaviour::Lose => reply.abort(),
+            Behaviour::LateRejection => {
+                let mut headers = headers;
+                headers.insert(NOT_EXECUTED, HeaderValue::from_static("1"));
+                reply.send(StatusCode::SERVICE_UNAVAILABLE, headers, Bytes::new());
+            }
             Behaviour::Fail => {
                 reply.send(StatusCode::INTERNAL_SERVER_ERROR, headers, Bytes::new());
             }
@@ -571,7 +578,7 @@
 
     fn headers(&self, run: &Run, behaviour: Behaviour) -> HeaderMap {
         let id = match behaviour {
-            Behaviour::WrongId => "somebody-else",
+            Behaviour::WrongId | Behaviour::LateRejection => "somebody-else",
             _ => &run.id,
         };
         let mut headers = self.conditions();
--- a/tests/forward/answers.rs
+++ b/tests/forward/answers.rs
@@ -115,6 +115,23 @@
     assert_eq!(response.header(wire::SEAL), None);
 }
 
+/// Guards against a booking that is refused as not run although it runs: the rejection of another request
+/// arrives late, in place of its answer.
+#[test]
+fn a_late_rejection_of_another_request_does_not_say_that_this_one_has_not_run() {
+    let fixture = Fixture::ready(2, 1_000_000);
+    for worker in &fixture.workers {
+        worker.next(&[Behaviour::LateRejection]);
+    }
+
+    let booking = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
+    let look_up = fixture.send(&Request::new("GET /safe/x", "r-2"));
+
+    assert_eq!(booking.status, 502, "{}", booking.text());
+    assert_eq!(fixture.runs("r-1"), 1);
+    assert_eq!(look_up.status, 200, "{}", look_up.text());
+}
+
 /// Guards against a stream with a repeated or partial event: when a server fails in the middle of
 /// an event, the partial event must not be forwarded before the complete one of the next server.
 #[test]
