Hedged attempts: names of the field

Voices, voices that are heard, and patience become a monitor of servers, their activity, and the delay before a second server is asked.

--- a/crates/fescuewell_forward/src/hedge.rs
+++ b/crates/fescuewell_forward/src/hedge.rs
@@ -5,16 +5,16 @@
 //! server is asked beside it. Whichever delivers first is used, and the other one is cancelled.
 //!
 //! If most servers that work for this instance are silent at the same time, asking another one would only add
-//! load and use up the retry budget, so the attempt waits. [`Voices`] shows which servers were heard lately.
+//! load and use up the retry budget, so the attempt waits. [`Monitor`] shows which servers were heard lately.
 //!
 //! ```
-//! use fescuewell_forward::hedge::Voices;
+//! use fescuewell_forward::hedge::Monitor;
 //! let (service, server) = ("pool".into(), "i-1".into());
-//! let mut voices = Voices::default();
-//! let voice = voices.begin(&service, &server, 1_000);
-//! assert!(voices.is_quiet(&server, 500, 1_500));
-//! voice.heard(1_400);
-//! assert!(!voices.is_quiet(&server, 500, 1_500));
+//! let mut monitor = Monitor::default();
+//! let activity = monitor.begin(&service, &server, 1_000);
+//! assert!(monitor.is_quiet(&server, 500, 1_500));
+//! activity.record(1_400);
+//! assert!(!monitor.is_quiet(&server, 500, 1_500));
 //! ```
 
 use std::collections::HashMap;
@@ -65,7 +65,7 @@
 
 /// When a server was last heard.
 #[derive(Debug)]
-pub struct Voice {
+pub struct Activity {
     /// When the server got a request after it had none.
     busy_since_ms: u64,
     /// 0 if nothing was heard since then.
@@ -74,16 +74,16 @@
 
 /// What is known of a server that works on requests of this instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Sound {
+enum Status {
     /// It has sent something within the window.
-    Heard,
+    Active,
     /// It has sent nothing yet, and its first request is more recent than the window.
     Unknown,
     /// It has sent nothing within the window.
     Quiet,
 }
 
-impl Voice {
+impl Activity {
     fn new(now_ms: u64) -> Self {
         Self {
             busy_since_ms: now_ms,
@@ -92,19 +92,19 @@
     }
 
     /// Records at `now_ms` of the local clock that the server has sent something.
-    pub fn heard(&self, now_ms: u64) {
+    pub fn record(&self, now_ms: u64) {
         self.heard_ms.fetch_max(now_ms, Ordering::Relaxed);
     }
 
-    fn sound(&self, window_ms: u64, now_ms: u64) -> Sound {
+    fn status(&self, window_ms: u64, now_ms: u64) -> Status {
         let heard_ms = self.heard_ms.load(Ordering::Relaxed);
         let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < window_ms;
         if heard_ms > 0 && is_recent(heard_ms) {
-            return Sound::Heard;
+            return Status::Active;
         }
         match heard_ms == 0 && is_recent(self.busy_since_ms) {
-            true => Sound::Unknown,
-            false => Sound::Quiet,
+            true => Status::Unknown,
+            false => Status::Quiet,
         }
     }
 }
@@ -113,26 +113,26 @@
 #[derive(Debug)]
 struct Busy {
     service: Arc<str>,
-    voice: Arc<Voice>,
+    activity: Arc<Activity>,
     in_flight: u32,
 }
 
 /// When the servers that work on requests of this instance were last heard. Holds an entry for each of them.
 #[derive(Debug, Default)]
-pub struct Voices {
+pub struct Monitor {
     servers: HashMap<Arc<str>, Busy>,
 }
 
-impl Voices {
+impl Monitor {
     /// Records that a server gets a request at `now_ms` of the local clock.
-    pub fn begin(&mut self, service: &Arc<str>, server: &Arc<str>, now_ms: u64) -> Arc<Voice> {
+    pub fn begin(&mut self, service: &Arc<str>, server: &Arc<str>, now_ms: u64) -> Arc<Activity> {
         let busy = self.servers.entry(server.clone()).or_insert_with(|| Busy {
             service: service.clone(),
-            voice: Arc::new(Voice::new(now_ms)),
+            activity: Arc::new(Activity::new(now_ms)),
             in_flight: 0,
         });
         busy.in_flight += 1;
-        busy.voice.clone()
+        busy.activity.clone()
     }
 
     /// Records the end of a request.
@@ -148,7 +148,7 @@
 
     /// Returns `true` if a server works on requests of this instance and has sent nothing for `window_ms`.
     pub fn is_quiet(&self, server: &str, window_ms: u64, now_ms: u64) -> bool {
-        self.sound(server, window_ms, now_ms) == Sound::Quiet
+        self.status(server, window_ms, now_ms) == Status::Quiet
     }
 
     /// Returns which servers of a service may be asked instead of a silent one: those that are heard, and those
@@ -160,10 +160,10 @@
         now_ms: u64,
     ) -> impl Fn(&str) -> bool + 'a {
         let is_quiet = self.is_service_quiet(service, window_ms, now_ms);
-        move |server| match self.sound(server, window_ms, now_ms) {
-            Sound::Heard => true,
-            Sound::Unknown => !is_quiet,
-            Sound::Quiet => false,
+        move |server| match self.status(server, window_ms, now_ms) {
+            Status::Active => true,
+            Status::Unknown => !is_quiet,
+            Status::Quiet => false,
         }
     }
 
@@ -174,24 +174,26 @@
             if *busy.service != *service {
                 continue;
             }
-            match busy.voice.sound(window_ms, now_ms) {
-                Sound::Quiet => quiet += 1,
-                Sound::Heard => heard += 1,
-                Sound::Unknown => {}
+            match busy.activity.status(window_ms, now_ms) {
+                Status::Quiet => quiet += 1,
+                Status::Active => heard += 1,
+                Status::Unknown => {}
             }
         }
         quiet >= MIN_QUIET_SERVERS && quiet > heard
     }
 
-    fn sound(&self, server: &str, window_ms: u64, now_ms: u64) -> Sound {
+    fn status(&self, server: &str, window_ms: u64, now_ms: u64) -> Status {
         let busy = self.servers.get(server);
-        busy.map_or(Sound::Unknown, |busy| busy.voice.sound(window_ms, now_ms))
+        busy.map_or(Status::Unknown, |busy| {
+            busy.activity.status(window_ms, now_ms)
+        })
     }
 
     /// Number of servers that are quiet.
     pub fn quiet(&self, window_ms: u64, now_ms: u64) -> usize {
         let busy = self.servers.values();
-        busy.filter(|busy| busy.voice.sound(window_ms, now_ms) == Sound::Quiet)
+        busy.filter(|busy| busy.activity.status(window_ms, now_ms) == Status::Quiet)
             .count()
     }
 
--- a/crates/fescuewell_forward/tests/silent_fleet/mod.rs
+++ b/crates/fescuewell_forward/tests/silent_fleet/mod.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fescuewell_forward::hedge::{Voice, Voices};
+use fescuewell_forward::hedge::{Activity, Monitor};
 use fescuewell_forward::retry::{Bounds, Budget};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -83,8 +83,8 @@
 
 struct Instance {
     budget: Budget,
-    voices: Voices,
-    heard: Vec<Arc<Voice>>,
+    monitor: Monitor,
+    heard: Vec<Arc<Activity>>,
     subset: Vec<usize>,
     streams: Vec<usize>,
 }
@@ -176,7 +176,7 @@
 
     /// Returns the most servers that any instance has an entry for.
     pub fn entries(&self) -> usize {
-        let entries = self.instances.iter().map(|instance| instance.voices.len());
+        let entries = self.instances.iter().map(|instance| instance.monitor.len());
         entries.max().unwrap_or_default()
     }
 
@@ -231,9 +231,9 @@
     fn hear(&self, silent: Silent) {
         let now_ms = self.now_ms();
         for instance in &self.instances {
-            for (server, voice) in instance.subset.iter().zip(&instance.heard) {
+            for (server, activity) in instance.subset.iter().zip(&instance.heard) {
                 if !silent.has(*server) {
-                    voice.heard(now_ms);
+                    activity.record(now_ms);
                 }
             }
         }
@@ -297,17 +297,17 @@
         let subset = rand::seq::index::sample(random, servers.len(), amount).into_vec();
         let streams = (0..STREAMS).map(|number| subset[number % subset.len()]);
         let streams: Vec<usize> = streams.collect();
-        let mut voices = Voices::default();
+        let mut monitor = Monitor::default();
         let begun = streams
             .iter()
-            .map(|server| voices.begin(service, &servers[*server], 0));
+            .map(|server| monitor.begin(service, &servers[*server], 0));
         let heard = begun.take(amount).collect();
         for server in streams.iter().skip(amount) {
-            voices.begin(service, &servers[*server], 0);
+            monitor.begin(service, &servers[*server], 0);
         }
         Self {
             budget: Budget::new(bounds),
-            voices,
+            monitor,
             heard,
             streams,
             subset,
@@ -324,7 +324,7 @@
     }
 
     fn may_answer(&self, service: &str, servers: &[Arc<str>], now_ms: u64) -> Vec<usize> {
-        let may_answer = self.voices.candidates(service, VOICE_WINDOW_MS, now_ms);
+        let may_answer = self.monitor.candidates(service, VOICE_WINDOW_MS, now_ms);
         let subset = self.subset.iter().copied();
         subset
             .filter(|server| may_answer(&servers[*server]))
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
-use fescuewell_forward::hedge::Voices;
+use fescuewell_forward::hedge;
 use fescuewell_forward::hop::{Guard, Peers};
 use fescuewell_forward::message::{Key, Message};
 use fescuewell_forward::path::{Monitor, Servers};
@@ -197,7 +197,7 @@
             hops: Peers::default(),
             hop_guard: Guard::default(),
             warmup: Warmup::default(),
-            voices: Voices::default(),
+            activity: hedge::Monitor::default(),
             health: Health::default(),
             failures: failure::Exchange::default(),
             conditions: Conditions::new(settings.name.clone()),
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -11,7 +11,7 @@
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
 use fescuewell_forward::health::{Health, failure};
-use fescuewell_forward::hedge::Voices;
+use fescuewell_forward::hedge;
 use fescuewell_forward::hop;
 use fescuewell_forward::path;
 use fescuewell_forward::quota::Quota;
@@ -74,7 +74,7 @@
     /// Load of the backend servers.
     pub load: Load,
     /// When the servers that work on requests of this instance were last heard.
-    pub voices: Voices,
+    pub activity: hedge::Monitor,
     /// Prepaid tokens of the client accounts.
     pub quota: Quota,
     /// Retry budget.
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use fescuewell_forward::config::Kind;
-use fescuewell_forward::hedge::Voice;
+use fescuewell_forward::hedge::Activity;
 use fescuewell_forward::server::Entry;
 use fescuewell_http::upstream::{BodyEnd, Error, Exchange, Timeouts};
 use http::header::HeaderValue;
@@ -20,11 +20,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a server that has sent nothing counts as silent, before the response of a safe request
 /// or the first event of a stream, as a multiple of the route's target latency.
-const TARGET_PATIENCE_FACTOR: u32 = 2;
+const TARGET_DELAY_FACTOR: u32 = 2;
 /// Minimum of this time for a safe request.
-const MIN_SAFE_PATIENCE: Duration = Duration::from_millis(200);
+const MIN_SAFE_DELAY: Duration = Duration::from_millis(200);
 /// The same between two events of a stream, as a multiple of the route's gap objective.
-const GAP_PATIENCE_FACTOR: f64 = 1.25;
+const GAP_DELAY_FACTOR: f64 = 1.25;
 
 pub(super) type BoxFuture<Output> = Pin<Box<dyn Future<Output = Output> + Send>>;
 
@@ -90,7 +90,7 @@
     pub(super) events: u64,
     /// When the first event was received.
     pub(super) begun_at: Option<Instant>,
-    voice: Arc<Voice>,
+    activity: Arc<Activity>,
     restart: BoxFuture<()>,
 }
 
@@ -116,7 +116,7 @@
     pub(super) fn hear(&mut self, now_ms: u64) {
         self.heard_at = Instant::now();
         self.decided_at = None;
-        self.voice.heard(now_ms);
+        self.activity.record(now_ms);
     }
 
     /// Returns when the server was heard last, or later when it was last decided whether to ask a second one.
@@ -182,7 +182,7 @@
             is_path_lost: self.gateway.state().has_lost_path(&permit.server),
             events: 0,
             begun_at: None,
-            voice: permit.voice(),
+            activity: permit.activity(),
             restart: Box::pin(permit.server_exit()),
             permit,
         });
@@ -190,16 +190,16 @@
 
     /// Returns how long the server of an attempt may send nothing before a second one is asked, or `None` if
     /// no second one may be asked.
-    pub(super) fn patience(&self, attempt: &Attempt) -> Option<Duration> {
-        let target = self.route.target_latency * TARGET_PATIENCE_FACTOR;
-        let patience = match self.route.kind {
-            Kind::Safe => target.max(MIN_SAFE_PATIENCE),
+    pub(super) fn hedge_delay(&self, attempt: &Attempt) -> Option<Duration> {
+        let target = self.route.target_latency * TARGET_DELAY_FACTOR;
+        let delay = match self.route.kind {
+            Kind::Safe => target.max(MIN_SAFE_DELAY),
             Kind::Stream { resumable: true } if attempt.events == 0 => target,
-            Kind::Stream { resumable: true } => self.route.target_gap.mul_f64(GAP_PATIENCE_FACTOR),
+            Kind::Stream { resumable: true } => self.route.target_gap.mul_f64(GAP_DELAY_FACTOR),
             _ => return None,
         };
         // A route may have no objective.
-        (!patience.is_zero()).then_some(patience)
+        (!delay.is_zero()).then_some(delay)
     }
 
     /// Builds the request for a backend server. Returns `None` if a header value is invalid.
--- a/crates/fescuewell_gateway/src/job/permit.rs
+++ b/crates/fescuewell_gateway/src/job/permit.rs
@@ -8,7 +8,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::crash::{Loss, Run};
 use fescuewell_forward::health::Outcome;
-use fescuewell_forward::hedge::Voice;
+use fescuewell_forward::hedge::Activity;
 use fescuewell_forward::server::Entry;
 
 use super::crash::InFlight;
@@ -23,7 +23,7 @@
     in_flight: Option<InFlight>,
     /// The instance that sends the request, if it is another one.
     flight: Option<Flight>,
-    voice: Arc<Voice>,
+    activity: Arc<Activity>,
     is_settled: AtomicBool,
     /// Whether a bad outcome was recorded; further ones of the same request say nothing new.
     is_blamed: AtomicBool,
@@ -37,10 +37,10 @@
         in_flight: InFlight,
     ) -> Self {
         let now_ms = gateway.now_ms();
-        let voice = {
+        let activity = {
             let mut state = gateway.state();
             state.load.begin(&server.id, prefill_tokens);
-            state.voices.begin(&server.service, &server.id, now_ms)
+            state.activity.begin(&server.service, &server.id, now_ms)
         };
         gateway.notify_load_changed();
         Self {
@@ -49,7 +49,7 @@
             prefill_tokens,
             in_flight: Some(in_flight),
             flight: None,
-            voice,
+            activity,
             is_settled: AtomicBool::new(false),
             is_blamed: AtomicBool::new(false),
         }
@@ -61,8 +61,8 @@
     }
 
     /// Returns when the server was last heard.
-    pub(super) fn voice(&self) -> Arc<Voice> {
-        self.voice.clone()
+    pub(super) fn activity(&self) -> Arc<Activity> {
+        self.activity.clone()
     }
 
     /// Marks the request's outcome at the server as known. An attempt that ends without a known
@@ -171,7 +171,7 @@
             .load
             .finish_prefill(&self.server.id, self.prefill_tokens);
         state.load.end(&self.server.id);
-        state.voices.end(&self.server.id);
+        state.activity.end(&self.server.id);
         if !self.is_settled.load(Ordering::Relaxed) {
             state.report_loss(&self.server, in_flight.run(), Loss::Silent, now_ms);
         }
--- a/crates/fescuewell_gateway/src/job/pick.rs
+++ b/crates/fescuewell_gateway/src/job/pick.rs
@@ -212,7 +212,7 @@
         } = role
         {
             let service = &self.service.name;
-            let may_answer = state.voices.candidates(service, window_ms, now_ms);
+            let may_answer = state.activity.candidates(service, window_ms, now_ms);
             candidates.eligible.retain(|entry| may_answer(&entry.id));
         }
         let listed_count = candidates.listed_count;
--- a/crates/fescuewell_gateway/src/job/progress.rs
+++ b/crates/fescuewell_gateway/src/job/progress.rs
@@ -11,7 +11,7 @@
 
 use super::attempt::{Attempt, Head, Response, Stage, Step};
 use super::crash::classify_loss;
-use super::race::{Moment, Race};
+use super::race::{Race, Signal};
 use super::{Cause, Job, Permit};
 use crate::hop::{Failure, Opened};
 use crate::stream::EventFramer;
@@ -55,9 +55,9 @@
         while !race.is_empty() {
             self.set_timer(race);
             match race.next().await {
-                Moment::Woken => self.handle_silence(race),
-                Moment::PathChanged => self.handle_path_change(race),
-                Moment::Step(index, step) => {
+                Signal::Woken => self.handle_silence(race),
+                Signal::PathChanged => self.handle_path_change(race),
+                Signal::Step(index, step) => {
                     let mut attempt = race.take(index);
                     if step.is_heard() {
                         attempt.hear(self.gateway.now_ms());
@@ -370,8 +370,8 @@
             if attempt.is_opening() && !attempt.is_silence_recorded {
                 due = due.min(attempt.sent_at + Duration::from_millis(SILENCE_MS));
             }
-            if let Some(patience) = self.patience(attempt) {
-                due = due.min(attempt.silent_since() + patience);
+            if let Some(delay) = self.hedge_delay(attempt) {
+                due = due.min(attempt.silent_since() + delay);
             }
         }
         if self.forwarded == 0 && race.len() > race.opening() {
@@ -392,8 +392,8 @@
                 self.gateway.record_silence(&attempt.permit.server);
             }
             let silent_since = attempt.silent_since();
-            let patience = self.patience(attempt);
-            if patience.is_some_and(|patience| now >= silent_since + patience) {
+            let delay = self.hedge_delay(attempt);
+            if delay.is_some_and(|delay| now >= silent_since + delay) {
                 attempt.decided_at = Some(now);
                 may_ask = true;
             }
--- a/crates/fescuewell_gateway/src/job/race.rs
+++ b/crates/fescuewell_gateway/src/job/race.rs
@@ -13,7 +13,7 @@
 use crate::gateway::Gateway;
 
 /// What happened first.
-pub(super) enum Moment {
+pub(super) enum Signal {
     /// An attempt took a step.
     Step(usize, Step),
     /// The time set by [`Race::wake_at`] has come.
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Sets when [`Moment::Woken`] comes. A later moment does not move the timer until it fires, since each
+    /// Sets when [`Signal::Woken`] comes. A later moment does not move the timer until it fires, since each
     /// chunk moves the moment.
     pub(super) fn wake_at(&mut self, at: Instant) {
         let at = at.into();
@@ -119,7 +119,7 @@
     }
 
     /// Waits for what happens first. Nothing is lost if the future is dropped.
-    pub(super) async fn next(&mut self) -> Moment {
+    pub(super) async fn next(&mut self) -> Signal {
         let Self {
             attempts,
             timer,
@@ -128,9 +128,9 @@
         } = self;
         tokio::select! {
             biased;
-            (index, step) = next_step(attempts) => Moment::Step(index, step),
-            Ok(()) = path_changes.changed() => Moment::PathChanged,
-            () = timer => Moment::Woken,
+            (index, step) = next_step(attempts) => Signal::Step(index, step),
+            Ok(()) = path_changes.changed() => Signal::PathChanged,
+            () = timer => Signal::Woken,
         }
     }
 }
--- a/crates/fescuewell_gateway/src/job/second.rs
+++ b/crates/fescuewell_gateway/src/job/second.rs
@@ -61,7 +61,7 @@
         }
         // Behind a lost path all servers are silent, and another instance reaches them.
         let silent = race.first().filter(|silent| !silent.is_path_lost);
-        let window = silent.and_then(|silent| self.patience(silent));
+        let window = silent.and_then(|silent| self.hedge_delay(silent));
         let permit = self.pick_second(window.map(window_ms))?;
         if let Some(silent) = race.first() {
             // New requests go to servers that are heard.
@@ -100,7 +100,7 @@
 }
 
 /// Returns the time within which a server must have been heard to be asked instead of one that was silent for
-/// `patience`, in milliseconds. Servers that fell silent together were heard last at slightly different times.
-fn window_ms(patience: Duration) -> u64 {
-    (patience / 2).as_millis() as u64
+/// `delay`, in milliseconds. Servers that fell silent together were heard last at slightly different times.
+fn window_ms(delay: Duration) -> u64 {
+    (delay / 2).as_millis() as u64
 }
