--- a/tests/forward/partition.rs
+++ b/tests/forward/partition.rs
@@ -152,16 +152,29 @@
     cut(&first, Some(Cut::Refused));
     wait_served(&first, "cut");
 
-    cut(&first, None);
     let through_proxies = || -> usize { first.proxies.iter().map(ServerProxy::connections).sum() };
     let before = through_proxies();
+    cut(&first, None);
     wait_path(&first, false);
+    let sent_by_another = hops_sent(&first);
     for number in 0..REQUESTS {
         let response = first.send(&safe(&format!("after-{number}")));
         assert_eq!(response.status, 200, "{}", response.text());
     }
 
     assert!(through_proxies() > before);
+    assert_eq!(hops_sent(&first), sent_by_another);
+}
+
+/// Number of requests that an instance has passed to others.
+fn hops_sent(instance: &Fixture) -> u64 {
+    let metrics = instance.metrics();
+    let lines = metrics.lines();
+    let sent = lines.filter(|line| {
+        line.starts_with("fescuewell_hops_total{") && line.contains("direction=\"sent\"")
+    });
+    let counts = sent.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    counts.sum()
 }
 
 /// Starts a partition and waits until the instance has detected it.
