Upstream client: responses that name another request are skipped

Cause: a backend server in trouble may send a response a second time, at the point where the next one is expected. The next response follows it. The client returned the copy and dropped the connection with the response that followed. The id of a request does not tell its attempts apart, and the pool could give an attempt the connection of the one before.

Now the client knows the header that names a request and skips a response with another value before it is parsed: at most four in an exchange, within the 256 KiB that a response may take without progress, and for a second after the first one. One whose end is that of the connection is returned as before, with its id. A connection remembers the last eight ids that it carried and is not used for them again.

--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -220,7 +220,8 @@
         let client = upstream::Client::new(upstream::Settings {
             max_buffered_bytes: settings.memory_bytes / RESPONSE_MEMORY_DIVISOR,
             ..upstream::Settings::default()
-        });
+        })
+        .with_id_header(dialect.header_names().request_id.clone());
         let gateway = Self {
             settings,
             dialect,
--- a/crates/fescuewell_gateway/tests/hops.rs
+++ b/crates/fescuewell_gateway/tests/hops.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -40,6 +42,22 @@
     }
 }
 
+/// Starts a backend server that sends a late response to another request before each response.
+fn start_copying() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 1_024];
+        while stream.read(&mut buffer).is_ok_and(|count| count > 0) {
+            let response = "HTTP/1.1 503 Full\r\nx-unused: other\r\nContent-Length: 0\r\n\r\n\
+                            HTTP/1.1 200 OK\r\nx-unused: r\r\nContent-Length: 6\r\n\r\nanswer";
+            stream.write_all(response.as_bytes()).unwrap();
+        }
+    });
+    address
+}
+
 fn listen(handler: Arc<dyn Handler>) -> Listener {
     Listener::start(Settings::new("127.0.0.1:0".parse().unwrap()), handler).unwrap()
 }
@@ -156,6 +174,34 @@
     );
 }
 
+/// Guards against a request of another instance that is reported as rejected because the rejection of
+/// another request arrives late.
+#[test]
+fn a_late_response_to_another_request_is_not_passed_back() {
+    let fixture = Fixture::start();
+    let mut entry = entry(&fixture.server);
+    entry.address = start_copying();
+    let row = Update {
+        id: "one".into(),
+        version: 2,
+        change: Change::Entry(entry),
+    };
+    let mut state = fixture.gateway.state();
+    state.registry.apply_snapshot(2, vec![row], 0);
+    drop(state);
+    let mut call = fixture.call(1);
+    if let Task::Forward(forward) = &mut call.task {
+        forward.headers.push(("x-unused".into(), b"r".to_vec()));
+    }
+
+    let (result, body) = fixture.post(key().seal_content(&call));
+
+    assert_eq!(
+        (result.as_deref(), &body[..]),
+        (Some("sent"), &b"answer"[..])
+    );
+}
+
 /// Guards against an unsafe request that runs twice because the instance that sent it took a server's
 /// broken connection for a request that was not sent.
 #[test]
--- a/crates/fescuewell_http/src/upstream/exchange.rs
+++ b/crates/fescuewell_http/src/upstream/exchange.rs
@@ -49,6 +49,7 @@
     target: Target,
     timeouts: Timeouts,
     late_bytes: usize,
+    skipped: u32,
     budget: Budget,
     reservation: Reservation,
 }
@@ -72,6 +73,7 @@
         };
         Self {
             body_end,
+            skipped: connection.expected().skipped(),
             status: parts.status,
             headers: parts.headers,
             body,
@@ -87,6 +89,11 @@
         }
     }
 
+    /// Number of responses that came before this one and named another request.
+    pub fn skipped(&self) -> u32 {
+        self.skipped
+    }
+
     /// Returns what tells the end of the body.
     pub fn body_end(&self) -> BodyEnd {
         self.body_end
--- a/crates/fescuewell_http/src/upstream/mod.rs
+++ b/crates/fescuewell_http/src/upstream/mod.rs
@@ -8,31 +8,40 @@
 //! timeout or error the connection is closed; otherwise a late response could be taken for the response to
 //! another request.
 //!
+//! With [`Client::with_id_header`], a response that names another request is skipped, and a connection is
+//! not used twice for the same request, whose first response may arrive a second time.
+//!
 //! A server in trouble may send without end. What is received is limited in size for one response, in memory
 //! for all responses of a [`Client`] by its [`Budget`], and in time.
 
 mod body;
 mod exchange;
+mod filter;
 mod gate;
 mod pool;
+mod skip;
 mod tls;
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::HeaderName;
 use http::header::{HOST, HeaderValue};
 use http_body_util::Full;
 use hyper::client::conn::http1;
-use hyper::rt::{Read, Write};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::time::error::Elapsed;
 use tokio::time::{timeout, timeout_at};
 
 use crate::buffer::Budget;
 pub use exchange::{BodyEnd, Exchange};
+use filter::{Expected, Filter};
 use gate::{GatedStream, ReadMeter, WriteCount, WriteGate};
 use pool::{Connection, Pool};
 pub use tls::{InvalidCertificate, RootCertificates};
@@ -180,6 +189,9 @@
     /// Maximum time for receiving a body with [`Exchange::collect`] if the target has no deadline. The server
     /// may send a byte within each [`Timeouts::progress`].
     pub max_body_time: Duration,
+    /// Maximum time for the response of a request after a response to another one was skipped; it may never
+    /// come.
+    pub max_skipped_wait: Duration,
     /// Size of the client's [`Budget`] in bytes.
     pub max_buffered_bytes: usize,
 }
@@ -191,6 +203,7 @@
             idle_timeout: Duration::from_secs(15),
             max_head_bytes: 16 * 1024,
             max_body_time: Duration::from_secs(30),
+            max_skipped_wait: Duration::from_secs(1),
             max_buffered_bytes: 16 * 1024 * 1024,
         }
     }
@@ -201,6 +214,7 @@
 pub struct Client {
     settings: Settings,
     roots: Option<RootCertificates>,
+    id_header: Option<HeaderName>,
     pool: Arc<Pool>,
     budget: Budget,
 }
@@ -220,6 +234,7 @@
         Self {
             settings,
             roots: None,
+            id_header: None,
             pool: Arc::default(),
             budget: Budget::new(settings.max_buffered_bytes),
         }
@@ -231,6 +246,13 @@
         self
     }
 
+    /// Sets the header that names a request and that its response echoes. A response with another value
+    /// than the request's is skipped; one without the header is returned.
+    pub fn with_id_header(mut self, name: HeaderName) -> Self {
+        self.id_header = Some(name);
+        self
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// The request's URI consists of path and query; a missing `Host` header is added.
@@ -264,7 +286,11 @@
         if !may_send() {
             return Err(not_sent(&"the server no longer accepts requests"));
         }
-        while let Some(connection) = self.pool.take(target.address, self.settings.idle_timeout) {
+        let id = self.id_of(&request);
+        while let Some(connection) =
+            self.pool
+                .take(target.address, id.as_ref(), self.settings.idle_timeout)
+        {
             let result = self
                 .attempt(connection, request.clone(), target, timeouts)
                 .await;
@@ -322,6 +348,10 @@
         self.pool.len()
     }
 
+    fn id_of<Body>(&self, request: &http::Request<Body>) -> Option<HeaderValue> {
+        request.headers().get(self.id_header.as_ref()?).cloned()
+    }
+
     async fn connect(&self, target: &Target, timeouts: Timeouts) -> Result<Connection, Error> {
         let limit = remaining(target).map_or(timeouts.connect, |left| left.min(timeouts.connect));
         let stream = match timeout(limit, TcpStream::connect(target.address)).await {
@@ -341,13 +371,11 @@
         let meter = Arc::new(ReadMeter::default());
         let stream = GatedStream::new(stream, gate.clone(), meter.clone());
         let Some(roots) = &self.roots else {
-            let stream = TokioIo::new(stream);
             return self.start_http(stream, address, gate, meter).await;
         };
         let secured = roots.handshake(stream, address).await;
         let secured = secured.map_err(|error| not_sent(&error))?;
-        self.start_http(TokioIo::new(secured), address, gate, meter)
-            .await
+        self.start_http(secured, address, gate, meter).await
     }
 
     async fn start_http<Stream>(
@@ -358,8 +386,10 @@
         meter: Arc<ReadMeter>,
     ) -> Result<Connection, Error>
     where
-        Stream: Read + Write + Unpin + Send + 'static,
+        Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
+        let expected = Arc::new(Expected::new(self.id_header.clone()));
+        let stream = TokioIo::new(Filter::new(stream, expected.clone()));
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(self.settings.max_head_bytes.max(MIN_HEAD_BYTES))
             .handshake::<_, Full<Bytes>>(stream)
@@ -369,7 +399,19 @@
             let _ = driver.await;
         });
         let driver = task.abort_handle();
-        Ok(Connection::new(address, sender, gate, meter, driver))
+        Ok(Connection::new(
+            address, sender, gate, meter, expected, driver,
+        ))
+    }
+
+    /// Returns once an exchange has waited too long since a response to another request was skipped.
+    async fn await_own(&self, expected: &Expected) -> Elapsed {
+        expected.wait_skipped().await;
+        let limit = self.settings.max_skipped_wait;
+        match timeout(limit, std::future::pending::<Infallible>()).await {
+            Ok(never) => match never {},
+            Err(elapsed) => elapsed,
+        }
     }
 
     async fn attempt(
@@ -386,7 +428,15 @@
         let limit =
             remaining(target).map_or(timeouts.first_byte, |left| left.min(timeouts.first_byte));
         let deadline = tokio::time::Instant::now() + limit;
-        let result = timeout_at(deadline, connection.send(request.map(Full::new))).await;
+        let id = self.id_of(&request);
+        let expected = connection.expected().clone();
+        expected.reset();
+        let send = timeout_at(deadline, connection.send(request.map(Full::new), id));
+        let result = tokio::select! {
+            biased;
+            result = send => result,
+            elapsed = self.await_own(&expected) => Err(elapsed),
+        };
         // Bytes that are no response do not come from a server that crashes.
         let is_malformed = matches!(&result, Ok(Err(error)) if error.is_parse());
         let is_broken = result.is_ok() && !is_malformed && !connection.meter().is_exceeded();
@@ -395,6 +445,7 @@
                 return Ok(Exchange::new(response, connection, self, target, timeouts));
             }
             Ok(Err(error)) => describe(&error).into(),
+            Err(_) if expected.skipped() > 0 => "only responses to other requests".into(),
             Err(_) => "no response in time".into(),
         };
         self.close_idle(target.address);
