Responses: one that does not name the request says nothing of it

Cause: each reader decided by itself whose response it is. Backend servers name the request in each response to one with an id, and all that are sent have one.

Now record_head compares the id once, for requests of callers and for those of other instances. Without the id the outcome is unknown and nothing is recorded. response.foreign and fescuewell_foreign_responses_total show what was skipped or not usable. The stand-in names the request in its rejections, as the protocol says.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -100,6 +100,7 @@
     StreamCut = 2039, Info, "stream.cut", "A stream ended before its last event. Names who ended it and why, why no other server went on with it, how long its server had been silent, the events that the caller has, and the configuration in force with its age.";
     AttemptSilent = 2040, Info, "attempt.silent", "A backend server has sent nothing for some time. Says whether a second one is asked beside it, or why the request waits for the first one alone.";
     AttemptOvertaken = 2041, Info, "attempt.overtaken", "Another backend server delivered first; the attempt at this one is cancelled.";
+    ResponseForeign = 2042, Warn, "response.foreign", "A backend server sent responses that name another request, or none. Says how many were skipped, and whether the response of this request followed.";
     RequestCleared = 2019, Info, "request.cleared", "A request under which servers had crashed was answered whole.";
     TokensAwaited = 2010, Info, "tokens.awaited", "A request waits for tokens of its client account.";
 
--- a/crates/fescuewell_gateway/src/gateway/condition.rs
+++ b/crates/fescuewell_gateway/src/gateway/condition.rs
@@ -8,6 +8,7 @@
 use fescuewell_forward::condition::limit::{Change, Moment, Update};
 use fescuewell_forward::condition::{Declared, Rate, Report};
 use fescuewell_forward::server::Entry;
+use fescuewell_http::upstream::Exchange;
 use http::header::CONNECTION;
 use http::{HeaderMap, StatusCode};
 
@@ -62,20 +63,23 @@
 impl Gateway {
     /// Records what a server declares about itself in the head of the response to a request that was
     /// sent at `sent_at`, unless the response comes from another server or belongs to another request.
+    /// Returns `false` if it belongs to another request.
     pub(crate) fn record_head(
         &self,
         server: &Entry,
         request: &str,
-        status: StatusCode,
-        headers: &HeaderMap,
+        exchange: &Exchange,
         sent_at: Instant,
-    ) {
+    ) -> bool {
+        let (status, headers) = (exchange.status, &exchange.headers);
         self.state().path.server_responded();
         let names = self.dialect.header_names();
+        // Backend servers name the request in each response to one that has an id.
         let echoed = headers.get(&names.request_id);
-        let is_foreign = echoed.is_some_and(|value| value.as_bytes() != request.as_bytes());
-        if is_foreign || status == StatusCode::MISDIRECTED_REQUEST {
-            return;
+        let is_own = echoed.is_some_and(|value| value.as_bytes() == request.as_bytes());
+        self.record_foreign(server, request, exchange.skipped(), is_own);
+        if !is_own || status == StatusCode::MISDIRECTED_REQUEST {
+            return is_own;
         }
         let is_rejected = headers.contains_key(&names.not_executed);
         let closes_connection = is_rejected || closes_connection(headers);
@@ -87,6 +91,26 @@
         let age_ms = sent_at.elapsed().as_millis() as u64;
         let sent_at_ms = self.now_ms().saturating_sub(age_ms);
         self.record_report(server, &report, sent_at_ms);
+        is_own
+    }
+
+    /// Records responses that do not name the request: those that were skipped, and the one that was
+    /// read unless it is the request's own.
+    fn record_foreign(&self, server: &Entry, request: &str, skipped: u32, is_own: bool) {
+        if skipped == 0 && is_own {
+            return;
+        }
+        let service = &server.service;
+        self.metrics
+            .count_foreign_responses(service, "skipped", u64::from(skipped));
+        if !is_own {
+            self.metrics.count_foreign_responses(service, "unusable", 1);
+        }
+        log_event!(
+            Event::ResponseForeign,
+            "request={request} server={} skipped={skipped} own={is_own}",
+            server.id
+        );
     }
 
     /// Records what a response to a request sent at `sent_at_ms` declares about its server. The
--- a/crates/fescuewell_gateway/src/hop/serve.rs
+++ b/crates/fescuewell_gateway/src/hop/serve.rs
@@ -167,13 +167,7 @@
         .open_if(&target, request, timeouts, &may_send);
     match opened.await {
         Ok(exchange) => {
-            gateway.record_head(
-                &server,
-                &forward.request,
-                exchange.status,
-                &exchange.headers,
-                sent_at,
-            );
+            gateway.record_head(&server, &forward.request, &exchange, sent_at);
             Ok((exchange, server))
         }
         Err(Error::NotSent { .. }) if !may_send() => Err(Failure::Refused(Refusal::UnknownServer)),
--- a/crates/fescuewell_gateway/src/job/progress.rs
+++ b/crates/fescuewell_gateway/src/job/progress.rs
@@ -165,29 +165,27 @@
         self.sends += 1;
         let names = self.gateway.dialect.header_names().clone();
         let status = exchange.status;
-        self.gateway.record_head(
-            &permit.server,
-            &self.id,
-            status,
-            &exchange.headers,
-            attempt.sent_at,
-        );
-        let echoed = exchange.headers.get(&names.request_id);
-        let is_own = echoed.is_some_and(|value| value.as_bytes() == self.id.as_bytes());
+        let server = &permit.server;
+        let is_own = self
+            .gateway
+            .record_head(server, &self.id, &exchange, attempt.sent_at);
+        if !is_own {
+            // It says nothing of this request, also if it is a rejection. Its connection is dropped with it.
+            self.mark_executed();
+            self.unknown_outcome(permit, "the response does not name this request");
+            return Effect::Lost(Cause::Malformed);
+        }
         let is_rejected = exchange.headers.contains_key(&names.not_executed)
             || status == StatusCode::MISDIRECTED_REQUEST;
-        // A rejection may name no request. One that names another says nothing of this one.
-        if is_rejected && (is_own || echoed.is_none()) {
+        if is_rejected {
             self.handle_rejection(permit, exchange);
             return Effect::Lost(Cause::Broken);
         }
         self.mark_executed();
         permit.mark_begun();
         let is_sealed = exchange.headers.contains_key(&names.seal);
-        if !is_own || (status.is_success() && !is_sealed) {
-            // This is a late response to another request, or one that no backend server sealed. Its
-            // connection is dropped with it.
-            self.unknown_outcome(permit, "the answer belongs to another request");
+        if status.is_success() && !is_sealed {
+            self.unknown_outcome(permit, "the response bears no seal");
             return Effect::Lost(Cause::Malformed);
         }
         attempt.stage = match self.route.kind.is_stream() && status.is_success() {
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     store_calls: Counter<u64>,
     crashes: Counter<u64>,
     malformed_headers: Counter<u64>,
+    foreign_responses: Counter<u64>,
     loan_requests: Counter<u64>,
     digests: Counter<u64>,
     list_queries: Counter<u64>,
@@ -53,6 +54,7 @@
             store_calls: meter.u64_counter("fescuewell_store_calls").build(),
             crashes: meter.u64_counter("fescuewell_server_crashes").build(),
             malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
+            foreign_responses: meter.u64_counter("fescuewell_foreign_responses").build(),
             loan_requests: meter.u64_counter("fescuewell_loan_requests").build(),
             hops: meter.u64_counter("fescuewell_hops").build(),
             stream_records: meter.u64_counter("fescuewell_stream_records").build(),
@@ -110,6 +112,15 @@
         self.crashes.add(1, &attributes);
     }
 
+    /// Counts responses from a backend server that name another request, or none.
+    pub fn count_foreign_responses(&self, service: &str, outcome: &'static str, count: u64) {
+        let attributes = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.foreign_responses.add(count, &attributes);
+    }
+
     /// Counts a malformed header of a response from a backend server.
     pub fn count_malformed_header(&self, service: &str, header: &'static str) {
         let attributes = [
--- a/crates/fescuewell_standin/src/worker.rs
+++ b/crates/fescuewell_standin/src/worker.rs
@@ -73,6 +73,8 @@
     WrongId,
     /// It runs and is answered by the rejection of another request.
     LateRejection,
+    /// It runs and is answered by a rejection that names no request.
+    UnnamedRejection,
     /// A stream breaks off in the middle of the event after so many.
     Break(u64),
     /// A stream waits for [`Worker::release`] after so many events.
@@ -451,23 +453,22 @@
         if let Some(expected) = request.headers.get(EXPECT_INSTANCE)
             && expected.as_bytes() != self.state().name.as_bytes()
         {
-            self.state().refused.push(run);
+            self.state().refused.push(run.clone());
             // A response to a caller that has left goes nowhere.
             let _ = self.hold(Point::Head, reply.closed()).await;
-            return reply.send(
-                StatusCode::MISDIRECTED_REQUEST,
-                HeaderMap::new(),
-                Bytes::new(),
-            );
+            let mut headers = HeaderMap::new();
+            echo(&run, &mut headers);
+            return reply.send(StatusCode::MISDIRECTED_REQUEST, headers, Bytes::new());
         }
         let behaviour = self.state().next.pop_front();
         let behaviour = behaviour.unwrap_or(Behaviour::Answer);
         if behaviour == Behaviour::TurnAway {
-            self.state().refused.push(run);
+            self.state().refused.push(run.clone());
             self.arrived.send_modify(|count| *count += 1);
             let _ = self.hold(Point::Head, reply.closed()).await;
             let mut headers = self.conditions();
             headers.insert(NOT_EXECUTED, HeaderValue::from_static("1"));
+            echo(&run, &mut headers);
             if let Some(rest) = self.state().rest.clone() {
                 headers.insert(RETRY_AFTER, rest);
             }
@@ -493,8 +494,14 @@
         }
         match behaviour {
             Behaviour::Lose => reply.abort(),
-            Behaviour::LateRejection => {
+            Behaviour::LateRejection | Behaviour::UnnamedRejection => {
                 let mut headers = headers;
+                if behaviour == Behaviour::UnnamedRejection {
+                    headers.remove(REQUEST_ID);
+                }
+                if let Some(rest) = self.state().rest.clone() {
+                    headers.insert(RETRY_AFTER, rest);
+                }
                 headers.insert(NOT_EXECUTED, HeaderValue::from_static("1"));
                 reply.send(StatusCode::SERVICE_UNAVAILABLE, headers, Bytes::new());
             }
@@ -592,6 +599,13 @@
     }
 }
 
+/// Names the request in a response.
+fn echo(run: &Run, headers: &mut HeaderMap) {
+    if let Ok(id) = HeaderValue::from_str(&run.id) {
+        headers.insert(REQUEST_ID, id);
+    }
+}
+
 fn note(request: &Request) -> Run {
     let id = request.headers.get(REQUEST_ID);
     let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default();
--- a/tests/forward/answers.rs
+++ b/tests/forward/answers.rs
@@ -7,6 +7,7 @@
 use fescuewell::standin::worker::{Behaviour, EVENTS, Worker, wait_until};
 
 use crate::fixture::{Fixture, GROUP, KEY, Request, configuration, read_response, send};
+use crate::server_proxy::ServerProxy;
 use crate::wire;
 
 #[test]
@@ -132,6 +133,47 @@
     assert_eq!(look_up.status, 200, "{}", look_up.text());
 }
 
+/// Guards against a booking that is refused as not run although it runs: its response names no request, so
+/// nothing shows that it is the response to this one.
+#[test]
+fn a_rejection_that_names_no_request_does_not_say_that_this_one_has_not_run() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    fixture.workers[0].next(&[Behaviour::UnnamedRejection]);
+
+    let booking = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
+
+    assert_eq!(booking.status, 502, "{}", booking.text());
+    assert_eq!(fixture.runs("r-1"), 1);
+}
+
+/// Guards against a booking whose response is dropped because a late copy of the response before it comes
+/// first.
+#[test]
+fn a_response_behind_a_late_rejection_reaches_its_caller() {
+    let mut fixture = Fixture::without_instance(1, 1_000_000);
+    fixture.proxies = vec![ServerProxy::open(fixture.workers[0].address())];
+    fixture.start();
+    fixture.wait_ready();
+    fixture.proxies[0].copy_late();
+    fixture.workers[0].next(&[Behaviour::TurnAway]);
+
+    let rejected = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
+    let booking = fixture.send(&Request::new("POST /unsafe/x", "r-2").with_body(b""));
+    let look_up = fixture.send(&Request::new("GET /safe/x", "r-3"));
+
+    assert_eq!(rejected.status, 503, "{}", rejected.text());
+    assert_eq!((booking.status, booking.text()), (200, "r-2 ran".into()));
+    assert_eq!((look_up.status, look_up.text()), (200, "r-3 ran".into()));
+    let metrics = fixture.metrics();
+    let skipped = metrics.lines().find(|line| {
+        line.starts_with("fescuewell_foreign_responses_total") && line.contains("skipped")
+    });
+    assert!(
+        skipped.is_some_and(|line| line.ends_with(" 2")),
+        "{skipped:?}"
+    );
+}
+
 /// Guards against a stream with a repeated or partial event: when a server fails in the middle of
 /// an event, the partial event must not be forwarded before the complete one of the next server.
 #[test]
--- a/tests/forward/conditions.rs
+++ b/tests/forward/conditions.rs
@@ -44,6 +44,23 @@
     windows * (limit * 1.5 * WINDOW.as_secs_f64() + SLACK)
 }
 
+/// Guards against a server that rests, or is limited, by what the response to another request declares.
+#[test]
+fn a_response_that_names_no_request_declares_nothing() {
+    let fixture = Fixture::ready(1, PREPAID);
+    fixture.workers[0].set_limit(Some("1"));
+    fixture.workers[0].set_rest(Some("5"));
+    fixture.workers[0].next(&[Behaviour::UnnamedRejection, Behaviour::LateRejection]);
+
+    for number in 0..2 {
+        let request = Request::new("POST /unsafe/x", &format!("r-{number}")).with_body(b"");
+        assert_eq!(fixture.send(&request).status, 502);
+    }
+
+    let gateway = fixture.daemon.as_ref().unwrap().gateway();
+    assert!(gateway.state().conditions.is_empty());
+}
+
 /// Guards against a server in need that gets as many requests as before it declared a limit, from
 /// all instances together.
 #[test]
--- a/tests/forward/server_proxy.rs
+++ b/tests/forward/server_proxy.rs
@@ -44,6 +44,7 @@
 struct Shared {
     cut: Mutex<Option<Cut>>,
     is_ended: AtomicBool,
+    copies_late: AtomicBool,
     connections: AtomicUsize,
     target: SocketAddr,
 }
@@ -82,6 +83,7 @@
         let shared = Arc::new(Shared {
             cut: Mutex::new(None),
             is_ended: AtomicBool::new(false),
+            copies_late: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             target,
         });
@@ -110,6 +112,12 @@
         *self.shared.cut() = cut;
     }
 
+    /// Sends each response a second time before the next one on its connection. Responses must be short
+    /// enough for one read.
+    pub fn copy_late(&self) {
+        self.shared.copies_late.store(true, Ordering::Relaxed);
+    }
+
     /// Waits until all proxies have applied their last mode.
     pub fn settle() {
         std::thread::sleep(POLL_INTERVAL * 10);
@@ -196,18 +204,19 @@
         shared.connections.fetch_add(1, Ordering::Relaxed);
         let client: TcpStream = client.into();
         client.set_nonblocking(false).unwrap();
-        for (from, to) in [(&client, &server), (&server, &client)] {
+        for (from, to, is_response) in [(&client, &server, false), (&server, &client, true)] {
             let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
             let shared = shared.clone();
-            std::thread::spawn(move || pass_on(&shared, from, to));
+            std::thread::spawn(move || pass_on(&shared, from, to, is_response));
         }
     }
 }
 
 /// Forwards bytes in one direction, as the mode permits.
-fn pass_on(shared: &Shared, mut from: TcpStream, mut to: TcpStream) {
+fn pass_on(shared: &Shared, mut from: TcpStream, mut to: TcpStream, is_response: bool) {
     from.set_read_timeout(Some(POLL_INTERVAL)).unwrap();
     let mut buffer = [0; 16 * 1024];
+    let mut previous = Vec::new();
     while !shared.is_ended() {
         // The lock must not be held while the thread sleeps.
         let cut = *shared.cut();
@@ -221,8 +230,16 @@
         }
         match from.read(&mut buffer) {
             Ok(0) => break,
-            Ok(count) if to.write_all(&buffer[..count]).is_err() => break,
-            Ok(_) => {}
+            Ok(count) => {
+                let received = &buffer[..count];
+                let bytes = [&previous, received].concat();
+                if to.write_all(&bytes).is_err() {
+                    break;
+                }
+                if is_response && shared.copies_late.load(Ordering::Relaxed) {
+                    previous = received.to_vec();
+                }
+            }
             Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
             Err(_) => break,
         }
