Own interface: rejections and records that name another request are not read

A late 429, 503 or 404 of another request passed for one of this request, so that it ran again or was reported as not run, and calls compared no id at all.

Now all of these readers take a response that names another request as an unknown outcome, and requests for records name their stream, so that late responses before them are skipped. Responses without an id are read as before: this interface requires none in rejections. The stand-in engine echoes the id.

Failing before: a_missing_record_of_another_request_says_nothing.

--- a/crates/fescuewell_router/src/attempt.rs
+++ b/crates/fescuewell_router/src/attempt.rs
@@ -211,6 +211,10 @@
             Err(Error::NotSent { .. }) => return OpenResult::NotSent,
             Err(_) => return OpenResult::Unknown,
         };
+        if names_other(&exchange, &assignment.stream) {
+            // It says nothing of this request, also if it is a rejection.
+            return OpenResult::Unknown;
+        }
         self.report_leaving(assignment, &exchange);
         match exchange.status {
             StatusCode::OK if matches_stream(&exchange, &assignment.stream) => {
@@ -386,6 +390,11 @@
     number.is_none_or(|number| number > last)
 }
 
+/// Whether a response names another request. Rejections may name none.
+pub(crate) fn names_other(exchange: &Exchange, stream: &str) -> bool {
+    exchange.headers.contains_key(STREAM_HEADER) && !matches_stream(exchange, stream)
+}
+
 fn matches_stream(exchange: &Exchange, stream: &str) -> bool {
     let name = exchange.headers.get(STREAM_HEADER);
     name.is_some_and(|name| name.as_bytes() == stream.as_bytes())
--- a/crates/fescuewell_router/src/attempt/resume.rs
+++ b/crates/fescuewell_router/src/attempt/resume.rs
@@ -10,7 +10,7 @@
 use fescuewell_node::request::Assignment;
 use http::StatusCode;
 
-use super::{MAX_ERROR_BODY_BYTES, Runner, matches_stream};
+use super::{MAX_ERROR_BODY_BYTES, Runner, STREAM_HEADER, matches_stream, names_other};
 use crate::delivery::Delivery;
 
 /// Maximum number of successive interruptions of one kind without a new token in between.
@@ -65,7 +65,10 @@
         after: u64,
     ) -> ResumeResult {
         let path = format!("/v1/responses/{stream}?stream=true&starting_after={after}");
-        let request = http::Request::builder().uri(path).body(Bytes::new());
+        let request = http::Request::builder()
+            .uri(path)
+            .header(STREAM_HEADER, stream)
+            .body(Bytes::new());
         let target = Target::new(address).with_deadline(self.deadline);
         let exchange = self
             .client
@@ -77,6 +80,7 @@
             {
                 ResumeResult::Response(Box::new(exchange))
             }
+            Ok(exchange) if names_other(&exchange, stream) => ResumeResult::Failed,
             Ok(exchange) if exchange.status == StatusCode::NOT_FOUND => ResumeResult::NotFound,
             Err(Error::NotSent { .. }) => self.connection_failure(address).await,
             Err(error) if !error.is_broken() => ResumeResult::Silent,
@@ -116,6 +120,7 @@
     let request = http::Request::builder()
         .method(http::Method::POST)
         .uri(path)
+        .header(STREAM_HEADER, &*assignment.stream)
         .body(Bytes::new());
     let timeouts = Timeouts {
         first_byte: timeouts.connect,
--- a/crates/fescuewell_router/src/call.rs
+++ b/crates/fescuewell_router/src/call.rs
@@ -13,7 +13,7 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 
-use crate::attempt::STREAM_HEADER;
+use crate::attempt::{STREAM_HEADER, names_other};
 
 /// Maximum size of the response body of a call.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -95,6 +95,9 @@
             Err(Error::NotSent { .. }) => return without_response(End::NotSent),
             Err(error) => return self.poll_record(&assignment, !error.is_broken()).await,
         };
+        if names_other(&exchange, &assignment.stream) {
+            return self.poll_record(&assignment, false).await;
+        }
         let status = exchange.status;
         if status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE {
             return without_response(End::Busy);
@@ -177,6 +180,7 @@
     async fn fetch_record(&self, assignment: &Assignment) -> Option<StoredResponse> {
         let request = http::Request::builder()
             .uri(format!("/calls/{}", assignment.stream))
+            .header(STREAM_HEADER, &*assignment.stream)
             .body(Bytes::new())
             .ok()?;
         let target = Target::new(assignment.address).with_deadline(self.deadline);
@@ -185,7 +189,7 @@
             .open(&target, request, self.timeouts)
             .await
             .ok()?;
-        if exchange.status != StatusCode::OK {
+        if exchange.status != StatusCode::OK || names_other(&exchange, &assignment.stream) {
             return None;
         }
         let record = read_response(exchange).await?;
--- a/crates/fescuewell_router/src/daemon.rs
+++ b/crates/fescuewell_router/src/daemon.rs
@@ -18,11 +18,13 @@
 use fescuewell_node::node::Node;
 use fescuewell_node::state::Summary;
 use fescuewell_peer::Transport;
+use http::HeaderName;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use snafu::{ResultExt, Snafu};
 
 use crate::adapters::{self, Channels, Platform};
+use crate::attempt::STREAM_HEADER;
 use crate::backends::{self, Backends};
 use crate::event_loop::EventLoop;
 use crate::metrics::{self, Metrics};
@@ -300,7 +302,7 @@
         index: ArcSwap::from_pointee(Index::new(Arc::default())),
         published: ArcSwap::default(),
         pending: PendingRequests::new(events.clone()),
-        client: Client::default(),
+        client: Client::default().with_id_header(HeaderName::from_static(STREAM_HEADER)),
         timeouts: Timeouts {
             connect: Duration::from_millis(timing.connect_ms),
             first_byte: Duration::from_millis(timing.first_byte_ms),
--- a/crates/fescuewell_router/tests/attempts.rs
+++ b/crates/fescuewell_router/tests/attempts.rs
@@ -13,7 +13,7 @@
 use fescuewell_router::chat::Path;
 use fescuewell_router::delivery::{Delivery, ResponseOptions};
 use fescuewell_router::pending::PendingRequests;
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 const STREAM: &str = "stream-1";
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -22,13 +22,21 @@
 /// after a restart.
 struct Engine {
     events: u64,
+    /// Request that the response without a record names.
+    named: Option<&'static str>,
     requests: AtomicUsize,
 }
 
 impl Handler for Engine {
     fn handle(&self, _: Request, reply: Reply) {
         if self.requests.fetch_add(1, Ordering::SeqCst) > 0 {
-            return reply.send(StatusCode::NOT_FOUND, HeaderMap::new(), Bytes::new());
+            let named = self.named.map(HeaderValue::from_static);
+            let headers = named.map(|name| (HeaderName::from_static(STREAM_HEADER), name));
+            return reply.send(
+                StatusCode::NOT_FOUND,
+                headers.into_iter().collect(),
+                Bytes::new(),
+            );
         }
         let events = self.events;
         spawn(async move {
@@ -83,12 +91,18 @@
 
 /// Reads a response that breaks off after `events`; the server has no record of one without any.
 fn read(events: u64) -> Option<Outcome> {
+    read_named(events, None)
+}
+
+/// Does the same at a server whose response without a record names a request.
+fn read_named(events: u64, named: Option<&'static str>) -> Option<Outcome> {
     let listen = |handler: Arc<dyn Handler>| {
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         Listener::start(Settings::new(address), handler).unwrap()
     };
     let engine = listen(Arc::new(Engine {
         events,
+        named,
         requests: AtomicUsize::new(usize::from(events == 0)),
     }));
     let (outcomes, received) = flume::unbounded();
@@ -117,6 +131,15 @@
     assert!(is_lost);
 }
 
+/// Guards against a request that runs again because a late response says that the server has no record of
+/// another one.
+#[test]
+fn a_missing_record_of_another_request_says_nothing() {
+    let outcome = read_named(0, Some("stream-2")).expect("the request would run again");
+
+    assert!(matches!(outcome.end, End::Lost { .. }));
+}
+
 #[test]
 fn a_response_of_which_nothing_arrived_may_run_again() {
     assert!(read(0).is_none());
--- a/crates/fescuewell_standin/src/engine/route.rs
+++ b/crates/fescuewell_standin/src/engine/route.rs
@@ -60,7 +60,7 @@
 
 impl Router {
     fn respond(&self, request: &Request, reply: Reply) {
-        let headers = self.headers();
+        let headers = self.headers(request);
         match self.answer(request) {
             Ok(Answer::Json(value)) => send(reply, StatusCode::OK, headers, value.to_string()),
             Ok(Answer::Text(text)) => reply.send(StatusCode::OK, headers, text.into()),
@@ -89,8 +89,11 @@
         }
     }
 
-    fn headers(&self) -> HeaderMap {
+    fn headers(&self, request: &Request) -> HeaderMap {
         let mut headers = HeaderMap::new();
+        if let Some(id) = request.headers.get("x-request-id") {
+            headers.insert("x-request-id", id.clone());
+        }
         if self.core.state().control.leaving == Some(true) {
             headers.insert("x-leaving", HeaderValue::from_static("true"));
         }
