Shutdown: a request is accepted only if it can end before the process does

Cause: the stop served for 0.4 of the grace period and cut what was left 0.6 s before its end, without asking whether a request that it accepted can end.

Now fescuewell_forward::drain decides at the arrival of a request and again before it is sent: by its deadline, or by the longest recent response of its route with a margin of a half. What may not end is refused at once as not run, with Connection: close and a Retry-After of 10 ms. The listeners stay open until nothing is open; a request without a response at the end gets one. Requests of other instances are waited for in the same time. Tokens for the demand of the serving time are kept until it is over. SIGHUP is handled during a shutdown, and a second SIGTERM changes nothing.

--- a/crates/fescuewell_core/src/event.rs
+++ b/crates/fescuewell_core/src/event.rs
@@ -59,6 +59,7 @@
     DrainStarted = 1003, Info, "drain.started", "The instance was asked to stop and hands over.";
     DrainFinished = 1004, Info, "drain.finished", "Nothing is left open; the process ends.";
     Isolated = 1005, Warn, "process.isolated", "Neither the store nor a peer answered for too long; requests are refused.";
+    DrainRefused = 1007, Info, "drain.refused", "A request may not end before the process does and is refused; it has not run. Says how much time is left and how long requests of its route usually take.";
     StateChanged = 1006, Info, "state.changed", "A state chart took a step.";
 
     RouteChosen = 2001, Info, "route.chosen", "A backend server was chosen for a request, and why.";
--- a/crates/fescuewell_forward/src/lib.rs
+++ b/crates/fescuewell_forward/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod config;
 pub mod crash;
 pub mod directory;
+pub mod drain;
 pub mod evacuation;
 pub mod health;
 pub mod hedge;
--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -79,7 +79,8 @@
     journal_version: u64,
     journal_at_ms: u64,
     adopted: bool,
-    is_closing: bool,
+    /// Until when requests are served during a shutdown, in milliseconds of the local clock.
+    closing: Option<u64>,
     is_advertised: bool,
     /// Number of holders that callers are directed to.
     advertised_count: u64,
@@ -108,7 +109,7 @@
             journal_version: 0,
             journal_at_ms: 0,
             adopted: false,
-            is_closing: false,
+            closing: None,
             is_advertised: true,
             advertised_count: 1,
             knows_peers: true,
@@ -343,10 +344,22 @@
         self.adopted
     }
 
-    /// Starts the shutdown: existing holds are kept, all other tokens are returned by the next
-    /// plan.
-    pub fn begin_shutdown(&mut self) {
-        self.is_closing = true;
+    /// Starts the shutdown: existing holds are kept, and what the demand until `serve_until_ms` of
+    /// the local clock needs; all other tokens are returned by the next plan.
+    pub fn begin_shutdown(&mut self, serve_until_ms: u64) {
+        self.closing = Some(serve_until_ms);
+    }
+
+    /// Returns whether the ledgers show no unused tokens as granted to this holder.
+    pub fn is_returned(&self) -> bool {
+        let mut accounts = self.accounts.values();
+        accounts.all(|account| account.row_grant() <= account.consumed())
+    }
+
+    /// Returns for how long requests are still served during a shutdown, in milliseconds.
+    fn closing_in_ms(&self, now_ms: u64) -> Option<u64> {
+        let serve_until_ms = self.closing?;
+        Some(serve_until_ms.saturating_sub(now_ms))
     }
 
     /// Updates the ledger of an account from a read at `store_ms` of the store clock.
@@ -377,13 +390,13 @@
             return None;
         }
         let holder = self.holder.clone();
-        let is_closing = self.is_closing;
+        let closing_in_ms = self.closing_in_ms(now_ms);
         let position = Position {
             is_advertised: self.is_advertised,
             advertised_count: self.advertised_count,
         };
         let account = self.accounts.get_mut(account)?;
-        account.plan(&holder, now_ms, position, is_closing, &self.era_state)
+        account.plan(&holder, now_ms, position, closing_in_ms, &self.era_state)
     }
 
     fn account_mut(&mut self, name: &Arc<str>) -> &mut Account {
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -301,18 +301,18 @@
         now_ms: u64,
         at_ms: u64,
         burst_ms: u64,
-        is_closing: bool,
+        closing_in_ms: Option<u64>,
     ) -> Entry {
         let demand = self.demand_per_s(now_ms);
         let left = self.remaining();
         let mean_request_tokens = self.mean_request_tokens(now_ms);
         let consumed = self.consumed;
         let waiting = self.waiting.take(at_ms);
-        if is_closing {
+        if let Some(closing_in_ms) = closing_in_ms {
             return Entry {
                 account,
                 consumed,
-                burst: 0,
+                burst: self.closing_demand(closing_in_ms, now_ms).min(left) + waiting,
                 peak_rate: 0,
                 bucket_size: 0,
                 sustained_rate: 0,
@@ -378,7 +378,7 @@
         holder: &Arc<str>,
         now_ms: u64,
         position: Position,
-        is_closing: bool,
+        closing_in_ms: Option<u64>,
         era_state: &era::State,
     ) -> Option<(u64, Ledger)> {
         let prepaid = self.prepaid?;
@@ -390,7 +390,7 @@
             return Some((self.version, self.confirmed(holder, era)));
         }
         let is_settled = self.ledger.era >= era;
-        let ledger = match (era_state.unconfirmed(), is_closing) {
+        let ledger = match (era_state.unconfirmed(), closing_in_ms.is_some()) {
             (Some(unconfirmed), _) if is_settled => {
                 era::release_reserve(&self.ledger, era, unconfirmed)
             }
@@ -417,9 +417,12 @@
         };
         let may_draw = ledger.era >= era;
         let shortage = self.shortage.take().filter(|_| may_draw);
-        let granted = match is_closing {
-            true => plan::shutdown_grant(&ledger, &own, prepaid, shortage),
-            false => plan::target_grant(&ledger, &self.peers, &own, prepaid, shortage),
+        let granted = match closing_in_ms {
+            Some(closing_in_ms) => {
+                let kept = self.closing_demand(closing_in_ms, now_ms);
+                plan::shutdown_grant(&ledger, &own, prepaid, shortage, kept)
+            }
+            None => plan::target_grant(&ledger, &self.peers, &own, prepaid, shortage),
         };
         // Settles the row for holders that need tokens, so that they learn whether any are left.
         let must_settle = shortage.is_some() && !is_settled;
@@ -453,6 +456,15 @@
         self.demand.sum(now_ms) * 1_000 / span
     }
 
+    /// Returns the tokens that the demand is expected to need until no requests are served any more.
+    fn closing_demand(&mut self, closing_in_ms: u64, now_ms: u64) -> u64 {
+        let demand = self.demand_per_s(now_ms);
+        match demand * closing_in_ms / 1_000 {
+            0 => 0,
+            tokens => tokens.max(self.mean_request_tokens(now_ms)),
+        }
+    }
+
     /// Returns the mean size of the recent requests.
     fn mean_request_tokens(&mut self, now_ms: u64) -> u64 {
         let requests = self.requests.sum(now_ms);
--- a/crates/fescuewell_forward/src/quota/journals.rs
+++ b/crates/fescuewell_forward/src/quota/journals.rs
@@ -89,14 +89,20 @@
 
     fn new_journal(&mut self, now_ms: u64) -> Journal {
         let at_ms = self.clock.at(now_ms);
-        let is_closing = self.is_closing;
+        let closing_in_ms = self.closing_in_ms(now_ms);
         let burst_ms = self.burst_ms;
         let mut entries = Vec::new();
         for (name, account) in &mut self.accounts {
             if account.prepaid().is_none() && account.consumed() == 0 {
                 continue;
             }
-            entries.push(account.journal_entry(name.clone(), now_ms, at_ms, burst_ms, is_closing));
+            entries.push(account.journal_entry(
+                name.clone(),
+                now_ms,
+                at_ms,
+                burst_ms,
+                closing_in_ms,
+            ));
         }
         entries.sort_by(|left, right| left.account.cmp(&right.account));
         let journal = Journal {
--- a/crates/fescuewell_forward/src/quota/plan.rs
+++ b/crates/fescuewell_forward/src/quota/plan.rs
@@ -108,12 +108,13 @@
 }
 
 /// Returns the grant of a holder that shuts down: its consumption plus the needs of a waiting
-/// request.
+/// request, and of what it had up to `kept` tokens for further ones.
 pub fn shutdown_grant(
     ledger: &Ledger,
     own: &Holder,
     prepaid: u64,
     shortage: Option<Shortage>,
+    kept: u64,
 ) -> u64 {
     let free = prepaid.saturating_sub(ledger.total());
     let held = own.granted.saturating_sub(own.consumed);
@@ -121,7 +122,7 @@
     if needed > held {
         return own.granted + (needed - held).min(free);
     }
-    own.granted.min(own.consumed + needed)
+    own.granted.min(own.consumed + needed.max(kept))
 }
 
 /// Returns the grant that this holder should have.
--- a/crates/fescuewell_forward/tests/common/mod.rs
+++ b/crates/fescuewell_forward/tests/common/mod.rs
@@ -607,7 +607,7 @@
     /// start; docs/incidents/overspent-after-a-restore.md has what is open there.
     pub fn stop(&mut self, index: usize, down_ms: u64) {
         if self.instances[index].quota.is_adopted() {
-            self.instances[index].quota.begin_shutdown();
+            self.instances[index].quota.begin_shutdown(0);
             self.plan(index, WriteOutcome::Committed);
             self.write_journal(index, WriteOutcome::Committed);
         }
--- a/crates/fescuewell_gateway/src/control/watch/configuration.rs
+++ b/crates/fescuewell_gateway/src/control/watch/configuration.rs
@@ -1,5 +1,7 @@
 //! Watches the configuration and the operator's evacuation orders.
 
+use std::collections::HashSet;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -327,6 +329,9 @@
         let services = configuration.services.iter();
         let warmups = services.filter_map(|service| Some((service.name.clone(), service.warmup?)));
         state.registry.set_warmup_limits(warmups);
+        let routes = configuration.routes.iter();
+        let routes: HashSet<Arc<str>> = routes.map(|route| route.name.clone()).collect();
+        state.drain.retain_routes(|route| routes.contains(route));
     }
     gateway.set_table(Table::new(configuration));
     gateway.sync_quota();
--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::control::Control;
 use crate::dialect::Dialect;
 use crate::front::Front;
-use crate::gateway::{Gateway, Stage};
+use crate::gateway::Gateway;
 use crate::metrics;
 use crate::peer::PeerHandler;
 use crate::settings::Settings;
@@ -46,13 +46,11 @@
     },
 }
 
-/// Fraction of the grace period during which requests are still served after a stop request, for
-/// callers with a cached address list. Lists are cached for two seconds, by some callers for three
-/// times as long.
-const SERVE_FRACTION: f64 = 0.4;
-/// Part of the grace period that is reserved for the shutdown itself.
-const SHUTDOWN_RESERVE: Duration = Duration::from_millis(600);
-/// Interval between two checks whether all tokens have been returned.
+/// Time for writing the last responses, which are made when the shutdown ends.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Time for returning the last tokens. The next process takes over those that it does not suffice for.
+const RETURN_TIME: Duration = Duration::from_millis(200);
+/// Interval between two checks whether requests are open, and whether all tokens have been returned.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Sockets reserved for backend servers, the store and the auxiliary listeners; callers get the
 /// rest.
@@ -154,24 +152,38 @@
     }
 
     /// Shuts the instance down gracefully: returns tokens, redirects callers to other instances and
-    /// completes requests in flight.
+    /// completes requests in flight. Callers whose requests cannot end in time are told that these
+    /// have not run.
     pub fn stop(&self) {
         let requested = Instant::now();
-        let grace_period = self.gateway.settings.grace_period;
-        if !self.gateway.advance(Stage::Draining) {
+        let Some(schedule) = self.gateway.begin_drain() else {
             return;
-        }
+        };
         let open = self.gateway.in_flight_requests().load(Ordering::Acquire);
-        log_event!(Event::DrainStarted, "open={open}");
-        self.gateway.state().quota.begin_shutdown();
+        log_event!(
+            Event::DrainStarted,
+            "open={open} serve_until_ms={} ends_ms={}",
+            schedule.serve_until_ms,
+            schedule.ends_ms
+        );
+        self.gateway
+            .state()
+            .quota
+            .begin_shutdown(schedule.serve_until_ms);
+        self.gateway.sync_quota();
+        // Callers with an old address list still send requests.
+        let left_ms = schedule
+            .serve_until_ms
+            .saturating_sub(self.gateway.now_ms());
+        std::thread::sleep(Duration::from_millis(left_ms));
         self.gateway.sync_quota();
-        std::thread::sleep(grace_period.mul_f64(SERVE_FRACTION));
-        let remaining = grace_period.saturating_sub(requested.elapsed() + SHUTDOWN_RESERVE);
-        let mut cut = self.front.drain(remaining);
+        // The listeners stay open: an answer is better for a caller than a refused connection.
+        while self.open_exchanges() > 0 && self.gateway.now_ms() < schedule.ends_ms {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        let mut cut = self.front.drain(FLUSH_TIME);
         if let Some(peer) = &self.peer {
-            // Requests of other instances; new ones are refused since the stop request.
-            let remaining = grace_period.saturating_sub(requested.elapsed() + SHUTDOWN_RESERVE);
-            cut += peer.drain(remaining);
+            cut += peer.drain(FLUSH_TIME);
         }
         self.wait_returned();
         log_event!(
@@ -181,13 +193,18 @@
         );
     }
 
+    /// Number of requests of callers and of other instances that are being read or answered.
+    fn open_exchanges(&self) -> usize {
+        let peer = self.peer.as_ref().map_or(0, Listener::open_exchanges);
+        self.front.open_exchanges() + peer
+    }
+
     /// Waits until the tokens of requests that ended during the drain have been returned as well.
     fn wait_returned(&self) {
-        let deadline = Instant::now() + SHUTDOWN_RESERVE / 3;
-        let token_changes = self.gateway.token_changes();
-        let seen = *token_changes.borrow();
-        self.gateway.sync_quota();
-        while *token_changes.borrow() <= seen && Instant::now() < deadline {
+        let until = Instant::now() + RETURN_TIME;
+        let is_returned = || self.gateway.state().quota.is_returned();
+        while !is_returned() && Instant::now() < until {
+            self.gateway.sync_quota();
             std::thread::sleep(POLL_INTERVAL);
         }
     }
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod condition;
 mod crash;
+mod drain;
 mod gate;
 mod path;
 mod state;
@@ -20,6 +21,7 @@
 use fescuewell_forward::config::{History, Lag, Table};
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
+use fescuewell_forward::drain::Drain;
 use fescuewell_forward::health::{Health, failure};
 use fescuewell_forward::hedge;
 use fescuewell_forward::hop::{Guard, Peers};
@@ -157,6 +159,7 @@
     server_exits: watch::Sender<u64>,
     store_recoveries: watch::Sender<u64>,
     path_changes: watch::Sender<u64>,
+    drain_begun: watch::Sender<bool>,
     load_change: Notify,
     limit_change: Notify,
     failure: Notify,
@@ -186,6 +189,7 @@
         let (server_exits, _) = watch::channel(0);
         let (store_recoveries, _) = watch::channel(0);
         let (path_changes, _) = watch::channel(0);
+        let (drain_begun, _) = watch::channel(false);
         let state = State {
             registry: Registry::default(),
             cursor: relay::Cursor::default(),
@@ -213,6 +217,7 @@
             quota: Quota::new(settings.name.clone(), 0),
             retry: Budget::new(settings.retry_budget),
             directory: Directory::default(),
+            drain: Drain::default(),
             accepted_requests: Window::new(u64::from(ACCEPTED_WINDOW_S) * 1_000),
             admission: admission::Limiter::new(settings.link_mbps, settings.cores),
             rng: SmallRng::from_os_rng(),
@@ -251,6 +256,7 @@
             server_exits,
             store_recoveries,
             path_changes,
+            drain_begun,
             load_change: Notify::new(),
             limit_change: Notify::new(),
             failure: Notify::new(),
--- /dev/null
+++ b/crates/fescuewell_gateway/src/gateway/drain.rs
@@ -0,0 +1,80 @@
+//! Shutdown of the instance as its requests see it; see [`fescuewell_forward::drain`].
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuewell_core::log_event;
+use fescuewell_core::prelude::*;
+use fescuewell_forward::drain::{Late, Schedule};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::{Gateway, Stage};
+
+impl Gateway {
+    /// Begins the shutdown. Returns its times, or `None` if it has begun before.
+    pub fn begin_drain(&self) -> Option<Schedule> {
+        let now_ms = self.now_ms();
+        let grace_ms = self.settings.grace_period.as_millis() as u64;
+        let schedule = {
+            let drain = &mut self.state().drain;
+            drain.begin(grace_ms, now_ms);
+            drain.schedule()
+        };
+        if !self.advance(Stage::Draining) {
+            return None;
+        }
+        self.drain_begun.send_replace(true);
+        schedule
+    }
+
+    /// Subscribes to the beginning of the shutdown.
+    pub(crate) fn drain_begun(&self) -> watch::Receiver<bool> {
+        self.drain_begun.subscribe()
+    }
+
+    /// Returns when every request must have its response, or `None` before the shutdown begins.
+    pub(crate) fn drain_end(&self) -> Option<Instant> {
+        if !self.is_draining() {
+            return None;
+        }
+        let schedule = self.state().drain.schedule()?;
+        Some(self.started + Duration::from_millis(schedule.ends_ms))
+    }
+
+    /// Returns `true` once every request must have its response.
+    pub(crate) fn is_drain_over(&self) -> bool {
+        self.drain_end().is_some_and(|end| Instant::now() >= end)
+    }
+
+    /// Waits until every request must have its response.
+    pub(crate) async fn drain_over(&self) {
+        let mut begun = self.drain_begun();
+        if begun.wait_for(|has_begun| *has_begun).await.is_err() {
+            return std::future::pending().await;
+        }
+        match self.drain_end() {
+            Some(end) => tokio::time::sleep_until(end).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Records how long the response to a request took, from when it was sent.
+    pub(crate) fn record_duration(&self, route: &Arc<str>, took: Duration) {
+        let now_ms = self.now_ms();
+        let took_ms = took.as_millis() as u64;
+        self.state().drain.record(route, took_ms, now_ms);
+    }
+
+    /// Logs and counts a request that may not end before the process does.
+    pub(crate) fn record_late(&self, request: &str, route: &str, late: Late) {
+        self.metrics.count_late_request();
+        log_event!(
+            Event::DrainRefused,
+            "request={request} route={route} left_ms={} expected_ms={}",
+            late.left_ms,
+            late.expected_ms
+                .map_or("-".into(), |expected_ms| expected_ms.to_string())
+        );
+    }
+}
--- a/crates/fescuewell_gateway/src/gateway/state.rs
+++ b/crates/fescuewell_gateway/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use fescuewell_forward::config::{History, Lag};
 use fescuewell_forward::crash::{Detector, Quarantine};
 use fescuewell_forward::directory::Directory;
+use fescuewell_forward::drain::Drain;
 use fescuewell_forward::health::{Health, failure};
 use fescuewell_forward::hedge;
 use fescuewell_forward::hop;
@@ -84,6 +85,8 @@
     /// Requests accepted within [`ACCEPTED_WINDOW_S`](super::ACCEPTED_WINDOW_S), without those that were refused before a
     /// server was picked.
     pub accepted_requests: Window,
+    /// Shutdown of the instance.
+    pub drain: Drain,
     /// Limits on callers' traffic.
     pub admission: admission::Limiter,
     /// Random number generator.
--- a/crates/fescuewell_gateway/src/job.rs
+++ b/crates/fescuewell_gateway/src/job.rs
@@ -19,6 +19,7 @@
 use fescuewell_core::prelude::*;
 use fescuewell_forward::config::{Account, Kind, Route, Service};
 use fescuewell_forward::crash::{Fingerprint, Part};
+use fescuewell_forward::drain::{Drain, Late};
 use fescuewell_forward::stream;
 use fescuewell_http::listener::{Reply, Request};
 use http::{HeaderMap, Method, Uri};
@@ -69,6 +70,8 @@
     arrived: Instant,
     deadline: Instant,
     route_deadline: Instant,
+    /// When the request was first sent to a server.
+    sent_at: Option<Instant>,
     sends: u32,
     unsent_attempts: u32,
     tried: Vec<Arc<str>>,
@@ -120,6 +123,7 @@
             arrived: request.arrived,
             deadline: request.arrived,
             route_deadline: request.arrived,
+            sent_at: None,
             sends: 0,
             unsent_attempts: 0,
             tried: Vec::new(),
@@ -169,17 +173,13 @@
 
     /// Processes the request and sends the response.
     pub async fn run(mut self, reply: Reply) {
-        if let Err(code) = self.check_quarantine().await {
-            return self.refuse(reply, code);
-        }
-        if let Err(refusal) = self.bind().await {
-            return self.refuse_after(reply, refusal.code, refusal.retry_after);
-        }
-        // Without a server the request would wait for tokens in vain.
-        if let Err(refusal) = self.check_servers() {
-            return self.refuse_after(reply, refusal.code, refusal.retry_after);
-        }
-        if let Err(refusal) = self.reserve_tokens().await {
+        let gateway = self.gateway.clone();
+        let prepared = tokio::select! {
+            biased;
+            prepared = self.prepare() => prepared,
+            () = gateway.drain_over() => Err(Refusal::new(Code::Draining)),
+        };
+        if let Err(refusal) = prepared {
             return self.refuse_after(reply, refusal.code, refusal.retry_after);
         }
         self.held_ms = self.arrived.elapsed().as_millis();
@@ -192,7 +192,7 @@
         }
         let mut race = Race::new(&self.gateway);
         loop {
-            let permit = match self.pick_server().await {
+            let permit = match self.next_server().await {
                 Ok(permit) => permit,
                 Err(refusal) => {
                     return self.refuse_after(reply, refusal.code, refusal.retry_after);
@@ -225,6 +225,69 @@
         }
     }
 
+    /// Does all that precedes the choice of a server.
+    async fn prepare(&mut self) -> Result<(), Refusal> {
+        self.check_drain(Drain::check_new)?;
+        self.check_quarantine().await.map_err(Refusal::new)?;
+        self.bind().await?;
+        // Without a server the request would wait for tokens in vain.
+        self.check_servers()?;
+        self.reserve_tokens().await
+    }
+
+    /// Picks a server for the next attempt, unless the instance shuts down before that could end.
+    pub(crate) async fn next_server(&mut self) -> Result<Permit, Refusal> {
+        let gateway = self.gateway.clone();
+        let permit = tokio::select! {
+            biased;
+            permit = self.pick_server() => permit?,
+            () = gateway.drain_over() => return Err(self.drained()),
+        };
+        if !self.possibly_executed
+            && let Err(refusal) = self.check_drain(Drain::check_send)
+        {
+            permit.settle();
+            return Err(refusal);
+        }
+        Ok(permit)
+    }
+
+    /// Checks whether the request can end before the process does.
+    fn check_drain<Check>(&self, check: Check) -> Result<(), Refusal>
+    where
+        Check: FnOnce(&Drain, &str, u64, u64) -> Result<(), Late>,
+    {
+        if !self.gateway.is_draining() {
+            return Ok(());
+        }
+        let deadline = match self.route.kind.is_stream() {
+            true => self.deadline,
+            false => self.route_deadline,
+        };
+        let deadline_ms = deadline
+            .saturating_duration_since(Instant::now())
+            .as_millis() as u64;
+        let now_ms = self.gateway.now_ms();
+        let checked = check(
+            &self.gateway.state().drain,
+            &self.route.name,
+            deadline_ms,
+            now_ms,
+        );
+        checked.map_err(|late| {
+            self.gateway.record_late(&self.id, &self.route.name, late);
+            Refusal::new(Code::Draining)
+        })
+    }
+
+    /// Returns the refusal of a request that has no response when the shutdown ends.
+    fn drained(&self) -> Refusal {
+        Refusal::new(match self.possibly_executed {
+            true => Code::OutcomeUnknown,
+            false => Code::Draining,
+        })
+    }
+
     /// Reserves the maximum number of tokens that the request may cost.
     async fn reserve_tokens(&mut self) -> Result<(), Refusal> {
         let Some(tokens) = self.metadata.tokens else {
@@ -254,6 +317,9 @@
         if self.sends >= self.route.max_attempts || Instant::now() >= self.route_deadline {
             return false;
         }
+        if self.gateway.is_drain_over() {
+            return false;
+        }
         if self.is_blocked() || self.is_version_gone() {
             return false;
         }
@@ -285,10 +351,6 @@
         }
     }
 
-    fn refuse(&self, reply: Reply, code: Code) {
-        self.refuse_after(reply, code, None);
-    }
-
     pub(crate) fn refuse_after(&self, reply: Reply, code: Code, delay: Option<Duration>) {
         let took = self.arrived.elapsed();
         self.gateway
@@ -311,12 +373,21 @@
         refusal::send(reply, code, delay, self.gateway.is_draining());
     }
 
+    /// Records how long the request took, if a server responded to it completely.
+    pub(crate) fn record_duration(&self) {
+        if let Some(sent_at) = self.sent_at {
+            self.gateway
+                .record_duration(&self.route.name, sent_at.elapsed());
+        }
+    }
+
     fn respond(mut self, reply: Reply, response: Response, server: &str) {
         if let (Some(hold), Some(tokens)) = (&mut self.hold, self.metadata.tokens)
             && response.status.is_success()
         {
             hold.add_output(tokens.max_output);
         }
+        self.record_duration();
         let close_connection = self.gateway.is_draining();
         let headers = header::response_headers(&response.headers, close_connection);
         reply.send(response.status, headers, response.body);
--- a/crates/fescuewell_gateway/src/job/attempt.rs
+++ b/crates/fescuewell_gateway/src/job/attempt.rs
@@ -150,7 +150,7 @@
 impl Job {
     /// Begins to send the request to a backend server, for the events that the caller does not have. Adds no
     /// attempt if a header value is invalid.
-    pub(crate) fn add_attempt(&self, race: &mut Race, permit: Permit) {
+    pub(crate) fn add_attempt(&mut self, race: &mut Race, permit: Permit) {
         let Some(request) = self.build_request(&permit.server) else {
             permit.settle();
             return;
@@ -173,6 +173,7 @@
             gateway.open(sending).await.map(Box::new)
         };
         let sent_at = Instant::now();
+        self.sent_at.get_or_insert(sent_at);
         race.push(Attempt {
             stage: Stage::Opening(Box::pin(opened)),
             sent_at,
--- a/crates/fescuewell_gateway/src/job/progress.rs
+++ b/crates/fescuewell_gateway/src/job/progress.rs
@@ -53,10 +53,16 @@
     pub(crate) async fn advance(&mut self, race: &mut Race) -> Progress {
         let mut cause = Cause::Broken;
         while !race.is_empty() {
+            if self.forwarded == 0 && self.gateway.is_drain_over() {
+                self.abandon(race);
+                return Progress::Lost(Cause::Shutdown);
+            }
             self.set_timer(race);
             match race.next().await {
                 Signal::Woken => self.handle_silence(race),
                 Signal::PathChanged => self.handle_path_change(race),
+                // The timer is set again.
+                Signal::DrainBegun => {}
                 Signal::Step(index, step) => {
                     let mut attempt = race.take(index);
                     if step.is_heard() {
@@ -372,8 +378,12 @@
                 due = due.min(attempt.silent_since() + delay);
             }
         }
-        if self.forwarded == 0 && race.len() > race.opening() {
-            due = due.min(self.route_deadline);
+        if self.forwarded == 0 {
+            if race.len() > race.opening() {
+                due = due.min(self.route_deadline);
+            }
+            let end = self.gateway.drain_end();
+            due = end.map_or(due, |end| due.min(end.into_std()));
         }
         race.wake_at(due);
     }
@@ -423,6 +433,17 @@
         }
     }
 
+    /// Ends the attempts whose responses can no longer be passed on.
+    fn abandon(&mut self, race: &mut Race) {
+        for attempt in race.take_all() {
+            if attempt.is_opening() {
+                self.sends += 1;
+            }
+            self.mark_executed();
+            self.log_failure(&attempt.permit, "unknown", "the instance shuts down");
+        }
+    }
+
     /// Ends the attempts that have sent their head but nothing that could be forwarded before the route's
     /// deadline. The others end by themselves.
     fn time_out(&mut self, race: &mut Race) {
--- a/crates/fescuewell_gateway/src/job/race.rs
+++ b/crates/fescuewell_gateway/src/job/race.rs
@@ -20,6 +20,8 @@
     Woken,
     /// A path to servers was lost, or is back.
     PathChanged,
+    /// The shutdown of the instance has begun.
+    DrainBegun,
 }
 
 /// The open attempts of one request, the oldest first.
@@ -27,6 +29,7 @@
     attempts: Vec<Attempt>,
     timer: Pin<Box<Sleep>>,
     path_changes: watch::Receiver<u64>,
+    drain_begun: watch::Receiver<bool>,
     /// Id of the server that was asked last, or that delivered.
     server: Arc<str>,
     /// A failure that a server reported while another attempt was open.
@@ -40,6 +43,7 @@
             attempts: Vec::with_capacity(MAX_OPEN),
             timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
             path_changes: gateway.path_changes(),
+            drain_begun: gateway.drain_begun(),
             server: "-".into(),
             failed: None,
         }
@@ -124,12 +128,14 @@
             attempts,
             timer,
             path_changes,
+            drain_begun,
             ..
         } = self;
         tokio::select! {
             biased;
             (index, step) = next_step(attempts) => Signal::Step(index, step),
             Ok(()) = path_changes.changed() => Signal::PathChanged,
+            Ok(()) = drain_begun.changed() => Signal::DrainBegun,
             () = timer => Signal::Woken,
         }
     }
--- a/crates/fescuewell_gateway/src/job/trace.rs
+++ b/crates/fescuewell_gateway/src/job/trace.rs
@@ -24,6 +24,8 @@
     OverBudget,
     /// The caller's deadline passed.
     Deadline,
+    /// The instance was shut down.
+    Shutdown,
     /// The caller closed its connection.
     CallerLeft,
 }
@@ -43,7 +45,7 @@
     /// Returns who ended the stream.
     fn ended_by(self) -> &'static str {
         match self {
-            Self::Silent | Self::OverBudget => "instance",
+            Self::Silent | Self::OverBudget | Self::Shutdown => "instance",
             Self::Broken | Self::Restarted | Self::Malformed => "server",
             Self::Deadline => "deadline",
             Self::CallerLeft => "caller",
@@ -58,12 +60,14 @@
             Self::Malformed => "malformed",
             Self::OverBudget => "over_budget",
             Self::Deadline => "deadline",
+            Self::Shutdown => "shutdown",
             Self::CallerLeft => "left",
         }
     }
 }
 
-/// Follows a stream that has begun. If it is dropped before [`Trace::end`], the caller has left.
+/// Follows a stream that has begun. If it is dropped before [`Trace::end`], the caller has left or the
+/// instance is shut down.
 pub(crate) struct Trace {
     gateway: Arc<Gateway>,
     request: Arc<str>,
@@ -140,6 +144,10 @@
 
 impl Drop for Trace {
     fn drop(&mut self) {
-        self.cut(Cause::CallerLeft, None);
+        let cause = match self.gateway.is_drain_over() {
+            true => Cause::Shutdown,
+            false => Cause::CallerLeft,
+        };
+        self.cut(cause, None);
     }
 }
--- a/crates/fescuewell_gateway/src/metrics.rs
+++ b/crates/fescuewell_gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     crashes: Counter<u64>,
     malformed_headers: Counter<u64>,
     foreign_responses: Counter<u64>,
+    late_requests: Counter<u64>,
     loan_requests: Counter<u64>,
     digests: Counter<u64>,
     list_queries: Counter<u64>,
@@ -55,6 +56,7 @@
             crashes: meter.u64_counter("fescuewell_server_crashes").build(),
             malformed_headers: meter.u64_counter("fescuewell_malformed_headers").build(),
             foreign_responses: meter.u64_counter("fescuewell_foreign_responses").build(),
+            late_requests: meter.u64_counter("fescuewell_drain_refusals").build(),
             loan_requests: meter.u64_counter("fescuewell_loan_requests").build(),
             hops: meter.u64_counter("fescuewell_hops").build(),
             stream_records: meter.u64_counter("fescuewell_stream_records").build(),
@@ -121,6 +123,11 @@
         self.foreign_responses.add(count, &attributes);
     }
 
+    /// Counts a request that may not end before the process does.
+    pub fn count_late_request(&self) {
+        self.late_requests.add(1, &[]);
+    }
+
     /// Counts a malformed header of a response from a backend server.
     pub fn count_malformed_header(&self, service: &str, header: &'static str) {
         let attributes = [
--- a/crates/fescuewell_gateway/src/refusal.rs
+++ b/crates/fescuewell_gateway/src/refusal.rs
@@ -8,9 +8,10 @@
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 
-/// Retry delay while the instance starts or drains; a starting one loads the configuration within
-/// this time.
+/// Retry delay while the instance starts, in which it loads the configuration.
 const START_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Retry delay while the instance drains: others accept the request now.
+const DRAIN_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Retry delay for tokens: another instance, or this one after its next plan, may have them.
 const TOKEN_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Retry delay without a backend server: the minimum time until a lost one is replaced or found
@@ -22,7 +23,8 @@
 /// Returns the default retry delay for a refusal, or `None` if a retry would not help.
 pub fn retry_after(code: Code) -> Option<Duration> {
     match code {
-        Code::NotReady | Code::Draining => Some(START_RETRY_DELAY),
+        Code::NotReady => Some(START_RETRY_DELAY),
+        Code::Draining => Some(DRAIN_RETRY_DELAY),
         Code::BudgetUnknown => Some(TOKEN_RETRY_DELAY),
         Code::NoServer => Some(SERVER_RETRY_DELAY),
         Code::TurnedAway | Code::DeadlineTooNear => Some(OVERLOAD_RETRY_DELAY),
--- a/crates/fescuewell_gateway/src/stream.rs
+++ b/crates/fescuewell_gateway/src/stream.rs
@@ -189,6 +189,7 @@
                         sink.finish();
                     }
                     trace.end();
+                    self.record_duration();
                     return self.finish(race.server(), "whole");
                 }
                 Progress::Lost(cause) => {
@@ -223,7 +224,7 @@
         if !self.may_retry() {
             return Err(None);
         }
-        let permit = self.pick_server().await?;
+        let permit = self.next_server().await?;
         self.log_resumed(&permit.server);
         self.add_attempt(race, permit);
         Ok(())
--- a/src/command/entry.rs
+++ b/src/command/entry.rs
@@ -50,12 +50,24 @@
             Ok(signal::Action::Reload) | Err(RecvTimeoutError::Timeout) => file.reload(&client),
         }
     }
-    daemon.stop();
+    std::thread::scope(|scope| {
+        let stopping = scope.spawn(|| daemon.stop());
+        // The store may get another address meanwhile, and the last tokens are returned to it.
+        while !stopping.is_finished() {
+            match signals.recv_timeout(STOP_CHECK_INTERVAL) {
+                Ok(signal::Action::Reload) => file.reload(&client),
+                Ok(signal::Action::Stop) | Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+        }
+    });
     Ok(())
 }
 
 /// Interval at which the settings file is reread: it may change without a signal.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the end of the shutdown is checked.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Settings file and the last valid content that was read from it.
 struct SettingsFile {
--- a/tests/forward/main.rs
+++ b/tests/forward/main.rs
@@ -16,6 +16,7 @@
 mod pressure;
 mod refusals;
 mod server_proxy;
+mod shutdown;
 mod silence;
 mod silence_review;
 mod silent_configuration;
