--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -12,6 +12,11 @@
 //! not exceed afterwards. The next incarnation reads the journal and gets an upper bound that grows
 //! with the elapsed time instead of the grant.
 //!
+//! A write without a response may take effect seconds later, when the next process has already read
+//! the row. A late draw only leaves tokens unused, but a late return would take back tokens that the
+//! next process spends. So the journal announces a return before it is sent: it names the total above
+//! which nothing is consumed any more, and the next process keeps to that until the row has changed.
+//!
 //! ```
 //! use fescuewell_forward::quota::{HoldOutcome, Quota};
 //!
@@ -384,7 +389,8 @@
     /// which to condition the write, or `None` if nothing has to change.
     ///
     /// Tokens that the new ledger returns must not be spent from now on, whether or not the write
-    /// succeeds.
+    /// succeeds. A return is planned once the journal has announced it, see
+    /// [`Quota::has_unannounced_returns`].
     pub fn plan(&mut self, account: &Arc<str>, now_ms: u64) -> Option<(u64, Ledger)> {
         if !self.adopted {
             return None;
@@ -395,8 +401,24 @@
             is_advertised: self.is_advertised,
             advertised_count: self.advertised_count,
         };
+        // A journal of unknown outcome may replace the one in force.
+        let is_journal_known = self.pending_journal.is_none();
         let account = self.accounts.get_mut(account)?;
-        account.plan(&holder, now_ms, position, closing_in_ms, &self.era_state)
+        account.plan(
+            &holder,
+            now_ms,
+            position,
+            closing_in_ms,
+            is_journal_known,
+            &self.era_state,
+        )
+    }
+
+    /// Returns whether planned returns wait for the next journal, which announces them to the next
+    /// process.
+    pub fn has_unannounced_returns(&self) -> bool {
+        let mut accounts = self.accounts.values();
+        accounts.any(Account::has_unannounced_return)
     }
 
     fn account_mut(&mut self, name: &Arc<str>) -> &mut Account {
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -50,13 +50,15 @@
 /// Assumed size of a request, in tokens, before any has been seen.
 const DEFAULT_REQUEST_TOKENS: u64 = 8_000;
 
-/// A return of tokens whose write may still take effect.
+/// A return of tokens that is announced in the journal, or whose write may still take effect.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PendingReturn {
     /// Row version on which the write is conditional.
     version: u64,
     /// Grant after the return.
     granted: u64,
+    /// Whether it may have been sent, by this process or by the one before.
+    is_sent: bool,
 }
 
 /// Grants, consumption and demand of one account.
@@ -74,6 +76,8 @@
     pub(super) pending_return: Option<PendingReturn>,
     pub(super) consumed: u64,
     recorded: u64,
+    /// Total above which nothing is consumed by the journal in force.
+    pub(super) announced: Option<u64>,
     rate_limits: Vec<Limit>,
     pub(super) version: u64,
     pub(super) ledger: Ledger,
@@ -101,6 +105,7 @@
             pending_return: None,
             consumed: 0,
             recorded: 0,
+            announced: None,
             rate_limits: Vec::new(),
             version: 0,
             ledger: Ledger::default(),
@@ -308,6 +313,7 @@
         let mean_request_tokens = self.mean_request_tokens(now_ms);
         let consumed = self.consumed;
         let waiting = self.waiting.take(at_ms);
+        let max = self.pending_return.map(|pending| pending.granted);
         if let Some(closing_in_ms) = closing_in_ms {
             return Entry {
                 account,
@@ -316,6 +322,7 @@
                 peak_rate: 0,
                 bucket_size: 0,
                 sustained_rate: 0,
+                max,
             };
         }
         let target = (mean_request_tokens * BURST_REQUESTS).max(demand * BURST_DEMAND_MS / 1_000);
@@ -327,6 +334,7 @@
             peak_rate: (demand * PEAK_RATE_PERCENT / 100).max(left / DEPLETION_S),
             bucket_size: bucket_size(demand, mean_request_tokens),
             sustained_rate: demand * SUSTAINED_RATE_PERCENT / 100,
+            max,
         }
     }
 
@@ -351,6 +359,7 @@
     /// effect any more.
     pub(super) fn replace_limits(&mut self, entry: &Entry, at_ms: u64) {
         self.recorded = entry.consumed;
+        self.announced = entry.max;
         self.rate_limits.clear();
         self.rate_limits.push(Limit::new(entry, at_ms));
     }
@@ -379,6 +388,7 @@
         now_ms: u64,
         position: Position,
         closing_in_ms: Option<u64>,
+        is_journal_known: bool,
         era_state: &era::State,
     ) -> Option<(u64, Ledger)> {
         let prepaid = self.prepaid?;
@@ -426,18 +436,15 @@
         };
         // Settles the row for holders that need tokens, so that they learn whether any are left.
         let must_settle = shortage.is_some() && !is_settled;
-        if granted == self.granted && !must_settle {
+        if granted >= self.granted {
+            self.pending_return = self.pending_return.filter(|pending| pending.is_sent);
+        }
+        // Any write of the row ends a return that may still take effect.
+        if granted == self.granted && !must_settle && self.pending_return.is_none() {
             return None;
         }
-        if granted < self.granted {
-            // An earlier return with the same condition may still take effect instead of this one.
-            let earlier = self
-                .pending_return
-                .map_or(granted, |earlier| earlier.granted);
-            self.pending_return = Some(PendingReturn {
-                version: self.version,
-                granted: granted.min(earlier),
-            });
+        if granted < self.granted && !self.begin_return(granted, is_journal_known) {
+            return None;
         }
         let mut ledger = ledger;
         ledger.set_grant(Grant {
@@ -448,6 +455,43 @@
         Some((self.version, ledger))
     }
 
+    /// Begins a return that lowers the grant. Returns `false` if it has to be announced first, by the
+    /// next journal.
+    ///
+    /// The write may take effect after this process has ended. The next one must not spend by the grant
+    /// that it finds in the row, and the journal is what it knows of this one.
+    fn begin_return(&mut self, granted: u64, is_journal_known: bool) -> bool {
+        let announced = self.announced.filter(|_| is_journal_known);
+        let is_announced = announced.is_some_and(|max| max <= granted);
+        // An earlier return with the same condition may still take effect instead of this one.
+        let earlier = self.pending_return;
+        self.pending_return = Some(PendingReturn {
+            version: self.version,
+            granted: earlier.map_or(granted, |earlier| earlier.granted.min(granted)),
+            is_sent: is_announced || earlier.is_some_and(|earlier| earlier.is_sent),
+        });
+        is_announced
+    }
+
+    /// Returns whether a return waits for the journal that announces it.
+    pub(super) fn has_unannounced_return(&self) -> bool {
+        let pending = self.pending_return;
+        pending.is_some_and(|pending| self.announced.is_none_or(|max| max > pending.granted))
+    }
+
+    /// Takes a return into account that the process before has announced, and may have sent. It has an
+    /// effect only as long as the row has the version that this process has read.
+    pub(super) fn inherit_return(&mut self, granted: u64) {
+        if granted >= self.granted {
+            return;
+        }
+        self.pending_return = Some(PendingReturn {
+            version: self.version,
+            granted,
+            is_sent: true,
+        });
+    }
+
     pub(super) fn demand_per_s(&mut self, now_ms: u64) -> u64 {
         let elapsed = self
             .first_request_ms
--- a/crates/fescuewell_forward/src/quota/journals.rs
+++ b/crates/fescuewell_forward/src/quota/journals.rs
@@ -63,6 +63,12 @@
                 _ => account.inherit_unknown(granted.max(bound)),
             }
             account.observe_ledger(&holder, row_version, ledger, ended_ms, era);
+            let entry = journal
+                .filter(|_| is_current)
+                .and_then(|journal| journal.entry(&name));
+            if let Some(max) = entry.and_then(|entry| entry.max) {
+                account.inherit_return(max);
+            }
         }
         self.incarnation = journal.map_or(1, |journal| journal.incarnation + 1);
         self.next_journal(now_ms)
@@ -93,7 +99,9 @@
         let burst_ms = self.burst_ms;
         let mut entries = Vec::new();
         for (name, account) in &mut self.accounts {
-            if account.prepaid().is_none() && account.consumed() == 0 {
+            // The total may not be known yet.
+            let is_unused = account.consumed() == 0 && account.pending_return.is_none();
+            if account.prepaid().is_none() && is_unused {
                 continue;
             }
             entries.push(account.journal_entry(
--- a/crates/fescuewell_forward/src/quota/origin.rs
+++ b/crates/fescuewell_forward/src/quota/origin.rs
@@ -87,6 +87,7 @@
     pub(super) fn restore(&mut self, holder: &str, row: Option<(u64, Ledger)>, era: u32) {
         self.granted = self.granted();
         self.pending_return = None;
+        self.announced = None;
         let previous = std::mem::take(&mut self.ledger);
         for grant in previous.grants {
             if self.previous_grants.granted(&grant.holder) < grant.granted {
--- a/crates/fescuewell_forward/src/quota/row.rs
+++ b/crates/fescuewell_forward/src/quota/row.rs
@@ -18,8 +18,11 @@
 const JOURNAL_V1: u8 = 1;
 /// Leading byte of the journal format of the previous program version; see [`legacy`].
 const JOURNAL_V2: u8 = 2;
-/// Leading byte of the current journal format.
+/// Leading byte of the journal format without returns, which the previous program version can read as
+/// well; see [`legacy`].
 const JOURNAL_V3: u8 = 3;
+/// Leading byte of the current journal format.
+const JOURNAL_V4: u8 = 4;
 
 /// Error when decoding a row.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -153,6 +156,9 @@
     pub bucket_size: u64,
     /// Tokens that may be consumed per second beyond `bucket_size`.
     pub sustained_rate: u64,
+    /// Total above which nothing is consumed, because a ledger write that lowers the grant to it may be
+    /// under way. It may take effect after the process has ended.
+    pub max: Option<u64>,
 }
 
 /// Record of a holder for its next incarnation.
@@ -186,7 +192,10 @@
 
     /// Encodes the row.
     pub fn encode(&self) -> Vec<u8> {
-        encode(self, JOURNAL_V3)
+        match legacy::JournalV3::new(self) {
+            Some(journal) => encode(&journal, JOURNAL_V3),
+            None => encode(self, JOURNAL_V4),
+        }
     }
 
     /// Decodes the row, including earlier formats, because instances are updated one after the
@@ -199,12 +208,13 @@
         match bytes.first() {
             Some(&JOURNAL_V1) => decode::<legacy::JournalV1>(bytes, JOURNAL_V1).map(Self::from),
             Some(&JOURNAL_V2) => decode::<legacy::JournalV2>(bytes, JOURNAL_V2).map(Self::from),
-            _ => decode(bytes, JOURNAL_V3),
+            Some(&JOURNAL_V3) => decode::<legacy::JournalV3>(bytes, JOURNAL_V3).map(Self::from),
+            _ => decode(bytes, JOURNAL_V4),
         }
     }
 }
 
-/// Row formats of earlier program versions, which have no eras.
+/// Row formats of earlier program versions: the first ones have no eras, and none has returns in journals.
 mod legacy {
     use std::sync::Arc;
 
@@ -278,6 +288,7 @@
                 peak_rate: entry.rate,
                 bucket_size: u64::MAX,
                 sustained_rate: 0,
+                max: None,
             });
             Self {
                 incarnation: journal.incarnation,
@@ -289,11 +300,85 @@
         }
     }
 
+    /// An entry without a maximum.
+    #[derive(Serialize, Deserialize)]
+    pub struct EntryV2 {
+        account: Arc<str>,
+        consumed: u64,
+        burst: u64,
+        peak_rate: u64,
+        bucket_size: u64,
+        sustained_rate: u64,
+    }
+
+    impl EntryV2 {
+        /// Converts an entry to this format, or returns `None` if that would lose its maximum.
+        fn new(entry: &Entry) -> Option<Self> {
+            entry.max.is_none().then(|| Self {
+                account: entry.account.clone(),
+                consumed: entry.consumed,
+                burst: entry.burst,
+                peak_rate: entry.peak_rate,
+                bucket_size: entry.bucket_size,
+                sustained_rate: entry.sustained_rate,
+            })
+        }
+    }
+
+    impl From<EntryV2> for Entry {
+        fn from(entry: EntryV2) -> Self {
+            Self {
+                account: entry.account,
+                consumed: entry.consumed,
+                burst: entry.burst,
+                peak_rate: entry.peak_rate,
+                bucket_size: entry.bucket_size,
+                sustained_rate: entry.sustained_rate,
+                max: None,
+            }
+        }
+    }
+
+    #[derive(Serialize, Deserialize)]
+    pub struct JournalV3 {
+        incarnation: u64,
+        at_ms: u64,
+        era: u32,
+        knows_grants: bool,
+        entries: Vec<EntryV2>,
+    }
+
+    impl JournalV3 {
+        /// Converts a journal to this format, or returns `None` if that would lose a maximum.
+        pub fn new(journal: &super::Journal) -> Option<Self> {
+            let entries = journal.entries.iter().map(EntryV2::new);
+            Some(Self {
+                incarnation: journal.incarnation,
+                at_ms: journal.at_ms,
+                era: journal.era,
+                knows_grants: journal.knows_grants,
+                entries: entries.collect::<Option<Vec<EntryV2>>>()?,
+            })
+        }
+    }
+
+    impl From<JournalV3> for super::Journal {
+        fn from(journal: JournalV3) -> Self {
+            Self {
+                incarnation: journal.incarnation,
+                at_ms: journal.at_ms,
+                era: journal.era,
+                knows_grants: journal.knows_grants,
+                entries: journal.entries.into_iter().map(Entry::from).collect(),
+            }
+        }
+    }
+
     #[derive(Deserialize)]
     pub struct JournalV2 {
         incarnation: u64,
         at_ms: u64,
-        entries: Vec<Entry>,
+        entries: Vec<EntryV2>,
     }
 
     impl From<JournalV2> for super::Journal {
@@ -303,7 +388,7 @@
                 at_ms: journal.at_ms,
                 era: 0,
                 knows_grants: true,
-                entries: journal.entries,
+                entries: journal.entries.into_iter().map(Entry::from).collect(),
             }
         }
     }
--- a/crates/fescuewell_forward/tests/common/mod.rs
+++ b/crates/fescuewell_forward/tests/common/mod.rs
@@ -147,7 +147,13 @@
 
     /// Delivers the last delayed write.
     pub fn deliver_write(&mut self) {
-        match self.delayed.pop() {
+        self.deliver_write_of(0);
+    }
+
+    /// Delivers a delayed write; `age` counts back from the last one.
+    pub fn deliver_write_of(&mut self, age: usize) {
+        let index = self.delayed.len().checked_sub(age + 1);
+        match index.map(|index| self.delayed.remove(index)) {
             Some(DelayedWrite::Ledger(expected, fence, ledger)) => {
                 self.put_ledger(expected, fence, ledger);
             }
@@ -401,8 +407,18 @@
         self.instances[index].quota.set_peers(&reports, &[]);
     }
 
-    /// Writes the ledger that the plan of an instance yields.
+    /// Writes the ledger that the plan of an instance yields, after the journal if it has to announce a
+    /// return.
     pub fn plan(&mut self, index: usize, outcome: WriteOutcome) {
+        self.plan_once(index, outcome);
+        if self.instances[index].quota.has_unannounced_returns() {
+            self.write_journal(index, WriteOutcome::Committed);
+            self.plan_once(index, outcome);
+        }
+    }
+
+    /// Writes the ledger that the plan of an instance yields now.
+    pub fn plan_once(&mut self, index: usize, outcome: WriteOutcome) {
         if !self.instances[index].quota.is_adopted() {
             return;
         }
@@ -603,12 +619,12 @@
     }
 
     /// Stops the process of an instance in an orderly way, so that it returns its tokens, and starts
-    /// it again. The program also removes its status, and its last write may arrive after the next
-    /// start; docs/incidents/overspent-after-a-restore.md has what is open there.
-    pub fn stop(&mut self, index: usize, down_ms: u64) {
+    /// it again. `outcome` is that of the return, which may take effect after the next start. The program
+    /// also removes its status; docs/incidents/overspent-after-a-restore.md has what is open there.
+    pub fn stop(&mut self, index: usize, down_ms: u64, outcome: WriteOutcome) {
         if self.instances[index].quota.is_adopted() {
             self.instances[index].quota.begin_shutdown(0);
-            self.plan(index, WriteOutcome::Committed);
+            self.plan(index, outcome);
             self.write_journal(index, WriteOutcome::Committed);
         }
         self.restart(index, down_ms);
--- a/crates/fescuewell_forward/tests/eras.rs
+++ b/crates/fescuewell_forward/tests/eras.rs
@@ -395,7 +395,7 @@
     Step(Step),
     Serve(usize, u64),
     TopUp(u64),
-    Stop(usize, u64),
+    Stop(usize, u64, WriteOutcome),
     Rounds(Vec<usize>),
 }
 
@@ -419,7 +419,7 @@
         38 => steps.prop_map(Event::Step),
         8 => (who.clone(), 500u64..9_000).prop_map(|(who, tokens)| Event::Serve(who, tokens)),
         1 => (1u64..30_000).prop_map(Event::TopUp),
-        2 => (who, 0u64..1_500).prop_map(|(who, down)| Event::Stop(who, down)),
+        2 => (who, 0u64..1_500, outcome()).prop_map(|(who, down, outcome)| Event::Stop(who, down, outcome)),
         4 => several.prop_map(Event::Rounds),
     ]
 }
@@ -431,7 +431,7 @@
             serve(cluster, *who, 1, *tokens);
         }
         Event::TopUp(tokens) => cluster.top_up(*tokens),
-        Event::Stop(who, down_ms) => cluster.stop(*who, *down_ms),
+        Event::Stop(who, down_ms, outcome) => cluster.stop(*who, *down_ms, *outcome),
         Event::Rounds(who) => {
             for _ in 0..4 {
                 round(cluster, who);
--- a/crates/fescuewell_forward/tests/formats.rs
+++ b/crates/fescuewell_forward/tests/formats.rs
@@ -212,11 +212,21 @@
             peak_rate: 6,
             bucket_size: 7,
             sustained_rate: 8,
+            max: None,
         }],
     };
+    let mut journal_with_return = journal.clone();
+    journal_with_return.entries[0].max = Some(9);
     assert_eq!(hex(&ledger.encode()), "0101016503");
     assert_eq!(hex(&ledger_of_an_era.encode()), "02010101650302");
     assert_eq!(hex(&journal.encode()), "03010203010101670405060708");
+    assert_eq!(
+        hex(&journal_with_return.encode()),
+        "040102030101016704050607080109"
+    );
+    for journal in [&journal, &journal_with_return] {
+        assert_eq!(Journal::decode(&journal.encode()).as_ref(), Ok(journal));
+    }
     assert_eq!(
         hex(&member().encode()),
         "000a0100020101000a01000202017a03040101670506070809010a"
--- a/crates/fescuewell_forward/tests/quota.rs
+++ b/crates/fescuewell_forward/tests/quota.rs
@@ -547,6 +547,7 @@
             peak_rate: 3,
             bucket_size: 4,
             sustained_rate: 5,
+            max: None,
         }],
     };
 
@@ -589,6 +590,7 @@
             peak_rate: 0,
             bucket_size: 0,
             sustained_rate: 0,
+            max: None,
         }],
     };
     let mut quota = Quota::new("entry-0".into(), 0);
--- a/crates/fescuewell_gateway/src/control/journal.rs
+++ b/crates/fescuewell_gateway/src/control/journal.rs
@@ -89,10 +89,12 @@
     let written = write_journal(control, &journal).await;
     if written {
         log_charges(control, known.as_ref(), &journal);
+        let entries = journal.entries.iter();
         log_event!(
             Event::JournalAdopted,
-            "incarnation={} accounts={accounts} journal_age_ms={}",
+            "incarnation={} accounts={accounts} returning={} journal_age_ms={}",
             journal.incarnation,
+            entries.filter(|entry| entry.max.is_some()).count(),
             known.map_or(0, |known| ended_ms.saturating_sub(known.at_ms))
         );
     }
@@ -124,23 +126,23 @@
     decode(row, Journal::decode)
 }
 
-/// Writes a new journal.
-pub(super) async fn renew_journal(control: &Control) {
+/// Writes a new journal. Returns whether it is in force.
+pub(super) async fn renew_journal(control: &Control) -> bool {
     if !control.gateway.state().quota.is_adopted() {
-        return;
+        return false;
     }
     let now_ms = control.gateway.now_ms();
     let before = control.gateway.state().quota.exposure(now_ms);
     // A journal whose response was lost is resent unchanged, with the time of the first attempt.
     let is_resend = control.gateway.state().quota.is_journal_pending();
     if !write_current(control).await {
-        return;
+        return false;
     }
     if is_resend && !write_current(control).await {
-        return;
+        return false;
     }
     if before.age_ms < OVERDUE_MS || before.consumed == before.recorded {
-        return;
+        return true;
     }
     log_event!(
         Event::JournalRenewed,
@@ -149,6 +151,7 @@
         before.recorded,
         before.consumed
     );
+    true
 }
 
 async fn write_current(control: &Control) -> bool {
--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -10,6 +10,7 @@
 use fescuewell_forward::quota::{Account, Quota};
 
 use super::fence::{apply_fence, fence_id, log_confirmations, renew_fence};
+use super::journal::renew_journal;
 use super::rows::{decode, read, read_row, row_id};
 use super::{CALL_TIMEOUT, Control};
 use crate::store::{Outcome, ReadResponse, Row, Transaction};
@@ -85,12 +86,14 @@
     bytes
 }
 
-/// Updates the ledgers of the accounts as planned, and retries on conflicts with other instances.
+/// Updates the ledgers of the accounts as planned, and retries on conflicts with other instances. Writes
+/// the journal before returns that it has to announce.
 pub(super) async fn reconcile(control: &Control, accounts: &[Arc<str>]) {
     for _ in 0..MAX_ATTEMPTS {
         renew_fence(control).await;
         let updates = plan_updates(control, accounts);
-        if updates.is_empty() {
+        let has_unannounced = control.gateway.state().quota.has_unannounced_returns();
+        if updates.is_empty() && !has_unannounced {
             return;
         }
         let mut has_conflict = false;
@@ -101,7 +104,10 @@
                 None => return,
             }
         }
-        if !has_conflict {
+        if has_unannounced && !renew_journal(control).await {
+            return;
+        }
+        if !has_conflict && !has_unannounced {
             return;
         }
     }
--- a/crates/fescuewell_standin/src/rows.rs
+++ b/crates/fescuewell_standin/src/rows.rs
@@ -48,6 +48,8 @@
     LostReplies,
     /// It executes calls and replies after a delay.
     Late(Duration),
+    /// It executes writes to a table after a delay, if their conditions hold then, and does not answer them.
+    LateWrites(&'static str, Duration),
     /// Feeds hear nothing; all else works.
     SilentFeeds,
     /// Bodies of responses arrive at so many bytes a second, as behind a link that callers fill.
--- a/crates/fescuewell_standin/src/rows/serve.rs
+++ b/crates/fescuewell_standin/src/rows/serve.rs
@@ -144,6 +144,12 @@
     row
 }
 
+/// Whether a transaction writes to a table.
+fn writes_to(body: &[u8], table: &str) -> bool {
+    let change = serde_json::from_slice::<WireChange>(body);
+    change.is_ok_and(|change| change.puts.iter().any(|row| &*row.table == table))
+}
+
 /// Context of one call.
 struct Endpoint {
     content: Content,
@@ -179,6 +185,7 @@
             Fault::None
             | Fault::LostReplies
             | Fault::Late(_)
+            | Fault::LateWrites(..)
             | Fault::SilentFeeds
             | Fault::Narrow(_) => {}
         }
@@ -188,6 +195,15 @@
         if let Some(name) = path.strip_prefix("/-/blob-get/") {
             return self.get_object(reply, name).await;
         }
+        if let Fault::LateWrites(table, delay) = self.fault
+            && &*path == ROWS_TX
+            && writes_to(&request.body, table)
+        {
+            tokio::time::sleep(delay).await;
+            // Nobody waits for the answer any more.
+            let _ = self.transact(&request.body);
+            return reply.abort();
+        }
         self.content.delay().pass().await;
         let query: HashMap<String, String> = form_urlencoded::parse(request.query.as_bytes())
             .into_owned()
--- a/tests/forward/money.rs
+++ b/tests/forward/money.rs
@@ -1,7 +1,9 @@
 //! Tests of prepaid tokens through the whole forwarding path.
 
 use std::io::{Read, Write};
+use std::time::{Duration, Instant};
 
+use fescuewell::forward::quota::row::Ledger;
 use fescuewell::standin::rows::Fault;
 use fescuewell::standin::worker::{Behaviour, EVENTS, wait_until};
 
@@ -164,7 +166,67 @@
 
     let rows = fixture.store.table("ledger");
     let (name, value) = &rows[0];
-    let ledger = fescuewell::forward::quota::row::Ledger::decode(value).unwrap();
+    let ledger = Ledger::decode(value).unwrap();
     assert_eq!(&**name, GROUP);
     assert_eq!(ledger.total(), 1_000 + EVENTS * 7);
 }
+
+/// By how much writes to the ledgers are late.
+const LATE: Duration = Duration::from_millis(3_500);
+
+/// Tokens granted to an instance.
+fn granted(fixture: &Fixture, holder: &str) -> u64 {
+    let rows = fixture.store.table("ledger");
+    let ledger = rows
+        .first()
+        .map(|(_, value)| Ledger::decode(value).unwrap());
+    ledger.map_or(0, |ledger| ledger.granted(holder))
+}
+
+/// Sends streams until several in a row are refused.
+fn spend(fixture: &Fixture, prefix: &str) {
+    let mut refused = 0;
+    for number in 0..100 {
+        match fixture
+            .send(&stream(&format!("{prefix}-{number}"), 1_000, 100))
+            .status
+        {
+            200 => refused = 0,
+            _ => refused += 1,
+        }
+        if refused == 4 {
+            return;
+        }
+    }
+}
+
+/// Guards against tokens that are spent twice: an instance returns them by a write without an answer and
+/// ends, the next process finds the row as it was and spends them, and then the write takes effect.
+#[test]
+fn a_late_return_of_the_process_before_takes_no_tokens_twice() {
+    let mut first = Fixture::without_instance(1, 60_000);
+    let mut second = first.add_instance();
+    let endpoint = first.use_own_store_endpoint();
+    first.start();
+    first.wait_listed("i-0");
+    let is_granted = || {
+        let id = format!("r-{}", first.workers[0].runs().len());
+        first.send(&stream(&id, 1_000, 100));
+        granted(&first, "entry-1") > first.consumed() + 12_000
+    };
+    assert!(wait_until(is_granted));
+
+    endpoint.set_fault(Fault::LateWrites("ledger", LATE));
+    first.daemon.take().unwrap().stop();
+    let returned = Instant::now() + LATE;
+    first.start();
+    first.wait_ready();
+    spend(&first, "s");
+    std::thread::sleep(returned.saturating_duration_since(Instant::now()));
+    second.start();
+    second.wait_listed("i-0");
+    spend(&second, "t");
+
+    let used = first.workers[0].runs().len() as u64 * (1_000 + EVENTS * 7);
+    assert!(used <= 60_000, "{used} tokens");
+}
