Soak: late writes over restarts, late copies, SIGTERMs in series under streams

Now the drawn faults include late ledger writes of one instance and late copies of responses, from a generator of their own, so that the faults of known seeds stay. A phase after the silences stops one or two instances at a time, three times in a row, with SIGHUP and a second SIGTERM beside some, while 18 callers send streams; it checks that each stop ends within the grace period and that no request that ran is cut off. Tokens are checked over all of it, as before.

--- a/tests/forward/answers.rs
+++ b/tests/forward/answers.rs
@@ -154,7 +154,7 @@
     fixture.proxies = vec![ServerProxy::open(fixture.workers[0].address())];
     fixture.start();
     fixture.wait_ready();
-    fixture.proxies[0].copy_late();
+    fixture.proxies[0].copy_late(true);
     fixture.workers[0].next(&[Behaviour::TurnAway]);
 
     let rejected = fixture.send(&Request::new("POST /unsafe/x", "r-1").with_body(b""));
--- a/tests/forward/server_proxy.rs
+++ b/tests/forward/server_proxy.rs
@@ -112,10 +112,10 @@
         *self.shared.cut() = cut;
     }
 
-    /// Sends each response a second time before the next one on its connection. Responses must be short
-    /// enough for one read.
-    pub fn copy_late(&self) {
-        self.shared.copies_late.store(true, Ordering::Relaxed);
+    /// Starts or ends sending each response a second time before the next one on its connection. Only
+    /// responses that are read whole at once are copied.
+    pub fn copy_late(&self, is_on: bool) {
+        self.shared.copies_late.store(is_on, Ordering::Relaxed);
     }
 
     /// Waits until all proxies have applied their last mode.
@@ -216,7 +216,7 @@
 fn pass_on(shared: &Shared, mut from: TcpStream, mut to: TcpStream, is_response: bool) {
     from.set_read_timeout(Some(POLL_INTERVAL)).unwrap();
     let mut buffer = [0; 16 * 1024];
-    let mut previous = Vec::new();
+    let mut previous: Vec<u8> = Vec::new();
     while !shared.is_ended() {
         // The lock must not be held while the thread sleeps.
         let cut = *shared.cut();
@@ -236,9 +236,11 @@
                 if to.write_all(&bytes).is_err() {
                     break;
                 }
-                if is_response && shared.copies_late.load(Ordering::Relaxed) {
-                    previous = received.to_vec();
-                }
+                let is_copied = is_response && shared.copies_late.load(Ordering::Relaxed);
+                previous = match is_copied && is_whole(received) {
+                    true => received.to_vec(),
+                    false => Vec::new(),
+                };
             }
             Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
             Err(_) => break,
@@ -248,6 +250,19 @@
     let _ = to.shutdown(Shutdown::Both);
 }
 
+/// Whether bytes are one response with a length.
+fn is_whole(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(": ")?;
+        name.eq_ignore_ascii_case("content-length").then_some(value)
+    });
+    length.is_some_and(|length| length.parse() == Ok(body.len()))
+}
+
 /// Keeps the backlog full, so that further connections are not established.
 fn hang(shared: &Shared, address: SocketAddr) {
     let listener = bind(address);
--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -175,6 +175,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Sends SIGHUP.
+    pub fn reread(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Sends SIGTERM and waits for the process to exit. Also resumes it: a suspended process would not handle the signal, and
     /// the wait would never end.
     pub fn stop(&mut self) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -24,6 +24,7 @@
 #[path = "../forward/server_proxy.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the fixture")]
 mod server_proxy;
+mod stops;
 mod streams;
 mod verdict;
 #[path = "../forward/wire.rs"]
--- a/tests/soak/verdict.rs
+++ b/tests/soak/verdict.rs
@@ -19,10 +19,7 @@
     prepaid: u64,
     record: &Record,
 ) -> Vec<String> {
-    let mut run_counts: HashMap<&str, usize> = HashMap::new();
-    for run in runs.iter().flatten() {
-        *run_counts.entry(&run.id).or_default() += 1;
-    }
+    let run_counts = run_counts(runs);
     let mut violations = record.violations(exchanges, &run_counts);
     for exchange in exchanges {
         let run_count = run_counts
@@ -48,6 +45,15 @@
     violations
 }
 
+/// Counts how often each request ran.
+pub fn run_counts(runs: &[Vec<Run>]) -> HashMap<&str, usize> {
+    let mut run_counts: HashMap<&str, usize> = HashMap::new();
+    for run in runs.iter().flatten() {
+        *run_counts.entry(&run.id).or_default() += 1;
+    }
+    run_counts
+}
+
 fn is_success(exchange: &Exchange) -> bool {
     exchange
         .response
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -18,6 +18,7 @@
 use crate::fixture::{Fixture, any_address, send};
 use crate::instance::Instance;
 use crate::poison::{self, PoisonCaller};
+use crate::stops;
 use crate::streams;
 use crate::verdict;
 use crate::{lists, parts};
@@ -50,6 +51,8 @@
     stream_random: SmallRng,
     /// Generator of the servers' silences and of changes of the configuration, separate for the same reason.
     silence_random: SmallRng,
+    /// Generator of late writes, late copies and stops, separate for the same reason.
+    stop_random: SmallRng,
     seed: u64,
     /// Number of replaced servers.
     generation: usize,
@@ -107,6 +110,7 @@
             condition_random: SmallRng::seed_from_u64(seed.rotate_left(32)),
             stream_random: SmallRng::seed_from_u64(seed.rotate_left(16)),
             silence_random,
+            stop_random: SmallRng::seed_from_u64(seed.rotate_left(8)),
             seed,
             generation: 0,
             copy: None,
@@ -132,6 +136,7 @@
             active.push(fault);
             self.disturb_streams();
             silence::disturb(&mut self.silence_random, &self.platform.workers);
+            stops::disturb(&mut self.stop_random, &self.instances);
             if self.silence_random.random_bool(0.2) {
                 let change =
                     [Change::Idle, Change::Timeout][self.silence_random.random_range(0..2)];
@@ -145,6 +150,7 @@
                 }
                 conditions::clear(&self.platform.workers);
                 silence::clear(&self.platform.workers);
+                stops::clear(&self.instances);
                 streams::heal(&self.instances);
             }
         }
@@ -153,9 +159,30 @@
         }
         conditions::clear(&self.platform.workers);
         silence::clear(&self.platform.workers);
+        stops::clear(&self.instances);
         streams::heal(&self.instances);
     }
 
+    pub(crate) fn instances(&mut self) -> &mut [Instance] {
+        &mut self.instances
+    }
+
+    pub(crate) fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    /// Adds prepaid tokens for a phase.
+    pub(crate) fn top_up_by(&mut self, tokens: u64) {
+        self.document.top_up(tokens);
+        self.platform.configure(&self.document.value());
+    }
+
+    pub(crate) fn set_event_interval(&self, interval: Duration) {
+        for worker in self.phase_workers() {
+            worker.set_event_interval(interval);
+        }
+    }
+
     /// Replaces servers by ones of other versions, and cuts instances off from servers.
     fn disturb_streams(&mut self) {
         let random = &mut self.stream_random;
@@ -350,6 +377,8 @@
     pub fn finish(mut self) -> Vec<String> {
         let mut violations = self.recover();
         let (record, mut exchanges) = self.play_silences();
+        let mut stop_random = self.stop_random.clone();
+        let stops = self.play_stops(&mut stop_random);
         if self.quarantine().is_ok() {
             violations.extend(self.quarantine_violation());
         }
@@ -359,6 +388,8 @@
         self.stop.store(true, Ordering::Release);
         exchanges.extend(self.callers.drain(..).flat_map(Caller::join));
         let runs: Vec<_> = self.phase_workers().map(|worker| worker.runs()).collect();
+        violations.extend(stops.violations(&verdict::run_counts(&runs)));
+        exchanges.extend(stops.exchanges);
         violations.extend(verdict::violations(
             &exchanges,
             &runs,
