--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -23,8 +23,8 @@
 take up the request's stream are printed as well. ID may also be that of a part of prompts; the output then covers the
 crashes, failed attempts and refusals of all requests with that part.
 
-Last, marked with '=', comes a sentence for each of these requests whose lines tell who ended its stream and why, or
-what became of it while a server was silent.
+Last, marked with '=', comes a sentence for each of these requests whose lines tell who ended its stream and why, what
+became of it while a server was silent or sent other responses, or why a shutdown did not accept it.
 
 example: fescuewell explain 9c41d07be2a35f68 entry-1.log entry-2.log
 ";
--- a/src/command/explain/ending.rs
+++ b/src/command/explain/ending.rs
@@ -8,6 +8,8 @@
     cut: Option<&'a Line>,
     overtaken: Vec<&'a Line>,
     silent: Vec<&'a Line>,
+    late: Option<&'a Line>,
+    foreign: Option<&'a Line>,
     last: Option<&'a Line>,
 }
 
@@ -23,6 +25,8 @@
                 "stream.cut" => ending.cut = Some(line),
                 "attempt.overtaken" => ending.overtaken.push(line),
                 "attempt.silent" => ending.silent.push(line),
+                "drain.refused" => ending.late = Some(line),
+                "response.foreign" => ending.foreign = Some(line),
                 "request.done" | "route.refused" => ending.last = Some(line),
                 _ => {}
             }
@@ -47,6 +51,12 @@
             let overtakings: Option<Vec<String>> = overtakings.collect();
             return Some(format!("{outcome}, after {}", overtakings?.join(" and ")));
         }
+        if let Some(late) = self.late {
+            return Some(format!("{outcome}: {}", lateness(late)?));
+        }
+        if let Some(foreign) = self.foreign {
+            return Some(format!("{outcome}; {}", confusion(foreign)));
+        }
         let silent = self.silent.last()?;
         Some(format!(
             "{outcome}; {} had been silent for {} ms when {}",
@@ -97,6 +107,9 @@
         ("instance", "over_budget") => Some(format!(
             "ended by this instance: it had no memory left for more of {server} {place}"
         )),
+        ("instance", "shutdown") => Some(format!(
+            "ended by this instance, which was shut down, {place}"
+        )),
         ("server", "broken") => Some(format!(
             "ended by the server: the connection to {server} broke {place}"
         )),
@@ -136,6 +149,28 @@
     }
 }
 
+/// Returns why a request was refused during a shutdown.
+fn lateness(late: &Line) -> Option<String> {
+    let left = grouped(late.field("left_ms"))?;
+    Some(match grouped(late.field("expected_ms")) {
+        Some(expected) => format!(
+            "the shutdown of this instance ended in {left} ms, and such requests take up to {expected} ms"
+        ),
+        None => {
+            format!("the shutdown of this instance ended in {left} ms, and its deadline was later")
+        }
+    })
+}
+
+/// Returns which responses a server sent besides the one to the request.
+fn confusion(foreign: &Line) -> String {
+    let server = foreign.field("server");
+    match (foreign.field("own"), foreign.field("skipped")) {
+        ("true", skipped) => format!("{server} sent {skipped} other responses before this one"),
+        (_, _) => format!("{server} sent a response that does not name this request"),
+    }
+}
+
 fn decision(silent: &Line) -> Option<String> {
     match silent.field("decision") {
         "second" => Some("a second server was asked".into()),
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -199,3 +199,58 @@
     assert_eq!(open, Vec::<String>::new());
     assert_eq!(unknown, Vec::<String>::new());
 }
+
+#[test]
+fn a_request_that_a_shutdown_did_not_accept_is_told() {
+    let refused = ("route.refused", "code=4005 cause=Draining");
+    let late = |name: &str, fields: &str| conclusions(name, &[("drain.refused", fields), refused]);
+
+    assert_eq!(
+        late("late", "left_ms=4900 expected_ms=6000"),
+        [
+            "= r-1 refused (Draining): the shutdown of this instance ended in 4,900 ms, and such requests take up to 6,000 ms"
+        ]
+    );
+    assert_eq!(
+        late("late-unknown", "left_ms=4900 expected_ms=-"),
+        [
+            "= r-1 refused (Draining): the shutdown of this instance ended in 4,900 ms, and its deadline was later"
+        ]
+    );
+}
+
+#[test]
+fn responses_to_other_requests_are_told() {
+    let foreign = |name: &str, fields: &str, last: (&str, &str)| {
+        conclusions(name, &[("response.foreign", fields), last])
+    };
+
+    assert_eq!(
+        foreign(
+            "foreign",
+            "server=i-1 skipped=2 own=true",
+            ("request.done", "outcome=200")
+        ),
+        ["= r-1 answered with 200; i-1 sent 2 other responses before this one"]
+    );
+    assert_eq!(
+        foreign(
+            "unusable",
+            "server=i-1 skipped=0 own=false",
+            ("route.refused", "cause=OutcomeUnknown")
+        ),
+        ["= r-1 refused (OutcomeUnknown); i-1 sent a response that does not name this request"]
+    );
+}
+
+#[test]
+fn a_stream_that_a_shutdown_cut_is_told() {
+    let fields = "server=i-1 by=instance cause=shutdown then=- silent_ms=20 events=3 last_event=3 configuration=2 configuration_age_ms=1500";
+
+    assert_eq!(
+        conclusions("shutdown", &[("stream.cut", fields)]),
+        [
+            "= r-1 ended by this instance, which was shut down, after event 3, and no other server was asked; configuration 2 was in force for 1,500 ms"
+        ]
+    );
+}
