--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -92,8 +92,8 @@
     for _ in 0..MAX_ATTEMPTS {
         renew_fence(control).await;
         let updates = plan_updates(control, accounts);
-        let has_unannounced = control.gateway.state().quota.has_unannounced_returns();
-        if updates.is_empty() && !has_unannounced {
+        let announces = announces_returns(control);
+        if updates.is_empty() && !announces {
             return;
         }
         let mut has_conflict = false;
@@ -104,15 +104,27 @@
                 None => return,
             }
         }
-        if has_unannounced && !renew_journal(control).await {
+        if announces && !renew_journal(control).await {
             return;
         }
-        if !has_conflict && !has_unannounced {
+        if !has_conflict && !announces {
             return;
         }
     }
 }
 
+/// Returns whether a journal is to be written now because returns wait for it. Between two journals at the
+/// interval of this fleet they wait for the next one, and are sent by the next reconciliation.
+fn announces_returns(control: &Control) -> bool {
+    let now_ms = control.gateway.now_ms();
+    let interval = control.cadence().journal();
+    let is_draining = control.gateway.is_draining();
+    let state = control.gateway.state();
+    let age_ms = state.quota.exposure(now_ms).age_ms;
+    let is_due = is_draining || u128::from(age_ms) >= interval.as_millis();
+    is_due && state.quota.has_unannounced_returns()
+}
+
 /// A new ledger for an account, and the version that it replaces.
 struct LedgerUpdate {
     account: Arc<str>,
