Prepaid tokens: a return limits spending only once it is sent

Change: only a return that may have been sent limits spending. A plan and its announcement do not; a return that leaves more than was announced is covered by the announcement. The next process keeps to the announced grant, but never to less than the former one may have consumed, which it cannot tell apart. An announced return is sent by the next draw instead of the next reconciliation.

Evidence: two new tests fail on the code before (17,683 of 19,683 tokens could not be spent; nothing sends the return).

--- a/crates/fescuewell_forward/src/quota.rs
+++ b/crates/fescuewell_forward/src/quota.rs
@@ -14,8 +14,9 @@
 //!
 //! A write without a response may take effect seconds later, when the next process has already read
 //! the row. A late draw only leaves tokens unused, but a late return would take back tokens that the
-//! next process spends. So the journal announces a return before it is sent: it names the total above
-//! which nothing is consumed any more, and the next process keeps to that until the row has changed.
+//! next process spends. So the journal announces a return before it is sent: it names the lowest grant
+//! that a return may leave, and the next process keeps to that until the row has changed. This process
+//! may spend the tokens until it sends the return.
 //!
 //! ```
 //! use fescuewell_forward::quota::{HoldOutcome, Quota};
@@ -289,11 +290,13 @@
         usages.map(|usage| usage.account).collect()
     }
 
-    /// Returns the accounts with requests that need more than the local grant covers.
-    pub fn short_accounts(&self) -> Vec<Arc<str>> {
+    /// Returns the accounts to plan at once: those with requests that need more than the local grant
+    /// covers, and those with a return that can be sent.
+    pub fn urgent_accounts(&self) -> Vec<Arc<str>> {
         let accounts = self.accounts.iter();
-        let short = accounts.filter(|(_, account)| account.shortage().is_some());
-        short.map(|(name, _)| name.clone()).collect()
+        let urgent = accounts
+            .filter(|(_, account)| account.shortage().is_some() || account.has_announced_return());
+        urgent.map(|(name, _)| name.clone()).collect()
     }
 
     /// Sets the maximum age, in milliseconds, of a ledger read that may prove an account exhausted,
@@ -389,7 +392,7 @@
     /// which to condition the write, or `None` if nothing has to change.
     ///
     /// Tokens that the new ledger returns must not be spent from now on, whether or not the write
-    /// succeeds. A return is planned once the journal has announced it, see
+    /// succeeds. A return is sent once the journal has announced it, see
     /// [`Quota::has_unannounced_returns`].
     pub fn plan(&mut self, account: &Arc<str>, now_ms: u64) -> Option<(u64, Ledger)> {
         if !self.adopted {
@@ -421,6 +424,12 @@
         accounts.any(Account::has_unannounced_return)
     }
 
+    /// Returns whether planned returns are announced by the journal in force and not sent yet.
+    pub fn has_announced_returns(&self) -> bool {
+        let mut accounts = self.accounts.values();
+        accounts.any(Account::has_announced_return)
+    }
+
     fn account_mut(&mut self, name: &Arc<str>) -> &mut Account {
         let accounts = &mut self.accounts;
         accounts.entry(name.clone()).or_insert_with(|| {
--- a/crates/fescuewell_forward/src/quota/account.rs
+++ b/crates/fescuewell_forward/src/quota/account.rs
@@ -50,15 +50,13 @@
 /// Assumed size of a request, in tokens, before any has been seen.
 const DEFAULT_REQUEST_TOKENS: u64 = 8_000;
 
-/// A return of tokens that is announced in the journal, or whose write may still take effect.
+/// A return of tokens, by this process or by the one before, whose write may still take effect.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PendingReturn {
     /// Row version on which the write is conditional.
     version: u64,
     /// Grant after the return.
     granted: u64,
-    /// Whether it may have been sent, by this process or by the one before.
-    is_sent: bool,
 }
 
 /// Grants, consumption and demand of one account.
@@ -74,9 +72,11 @@
     /// Grants of other holders as known in previous eras.
     pub(super) previous_grants: Ledger,
     pub(super) pending_return: Option<PendingReturn>,
+    /// Grant after a return that the journal has to announce before it is sent.
+    planned_return: Option<u64>,
     pub(super) consumed: u64,
     recorded: u64,
-    /// Total above which nothing is consumed by the journal in force.
+    /// Grant after a return, as announced by the journal in force.
     pub(super) announced: Option<u64>,
     rate_limits: Vec<Limit>,
     pub(super) version: u64,
@@ -103,6 +103,7 @@
             is_newly_confirmed: false,
             previous_grants: Ledger::default(),
             pending_return: None,
+            planned_return: None,
             consumed: 0,
             recorded: 0,
             announced: None,
@@ -294,6 +295,9 @@
         {
             self.pending_return = None;
         }
+        if version > self.version {
+            self.planned_return = None;
+        }
         self.version = version;
         self.take_grant(holder, &ledger, era);
         self.ledger = ledger;
@@ -313,7 +317,8 @@
         let mean_request_tokens = self.mean_request_tokens(now_ms);
         let consumed = self.consumed;
         let waiting = self.waiting.take(at_ms);
-        let max = self.pending_return.map(|pending| pending.granted);
+        let pending = self.pending_return.map(|pending| pending.granted);
+        let max = [pending, self.planned_return].into_iter().flatten().min();
         if let Some(closing_in_ms) = closing_in_ms {
             return Entry {
                 account,
@@ -436,16 +441,15 @@
         };
         // Settles the row for holders that need tokens, so that they learn whether any are left.
         let must_settle = shortage.is_some() && !is_settled;
-        if granted >= self.granted {
-            self.pending_return = self.pending_return.filter(|pending| pending.is_sent);
-        }
+        self.planned_return = None;
         // Any write of the row ends a return that may still take effect.
         if granted == self.granted && !must_settle && self.pending_return.is_none() {
             return None;
         }
-        if granted < self.granted && !self.begin_return(granted, is_journal_known) {
-            return None;
-        }
+        let granted = match granted < self.granted {
+            true => self.begin_return(granted, is_journal_known)?,
+            false => granted,
+        };
         let mut ledger = ledger;
         ledger.set_grant(Grant {
             holder: holder.clone(),
@@ -455,40 +459,53 @@
         Some((self.version, ledger))
     }
 
-    /// Begins a return that lowers the grant. Returns `false` if it has to be announced first, by the
-    /// next journal.
+    /// Begins a return that lowers the grant to `granted`. Returns the grant that may be written now, or
+    /// `None` if the next journal has to announce the return first.
     ///
     /// The write may take effect after this process has ended. The next one must not spend by the grant
-    /// that it finds in the row, and the journal is what it knows of this one.
-    fn begin_return(&mut self, granted: u64, is_journal_known: bool) -> bool {
+    /// that it finds in the row, and the journal is what it knows of this one. Until the return is sent,
+    /// this process may spend the tokens.
+    fn begin_return(&mut self, granted: u64, is_journal_known: bool) -> Option<u64> {
         let announced = self.announced.filter(|_| is_journal_known);
-        let is_announced = announced.is_some_and(|max| max <= granted);
+        if announced.is_none_or(|max| max > granted) {
+            self.planned_return = Some(granted);
+        }
+        // Less than what is planned may have been announced.
+        let granted = announced.filter(|max| *max < self.granted)?.max(granted);
         // An earlier return with the same condition may still take effect instead of this one.
-        let earlier = self.pending_return;
+        let earlier = self
+            .pending_return
+            .map_or(granted, |earlier| earlier.granted);
         self.pending_return = Some(PendingReturn {
             version: self.version,
-            granted: earlier.map_or(granted, |earlier| earlier.granted.min(granted)),
-            is_sent: is_announced || earlier.is_some_and(|earlier| earlier.is_sent),
+            granted: granted.min(earlier),
         });
-        is_announced
+        Some(granted)
     }
 
     /// Returns whether a return waits for the journal that announces it.
     pub(super) fn has_unannounced_return(&self) -> bool {
-        let pending = self.pending_return;
-        pending.is_some_and(|pending| self.announced.is_none_or(|max| max > pending.granted))
+        let planned = self.planned_return;
+        planned.is_some_and(|granted| self.announced.is_none_or(|max| max > granted))
+    }
+
+    /// Returns whether a return is announced and can be sent.
+    pub(super) fn has_announced_return(&self) -> bool {
+        self.planned_return.is_some() && !self.has_unannounced_return()
     }
 
     /// Takes a return into account that the process before has announced, and may have sent. It has an
     /// effect only as long as the row has the version that this process has read.
+    ///
+    /// That process may have spent more before it sent the return, which was then a smaller one.
     pub(super) fn inherit_return(&mut self, granted: u64) {
+        let granted = granted.max(self.consumed);
         if granted >= self.granted {
             return;
         }
         self.pending_return = Some(PendingReturn {
             version: self.version,
             granted,
-            is_sent: true,
         });
     }
 
--- a/crates/fescuewell_forward/src/quota/rate_limit.rs
+++ b/crates/fescuewell_forward/src/quota/rate_limit.rs
@@ -27,7 +27,6 @@
     peak_rate: u64,
     bucket_size: u64,
     sustained_rate: u64,
-    max: u64,
     at_ms: u64,
 }
 
@@ -38,7 +37,6 @@
         peak_rate: 0,
         bucket_size: 0,
         sustained_rate: 0,
-        max: 0,
         at_ms: 0,
     };
 
@@ -49,7 +47,6 @@
             peak_rate: entry.peak_rate,
             bucket_size: entry.bucket_size,
             sustained_rate: entry.sustained_rate,
-            max: entry.max.unwrap_or(u64::MAX),
             at_ms,
         }
     }
@@ -61,15 +58,11 @@
         let peak = self.peak_rate.saturating_mul(active_ms) / 1_000;
         let sustained = self.sustained_rate.saturating_mul(active_ms) / 1_000;
         let sustained = self.bucket_size.saturating_add(sustained);
-        let limit = self.base.saturating_add(peak.min(sustained));
-        limit.min(self.max)
+        self.base.saturating_add(peak.min(sustained))
     }
 
     /// Returns the earliest time at which the limit reaches `total`, or `None` if it never does.
     pub fn reached_at(&self, total: u64) -> Option<u64> {
-        if total > self.max {
-            return None;
-        }
         let needed = total.saturating_sub(self.base);
         if needed == 0 {
             return Some(self.at_ms);
--- a/crates/fescuewell_forward/src/quota/row.rs
+++ b/crates/fescuewell_forward/src/quota/row.rs
@@ -156,8 +156,8 @@
     pub bucket_size: u64,
     /// Tokens that may be consumed per second beyond `bucket_size`.
     pub sustained_rate: u64,
-    /// Total above which nothing is consumed, because a ledger write that lowers the grant to it may be
-    /// under way. It may take effect after the process has ended.
+    /// The lowest grant that a ledger write by this process may set while the journal is in force. The
+    /// write may take effect after the process has ended. `None` if there is no such write.
     pub max: Option<u64>,
 }
 
--- a/crates/fescuewell_forward/tests/common/mod.rs
+++ b/crates/fescuewell_forward/tests/common/mod.rs
@@ -595,6 +595,12 @@
         account.map_or(0, |account| account.consumed())
     }
 
+    /// Returns the total that the ledger grants to an instance, as known to it.
+    pub fn row_grant(&self, index: usize) -> u64 {
+        let account = self.instances[index].quota.account(ACCOUNT);
+        account.map_or(0, |account| account.row_grant())
+    }
+
     /// Ends the oldest request of an instance, which used `percent` of its tokens.
     pub fn settle(&mut self, index: usize, percent: u64) {
         let instance = &mut self.instances[index];
--- a/crates/fescuewell_forward/tests/late_writes.rs
+++ b/crates/fescuewell_forward/tests/late_writes.rs
@@ -181,6 +181,77 @@
     assert!(cluster.instances[0].quota.is_returned());
 }
 
+/// Makes an instance plan a return of tokens that is not announced yet, and returns its grant.
+fn plan_return(cluster: &mut Cluster, index: usize) -> u64 {
+    cluster.store.now_ms += 60_000;
+    cluster.write_journal(index, WriteOutcome::Committed);
+    cluster.read_ledger(index);
+    cluster.exchange_usage(index);
+    cluster.plan_once(index, WriteOutcome::Committed);
+    assert!(cluster.instances[index].quota.has_unannounced_returns());
+    cluster.row_grant(index)
+}
+
+/// Makes requests at one instance until its grant is used, with journals but without ledger writes.
+fn spend_grant(cluster: &mut Cluster, index: usize) {
+    let mut outcome = HoldOutcome::Held;
+    while outcome != HoldOutcome::InsufficientGrant {
+        outcome = cluster.hold(index, REQUEST_TOKENS);
+        if matches!(outcome, HoldOutcome::RateLimited(_)) {
+            cluster.write_journal(index, WriteOutcome::Committed);
+        }
+    }
+}
+
+/// Guards against refusals for want of tokens that an instance is about to return: it may spend them until
+/// the return is sent, also after the journal has announced it.
+#[test]
+fn tokens_are_spent_until_their_return_is_sent() {
+    let mut cluster = started_cluster();
+    let granted = plan_return(&mut cluster, 0);
+
+    spend_grant(&mut cluster, 0);
+
+    let left = granted - cluster.consumed(0);
+    assert!(left < REQUEST_TOKENS, "{left} of {granted} left");
+}
+
+/// Guards against tokens that nobody can use for the time between two reconciliations: an announced return is
+/// sent by the next draw.
+#[test]
+fn an_announced_return_is_sent_without_waiting_for_the_next_reconciliation() {
+    let mut cluster = started_cluster();
+    let granted = plan_return(&mut cluster, 0);
+    assert!(cluster.instances[0].quota.urgent_accounts().is_empty());
+
+    cluster.write_journal(0, WriteOutcome::Committed);
+    let urgent = cluster.instances[0].quota.urgent_accounts();
+    cluster.plan_once(0, WriteOutcome::Committed);
+
+    assert_eq!(urgent, [Arc::from(ACCOUNT)]);
+    assert!(cluster.row_grant(0) < granted);
+    assert!(cluster.instances[0].quota.urgent_accounts().is_empty());
+}
+
+/// Guards against tokens that are spent twice: an instance spends more than it has announced to keep, and
+/// ends before it sends the return.
+#[test]
+fn a_return_that_was_announced_and_not_sent_hides_no_consumption() {
+    let mut cluster = started_cluster();
+    let granted = plan_return(&mut cluster, 0);
+    spend_grant(&mut cluster, 0);
+    assert!(granted - cluster.consumed(0) < REQUEST_TOKENS);
+    cluster.restart(0, 300);
+    cluster.adopt(0, WriteOutcome::Committed);
+
+    for _ in 0..4 {
+        round(&mut cluster, &[0, 1, 2]);
+    }
+    spend_rest(&mut cluster);
+
+    assert_not_overspent(&cluster);
+}
+
 /// Guards against a restart that costs the store more writes than before in a large fleet: a return is
 /// announced by the journal that is written at a stop anyway, and a start writes one journal.
 #[test]
--- a/crates/fescuewell_gateway/src/control/ledger.rs
+++ b/crates/fescuewell_gateway/src/control/ledger.rs
@@ -114,7 +114,7 @@
 }
 
 /// Returns whether a journal is to be written now because returns wait for it. Between two journals at the
-/// interval of this fleet they wait for the next one, and are sent by the next reconciliation.
+/// interval of this fleet they wait for the next one.
 fn announces_returns(control: &Control) -> bool {
     let now_ms = control.gateway.now_ms();
     let interval = control.cadence().journal();
--- a/crates/fescuewell_gateway/src/control/sync.rs
+++ b/crates/fescuewell_gateway/src/control/sync.rs
@@ -112,20 +112,24 @@
         if enter_era(control).await {
             renew_journal(control).await;
         }
+        if gateway.state().quota.has_announced_returns() {
+            gateway.request_plan();
+        }
         written_at = Instant::now();
         next = written_at + control.jitter(interval.max(cadence.journal()));
         gateway.notify_token_changes();
     }
 }
 
-/// Draws tokens for waiting requests, and returns all tokens when the instance drains.
+/// Draws tokens for waiting requests and returns those that a journal has announced; all when the
+/// instance drains.
 async fn draw_loop(control: &Control) {
     let gateway = &control.gateway;
     while control.inbox.plan_requests.recv_async().await.is_ok() {
         let is_draining = gateway.is_draining();
         let accounts = match is_draining {
             true => gateway.state().quota.prepaid_accounts(),
-            false => gateway.state().quota.short_accounts(),
+            false => gateway.state().quota.urgent_accounts(),
         };
         if enter_era(control).await {
             reconcile(control, &accounts).await;
