--- a/crates/fescuewell_claims/src/client.rs
+++ b/crates/fescuewell_claims/src/client.rs
@@ -276,7 +276,9 @@
             return;
         };
         match (&item.kind, reply) {
-            (_, Reply::NotHolder) => self.retry_soon(now, correlation),
+            (_, Reply::NotHolder) => {
+                self.retry_soon(now, correlation, self.settings.max_redirect_backoff);
+            }
             (&Kind::Claim { ticket, .. }, reply) => {
                 self.claim_answered(now, correlation, ticket, reply)
             }
@@ -306,7 +308,7 @@
 
     /// Reports that a message could not be sent or that its connection broke.
     pub fn send_failed(&mut self, now: Instant, correlation: u64) {
-        self.retry_soon(now, correlation);
+        self.retry_soon(now, correlation, self.settings.max_backoff);
     }
 
     /// Takes the events for the router.
--- a/crates/fescuewell_claims/src/client/pending.rs
+++ b/crates/fescuewell_claims/src/client/pending.rs
@@ -1,5 +1,7 @@
 //! A message that waits for its reply, and its retransmission schedule.
 
+use std::time::Duration;
+
 use fescuewell_core::id::{Digest, SlotKey};
 use fescuewell_core::time::Instant;
 
@@ -90,7 +92,7 @@
         self.schedule.insert((due, id));
     }
 
-    pub(super) fn retry_soon(&mut self, now: Instant, id: u64) {
+    pub(super) fn retry_soon(&mut self, now: Instant, id: u64, max_wait: Duration) {
         let Some(item) = self.pending.get(&id) else {
             return;
         };
@@ -99,7 +101,7 @@
             .settings
             .redirect_backoff
             .saturating_mul(1 << doublings);
-        let wait = self.jitter(wait.min(self.settings.max_backoff));
+        let wait = self.jitter(wait.min(max_wait));
         self.reschedule(id, now + wait);
     }
 
--- a/crates/fescuewell_claims/src/client/settings.rs
+++ b/crates/fescuewell_claims/src/client/settings.rs
@@ -16,8 +16,11 @@
     /// Maximum time between two sends of one message.
     pub max_backoff: Duration,
     /// Wait after the reply that the instance does not hold the slot, for example while it loads
-    /// the log. Doubles up to [`Settings::max_backoff`].
+    /// the log. Doubles up to [`Settings::max_redirect_backoff`].
     pub redirect_backoff: Duration,
+    /// Maximum wait after that reply. A sweep lists streams later than this, so that the bill of a
+    /// response arrives before the sweep bills the stream of another attempt.
+    pub max_redirect_backoff: Duration,
     /// How long a claim or a lookup is retried.
     pub claim_timeout: Duration,
     /// The same for the claim of a non-repeatable call. Without a claim the call is refused, so
@@ -40,6 +43,7 @@
             bill_timeout: Duration::from_millis(1_500),
             max_backoff: Duration::from_secs(10),
             redirect_backoff: Duration::from_millis(30),
+            max_redirect_backoff: Duration::from_secs(1),
             claim_timeout: Duration::from_millis(1_000),
             non_repeatable_claim_timeout: Duration::from_millis(2_500),
             assign_tries: 4,
--- a/crates/fescuewell_claims/src/sweep.rs
+++ b/crates/fescuewell_claims/src/sweep.rs
@@ -40,8 +40,9 @@
     pub slots: u16,
     /// How long streams may run before they are cancelled; longer than the longest response.
     pub cancel_after: Duration,
-    /// Delay before the first listing of each server: a request that was in transit when the router
-    /// terminated may reach its backend server a moment later.
+    /// Time between the last slot's reply and the first listing: a request that was in transit when
+    /// the router terminated may reach its backend server a moment later, and a bill of another router
+    /// may still be on its way to a slot that had no holder.
     pub listing_delay: Duration,
     /// Time between two listings of one server, and before a request without a reply is repeated.
     pub retry_interval: Duration,
@@ -165,6 +166,8 @@
     settings: Settings,
     holder: Arc<str>,
     started: Instant,
+    /// When the slots were frozen.
+    listing_since: Option<Instant>,
     chart: Chart,
     state: State,
     servers: BTreeMap<Arc<str>, ServerState>,
@@ -204,6 +207,7 @@
             chart,
             settings,
             started: now,
+            listing_since: None,
             servers: BTreeMap::new(),
             pending: BTreeMap::new(),
             next_correlation: 1,
@@ -219,10 +223,9 @@
             holder,
         };
         for server in servers {
-            let at = now + sweep.settings.listing_delay;
             sweep
                 .servers
-                .insert(server.clone(), ServerState::Due { at });
+                .insert(server.clone(), ServerState::Due { at: now });
         }
         sweep.reset_slots();
         sweep
--- a/crates/fescuewell_claims/src/sweep/steps.rs
+++ b/crates/fescuewell_claims/src/sweep/steps.rs
@@ -7,6 +7,10 @@
 
 impl Sweep {
     pub(super) fn list_servers(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let since = *self.listing_since.get_or_insert(now);
+        if now.since(since) < self.settings.listing_delay {
+            return;
+        }
         let retry = self.settings.retry_interval;
         for (name, server) in &mut self.servers {
             let is_due = match *server {
--- a/crates/fescuewell_claims/tests/courier.rs
+++ b/crates/fescuewell_claims/tests/courier.rs
@@ -6,6 +6,7 @@
 
 use fescuewell_claims::client::{ClaimRequest, Client, Cost, Event, Settings};
 use fescuewell_claims::message::{Reply, Request};
+use fescuewell_claims::sweep;
 use fescuewell_core::prelude::{Digest, Instant, Tokens};
 
 use support::*;
@@ -146,6 +147,33 @@
     assert!(client.is_idle(), "nothing to release: its bill will follow");
 }
 
+/// Guards against a response that is charged as another attempt's stream: its bill reaches a slot that was
+/// without a holder for seconds after the sweep has billed that stream.
+#[test]
+fn a_bill_reaches_the_next_holder_of_a_slot_before_a_sweep_lists_streams() {
+    let listing_delay = sweep::Settings::default().listing_delay;
+    let mut now = Instant::from_millis(0);
+    let mut client = client("r.1");
+    let attempt = client.claim(now, 1, &claim_request("x", true));
+    client.bill(now, 1, &claim_request("x", true), attempt, cost(90));
+
+    // The instance that the slot is assigned to takes ever longer until it holds it.
+    let mut last = now;
+    let mut longest = Duration::ZERO;
+    while now < Instant::from_millis(30_000) {
+        now = now + Duration::from_millis(10);
+        for outgoing in client.take_outgoing(now) {
+            client.receive(now, outgoing.correlation, Reply::NotHolder);
+            if matches!(outgoing.request, Request::Bill(_)) {
+                longest = longest.max(now.since(last));
+                last = now;
+            }
+        }
+    }
+
+    assert!(longest * 2 < listing_delay, "{longest:?} between two sends");
+}
+
 #[test]
 fn the_courier_is_full_before_a_bill_would_find_no_room() {
     // The table is down for an hour and the router keeps accepting requests. Capacity is reserved
--- a/crates/fescuewell_claims/tests/sweep.rs
+++ b/crates/fescuewell_claims/tests/sweep.rs
@@ -274,6 +274,27 @@
     assert_eq!(live_bill, billed(90));
 }
 
+/// Guards against a response that is charged as another attempt's stream: a slot that was without a holder for
+/// seconds is frozen at last, and the bill of the response arrives a second later.
+#[test]
+fn streams_are_not_billed_at_once_when_the_last_slot_is_frozen() {
+    let mut world = World::new(&["e1"]);
+    world.record("e1", "x", "r.1", 1, 40, Progress::Complete);
+    let mut sweep = world.sweep();
+    // No reply of the slot for ten seconds.
+    for _ in 0..100 {
+        world.now = world.now + Duration::from_millis(100);
+        sweep.take_actions(world.now);
+    }
+
+    let early = world.run(&mut sweep, 2);
+    let bill = world.submit(&Request::Bill(bill("x", "s.1", 5, 90)));
+    let charged = world.run(&mut sweep, 10);
+
+    assert_eq!((early, bill), (None, billed(90)));
+    assert_eq!(charged, Some(0));
+}
+
 #[test]
 fn a_dead_routers_stream_is_read_on_until_its_server_has_no_record() {
     // Router r terminates with a stream on e1, and the caller's retry arrives at s. If the claim
