--- a/crates/fescuewell_claims/tests/courier.rs
+++ b/crates/fescuewell_claims/tests/courier.rs
@@ -157,7 +157,7 @@
     let attempt = client.claim(now, 1, &claim_request("x", true));
     client.bill(now, 1, &claim_request("x", true), attempt, cost(90));
 
-    // The instance that the slot is assigned to takes ever longer until it holds it.
+    // The instance that the slot is assigned to does not hold it yet.
     let mut last = now;
     let mut longest = Duration::ZERO;
     while now < Instant::from_millis(30_000) {
