Stand-in engine: requests that wait out a silence are read in order

At the end of the silence its engine answered a request that arrived at that moment before those that waited, so that a stream was asked for before it began. A log of the requests showed a GET that arrived in the millisecond in which the POST from 1.1 s before was still waiting. A paused process reads what has arrived in the order in which it arrived.

Change: waiting requests take turns, and a new one waits behind them.

--- a/crates/fescuewell_standin/src/engine/mod.rs
+++ b/crates/fescuewell_standin/src/engine/mod.rs
@@ -80,6 +80,8 @@
     cutoff: watch::Sender<Cutoff>,
     /// Whether nothing is sent at present.
     silence: watch::Sender<bool>,
+    /// Order of the requests that wait for the end of a silence.
+    turns: tokio::sync::Mutex<()>,
     connections: std::sync::atomic::AtomicU64,
 }
 
@@ -127,6 +129,7 @@
             wake: Notify::new(),
             cutoff: watch::channel(Cutoff::default()).0,
             silence: watch::channel(false).0,
+            turns: tokio::sync::Mutex::default(),
             connections: std::sync::atomic::AtomicU64::new(0),
             settings,
         });
--- a/crates/fescuewell_standin/src/engine/route.rs
+++ b/crates/fescuewell_standin/src/engine/route.rs
@@ -47,11 +47,14 @@
 
 impl Handler for Router {
     fn handle(&self, request: Request, reply: Reply) {
-        if !*self.core.silence.borrow() || &*request.path == "/control" {
+        // After a pause, a process reads what has arrived in the order in which it arrived.
+        let is_next = !*self.core.silence.borrow() && self.core.turns.try_lock().is_ok();
+        if is_next || &*request.path == "/control" {
             return self.respond(&request, reply);
         }
         let router = self.clone();
         spawn(async move {
+            let _turn = router.core.turns.lock().await;
             router.core.silence_over().await;
             router.respond(&request, reply);
         });
