--- a/tests/scenario/process.rs
+++ b/tests/scenario/process.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Id of the process.
+    #[allow(dead_code, reason = "the scenarios read no figures of a process")]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends the signal `name` to this process only.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
