Listener: one budget for what all connections hold, and who is closed when it is used up

Callers saw: instances over the memory of their machine (76,104 kB of 49,152 with 1,500 heads of 15 KB without their end; 84,668 kB with bodies of 12,000 bytes one byte short), and after a few large bodies without their end every other body refused until the time limit of 30 s.

Cause: each listener counted for itself, and only the bytes of bodies. Held were hyper's buffers (8 to 32 KiB a connection, 16 KiB of it for one that had sent nothing), the read buffer that a body's slice kept, a buffer that doubles beside the old one, heads, and bodies that a stream keeps after its response has started.

Change: `listener::Memory` is shared by the listeners of callers and of other instances. A connection reserves what it holds, before it holds it, until the end of its response. Between two requests it keeps neither hyper's state nor a buffer. A reservation that does not fit closes connections whose requests no handler has, the longest first, and waits for their memory; 32 wait at most, and what cannot be had is refused at once with 4008 (not run). A quarter is for reservations of up to 128 KiB. After a shortage the allocator returns free pages. The task of a connection took 11.6 KB, since it had room for a TLS session; that is boxed now (1.0 KB).

`all_bodies_together_are_bounded` has a larger budget and larger bodies in the same relation, since heads and buffers count as well.

--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -62,8 +62,6 @@
 const MAX_PEER_CONNECTIONS: usize = 512;
 /// Maximum size of a request of another instance in bytes: a caller's request with its head.
 const MAX_PEER_BODY_BYTES: usize = 5 * 1024 * 1024;
-/// Divisor of the memory limit; the result is the maximum size of all buffered bodies together.
-const BODY_MEMORY_DIVISOR: usize = 4;
 
 /// A running instance.
 pub struct Daemon {
@@ -108,7 +106,7 @@
     ) -> Result<Self, Error> {
         let (gateway, inbox) = Gateway::new(settings, dialect).context(MetricsSnafu)?;
         let settings = &gateway.settings;
-        let front = front_settings(settings);
+        let front = front_settings(&gateway);
         let handler: Arc<dyn Handler> = Arc::new(Front::new(gateway.clone()));
         let front = Listener::start(front, handler).context(ListenSnafu)?;
         gateway.set_gate(front.gate());
@@ -210,16 +208,16 @@
     }
 }
 
-fn front_settings(settings: &Settings) -> listener::Settings {
+fn front_settings(gateway: &Gateway) -> listener::Settings {
+    let settings = &gateway.settings;
     let connections = settings
         .max_sockets
         .saturating_sub(RESERVED_SOCKETS)
         .max(64);
-    let mut front = listener::Settings::new(settings.front)
+    listener::Settings::new(settings.front)
         .with_name("front")
-        .with_max_connections(connections);
-    front.max_buffered_bytes = settings.memory_bytes / BODY_MEMORY_DIVISOR;
-    front
+        .with_memory(gateway.memory.clone())
+        .with_max_connections(connections)
 }
 
 /// Starts the listener for other instances. Without it, they read the store, and this one sends no
@@ -228,9 +226,9 @@
     let address = gateway.settings.peer?;
     let mut listen = listener::Settings::new(address)
         .with_name("peer")
+        .with_memory(gateway.memory.clone())
         .with_max_connections(MAX_PEER_CONNECTIONS);
     listen.max_body_bytes = MAX_PEER_BODY_BYTES;
-    listen.max_buffered_bytes = gateway.settings.memory_bytes / BODY_MEMORY_DIVISOR;
     let handler: Arc<dyn Handler> = Arc::new(PeerHandler::new(gateway.clone()));
     Listener::start(listen, handler)
         .inspect_err(|error| {
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -34,7 +34,7 @@
 use fescuewell_forward::stream;
 use fescuewell_forward::warmup::Warmup;
 use fescuewell_forward::window::Window;
-use fescuewell_http::listener::Gate;
+use fescuewell_http::listener::{Gate, Memory};
 use fescuewell_http::upstream;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -114,6 +114,9 @@
 /// Maximum number of pending borrow requests. More could not be served before they time out.
 const MAX_BORROW_REQUESTS: usize = 256;
 
+/// Divisor of the memory limit; the result is what the connections of callers and of other instances may hold
+/// together.
+const CONNECTION_MEMORY_DIVISOR: usize = 4;
 /// Divisor of the memory limit; the result is the maximum size of all buffered responses of backend servers
 /// together.
 const RESPONSE_MEMORY_DIVISOR: usize = 8;
@@ -135,6 +138,8 @@
     pub metrics: Metrics,
     /// Connection pool for backend servers.
     pub client: upstream::Client,
+    /// Memory for the connections of callers and of other instances.
+    pub memory: Memory,
     /// HTTP client for snapshots, whose memory the responses of backend servers cannot use up.
     pub(crate) control_client: upstream::Client,
     table: ArcSwapOption<Table>,
@@ -228,9 +233,11 @@
             ..upstream::Settings::default()
         })
         .with_id_header(dialect.header_names().request_id.clone());
+        let memory = Memory::new(settings.memory_bytes / CONNECTION_MEMORY_DIVISOR);
         let gateway = Self {
             settings,
             dialect,
+            memory,
             metrics: Metrics::new()?,
             client,
             control_client: upstream::Client::default(),
--- a/crates/fescuewell_http/src/buffer.rs
+++ b/crates/fescuewell_http/src/buffer.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Size up to which a reservation is small, in bytes.
+/// Size up to which a reservation is small unless the budget has another one, in bytes.
 const SMALL_BYTES: usize = 64 * 1024;
 /// Divisor of the budget; the result is kept for small reservations, so that a few large responses do
 /// not make all others fail.
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 struct State {
     max_bytes: usize,
+    small_bytes: usize,
     used: AtomicUsize,
 }
 
@@ -26,6 +27,16 @@
     pub fn new(max_bytes: usize) -> Self {
         Self(Arc::new(State {
             max_bytes,
+            small_bytes: SMALL_BYTES,
+            used: AtomicUsize::new(0),
+        }))
+    }
+
+    /// Returns an unused budget of the same size whose reservations are small up to `small_bytes`.
+    pub fn with_small_bytes(self, small_bytes: usize) -> Self {
+        Self(Arc::new(State {
+            max_bytes: self.0.max_bytes,
+            small_bytes,
             used: AtomicUsize::new(0),
         }))
     }
@@ -49,7 +60,7 @@
     }
 
     fn limit(&self, bytes: usize) -> usize {
-        match bytes <= SMALL_BYTES {
+        match bytes <= self.0.small_bytes {
             true => self.0.max_bytes,
             false => self.0.max_bytes - self.0.max_bytes / SMALL_SHARE_DIVISOR,
         }
@@ -64,6 +75,11 @@
 }
 
 impl Reservation {
+    /// Returns the size of the reservation.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Changes the size of the reservation. Returns `false`, without a change, if the budget does not
     /// suffice.
     #[must_use]
--- a/crates/fescuewell_http/src/lib.rs
+++ b/crates/fescuewell_http/src/lib.rs
@@ -23,6 +23,8 @@
 //! - [`depth`]: limits the nesting of JSON before it is parsed.
 //! - [`refusal`]: converts a refusal to an HTTP response.
 
+mod allocator;
+
 pub mod buffer;
 pub mod depth;
 pub mod listener;
--- a/crates/fescuewell_http/src/listener/accept.rs
+++ b/crates/fescuewell_http/src/listener/accept.rs
@@ -242,7 +242,7 @@
     tokio::spawn(async move {
         let refusal = Refusal::new(Code::TooManyConnections).with_retry_after(RETRY_AFTER);
         shared.refusal_log.record(peer, refusal.code);
-        connection::refuse(stream, &refusal).await;
+        connection::refuse_unserved(stream, &refusal).await;
         shared.refusals.fetch_sub(1, Ordering::Relaxed);
     });
 }
--- a/crates/fescuewell_http/src/listener/connection.rs
+++ b/crates/fescuewell_http/src/listener/connection.rs
@@ -1,32 +1,40 @@
 //! Serves one connection: TLS handshake, sequential requests, and refusals that hyper cannot send.
 
 use std::future::{Future, poll_fn};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::Bytes;
 use fescuewell_core::prelude::*;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, timeout};
+use tokio_rustls::TlsAcceptor;
 
-use super::body::{self, BufferReservation};
+use super::body;
 use super::guard::{ConnectionState, Expiry, Guard};
 use super::reply::{self, Aborted, Body};
-use super::{AcceptedConnection, Request, Shared, Stage};
+use super::{AcceptedConnection, Head, Limits, Request, Shared, Stage, memory};
 use crate::refusal::refusal_response;
 
 /// hyper's minimum for the buffer that must hold a head.
 const MIN_HEAD_BYTES: usize = 8_192;
 
+/// hyper's limit of the number of header fields unless it is given another one.
+const DEFAULT_MAX_FIELDS: usize = 100;
+/// Maximum number of bytes that are read before hyper takes over; they are part of what an idle connection holds.
+const FIRST_READ_BYTES: usize = 2_048;
+
 /// For how long, and how many bytes, data is still read from a refused caller, so that it receives the refusal.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
@@ -43,57 +51,267 @@
     };
     // Nagle's algorithm would delay each small chunk until the caller acknowledges the previous one.
     let _ = stream.set_nodelay(true);
+    let state = Arc::new(ConnectionState::new(shared.clone()));
+    let _registration = shared.settings.memory.register(state.clone());
+    if !state.hold(0).await {
+        refuse(stream, &overloaded(), &state).await;
+        return;
+    }
+    let connection = Connection {
+        peer,
+        state,
+        shared: shared.clone(),
+    };
     match &shared.acceptor {
-        None => drive(stream, peer, &shared).await,
-        Some(acceptor) => {
-            let handshake = timeout(shared.settings.header_timeout, acceptor.accept(stream));
-            if let Ok(Ok(stream)) = handshake.await {
-                drive(stream, peer, &shared).await;
-            }
-        }
+        None => connection.run(stream).await,
+        // Boxed, as the state of a session would enlarge the tasks of all connections.
+        Some(acceptor) => Box::pin(connection.run_encrypted(stream, acceptor)).await,
     }
     drop(permit);
 }
 
-/// Why a connection ended.
+fn overloaded() -> Refusal {
+    Refusal::new(Code::Overloaded).with_retry_after(body::RETRY_AFTER)
+}
+
+/// Why a connection ended, or stopped to be served.
 enum ConnectionEnd {
     /// hyper finished serving the connection.
     Finished(hyper::Result<()>),
     /// A timeout expired.
     Expired(Expiry),
+    /// The connection is closed so that others are served.
+    Closing,
+    /// The connection waits for its next request.
+    Idle,
 }
 
-async fn drive<Io>(io: Io, peer: SocketAddr, shared: &Arc<Shared>)
-where
-    Io: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-{
-    let state = Arc::new(ConnectionState::new(shared.clone()));
-    let guard = Guard::new(io, state.clone());
-    let service = service_fn(|request| {
-        state.begin_exchange();
-        Box::pin(exchange(request, peer, shared.clone(), state.clone()))
-    });
-    let mut connection = http1::Builder::new()
-        .max_buf_size(shared.settings.max_head_bytes.max(MIN_HEAD_BYTES))
-        .header_read_timeout(None)
-        .serve_connection(TokioIo::new(guard), service);
-    let mut stage = shared.stage.subscribe();
-    let mut draining = pin!(stage.wait_for(|stage| *stage >= Stage::Draining));
-    let mut shutdown_requested = false;
-    let mut timer = pin!(tokio::time::sleep(shared.settings.header_timeout));
-    let end = poll_fn(|cx| {
-        if !shutdown_requested && draining.as_mut().poll(cx).is_ready() {
-            shutdown_requested = true;
-            Pin::new(&mut connection).graceful_shutdown();
+/// Resolves when the connections of a listener end after their current exchange.
+type Draining = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// A connection whose socket is served in turn by a wait for the next request and by hyper.
+struct Connection {
+    peer: SocketAddr,
+    state: Arc<ConnectionState>,
+    shared: Arc<Shared>,
+}
+
+/// A socket that hyper no longer serves, and bytes that were received on it but not read.
+struct Served<Io> {
+    io: Io,
+    received: Bytes,
+    end: ConnectionEnd,
+}
+
+impl Connection {
+    async fn run_encrypted(self, stream: TcpStream, acceptor: &TlsAcceptor) {
+        let limit = self.shared.settings.header_timeout;
+        if let Ok(Ok(stream)) = timeout(limit, acceptor.accept(stream)).await {
+            self.run(stream).await;
+        }
+    }
+
+    /// Serves the requests of the connection. Between two requests it holds neither hyper's state nor any buffer.
+    async fn run<Io>(self, mut io: Io)
+    where
+        Io: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let mut timer = Box::pin(tokio::time::sleep(self.shared.settings.header_timeout));
+        let mut draining = self.draining();
+        let mut received = Bytes::new();
+        loop {
+            if received.is_empty() {
+                let next = self.wait_readable(&mut io, timer.as_mut(), &mut draining);
+                received = match next.await {
+                    Ok(received) => received,
+                    Err(end) => return self.finish(io, end).await,
+                };
+            }
+            self.state.begin_head();
+            if !self
+                .state
+                .hold(memory::head_bytes(DEFAULT_MAX_FIELDS))
+                .await
+            {
+                return self.refuse(io, &overloaded()).await;
+            }
+            let served = Box::pin(self.drive(io, received, &mut timer, &mut draining)).await;
+            self.state.release_request();
+            if !matches!(served.end, ConnectionEnd::Idle) {
+                return self.finish(served.io, served.end).await;
+            }
+            Served { io, received, .. } = served;
+        }
+    }
+
+    fn draining(&self) -> Draining {
+        let mut stage = self.shared.stage.subscribe();
+        Box::pin(async move {
+            // An error means that the listener has ended.
+            let _ = stage.wait_for(|stage| *stage >= Stage::Draining).await;
+        })
+    }
+
+    /// Waits for the first bytes of a request.
+    async fn wait_readable<Io>(
+        &self,
+        io: &mut Io,
+        mut timer: Pin<&mut Sleep>,
+        draining: &mut Draining,
+    ) -> Result<Bytes, ConnectionEnd>
+    where
+        Io: AsyncRead + Unpin,
+    {
+        let limits = self.shared.limits.get();
+        poll_fn(|cx| {
+            if self.state.poll_closing(cx).is_ready() {
+                return Poll::Ready(Err(ConnectionEnd::Closing));
+            }
+            match poll_received(io, cx) {
+                Poll::Ready(Ok(received)) if !received.is_empty() => {
+                    return Poll::Ready(Ok(received));
+                }
+                Poll::Ready(_) => return Poll::Ready(Err(ConnectionEnd::Finished(Ok(())))),
+                Poll::Pending => {}
+            }
+            if draining.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(Err(ConnectionEnd::Finished(Ok(()))));
+            }
+            let expiry = poll_expiry(timer.as_mut(), &self.state, &limits, cx);
+            expiry.map(|expiry| Err(ConnectionEnd::Expired(expiry)))
+        })
+        .await
+    }
+
+    /// Lets hyper serve requests until none is in progress.
+    async fn drive<Io>(
+        &self,
+        io: Io,
+        received: Bytes,
+        timer: &mut Pin<Box<Sleep>>,
+        draining: &mut Draining,
+    ) -> Served<Io>
+    where
+        Io: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let limits = &self.shared.limits.get();
+        let (peer, state, shared) = (self.peer, &self.state, &self.shared);
+        let guard = Guard::new(io, received, state.clone());
+        let service = service_fn(|request: http::Request<Incoming>| {
+            let reads_body = reads_body(&request, shared);
+            state.begin_exchange(reads_body);
+            Box::pin(exchange(
+                request,
+                reads_body,
+                peer,
+                shared.clone(),
+                state.clone(),
+            ))
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .max_buf_size(shared.settings.max_head_bytes.max(MIN_HEAD_BYTES))
+            .max_header_size(limits.head_bytes)
+            .header_read_timeout(None);
+        let mut connection = builder.serve_connection(TokioIo::new(guard), service);
+        let mut shutdown_requested = false;
+        let end = poll_fn(|cx| {
+            if state.poll_closing(cx).is_ready() {
+                return Poll::Ready(ConnectionEnd::Closing);
+            }
+            if let Poll::Ready(result) = connection.poll_without_shutdown(cx) {
+                return Poll::Ready(ConnectionEnd::Finished(result));
+            }
+            // Only now: hyper would close a connection whose first request it has not read.
+            if !shutdown_requested && draining.as_mut().poll(cx).is_ready() {
+                shutdown_requested = true;
+                Pin::new(&mut connection).graceful_shutdown();
+                if let Poll::Ready(result) = connection.poll_without_shutdown(cx) {
+                    return Poll::Ready(ConnectionEnd::Finished(result));
+                }
+            }
+            if state.is_idle() && !shutdown_requested {
+                return Poll::Ready(ConnectionEnd::Idle);
+            }
+            poll_expiry(timer.as_mut(), state, limits, cx).map(ConnectionEnd::Expired)
+        });
+        let end = end.await;
+        let parts = connection.into_parts();
+        let (io, unread) = parts.io.into_inner().into_parts();
+        Served {
+            io,
+            received: concat(parts.read_buf, unread),
+            end,
         }
-        if let Poll::Ready(result) = connection.poll_without_shutdown(cx) {
-            return Poll::Ready(ConnectionEnd::Finished(result));
+    }
+
+    /// Sends the refusal, if any, that hyper cannot send, and closes the connection.
+    async fn finish<Io>(&self, mut io: Io, end: ConnectionEnd)
+    where
+        Io: AsyncRead + AsyncWrite + Unpin,
+    {
+        let rejected = self.state.rejected();
+        match end {
+            ConnectionEnd::Expired(Expiry::Head) => {
+                self.refuse(io, &Refusal::new(Code::RequestTimeout)).await;
+            }
+            ConnectionEnd::Finished(Err(error)) if rejected => {
+                self.refuse(io, &Refusal::new(rejection_code(&error))).await;
+            }
+            ConnectionEnd::Closing => {
+                if self.state.begin_refusal() {
+                    self.refuse(io, &overloaded()).await;
+                }
+            }
+            ConnectionEnd::Finished(Ok(())) => {
+                self.state.begin_refusal();
+                linger(io, &self.state).await;
+            }
+            // Closes without shutting down the write side, since a response in progress is incomplete.
+            ConnectionEnd::Finished(Err(_)) | ConnectionEnd::Expired(_) | ConnectionEnd::Idle => {
+                drop(io.flush().now_or_never());
+            }
         }
-        poll_expiry(timer.as_mut(), &state, shared, cx).map(ConnectionEnd::Expired)
-    });
-    let end = end.await;
-    let io = connection.into_parts().io.into_inner().into_inner();
-    finish(io, end, peer, &state, shared).await;
+    }
+
+    async fn refuse<Io>(&self, io: Io, refusal: &Refusal)
+    where
+        Io: AsyncRead + AsyncWrite + Unpin,
+    {
+        self.shared.refusal_log.record(self.peer, refusal.code);
+        self.state.begin_refusal();
+        refuse(io, refusal, &self.state).await;
+    }
+}
+
+/// Reads what has been received. The buffer is on the stack, so that a connection that waits holds none.
+fn poll_received<Io>(io: &mut Io, cx: &mut Context<'_>) -> Poll<std::io::Result<Bytes>>
+where
+    Io: AsyncRead + Unpin,
+{
+    let mut space = [MaybeUninit::uninit(); FIRST_READ_BYTES];
+    let mut buffer = ReadBuf::uninit(&mut space);
+    ready!(Pin::new(io).poll_read(cx, &mut buffer))?;
+    Poll::Ready(Ok(Bytes::copy_from_slice(buffer.filled())))
+}
+
+fn concat(first: Bytes, second: Bytes) -> Bytes {
+    if second.is_empty() {
+        return first;
+    }
+    [first, second].concat().into()
+}
+
+/// Whether the body of a request is read before its handler gets it.
+fn reads_body(request: &http::Request<Incoming>, shared: &Shared) -> bool {
+    if request.body().is_end_stream() {
+        return false;
+    }
+    let head = Head {
+        uri: request.uri(),
+        headers: request.headers(),
+    };
+    shared.handler.needs_body(&head)
 }
 
 /// Resolves when a timeout of the connection expires. A later deadline does not reset the timer until it
@@ -101,11 +319,11 @@
 fn poll_expiry(
     mut timer: Pin<&mut Sleep>,
     state: &ConnectionState,
-    shared: &Shared,
+    limits: &Limits,
     cx: &mut Context<'_>,
 ) -> Poll<Expiry> {
     loop {
-        let Some((deadline, expiry)) = state.expiry(&shared.settings) else {
+        let Some((deadline, expiry)) = state.expiry(limits) else {
             return Poll::Pending;
         };
         if Instant::now() >= deadline {
@@ -120,34 +338,6 @@
     }
 }
 
-/// Sends the refusal, if any, that hyper cannot send, and closes the connection.
-async fn finish<Io>(
-    mut io: Io,
-    end: ConnectionEnd,
-    peer: SocketAddr,
-    state: &ConnectionState,
-    shared: &Shared,
-) where
-    Io: AsyncRead + AsyncWrite + Unpin,
-{
-    let code = match &end {
-        ConnectionEnd::Expired(Expiry::Head) => Some(Code::RequestTimeout),
-        ConnectionEnd::Expired(_) => None,
-        ConnectionEnd::Finished(Err(error)) if state.rejected() => Some(rejection_code(error)),
-        ConnectionEnd::Finished(_) => None,
-    };
-    if let Some(code) = code {
-        shared.refusal_log.record(peer, code);
-        refuse(io, &Refusal::new(code)).await;
-        return;
-    }
-    match end {
-        ConnectionEnd::Finished(Ok(())) => linger(io).await,
-        // Closes without shutting down the write side, since a response in progress is incomplete.
-        _ => drop(io.flush().now_or_never()),
-    }
-}
-
 /// Polls a future once.
 trait NowOrNever: Future {
     fn now_or_never(self) -> Option<Self::Output>
@@ -172,13 +362,23 @@
 }
 
 /// Sends a refusal on a connection that hyper does not serve, and closes it.
-pub(super) async fn refuse<Io>(mut io: Io, refusal: &Refusal)
+async fn refuse<Io>(mut io: Io, refusal: &Refusal, state: &ConnectionState)
 where
     Io: AsyncRead + AsyncWrite + Unpin,
 {
-    let written = timeout(LINGER_TIMEOUT, io.write_all(&encode_refusal(refusal))).await;
+    let text = encode_refusal(refusal);
+    let written = timeout(LINGER_TIMEOUT, io.write_all(&text)).await;
     if matches!(written, Ok(Ok(()))) {
-        linger(io).await;
+        linger(io, state).await;
+    }
+}
+
+/// Does the same on a connection beyond the limit, which is closed soon and in no other state.
+pub(super) async fn refuse_unserved(mut io: TcpStream, refusal: &Refusal) {
+    let text = encode_refusal(refusal);
+    let written = timeout(LINGER_TIMEOUT, io.write_all(&text)).await;
+    if matches!(written, Ok(Ok(()))) {
+        let _ = timeout(LINGER_TIMEOUT, Box::pin(discard(io))).await;
     }
 }
 
@@ -201,47 +401,73 @@
     bytes
 }
 
-/// Shuts down the write side and continues to read for a limited time (lingering close).
+/// Shuts down the write side and continues to read for a limited time (lingering close), unless the connection must be
+/// closed for others.
 ///
 /// Closing a socket with unread data resets the connection, and the reset can overtake the response: a
 /// caller that is still sending an oversized body would see a reset connection instead of the refusal.
-async fn linger<Io>(mut io: Io)
+async fn linger<Io>(io: Io, state: &ConnectionState)
 where
     Io: AsyncRead + AsyncWrite + Unpin,
 {
-    let drain = async {
-        if io.shutdown().await.is_err() {
-            return;
-        }
-        let mut scratch = [0u8; 4096];
-        let mut discarded = 0;
-        while discarded < MAX_LINGER_BYTES {
-            match io.read(&mut scratch).await {
-                Ok(0) | Err(_) => return,
-                Ok(count) => discarded += count,
-            }
+    tokio::select! {
+        biased;
+        () = poll_fn(|cx| state.poll_closing(cx)) => {}
+        _ = timeout(LINGER_TIMEOUT, Box::pin(discard(io))) => {}
+    }
+}
+
+/// Shuts down the write side, and reads until the caller closes.
+async fn discard<Io>(mut io: Io)
+where
+    Io: AsyncRead + AsyncWrite + Unpin,
+{
+    if io.shutdown().await.is_err() {
+        return;
+    }
+    let mut discarded = 0;
+    while discarded < MAX_LINGER_BYTES {
+        match poll_fn(|cx| poll_received(&mut io, cx)).await {
+            Ok(bytes) if !bytes.is_empty() => discarded += bytes.len(),
+            _ => return,
         }
-    };
-    let _ = timeout(LINGER_TIMEOUT, Box::pin(drain)).await;
+    }
 }
 
 /// Reads a request with its body, passes it to the handler and waits for the response.
 async fn exchange(
     request: http::Request<Incoming>,
+    reads_body: bool,
     peer: SocketAddr,
     shared: Arc<Shared>,
     state: Arc<ConnectionState>,
 ) -> Result<http::Response<Body>, Aborted> {
     let arrived = std::time::Instant::now();
     let (parts, body) = request.into_parts();
-    let mut reservation = BufferReservation::new(shared.clone());
-    let body = match body::read(body, &shared.settings, &mut reservation).await {
+    let held = memory::exchange_bytes(parts.headers.len());
+    // Fits without a wait, which the headers would outlast, unless the request was sent ahead of the last response.
+    let received = match state.resize_request(held) {
+        true if reads_body => {
+            let max_bytes = shared.limits.get().body_bytes;
+            body::read(body, max_bytes, &shared.settings, &state, held).await
+        }
+        true => {
+            drop(body);
+            Ok(Bytes::new())
+        }
+        false => Err(overloaded()),
+    };
+    let body = match received {
         Ok(body) => body,
         Err(refusal) => {
             shared.refusal_log.record(peer, refusal.code);
             return Ok(refuse_body(&refusal, state));
         }
     };
+    if !state.begin_response() {
+        // The driver closes the connection.
+        std::future::pending::<()>().await;
+    }
     let method = parts.method.clone();
     let request = Request {
         method: parts.method,
@@ -261,9 +487,7 @@
         fescuewell_core::log_event!(Event::InternalFault, "part=handler peer={peer}");
     }
     drop(shared);
-    // The reservation of the body is held until the response starts: until then the handler may hold the body.
     let response = reply::wait(receiver, ending_sender, state).await?;
-    drop(reservation);
     let is_unpolled = reply::is_unpolled(&method, response.status());
     Ok(response.map(|body| body.with_unpolled(is_unpolled)))
 }
--- a/crates/fescuewell_http/src/listener/guard.rs
+++ b/crates/fescuewell_http/src/listener/guard.rs
@@ -9,24 +9,46 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 
+use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
-use super::{Settings, Shared};
+use super::memory::{self, Candidate, Rank};
+use super::{Limits, Settings, Shared};
+use crate::buffer::Reservation;
+
+/// Time for which a complete response may remain unread before its connection can be closed for others.
+const MIN_UNREAD_TIME: Duration = Duration::from_secs(1);
 
 /// The phase of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
+    /// Nothing has been received yet.
+    Silent { since: Instant },
     /// Idle between two requests.
     Idle { since: Instant },
-    /// A request head is being received. New connections start in this phase.
+    /// A request head is being received.
     ReadingHead { since: Instant },
-    /// The request is being read or answered.
+    /// A request body is being received; no handler has the request.
+    ReadingBody { since: Instant },
+    /// The request is being answered.
     Responding,
     /// hyper has taken the complete response, but may not have written all of it.
     Flushing,
+    /// A refusal was written, and the rest of the request is being discarded.
+    Refused { since: Instant },
+}
+
+impl Phase {
+    fn is_exchange(self) -> bool {
+        matches!(
+            self,
+            Self::ReadingBody { .. } | Self::Responding | Self::Flushing
+        )
+    }
 }
 
 /// The timeout that expired on a connection.
@@ -40,13 +62,26 @@
     Stalled,
 }
 
+/// A response that its caller does not read as fast as it is made.
+#[derive(Debug, Clone, Copy)]
+struct Backlog {
+    since: Instant,
+    /// Bytes that were written since then.
+    written: usize,
+}
+
 struct State {
     phase: Phase,
-    write_blocked_since: Option<Instant>,
+    backlog: Option<Backlog>,
     rejected: bool,
+    held: Reservation,
+    is_closing: bool,
+    waker: Option<Waker>,
 }
 
-/// The state of one connection, shared by its guard, its driver and the current response.
+/// The state of one connection, shared by its guard, its driver, the current response and the [`Memory`].
+///
+/// [`Memory`]: super::Memory
 pub(super) struct ConnectionState {
     shared: Arc<Shared>,
     state: std::sync::Mutex<State>,
@@ -54,14 +89,18 @@
 
 impl ConnectionState {
     pub(super) fn new(shared: Arc<Shared>) -> Self {
+        let held = shared.settings.memory.reserve();
         Self {
             shared,
             state: std::sync::Mutex::new(State {
-                phase: Phase::ReadingHead {
+                phase: Phase::Silent {
                     since: Instant::now(),
                 },
-                write_blocked_since: None,
+                backlog: None,
                 rejected: false,
+                held,
+                is_closing: false,
+                waker: None,
             }),
         }
     }
@@ -72,34 +111,181 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// What the connection holds without a request, in bytes.
+    pub(super) fn idle_bytes(&self) -> usize {
+        match self.shared.acceptor {
+            None => memory::IDLE_BYTES,
+            Some(_) => memory::IDLE_BYTES + memory::TLS_BYTES,
+        }
+    }
+
+    /// Reserves `bytes` in addition to what an idle connection holds. Returns `false` if they cannot be had.
+    pub(super) async fn hold(&self, bytes: usize) -> bool {
+        let memory = &self.shared.settings.memory;
+        memory.hold(self, self.idle_bytes() + bytes).await
+    }
+
+    /// Changes the reservation without closing others. Returns `false`, without a change, if it does not fit.
+    pub(super) fn resize(&self, bytes: usize) -> bool {
+        let mut state = self.state();
+        let is_smaller = bytes < state.held.bytes();
+        let is_resized = state.held.resize(bytes);
+        drop(state);
+        if is_smaller {
+            self.shared.settings.memory.notify_released();
+        }
+        is_resized
+    }
+
+    /// Changes what is held for a request without closing others; see [`Self::resize`].
+    pub(super) fn resize_request(&self, bytes: usize) -> bool {
+        let is_resized = self.resize(self.idle_bytes() + bytes);
+        if !is_resized {
+            self.shared.settings.memory.count_refusal();
+        }
+        is_resized
+    }
+
+    /// Returns the size of the reservation.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.state().held.bytes()
+    }
+
+    /// Releases the whole reservation.
+    pub(super) fn release(&self) {
+        self.resize(0);
+    }
+
+    /// Releases what was held for a request.
+    pub(super) fn release_request(&self) {
+        self.resize(self.idle_bytes());
+    }
+
+    /// Whether the connection can be closed for others, and how it ranks.
+    pub(super) fn candidate(&self) -> Option<Candidate> {
+        let state = self.state();
+        let (rank, since) = state.rank()?;
+        Some(Candidate {
+            rank,
+            since,
+            bytes: state.held.bytes(),
+            is_closing: state.is_closing,
+        })
+    }
+
+    /// Requests that the connection is closed for others. Returns `false` if its request has been passed to a
+    /// handler.
+    pub(super) fn close(&self) -> bool {
+        let mut state = self.state();
+        if state.rank().is_none() {
+            return false;
+        }
+        state.is_closing = true;
+        let waker = state.waker.take();
+        drop(state);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+        true
+    }
+
+    /// Resolves once the connection must be closed for others.
+    pub(super) fn poll_closing(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.state();
+        if state.is_closing && state.rank().is_some() {
+            return Poll::Ready(());
+        }
+        state.is_closing = false;
+        let is_known = state
+            .waker
+            .as_ref()
+            .is_some_and(|waker| waker.will_wake(cx.waker()));
+        if !is_known {
+            state.waker = Some(cx.waker().clone());
+        }
+        Poll::Pending
+    }
+
+    /// Records the first byte of a head.
+    pub(super) fn begin_head(&self) {
+        self.state().phase = Phase::ReadingHead {
+            since: Instant::now(),
+        };
+    }
+
     /// Records that a complete head has been received.
-    pub(super) fn begin_exchange(&self) {
-        let before = std::mem::replace(&mut self.state().phase, Phase::Responding);
-        if !matches!(before, Phase::Responding | Phase::Flushing) {
+    pub(super) fn begin_exchange(&self, reads_body: bool) {
+        let phase = match reads_body {
+            true => Phase::ReadingBody {
+                since: Instant::now(),
+            },
+            false => Phase::Responding,
+        };
+        let before = std::mem::replace(&mut self.state().phase, phase);
+        if !before.is_exchange() {
             self.shared.exchanges.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// Records that the request is passed to its handler. Returns `false` if the connection is being closed: the
+    /// request must not be passed on then.
+    pub(super) fn begin_response(&self) -> bool {
+        let mut state = self.state();
+        if state.is_closing && state.rank().is_some() {
+            return false;
+        }
+        state.phase = Phase::Responding;
+        true
+    }
+
     /// Records that hyper has taken the end of the response.
     pub(super) fn response_taken(&self) {
         self.state().phase = Phase::Flushing;
     }
 
+    /// Records that a refusal takes the place of a response. Returns whether a request was being received.
+    pub(super) fn begin_refusal(&self) -> bool {
+        let phase = Phase::Refused {
+            since: Instant::now(),
+        };
+        let mut state = self.state();
+        state.is_closing = false;
+        let before = std::mem::replace(&mut state.phase, phase);
+        if before.is_exchange() {
+            self.shared.exchanges.fetch_sub(1, Ordering::Relaxed);
+        }
+        matches!(
+            before,
+            Phase::ReadingHead { .. } | Phase::ReadingBody { .. }
+        )
+    }
+
+    /// Whether the connection waits for its next request.
+    pub(super) fn is_idle(&self) -> bool {
+        matches!(self.state().phase, Phase::Idle { .. })
+    }
+
     /// Whether hyper wrote its own error response, which was discarded.
     pub(super) fn rejected(&self) -> bool {
         self.state().rejected
     }
 
     /// Returns the next deadline of the connection and the timeout that sets it.
-    pub(super) fn expiry(&self, settings: &Settings) -> Option<(Instant, Expiry)> {
+    pub(super) fn expiry(&self, limits: &Limits) -> Option<(Instant, Expiry)> {
+        let settings: &Settings = &self.shared.settings;
         let state = self.state();
-        if let Some(since) = state.write_blocked_since {
-            return Some((since + settings.write_stall_timeout, Expiry::Stalled));
+        if let Some(backlog) = state.backlog {
+            let deadline = backlog.since + settings.write_stall_timeout;
+            return Some((deadline, Expiry::Stalled));
         }
         match state.phase {
-            Phase::Idle { since } => Some((since + settings.idle_timeout, Expiry::Idle)),
-            Phase::ReadingHead { since } => Some((since + settings.header_timeout, Expiry::Head)),
-            Phase::Responding | Phase::Flushing => None,
+            Phase::Silent { since } => Some((since + settings.header_timeout, Expiry::Head)),
+            Phase::Idle { since } => Some((since + limits.idle_timeout, Expiry::Idle)),
+            Phase::ReadingHead { since } => Some((since + limits.header_timeout, Expiry::Head)),
+            Phase::ReadingBody { .. }
+            | Phase::Responding
+            | Phase::Flushing
+            | Phase::Refused { .. } => None,
         }
     }
 
@@ -114,21 +300,33 @@
 
     /// Whether a write must be discarded.
     ///
-    /// Every response from a handler is written in `Responding` or `Flushing`. A write in any other phase is
+    /// Every response from a handler is written within an exchange. A write in any other phase is
     /// hyper's own error response to an invalid head, which has an empty body without error details.
     fn discards_write(&self) -> bool {
         let mut state = self.state();
-        let in_exchange = matches!(state.phase, Phase::Responding | Phase::Flushing);
+        let in_exchange = state.phase.is_exchange();
         state.rejected |= !in_exchange;
         !in_exchange
     }
 
-    fn on_write(&self, blocked: bool) {
+    /// Records a write: `None` if the socket takes nothing, else the bytes that it took.
+    fn on_write(&self, written: Option<usize>) {
         let mut state = self.state();
-        if !blocked {
-            state.write_blocked_since = None;
-        } else if state.write_blocked_since.is_none() {
-            state.write_blocked_since = Some(Instant::now());
+        match (&mut state.backlog, written) {
+            (None, Some(_)) => {}
+            (None, None) => {
+                state.backlog = Some(Backlog {
+                    since: Instant::now(),
+                    written: 0,
+                });
+            }
+            (Some(_), None) => {}
+            (Some(backlog), Some(count)) => {
+                backlog.written += count;
+                if backlog.written > 0 {
+                    state.backlog = None;
+                }
+            }
         }
     }
 
@@ -136,6 +334,7 @@
     /// response that it has taken completely has now been written.
     fn on_flush(&self) {
         let mut state = self.state();
+        state.backlog = None;
         if state.phase != Phase::Flushing {
             return;
         }
@@ -146,9 +345,30 @@
     }
 }
 
+impl State {
+    /// Returns the rank of a connection that can be closed, and since when it has had it. One whose request has been
+    /// passed to a handler cannot, unless the caller does not read its response.
+    fn rank(&self) -> Option<(Rank, Instant)> {
+        match self.phase {
+            Phase::Silent { since } => Some((Rank::Silent, since)),
+            Phase::Idle { since } => Some((Rank::Idle, since)),
+            Phase::ReadingHead { since } | Phase::ReadingBody { since } => {
+                Some((Rank::Receiving, since))
+            }
+            Phase::Refused { since } => Some((Rank::Refused, since)),
+            Phase::Responding => None,
+            Phase::Flushing => {
+                let backlog = self.backlog?;
+                let is_old = backlog.since.elapsed() >= MIN_UNREAD_TIME;
+                is_old.then_some((Rank::Unread, backlog.since))
+            }
+        }
+    }
+}
+
 impl Drop for ConnectionState {
     fn drop(&mut self) {
-        if matches!(self.state().phase, Phase::Responding | Phase::Flushing) {
+        if self.state().phase.is_exchange() {
             self.shared.exchanges.fetch_sub(1, Ordering::Relaxed);
         }
     }
@@ -157,16 +377,23 @@
 /// A socket that reports its reads and writes to a [`ConnectionState`].
 pub(super) struct Guard<Io> {
     io: Io,
+    /// Bytes that were received before; they are read first.
+    received: Bytes,
     connection: Arc<ConnectionState>,
 }
 
 impl<Io> Guard<Io> {
-    pub(super) fn new(io: Io, connection: Arc<ConnectionState>) -> Self {
-        Self { io, connection }
+    pub(super) fn new(io: Io, received: Bytes, connection: Arc<ConnectionState>) -> Self {
+        Self {
+            io,
+            received,
+            connection,
+        }
     }
 
-    pub(super) fn into_inner(self) -> Io {
-        self.io
+    /// Returns the socket and the bytes that were received but not read.
+    pub(super) fn into_parts(self) -> (Io, Bytes) {
+        (self.io, self.received)
     }
 }
 
@@ -179,6 +406,15 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.received.is_empty() {
+            let count = self.received.len().min(buffer.remaining());
+            buffer.put_slice(&self.received[..count]);
+            self.received.advance(count);
+            if self.received.is_empty() {
+                self.received = Bytes::new();
+            }
+            return Poll::Ready(Ok(()));
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.io).poll_read(cx, buffer))?;
         self.connection.on_read(buffer.filled().len() - before);
@@ -186,6 +422,15 @@
     }
 }
 
+/// Returns the bytes that were written, or `None` if the socket takes nothing.
+fn progress(written: &Poll<io::Result<usize>>) -> Option<usize> {
+    match written {
+        Poll::Ready(Ok(count)) => Some(*count),
+        Poll::Ready(Err(_)) => Some(0),
+        Poll::Pending => None,
+    }
+}
+
 impl<Io> AsyncWrite for Guard<Io>
 where
     Io: AsyncWrite + Unpin,
@@ -199,7 +444,7 @@
             return Poll::Ready(Ok(bytes.len()));
         }
         let written = Pin::new(&mut self.io).poll_write(cx, bytes);
-        self.connection.on_write(written.is_pending());
+        self.connection.on_write(progress(&written));
         written
     }
 
@@ -212,7 +457,7 @@
             return Poll::Ready(Ok(slices.iter().map(|slice| slice.len()).sum()));
         }
         let written = Pin::new(&mut self.io).poll_write_vectored(cx, slices);
-        self.connection.on_write(written.is_pending());
+        self.connection.on_write(progress(&written));
         written
     }
 
@@ -222,7 +467,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.io).poll_flush(cx);
-        self.connection.on_write(flushed.is_pending());
+        if flushed.is_pending() {
+            self.connection.on_write(None);
+        }
         ready!(flushed)?;
         self.connection.on_flush();
         Poll::Ready(Ok(()))
--- a/crates/fescuewell_http/src/listener/mod.rs
+++ b/crates/fescuewell_http/src/listener/mod.rs
@@ -26,6 +26,8 @@
 mod body;
 mod connection;
 mod guard;
+mod limits;
+mod memory;
 mod refusal_log;
 mod reply;
 mod settings;
@@ -41,6 +43,8 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::watch;
 
+pub use limits::{Limits, LimitsHandle};
+pub use memory::{Memory, Usage};
 pub use reply::{Closed, Disconnected, Ending, Reply, Sink, TrySendError};
 pub use settings::{Settings, Tls};
 
@@ -65,8 +69,23 @@
     pub arrived: std::time::Instant,
 }
 
+/// The head of a request whose body has not been read.
+#[derive(Debug, Clone, Copy)]
+pub struct Head<'a> {
+    /// Request target as received.
+    pub uri: &'a http::Uri,
+    /// Headers as received.
+    pub headers: &'a http::HeaderMap,
+}
+
 /// Handles requests.
 pub trait Handler: Send + Sync {
+    /// Whether a request's body is read. Otherwise the request is passed on with an empty body at once, and the
+    /// connection is closed after the response unless the body has arrived already.
+    fn needs_body(&self, _head: &Head<'_>) -> bool {
+        true
+    }
+
     /// Handles a request. Runs inside the runtime of a listener thread and must not block: longer work
     /// belongs in a [`spawn`]ed task or another thread, which then owns the [`Reply`].
     fn handle(&self, request: Request, reply: Reply);
@@ -130,7 +149,7 @@
     connections: AtomicUsize,
     refusals: AtomicUsize,
     exchanges: AtomicUsize,
-    body_bytes: AtomicUsize,
+    limits: LimitsHandle,
     refusal_log: refusal_log::RefusalLog,
     stage: watch::Sender<Stage>,
     gate: Gate,
@@ -197,6 +216,7 @@
         let address = reserved.address();
         let acceptor = settings.tls.as_ref().map(tls::acceptor).transpose()?;
         let (stage, _) = watch::channel(Stage::Open);
+        let limits = LimitsHandle::new(Limits::of(&settings));
         let shared = Arc::new(Shared {
             settings,
             handler,
@@ -204,7 +224,7 @@
             connections: AtomicUsize::new(0),
             refusals: AtomicUsize::new(0),
             exchanges: AtomicUsize::new(0),
-            body_bytes: AtomicUsize::new(0),
+            limits,
             refusal_log: refusal_log::RefusalLog::default(),
             stage,
             gate: Gate::default(),
@@ -265,6 +285,11 @@
         self.shared.gate.clone()
     }
 
+    /// Returns the control that sets the limits on requests.
+    pub fn limits(&self) -> LimitsHandle {
+        self.shared.limits.clone()
+    }
+
     /// Closes the listening socket: the operating system refuses new connections; open connections
     /// continue and may send further requests.
     pub fn stop_accepting(&self) {
--- a/crates/fescuewell_http/src/listener/settings.rs
+++ b/crates/fescuewell_http/src/listener/settings.rs
@@ -4,6 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::Memory;
+
+/// Memory of a listener that shares none, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 256 * 1024 * 1024;
+
 /// Certificate and private key of a TLS listener.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Tls {
@@ -39,8 +44,10 @@
     pub max_head_bytes: usize,
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: usize,
-    /// Maximum total size, over all connections, of bodies whose responses have not started.
-    pub max_buffered_bytes: usize,
+    /// Copies of a body that a handler makes the process hold, with the received one; at least 1.
+    pub body_copies: usize,
+    /// Memory for all that connections hold; listeners of one process may share it.
+    pub memory: Memory,
     /// Maximum time for which response data may remain unsent because the caller does not read.
     pub write_stall_timeout: Duration,
     /// TLS settings; `None` for plain HTTP.
@@ -63,7 +70,8 @@
             body_timeout: Duration::from_secs(30),
             max_head_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
-            max_buffered_bytes: 64 * 1024 * 1024,
+            body_copies: 1,
+            memory: Memory::new(DEFAULT_MEMORY_BYTES),
             write_stall_timeout: Duration::from_secs(30),
             tls: None,
             threads: 1,
@@ -88,6 +96,12 @@
         self
     }
 
+    /// Sets the memory for all that connections hold.
+    pub fn with_memory(mut self, memory: Memory) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Enables TLS.
     pub fn with_tls(mut self, tls: Tls) -> Self {
         self.tls = Some(tls);
--- a/crates/fescuewell_http/tests/listener.rs
+++ b/crates/fescuewell_http/tests/listener.rs
@@ -8,7 +8,7 @@
 
 use common::*;
 use fescuewell_core::code::Code;
-use fescuewell_http::listener::{Ending, Reply, Request, TrySendError, spawn};
+use fescuewell_http::listener::{Ending, Memory, Reply, Request, TrySendError, spawn};
 use http::{HeaderMap, StatusCode};
 
 const SHORT_TIMEOUT: Duration = Duration::from_millis(50);
@@ -474,7 +474,7 @@
     // Guards against many bodies that exhaust the memory although each is within its own limit. While one body
     // awaits its response, a second that exceeds the total is refused; after the response it is accepted.
     let mut settings = local();
-    settings.max_buffered_bytes = 1_000;
+    settings.memory = Memory::new(1_300 * 1_024);
     let (sender, receiver) = flume::bounded(1);
     let handler = FnHandler(move |request: Request, reply: Reply| match &*request.path {
         "/wait" => sender.send(reply).unwrap(),
@@ -482,7 +482,7 @@
     });
     let listener = listen(settings, Arc::new(handler));
     let mut first = connect(listener.address());
-    let body = "x".repeat(700);
+    let body = "x".repeat(500 * 1_024);
     first.write_all(post("/wait", &body).as_bytes()).unwrap();
     let reply = receiver.recv_timeout(TEST_TIMEOUT).unwrap();
 
