Listener: at the connection limit the longest unused connection is closed for a new one

Callers saw: 'ready does not answer' (503, 1010, to the platform as well) as long as 200 connections that had sent one request stayed open at the readiness check, up to 75 s; the same at the address list and the metrics.

Cause: the limit refused the newest connection, whoever held the others.

Change: the connection that was refused, is idle or has sent nothing for the longest time, and for a second at least, is closed without a response; 64 connections may be open beyond the limit while that happens.

--- a/crates/fescuewell_http/src/listener/accept.rs
+++ b/crates/fescuewell_http/src/listener/accept.rs
@@ -28,18 +28,28 @@
 /// ones are closed without a response, since each takes up a file descriptor.
 const MAX_CONCURRENT_REFUSALS: usize = 64;
 
+/// Maximum number of connections beyond the limit while others are closed for them.
+const MAX_EXCESS_CONNECTIONS: usize = 64;
+
 /// A slot within the connection limit, released on drop.
 pub(super) struct ConnectionPermit {
     shared: Arc<Shared>,
 }
 
 impl ConnectionPermit {
+    /// Takes a slot. At the limit, the connection that has been unused for the longest time is closed for it.
     fn acquire(shared: &Arc<Shared>) -> Option<Self> {
         let open = shared.connections.fetch_add(1, Ordering::Relaxed);
         let permit = Self {
             shared: shared.clone(),
         };
-        (open < shared.settings.max_connections).then_some(permit)
+        let limit = shared.settings.max_connections;
+        if open < limit {
+            return Some(permit);
+        }
+        let has_room = open < limit + MAX_EXCESS_CONNECTIONS;
+        let is_replaced = has_room && shared.settings.memory.close_unused(shared);
+        is_replaced.then_some(permit)
     }
 }
 
--- a/crates/fescuewell_http/src/listener/guard.rs
+++ b/crates/fescuewell_http/src/listener/guard.rs
@@ -111,6 +111,11 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// Whether the connection was accepted by this listener.
+    pub(super) fn is_of(&self, listener: &Shared) -> bool {
+        std::ptr::eq(&*self.shared, listener)
+    }
+
     /// What the connection holds without a request, in bytes.
     pub(super) fn idle_bytes(&self) -> usize {
         match self.shared.acceptor {
--- a/crates/fescuewell_http/src/listener/memory.rs
+++ b/crates/fescuewell_http/src/listener/memory.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
+use super::Shared as Listener;
 use super::guard::ConnectionState;
 use crate::allocator;
 use crate::buffer::{Budget, Reservation};
@@ -267,4 +268,33 @@
         }
         pending >= wanted
     }
+
+    /// Closes the connection of `listener` that has been unused for the longest time, and for at least
+    /// [`min_unused_time`](super::Settings::min_unused_time). Returns `false` if there is none.
+    pub(super) fn close_unused(&self, listener: &Listener) -> bool {
+        let connections = self.connections();
+        let mut oldest: Option<(Rank, Instant, &Arc<ConnectionState>)> = None;
+        let now = Instant::now();
+        for connection in connections.values() {
+            if !connection.is_of(listener) {
+                continue;
+            }
+            let Some(candidate) = connection.candidate() else {
+                continue;
+            };
+            let unused_for = now.saturating_duration_since(candidate.since);
+            if candidate.is_closing || unused_for < listener.settings.min_unused_time {
+                continue;
+            }
+            let key = (candidate.rank, candidate.since);
+            if oldest.is_none_or(|(rank, since, _)| key < (rank, since)) {
+                oldest = Some((key.0, key.1, connection));
+            }
+        }
+        let is_closed = oldest.is_some_and(|(_, _, connection)| connection.close());
+        if is_closed {
+            self.0.closed.fetch_add(1, Ordering::Relaxed);
+        }
+        is_closed
+    }
 }
--- a/crates/fescuewell_http/src/listener/settings.rs
+++ b/crates/fescuewell_http/src/listener/settings.rs
@@ -38,6 +38,8 @@
     pub idle_timeout: Duration,
     /// Timeout for receiving a complete request head, from its first byte (or from the start of the connection).
     pub header_timeout: Duration,
+    /// Connections that have been unused for this long can be closed so that others are accepted.
+    pub min_unused_time: Duration,
     /// Timeout for receiving a complete body.
     pub body_timeout: Duration,
     /// Maximum size of a request head in bytes; at least 8,192.
@@ -67,6 +69,7 @@
             max_connections: 4_096,
             idle_timeout: Duration::from_secs(75),
             header_timeout: Duration::from_secs(10),
+            min_unused_time: Duration::from_secs(1),
             body_timeout: Duration::from_secs(30),
             max_head_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
