Listener: a receive buffer of 16 KiB, so that requests sent ahead wait at their sender

Cause: the kernel's receive buffer grows to megabytes a connection while nobody reads it.

Change: the listening socket sets 16 KiB, which the kernel doubles and accepted connections inherit.

--- a/crates/fescuewell_http/src/listener/accept.rs
+++ b/crates/fescuewell_http/src/listener/accept.rs
@@ -28,6 +28,10 @@
 /// ones are closed without a response, since each takes up a file descriptor.
 const MAX_CONCURRENT_REFUSALS: usize = 64;
 
+/// Size of a connection's receive buffer in the kernel, in bytes; the kernel doubles it. It bounds what is received on
+/// a connection that is not read, such as requests sent ahead.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Maximum number of connections beyond the limit while others are closed for them.
 const MAX_EXCESS_CONNECTIONS: usize = 64;
 
@@ -88,6 +92,8 @@
     /// Opens a non-blocking listening socket on the address.
     pub(super) fn listen(&self) -> io::Result<std::net::TcpListener> {
         let socket = bind(self.address)?;
+        // Accepted connections inherit it.
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         socket.listen(LISTEN_BACKLOG)?;
         socket.set_nonblocking(true)?;
         Ok(socket.into())
