Listener: a caller must keep up with its response at a least rate

Callers saw: nothing; a caller that takes a few bytes within each 30 s holds its response and its connection for ever.

Cause: any byte that the socket took renewed the time of a blocked write.

Change: a caller that does not keep up must take 16 KiB, or all that is ready, within `write_stall_timeout` (30 s, so 546 bytes a second). Callers of streams that read what is there are not concerned.

With the send buffers of this kernel no test with sockets showed the difference: a socket becomes writable only when a third of its buffer is free.

--- a/crates/fescuewell_http/src/listener/guard.rs
+++ b/crates/fescuewell_http/src/listener/guard.rs
@@ -20,6 +20,8 @@
 use super::{Limits, Settings, Shared};
 use crate::buffer::Reservation;
 
+/// Bytes that a caller must read within [`Settings::write_stall_timeout`] while it does not keep up.
+const MIN_PROGRESS_BYTES: usize = 16 * 1024;
 /// Time for which a complete response may remain unread before its connection can be closed for others.
 const MIN_UNREAD_TIME: Duration = Duration::from_secs(1);
 
@@ -314,7 +316,8 @@
         !in_exchange
     }
 
-    /// Records a write: `None` if the socket takes nothing, else the bytes that it took.
+    /// Records a write: `None` if the socket takes nothing, else the bytes that it took. A caller that reads a little
+    /// now and then does not renew its time.
     fn on_write(&self, written: Option<usize>) {
         let mut state = self.state();
         match (&mut state.backlog, written) {
@@ -328,7 +331,7 @@
             (Some(_), None) => {}
             (Some(backlog), Some(count)) => {
                 backlog.written += count;
-                if backlog.written > 0 {
+                if backlog.written >= MIN_PROGRESS_BYTES {
                     state.backlog = None;
                 }
             }
@@ -484,3 +487,6 @@
         Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fescuewell_http/src/listener/settings.rs
+++ b/crates/fescuewell_http/src/listener/settings.rs
@@ -50,7 +50,7 @@
     pub body_copies: usize,
     /// Memory for all that connections hold; listeners of one process may share it.
     pub memory: Memory,
-    /// Maximum time for which response data may remain unsent because the caller does not read.
+    /// Time in which a caller that does not keep up with its response must read 16 KiB of it, or all that is ready.
     pub write_stall_timeout: Duration,
     /// TLS settings; `None` for plain HTTP.
     pub tls: Option<Tls>,
