Listener: heads of legal size are served whatever the number of their fields

Callers saw: 431 for a request of 16 KiB with more than 100 header fields, in calm.

Cause: hyper takes 100 fields unless it is told another number, and then keeps arrays of that size on the heap for each head.

Change: a head that hyper rejects for its number of fields is read again with as many as its size allows, after the memory for them has been reserved (288 bytes a field: two map entries with their names). Other heads are read as before.

--- a/crates/fescuewell_http/src/listener/connection.rs
+++ b/crates/fescuewell_http/src/listener/connection.rs
@@ -32,6 +32,8 @@
 
 /// hyper's limit of the number of header fields unless it is given another one.
 const DEFAULT_MAX_FIELDS: usize = 100;
+/// Minimum size of a header field with its line break: a name of one character and a colon.
+const MIN_FIELD_BYTES: usize = 4;
 /// Maximum number of bytes that are read before hyper takes over; they are part of what an idle connection holds.
 const FIRST_READ_BYTES: usize = 2_048;
 
@@ -82,6 +84,8 @@
     Expired(Expiry),
     /// The connection is closed so that others are served.
     Closing,
+    /// There is no memory for the request.
+    Overloaded,
     /// The connection waits for its next request.
     Idle,
 }
@@ -183,7 +187,8 @@
         .await
     }
 
-    /// Lets hyper serve requests until none is in progress.
+    /// Lets hyper serve requests until none is in progress. hyper limits the number of header fields to 100; a head
+    /// with more is read again with as many as its size allows.
     async fn drive<Io>(
         &self,
         io: Io,
@@ -194,7 +199,48 @@
     where
         Io: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let limits = &self.shared.limits.get();
+        let limits = self.shared.limits.get();
+        let served = self.serve_http(io, received, timer, draining, &limits, None);
+        let served = served.await;
+        if !self.has_many_fields(&served, &limits) {
+            return served;
+        }
+        self.state.clear_rejection();
+        let fields = limits.head_bytes / MIN_FIELD_BYTES;
+        if !self.state.hold(memory::head_bytes(fields)).await {
+            return Served {
+                end: ConnectionEnd::Overloaded,
+                ..served
+            };
+        }
+        let Served { io, received, .. } = served;
+        self.serve_http(io, received, timer, draining, &limits, Some(fields))
+            .await
+    }
+
+    /// Whether hyper rejected a head of legal size for the number of its fields.
+    fn has_many_fields<Io>(&self, served: &Served<Io>, limits: &Limits) -> bool {
+        let ConnectionEnd::Finished(Err(error)) = &served.end else {
+            return false;
+        };
+        let is_rejected = error.is_parse_too_large() && self.state.rejected();
+        let head = &served.received[..served.received.len().min(limits.head_bytes)];
+        let lines = head.iter().filter(|byte| **byte == b'\n');
+        is_rejected && lines.count() > DEFAULT_MAX_FIELDS
+    }
+
+    async fn serve_http<Io>(
+        &self,
+        io: Io,
+        received: Bytes,
+        timer: &mut Pin<Box<Sleep>>,
+        draining: &mut Draining,
+        limits: &Limits,
+        max_fields: Option<usize>,
+    ) -> Served<Io>
+    where
+        Io: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let (peer, state, shared) = (self.peer, &self.state, &self.shared);
         let guard = Guard::new(io, received, state.clone());
         let service = service_fn(|request: http::Request<Incoming>| {
@@ -213,6 +259,9 @@
             .max_buf_size(shared.settings.max_head_bytes.max(MIN_HEAD_BYTES))
             .max_header_size(limits.head_bytes)
             .header_read_timeout(None);
+        if let Some(fields) = max_fields {
+            builder.max_headers(fields);
+        }
         let mut connection = builder.serve_connection(TokioIo::new(guard), service);
         let mut shutdown_requested = false;
         let end = poll_fn(|cx| {
@@ -258,6 +307,7 @@
             ConnectionEnd::Finished(Err(error)) if rejected => {
                 self.refuse(io, &Refusal::new(rejection_code(&error))).await;
             }
+            ConnectionEnd::Overloaded => self.refuse(io, &overloaded()).await,
             ConnectionEnd::Closing => {
                 if self.state.begin_refusal() {
                     self.refuse(io, &overloaded()).await;
--- a/crates/fescuewell_http/src/listener/guard.rs
+++ b/crates/fescuewell_http/src/listener/guard.rs
@@ -277,6 +277,11 @@
         self.state().rejected
     }
 
+    /// Forgets that hyper rejected a head, which is read again with another limit.
+    pub(super) fn clear_rejection(&self) {
+        self.state().rejected = false;
+    }
+
     /// Returns the next deadline of the connection and the timeout that sets it.
     pub(super) fn expiry(&self, limits: &Limits) -> Option<(Instant, Expiry)> {
         let settings: &Settings = &self.shared.settings;
