Auxiliary listeners: no bodies, and memory of their own

Callers saw: 84,908 kB of 49,152 with 24 bodies of 4 MiB at the readiness check, as at the address list and the metrics; 286,192 kB at all doors at once.

Cause: each of these listeners took 64 MiB of bodies, whatever the machine has. Nothing there needs a body.

Change: their requests are answered on their heads. Their connections share 2 MiB, which callers cannot use up.

--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -8,7 +8,7 @@
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
-use fescuewell_http::listener::{self, Handler, Listener};
+use fescuewell_http::listener::{self, Handler, Listener, Memory};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::oneshot;
 
@@ -62,6 +62,9 @@
 const MAX_PEER_CONNECTIONS: usize = 512;
 /// Maximum size of a request of another instance in bytes: a caller's request with its head.
 const MAX_PEER_BODY_BYTES: usize = 5 * 1024 * 1024;
+/// Size of the memory for the connections of the auxiliary listeners together, in bytes. It is kept for them, so that
+/// they respond while callers use up theirs.
+const AUXILIARY_MEMORY_BYTES: usize = 2 * 1024 * 1024;
 
 /// A running instance.
 pub struct Daemon {
@@ -113,9 +116,11 @@
         // These sockets stay bound even while the front listener rejects connections, so that no
         // second process with the same name can start next to this one.
         let mut auxiliary_listeners = Vec::new();
+        let memory = Memory::new(AUXILIARY_MEMORY_BYTES);
         for (name, address) in auxiliary_addresses(settings) {
             let listen = listener::Settings::new(address)
                 .with_name(name)
+                .with_memory(memory.clone())
                 .with_max_connections(MAX_AUXILIARY_CONNECTIONS);
             let handler: Arc<dyn Handler> = Arc::new(AuxiliaryHandler::new(gateway.clone()));
             auxiliary_listeners.push(Listener::start(listen, handler).context(ListenSnafu)?);
--- a/crates/fescuewell_gateway/src/side.rs
+++ b/crates/fescuewell_gateway/src/side.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
-use fescuewell_http::listener::{Handler, Reply, Request};
+use fescuewell_http::listener::{Handler, Head, Reply, Request};
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{HeaderMap, StatusCode};
 
@@ -63,6 +63,11 @@
 }
 
 impl Handler for AuxiliaryHandler {
+    /// No request here has a body.
+    fn needs_body(&self, _head: &Head<'_>) -> bool {
+        false
+    }
+
     fn handle(&self, request: Request, reply: Reply) {
         let dialect = &self.gateway.dialect;
         if &*request.path == dialect.ready_path() {
