Front: requests without a route or a known key are refused on their heads

Callers saw: 404 and 401 only after the whole body had been received and kept, and nothing at all for a body that stopped short of its end.

Cause: the listener read each body before it asked its handler.

Change: `Handler::needs_body` is asked first. The listener for other instances does the same for unknown paths.

--- a/crates/fescuewell_gateway/src/front.rs
+++ b/crates/fescuewell_gateway/src/front.rs
@@ -7,7 +7,7 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::condition::Declared;
-use fescuewell_http::listener::{Handler, Reply, Request, spawn};
+use fescuewell_http::listener::{Handler, Head, Reply, Request, spawn};
 
 use crate::gateway::Gateway;
 use crate::job::Job;
@@ -29,6 +29,23 @@
 }
 
 impl Handler for Front {
+    /// A request without a route or a known key is refused without its body.
+    fn needs_body(&self, head: &Head<'_>) -> bool {
+        let Some(table) = self.gateway.table() else {
+            return false;
+        };
+        let host = header::host(head.headers);
+        let Some(route) = table.route(host, head.uri.path()) else {
+            return false;
+        };
+        if !table.has_accounts() || route.public {
+            return true;
+        }
+        let name = &self.gateway.dialect.header_names().account_key;
+        let key = head.headers.get(name).and_then(|key| key.to_str().ok());
+        key.is_some_and(|key| table.account(key.trim()).is_some())
+    }
+
     fn handle(&self, request: Request, reply: Reply) {
         let gateway = self.gateway.clone();
         spawn(async move {
--- a/crates/fescuewell_gateway/src/peer.rs
+++ b/crates/fescuewell_gateway/src/peer.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use fescuewell_core::prelude::*;
-use fescuewell_http::listener::{Handler, Reply, Request};
+use fescuewell_http::listener::{Handler, Head, Reply, Request};
 
 use crate::gateway::Gateway;
 use crate::hop::{self, HopHandler};
@@ -27,6 +27,10 @@
 }
 
 impl Handler for PeerHandler {
+    fn needs_body(&self, head: &Head<'_>) -> bool {
+        matches!(head.uri.path(), hop::PATH | snapshot::PATH)
+    }
+
     fn handle(&self, request: Request, reply: Reply) {
         match &*request.path {
             snapshot::PATH => self.snapshots.handle(request, reply),
