Configuration: its limits on heads, bodies and times are applied to callers

Cause: `limits` of the document were read and kept, and nothing used them.

A head has a second more than headerTimeoutMs, since the limit bounds the caller, and a packet that is lost is sent again.

--- a/crates/fescuewell_gateway/src/daemon.rs
+++ b/crates/fescuewell_gateway/src/daemon.rs
@@ -113,6 +113,7 @@
         let handler: Arc<dyn Handler> = Arc::new(Front::new(gateway.clone()));
         let front = Listener::start(front, handler).context(ListenSnafu)?;
         gateway.set_gate(front.gate());
+        gateway.set_limits_handle(front.limits());
         // These sockets stay bound even while the front listener rejects connections, so that no
         // second process with the same name can start next to this one.
         let mut auxiliary_listeners = Vec::new();
--- a/crates/fescuewell_gateway/src/gateway.rs
+++ b/crates/fescuewell_gateway/src/gateway.rs
@@ -34,7 +34,7 @@
 use fescuewell_forward::stream;
 use fescuewell_forward::warmup::Warmup;
 use fescuewell_forward::window::Window;
-use fescuewell_http::listener::{Gate, Memory};
+use fescuewell_http::listener::{Gate, LimitsHandle, Memory};
 use fescuewell_http::upstream;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -170,6 +170,7 @@
     limit_change: Notify,
     failure: Notify,
     gate: OnceLock<Gate>,
+    limits: OnceLock<LimitsHandle>,
     started: Instant,
 }
 
@@ -269,6 +270,7 @@
             limit_change: Notify::new(),
             failure: Notify::new(),
             gate: OnceLock::new(),
+            limits: OnceLock::new(),
             started: Instant::now(),
         };
         let gateway = Arc::new(gateway);
@@ -293,6 +295,7 @@
     pub fn set_table(&self, table: Table) {
         self.configured_at_ms
             .store(self.now_ms(), Ordering::Relaxed);
+        self.apply_limits(table.configuration().limits);
         self.table.store(Some(Arc::new(table)));
     }
 
--- a/crates/fescuewell_gateway/src/gateway/gate.rs
+++ b/crates/fescuewell_gateway/src/gateway/gate.rs
@@ -6,10 +6,14 @@
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::*;
 use fescuewell_forward::admission::{Action, THROTTLE_MS, UNREADY_MS};
-use fescuewell_http::listener::{Gate, spawn};
+use fescuewell_forward::config;
+use fescuewell_http::listener::{Gate, Limits, LimitsHandle, spawn};
 
 use super::Gateway;
 
+/// Time that the packets of a head may take in addition to the configured timeout, for one that is lost and sent again.
+const TRANSIT_TIME: Duration = Duration::from_secs(1);
+
 impl Gateway {
     /// Records a caller's request with a body of so many bytes. If the instance is overloaded and
     /// others have capacity, closes the listener to new connections, and reports the instance
@@ -73,6 +77,26 @@
         let _ = self.gate.set(gate);
     }
 
+    /// Sets the control of the limits on callers' requests.
+    pub fn set_limits_handle(&self, limits: LimitsHandle) {
+        // The listener starts only once.
+        let _ = self.limits.set(limits);
+    }
+
+    /// Applies the limits of a configuration to the next requests of callers. They bound what a caller takes to send
+    /// a head; that may arrive later than it was sent.
+    pub(super) fn apply_limits(&self, limits: Option<config::Limits>) {
+        let Some(handle) = self.limits.get() else {
+            return;
+        };
+        handle.set(limits.map(|limits| Limits {
+            head_bytes: limits.head_bytes,
+            body_bytes: limits.body_bytes,
+            header_timeout: limits.head_timeout + TRANSIT_TIME,
+            idle_timeout: limits.idle_timeout,
+        }));
+    }
+
     /// Returns `true` if new connections from callers are accepted.
     pub fn is_accepting(&self) -> bool {
         !self.state().admission.is_closed(self.now_ms())
