Console: at the cap the connection that has been sending longest is closed for a new one

Callers saw: nobody was answered, /healthz neither, while 64 connections sent a form without its end: 30 s.

Cause: the gate refused the newest connection, and gave each body 30 s of silence.

Change: at the cap the gate closes the connection that has been sending its request for the longest time, and for a second at least. A request that has been received by its Content-Length is not cut off; one in chunks counts as unfinished until its answer ends.

--- a/crates/fescuewell_console/src/gate.rs
+++ b/crates/fescuewell_console/src/gate.rs
@@ -4,7 +4,8 @@
 //! any limit of time, and stops accepting for good at the first accept error. The gate therefore owns the operators'
 //! listener: it caps the number of connections, reads the head within [`Limits::head_time`] and
 //! [`Limits::head_bytes`], passes at most [`Limits::body_bytes`] on, ends silent connections, and goes on after accept errors.
-//! Each connection carries one request (`Connection: close`), so that no second head escapes these limits.
+//! Each connection carries one request (`Connection: close`), so that no second head escapes these limits. At the cap, the
+//! connection that has been sending its request for the longest time is closed for a new one.
 //!
 //! Not bounded here: how many connections of one sender count towards the cap, and the kernel's backlog.
 //! The inner server listens on loopback only and refuses requests without the gate's random token.
@@ -13,13 +14,14 @@
 
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use fescuewell_core::log_event;
 use fescuewell_core::prelude::Event;
+use slotmap::{SlotMap, new_key_type};
 
 pub use head::{PEER_HEADER, TOKEN_HEADER};
 
@@ -28,6 +30,8 @@
 pub struct Limits {
     /// Most connections at once.
     pub connections: usize,
+    /// A connection that has been sending its request for this long can be closed for a new one at the cap.
+    pub closable_after: Duration,
     /// Largest request head, in bytes.
     pub head_bytes: usize,
     /// Time in which the whole head must have arrived.
@@ -44,6 +48,7 @@
     fn default() -> Self {
         Self {
             connections: 64,
+            closable_after: Duration::from_secs(1),
             head_bytes: 16 << 10,
             head_time: Duration::from_secs(5),
             body_bytes: 34 << 20,
@@ -57,6 +62,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How long a caller that still sends is listened to after its answer.
 const LINGER: Duration = Duration::from_secs(1);
+/// Connections beyond the cap while others are closed for them.
+const MAX_EXCESS_CONNECTIONS: usize = 8;
 /// Bytes copied at once.
 const COPY_BYTES: usize = 16 << 10;
 
@@ -77,10 +84,23 @@
     token: Arc<str>,
     inner: Mutex<SocketAddr>,
     inner_lost: AtomicBool,
-    open: AtomicUsize,
+    open: Mutex<SlotMap<ConnectionKey, Arc<Connection>>>,
     stopping: AtomicBool,
 }
 
+new_key_type! {
+    /// Identifies an open connection.
+    struct ConnectionKey;
+}
+
+/// An open connection.
+struct Connection {
+    stream: TcpStream,
+    started: Instant,
+    /// Whether the request has been received completely, or the connection is being closed for another one.
+    is_settled: AtomicBool,
+}
+
 /// A running gate.
 pub struct Gate {
     address: SocketAddr,
@@ -107,7 +127,7 @@
             token,
             inner: Mutex::new(inner),
             inner_lost: AtomicBool::new(false),
-            open: AtomicUsize::new(0),
+            open: Mutex::default(),
             stopping: AtomicBool::new(false),
         });
         let for_thread = shared.clone();
@@ -183,32 +203,90 @@
     }
 }
 
-/// Counts a connection for as long as it lives.
-struct Place(Arc<Shared>);
+/// Lists a connection for as long as it lives.
+struct Place {
+    shared: Arc<Shared>,
+    key: ConnectionKey,
+    connection: Arc<Connection>,
+}
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::SeqCst);
+        lock(&self.shared.open).remove(self.key);
     }
 }
 
-fn admit(mut stream: TcpStream, peer: SocketAddr, shared: &Arc<Shared>) {
-    let before = shared.open.fetch_add(1, Ordering::SeqCst);
-    let place = Place(shared.clone());
-    if before >= shared.limits.connections {
-        log_event!(
-            Event::ConnectionRefused,
-            "listener=console peer={peer} code=1010"
-        );
-        // The answer fits into an empty send buffer; a peer that does not read cannot hold this thread.
-        let _ = stream.set_nonblocking(true);
-        let _ = stream.write_all(FULL);
-        return;
+impl Place {
+    /// Takes a place. At the cap, one more is given for a connection that is closed for it.
+    fn take(stream: &TcpStream, shared: &Arc<Shared>) -> io::Result<Option<Self>> {
+        let connection = Arc::new(Connection {
+            stream: stream.try_clone()?,
+            started: Instant::now(),
+            is_settled: AtomicBool::new(false),
+        });
+        let mut open = lock(&shared.open);
+        let limits = &shared.limits;
+        let is_full = open.len() >= limits.connections;
+        let has_excess = open.len() >= limits.connections + MAX_EXCESS_CONNECTIONS;
+        if is_full && (has_excess || !close_oldest(&open, limits.closable_after)) {
+            return Ok(None);
+        }
+        let key = open.insert(connection.clone());
+        drop(open);
+        Ok(Some(Self {
+            shared: shared.clone(),
+            key,
+            connection,
+        }))
     }
+}
+
+/// Closes the connection that has been sending its request for the longest time, and for at least `min_age`. Returns
+/// `false` if there is none.
+fn close_oldest(open: &SlotMap<ConnectionKey, Arc<Connection>>, min_age: Duration) -> bool {
+    let mut oldest: Option<&Connection> = None;
+    for connection in open.values() {
+        let is_settled = connection.is_settled.load(Ordering::SeqCst);
+        if is_settled || connection.started.elapsed() < min_age {
+            continue;
+        }
+        if oldest.is_none_or(|known| connection.started < known.started) {
+            oldest = Some(connection);
+        }
+    }
+    let Some(oldest) = oldest else {
+        return false;
+    };
+    oldest.is_settled.store(true, Ordering::SeqCst);
+    let _ = oldest.stream.shutdown(Shutdown::Both);
+    true
+}
+
+fn admit(mut stream: TcpStream, peer: SocketAddr, shared: &Arc<Shared>) {
+    let place = match Place::take(&stream, shared) {
+        Ok(Some(place)) => place,
+        Ok(None) => {
+            log_event!(
+                Event::ConnectionRefused,
+                "listener=console peer={peer} code=1010"
+            );
+            // The answer fits into an empty send buffer; a peer that does not read cannot hold this thread.
+            let _ = stream.set_nonblocking(true);
+            let _ = stream.write_all(FULL);
+            return;
+        }
+        Err(error) => {
+            log_event!(
+                Event::ConnectionRefused,
+                "listener=console peer={peer} error={error}"
+            );
+            return;
+        }
+    };
     let spawned = thread::Builder::new()
         .name("console-connection".into())
         .spawn(move || {
-            let shared = place.0.clone();
+            let shared = place.shared.clone();
             serve(stream, peer, &shared, place);
         });
     if let Err(error) = spawned {
@@ -241,11 +319,13 @@
     if inner.write_all(&passed_on).is_err() || inner.write_all(&request.rest).is_err() {
         return;
     }
-    let body_left = shared
-        .limits
-        .body_bytes
-        .saturating_sub(request.rest.len() as u64);
-    splice(stream, inner, &shared.limits, started, body_left);
+    let received = request.rest.len() as u64;
+    let upload = Upload {
+        most: shared.limits.body_bytes.saturating_sub(received),
+        missing: head::body_length(&request.head).map(|length| length.saturating_sub(received)),
+        connection: place.connection.clone(),
+    };
+    splice(stream, inner, &shared.limits, started, upload);
 }
 
 fn refuse(stream: &mut TcpStream, peer: SocketAddr, problem: head::Problem) {
@@ -277,8 +357,17 @@
     }
 }
 
+/// The rest of a request's body.
+struct Upload {
+    /// Most bytes that are passed on.
+    most: u64,
+    /// Bytes that are missing; `None` for a body without a length.
+    missing: Option<u64>,
+    connection: Arc<Connection>,
+}
+
 /// Copies the body one way and the answer the other way until both ends are done or a limit is met.
-fn splice(outer: TcpStream, inner: TcpStream, limits: &Limits, started: Instant, body_left: u64) {
+fn splice(outer: TcpStream, inner: TcpStream, limits: &Limits, started: Instant, upload: Upload) {
     let (Ok(outer_reader), Ok(inner_writer)) = (outer.try_clone(), inner.try_clone()) else {
         return;
     };
@@ -287,13 +376,13 @@
     let upload = thread::Builder::new()
         .name("console-upload".into())
         .spawn(move || {
-            copy(outer_reader, inner_writer, &limits, started, body_left);
+            upload.run(outer_reader, inner_writer, &limits, started);
             drop(done);
         });
     let (Ok(inner_end), Ok(outer_end)) = (inner.try_clone(), outer.try_clone()) else {
         return;
     };
-    copy(inner, outer, &limits, started, u64::MAX);
+    copy(inner, outer, &limits, started, u64::MAX, |_| {});
     // The answer is complete. A caller that is still sending has to be listened to a little longer: closing
     // with unread bytes resets the connection, and the caller would lose the answer that says why.
     let _ = inner_end.shutdown(Shutdown::Both);
@@ -304,7 +393,34 @@
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, limits: &Limits, started: Instant, mut left: u64) {
+impl Upload {
+    /// Passes the body on, and marks the connection once all of it has been received.
+    fn run(self, from: TcpStream, to: TcpStream, limits: &Limits, started: Instant) {
+        let settle = || self.connection.is_settled.store(true, Ordering::SeqCst);
+        let mut missing = self.missing;
+        if missing == Some(0) {
+            settle();
+        }
+        copy(from, to, limits, started, self.most, |count| {
+            missing = missing.map(|missing| missing.saturating_sub(count));
+            if missing == Some(0) {
+                settle();
+            }
+        });
+    }
+}
+
+/// Copies at most `left` bytes; calls `on_read` with the size of each piece.
+fn copy<OnRead>(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    limits: &Limits,
+    started: Instant,
+    mut left: u64,
+    mut on_read: OnRead,
+) where
+    OnRead: FnMut(u64),
+{
     let mut buffer = [0u8; COPY_BYTES];
     let mut takes_more = true;
     let _ = to.set_write_timeout(Some(limits.idle_time));
@@ -322,6 +438,7 @@
         };
         takes_more = takes_more && to.write_all(&buffer[..count]).is_ok();
         left -= count as u64;
+        on_read(count as u64);
     }
     // The end of a body must reach the server, or it would wait for the rest.
     let _ = to.shutdown(Shutdown::Write);
--- a/crates/fescuewell_console/src/gate/head.rs
+++ b/crates/fescuewell_console/src/gate/head.rs
@@ -89,3 +89,21 @@
     ));
     Some(rewritten.into_bytes())
 }
+
+/// Returns the length of the request's body; `None` if it has none that is known.
+pub(super) fn body_length(head: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(head).ok()?;
+    let mut length = Some(0);
+    for line in text.split("\r\n").skip(1) {
+        let Some((name, value)) = line.split_once(':') else {
+            continue;
+        };
+        if name.eq_ignore_ascii_case("Content-Length") {
+            length = value.trim().parse().ok();
+        }
+        if name.eq_ignore_ascii_case("Transfer-Encoding") {
+            return None;
+        }
+    }
+    length
+}
