Own interface: a prompt is read without a tree of values, and bodies count three times

Callers saw: routers of 1,578,076 kB with 24 bodies of just under 4 MiB that consist of small objects (one crowd), and 618,878 kB with lists (three crowds).

Cause: the body was parsed into a tree of values, which takes up to forty times its text, and each caller's memory was bounded by 64 MiB of text for all.

Change: interpreted fields are parsed where they stand, messages one by one, and all others are copied as text into the body for the backend server. `limits.memory_mb` (512) is the memory of the process; connections of callers may hold half of it, each byte of a body counted three times: as received, as text of the prompt, as sent. Requests of callers without a key are refused on their heads. The operators' listener takes no bodies and has 8 MiB. An interpreted field that occurs twice is refused now (400); before, the last one counted.

--- a/crates/fescuewell_router/src/caller.rs
+++ b/crates/fescuewell_router/src/caller.rs
@@ -7,6 +7,7 @@
 use fescuewell_document::lookup::Index;
 use fescuewell_document::model::Account;
 use fescuewell_http::listener::Request;
+use http::HeaderMap;
 
 /// Header with the request id; a repeated request has the same id.
 pub const REQUEST_ID_HEADER: &str = "idempotency-key";
@@ -51,7 +52,7 @@
     where
         Generate: FnOnce() -> String,
     {
-        let account = authenticate(index, request)?;
+        let account = authenticate(index, &request.headers)?;
         let sent_id = header(request, REQUEST_ID_HEADER)?;
         if let Some(id) = sent_id {
             check_id(id)?;
@@ -80,8 +81,8 @@
 /// # Errors
 ///
 /// [`Code::Unauthorized`] when the key is missing or unknown.
-pub fn authenticate<'a>(index: &'a Index, request: &Request) -> Result<&'a Account, Refusal> {
-    let value = request.headers.get(http::header::AUTHORIZATION);
+pub fn authenticate<'a>(index: &'a Index, headers: &HeaderMap) -> Result<&'a Account, Refusal> {
+    let value = headers.get(http::header::AUTHORIZATION);
     let text = value
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default();
--- a/crates/fescuewell_router/src/chat.rs
+++ b/crates/fescuewell_router/src/chat.rs
@@ -1,12 +1,18 @@
 //! Parses model requests: model and options, an upper bound of the cost, and the hashes of the prompt.
 //!
-//! The body is kept as a JSON value, since fields that this system does not interpret are forwarded to the
-//! backend server unchanged.
+//! Fields that this system does not interpret are forwarded to the backend server as they were received. No tree of
+//! values is built, which would take many times the memory of the text.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use fescuewell_core::prelude::*;
-use serde_json::Value;
+use serde::Deserialize;
+use serde::de::{
+    DeserializeSeed, Deserializer, Error as _, IgnoredAny, MapAccess, SeqAccess, Visitor,
+};
+use serde_json::value::RawValue;
 
 /// Bytes of prompt text in one block of the prefix hashes.
 const BLOCK_BYTES: usize = 256;
@@ -51,8 +57,8 @@
     /// is a bound for any tokenizer. An estimate of bytes per token would be too low for rare
     /// scripts, and the group would overspend without notice.
     pub bound: u32,
-    /// The whole body.
-    pub body: Value,
+    /// The whole body, as received.
+    pub body: Bytes,
     /// Text of the prompt, for the prefix hashes.
     text: String,
 }
@@ -62,39 +68,41 @@
     ///
     /// # Errors
     ///
-    /// [`Code::MalformedRequest`] when the body is not a JSON object, [`Code::InvalidField`] with the field's
-    /// name.
-    pub fn read(path: Path, bytes: &[u8]) -> Result<Self, Refusal> {
-        let body: Value = serde_json::from_slice(bytes)
-            .map_err(|error| Refusal::new(Code::MalformedRequest).with_detail(error.to_string()))?;
-        let Some(fields) = body.as_object() else {
+    /// [`Code::MalformedRequest`] when the body is not a JSON object, or names an interpreted field twice,
+    /// [`Code::InvalidField`] with the field's name.
+    pub fn read(path: Path, bytes: &Bytes) -> Result<Self, Refusal> {
+        let body = std::str::from_utf8(bytes).map_err(|error| malformed(&error))?;
+        serde_json::from_str::<IgnoredAny>(body).map_err(|error| malformed(&error))?;
+        if !is_object(body) {
             return Err(
                 Refusal::new(Code::MalformedRequest).with_detail("The body is not a JSON object.")
             );
-        };
-        let Some(model) = fields.get("model").and_then(Value::as_str) else {
-            return Err(invalid("model", "a string"));
-        };
-        reject_multiple_choices(&body)?;
-        let stream = flag(&body, "stream")?;
-        let include_usage = body["stream_options"]["include_usage"]
-            .as_bool()
-            .unwrap_or(false);
-        let output_limit = output_limit(&body)?;
+        }
+        let fields: Fields<'_> = serde_json::from_str(body).map_err(|error| malformed(&error))?;
+        let model = fields.model.and_then(string);
+        let model = model.ok_or_else(|| invalid("model", "a string"))?;
+        reject_multiple_choices(&fields)?;
+        let stream = flag(fields.stream, "stream")?;
+        let include_usage = includes_usage(fields.stream_options);
+        let output_limit = output_limit(&fields)?;
         let text = match path {
-            Path::Chat => chat_text(&body)?,
-            Path::Text => completion_text(&body)?,
+            Path::Chat => chat_text(fields.messages)?,
+            Path::Text => fields
+                .prompt
+                .and_then(string)
+                .ok_or_else(|| invalid("prompt", "a string"))?
+                .into_owned(),
         };
         let bound = u32::try_from(bytes.len())
             .unwrap_or(u32::MAX)
             .saturating_add(TEMPLATE_TOKENS);
         Ok(Self {
-            model: model.into(),
+            model: (&*model).into(),
             stream,
             include_usage,
             output_limit,
             bound,
-            body,
+            body: bytes.clone(),
             text,
         })
     }
@@ -125,52 +133,168 @@
     /// The router assembles non-streamed responses itself, so that both kinds use the same code and can be
     /// resumed.
     pub fn upstream_body(&self, limit: u32, priority: u8, cache_salt: &str) -> Vec<u8> {
-        let mut body = self.body.clone();
-        body["stream"] = true.into();
-        body["stream_options"] = serde_json::json!({"include_usage": true});
-        body["max_tokens"] = limit.into();
-        body["priority"] = priority.into();
-        body["cache_salt"] = cache_salt.into();
-        if let Some(fields) = body.as_object_mut() {
-            fields.remove("max_completion_tokens");
+        let own = serde_json::json!({
+            "stream": true,
+            "stream_options": {"include_usage": true},
+            "max_tokens": limit,
+            "priority": priority,
+            "cache_salt": cache_salt,
+        });
+        let own = own.to_string();
+        let mut body = Vec::with_capacity(self.body.len() + own.len());
+        body.push(b'{');
+        let mut received = serde_json::Deserializer::from_slice(&self.body);
+        // The body was parsed before.
+        let _ = received.deserialize_map(Forwarded { body: &mut body });
+        // The own fields follow those of the caller.
+        body.extend_from_slice(&own.as_bytes()[1..]);
+        body
+    }
+}
+
+/// Fields that are replaced in the body for the backend server.
+const REPLACED: [&str; 6] = [
+    "stream",
+    "stream_options",
+    "max_tokens",
+    "max_completion_tokens",
+    "priority",
+    "cache_salt",
+];
+
+/// Copies the fields of a body that are not replaced, each with a comma behind it.
+struct Forwarded<'a> {
+    body: &'a mut Vec<u8>,
+}
+
+impl<'de> Visitor<'de> for Forwarded<'_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("an object")
+    }
+
+    fn visit_map<Map>(self, mut map: Map) -> Result<(), Map::Error>
+    where
+        Map: MapAccess<'de>,
+    {
+        while let Some(name) = map.next_key::<String>()? {
+            let value: &RawValue = map.next_value()?;
+            if REPLACED.contains(&&*name) {
+                continue;
+            }
+            serde_json::to_writer(&mut *self.body, &name).map_err(Map::Error::custom)?;
+            self.body.push(b':');
+            self.body.extend_from_slice(value.get().as_bytes());
+            self.body.push(b',');
         }
-        serde_json::to_vec(&body).unwrap_or_default()
+        Ok(())
     }
 }
 
+/// The interpreted fields of a body; `None` if absent or null.
+#[derive(Deserialize)]
+struct Fields<'a> {
+    #[serde(borrow)]
+    model: Option<&'a RawValue>,
+    stream: Option<&'a RawValue>,
+    stream_options: Option<&'a RawValue>,
+    n: Option<&'a RawValue>,
+    best_of: Option<&'a RawValue>,
+    max_completion_tokens: Option<&'a RawValue>,
+    max_tokens: Option<&'a RawValue>,
+    messages: Option<&'a RawValue>,
+    prompt: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct StreamOptions<'a> {
+    #[serde(borrow)]
+    include_usage: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Message<'a> {
+    #[serde(borrow)]
+    role: Option<&'a RawValue>,
+    content: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Part<'a> {
+    #[serde(borrow)]
+    image_url: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct ImageUrl<'a> {
+    #[serde(borrow)]
+    url: Option<&'a RawValue>,
+}
+
+fn is_object(json: &str) -> bool {
+    json.trim_ascii_start().starts_with('{')
+}
+
+fn is_list(json: &str) -> bool {
+    json.trim_ascii_start().starts_with('[')
+}
+
+fn parse<'a, Value>(raw: &'a RawValue) -> Option<Value>
+where
+    Value: Deserialize<'a>,
+{
+    serde_json::from_str(raw.get()).ok()
+}
+
+/// Returns the text of a string.
+fn string(raw: &RawValue) -> Option<Cow<'_, str>> {
+    let plain = parse::<&str>(raw).map(Cow::Borrowed);
+    plain.or_else(|| parse::<String>(raw).map(Cow::Owned))
+}
+
+fn malformed(error: &dyn std::error::Error) -> Refusal {
+    Refusal::new(Code::MalformedRequest).with_detail(error.to_string())
+}
+
 fn invalid(field: &str, expected: &str) -> Refusal {
     Refusal::new(Code::InvalidField).with_detail(format!("Field {field}: {expected} is wanted."))
 }
 
-fn flag(body: &Value, field: &str) -> Result<bool, Refusal> {
-    match &body[field] {
-        Value::Null => Ok(false),
-        Value::Bool(value) => Ok(*value),
-        _ => Err(invalid(field, "true or false")),
-    }
+fn flag(value: Option<&RawValue>, field: &str) -> Result<bool, Refusal> {
+    let Some(value) = value else {
+        return Ok(false);
+    };
+    parse(value).ok_or_else(|| invalid(field, "true or false"))
+}
+
+fn includes_usage(options: Option<&RawValue>) -> bool {
+    let options = options.filter(|options| is_object(options.get()));
+    let options = options.and_then(parse::<StreamOptions<'_>>);
+    let value = options.and_then(|options| options.include_usage);
+    value.and_then(parse).unwrap_or(false)
 }
 
 // Several choices share one prompt but multiply the output, which the hold would not cover.
-fn reject_multiple_choices(body: &Value) -> Result<(), Refusal> {
-    for field in ["n", "best_of"] {
-        let value = &body[field];
-        if !value.is_null() && value.as_u64() != Some(1) {
+fn reject_multiple_choices(fields: &Fields<'_>) -> Result<(), Refusal> {
+    for (field, value) in [("n", fields.n), ("best_of", fields.best_of)] {
+        if value.is_some_and(|value| parse::<u64>(value) != Some(1)) {
             return Err(invalid(field, "1"));
         }
     }
     Ok(())
 }
 
-fn output_limit(body: &Value) -> Result<Option<u32>, Refusal> {
-    for field in ["max_completion_tokens", "max_tokens"] {
-        let value = &body[field];
-        if value.is_null() {
+fn output_limit(fields: &Fields<'_>) -> Result<Option<u32>, Refusal> {
+    let values = [
+        ("max_completion_tokens", fields.max_completion_tokens),
+        ("max_tokens", fields.max_tokens),
+    ];
+    for (field, value) in values {
+        let Some(value) = value else {
             continue;
-        }
-        let limit = value
-            .as_u64()
-            .and_then(|limit| u32::try_from(limit).ok())
-            .filter(|limit| *limit > 0);
+        };
+        let limit = parse::<u32>(value).filter(|limit| *limit > 0);
         return limit
             .map(Some)
             .ok_or_else(|| invalid(field, "a whole number from 1"));
@@ -178,56 +302,135 @@
     Ok(None)
 }
 
-fn chat_text(body: &Value) -> Result<String, Refusal> {
-    let Some(messages) = body["messages"].as_array().filter(|list| !list.is_empty()) else {
-        return Err(invalid("messages", "a list with at least one message"));
-    };
+/// Returns the text of all messages.
+fn chat_text(messages: Option<&RawValue>) -> Result<String, Refusal> {
+    let expected = || invalid("messages", "a list with at least one message");
+    let messages = messages.filter(|messages| is_list(messages.get()));
+    let messages = messages.ok_or_else(expected)?.get();
     let mut text = String::new();
-    for message in messages {
-        text.push_str(
-            message["role"]
-                .as_str()
-                .ok_or_else(|| invalid("messages[].role", "a string"))?,
-        );
-        text.push('\n');
-        add_content(&message["content"], &mut text)?;
-        text.push('\n');
+    let count = for_each(messages, |message| {
+        let read = is_object(message.get()).then(|| parse::<Message<'_>>(message));
+        let message = read
+            .flatten()
+            .ok_or_else(|| invalid("messages[]", "an object that names each field once"))?;
+        add_message(&message, &mut text)
+    })?;
+    if count == 0 {
+        return Err(expected());
     }
     Ok(text)
 }
 
-fn add_content(content: &Value, text: &mut String) -> Result<(), Refusal> {
-    match content {
-        Value::Null => Ok(()),
-        Value::String(part) => {
-            text.push_str(part);
-            Ok(())
-        }
-        Value::Array(parts) => {
-            for part in parts {
-                add_part(part, text)?;
-            }
-            Ok(())
-        }
-        _ => Err(invalid("messages[].content", "a string or a list of parts")),
+fn add_message(message: &Message<'_>, text: &mut String) -> Result<(), Refusal> {
+    let role = message.role.and_then(string);
+    let role = role.ok_or_else(|| invalid("messages[].role", "a string"))?;
+    text.push_str(&role);
+    text.push('\n');
+    if let Some(content) = message.content {
+        add_content(content, text)?;
     }
+    text.push('\n');
+    Ok(())
+}
+
+fn add_content(content: &RawValue, text: &mut String) -> Result<(), Refusal> {
+    if is_list(content.get()) {
+        return for_each(content.get(), |part| add_part(part, text)).map(drop);
+    }
+    let part = string(content)
+        .ok_or_else(|| invalid("messages[].content", "a string or a list of parts"))?;
+    text.push_str(&part);
+    Ok(())
 }
 
 // The size of an image behind a URL is unknown here, so no hold would be an upper bound. The size of an inline
 // image is bounded by the body's length.
-fn add_part(part: &Value, text: &mut String) -> Result<(), Refusal> {
-    if let Some(url) = part["image_url"]["url"].as_str()
+fn add_part(part: &RawValue, text: &mut String) -> Result<(), Refusal> {
+    if let Some(url) = image_url(part)?
         && !url.starts_with("data:")
     {
         return Err(invalid("image_url.url", "a data: URL"));
     }
-    text.push_str(&part.to_string());
+    text.push_str(part.get());
     Ok(())
 }
 
-fn completion_text(body: &Value) -> Result<String, Refusal> {
-    match &body["prompt"] {
-        Value::String(prompt) => Ok(prompt.clone()),
-        _ => Err(invalid("prompt", "a string")),
+/// Returns the URL of an image, if the part has one. An object that names a field twice is invalid: the backend server
+/// might take the other one.
+fn image_url(part: &RawValue) -> Result<Option<Cow<'_, str>>, Refusal> {
+    if !is_object(part.get()) {
+        return Ok(None);
+    }
+    let part: Part<'_> = parse(part).ok_or_else(|| {
+        invalid(
+            "messages[].content[]",
+            "an object that names each field once",
+        )
+    })?;
+    let Some(image) = part.image_url.filter(|image| is_object(image.get())) else {
+        return Ok(None);
+    };
+    let image: ImageUrl<'_> =
+        parse(image).ok_or_else(|| invalid("image_url", "an object that names each field once"))?;
+    Ok(image.url.and_then(string))
+}
+
+/// Calls `visit` for each element of a list and returns their number.
+fn for_each<Visit>(list: &str, visit: Visit) -> Result<usize, Refusal>
+where
+    Visit: FnMut(&RawValue) -> Result<(), Refusal>,
+{
+    let mut refusal = None;
+    let elements = Elements {
+        visit,
+        refusal: &mut refusal,
+    };
+    let count = elements.deserialize(&mut serde_json::Deserializer::from_str(list));
+    count.map_err(|error| refusal.unwrap_or_else(|| malformed(&error)))
+}
+
+/// Visits the elements of a list one by one, without collecting them.
+struct Elements<'a, Visit> {
+    visit: Visit,
+    refusal: &'a mut Option<Refusal>,
+}
+
+impl<'de, Visit> DeserializeSeed<'de> for Elements<'_, Visit>
+where
+    Visit: FnMut(&RawValue) -> Result<(), Refusal>,
+{
+    type Value = usize;
+
+    fn deserialize<Input>(self, input: Input) -> Result<usize, Input::Error>
+    where
+        Input: Deserializer<'de>,
+    {
+        input.deserialize_seq(self)
+    }
+}
+
+impl<'de, Visit> Visitor<'de> for Elements<'_, Visit>
+where
+    Visit: FnMut(&RawValue) -> Result<(), Refusal>,
+{
+    type Value = usize;
+
+    fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a list")
+    }
+
+    fn visit_seq<List>(mut self, mut list: List) -> Result<usize, List::Error>
+    where
+        List: SeqAccess<'de>,
+    {
+        let mut count = 0;
+        while let Some(element) = list.next_element::<&RawValue>()? {
+            if let Err(refusal) = (self.visit)(element) {
+                *self.refusal = Some(refusal);
+                return Err(List::Error::custom("an element is invalid"));
+            }
+            count += 1;
+        }
+        Ok(count)
     }
 }
--- a/crates/fescuewell_router/src/daemon.rs
+++ b/crates/fescuewell_router/src/daemon.rs
@@ -10,7 +10,7 @@
 use fescuewell_core::time::SystemClock;
 use fescuewell_core::timer;
 use fescuewell_document::lookup::Index;
-use fescuewell_http::listener::{self, Listener};
+use fescuewell_http::listener::{self, Listener, Memory};
 use fescuewell_http::upstream::{Client, Timeouts};
 use fescuewell_membership::address;
 use fescuewell_membership::member::InstanceInfo;
@@ -317,6 +317,11 @@
     }
 }
 
+/// Divisor of the process's memory; the result is what the connections of callers may hold together.
+const CONNECTION_MEMORY_DIVISOR: usize = 2;
+/// Copies of a body that a request holds: as received, the text of its prompt, and the body for the backend server.
+const BODY_COPIES: usize = 3;
+
 fn start_listener(settings: &Settings, plane: &Arc<Plane>) -> Result<Listener, Error> {
     let limits = &settings.limits;
     let mut listener = listener::Settings::new(settings.listen)
@@ -325,6 +330,8 @@
     listener.max_connections = limits.connections;
     listener.max_body_bytes = limits.body_bytes;
     listener.max_head_bytes = limits.head_bytes;
+    listener.memory = Memory::new(limits.memory_mb * 1024 * 1024 / CONNECTION_MEMORY_DIVISOR);
+    listener.body_copies = BODY_COPIES;
     if let Some(tls) = &settings.tls {
         listener.tls = Some(listener::Tls {
             certificate: read_file("tls.certificate", &tls.certificate)?,
@@ -344,6 +351,8 @@
 
 /// Maximum number of connections of operators and their monitoring.
 const MAX_OPERATOR_CONNECTIONS: usize = 64;
+/// Memory for these connections in bytes.
+const OPERATOR_MEMORY_BYTES: usize = 8 * 1024 * 1024;
 
 fn start_operator(
     settings: &Settings,
@@ -362,6 +371,7 @@
     };
     let mut listener = listener::Settings::new(settings.operator_listen).with_name("operators");
     listener.max_connections = MAX_OPERATOR_CONNECTIONS;
+    listener.memory = Memory::new(OPERATOR_MEMORY_BYTES);
     Listener::start(listener, Arc::new(operator)).context(ListenerSnafu)
 }
 
--- a/crates/fescuewell_router/src/operator.rs
+++ b/crates/fescuewell_router/src/operator.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use fescuewell_core::prelude::*;
-use fescuewell_http::listener::{Handler, Reply, Request};
+use fescuewell_http::listener::{Handler, Head, Reply, Request};
 use fescuewell_node::state::Summary;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HeaderMap, HeaderValue};
 use http::{Method, StatusCode};
@@ -23,6 +23,11 @@
 }
 
 impl Handler for Operator {
+    /// No request here has a body.
+    fn needs_body(&self, _head: &Head<'_>) -> bool {
+        false
+    }
+
     fn handle(&self, request: Request, reply: Reply) {
         if !self.is_allowed(&request) {
             return reply.refuse(&Refusal::new(Code::SignInRequired));
--- a/crates/fescuewell_router/src/plane.rs
+++ b/crates/fescuewell_router/src/plane.rs
@@ -11,7 +11,7 @@
 use fescuewell_claims::message::StoredResponse;
 use fescuewell_core::prelude::*;
 use fescuewell_document::lookup::Index;
-use fescuewell_http::listener::{Handler, Reply, Request, spawn};
+use fescuewell_http::listener::{Handler, Head, Reply, Request, spawn};
 use fescuewell_http::upstream::{Client, Timeouts};
 use fescuewell_http::{depth, refusal::refusal_response};
 use fescuewell_membership::address;
@@ -67,6 +67,18 @@
 pub struct Front(pub Arc<Plane>);
 
 impl Handler for Front {
+    /// Only model requests and calls of services have a body, and are refused without it unless a client account sends
+    /// them.
+    fn needs_body(&self, head: &Head<'_>) -> bool {
+        let path = head.uri.path().trim_start_matches('/');
+        let parts: Vec<&str> = path.split('/').collect();
+        let has_body = matches!(
+            parts.as_slice(),
+            ["v1", "chat", "completions"] | ["v1", "completions"] | ["v1", "services", _, _]
+        );
+        has_body && authenticate(&self.0.index.load(), head.headers).is_ok()
+    }
+
     fn handle(&self, request: Request, reply: Reply) {
         let plane = self.0.clone();
         spawn(async move {
@@ -128,7 +140,7 @@
 
     fn send_instances(&self, request: &Request, reply: Reply) {
         let index = self.index.load();
-        let account = match authenticate(&index, request) {
+        let account = match authenticate(&index, &request.headers) {
             Ok(account) => account,
             Err(refusal) => return reply.refuse(&refusal),
         };
@@ -161,7 +173,7 @@
 
     fn send_models(&self, request: &Request, reply: Reply) {
         let index = self.index.load();
-        let account = match authenticate(&index, request) {
+        let account = match authenticate(&index, &request.headers) {
             Ok(account) => account,
             Err(refusal) => return reply.refuse(&refusal),
         };
--- a/crates/fescuewell_router/src/settings.rs
+++ b/crates/fescuewell_router/src/settings.rs
@@ -61,6 +61,8 @@
     pub body_bytes: usize,
     /// Maximum size of a request head; at least 8192.
     pub head_bytes: usize,
+    /// Memory of the process in MiB; the connections of callers may hold half of it.
+    pub memory_mb: usize,
     /// Maximum number of requests that the instance handles at once.
     pub requests: usize,
     /// Number of threads that serve callers.
@@ -105,6 +107,7 @@
             connections: 4_096,
             body_bytes: 4 * 1024 * 1024,
             head_bytes: 16 * 1024,
+            memory_mb: 512,
             requests: 4_000,
             threads: 2,
         }
@@ -165,6 +168,7 @@
                 MIN_HEAD_BYTES,
                 1024 * 1024,
             ),
+            ("limits.memory_mb", self.limits.memory_mb, 64, 1024 * 1024),
             ("limits.requests", self.limits.requests, 1, 100_000),
             ("limits.threads", self.limits.threads, 1, 64),
             ("fleet", self.fleet as usize, 1, 10_000),
--- a/crates/fescuewell_router/tests/common/mod.rs
+++ b/crates/fescuewell_router/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use fescuewell_core::prelude::*;
 use fescuewell_http::listener::{Handler, Listener, Reply, Request, Settings, spawn};
 use fescuewell_http::upstream::{self, Client, Timeouts};
@@ -71,7 +72,7 @@
     let body = format!(
         r#"{{"model":"{MODEL}","messages":[{{"role":"user","content":"hello"}}],"max_tokens":{tokens},"ignore_eos":true,"stream":true}}"#
     );
-    Prompt::read(Path::Chat, body.as_bytes()).unwrap()
+    Prompt::read(Path::Chat, &Bytes::from(body)).unwrap()
 }
 
 pub fn assignment(address: SocketAddr) -> Assignment {
