--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -22,6 +22,7 @@
 #[allow(dead_code, reason = "the tests use a part of the fixture")]
 mod server_proxy;
 mod single;
+#[allow(dead_code, reason = "the soak uses the rest")]
 mod way;
 #[path = "../forward/wire.rs"]
 #[allow(dead_code, reason = "the tests use a part of the constants")]
--- a/tests/crowd/way.rs
+++ b/tests/crowd/way.rs
@@ -241,6 +241,16 @@
         Self { way, clients }
     }
 
+    /// Connects so many clients to one address.
+    pub fn of(address: SocketAddr, door: Door, way: Way, clients: usize) -> Self {
+        let mut crowd = Self::of_bytes(address, clients, b"");
+        crowd.way = way;
+        for (number, client) in crowd.clients.iter_mut().enumerate() {
+            client.bytes = way.bytes(door, number);
+        }
+        crowd
+    }
+
     /// Connects so many clients that send these bytes each.
     pub fn of_bytes(address: SocketAddr, clients: usize, bytes: &[u8]) -> Self {
         let connect = |_| {
--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -147,6 +147,17 @@
         })
     }
 
+    /// Address of the readiness check.
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Peak memory of the running process in kB, where the system reports it.
+    pub fn peak_kb(&self) -> Option<u64> {
+        let process = self.child.as_ref()?.id();
+        crate::meter::read(process, &[]).map(|figures| figures.peak_kb)
+    }
+
     fn signal(&self, signal: Signal) {
         let Some(child) = &self.child else {
             return;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 
 mod caller;
 mod conditions;
+mod crowd;
 mod document;
 mod fault;
 #[path = "../forward/fixture.rs"]
@@ -17,6 +18,9 @@
 mod instance;
 mod lists;
 mod lost;
+#[path = "../crowd/meter.rs"]
+#[allow(dead_code, reason = "the soak uses a part of the meter")]
+mod meter;
 mod parts;
 mod poison;
 #[path = "../scenario/proxy.rs"]
@@ -28,6 +32,9 @@
 mod stops;
 mod streams;
 mod verdict;
+#[path = "../crowd/way.rs"]
+#[allow(dead_code, reason = "the soak uses a part of the crowds")]
+mod way;
 #[path = "../forward/wire.rs"]
 #[allow(dead_code, reason = "the soak uses a part of the constants")]
 mod wire;
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -13,6 +13,7 @@
 
 use crate::caller::{Caller, Kind, request};
 use crate::conditions;
+use crate::crowd::{self, Crowds};
 use crate::document::{Change, Document};
 use crate::fault::{self, Fault};
 use crate::fixture::{Fixture, any_address, send};
@@ -64,6 +65,9 @@
     poison_caller: PoisonCaller,
     stop: Arc<AtomicBool>,
     document: Document,
+    /// Generator of crowds, separate for the same reason.
+    crowd_random: SmallRng,
+    crowds: Crowds,
     /// Server of a service of its own, which takes part while servers are silent.
     spare: Worker,
 }
@@ -122,6 +126,8 @@
             poison_caller,
             stop,
             document: Document::new(INITIAL_PREPAID_TOKENS),
+            crowd_random: SmallRng::seed_from_u64(seed.rotate_left(24)),
+            crowds: Crowds::default(),
             spare: Worker::start(any_address(), "spare").unwrap(),
         }
     }
@@ -139,6 +145,7 @@
             self.disturb_streams();
             silence::disturb(&mut self.silence_random, &self.platform.workers);
             stops::disturb(&mut self.stop_random, &self.instances);
+            self.crowds.disturb(&mut self.crowd_random, &self.instances);
             if self.silence_random.random_bool(0.2) {
                 let change =
                     [Change::Idle, Change::Timeout][self.silence_random.random_range(0..2)];
@@ -154,8 +161,10 @@
                 silence::clear(&self.platform.workers);
                 stops::clear(&self.instances);
                 streams::heal(&self.instances);
+                self.crowds.clear();
             }
         }
+        self.crowds.clear();
         for fault in active {
             self.clear(fault);
         }
@@ -385,6 +394,7 @@
     /// [`World::finish_with_quarantine`].
     pub fn finish(mut self) -> Vec<String> {
         let mut violations = self.recover();
+        violations.extend(crowd::violations(&self.instances, &self.platform.workers));
         let (record, mut exchanges) = self.play_silences();
         let mut stop_random = self.stop_random.clone();
         let stops = self.play_stops(&mut stop_random);
