Listener: requests that were sent ahead take turns with other connections

Callers saw: 'Metrics, SentAhead, crowd 3, beside it: metrics do not answer' within 20 s, in one of two runs of the whole of tests/crowd, debug build, at a load of 28.

Cause: hyper serves up to 16 requests that were sent ahead on one connection before it yields, when the handler responds at once. With 100 such connections an ordinary request for the metrics waited for 1,600 pages at each turn.

Change: a request that was sent ahead first gives other connections a turn.

--- a/crates/fescuewell_http/src/listener/connection.rs
+++ b/crates/fescuewell_http/src/listener/connection.rs
@@ -6,6 +6,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -243,16 +244,19 @@
     {
         let (peer, state, shared) = (self.peer, &self.state, &self.shared);
         let guard = Guard::new(io, received, state.clone());
+        let is_first = AtomicBool::new(true);
         let service = service_fn(|request: http::Request<Incoming>| {
             let reads_body = reads_body(&request, shared);
             state.begin_exchange(reads_body);
-            Box::pin(exchange(
-                request,
-                reads_body,
-                peer,
-                shared.clone(),
-                state.clone(),
-            ))
+            let was_sent_ahead = !is_first.swap(false, Ordering::Relaxed);
+            let (shared, state) = (shared.clone(), state.clone());
+            Box::pin(async move {
+                if was_sent_ahead {
+                    // hyper serves up to 16 such requests before other connections get a turn.
+                    tokio::task::yield_now().await;
+                }
+                exchange(request, reads_body, peer, shared, state).await
+            })
         });
         let mut builder = http1::Builder::new();
         builder
