Listener: an unfinished TLS handshake is closed when its connection is wanted

Cause: the handshake was awaited without a look at the request to close.

Change: the handshake ends with that request.

--- a/crates/fescuewell_http/src/listener/connection.rs
+++ b/crates/fescuewell_http/src/listener/connection.rs
@@ -110,8 +110,13 @@
 
 impl Connection {
     async fn run_encrypted(self, stream: TcpStream, acceptor: &TlsAcceptor) {
-        let limit = self.shared.settings.header_timeout;
-        if let Ok(Ok(stream)) = timeout(limit, acceptor.accept(stream)).await {
+        let handshake = timeout(self.shared.settings.header_timeout, acceptor.accept(stream));
+        let stream = tokio::select! {
+            biased;
+            () = poll_fn(|cx| self.state.poll_closing(cx)) => return,
+            stream = handshake => stream,
+        };
+        if let Ok(Ok(stream)) = stream {
             self.run(stream).await;
         }
     }
--- a/crates/fescuewell_http/tests/tls.rs
+++ b/crates/fescuewell_http/tests/tls.rs
@@ -18,10 +18,8 @@
     (tls, generated.cert.der().clone())
 }
 
-#[test]
-fn answers_over_tls() {
-    let (tls, certificate) = certificate();
-    let listener = listen(local().with_tls(tls), echo());
+/// Sends a request over TLS and returns the response.
+fn exchange(listener: &Listener, certificate: CertificateDer<'static>) -> String {
     let mut roots = rustls::RootCertStore::empty();
     roots.add(certificate).unwrap();
     let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -38,8 +36,36 @@
     stream.write_all(request.as_bytes()).unwrap();
     let mut response = String::new();
     let _ = stream.read_to_string(&mut response);
+    response
+}
+
+#[test]
+fn answers_over_tls() {
+    let (tls, certificate) = certificate();
+    let listener = listen(local().with_tls(tls), echo());
+
+    let response = exchange(&listener, certificate);
+
+    assert!(response.ends_with("over tls"), "{response:?}");
+}
+
+/// Guards against handshakes that stop half-way and take the connections of others until their timeout.
+#[test]
+fn an_unfinished_handshake_makes_room_at_the_connection_limit() {
+    let (tls, certificate) = certificate();
+    let mut settings = local().with_tls(tls).with_max_connections(1);
+    settings.min_unused_time = std::time::Duration::ZERO;
+    settings.header_timeout = 10 * TEST_TIMEOUT;
+    let listener = listen(settings, echo());
+    let mut unfinished = connect(listener.address());
+    unfinished.write_all(&[0x16, 3, 1]).unwrap();
+    eventually("open", || listener.open_connections() == 1);
+
+    let response = exchange(&listener, certificate);
 
     assert!(response.ends_with("over tls"), "{response:?}");
+    let end = unfinished.read(&mut [0]);
+    assert!(matches!(end, Ok(0)), "{end:?}");
 }
 
 #[test]
