Front: a request whose body was skipped is never sent without it

A request whose route or key was unknown when its head was received, and known a moment later, would have been sent to a server with an empty body.

Cause: whether a body is needed is asked on the listener's thread, and the request is admitted in a task after that; the control thread can put a new configuration in force in between.

Change: a request says that its body was skipped. If it would be admitted all the same, it is refused with 503 and `Retry-After`, and has not run. The own interface does the same.

Measurement: a_request_whose_body_was_skipped_is_not_sent_without_it fails without the check (200 instead of 503).

--- a/crates/fescuewell_gateway/src/front.rs
+++ b/crates/fescuewell_gateway/src/front.rs
@@ -125,6 +125,10 @@
     let Some(id) = metadata.request_id.clone() else {
         return Err(refuse(Code::MalformedRequest, version));
     };
+    // The route or key came with a configuration that was not in force when the head was received.
+    if request.is_body_skipped {
+        return Err(refuse(Code::NotReady, version));
+    }
     if route.kind.is_stream() && metadata.resumes == Declared::Malformed {
         return Err(refuse(Code::MalformedRequest, version));
     }
--- a/crates/fescuewell_http/src/listener/connection.rs
+++ b/crates/fescuewell_http/src/listener/connection.rs
@@ -251,8 +251,8 @@
         let guard = Guard::new(io, received, state.clone());
         let is_first = AtomicBool::new(true);
         let service = service_fn(|request: http::Request<Incoming>| {
-            let reads_body = reads_body(&request, shared);
-            state.begin_exchange(reads_body);
+            let body_use = body_use(&request, shared);
+            state.begin_exchange(body_use == BodyUse::Read);
             let was_sent_ahead = !is_first.swap(false, Ordering::Relaxed);
             let (shared, state) = (shared.clone(), state.clone());
             Box::pin(async move {
@@ -260,7 +260,7 @@
                     // hyper serves up to 16 such requests before other connections get a turn.
                     tokio::task::yield_now().await;
                 }
-                exchange(request, reads_body, peer, shared, state).await
+                exchange(request, body_use, peer, shared, state).await
             })
         });
         let mut builder = http1::Builder::new();
@@ -364,16 +364,29 @@
     [first, second].concat().into()
 }
 
-/// Whether the body of a request is read before its handler gets it.
-fn reads_body(request: &http::Request<Incoming>, shared: &Shared) -> bool {
+/// What becomes of the body of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyUse {
+    /// There is none.
+    Absent,
+    /// It is read before the handler gets the request.
+    Read,
+    /// The handler does not need it.
+    Skipped,
+}
+
+fn body_use(request: &http::Request<Incoming>, shared: &Shared) -> BodyUse {
     if request.body().is_end_stream() {
-        return false;
+        return BodyUse::Absent;
     }
     let head = Head {
         uri: request.uri(),
         headers: request.headers(),
     };
-    shared.handler.needs_body(&head)
+    match shared.handler.needs_body(&head) {
+        true => BodyUse::Read,
+        false => BodyUse::Skipped,
+    }
 }
 
 /// Resolves when a timeout of the connection expires. A later deadline does not reset the timer until it
@@ -499,7 +512,7 @@
 /// Reads a request with its body, passes it to the handler and waits for the response.
 async fn exchange(
     request: http::Request<Incoming>,
-    reads_body: bool,
+    body_use: BodyUse,
     peer: SocketAddr,
     shared: Arc<Shared>,
     state: Arc<ConnectionState>,
@@ -509,7 +522,7 @@
     let held = memory::exchange_bytes(parts.headers.len());
     // Fits without a wait, which the headers would outlast, unless the request was sent ahead of the last response.
     let received = match state.resize_request(held) {
-        true if reads_body => {
+        true if body_use == BodyUse::Read => {
             let max_bytes = shared.limits.get().body_bytes;
             body::read(body, max_bytes, &shared.settings, &state, held).await
         }
@@ -538,6 +551,7 @@
         target: parts.uri,
         headers: parts.headers,
         body,
+        is_body_skipped: body_use == BodyUse::Skipped,
         peer,
         arrived,
     };
--- a/crates/fescuewell_http/src/listener/mod.rs
+++ b/crates/fescuewell_http/src/listener/mod.rs
@@ -48,7 +48,7 @@
 pub use reply::{Closed, Disconnected, Ending, Reply, Sink, TrySendError};
 pub use settings::{Settings, Tls};
 
-/// A request with its complete body.
+/// A request with its complete body, unless its handler does not need that.
 #[derive(Debug, Clone)]
 pub struct Request {
     /// Request method.
@@ -61,8 +61,11 @@
     pub target: http::Uri,
     /// Headers as received.
     pub headers: http::HeaderMap,
-    /// The complete body.
+    /// The complete body; empty if it was not read.
     pub body: Bytes,
+    /// Whether there is a body that was not read, since [`Handler::needs_body`] returned `false`. Such a request must
+    /// not be carried out by a handler that would need its body now.
+    pub is_body_skipped: bool,
     /// Remote address of the connection.
     pub peer: SocketAddr,
     /// When the head had been received.
--- a/crates/fescuewell_router/src/plane.rs
+++ b/crates/fescuewell_router/src/plane.rs
@@ -306,6 +306,7 @@
     ) -> Result<ValidatedRequest, Refusal> {
         let index = self.index.load();
         let caller = Caller::read(&index, &request, || self.generate_id(ticket))?;
+        check_body(&request)?;
         depth::check(&request.body, MAX_JSON_DEPTH).map_err(|_| Refusal::new(Code::TooDeep))?;
         let prompt = Prompt::read(path, &request.body)?;
         let model = index
@@ -412,6 +413,15 @@
     }
 }
 
+/// Refuses a request whose body was skipped: its account came with a document that was not in force when the head was
+/// received.
+fn check_body(request: &Request) -> Result<(), Refusal> {
+    match request.is_body_skipped {
+        true => Err(Refusal::new(Code::NotReady)),
+        false => Ok(()),
+    }
+}
+
 fn is_known_path(parts: &[&str]) -> bool {
     matches!(
         parts,
--- a/crates/fescuewell_router/src/plane/service.rs
+++ b/crates/fescuewell_router/src/plane/service.rs
@@ -8,7 +8,7 @@
 use fescuewell_node::request::{Ticket, Verdict, Work};
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 
-use super::{Plane, ValidatedRequest, status_of};
+use super::{Plane, ValidatedRequest, check_body, status_of};
 use crate::call::{Call, Exchanges};
 use crate::caller::Caller;
 
@@ -93,6 +93,7 @@
     ) -> Result<ValidatedRequest, Refusal> {
         let index = self.index.load();
         let caller = Caller::read(&index, &request, || self.generate_id(ticket))?;
+        check_body(&request)?;
         let (service, call) = index
             .call(service, call)
             .ok_or_else(|| Refusal::new(Code::UnknownService))?;
--- a/tests/forward/refusals.rs
+++ b/tests/forward/refusals.rs
@@ -1,11 +1,14 @@
 //! Tests of refused requests: the status is correct and sent at once, and nothing runs.
 
 use std::io::Write;
+use std::sync::Arc;
 
+use fescuewell::gateway::front::Front;
+use fescuewell::http::listener::{self, Handler, Head, Listener, Reply};
 use fescuewell::standin::sample;
 use proptest::prelude::*;
 
-use crate::fixture::{Fixture, Request, read_response};
+use crate::fixture::{Fixture, Request, any_address, read_response, send};
 use crate::wire;
 
 #[test]
@@ -78,6 +81,38 @@
     assert_eq!(fixture.runs("r-1"), 0);
 }
 
+/// A listener that skipped a body because no route was known when the head was received.
+struct Skipping(Front);
+
+impl Handler for Skipping {
+    fn needs_body(&self, _: &Head<'_>) -> bool {
+        false
+    }
+
+    fn handle(&self, request: listener::Request, reply: Reply) {
+        self.0.handle(request, reply);
+    }
+}
+
+/// Guards against a request that is sent to a server without its body, because a configuration with its route came into
+/// force after the body had been skipped.
+#[test]
+fn a_request_whose_body_was_skipped_is_not_sent_without_it() {
+    let fixture = Fixture::ready(1, 1_000_000);
+    let gateway = fixture.daemon.as_ref().unwrap().gateway();
+    let handler = Arc::new(Skipping(Front::new(gateway.clone())));
+    let skipping = Listener::start(listener::Settings::new(any_address()), handler).unwrap();
+    let request = Request::new("POST /unsafe/x", "r-1");
+
+    let with_body = send(skipping.address(), &request.clone().with_body(b"hello")).unwrap();
+    let without_body = send(skipping.address(), &request.with(wire::REQUEST_ID, "r-2")).unwrap();
+
+    assert_eq!(with_body.status, 503);
+    assert!(with_body.header("retry-after").is_some());
+    assert_eq!(fixture.runs("r-1"), 0);
+    assert_eq!(without_body.status, 200);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
 
