Listener: what follows a body that was not read is never taken for a request

Worse, found in the trace: after a request that was refused on its head, the rest of its body was read as the next request.

Cause: a connection was taken back from hyper as soon as the response was written. hyper closes it in that case, but only at its next turn.

Change: it is taken back only after a request that has been received to its end; otherwise hyper keeps it and decides.

Measurement: the_rest_of_a_refused_body_is_no_request fails without the check: a GET inside the body is answered.

--- a/crates/fescuewell_http/src/listener/connection.rs
+++ b/crates/fescuewell_http/src/listener/connection.rs
@@ -252,7 +252,7 @@
         let is_first = AtomicBool::new(true);
         let service = service_fn(|request: http::Request<Incoming>| {
             let body_use = body_use(&request, shared);
-            state.begin_exchange(body_use == BodyUse::Read);
+            state.begin_exchange(body_use == BodyUse::Read, body_use == BodyUse::Absent);
             let was_sent_ahead = !is_first.swap(false, Ordering::Relaxed);
             let (shared, state) = (shared.clone(), state.clone());
             Box::pin(async move {
@@ -288,7 +288,7 @@
                     return Poll::Ready(ConnectionEnd::Finished(result));
                 }
             }
-            if state.is_idle() && !shutdown_requested {
+            if state.is_between_requests() && !shutdown_requested {
                 return Poll::Ready(ConnectionEnd::Idle);
             }
             poll_expiry(timer.as_mut(), state, limits, cx).map(ConnectionEnd::Expired)
@@ -524,7 +524,11 @@
     let received = match state.resize_request(held) {
         true if body_use == BodyUse::Read => {
             let max_bytes = shared.limits.get().body_bytes;
-            body::read(body, max_bytes, &shared.settings, &state, held).await
+            let received = body::read(body, max_bytes, &shared.settings, &state, held).await;
+            if received.is_ok() {
+                state.body_received();
+            }
+            received
         }
         true => {
             drop(body);
--- a/crates/fescuewell_http/src/listener/guard.rs
+++ b/crates/fescuewell_http/src/listener/guard.rs
@@ -75,6 +75,8 @@
 struct State {
     phase: Phase,
     backlog: Option<Backlog>,
+    /// Whether the current request has been received to its end, so that what follows is another one.
+    is_received: bool,
     rejected: bool,
     held: Reservation,
     is_closing: bool,
@@ -99,6 +101,7 @@
                     since: Instant::now(),
                 },
                 backlog: None,
+                is_received: false,
                 rejected: false,
                 held,
                 is_closing: false,
@@ -220,20 +223,27 @@
         };
     }
 
-    /// Records that a complete head has been received.
-    pub(super) fn begin_exchange(&self, reads_body: bool) {
+    /// Records that a complete head has been received, and whether there is nothing after it.
+    pub(super) fn begin_exchange(&self, reads_body: bool, has_no_body: bool) {
         let phase = match reads_body {
             true => Phase::ReadingBody {
                 since: Instant::now(),
             },
             false => Phase::Responding,
         };
-        let before = std::mem::replace(&mut self.state().phase, phase);
+        let mut state = self.state();
+        state.is_received = has_no_body;
+        let before = std::mem::replace(&mut state.phase, phase);
         if !before.is_exchange() {
             self.shared.exchanges.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// Records that the body has been received to its end.
+    pub(super) fn body_received(&self) {
+        self.state().is_received = true;
+    }
+
     /// Records that the request is passed to its handler. Returns `false` if the connection is being closed: the
     /// request must not be passed on then.
     pub(super) fn begin_response(&self) -> bool {
@@ -267,9 +277,11 @@
         )
     }
 
-    /// Whether the connection waits for its next request.
-    pub(super) fn is_idle(&self) -> bool {
-        matches!(self.state().phase, Phase::Idle { .. })
+    /// Whether the connection waits for its next request, and what is received next is the start of that. After a
+    /// request whose body was not read, only hyper can tell.
+    pub(super) fn is_between_requests(&self) -> bool {
+        let state = self.state();
+        matches!(state.phase, Phase::Idle { .. }) && state.is_received
     }
 
     /// Whether hyper wrote its own error response, which was discarded.
--- a/crates/fescuewell_http/src/listener/guard/tests.rs
+++ b/crates/fescuewell_http/src/listener/guard/tests.rs
@@ -39,7 +39,7 @@
 #[test]
 fn a_caller_that_reads_a_little_does_not_renew_its_time() {
     let connection = connection();
-    connection.begin_exchange(false);
+    connection.begin_exchange(false, true);
     connection.on_write(None);
     let deadline = expiry(&connection);
 
@@ -54,7 +54,7 @@
 fn a_caller_that_reads_enough_or_all_renews_its_time() {
     for has_read_all in [false, true] {
         let connection = connection();
-        connection.begin_exchange(false);
+        connection.begin_exchange(false, true);
         connection.on_write(None);
 
         match has_read_all {
--- a/crates/fescuewell_http/tests/listener.rs
+++ b/crates/fescuewell_http/tests/listener.rs
@@ -8,7 +8,9 @@
 
 use common::*;
 use fescuewell_core::code::Code;
-use fescuewell_http::listener::{Ending, Memory, Reply, Request, TrySendError, spawn};
+use fescuewell_http::listener::{
+    Ending, Handler, Head, Memory, Reply, Request, TrySendError, spawn,
+};
 use http::{HeaderMap, StatusCode};
 
 const SHORT_TIMEOUT: Duration = Duration::from_millis(50);
@@ -447,6 +449,40 @@
     })
 }
 
+/// Guards against the rest of a body that is taken for the next request, after a response that did not wait for it.
+#[test]
+fn the_rest_of_a_refused_body_is_no_request() {
+    struct Refusing(flume::Sender<String>);
+    impl Handler for Refusing {
+        fn needs_body(&self, head: &Head<'_>) -> bool {
+            head.uri.path() == "/large"
+        }
+
+        fn handle(&self, request: Request, reply: Reply) {
+            self.0.send(request.path.to_string()).unwrap();
+            reply.send(StatusCode::NOT_FOUND, HeaderMap::new(), bytes("refused"));
+        }
+    }
+    let (sender, paths) = flume::unbounded();
+    let mut settings = local();
+    settings.max_body_bytes = 1_000;
+    let listener = listen(settings, Arc::new(Refusing(sender)));
+    for path in ["/skipped", "/large"] {
+        let mut stream = connect(listener.address());
+        let head = format!("POST {path} HTTP/1.1\r\nHost: here\r\nContent-Length: 5000\r\n\r\n");
+        stream.write_all(head.as_bytes()).unwrap();
+        read_until(&mut stream, "\r\n\r\n");
+
+        // The connection may be closed already.
+        let _ = stream.write_all(b"GET /inside HTTP/1.1\r\nHost: here\r\n\r\n");
+
+        let rest = read_all(&mut stream);
+        assert!(!rest.contains("HTTP/1.1"), "{path}: {rest:?}");
+        eventually("closed", || listener.open_connections() == 0);
+    }
+    assert_eq!(paths.drain().collect::<Vec<_>>(), ["/skipped"]);
+}
+
 #[test]
 fn a_head_request_leaves_no_exchange_open() {
     // Guards against a drain that waits for a completed exchange, because hyper never polls the body of a response to HEAD.
