Review: a ready instance takes no new connection while one tenant is busy

Each request over the processor limit closes the listening socket for another 300 ms, also if it comes on a connection that is open already, and the readiness check does not show it.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and drivers of the cases of the second review. The argument names the case.
 
 mod client;
+mod gate;
 mod system;
 mod unframed;
 mod worker;
@@ -18,6 +19,7 @@
             worker::serve(&record, &std::env::args().nth(3).unwrap_or_default());
             0
         }
+        "gate" => gate::run(&record, has_trouble),
         "unframed" => unframed::run(&record, has_trouble),
         _ => 2,
     };
