--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod gate;
+mod restore;
 mod system;
 mod unframed;
 mod worker;
@@ -20,6 +21,7 @@
             0
         }
         "gate" => gate::run(&record, has_trouble),
+        "restore" => restore::run(&record, has_trouble),
         "unframed" => unframed::run(&record, has_trouble),
         _ => 2,
     };
--- a/review/standins-2/src/system.rs
+++ b/review/standins-2/src/system.rs
@@ -148,6 +148,13 @@
         }
     }
 
+    /// Says in the settings that the system does not start for the first time.
+    pub fn set_later_start(&self) {
+        let text = fs::read_to_string(&self.settings).expect("no settings");
+        let text = text.replace("bootstrap=true", "bootstrap=false");
+        fs::write(&self.settings, text).expect("the settings cannot be written");
+    }
+
     /// Starts the process by the command of the deploy file.
     pub fn start(&mut self) {
         let log = fs::OpenOptions::new()
